--- /dev/null
+++ b/adapter/etcdkv/client.go
@@ -0,0 +1,293 @@
+// Package etcdkv reaches the platform's key-value service through the etcd v3
+// JSON gateway. It offers nothing beyond port.Store: no election, no locks.
+package etcdkv
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Options of a client.
+type Options struct {
+	Addr    string        // IP:port of the service
+	Timeout time.Duration // of every call except a watch
+	// WatchIdle is how long a watch may be silent before it counts as broken.
+	WatchIdle time.Duration
+}
+
+// Client implements port.Store.
+type Client struct {
+	opts   Options
+	http   *http.Client
+	Counts Counts
+}
+
+// Counts are the calls and bytes since the start.
+type Counts struct {
+	Reads, Writes, Watches, Errors, BytesIn, BytesOut atomic.Int64
+}
+
+var _ port.Store = (*Client)(nil)
+
+// New returns a client; it connects on the first call.
+func New(opts Options) *Client {
+	dialer := &net.Dialer{Timeout: opts.Timeout}
+	return &Client{
+		opts: opts,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         dialer.DialContext,
+			MaxIdleConnsPerHost: 8,
+			IdleConnTimeout:     time.Minute,
+			DisableCompression:  true,
+		}},
+	}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// maxAnswer bounds the answer of one call.
+const maxAnswer = 64 << 20
+
+// call makes one call that is answered by one JSON message.
+func (c *Client) call(ctx context.Context, path string, write bool, req, resp any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.opts.Timeout)
+	defer cancel()
+	c.count(write)
+	httpResp, err := c.post(ctx, path, req)
+	if err != nil {
+		return c.failed(err, write)
+	}
+	defer httpResp.Body.Close()
+	body, err := io.ReadAll(io.LimitReader(httpResp.Body, maxAnswer))
+	c.Counts.BytesIn.Add(int64(len(body)))
+	if err != nil {
+		return c.failed(err, write)
+	}
+	if httpResp.StatusCode != http.StatusOK {
+		return c.refused(httpResp.StatusCode, body)
+	}
+	if err := json.Unmarshal(body, resp); err != nil {
+		return c.failed(err, write)
+	}
+	return nil
+}
+
+func (c *Client) count(write bool) {
+	if write {
+		c.Counts.Writes.Add(1)
+		return
+	}
+	c.Counts.Reads.Add(1)
+}
+
+func (c *Client) post(ctx context.Context, path string, req any) (*http.Response, error) {
+	body, err := json.Marshal(req)
+	if err != nil {
+		return nil, err
+	}
+	c.Counts.BytesOut.Add(int64(len(body)))
+	// A reader of a type that net/http does not know gives the request no
+	// GetBody, so the transport never replays a write on its own.
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+c.opts.Addr+path, struct{ io.Reader }{bytes.NewReader(body)})
+	if err != nil {
+		return nil, err
+	}
+	r.ContentLength = int64(len(body))
+	r.Header.Set("Content-Type", "application/json")
+	return c.http.Do(r)
+}
+
+// failed classifies a call that got no whole answer. A write may have taken
+// effect unless the connection was never made.
+func (c *Client) failed(err error, write bool) error {
+	c.Counts.Errors.Add(1)
+	v := verdict.NotRun
+	var op *net.OpError
+	dialFailed := errors.As(err, &op) && op.Op == "dial"
+	if write && !dialFailed {
+		v = verdict.MayHaveRun
+	}
+	return verdict.Wrap(err, v, port.CodeStoreDown, "store call")
+}
+
+// refused classifies an answer that says the call was not carried out.
+func (c *Client) refused(status int, body []byte) error {
+	c.Counts.Errors.Add(1)
+	switch status {
+	case http.StatusTooManyRequests:
+		return verdict.New(verdict.NotRun, port.CodeStoreLimited, "store: too many requests")
+	case http.StatusServiceUnavailable:
+		// The service also answers 503 to a proposal that timed out, which may
+		// still take effect. Only "no leader" says that nothing was proposed.
+		if !bytes.Contains(body, []byte("no leader")) {
+			return verdict.New(verdict.MayHaveRun, port.CodeStoreDown, "store unavailable: %s", bytes.TrimSpace(body))
+		}
+		return verdict.New(verdict.NotRun, port.CodeStoreDown, "store unavailable: %s", bytes.TrimSpace(body))
+	default:
+		return verdict.New(verdict.MayHaveRun, port.CodeStoreDown, "store answered %d: %s", status, bytes.TrimSpace(body))
+	}
+}
+
+// Get implements port.Store.
+func (c *Client) Get(ctx context.Context, key string) (port.KV, bool, error) {
+	var resp rangeResponse
+	if err := c.call(ctx, "/v3/kv/range", false, rangeRequest{Key: []byte(key)}, &resp); err != nil {
+		return port.KV{}, false, err
+	}
+	if len(resp.KVs) == 0 {
+		return port.KV{Revision: fleet.Revision(resp.Header.Revision)}, false, nil
+	}
+	return resp.KVs[0].port(), true, nil
+}
+
+// List implements port.Store.
+func (c *Client) List(ctx context.Context, prefix string) (port.Listing, error) {
+	var resp rangeResponse
+	req := rangeRequest{Key: []byte(prefix), RangeEnd: prefixEnd(prefix)}
+	if err := c.call(ctx, "/v3/kv/range", false, req, &resp); err != nil {
+		return port.Listing{}, err
+	}
+	out := port.Listing{Revision: fleet.Revision(resp.Header.Revision)}
+	for _, kv := range resp.KVs {
+		out.KVs = append(out.KVs, kv.port())
+	}
+	return out, nil
+}
+
+// CompareAndSwap implements port.Store.
+func (c *Client) CompareAndSwap(ctx context.Context, key string, expect fleet.Revision, value []byte, lease port.LeaseID) (fleet.Revision, bool, error) {
+	put := &putRequest{Key: []byte(key), Value: value, Lease: int64Text(lease)}
+	return c.txn(ctx, key, expect, requestOp{Put: put})
+}
+
+// CompareAndDelete implements port.Store.
+func (c *Client) CompareAndDelete(ctx context.Context, key string, expect fleet.Revision) (bool, error) {
+	_, ok, err := c.txn(ctx, key, expect, requestOp{Delete: &deleteRequest{Key: []byte(key)}})
+	return ok, err
+}
+
+func (c *Client) txn(ctx context.Context, key string, expect fleet.Revision, op requestOp) (fleet.Revision, bool, error) {
+	req := txnRequest{
+		Compare: []compare{{Key: []byte(key), Target: "MOD", Result: "EQUAL", ModRevision: int64Text(expect)}},
+		Success: []requestOp{op},
+	}
+	var resp txnResponse
+	if err := c.call(ctx, "/v3/kv/txn", true, req, &resp); err != nil {
+		return 0, false, err
+	}
+	return fleet.Revision(resp.Header.Revision), resp.Succeeded, nil
+}
+
+// GrantLease implements port.Store. The service counts whole seconds; ttl is
+// rounded up.
+func (c *Client) GrantLease(ctx context.Context, ttl time.Duration) (port.LeaseID, error) {
+	seconds := (ttl + time.Second - 1) / time.Second
+	var resp leaseMessage
+	err := c.call(ctx, "/v3/lease/grant", true, leaseMessage{TTL: int64Text(seconds)}, &resp)
+	return port.LeaseID(resp.ID), err
+}
+
+// KeepAlive implements port.Store.
+func (c *Client) KeepAlive(ctx context.Context, id port.LeaseID) (bool, error) {
+	var resp streamed[leaseMessage]
+	if err := c.call(ctx, "/v3/lease/keepalive", true, leaseMessage{ID: int64Text(id)}, &resp); err != nil {
+		return false, err
+	}
+	return resp.Result.TTL > 0, nil
+}
+
+// RevokeLease implements port.Store.
+func (c *Client) RevokeLease(ctx context.Context, id port.LeaseID) error {
+	var resp leaseMessage
+	return c.call(ctx, "/v3/lease/revoke", true, leaseMessage{ID: int64Text(id)}, &resp)
+}
+
+// Watch implements port.Store.
+func (c *Client) Watch(ctx context.Context, prefix string, from fleet.Revision, fn func([]port.Event)) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	idle := time.AfterFunc(c.opts.WatchIdle, cancel)
+	defer idle.Stop()
+	c.Counts.Watches.Add(1)
+	resp, err := c.post(ctx, "/v3/watch", watchRequest{Create: watchCreate{
+		Key: []byte(prefix), RangeEnd: prefixEnd(prefix), StartRevision: int64Text(from + 1), ProgressNotify: true,
+	}})
+	if err != nil {
+		return c.failed(err, false)
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		body, _ := io.ReadAll(io.LimitReader(resp.Body, 1024))
+		return c.refused(resp.StatusCode, body)
+	}
+	return c.readWatch(json.NewDecoder(countingReader{resp.Body, &c.Counts.BytesIn}), idle, fn)
+}
+
+func (c *Client) readWatch(dec *json.Decoder, idle *time.Timer, fn func([]port.Event)) error {
+	for {
+		var m streamed[watchResponse]
+		if err := dec.Decode(&m); err != nil {
+			return c.failed(err, false)
+		}
+		idle.Reset(c.opts.WatchIdle)
+		if m.Result.Canceled {
+			return verdict.New(verdict.NotRun, port.CodeCompacted, "watch cancelled: history before revision %d is gone", m.Result.CompactRevision)
+		}
+		fn(m.Result.events())
+	}
+}
+
+type countingReader struct {
+	io.Reader
+	n *atomic.Int64
+}
+
+func (r countingReader) Read(p []byte) (int, error) {
+	n, err := r.Reader.Read(p)
+	r.n.Add(int64(n))
+	return n, err
+}
+
+// prefixEnd returns the first key after all keys that start with prefix.
+func prefixEnd(prefix string) []byte {
+	end := []byte(prefix)
+	for i := len(end) - 1; i >= 0; i-- {
+		if end[i] < 0xff {
+			end[i]++
+			return end[:i+1]
+		}
+	}
+	return []byte{0}
+}
+
+// int64Text is a 64-bit integer in the gateway's form: decimal text.
+type int64Text int64
+
+// MarshalJSON implements json.Marshaler.
+func (n int64Text) MarshalJSON() ([]byte, error) {
+	return []byte(strconv.Quote(strconv.FormatInt(int64(n), 10))), nil
+}
+
+// UnmarshalJSON implements json.Unmarshaler; it accepts a bare number as well.
+func (n *int64Text) UnmarshalJSON(b []byte) error {
+	v, err := strconv.ParseInt(string(bytes.Trim(b, `"`)), 10, 64)
+	if err != nil {
+		return fmt.Errorf("want a 64-bit integer, got %s", b)
+	}
+	*n = int64Text(v)
+	return nil
+}
--- /dev/null
+++ b/adapter/etcdkv/messages.go
@@ -0,0 +1,106 @@
+package etcdkv
+
+import (
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/port"
+)
+
+// The types below are the JSON forms of the etcd v3 API messages that postmount
+// uses (package etcdserverpb): bytes are base64, 64-bit integers decimal text.
+
+type header struct {
+	Revision int64Text `json:"revision"`
+}
+
+type keyValue struct {
+	Key         []byte    `json:"key"`
+	ModRevision int64Text `json:"mod_revision"`
+	Value       []byte    `json:"value"`
+}
+
+func (kv keyValue) port() port.KV {
+	return port.KV{Key: string(kv.Key), Value: kv.Value, Revision: fleet.Revision(kv.ModRevision)}
+}
+
+type rangeRequest struct {
+	Key      []byte `json:"key"`
+	RangeEnd []byte `json:"range_end,omitempty"`
+}
+
+type rangeResponse struct {
+	Header header     `json:"header"`
+	KVs    []keyValue `json:"kvs"`
+}
+
+type compare struct {
+	Key         []byte    `json:"key"`
+	Target      string    `json:"target"`
+	Result      string    `json:"result"`
+	ModRevision int64Text `json:"mod_revision"`
+}
+
+type putRequest struct {
+	Key   []byte    `json:"key"`
+	Value []byte    `json:"value"`
+	Lease int64Text `json:"lease"`
+}
+
+type deleteRequest struct {
+	Key []byte `json:"key"`
+}
+
+type requestOp struct {
+	Put    *putRequest    `json:"request_put,omitempty"`
+	Delete *deleteRequest `json:"request_delete_range,omitempty"`
+}
+
+type txnRequest struct {
+	Compare []compare   `json:"compare"`
+	Success []requestOp `json:"success"`
+}
+
+type txnResponse struct {
+	Header    header `json:"header"`
+	Succeeded bool   `json:"succeeded"`
+}
+
+type leaseMessage struct {
+	ID  int64Text `json:"ID"`
+	TTL int64Text `json:"TTL"`
+}
+
+// streamed is the envelope of one message of a streaming call.
+type streamed[T any] struct {
+	Result T `json:"result"`
+}
+
+type watchCreate struct {
+	Key            []byte    `json:"key"`
+	RangeEnd       []byte    `json:"range_end"`
+	StartRevision  int64Text `json:"start_revision"`
+	ProgressNotify bool      `json:"progress_notify"`
+}
+
+type watchRequest struct {
+	Create watchCreate `json:"create_request"`
+}
+
+type watchEvent struct {
+	Type string   `json:"type"` // "DELETE"; absent for a put
+	KV   keyValue `json:"kv"`
+}
+
+type watchResponse struct {
+	Header          header       `json:"header"`
+	Canceled        bool         `json:"canceled"`
+	CompactRevision int64Text    `json:"compact_revision"`
+	Events          []watchEvent `json:"events"`
+}
+
+func (r watchResponse) events() []port.Event {
+	out := make([]port.Event, 0, len(r.Events))
+	for _, e := range r.Events {
+		out = append(out, port.Event{KV: e.KV.port(), Deleted: e.Type == "DELETE"})
+	}
+	return out
+}
--- /dev/null
+++ b/adapter/peerrpc/client.go
@@ -0,0 +1,197 @@
+package peerrpc
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/once"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/slots"
+	"github.com/postmount/postmount/verdict"
+)
+
+// CodePeer is the code of a failed call to a peer.
+const CodePeer verdict.Code = "peer-unreachable"
+
+// Client implements port.Peers with one connection per peer, made on demand.
+type Client struct {
+	token          string
+	connectTimeout time.Duration
+	callTimeout    time.Duration
+
+	mu    sync.Mutex
+	conns map[string]*rpc.Client
+	// Cut drops the traffic to the addresses it returns true for; tests and
+	// the demo use it to part peers. Nil cuts nothing.
+	Cut func(addr string) bool
+}
+
+var _ port.Peers = (*Client)(nil)
+
+// NewClient returns a client without connections.
+func NewClient(token string, connectTimeout, callTimeout time.Duration) *Client {
+	return &Client{
+		token:          token,
+		connectTimeout: connectTimeout,
+		callTimeout:    callTimeout,
+		conns:          map[string]*rpc.Client{},
+	}
+}
+
+// Close ends every connection.
+func (c *Client) Close() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, conn := range c.conns {
+		conn.Close()
+		delete(c.conns, addr)
+	}
+}
+
+func (c *Client) connect(ctx context.Context, addr string) (*rpc.Client, error) {
+	c.mu.Lock()
+	conn := c.conns[addr]
+	c.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	dialer := net.Dialer{Timeout: c.connectTimeout}
+	tcp, err := dialer.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, err
+	}
+	_ = tcp.SetWriteDeadline(time.Now().Add(c.connectTimeout))
+	if _, err := fmt.Fprintf(tcp, "%s%s\n", greeting, c.token); err != nil {
+		tcp.Close()
+		return nil, err
+	}
+	_ = tcp.SetWriteDeadline(time.Time{})
+	return c.keep(addr, rpc.NewClient(&writeDeadlineConn{tcp, c.callTimeout})), nil
+}
+
+// keep stores a new connection, or drops it if another call was faster.
+func (c *Client) keep(addr string, conn *rpc.Client) *rpc.Client {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if old := c.conns[addr]; old != nil {
+		conn.Close()
+		return old
+	}
+	c.conns[addr] = conn
+	return conn
+}
+
+func (c *Client) drop(addr string, conn *rpc.Client) {
+	c.mu.Lock()
+	if c.conns[addr] == conn {
+		delete(c.conns, addr)
+	}
+	c.mu.Unlock()
+	conn.Close()
+}
+
+// call makes one call within the shorter of ctx and the call timeout. A call
+// that times out takes its connection with it: answers behind it would only
+// come later still.
+//
+// The reply is read only after the call has ended well: net/rpc may still be
+// writing to the reply of a call that was given up.
+func call[R any](ctx context.Context, c *Client, addr, method string, args any) (R, error) {
+	var none R
+	if c.Cut != nil && c.Cut(addr) {
+		return none, verdict.New(verdict.NotRun, CodePeer, "peer %s: cut off", addr)
+	}
+	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
+	defer cancel()
+	conn, err := c.connect(ctx, addr)
+	if err != nil {
+		return none, verdict.Wrap(err, verdict.NotRun, CodePeer, "peer %s", addr)
+	}
+	reply := new(R)
+	call := conn.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-call.Done:
+		if err := c.finished(addr, conn, call.Error); err != nil {
+			return none, err
+		}
+		return *reply, nil
+	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.drop(addr, conn)
+		}
+		return none, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, CodePeer, "peer %s", addr)
+	}
+}
+
+func (c *Client) finished(addr string, conn *rpc.Client, err error) error {
+	if err == nil {
+		return nil
+	}
+	var answered rpc.ServerError
+	if !errors.As(err, &answered) {
+		c.drop(addr, conn)
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, CodePeer, "peer %s", addr)
+}
+
+// writeDeadlineConn bounds every write, so that a peer that reads nothing
+// cannot hold a caller's goroutine.
+type writeDeadlineConn struct {
+	net.Conn
+	timeout time.Duration
+}
+
+// Write implements net.Conn.
+func (c *writeDeadlineConn) Write(p []byte) (int, error) {
+	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
+		return 0, err
+	}
+	return c.Conn.Write(p)
+}
+
+// Beat implements port.Peers.
+func (c *Client) Beat(ctx context.Context, addr string, b port.Beat) (port.BeatReply, error) {
+	return call[port.BeatReply](ctx, c, addr, "Beat", b)
+}
+
+// Changes implements port.Peers.
+func (c *Client) Changes(ctx context.Context, addr string, since fleet.Revision) (port.Changes, error) {
+	return call[port.Changes](ctx, c, addr, "Changes", since)
+}
+
+// Claim implements port.Peers.
+func (c *Client) Claim(ctx context.Context, addr string, r once.Request) (once.Reply, error) {
+	return call[once.Reply](ctx, c, addr, "Claim", r)
+}
+
+// Note implements port.Peers.
+func (c *Client) Note(ctx context.Context, addr string, n once.Claim) (bool, error) {
+	return call[bool](ctx, c, addr, "Note", n)
+}
+
+// Transfer implements port.Peers.
+func (c *Client) Transfer(ctx context.Context, addr string, t once.Transfer) (bool, error) {
+	return call[bool](ctx, c, addr, "Transfer", t)
+}
+
+// Borrow implements port.Peers.
+func (c *Client) Borrow(ctx context.Context, addr string, r port.BorrowRequest) (port.BorrowReply, error) {
+	return call[port.BorrowReply](ctx, c, addr, "Borrow", r)
+}
+
+// Return implements port.Peers.
+func (c *Client) Return(ctx context.Context, addr string, loans []slots.LoanID) error {
+	_, err := call[Void](ctx, c, addr, "Return", loans)
+	return err
+}
+
+// Burn implements port.Peers.
+func (c *Client) Burn(ctx context.Context, addr string) (port.BurnCounts, error) {
+	return call[port.BurnCounts](ctx, c, addr, "Burn", Void{})
+}
--- /dev/null
+++ b/adapter/peerrpc/server.go
@@ -0,0 +1,189 @@
+// Package peerrpc carries the messages between entry daemons over net/rpc.
+//
+// A connection starts with one line that holds the fleet's shared token. What
+// does not start so is dropped before any decoder sees it.
+package peerrpc
+
+import (
+	"bufio"
+	"crypto/subtle"
+	"errors"
+	"io"
+	"net"
+	"net/rpc"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/once"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/slots"
+)
+
+// Connection set-up.
+const (
+	greeting        = "postmount-peer/1 "
+	maxGreeting     = 256
+	greetingTimeout = 2 * time.Second
+	// idleTimeout ends a connection on which nothing arrives; heartbeats come
+	// far more often.
+	idleTimeout = time.Minute
+	// maxConnections bounds the accepted connections.
+	maxConnections = 128
+)
+
+// Server serves a port.PeerServer.
+type Server struct {
+	token    string
+	rpc      *rpc.Server
+	mu       sync.Mutex
+	conns    map[net.Conn]bool
+	closed   bool
+	wg       sync.WaitGroup
+	Rejected atomic.Int64 // connections dropped for a wrong greeting or number
+}
+
+// NewServer returns a server that accepts peers with the given token.
+func NewServer(token string, handler port.PeerServer) *Server {
+	s := &Server{token: token, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
+	// The only error is a receiver without suitable methods.
+	if err := s.rpc.RegisterName(serviceName, &service{handler}); err != nil {
+		panic(err)
+	}
+	return s
+}
+
+// Serve accepts connections until the listener is closed.
+func (s *Server) Serve(l net.Listener) {
+	for {
+		conn, err := l.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil {
+			time.Sleep(10 * time.Millisecond)
+			continue
+		}
+		if !s.add(conn) {
+			s.Rejected.Add(1)
+			conn.Close()
+			continue
+		}
+		go s.serveConn(conn)
+	}
+}
+
+func (s *Server) add(conn net.Conn) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed || len(s.conns) >= maxConnections {
+		return false
+	}
+	s.conns[conn] = true
+	s.wg.Add(1)
+	return true
+}
+
+func (s *Server) serveConn(conn net.Conn) {
+	defer s.wg.Done()
+	defer s.remove(conn)
+	_ = conn.SetReadDeadline(time.Now().Add(greetingTimeout))
+	r := bufio.NewReader(conn)
+	if !s.greeted(r) {
+		s.Rejected.Add(1)
+		return
+	}
+	s.rpc.ServeConn(&idleConn{Conn: conn, r: r})
+}
+
+func (s *Server) greeted(r *bufio.Reader) bool {
+	line, err := bufio.NewReader(io.LimitReader(oneByte{r}, maxGreeting)).ReadString('\n')
+	if err != nil {
+		return false
+	}
+	token, ok := strings.CutPrefix(strings.TrimSuffix(line, "\n"), greeting)
+	return ok && subtle.ConstantTimeCompare([]byte(token), []byte(s.token)) == 1
+}
+
+// oneByte reads a byte at a time, so that nothing after the greeting is taken.
+type oneByte struct{ r io.Reader }
+
+// Read implements io.Reader.
+func (o oneByte) Read(p []byte) (int, error) {
+	if len(p) == 0 {
+		return 0, nil
+	}
+	return o.r.Read(p[:1])
+}
+
+func (s *Server) remove(conn net.Conn) {
+	conn.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, conn)
+}
+
+// Close ends every connection and waits for their goroutines.
+func (s *Server) Close() {
+	s.mu.Lock()
+	s.closed = true
+	for c := range s.conns {
+		c.Close()
+	}
+	s.mu.Unlock()
+	s.wg.Wait()
+}
+
+// idleConn renews the read deadline at every read.
+type idleConn struct {
+	net.Conn
+	r io.Reader
+}
+
+// Read implements net.Conn.
+func (c *idleConn) Read(p []byte) (int, error) {
+	if err := c.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
+		return 0, err
+	}
+	return c.r.Read(p)
+}
+
+const serviceName = "Peer"
+
+// service adapts a port.PeerServer to the method form of net/rpc.
+type service struct{ h port.PeerServer }
+
+// Void is the reply of calls that return nothing.
+type Void struct{}
+
+// Beat is an RPC method.
+func (s *service) Beat(b port.Beat, out *port.BeatReply) error { *out = s.h.OnBeat(b); return nil }
+
+// Changes is an RPC method.
+func (s *service) Changes(since fleet.Revision, out *port.Changes) error {
+	*out = s.h.OnChanges(since)
+	return nil
+}
+
+// Claim is an RPC method.
+func (s *service) Claim(r once.Request, out *once.Reply) error { *out = s.h.OnClaim(r); return nil }
+
+// Note is an RPC method.
+func (s *service) Note(n once.Claim, out *bool) error { *out = s.h.OnNote(n); return nil }
+
+// Transfer is an RPC method.
+func (s *service) Transfer(t once.Transfer, out *bool) error { *out = s.h.OnTransfer(t); return nil }
+
+// Borrow is an RPC method.
+func (s *service) Borrow(r port.BorrowRequest, out *port.BorrowReply) error {
+	*out = s.h.OnBorrow(r)
+	return nil
+}
+
+// Return is an RPC method.
+func (s *service) Return(loans []slots.LoanID, _ *Void) error { s.h.OnReturn(loans); return nil }
+
+// Burn is an RPC method.
+func (s *service) Burn(_ Void, out *port.BurnCounts) error { *out = s.h.OnBurn(); return nil }
--- /dev/null
+++ b/adapter/platformhttp/client.go
@@ -0,0 +1,168 @@
+// Package platformhttp reaches the platform's instance list and pool actions
+// over HTTP and JSON. docs/PROTOCOLS.md describes the calls.
+package platformhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Codes of failed calls.
+const (
+	CodePlatformDown verdict.Code = "platform-unavailable"
+	CodeGeneration   verdict.Code = "generation-mismatch"
+)
+
+// Client implements port.InstanceList and port.Actions.
+type Client struct {
+	addr    string
+	timeout time.Duration
+	http    *http.Client
+}
+
+var (
+	_ port.InstanceList = (*Client)(nil)
+	_ port.Actions      = (*Client)(nil)
+)
+
+// New returns a client of the platform at addr (IP:port).
+func New(addr string, timeout time.Duration) *Client {
+	dialer := &net.Dialer{Timeout: timeout}
+	return &Client{
+		addr:    addr,
+		timeout: timeout,
+		http:    &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxIdleConnsPerHost: 4, IdleConnTimeout: time.Minute}},
+	}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// InstanceMessage is one instance on the wire.
+type InstanceMessage struct {
+	ID           string `json:"id"`
+	Zone         string `json:"zone"`
+	Rack         string `json:"rack"`
+	Addr         string `json:"addr"`
+	State        string `json:"state"`
+	Generation   int64  `json:"generation"`
+	LastCommand  string `json:"last_command,omitempty"`
+	Slots        int    `json:"slots"`
+	Connections  int    `json:"connections"`
+	CPUMilli     int    `json:"cpu_milli"`
+	MemoryMB     int    `json:"memory_mb"`
+	Accelerators int    `json:"accelerators"`
+}
+
+// ListMessage is the answer of GET /v1/instances.
+type ListMessage struct {
+	Instances []InstanceMessage `json:"instances"`
+}
+
+// GoneMessage is the answer of GET /v1/entries/gone.
+type GoneMessage struct {
+	Incarnations []string `json:"incarnations"`
+}
+
+// CommandMessage is the body of POST /v1/instances/{id}/commands.
+type CommandMessage struct {
+	ID         string `json:"id"`
+	Action     string `json:"action"`
+	Generation int64  `json:"generation"`
+}
+
+// maxAnswer bounds an answer: 13,000 instances take about 4 MB.
+const maxAnswer = 32 << 20
+
+func (c *Client) call(ctx context.Context, method, path string, body, out any) error {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	data, err := json.Marshal(body)
+	if err != nil {
+		return err
+	}
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+c.addr+path, bytes.NewReader(data))
+	if err != nil {
+		return err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, CodePlatformDown, "platform")
+	}
+	defer resp.Body.Close()
+	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	switch {
+	case err != nil:
+		return verdict.Wrap(err, verdict.MayHaveRun, CodePlatformDown, "platform")
+	case resp.StatusCode == http.StatusConflict:
+		return verdict.New(verdict.NotRun, CodeGeneration, "platform: %s", bytes.TrimSpace(answer))
+	case resp.StatusCode != http.StatusOK:
+		return verdict.New(verdict.MayHaveRun, CodePlatformDown, "platform answered %d", resp.StatusCode)
+	case out == nil:
+		return nil
+	}
+	if err := json.Unmarshal(answer, out); err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, CodePlatformDown, "platform")
+	}
+	return nil
+}
+
+// Instances implements port.InstanceList.
+func (c *Client) Instances(ctx context.Context) ([]fleet.Instance, error) {
+	var m ListMessage
+	if err := c.call(ctx, http.MethodGet, "/v1/instances", nil, &m); err != nil {
+		return nil, err
+	}
+	out := make([]fleet.Instance, len(m.Instances))
+	for i, x := range m.Instances {
+		out[i] = x.instance()
+	}
+	return out, nil
+}
+
+func (m InstanceMessage) instance() fleet.Instance {
+	return fleet.Instance{
+		ID:          fleet.InstanceID(m.ID),
+		Zone:        fleet.AvailabilityZone(m.Zone),
+		Rack:        fleet.Rack(m.Rack),
+		Addr:        m.Addr,
+		State:       fleet.InstanceState(m.State),
+		Generation:  m.Generation,
+		LastCommand: fleet.CommandID(m.LastCommand),
+		Capacity: fleet.Resources{
+			Slots:        m.Slots,
+			Connections:  m.Connections,
+			CPUMilli:     m.CPUMilli,
+			MemoryMB:     m.MemoryMB,
+			Accelerators: m.Accelerators,
+		},
+	}
+}
+
+// GoneEntries implements port.InstanceList.
+func (c *Client) GoneEntries(ctx context.Context) ([]fleet.Incarnation, error) {
+	var m GoneMessage
+	if err := c.call(ctx, http.MethodGet, "/v1/entries/gone", nil, &m); err != nil {
+		return nil, err
+	}
+	out := make([]fleet.Incarnation, len(m.Incarnations))
+	for i, x := range m.Incarnations {
+		out[i] = fleet.Incarnation(x)
+	}
+	return out, nil
+}
+
+// Send implements port.Actions.
+func (c *Client) Send(ctx context.Context, instance fleet.InstanceID, cmd fleet.Command) error {
+	m := CommandMessage{ID: string(cmd.ID), Action: string(cmd.Action), Generation: cmd.Generation}
+	return c.call(ctx, http.MethodPost, "/v1/instances/"+string(instance)+"/commands", m, nil)
+}
--- /dev/null
+++ b/adapter/workerhttp/client.go
@@ -0,0 +1,130 @@
+// Package workerhttp reaches the task API of workers over HTTP and JSON.
+// docs/PROTOCOLS.md describes the call.
+package workerhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/verdict"
+)
+
+// CodeWorkerDown is the code of a failed call to a worker's task API.
+const CodeWorkerDown verdict.Code = "worker-unavailable"
+
+// SyncPath is where a worker takes task rounds.
+const SyncPath = "/_worker/tasks"
+
+// Client implements port.Tasks.
+type Client struct {
+	timeout time.Duration
+	http    *http.Client
+}
+
+var _ port.Tasks = (*Client)(nil)
+
+// New returns a client; it keeps one idle connection per worker.
+func New(timeout time.Duration) *Client {
+	dialer := &net.Dialer{Timeout: timeout}
+	return &Client{
+		timeout: timeout,
+		http:    &http.Client{Transport: &http.Transport{DialContext: dialer.DialContext, MaxConnsPerHost: 1, IdleConnTimeout: 30 * time.Second}},
+	}
+}
+
+// Close drops idle connections.
+func (c *Client) Close() { c.http.CloseIdleConnections() }
+
+// TaskMessage names one attempt of a job on the wire, with what a start needs.
+type TaskMessage struct {
+	Pool         string `json:"pool"`
+	Job          string `json:"job"`
+	Attempt      int    `json:"attempt"`
+	State        string `json:"state,omitempty"`
+	CPUMilli     int    `json:"cpu_milli,omitempty"`
+	MemoryMB     int    `json:"memory_mb,omitempty"`
+	Accelerators int    `json:"accelerators,omitempty"`
+	Slots        int    `json:"slots,omitempty"`
+	RunForMS     int64  `json:"run_for_ms,omitempty"`
+}
+
+// SyncMessage is one round with a worker.
+type SyncMessage struct {
+	LeaseMS    int64         `json:"lease_ms"`
+	Start      []TaskMessage `json:"start,omitempty"`
+	Keep       []TaskMessage `json:"keep,omitempty"`
+	Stop       []TaskMessage `json:"stop,omitempty"`
+	Checkpoint bool          `json:"checkpoint,omitempty"`
+}
+
+// SyncAnswer lists the tasks that the worker knows.
+type SyncAnswer struct {
+	Tasks []TaskMessage `json:"tasks"`
+}
+
+const maxAnswer = 4 << 20
+
+// Sync implements port.Tasks.
+func (c *Client) Sync(ctx context.Context, addr string, r port.TaskSync) ([]fleet.Task, error) {
+	ctx, cancel := context.WithTimeout(ctx, c.timeout)
+	defer cancel()
+	body, err := json.Marshal(message(r))
+	if err != nil {
+		return nil, err
+	}
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+addr+SyncPath, bytes.NewReader(body))
+	if err != nil {
+		return nil, err
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, CodeWorkerDown, "worker %s", addr)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil || resp.StatusCode != http.StatusOK {
+		return nil, verdict.New(verdict.MayHaveRun, CodeWorkerDown, "worker %s answered %d", addr, resp.StatusCode)
+	}
+	var answer SyncAnswer
+	if err := json.Unmarshal(data, &answer); err != nil {
+		return nil, verdict.Wrap(err, verdict.MayHaveRun, CodeWorkerDown, "worker %s", addr)
+	}
+	return tasks(answer), nil
+}
+
+func message(r port.TaskSync) SyncMessage {
+	m := SyncMessage{LeaseMS: r.Lease.Milliseconds(), Checkpoint: r.Checkpoint, Keep: refs(r.Keep), Stop: refs(r.Stop)}
+	for _, s := range r.Start {
+		m.Start = append(m.Start, TaskMessage{
+			Pool: string(s.Pool), Job: string(s.Job), Attempt: s.Attempt, RunForMS: s.RunFor.Milliseconds(),
+			Slots: s.Need.Slots, CPUMilli: s.Need.CPUMilli, MemoryMB: s.Need.MemoryMB, Accelerators: s.Need.Accelerators,
+		})
+	}
+	return m
+}
+
+func refs(in []port.TaskRef) []TaskMessage {
+	out := make([]TaskMessage, 0, len(in))
+	for _, r := range in {
+		out = append(out, TaskMessage{Pool: string(r.Pool), Job: string(r.Job), Attempt: r.Attempt})
+	}
+	return out
+}
+
+func tasks(a SyncAnswer) []fleet.Task {
+	out := make([]fleet.Task, 0, len(a.Tasks))
+	for _, t := range a.Tasks {
+		out = append(out, fleet.Task{
+			Pool: fleet.PoolName(t.Pool), Job: fleet.JobName(t.Job), Attempt: t.Attempt, State: fleet.TaskState(t.State),
+			Used: fleet.Resources{Slots: t.Slots, CPUMilli: t.CPUMilli, MemoryMB: t.MemoryMB, Accelerators: t.Accelerators},
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/api/exec.go
@@ -0,0 +1,153 @@
+package api
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/postmount/postmount/command"
+	"github.com/postmount/postmount/control"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/mirror"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/query"
+	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Executor carries out statements.
+type Executor struct {
+	Store    port.Store
+	Writer   *record.Writer
+	Mirror   *mirror.Mirror
+	Snapshot func() *control.Snapshot
+	// InForce waits until every member has taken in a revision and returns
+	// those that have not.
+	InForce func(ctx context.Context, rev fleet.Revision) []fleet.EntryID
+}
+
+// Times of carrying out a statement.
+const (
+	// writeTimeout bounds the write of one statement with all its repeats.
+	writeTimeout = 8 * time.Second
+	// inForceWait bounds the wait for the other daemons.
+	inForceWait = 4 * time.Second
+	// maxPlans bounds how often a statement is planned: it is planned again
+	// after each write and after each lost race.
+	maxPlans = 200
+)
+
+// Exec carries out the statements of p in order and stops at the first that
+// fails.
+func (e *Executor) Exec(ctx context.Context, id string, p *query.Program) []Result {
+	var out []Result
+	for i, s := range p.Statements {
+		in := fleet.CommandID(fmt.Sprintf("%s/%d", id, i+1))
+		r := e.one(ctx, in, s)
+		r.Statement = i + 1
+		out = append(out, r)
+		if r.Verdict != verdict.Done {
+			break
+		}
+	}
+	return out
+}
+
+func (e *Executor) one(ctx context.Context, id fleet.CommandID, s *query.Statement) Result {
+	plan, err := e.settle(ctx, id, s)
+	if err != nil {
+		return Result{Verdict: verdict.Of(err), Code: verdict.CodeOf(err), Message: err.Error()}
+	}
+	if plan.Table != nil {
+		return Result{Verdict: verdict.Done, Table: plan.Table, InForce: true}
+	}
+	r := Result{Verdict: verdict.Done, Message: plan.Done, Revision: int64(plan.Revision)}
+	recorded := time.Now()
+	wait, cancel := context.WithTimeout(ctx, inForceWait)
+	defer cancel()
+	for _, m := range e.InForce(wait, plan.Revision) {
+		r.Behind = append(r.Behind, string(m))
+	}
+	r.InForce = len(r.Behind) == 0
+	r.InForceMillis = time.Since(recorded).Milliseconds()
+	return r
+}
+
+// settle plans and writes until nothing is left. A race lost to another writer
+// is planned again from what won; the plan itself decides whether that is a
+// conflict.
+func (e *Executor) settle(ctx context.Context, id fleet.CommandID, s *query.Statement) (command.Plan, error) {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	wrote, read := false, s.ReadOnly()
+	for range maxPlans {
+		plan, err := command.Make(s, command.Input{ID: id, Now: time.Now(), Snap: e.fresh()})
+		if err != nil && !read {
+			// The refusal may come from records that lag behind the store, where
+			// the same command may have been carried out by another daemon.
+			read = true
+			if listErr := e.reread(ctx); listErr != nil {
+				return plan, afterWrites(listErr, wrote)
+			}
+			continue
+		}
+		if err != nil {
+			return plan, afterWrites(err, wrote)
+		}
+		if plan.Write == nil {
+			return plan, nil
+		}
+		w, err := plan.Write.Do(ctx, e.Writer)
+		switch {
+		case err == nil:
+			wrote = true
+			e.Mirror.Apply([]port.Event{{KV: w.KV}}, 0)
+		case verdict.CodeOf(err) == record.CodeConflict:
+			if err := e.refresh(ctx, plan.Write.Key); err != nil {
+				return plan, afterWrites(err, wrote)
+			}
+		default:
+			return plan, afterWrites(err, wrote)
+		}
+	}
+	return command.Plan{}, afterWrites(verdict.New(verdict.NotRun, record.CodeConflict, "others kept changing the record"), wrote)
+}
+
+// afterWrites makes sure that a statement of which a part was written is not
+// reported as not run.
+func afterWrites(err error, wrote bool) error {
+	if !wrote || verdict.Of(err) != verdict.NotRun {
+		return err
+	}
+	return verdict.Wrap(err, verdict.MayHaveRun, verdict.CodeOf(err), "a part was done")
+}
+
+// fresh returns the newest records with the newest instance list.
+func (e *Executor) fresh() *control.Snapshot {
+	s := *e.Snapshot()
+	s.State = e.Mirror.State()
+	return &s
+}
+
+// reread reads every record anew.
+func (e *Executor) reread(ctx context.Context) error {
+	l, err := e.Store.List(ctx, record.Root)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, port.CodeStoreDown, "read the records")
+	}
+	e.Mirror.Replace(l)
+	return nil
+}
+
+// refresh reads one record anew after a lost race.
+func (e *Executor) refresh(ctx context.Context, key string) error {
+	kv, found, err := e.Store.Get(ctx, key)
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, port.CodeStoreDown, "read %s", key)
+	}
+	if !found {
+		kv = port.KV{Key: key, Revision: kv.Revision}
+	}
+	e.Mirror.Apply([]port.Event{{KV: kv, Deleted: !found}}, 0)
+	return nil
+}
--- /dev/null
+++ b/api/server.go
@@ -0,0 +1,77 @@
+package api
+
+import (
+	"encoding/json"
+	"errors"
+	"net/http"
+
+	"github.com/go-chi/chi/v5"
+
+	"github.com/postmount/postmount/query"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Codes of requests refused as a whole.
+const (
+	CodeSyntax     verdict.Code = "syntax"
+	CodeBadRequest verdict.Code = "bad-request"
+)
+
+// Server serves the operators' interface.
+type Server struct {
+	Exec    *Executor
+	Status  func() Status
+	Burn    func(r *http.Request) BurnReport
+	Ready   func() error
+	Metrics http.Handler
+}
+
+// maxRequest bounds the body of a request.
+const maxRequest = query.MaxLength + 4096
+
+// Handler returns the HTTP handler.
+func (s *Server) Handler() http.Handler {
+	r := chi.NewRouter()
+	r.Post("/v1/exec", s.exec)
+	r.Get("/v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Status()) })
+	r.Get("/v1/burn", func(w http.ResponseWriter, q *http.Request) { writeJSON(w, http.StatusOK, s.Burn(q)) })
+	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+	r.Get("/readyz", s.ready)
+	r.Handle("/metrics", s.Metrics)
+	return r
+}
+
+func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
+	if err := s.Ready(); err != nil {
+		writeJSON(w, http.StatusServiceUnavailable, ErrorAnswer{Verdict: verdict.NotRun, Code: "not-ready", Message: err.Error()})
+		return
+	}
+	w.WriteHeader(http.StatusOK)
+}
+
+func (s *Server) exec(w http.ResponseWriter, r *http.Request) {
+	var req ExecRequest
+	dec := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest))
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&req); err != nil || req.ID == "" {
+		writeJSON(w, http.StatusBadRequest, ErrorAnswer{Verdict: verdict.NotRun, Code: CodeBadRequest, Message: "want a JSON object with id and text"})
+		return
+	}
+	program, err := query.Parse(req.Text)
+	if err != nil {
+		answer := ErrorAnswer{Verdict: verdict.NotRun, Code: CodeSyntax, Message: err.Error()}
+		var at *query.Error
+		if errors.As(err, &at) {
+			answer.Line, answer.Column = at.Line, at.Column
+		}
+		writeJSON(w, http.StatusBadRequest, answer)
+		return
+	}
+	writeJSON(w, http.StatusOK, ExecAnswer{Results: s.Exec.Exec(r.Context(), req.ID, program)})
+}
+
+func writeJSON(w http.ResponseWriter, status int, v any) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(v)
+}
--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,155 @@
+// Package client speaks the operators' interface of entry daemons.
+package client
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/postmount/postmount/api"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Codes of failed calls.
+const (
+	CodeUnreachable verdict.Code = "server-unreachable"
+	CodeRefused     verdict.Code = "server-refused"
+)
+
+// Client tries its servers in turn.
+type Client struct {
+	servers []string // IP:port of operators' APIs
+	http    *http.Client
+}
+
+// New returns a client of the given servers. timeout bounds one call.
+func New(servers []string, timeout time.Duration) *Client {
+	dialer := &net.Dialer{Timeout: 2 * time.Second}
+	return &Client{
+		servers: servers,
+		http:    &http.Client{Timeout: timeout, Transport: &http.Transport{DialContext: dialer.DialContext}},
+	}
+}
+
+// Exec carries out the statements of text. The same id goes to every server
+// that is tried, so that a command which may have run at one of them is not
+// run again by the next.
+func (c *Client) Exec(ctx context.Context, text string) (api.ExecAnswer, error) {
+	return c.ExecID(ctx, uuid.NewString(), text)
+}
+
+// ExecID is Exec under an id of the caller's.
+func (c *Client) ExecID(ctx context.Context, id, text string) (api.ExecAnswer, error) {
+	body, err := json.Marshal(api.ExecRequest{ID: id, Text: text})
+	if err != nil {
+		return api.ExecAnswer{}, err
+	}
+	var out api.ExecAnswer
+	uncertain, err := c.try(ctx, http.MethodPost, "/v1/exec", body, &out)
+	if uncertain {
+		doubt(out.Results)
+	}
+	return out, err
+}
+
+// doubt takes back every "not run": an earlier server may still be at it.
+func doubt(results []api.Result) {
+	for i := range results {
+		if results[i].Verdict == verdict.NotRun {
+			results[i].Verdict = verdict.MayHaveRun
+		}
+	}
+}
+
+// Status returns the status of the first server that answers.
+func (c *Client) Status(ctx context.Context) (api.Status, error) {
+	var out api.Status
+	_, err := c.try(ctx, http.MethodGet, "/v1/status", nil, &out)
+	return out, err
+}
+
+// Burn returns the fleet's burn report.
+func (c *Client) Burn(ctx context.Context) (api.BurnReport, error) {
+	var out api.BurnReport
+	_, err := c.try(ctx, http.MethodGet, "/v1/burn", nil, &out)
+	return out, err
+}
+
+// try calls one server after another until one answers. uncertain tells that
+// a server before that one may have carried the request out, or still may. The
+// verdict of the error covers all tries.
+func (c *Client) try(ctx context.Context, method, path string, body []byte, out any) (uncertain bool, err error) {
+	var last error
+	for _, server := range c.servers {
+		err := c.call(ctx, server, method, path, body, out)
+		if err == nil {
+			return uncertain, nil
+		}
+		last = err
+		if verdict.CodeOf(err) == CodeRefused {
+			break
+		}
+		uncertain = uncertain || verdict.Of(err) != verdict.NotRun
+	}
+	switch {
+	case last == nil:
+		return false, verdict.New(verdict.NotRun, CodeUnreachable, "no server is named")
+	case uncertain:
+		return true, verdict.Wrap(last, verdict.MayHaveRun, verdict.CodeOf(last), "after a server that did not answer")
+	default:
+		return false, last
+	}
+}
+
+const maxAnswer = 16 << 20
+
+func (c *Client) call(ctx context.Context, server, method, path string, body []byte, out any) error {
+	req, err := http.NewRequestWithContext(ctx, method, "http://"+server+path, struct{ io.Reader }{bytes.NewReader(body)})
+	if err != nil {
+		return verdict.Wrap(err, verdict.NotRun, CodeUnreachable, "%s", server)
+	}
+	req.ContentLength = int64(len(body))
+	if len(body) == 0 {
+		req.Body = nil
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return verdict.Wrap(err, sent(err), CodeUnreachable, "%s", server)
+	}
+	defer resp.Body.Close()
+	data, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	if err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, CodeUnreachable, "%s", server)
+	}
+	if resp.StatusCode != http.StatusOK {
+		return refusal(server, resp.StatusCode, data)
+	}
+	if err := json.Unmarshal(data, out); err != nil {
+		return verdict.Wrap(err, verdict.MayHaveRun, CodeUnreachable, "%s", server)
+	}
+	return nil
+}
+
+// sent says whether a request that got no answer may have reached its server.
+func sent(err error) verdict.Verdict {
+	var op *net.OpError
+	if errors.As(err, &op) && op.Op == "dial" {
+		return verdict.NotRun
+	}
+	return verdict.MayHaveRun
+}
+
+func refusal(server string, status int, data []byte) error {
+	var e api.ErrorAnswer
+	if err := json.Unmarshal(data, &e); err != nil || e.Code == "" {
+		return verdict.New(verdict.MayHaveRun, CodeUnreachable, "%s answered %d", server, status)
+	}
+	return verdict.New(e.Verdict, CodeRefused, "%s", e.Message)
+}
--- /dev/null
+++ b/cluster/claims.go
@@ -0,0 +1,307 @@
+package cluster
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/once"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Claims is the shell around the claims table: it answers peers as an owner,
+// asks owners for claims, and tells them what became of each attempt.
+type Claims struct {
+	node *Node
+
+	mu    sync.Mutex
+	table *once.Table
+	// open holds this daemon's own attempts until their owner has noted how
+	// they ended.
+	open map[once.Attempt]*openClaim
+
+	transfers sync.WaitGroup
+	pending   int // transfers under way, under mu
+	notes     sync.WaitGroup
+}
+
+// openClaim is one attempt of this daemon.
+type openClaim struct {
+	claim once.Claim
+	// granted tells that the owner granted the attempt. Only then may another
+	// owner be told of it: a claim that was merely asked for must not get past
+	// the new owner's checks.
+	granted bool
+}
+
+func newClaims(n *Node) *Claims {
+	return &Claims{
+		node:  n,
+		table: once.NewTable(n.opts.Self.Incarnation, n.opts.Once),
+		open:  map[once.Attempt]*openClaim{},
+	}
+}
+
+// setView hands over what this daemon no longer owns, and tells new owners of
+// the attempts that are still open here.
+func (c *Claims) setView(ctx context.Context, v *fleet.View) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, tr := range c.table.SetView(v) {
+		c.pending++
+		c.transfers.Add(1)
+		go c.sendTransfer(ctx, tr)
+	}
+	for _, o := range c.open {
+		if o.granted && o.claim.Status == once.Running {
+			go c.announce(ctx, o.claim)
+		}
+	}
+}
+
+// announce tells the owner of a key of an attempt that runs here, in case the
+// old owner's table is lost. One try: the note at the end follows anyhow.
+func (c *Claims) announce(ctx context.Context, cl once.Claim) {
+	_ = c.note(ctx, cl)
+}
+
+// Pause between tries to reach an owner, and how long a note is tried for.
+const (
+	ownerPause   = 25 * time.Millisecond
+	noteDeadline = 30 * time.Second
+)
+
+func (c *Claims) sendTransfer(ctx context.Context, tr once.Transfer) {
+	defer c.transfers.Done()
+	defer func() {
+		c.mu.Lock()
+		c.pending--
+		c.mu.Unlock()
+	}()
+	deadline := time.Now().Add(noteDeadline)
+	for ctx.Err() == nil && time.Now().Before(deadline) {
+		if c.tryTransfer(ctx, tr) {
+			return
+		}
+		pause(ctx, ownerPause)
+	}
+	c.node.deps.Log.Warn("claims not handed over", zap.Int("partition", int(tr.Partition)), zap.Int("claims", len(tr.Claims)))
+}
+
+// tryTransfer sends a partition to its owner under the newest view.
+func (c *Claims) tryTransfer(ctx context.Context, tr once.Transfer) bool {
+	v := c.node.View()
+	if v.Epoch < tr.Epoch {
+		return false
+	}
+	owner := v.Member(once.Owner(v, tr.Partition))
+	if owner == nil {
+		return false
+	}
+	tr.To = owner.Incarnation
+	if owner.Incarnation == c.node.opts.Self.Incarnation {
+		return c.OnTransfer(tr)
+	}
+	taken, err := c.node.deps.Peers.Transfer(ctx, owner.PeerAddr, tr)
+	return err == nil && taken
+}
+
+// handedOver reports whether no partition is waiting to be handed over and
+// every attempt's end was noted.
+func (c *Claims) handedOver() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.pending == 0 && len(c.open) == 0
+}
+
+func (c *Claims) wait() {
+	c.transfers.Wait()
+	c.notes.Wait()
+}
+
+func (c *Claims) tick(now time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.table.Expire(now)
+	if c.node.Standing().Serving(now) {
+		c.table.Serve(now)
+	}
+}
+
+// Size returns the number of claims held and the bytes of retained answers.
+func (c *Claims) Size() (claims, answerBytes int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Size()
+}
+
+// OnClaim answers a peer, or this daemon, as the owner of a key.
+func (c *Claims) OnClaim(r once.Request) once.Reply {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	s := c.node.Standing()
+	return c.table.Claim(now, s.Serving(now) && s.Epoch == r.Epoch, r)
+}
+
+// OnNote takes in what became of an attempt.
+func (c *Claims) OnNote(n once.Claim) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Note(n)
+}
+
+// OnTransfer takes in a partition from its old owner.
+func (c *Claims) OnTransfer(t once.Transfer) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.table.Receive(t)
+}
+
+// OnClaim implements port.PeerServer.
+func (n *Node) OnClaim(r once.Request) once.Reply { return n.Claims.OnClaim(r) }
+
+// OnNote implements port.PeerServer.
+func (n *Node) OnNote(cl once.Claim) bool { return n.Claims.OnNote(cl) }
+
+// OnTransfer implements port.PeerServer.
+func (n *Node) OnTransfer(t once.Transfer) bool { return n.Claims.OnTransfer(t) }
+
+// CodeNoOwner is the code of a request whose key's owner cannot be reached.
+const CodeNoOwner verdict.Code = "key-owner-unavailable"
+
+// Ask asks the owner of a key for a claim until it decides or ctx ends. With
+// Granted, the caller must end the returned attempt with End. An error has
+// verdict NotRun: the attempt will not be run.
+func (c *Claims) Ask(ctx context.Context, key once.Key, fp once.Fingerprint) (once.Attempt, once.Reply, error) {
+	attempt := once.Attempt(uuid.NewString())
+	cl := once.Claim{Key: key, Fingerprint: fp, Attempt: attempt, Claimer: c.node.opts.Self.Incarnation}
+	c.mu.Lock()
+	c.open[attempt] = &openClaim{claim: cl}
+	c.mu.Unlock()
+	uncertain := false
+	for {
+		reply, maybe := c.askOnce(ctx, cl)
+		uncertain = uncertain || maybe
+		switch reply.Result {
+		case once.Granted:
+			c.granted(attempt)
+			return attempt, reply, nil
+		case once.NotOwner, once.NotReady:
+		default:
+			c.drop(attempt, uncertain)
+			return "", reply, nil
+		}
+		if !pause(ctx, ownerPause) {
+			c.drop(attempt, uncertain)
+			return "", once.Reply{}, verdict.New(verdict.NotRun, CodeNoOwner, "the owner of the key cannot grant it now")
+		}
+	}
+}
+
+func (c *Claims) granted(attempt once.Attempt) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if o := c.open[attempt]; o != nil {
+		o.granted = true
+	}
+}
+
+// drop gives up an attempt that was not granted. If the owner may have granted
+// it unheard, it is told that the attempt never ran.
+func (c *Claims) drop(attempt once.Attempt, uncertain bool) {
+	if uncertain {
+		c.End(attempt, once.Abandoned, nil)
+		return
+	}
+	c.mu.Lock()
+	delete(c.open, attempt)
+	c.mu.Unlock()
+}
+
+// askOnce asks the owner under the view in force. maybe tells that the owner
+// may have granted the claim without this daemon knowing.
+func (c *Claims) askOnce(ctx context.Context, cl once.Claim) (reply once.Reply, maybe bool) {
+	v := c.node.View()
+	r := once.Request{Epoch: v.Epoch, Key: cl.Key, Fingerprint: cl.Fingerprint, Attempt: cl.Attempt, Claimer: cl.Claimer}
+	owner := v.Member(once.Owner(v, cl.Key.Partition()))
+	if owner == nil {
+		return once.Reply{}, false
+	}
+	if owner.Incarnation == c.node.opts.Self.Incarnation {
+		return c.OnClaim(r), false
+	}
+	reply, err := c.node.deps.Peers.Claim(ctx, owner.PeerAddr, r)
+	if err != nil {
+		return once.Reply{}, verdict.Of(err) != verdict.NotRun
+	}
+	return reply, false
+}
+
+// End notes how an attempt ended and tells the key's owner, in the background
+// and until it is known there.
+func (c *Claims) End(attempt once.Attempt, status once.Status, answer *once.Answer) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	o := c.open[attempt]
+	if o == nil {
+		return
+	}
+	o.claim.Status = status
+	o.claim.Answer = answer
+	c.notes.Add(1)
+	go c.tellEnd(o.claim)
+}
+
+func (c *Claims) tellEnd(cl once.Claim) {
+	defer c.notes.Done()
+	ctx, cancel := context.WithTimeout(context.Background(), noteDeadline)
+	defer cancel()
+	for !c.note(ctx, cl) {
+		if c.node.stopped() || !pause(ctx, ownerPause) {
+			break
+		}
+	}
+	c.mu.Lock()
+	delete(c.open, cl.Attempt)
+	c.mu.Unlock()
+}
+
+func (n *Node) stopped() bool {
+	select {
+	case <-n.done:
+		return true
+	default:
+		return false
+	}
+}
+
+// note tells the owner of a key about an attempt once.
+func (c *Claims) note(ctx context.Context, cl once.Claim) bool {
+	v := c.node.View()
+	owner := v.Member(once.Owner(v, cl.Key.Partition()))
+	if owner == nil {
+		return false
+	}
+	if owner.Incarnation == c.node.opts.Self.Incarnation {
+		return c.OnNote(cl)
+	}
+	noted, err := c.node.deps.Peers.Note(ctx, owner.PeerAddr, cl)
+	return err == nil && noted
+}
+
+// pause waits for d and reports false if ctx ended first.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/cluster/node.go
@@ -0,0 +1,297 @@
+// Package cluster joins an entry daemon to its peers: it registers the daemon,
+// exchanges heartbeats, agrees on the view through the store, spreads records
+// between peers and owns claims on idempotency keys.
+//
+// One goroutine owns the membership; it publishes its standing for others.
+package cluster
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/member"
+	"github.com/postmount/postmount/mirror"
+	"github.com/postmount/postmount/once"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/record"
+)
+
+// Options of a node.
+type Options struct {
+	Self      fleet.Entry
+	Seeds     []string      // peer addresses tried while no view is known
+	Heartbeat time.Duration // between heartbeats to each peer
+	LeaseTTL  time.Duration // of the registration
+	Grace     time.Duration // a member must be silent for this long to be left out
+	Member    member.Options
+	Once      once.Options
+}
+
+// Shares is what the traffic side offers to the node: the daemon's shares of
+// the workers' slots follow the view.
+type Shares interface {
+	SetView(now time.Time, v *fleet.View)
+	SelfSettled() bool
+	PeerSettled(peer fleet.Incarnation, e fleet.Epoch)
+	OnBorrow(r port.BorrowRequest) port.BorrowReply
+	OnReturn(ids []LoanID)
+}
+
+// Deps are what a node works with.
+type Deps struct {
+	Store  port.Store
+	Peers  port.Peers
+	Mirror *mirror.Mirror
+	Shares Shares
+	Log    *zap.Logger
+	Rand   *rand.Rand // used by the control goroutine only
+	// Connected tells whether the store's watch is alive.
+	Connected func() bool
+	Burn      func() port.BurnCounts
+	// Instances returns the newest instance list; SeedInstances takes in a
+	// peer's, for a daemon that starts while the platform is away.
+	Instances     func() []fleet.Instance
+	SeedInstances func([]fleet.Instance)
+}
+
+// Node is one member. Create it with New and start it with Run.
+type Node struct {
+	opts   Options
+	deps   Deps
+	writer *record.Writer
+	Claims *Claims
+
+	events   chan func(now time.Time)
+	standing atomic.Pointer[member.Standing]
+	progress atomic.Pointer[Progress]
+	urgent   chan struct{} // asks for a round of heartbeats now
+	done     chan struct{}
+	wg       sync.WaitGroup
+
+	// The fields below belong to the control goroutine.
+	core         *member.Core
+	peers        map[fleet.Incarnation]*peerState
+	missingSince map[fleet.Incarnation]time.Time
+	gone         map[fleet.Incarnation]bool
+	stopping     bool
+	proposing    bool
+	pulling      bool
+	notBefore    time.Time // of the next proposal
+	lastReason   string
+}
+
+// peerState is what the control goroutine knows of one peer.
+type peerState struct {
+	heardAt  time.Time
+	revision fleet.Revision
+	stopping bool
+	busy     bool // a heartbeat is under way
+}
+
+// Progress tells how far the members of the view have taken in the records.
+type Progress struct {
+	View     *fleet.View
+	Revision map[fleet.Incarnation]fleet.Revision
+	HeardAt  map[fleet.Incarnation]time.Time
+}
+
+// New returns a node that has not started.
+func New(opts Options, deps Deps) *Node {
+	n := &Node{
+		opts:         opts,
+		deps:         deps,
+		writer:       record.NewWriter(deps.Store),
+		events:       make(chan func(time.Time)),
+		urgent:       make(chan struct{}, 1),
+		done:         make(chan struct{}),
+		core:         member.New(opts.Self.Incarnation, opts.Member),
+		peers:        map[fleet.Incarnation]*peerState{},
+		missingSince: map[fleet.Incarnation]time.Time{},
+		gone:         map[fleet.Incarnation]bool{},
+	}
+	n.standing.Store(&member.Standing{Reason: member.ReasonNoView})
+	n.progress.Store(&Progress{View: &fleet.View{}})
+	n.Claims = newClaims(n)
+	return n
+}
+
+// Self returns the daemon's own entry.
+func (n *Node) Self() fleet.Entry { return n.opts.Self }
+
+// Standing returns the newest standing. Readers compare it with the time.
+func (n *Node) Standing() member.Standing { return *n.standing.Load() }
+
+// View returns the view in force at this daemon.
+func (n *Node) View() *fleet.View { return n.progress.Load().View }
+
+// Progress returns how far the members are.
+func (n *Node) Progress() *Progress { return n.progress.Load() }
+
+// Run takes part in the fleet until ctx ends.
+func (n *Node) Run(ctx context.Context) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		n.registerLoop(ctx)
+	}()
+	n.loop(ctx)
+	close(n.done)
+	n.wg.Wait()
+	n.Claims.wait()
+}
+
+func (n *Node) loop(ctx context.Context) {
+	tick := time.NewTicker(n.opts.Heartbeat)
+	defer tick.Stop()
+	for {
+		changed := n.deps.Mirror.Changed()
+		n.adopt(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			return
+		case fn := <-n.events:
+			fn(time.Now())
+		case <-changed:
+		case <-n.urgent:
+			n.beatAll(ctx, time.Now())
+		case <-tick.C:
+			n.beatAll(ctx, time.Now())
+			n.propose(ctx, time.Now())
+			n.Claims.tick(time.Now())
+		}
+		n.publish(time.Now())
+	}
+}
+
+// do runs fn on the control goroutine and waits for it. It reports false if
+// the node has stopped.
+func (n *Node) do(fn func(now time.Time)) bool {
+	finished := make(chan struct{})
+	wrapped := func(now time.Time) {
+		fn(now)
+		close(finished)
+	}
+	select {
+	case n.events <- wrapped:
+		<-finished
+		return true
+	case <-n.done:
+		return false
+	}
+}
+
+// post hands fn to the control goroutine from a goroutine of the node's own.
+func (n *Node) post(fn func(now time.Time)) {
+	select {
+	case n.events <- fn:
+	case <-n.done:
+	}
+}
+
+// background runs fn on a goroutine that Run waits for.
+func (n *Node) background(fn func()) {
+	n.wg.Add(1)
+	go func() {
+		defer n.wg.Done()
+		fn()
+	}()
+}
+
+// Hurry asks for a round of heartbeats now, so that peers learn of a change.
+func (n *Node) Hurry() {
+	select {
+	case n.urgent <- struct{}{}:
+	default:
+	}
+}
+
+// adopt puts the newest view of the mirror in force.
+func (n *Node) adopt(ctx context.Context, now time.Time) {
+	v := n.deps.Mirror.State().View.Value
+	if !n.core.Adopt(now, v) {
+		return
+	}
+	// The standing under the old view ends before anything acts on the new one.
+	n.publish(now)
+	n.deps.Log.Info("view adopted", zap.Int64("epoch", int64(v.Epoch)), zap.Int("members", len(v.Members)))
+	n.deps.Shares.SetView(now, v)
+	n.Claims.setView(ctx, v)
+	n.beatAll(ctx, now)
+}
+
+// publish makes the standing and progress visible to other goroutines.
+func (n *Node) publish(now time.Time) {
+	s := n.core.Standing(now)
+	n.standing.Store(&s)
+	if s.Reason != n.lastReason {
+		n.lastReason = s.Reason
+		n.deps.Log.Info("standing changed", zap.Int64("epoch", int64(s.Epoch)), zap.String("reason", s.Reason))
+	}
+	p := &Progress{
+		View:     n.core.View().Clone(),
+		Revision: map[fleet.Incarnation]fleet.Revision{n.opts.Self.Incarnation: n.deps.Mirror.State().Revision},
+		HeardAt:  map[fleet.Incarnation]time.Time{n.opts.Self.Incarnation: now},
+	}
+	for i, peer := range n.peers {
+		p.Revision[i] = peer.revision
+		p.HeardAt[i] = peer.heardAt
+	}
+	n.progress.Store(p)
+}
+
+// MarkGone takes in the incarnations that the platform knows to have ended.
+func (n *Node) MarkGone(gone []fleet.Incarnation) {
+	if len(gone) == 0 {
+		return
+	}
+	n.do(func(now time.Time) {
+		for _, i := range gone {
+			n.gone[i] = true
+			n.core.MarkGone(now, i)
+		}
+	})
+}
+
+// InForce waits until every live member of the view has taken in revision rev.
+// It returns the members that have not when ctx ends.
+func (n *Node) InForce(ctx context.Context, rev fleet.Revision) []fleet.EntryID {
+	const poll = 20 * time.Millisecond
+	t := time.NewTicker(poll)
+	defer t.Stop()
+	for {
+		n.Hurry()
+		behind := n.behind(rev, time.Now())
+		if len(behind) == 0 {
+			return nil
+		}
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return behind
+		}
+	}
+}
+
+// behind lists the members of the view that have not taken in revision rev. A
+// member that has been silent for the grace time is about to leave the view,
+// but is still named.
+func (n *Node) behind(rev fleet.Revision, _ time.Time) []fleet.EntryID {
+	p := n.Progress()
+	var out []fleet.EntryID
+	for _, m := range p.View.Members {
+		have := p.Revision[m.Incarnation]
+		if m.Incarnation == n.opts.Self.Incarnation {
+			have = n.deps.Mirror.State().Revision
+		}
+		if have < rev {
+			out = append(out, m.ID)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/cluster/register.go
@@ -0,0 +1,117 @@
+package cluster
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/record"
+)
+
+// registerLoop keeps the daemon's registration in the store under a lease. A
+// lapsed lease is noticed at the next renewal and replaced.
+func (n *Node) registerLoop(ctx context.Context) {
+	var lease port.LeaseID
+	for ctx.Err() == nil {
+		lease = n.renew(ctx, lease)
+		pause := n.opts.LeaseTTL / 3
+		if lease == 0 {
+			pause = n.opts.LeaseTTL/10 + rand.N(n.opts.LeaseTTL/5)
+		}
+		t := time.NewTimer(pause)
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			t.Stop()
+		}
+	}
+}
+
+// renew renews the lease, or registers anew if there is none. It returns 0 if
+// neither worked.
+func (n *Node) renew(ctx context.Context, lease port.LeaseID) port.LeaseID {
+	if n.leaving(ctx, lease) {
+		return lease
+	}
+	if lease != 0 {
+		alive, err := n.deps.Store.KeepAlive(ctx, lease)
+		if err != nil || alive {
+			return lease
+		}
+		n.deps.Log.Info("registration lapsed")
+	}
+	lease, err := n.deps.Store.GrantLease(ctx, n.opts.LeaseTTL)
+	if err != nil {
+		return 0
+	}
+	if !n.register(ctx, lease) {
+		return 0
+	}
+	return lease
+}
+
+// leaving gives the registration up if the daemon is about to leave.
+func (n *Node) leaving(ctx context.Context, lease port.LeaseID) bool {
+	stopping := false
+	if !n.do(func(time.Time) { stopping = n.stopping }) || !stopping {
+		return stopping
+	}
+	if lease != 0 {
+		_ = n.deps.Store.RevokeLease(ctx, lease)
+	}
+	return true
+}
+
+func (n *Node) register(ctx context.Context, lease port.LeaseID) bool {
+	ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+	defer cancel()
+	key := record.EntryKey(n.opts.Self.ID)
+	base := fleet.Versioned[fleet.Entry]{}
+	kv, found, err := n.deps.Store.Get(ctx, key)
+	if err != nil {
+		return false
+	}
+	if found {
+		// A record that cannot be read is replaced all the same.
+		if base, err = record.Decode[fleet.Entry](kv); err != nil {
+			base = fleet.Versioned[fleet.Entry]{Revision: kv.Revision}
+		}
+	}
+	self := n.opts.Self
+	w, err := record.Write(ctx, n.writer, key, base, &self, lease)
+	if err != nil {
+		n.deps.Log.Info("not registered", zap.Error(err))
+		return false
+	}
+	n.deps.Mirror.Apply([]port.Event{{KV: w.KV}}, 0)
+	return true
+}
+
+// Leave takes the daemon out of the view. It must have nothing in flight. It
+// returns when a view without it is in force here and its claims are handed
+// over, or when ctx ends.
+func (n *Node) Leave(ctx context.Context) error {
+	if !n.do(func(time.Time) { n.stopping = true }) {
+		return context.Canceled
+	}
+	t := time.NewTicker(n.opts.Heartbeat / 4)
+	defer t.Stop()
+	for {
+		v := n.View()
+		alone := len(v.Members) == 1
+		if v.Epoch > 0 && (v.Member(n.opts.Self.Incarnation) == nil || alone) && n.Claims.handedOver() {
+			return nil
+		}
+		n.do(func(now time.Time) { n.propose(ctx, now) })
+		n.Hurry()
+		select {
+		case <-t.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
--- /dev/null
+++ b/cmd/postmount-lab/main.go
@@ -0,0 +1,64 @@
+// Command postmount-lab runs postmount's stand-ins, puts load on entry daemons,
+// and runs the demo.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/postmount/postmount/daemon"
+)
+
+// runner carries out one command.
+type runner func(ctx context.Context) error
+
+func main() {
+	app := kingpin.New("postmount-lab", "Stand-ins, load and demo for postmount.")
+	app.Version(daemon.Version)
+	app.HelpFlag.Short('h')
+	runners := map[string]runner{}
+	storeCommand(app, runners)
+	platformCommand(app, runners)
+	workersCommand(app, runners)
+	statementsCommand(app, runners)
+	loadCommand(app, runners)
+	demoCommand(app, runners)
+	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	if err := runners[name](ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+}
+
+// serve serves h at addr until ctx ends.
+func serve(ctx context.Context, addr string, h http.Handler) error {
+	l, err := net.Listen("tcp", addr)
+	if err != nil {
+		return err
+	}
+	fmt.Println("listening at", l.Addr())
+	s := &http.Server{Handler: h}
+	go func() {
+		<-ctx.Done()
+		s.Close()
+	}()
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// fleetFlag adds the flag that chooses a user's fleet.
+func fleetFlag(cmd *kingpin.CmdClause) *string {
+	return cmd.Flag("fleet", "Which user's fleet.").Default("order-desks").Enum("order-desks", "alumni-hub")
+}
--- /dev/null
+++ b/cmd/postmount/exec.go
@@ -0,0 +1,93 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/postmount/postmount/api"
+	"github.com/postmount/postmount/query"
+	"github.com/postmount/postmount/verdict"
+)
+
+// execCommand adds "exec", which carries out statements.
+func execCommand(app *kingpin.Application, runners map[string]runner) {
+	cmd := app.Command("exec", "Carry out statements of the operators' language.")
+	text := cmd.Arg("statements", "The statements, separated by ';'.").String()
+	file := cmd.Flag("file", "Read the statements from a file; '-' is standard input.").Short('f').String()
+	id := cmd.Flag("id", "Id of the command; a repeat with the same id is answered and not carried out again.").String()
+	runners[cmd.FullCommand()] = func(ctx context.Context, o *options) int {
+		program, err := readProgram(*text, *file)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitUsage
+		}
+		return exec(ctx, o, *id, program)
+	}
+}
+
+func readProgram(text, file string) (string, error) {
+	switch {
+	case file != "" && text != "":
+		return "", fmt.Errorf("give statements or --file, not both")
+	case file == "-":
+		data, err := io.ReadAll(io.LimitReader(os.Stdin, query.MaxLength+1))
+		return string(data), err
+	case file != "":
+		data, err := os.ReadFile(file)
+		return string(data), err
+	case strings.TrimSpace(text) == "":
+		return "", fmt.Errorf("there is no statement")
+	default:
+		return text, nil
+	}
+}
+
+func exec(ctx context.Context, o *options, id, text string) int {
+	if _, err := query.Parse(text); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	c := o.client()
+	var answer api.ExecAnswer
+	var err error
+	if id != "" {
+		answer, err = c.ExecID(ctx, id, text)
+	} else {
+		answer, err = c.Exec(ctx, text)
+	}
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitStatus(verdict.Of(err))
+	}
+	printResults(o.output, answer)
+	for _, r := range answer.Results {
+		if r.Verdict != verdict.Done {
+			return exitStatus(r.Verdict)
+		}
+	}
+	return exitDone
+}
+
+func printResults(output string, a api.ExecAnswer) {
+	if output == "json" {
+		printJSON(a)
+		return
+	}
+	for _, r := range a.Results {
+		switch {
+		case r.Verdict != verdict.Done:
+			fmt.Fprintf(os.Stderr, "statement %d: %s (%s): %s\n", r.Statement, r.Verdict, r.Code, r.Message)
+		case r.Table != nil:
+			printTable(r.Table.Columns, r.Table.Rows)
+		case r.InForce:
+			fmt.Printf("%s (revision %d, in force after %d ms)\n", r.Message, r.Revision, r.InForceMillis)
+		default:
+			fmt.Printf("%s (revision %d, recorded; not yet in force at %s)\n", r.Message, r.Revision, strings.Join(r.Behind, ", "))
+		}
+	}
+}
--- /dev/null
+++ b/cmd/postmount/main.go
@@ -0,0 +1,73 @@
+// Command postmount is the operators' client.
+package main
+
+import (
+	"context"
+	"os"
+	"os/signal"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/postmount/postmount/client"
+	"github.com/postmount/postmount/daemon"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Exit statuses.
+const (
+	exitDone       = 0
+	exitNotRun     = 1
+	exitUsage      = 2
+	exitMayHaveRun = 3
+)
+
+// exitStatus maps a verdict to the exit status.
+func exitStatus(v verdict.Verdict) int {
+	switch v {
+	case verdict.Done:
+		return exitDone
+	case verdict.NotRun:
+		return exitNotRun
+	default:
+		return exitMayHaveRun
+	}
+}
+
+// options are the flags that every command shares.
+type options struct {
+	servers []string
+	output  string
+	timeout time.Duration
+}
+
+func (o *options) client() *client.Client { return client.New(o.servers, o.timeout) }
+
+// runner carries out one command and returns the exit status.
+type runner func(ctx context.Context, o *options) int
+
+func main() {
+	app := kingpin.New("postmount", "Asks and orders what runs where on a fleet that postmount manages.")
+	app.Version(daemon.Version)
+	app.HelpFlag.Short('h')
+	o := &options{}
+	app.Flag("server", "Operators' address of an entry daemon (IP:PORT); name several to try the next when one is down.").
+		Short('s').Default("127.0.0.1:7001").Envar("POSTMOUNT_SERVER").StringsVar(&o.servers)
+	app.Flag("output", "How results are printed.").Short('o').Default("table").EnumVar(&o.output, "table", "json")
+	app.Flag("timeout", "Longest time for one call.").Default("20s").DurationVar(&o.timeout)
+	runners := map[string]runner{}
+	execCommand(app, runners)
+	statusCommand(app, runners)
+	waitCommand(app, runners)
+	reportCommand(app, runners)
+	app.Terminate(func(status int) {
+		if status != 0 {
+			status = exitUsage
+		}
+		os.Exit(status)
+	})
+	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	os.Exit(runners[name](ctx, o))
+}
--- /dev/null
+++ b/cmd/postmount/wait.go
@@ -0,0 +1,71 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/postmount/postmount/client"
+	"github.com/postmount/postmount/verdict"
+)
+
+// waitCommand adds "wait", which follows a wave until it ends.
+func waitCommand(app *kingpin.Application, runners map[string]runner) {
+	cmd := app.Command("wait", "Follow a wave until it ends, printing its progress.")
+	name := cmd.Arg("wave", "Name of the wave.").Required().String()
+	runners[cmd.FullCommand()] = func(ctx context.Context, o *options) int {
+		return waitForWave(ctx, o.client(), *name)
+	}
+}
+
+const waitInterval = time.Second
+
+func waitForWave(ctx context.Context, c *client.Client, name string) int {
+	last := ""
+	for {
+		state, line, err := waveProgress(ctx, c, name)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			if verdict.CodeOf(err) != client.CodeUnreachable {
+				return exitNotRun
+			}
+		}
+		if line != last {
+			fmt.Println(line)
+			last = line
+		}
+		switch state {
+		case "done":
+			return exitDone
+		case "cancelled":
+			return exitNotRun
+		}
+		select {
+		case <-ctx.Done():
+			return exitMayHaveRun
+		case <-time.After(waitInterval):
+		}
+	}
+}
+
+func waveProgress(ctx context.Context, c *client.Client, name string) (state, line string, err error) {
+	answer, err := c.Exec(ctx, "show waves where wave = "+name)
+	if err != nil {
+		return "", "", err
+	}
+	r := answer.Results[0]
+	if r.Verdict != verdict.Done || r.Table == nil || len(r.Table.Rows) == 0 {
+		return "", "", fmt.Errorf("there is no wave %q %s", name, r.Message)
+	}
+	row := r.Table.Rows[0]
+	field := func(column string) string { return row[slices.Index(r.Table.Columns, column)] }
+	line = fmt.Sprintf("wave %s %s: %s finished, %s failed, %s remaining", name, field("state"), field("finished"), field("failed"), field("remaining"))
+	if f := field("forecast"); f != "" {
+		line += ", forecast " + f
+	}
+	return field("state"), line + " " + field("reason"), nil
+}
--- /dev/null
+++ b/cmd/postmountd/main.go
@@ -0,0 +1,61 @@
+// Command postmountd is the entry daemon. Every entry instance runs the same
+// one.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/postmount/postmount/daemon"
+	"github.com/postmount/postmount/settings"
+)
+
+// Exit statuses.
+const (
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() {
+	app := kingpin.New("postmountd", "The postmount entry daemon.")
+	app.Version(daemon.Version)
+	app.HelpFlag.Short('h')
+	file := app.Flag("settings", "File with the settings (TOML).").Required().String()
+	check := app.Flag("check", "Check the settings and exit.").Bool()
+	kingpin.MustParse(app.Parse(os.Args[1:]))
+	os.Exit(run(*file, *check))
+}
+
+func run(file string, checkOnly bool) int {
+	set, err := settings.Load(file)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		var invalid *settings.Invalid
+		if errors.As(err, &invalid) || checkOnly || os.IsNotExist(err) {
+			return exitSettings
+		}
+		return exitFailed
+	}
+	if checkOnly {
+		fmt.Printf("%s: the settings are valid\n", file)
+		return 0
+	}
+	d, err := daemon.New(set, os.Stderr)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
+	defer stop()
+	if err := d.Run(ctx); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
--- /dev/null
+++ b/command/config.go
@@ -0,0 +1,189 @@
+package command
+
+import (
+	"strings"
+	"time"
+
+	"github.com/postmount/postmount/budget"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/query"
+	"github.com/postmount/postmount/record"
+)
+
+func (p *planner) create(s *query.Create) (Plan, error) {
+	if s.Pool != nil {
+		return p.createPool(s.Pool)
+	}
+	cfg := p.state.Config
+	if cfg.Value.Applied.Has(p.ID) {
+		return done(cfg.Revision, "created")
+	}
+	next := cfg.Value.Clone()
+	var err error
+	switch {
+	case s.Service != nil:
+		err = addService(next, s.Service)
+	case s.Route != nil:
+		err = addRoute(next, s.Route)
+	default:
+		err = addTeam(next, s.Team)
+	}
+	if err != nil {
+		return Plan{}, err
+	}
+	next.Applied = next.Applied.With(p.ID)
+	return write(p, record.ConfigKey, cfg, next)
+}
+
+func addService(c *fleet.Config, s *query.CreateService) error {
+	name := fleet.ServiceName(s.Name)
+	if c.Service(name) != nil {
+		return refuse(CodeExists, "there is a service %q already", name)
+	}
+	svc := fleet.Service{Name: name}
+	for _, k := range s.Classes {
+		if svc.Class(fleet.ClassName(k.Name)) != nil || k.Weight < 1 {
+			return refuse(CodeNotAllowed, "class %q: want each class once, with a weight of at least 1", k.Name)
+		}
+		svc.Classes = append(svc.Classes, fleet.Class{Name: fleet.ClassName(k.Name), Weight: k.Weight})
+	}
+	c.Services = append(c.Services, svc)
+	return nil
+}
+
+func addRoute(c *fleet.Config, s *query.CreateRoute) error {
+	svc := c.Service(fleet.ServiceName(s.Service))
+	if svc == nil {
+		return refuse(CodeUnknownName, "there is no service %q", s.Service)
+	}
+	if svc.Class(fleet.ClassName(s.Class)) == nil {
+		return refuse(CodeUnknownName, "service %q has no class %q", s.Service, s.Class)
+	}
+	host, rest, found := strings.Cut(string(s.Match), "/")
+	if !found {
+		return refuse(CodeNotAllowed, "route %q: want \"host/prefix\", or \"/prefix\" for every host", s.Match)
+	}
+	r := fleet.Route{
+		Host: strings.ToLower(host), Prefix: "/" + rest, Service: svc.Name, Class: fleet.ClassName(s.Class),
+		Idempotent: s.Idempotent, Timeout: time.Duration(s.Timeout),
+	}
+	for _, old := range c.Routes {
+		if old.Host == r.Host && old.Prefix == r.Prefix {
+			return refuse(CodeExists, "there is a route for %q already", s.Match)
+		}
+	}
+	c.Routes = append(c.Routes, r)
+	return nil
+}
+
+func addTeam(c *fleet.Config, s *query.CreateTeam) error {
+	if c.Team(s.Name) != nil {
+		return refuse(CodeExists, "there is a team %q already", s.Name)
+	}
+	c.Teams = append(c.Teams, fleet.Team{Name: s.Name, Quota: resources(s.Quota)})
+	return nil
+}
+
+// milli is the number of thousandths of a core in one.
+const milli = 1000
+
+func resources(needs []*query.Needs) fleet.Resources {
+	var r fleet.Resources
+	for _, n := range needs {
+		switch {
+		case n.CPU != nil:
+			r.CPUMilli = int(*n.CPU * milli)
+		case n.Memory != nil:
+			r.MemoryMB = int(*n.Memory)
+		case n.Accelerators != nil:
+			r.Accelerators = *n.Accelerators
+		case n.Slots != nil:
+			r.Slots = *n.Slots
+		}
+	}
+	return r
+}
+
+func availabilityBudget(b query.Budget) (fleet.AvailabilityBudget, error) {
+	out, err := fleet.ParseMaxUnavailable(b.MaxUnavailable)
+	if err != nil {
+		return out, refuse(CodeNotAllowed, "%v", err)
+	}
+	out.MinAvailable = b.MinAvailable
+	out.SurviveZone = b.SurviveZone
+	return out, nil
+}
+
+func (p *planner) createPool(s *query.CreatePool) (Plan, error) {
+	name := fleet.PoolName(s.Name)
+	if old, ok := p.state.Pools[name]; ok {
+		if old.Value.Applied.Has(p.ID) {
+			return done(old.Revision, "pool %s created", name)
+		}
+		return Plan{}, refuse(CodeExists, "there is a pool %q already", name)
+	}
+	if p.state.Config.Value.Service(fleet.ServiceName(s.Service)) == nil {
+		return Plan{}, refuse(CodeUnknownName, "there is no service %q", s.Service)
+	}
+	b, err := availabilityBudget(s.Budget)
+	if err != nil {
+		return Plan{}, err
+	}
+	pool := &fleet.Pool{Name: name, Service: fleet.ServiceName(s.Service), Budget: b, Applied: fleet.CommandLog{p.ID}}
+	return write(p, record.PoolKey(name), fleet.Versioned[fleet.Pool]{}, pool)
+}
+
+func (p *planner) set(s *query.Set) (Plan, error) {
+	if s.Budget != nil {
+		return p.setBudget(s.Budget)
+	}
+	cfg := p.state.Config
+	if cfg.Value.Applied.Has(p.ID) {
+		return done(cfg.Revision, "set")
+	}
+	next := cfg.Value.Clone()
+	if s.Weights != nil {
+		next.Weights = fleet.Weights{RollOut: float64(s.Weights.RollOut), Buffer: float64(s.Weights.Buffer), Moves: float64(s.Weights.Moves)}
+	} else if err := setObjective(next, s.Objective); err != nil {
+		return Plan{}, err
+	}
+	next.Applied = next.Applied.With(p.ID)
+	return write(p, record.ConfigKey, cfg, next)
+}
+
+func setObjective(c *fleet.Config, s *query.SetObjective) error {
+	svc := c.Service(fleet.ServiceName(s.Service))
+	if svc == nil {
+		return refuse(CodeUnknownName, "there is no service %q", s.Service)
+	}
+	class := svc.Class(fleet.ClassName(s.Class))
+	if class == nil {
+		return refuse(CodeUnknownName, "service %q has no class %q", s.Service, s.Class)
+	}
+	if s.Availability <= 0 || s.Availability >= 100 {
+		return refuse(CodeNotAllowed, "availability %v: want a percentage between 0 and 100", s.Availability)
+	}
+	class.Objective = fleet.Objective{Availability: float64(s.Availability) / 100, Latency: time.Duration(s.Latency)}
+	return nil
+}
+
+// setBudget changes a budget. One lowered below what is already out takes
+// nothing back: it stops further grants until enough instances have returned.
+func (p *planner) setBudget(s *query.SetBudget) (Plan, error) {
+	v, err := p.pool(fleet.PoolName(s.Pool))
+	if err != nil {
+		return Plan{}, err
+	}
+	if v.Value.Applied.Has(p.ID) {
+		account := budget.Of(v.Value, p.state.MembersOf(v.Value.Name), p.Snap.Instances)
+		return done(v.Revision, "budget of pool %s is %s: %s", s.Pool, v.Value.Budget, account.Explain())
+	}
+	b, err := availabilityBudget(s.Budget)
+	if err != nil {
+		return Plan{}, err
+	}
+	next := v.Value.Clone()
+	next.Budget = b
+	next.Applied = next.Applied.With(p.ID)
+	return write(p, record.PoolKey(v.Value.Name), v, next)
+}
--- /dev/null
+++ b/command/instance.go
@@ -0,0 +1,125 @@
+package command
+
+import (
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/query"
+	"github.com/postmount/postmount/record"
+)
+
+// drain records that an operator wants an instance out of service. The
+// reconcile loop takes it out when the pool's budget allows it.
+func (p *planner) drain(id fleet.InstanceID) (Plan, error) {
+	return p.request(fleet.Request{Instance: id, Kind: fleet.DisruptByDrain, At: p.Now})
+}
+
+// move records that an operator wants an instance in another pool.
+func (p *planner) move(id fleet.InstanceID, target fleet.PoolName) (Plan, error) {
+	if _, err := p.pool(target); err != nil {
+		return Plan{}, err
+	}
+	if v, ok := p.appliedIn(); ok {
+		return done(v.Revision, "move of instance %s to pool %s recorded", id, target)
+	}
+	if m := p.state.Membership(id); m != nil && m.Pool == target {
+		return Plan{}, refuse(CodeNotAllowed, "instance %s is in pool %s already", id, target)
+	}
+	return p.request(fleet.Request{Instance: id, Kind: fleet.DisruptByMove, Target: target, At: p.Now})
+}
+
+// appliedIn finds the pool whose record already includes the command. After a
+// move that is not the instance's pool any more.
+func (p *planner) appliedIn() (fleet.Versioned[fleet.Pool], bool) {
+	for _, v := range p.state.Pools {
+		if v.Value.Applied.Has(p.ID) {
+			return v, true
+		}
+	}
+	return fleet.Versioned[fleet.Pool]{}, false
+}
+
+func (p *planner) request(r fleet.Request) (Plan, error) {
+	v, err := p.memberPool(r.Instance)
+	if err != nil {
+		return Plan{}, err
+	}
+	if v.Value.Applied.Has(p.ID) {
+		return done(v.Revision, "%s of instance %s recorded; %s", r.Kind, r.Instance, p.account(v.Value).Explain())
+	}
+	if other, d := p.claimOn(r.Instance); d != nil && d.Kind != fleet.DisruptByWave {
+		return Plan{}, refuse(CodeNotAllowed, "instance %s is already out: pool %s has it in %s for a %s since %s",
+			r.Instance, other.Value.Name, d.Phase, d.Kind, d.Since.Format("15:04:05"))
+	}
+	if old := v.Value.Request(r.Instance); old != nil {
+		return Plan{}, refuse(CodeNotAllowed, "a %s of instance %s waits already, since %s", old.Kind, r.Instance, old.At.Format("15:04:05"))
+	}
+	next := v.Value.Clone()
+	next.Applied = next.Applied.With(p.ID)
+	next.Requests = append(next.Requests, r)
+	return write(p, record.PoolKey(v.Value.Name), v, next)
+}
+
+// bringBack returns an instance that an operator's drain holds, or withdraws a
+// request that still waits.
+func (p *planner) bringBack(id fleet.InstanceID) (Plan, error) {
+	v, err := p.memberPool(id)
+	if err != nil {
+		return Plan{}, err
+	}
+	if v.Value.Applied.Has(p.ID) {
+		return done(v.Revision, "return of instance %s recorded", id)
+	}
+	next := v.Value.Clone()
+	next.Applied = next.Applied.With(p.ID)
+	if v.Value.Request(id) != nil {
+		next.Withdraw(id)
+		return write(p, record.PoolKey(v.Value.Name), v, next)
+	}
+	claim, d := p.claimOn(id)
+	switch {
+	case d == nil:
+		return Plan{}, refuse(CodeNotAllowed, "instance %s is not out", id)
+	case d.Kind != fleet.DisruptByDrain:
+		return Plan{}, refuse(CodeNotAllowed, "instance %s is out for a %s, which brings it back by itself", id, d.Kind)
+	case claim.Value.Name != v.Value.Name:
+		return Plan{}, refuse(CodeNotAllowed, "instance %s is out of pool %s", id, claim.Value.Name)
+	}
+	next.Disruption(id).LeaveWanted = true
+	return write(p, record.PoolKey(v.Value.Name), v, next)
+}
+
+// add puts instances into a pool, one membership shard at a time.
+func (p *planner) add(s *query.Add) (Plan, error) {
+	pool := fleet.PoolName(s.Pool)
+	if _, err := p.pool(pool); err != nil {
+		return Plan{}, err
+	}
+	var newest fleet.Revision
+	for _, name := range s.Instances {
+		id := fleet.InstanceID(name)
+		shard := p.state.Shards[fleet.ShardOf(id)]
+		m := p.state.Membership(id)
+		switch {
+		case m == nil:
+			return p.addTo(fleet.ShardOf(id), s.Instances, pool)
+		case m.Pool != pool:
+			return Plan{}, refuse(CodeExists, "instance %s belongs to pool %s; use move", id, m.Pool)
+		}
+		newest = max(newest, shard.Revision)
+	}
+	return done(newest, "pool %s has %d instances", pool, len(p.state.MembersOf(pool)))
+}
+
+func (p *planner) addTo(shard int, names []string, pool fleet.PoolName) (Plan, error) {
+	base := p.state.Shards[shard]
+	next := &fleet.MemberShard{}
+	if base.Value != nil {
+		next = base.Value.Clone()
+	}
+	for _, name := range names {
+		id := fleet.InstanceID(name)
+		if fleet.ShardOf(id) == shard && next.Find(id) == nil {
+			next.Members = append(next.Members, fleet.Membership{Instance: id, Pool: pool})
+		}
+	}
+	return write(p, record.ShardKey(shard), base, next)
+}
--- /dev/null
+++ b/command/job.go
@@ -0,0 +1,109 @@
+package command
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/query"
+	"github.com/postmount/postmount/record"
+)
+
+// maxJobs bounds the jobs of one pool, so that their record stays below the
+// store's limit of 1 MB.
+const maxJobs = 2500
+
+// defaultRun is how long a job runs that does not say.
+const defaultRun = 10 * time.Second
+
+func (p *planner) submit(s *query.Submit) (Plan, error) {
+	pool := fleet.PoolName(s.Pool)
+	if _, err := p.pool(pool); err != nil {
+		return Plan{}, err
+	}
+	base := p.state.Jobs[pool]
+	next := &fleet.JobSet{Pool: pool}
+	if base.Value != nil {
+		if base.Value.Applied.Has(p.ID) {
+			return done(base.Revision, "%d job(s) submitted to pool %s", max(s.Count, 1), pool)
+		}
+		next = base.Value.Clone()
+	}
+	next.Jobs = forgetEnded(next.Jobs, p.Now)
+	for _, name := range jobNames(s) {
+		if next.Job(name) != nil {
+			return Plan{}, refuse(CodeExists, "pool %s has a job %q already", pool, name)
+		}
+		next.Jobs = append(next.Jobs, p.newJob(name, s))
+	}
+	if len(next.Jobs) > maxJobs {
+		return Plan{}, refuse(CodeNotAllowed, "pool %s would have %d jobs; at most %d are kept", pool, len(next.Jobs), maxJobs)
+	}
+	next.Applied = next.Applied.With(p.ID)
+	return write(p, record.JobsKey(pool), base, next)
+}
+
+func jobNames(s *query.Submit) []fleet.JobName {
+	if s.Count <= 1 {
+		return []fleet.JobName{fleet.JobName(s.Name)}
+	}
+	var out []fleet.JobName
+	for i := range s.Count {
+		out = append(out, fleet.JobName(fmt.Sprintf("%s-%d", s.Name, i+1)))
+	}
+	return out
+}
+
+func (p *planner) newJob(name fleet.JobName, s *query.Submit) fleet.Job {
+	j := fleet.Job{
+		Name: name, Team: s.Team, Need: resources(s.Needs), Urgent: s.Urgent, RunFor: time.Duration(s.Run),
+		State: fleet.JobPending, Submitted: p.Now,
+	}
+	if j.RunFor == 0 {
+		j.RunFor = defaultRun
+	}
+	if s.Within > 0 {
+		j.Deadline = p.Now.Add(time.Duration(s.Within))
+	}
+	return j
+}
+
+// endedKept is how long an ended job stays visible.
+const endedKept = time.Hour
+
+func forgetEnded(jobs []fleet.Job, now time.Time) []fleet.Job {
+	var out []fleet.Job
+	for _, j := range jobs {
+		if !j.State.Ended() || now.Sub(j.Submitted) < endedKept {
+			out = append(out, j)
+		}
+	}
+	return out
+}
+
+// cancelJobs cancels any number of jobs of a pool in one change.
+func (p *planner) cancelJobs(s *query.CancelJobs) (Plan, error) {
+	pool := fleet.PoolName(s.Pool)
+	base, ok := p.state.Jobs[pool]
+	if !ok {
+		return Plan{}, refuse(CodeUnknownName, "pool %q has no jobs", pool)
+	}
+	if base.Value.Applied.Has(p.ID) {
+		return done(base.Revision, "cancelled")
+	}
+	next := base.Value.Clone()
+	cancelled := 0
+	for i := range next.Jobs {
+		j := &next.Jobs[i]
+		if (s.All || j.Name == fleet.JobName(s.Name)) && !j.State.Ended() {
+			j.State = fleet.JobCancelled
+			j.Reason = "cancelled by an operator"
+			cancelled++
+		}
+	}
+	if cancelled == 0 && !s.All {
+		return Plan{}, refuse(CodeUnknownName, "pool %s has no job %q that goes on", pool, s.Name)
+	}
+	next.Applied = next.Applied.With(p.ID)
+	return write(p, record.JobsKey(pool), base, next)
+}
--- /dev/null
+++ b/command/plan.go
@@ -0,0 +1,141 @@
+// Package command gives the operators' statements their meaning. Planning is
+// pure: a statement and a snapshot go in, and either a table or one record to
+// write comes out. A statement that needs several writes is planned again
+// after each, until nothing is left to do.
+package command
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/postmount/postmount/control"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/query"
+	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Table is what a statement shows.
+type Table struct {
+	Columns []string   `json:"columns"`
+	Rows    [][]string `json:"rows"`
+}
+
+// Write is one record to store.
+type Write struct {
+	Key  string
+	Base fleet.Revision
+	// Do stores the record by compare-and-swap.
+	Do func(ctx context.Context, w *record.Writer) (record.Written, error)
+}
+
+// Plan is the next step of a statement.
+type Plan struct {
+	Table *Table // set for a statement that shows something
+	Write *Write // set while something is left to write
+	// Done says what the statement has brought about, once nothing is left.
+	Done     string
+	Revision fleet.Revision // of the record that holds the effect
+}
+
+// Codes of refused statements.
+const (
+	CodeUnknownName verdict.Code = "unknown-name"
+	CodeExists      verdict.Code = "exists-already"
+	CodeNotAllowed  verdict.Code = "not-allowed"
+	CodeChanged     verdict.Code = "changed-meanwhile"
+)
+
+func refuse(code verdict.Code, format string, args ...any) error {
+	return verdict.New(verdict.NotRun, code, format, args...)
+}
+
+// Input is what a statement is planned against.
+type Input struct {
+	ID   fleet.CommandID // repeats of a command have the same id
+	Now  time.Time
+	Snap *control.Snapshot
+}
+
+// Make plans the next step of statement s. An error has verdict NotRun.
+func Make(s *query.Statement, in Input) (Plan, error) {
+	p := &planner{Input: in, state: in.Snap.State, at: fleet.Revision(s.AtRevision)}
+	switch {
+	case s.Show != nil:
+		return p.show(s.Show)
+	case s.Why != nil:
+		return p.why(s.Why)
+	case s.Drain != nil:
+		return p.drain(fleet.InstanceID(s.Drain.Instance))
+	case s.Return != nil:
+		return p.bringBack(fleet.InstanceID(s.Return.Instance))
+	case s.Move != nil:
+		return p.move(fleet.InstanceID(s.Move.Instance), fleet.PoolName(s.Move.Pool))
+	case s.Create != nil:
+		return p.create(s.Create)
+	case s.Add != nil:
+		return p.add(s.Add)
+	case s.Set != nil:
+		return p.set(s.Set)
+	case s.Start != nil:
+		return p.startWave(s.Start)
+	case s.Wave != nil:
+		return p.changeWave(s.Wave)
+	case s.Submit != nil:
+		return p.submit(s.Submit)
+	case s.Cancel != nil:
+		return p.cancelJobs(s.Cancel)
+	}
+	return Plan{}, refuse(CodeNotAllowed, "empty statement")
+}
+
+type planner struct {
+	Input
+	state *fleet.State
+	at    fleet.Revision // the operator's "at revision", 0 if not said
+}
+
+// write plans to store value in place of base.
+func write[T any](p *planner, key string, base fleet.Versioned[T], value *T) (Plan, error) {
+	if p.at != 0 && base.Revision > p.at {
+		return Plan{}, refuse(CodeChanged, "%s was changed at revision %d, after revision %d", key, base.Revision, p.at)
+	}
+	return Plan{Write: &Write{Key: key, Base: base.Revision, Do: func(ctx context.Context, w *record.Writer) (record.Written, error) {
+		return record.Write(ctx, w, key, base, value, 0)
+	}}}, nil
+}
+
+func done(rev fleet.Revision, format string, args ...any) (Plan, error) {
+	return Plan{Done: fmt.Sprintf(format, args...), Revision: rev}, nil
+}
+
+// pool returns a pool's record or a refusal that names it.
+func (p *planner) pool(name fleet.PoolName) (fleet.Versioned[fleet.Pool], error) {
+	v, ok := p.state.Pools[name]
+	if !ok {
+		return v, refuse(CodeUnknownName, "there is no pool %q", name)
+	}
+	return v, nil
+}
+
+// memberPool returns the pool that an instance belongs to.
+func (p *planner) memberPool(id fleet.InstanceID) (fleet.Versioned[fleet.Pool], error) {
+	m := p.state.Membership(id)
+	if m == nil {
+		return fleet.Versioned[fleet.Pool]{}, refuse(CodeUnknownName, "instance %q belongs to no pool", id)
+	}
+	return p.pool(m.Pool)
+}
+
+// claimOn returns the pool that has a disruption recorded for an instance. In
+// the middle of a move that is still the old pool.
+func (p *planner) claimOn(id fleet.InstanceID) (fleet.Versioned[fleet.Pool], *fleet.Disruption) {
+	for _, name := range p.state.SortedPools() {
+		v := p.state.Pools[name]
+		if d := v.Value.Disruption(id); d != nil {
+			return v, d
+		}
+	}
+	return fleet.Versioned[fleet.Pool]{}, nil
+}
--- /dev/null
+++ b/command/show.go
@@ -0,0 +1,181 @@
+package command
+
+import (
+	"maps"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/postmount/postmount/budget"
+	"github.com/postmount/postmount/control"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/query"
+)
+
+// show lists things. Its plan is never written.
+func (p *planner) show(s *query.Show) (Plan, error) {
+	t := p.table(s.What)
+	for _, c := range s.Where {
+		col := slices.Index(t.Columns, c.Field)
+		if col < 0 {
+			return Plan{}, refuse(CodeUnknownName, "%s have no field %q; they have %s", s.What, c.Field, strings.Join(t.Columns, ", "))
+		}
+		t.Rows = slices.DeleteFunc(t.Rows, func(row []string) bool { return (row[col] == string(c.Value)) == c.Not })
+	}
+	return Plan{Table: t}, nil
+}
+
+func (p *planner) table(what string) *Table {
+	switch what {
+	case "pools":
+		return p.pools()
+	case "instances":
+		return p.instances()
+	case "jobs":
+		return p.jobs()
+	case "waves":
+		return p.waves()
+	case "services":
+		return p.services()
+	case "routes":
+		return p.routes()
+	case "teams":
+		return p.teams()
+	default:
+		return p.revisions()
+	}
+}
+
+func (p *planner) pools() *Table {
+	t := &Table{Columns: []string{"pool", "service", "size", "allowed", "out", "failed", "budget", "revision"}}
+	members := p.state.MembersByPool()
+	for _, name := range p.state.SortedPools() {
+		v := p.state.Pools[name]
+		a := budget.Of(v.Value, members[name], p.Snap.Instances)
+		t.Rows = append(t.Rows, []string{
+			string(name), string(v.Value.Service), strconv.Itoa(a.Size), strconv.Itoa(a.Allowed), strconv.Itoa(a.Out()),
+			strconv.Itoa(len(a.Failed)), v.Value.Budget.String(), revision(v.Revision),
+		})
+	}
+	return t
+}
+
+func revision(r fleet.Revision) string { return strconv.FormatInt(int64(r), 10) }
+
+func (p *planner) instances() *Table {
+	t := &Table{Columns: []string{"instance", "pool", "zone", "rack", "state", "phase", "reason", "generation"}}
+	for _, id := range slices.Sorted(maps.Keys(p.Snap.Instances)) {
+		inst := p.Snap.Instances[id]
+		pool, phase, reason := "", "", ""
+		if m := p.state.Membership(id); m != nil {
+			pool = string(m.Pool)
+		}
+		if _, d := p.claimOn(id); d != nil {
+			phase, reason = string(d.Phase), describe(d)
+		}
+		t.Rows = append(t.Rows, []string{
+			string(id), pool, string(inst.Zone), string(inst.Rack), string(inst.State), phase, reason, strconv.FormatInt(inst.Generation, 10),
+		})
+	}
+	return t
+}
+
+// describe names what a disruption is for.
+func describe(d *fleet.Disruption) string {
+	switch d.Kind {
+	case fleet.DisruptByWave:
+		return "wave " + string(d.Wave)
+	case fleet.DisruptByMove:
+		return "move to " + string(d.Target)
+	default:
+		return "operator's drain"
+	}
+}
+
+func (p *planner) jobs() *Table {
+	t := &Table{Columns: []string{"job", "pool", "team", "state", "worker", "attempt", "urgent", "reason"}}
+	for _, pool := range slices.Sorted(maps.Keys(p.state.Jobs)) {
+		for _, j := range p.state.Jobs[pool].Value.Jobs {
+			t.Rows = append(t.Rows, []string{
+				string(j.Name), string(pool), j.Team, string(j.State), string(j.Worker), strconv.Itoa(j.Attempt), strconv.FormatBool(j.Urgent), j.Reason,
+			})
+		}
+	}
+	return t
+}
+
+func (p *planner) waves() *Table {
+	t := &Table{Columns: []string{"wave", "state", "pools", "remaining", "finished", "failed", "started", "deadline", "forecast", "reason", "revision"}}
+	members := p.state.MembersByPool()
+	for _, name := range p.state.SortedWaves() {
+		v := p.state.Waves[name]
+		c := control.TallyWave(p.Snap, members, v.Value)
+		if v.Value.Ended() {
+			c.Remaining = 0
+		}
+		var pools []string
+		for _, n := range v.Value.Pools {
+			pools = append(pools, string(n))
+		}
+		t.Rows = append(t.Rows, []string{
+			string(name), string(v.Value.State), strings.Join(pools, " "), strconv.Itoa(c.Remaining), strconv.Itoa(c.Finished), strconv.Itoa(c.Failed),
+			clock(v.Value.StartedAt), clock(v.Value.Deadline), clock(c.End), v.Value.Reason, revision(v.Revision),
+		})
+	}
+	return t
+}
+
+func clock(t time.Time) string {
+	if t.IsZero() {
+		return ""
+	}
+	return t.Format(time.RFC3339)
+}
+
+func (p *planner) services() *Table {
+	t := &Table{Columns: []string{"service", "class", "weight", "availability", "latency"}}
+	for _, s := range p.state.Config.Value.Services {
+		for _, k := range s.Classes {
+			t.Rows = append(t.Rows, []string{
+				string(s.Name), string(k.Name), strconv.Itoa(k.Weight),
+				strconv.FormatFloat(k.Objective.Availability*100, 'f', -1, 64), k.Objective.Latency.String(),
+			})
+		}
+	}
+	return t
+}
+
+func (p *planner) routes() *Table {
+	t := &Table{Columns: []string{"host", "prefix", "service", "class", "idempotent", "timeout"}}
+	for _, r := range p.state.Config.Value.Routes {
+		t.Rows = append(t.Rows, []string{
+			r.Host, r.Prefix, string(r.Service), string(r.Class), strconv.FormatBool(r.Idempotent), r.Timeout.String(),
+		})
+	}
+	return t
+}
+
+func (p *planner) teams() *Table {
+	t := &Table{Columns: []string{"team", "cpu", "memory", "accelerators"}}
+	for _, x := range p.state.Config.Value.Teams {
+		t.Rows = append(t.Rows, []string{
+			x.Name, strconv.FormatFloat(float64(x.Quota.CPUMilli)/milli, 'f', -1, 64), strconv.Itoa(x.Quota.MemoryMB), strconv.Itoa(x.Quota.Accelerators),
+		})
+	}
+	return t
+}
+
+func (p *planner) revisions() *Table {
+	t := &Table{Columns: []string{"record", "revision"}}
+	t.Rows = append(t.Rows, []string{"known", revision(p.state.Revision)})
+	t.Rows = append(t.Rows, []string{"config", revision(p.state.Config.Revision)})
+	t.Rows = append(t.Rows, []string{"view", revision(p.state.View.Revision)})
+	for _, n := range p.state.SortedPools() {
+		t.Rows = append(t.Rows, []string{"pool " + string(n), revision(p.state.Pools[n].Revision)})
+	}
+	for _, n := range p.state.SortedWaves() {
+		t.Rows = append(t.Rows, []string{"wave " + string(n), revision(p.state.Waves[n].Revision)})
+	}
+	return t
+}
--- /dev/null
+++ b/command/wave.go
@@ -0,0 +1,67 @@
+package command
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/control"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/query"
+	"github.com/postmount/postmount/record"
+)
+
+func (p *planner) startWave(s *query.StartWave) (Plan, error) {
+	name := fleet.WaveName(s.Name)
+	if old, ok := p.state.Waves[name]; ok {
+		if old.Value.Applied.Has(p.ID) {
+			return done(old.Revision, "wave %s started on %d pools", name, len(old.Value.Pools))
+		}
+		return Plan{}, refuse(CodeExists, "there was a wave %q already", name)
+	}
+	w := &fleet.Wave{Name: name, State: fleet.WaveRunning, StartedAt: p.Now, Applied: fleet.CommandLog{p.ID}}
+	if s.Within > 0 {
+		w.Deadline = p.Now.Add(time.Duration(s.Within))
+	}
+	if s.All {
+		w.Pools = p.state.SortedPools()
+	}
+	for _, pool := range s.Pools {
+		if _, err := p.pool(fleet.PoolName(pool)); err != nil {
+			return Plan{}, err
+		}
+		if w.Includes(fleet.PoolName(pool)) {
+			return Plan{}, refuse(CodeNotAllowed, "pool %q is named twice", pool)
+		}
+		w.Pools = append(w.Pools, fleet.PoolName(pool))
+	}
+	if len(w.Pools) == 0 {
+		return Plan{}, refuse(CodeNotAllowed, "there are no pools")
+	}
+	return write(p, record.WaveKey(name), fleet.Versioned[fleet.Wave]{}, w)
+}
+
+func (p *planner) changeWave(s *query.ChangeWave) (Plan, error) {
+	v, ok := p.state.Waves[fleet.WaveName(s.Name)]
+	if !ok {
+		return Plan{}, refuse(CodeUnknownName, "there is no wave %q", s.Name)
+	}
+	if v.Value.Applied.Has(p.ID) {
+		return done(v.Revision, "wave %s is %s", s.Name, v.Value.State)
+	}
+	if v.Value.Ended() {
+		return Plan{}, refuse(CodeNotAllowed, "wave %s is %s", s.Name, v.Value.State)
+	}
+	next := v.Value.Clone()
+	switch s.Verb {
+	case "pause":
+		next.State = fleet.WavePaused
+	case "resume":
+		next.State = fleet.WaveRunning
+		next.Reason = ""
+		next.Forgiven = control.TallyWave(p.Snap, p.state.MembersByPool(), v.Value).Failed
+	case "cancel":
+		next.State = fleet.WaveCancelled
+		next.EndedAt = p.Now
+	}
+	next.Applied = next.Applied.With(p.ID)
+	return write(p, record.WaveKey(v.Value.Name), v, next)
+}
--- /dev/null
+++ b/command/why.go
@@ -0,0 +1,195 @@
+package command
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/postmount/postmount/budget"
+	"github.com/postmount/postmount/control"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/query"
+)
+
+// why gives the chain of facts and rules behind what is seen.
+func (p *planner) why(s *query.Why) (Plan, error) {
+	t := &Table{Columns: []string{"because"}}
+	add := func(format string, args ...any) { t.Rows = append(t.Rows, []string{fmt.Sprintf(format, args...)}) }
+	var err error
+	switch s.Kind {
+	case "instance":
+		err = p.whyInstance(fleet.InstanceID(s.Name), add)
+	case "pool":
+		err = p.whyPool(fleet.PoolName(s.Name), add)
+	case "wave":
+		err = p.whyWave(fleet.WaveName(s.Name), add)
+	case "job":
+		err = p.whyJob(fleet.JobName(s.Name), fleet.PoolName(s.Pool), add)
+	}
+	if err != nil {
+		return Plan{}, err
+	}
+	return Plan{Table: t}, nil
+}
+
+type adder func(format string, args ...any)
+
+func (p *planner) whyInstance(id fleet.InstanceID, add adder) error {
+	m := p.state.Membership(id)
+	inst, listed := p.Snap.Instances[id]
+	if m == nil && !listed {
+		return refuse(CodeUnknownName, "there is no instance %q", id)
+	}
+	if !listed {
+		add("the platform does not list %s", id)
+	} else {
+		add("the platform reports %s as %s in zone %s, rack %s, generation %d (list read at %s)",
+			id, inst.State, inst.Zone, inst.Rack, inst.Generation, clock(p.Snap.ListedAt))
+	}
+	if m == nil {
+		add("%s belongs to no pool", id)
+		return nil
+	}
+	add("%s belongs to pool %s", id, m.Pool)
+	if m.Joining {
+		add("it is joining the pool and does not count towards its size until it serves")
+	}
+	if v, ok := p.state.Pools[m.Pool]; ok {
+		if r := v.Value.Request(id); r != nil {
+			add("an operator's %s has waited for the budget since %s: %s", r.Kind, clock(r.At), p.account(v.Value).Explain())
+		}
+	}
+	claim, d := p.claimOn(id)
+	if d == nil {
+		add("nothing takes it out")
+		p.whyNotDrained(id, m.Pool, add)
+		return nil
+	}
+	add("pool %s has it out for %s since %s, in phase %s since %s", claim.Value.Name, describe(d), clock(d.Since), d.Phase, clock(d.PhaseAt))
+	if d.Command.ID != "" {
+		add("command %s %s for generation %d is sent until the platform shows its effect", d.Command.Action, d.Command.ID, d.Command.Generation)
+	}
+	p.notesAbout(claim.Value.Name, id, add)
+	return nil
+}
+
+// whyNotDrained explains what a running wave waits for.
+func (p *planner) whyNotDrained(id fleet.InstanceID, pool fleet.PoolName, add adder) {
+	v, ok := p.state.Pools[pool]
+	if !ok {
+		return
+	}
+	for _, name := range p.state.SortedWaves() {
+		w := p.state.Waves[name].Value
+		switch {
+		case w.Ended() || !w.Includes(pool):
+		case v.Value.MaintainedBy(name, id):
+			add("wave %s has finished with it", name)
+		case w.State != fleet.WaveRunning:
+			add("wave %s has not drained it: the wave is %s %s", name, w.State, w.Reason)
+		default:
+			add("wave %s has not drained it: %s", name, p.account(v.Value).Explain())
+		}
+	}
+}
+
+func (p *planner) account(pool *fleet.Pool) budget.Account {
+	return budget.Of(pool, p.state.MembersOf(pool.Name), p.Snap.Instances)
+}
+
+func (p *planner) notesAbout(pool fleet.PoolName, id fleet.InstanceID, add adder) {
+	for _, n := range p.Snap.Notes[pool] {
+		if n.Instance == id {
+			add("%s", n.Text)
+		}
+	}
+}
+
+func (p *planner) whyPool(name fleet.PoolName, add adder) error {
+	v, err := p.pool(name)
+	if err != nil {
+		return err
+	}
+	a := p.account(v.Value)
+	add("%s", a.Explain())
+	add("budget %s of %d members allows %d out, so %d more may go", v.Value.Budget, a.Size, a.Allowed, max(a.Headroom(), 0))
+	if a.Headroom() < 0 {
+		add("more is out than allowed: nothing is taken out until enough has returned")
+	}
+	for _, d := range v.Value.Disruptions {
+		add("%s: %s, in phase %s since %s", d.Instance, describe(&d), d.Phase, clock(d.PhaseAt))
+	}
+	for _, id := range a.Failed {
+		add("%s: out by itself, the platform reports %q", id, p.Snap.Instances[id].State)
+	}
+	for _, n := range p.Snap.Notes[name] {
+		add("%s", n.Text)
+	}
+	return nil
+}
+
+func (p *planner) whyWave(name fleet.WaveName, add adder) error {
+	v, ok := p.state.Waves[name]
+	if !ok {
+		return refuse(CodeUnknownName, "there is no wave %q", name)
+	}
+	w := v.Value
+	c := control.TallyWave(p.Snap, p.state.MembersByPool(), w)
+	add("wave %s is %s %s", name, w.State, w.Reason)
+	if w.Ended() {
+		add("it ran from %s to %s", clock(w.StartedAt), clock(w.EndedAt))
+		return nil
+	}
+	add("%d instances are finished, %d given up, %d remain", c.Finished, c.Failed, c.Remaining)
+	if !c.End.IsZero() {
+		add("it is forecast to end at %s", clock(c.End))
+	}
+	if !w.Deadline.IsZero() && c.End.After(w.Deadline) {
+		add("it will not meet its deadline %s", clock(w.Deadline))
+	}
+	for _, pool := range w.Pools {
+		if pv, ok := p.state.Pools[pool]; ok {
+			add("%s", p.account(pv.Value).Explain())
+		}
+		for _, n := range p.Snap.Notes[pool] {
+			add("%s: %s", pool, n.Text)
+		}
+	}
+	return nil
+}
+
+func (p *planner) whyJob(name fleet.JobName, pool fleet.PoolName, add adder) error {
+	found := false
+	for _, n := range p.state.SortedPools() {
+		js, ok := p.state.Jobs[n]
+		if !ok || (pool != "" && pool != n) {
+			continue
+		}
+		i := slices.IndexFunc(js.Value.Jobs, func(j fleet.Job) bool { return j.Name == name })
+		if i < 0 {
+			continue
+		}
+		found = true
+		p.explainJob(n, &js.Value.Jobs[i], add)
+	}
+	if !found {
+		return refuse(CodeUnknownName, "there is no job %q", name)
+	}
+	return nil
+}
+
+func (p *planner) explainJob(pool fleet.PoolName, j *fleet.Job, add adder) {
+	add("job %s of pool %s is %s", j.Name, pool, j.State)
+	if j.Reason != "" {
+		add("%s", j.Reason)
+	}
+	add("it asks for %d thousandths of a core, %d MB, %d accelerators; submitted at %s", j.Need.CPUMilli, j.Need.MemoryMB, j.Need.Accelerators, clock(j.Submitted))
+	if j.Worker != "" {
+		add("attempt %d was placed on %s at %s", j.Attempt, j.Worker, clock(j.PlacedAt))
+	}
+	if !j.LostAt.IsZero() {
+		add("its worker has not reported it since %s; it is placed anew once the task's lease has certainly lapsed", clock(j.LostAt))
+	}
+	if j.Failures > 0 {
+		add("%d of its attempts failed", j.Failures)
+	}
+}
--- /dev/null
+++ b/control/controller.go
@@ -0,0 +1,320 @@
+// Package control runs the reconcile loops: one goroutine derives plans from
+// the records and the observed instances, and hands their parts to workers
+// that write by compare-and-swap, send commands and talk to task APIs.
+//
+// Every daemon runs the same loops. Which one tries for a pool or wave follows
+// from the view; that two try at once costs a lost swap and nothing else.
+package control
+
+import (
+	"context"
+	"maps"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/mirror"
+	"github.com/postmount/postmount/place"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/rendezvous"
+	"github.com/postmount/postmount/verdict"
+	"github.com/postmount/postmount/wave"
+)
+
+// Options of a controller.
+type Options struct {
+	Self         fleet.Incarnation
+	Tick         time.Duration // between rounds without a change
+	ListInterval time.Duration // between readings of the instance list
+	// ListMaxAge is how old the list may be for a new disruption to be granted.
+	ListMaxAge time.Duration
+	TaskLease  time.Duration
+	Wave       wave.Options
+	Place      place.Policy
+}
+
+// DefaultOptions are those of production.
+var DefaultOptions = Options{
+	Tick:         200 * time.Millisecond,
+	ListInterval: 500 * time.Millisecond,
+	ListMaxAge:   3 * time.Second,
+	TaskLease:    3 * time.Second,
+	Wave:         wave.Options{RebootTimeout: 10 * time.Minute},
+	Place:        place.PolicyBestFit,
+}
+
+// Deps are what a controller works with.
+type Deps struct {
+	Store     port.Store
+	Mirror    *mirror.Mirror
+	List      port.InstanceList
+	Actions   port.Actions
+	Tasks     port.Tasks
+	View      func() *fleet.View
+	Connected func() bool // whether the store's watch is alive
+	// OnGone is told of entry daemons that the platform knows to have ended.
+	OnGone func([]fleet.Incarnation)
+	// OnSnapshot is told of every new snapshot.
+	OnSnapshot func(*Snapshot)
+	Log        *zap.Logger
+}
+
+// Snapshot is what a controller knows. It is immutable.
+type Snapshot struct {
+	State     *fleet.State
+	Instances map[fleet.InstanceID]fleet.Instance
+	ListedAt  time.Time // when the instance list was read; zero: never
+	version   int       // of Instances
+	// Notes explain the last decisions by pool.
+	Notes map[fleet.PoolName][]wave.Note
+}
+
+// Counts are the controller's counters.
+type Counts struct {
+	Writes, Conflicts, WriteErrors   atomic.Int64
+	Commands, CommandErrors          atomic.Int64
+	ListErrors, TaskErrors, TaskSync atomic.Int64
+}
+
+// Controller runs the loops of one daemon.
+type Controller struct {
+	opts   Options
+	deps   Deps
+	writer *record.Writer
+	Counts Counts
+
+	snapshot atomic.Pointer[Snapshot]
+	events   chan func()
+	done     chan struct{}
+	wg       sync.WaitGroup
+
+	// The fields below belong to the control goroutine.
+	instances   map[fleet.InstanceID]fleet.Instance
+	listVersion int // counts changes of instances
+	listedAt    time.Time
+	reconnected time.Time // when the store was last found again
+	wasUp       bool
+	busy        map[string]bool // keys whose write is under way
+	sent        map[fleet.CommandID]time.Time
+	notes       map[fleet.PoolName][]wave.Note
+	tasks       *taskBoard
+}
+
+// New returns a controller that has not started.
+func New(opts Options, deps Deps) *Controller {
+	c := &Controller{
+		opts:      opts,
+		deps:      deps,
+		writer:    record.NewWriter(deps.Store),
+		events:    make(chan func()),
+		done:      make(chan struct{}),
+		instances: map[fleet.InstanceID]fleet.Instance{},
+		busy:      map[string]bool{},
+		sent:      map[fleet.CommandID]time.Time{},
+		notes:     map[fleet.PoolName][]wave.Note{},
+		tasks:     newTaskBoard(),
+	}
+	c.snapshot.Store(&Snapshot{State: fleet.NewState(), Instances: c.instances})
+	return c
+}
+
+// Snapshot returns the newest snapshot.
+func (c *Controller) Snapshot() *Snapshot { return c.snapshot.Load() }
+
+// SeedInstances takes in a peer's instance list until the platform's own has
+// been read.
+func (c *Controller) SeedInstances(list []fleet.Instance) {
+	c.post(func() {
+		if c.listedAt.IsZero() && len(c.instances) == 0 {
+			c.instances = index(list)
+			c.listVersion++
+		}
+	})
+}
+
+// Run runs the loops until ctx ends.
+func (c *Controller) Run(ctx context.Context) {
+	c.background(func() { c.pollList(ctx) })
+	tick := time.NewTicker(c.opts.Tick)
+	defer tick.Stop()
+	for {
+		changed := c.deps.Mirror.Changed()
+		c.round(ctx, time.Now())
+		select {
+		case <-ctx.Done():
+			close(c.done)
+			c.wg.Wait()
+			return
+		case fn := <-c.events:
+			fn()
+		case <-changed:
+		case <-tick.C:
+		}
+	}
+}
+
+func (c *Controller) background(fn func()) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		fn()
+	}()
+}
+
+func (c *Controller) post(fn func()) {
+	select {
+	case c.events <- fn:
+	case <-c.done:
+	}
+}
+
+// pollList reads the instance list at a steady rate.
+func (c *Controller) pollList(ctx context.Context) {
+	t := time.NewTicker(c.opts.ListInterval)
+	defer t.Stop()
+	for {
+		c.readList(ctx)
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+	}
+}
+
+func (c *Controller) readList(ctx context.Context) {
+	asked := time.Now()
+	list, err := c.deps.List.Instances(ctx)
+	if err != nil {
+		c.Counts.ListErrors.Add(1)
+		return
+	}
+	c.post(func() {
+		c.listedAt = asked
+		if fresh := index(list); !maps.Equal(fresh, c.instances) {
+			c.instances = fresh
+			c.listVersion++
+		}
+	})
+	if gone, err := c.deps.List.GoneEntries(ctx); err == nil {
+		c.deps.OnGone(gone)
+	}
+}
+
+func index(list []fleet.Instance) map[fleet.InstanceID]fleet.Instance {
+	out := make(map[fleet.InstanceID]fleet.Instance, len(list))
+	for _, i := range list {
+		out[i.ID] = i
+	}
+	return out
+}
+
+// round publishes a snapshot and reconciles everything this daemon tries for.
+func (c *Controller) round(ctx context.Context, now time.Time) {
+	s := c.publish()
+	up := c.deps.Connected()
+	if up && !c.wasUp {
+		c.reconnected = now
+	}
+	c.wasUp = up
+	c.forgetSent(now)
+	members := s.State.MembersByPool()
+	r := &roundState{c: c, ctx: ctx, now: now, snap: s, members: members, mayWrite: c.mayWrite(now, up)}
+	for _, name := range s.State.SortedPools() {
+		if c.mine("pool/" + string(name)) {
+			r.pool(name)
+		}
+	}
+	for _, name := range s.State.SortedWaves() {
+		if c.mine("wave/" + string(name)) {
+			r.wave(name)
+		}
+	}
+	r.jobs()
+}
+
+// mayWrite reports whether plans may be made from what is known. After a time
+// without the store, the instance list must first have been read anew.
+func (c *Controller) mayWrite(now time.Time, up bool) bool {
+	return up && c.listedAt.After(c.reconnected) && now.Sub(c.listedAt) < c.opts.ListMaxAge
+}
+
+// mine reports whether this daemon is the one that tries for a key.
+func (c *Controller) mine(key string) bool {
+	return rendezvous.Owner(c.deps.View().Incarnations(), key) == c.opts.Self
+}
+
+func (c *Controller) publish() *Snapshot {
+	old := c.snapshot.Load()
+	state := c.deps.Mirror.State()
+	notes := make(map[fleet.PoolName][]wave.Note, len(c.notes))
+	for k, v := range c.notes {
+		notes[k] = v
+	}
+	s := &Snapshot{State: state, Instances: c.instances, ListedAt: c.listedAt, version: c.listVersion, Notes: notes}
+	c.snapshot.Store(s)
+	if old.State != state || old.version != c.listVersion {
+		c.deps.OnSnapshot(s)
+	}
+	return s
+}
+
+// writeTimeout bounds one write with the resolution of a lost answer.
+const writeTimeout = 5 * time.Second
+
+// write stores a record on a goroutine of its own, one write per key at a
+// time. A lost race is not an error: the next round plans from what won.
+func write[T any](ctx context.Context, c *Controller, key string, base fleet.Versioned[T], value *T) {
+	if c.busy[key] {
+		return
+	}
+	c.busy[key] = true
+	c.background(func() {
+		ctx, cancel := context.WithTimeout(ctx, writeTimeout)
+		defer cancel()
+		w, err := record.Write(ctx, c.writer, key, base, value, 0)
+		c.Counts.Writes.Add(1)
+		switch {
+		case err == nil:
+			c.deps.Mirror.Apply([]port.Event{{KV: w.KV}}, 0)
+		case verdict.CodeOf(err) == record.CodeConflict:
+			c.Counts.Conflicts.Add(1)
+		default:
+			c.Counts.WriteErrors.Add(1)
+		}
+		c.post(func() { delete(c.busy, key) })
+	})
+}
+
+// resendEvery is the pause between sends of a command not yet seen to work.
+const resendEvery = time.Second
+
+// send passes a recorded command on to the platform, at least once.
+func (c *Controller) send(ctx context.Context, now time.Time, s wave.Send) {
+	if at, ok := c.sent[s.Command.ID]; ok && now.Sub(at) < resendEvery {
+		return
+	}
+	c.sent[s.Command.ID] = now
+	c.background(func() {
+		c.Counts.Commands.Add(1)
+		if err := c.deps.Actions.Send(ctx, s.Instance, s.Command); err != nil {
+			c.Counts.CommandErrors.Add(1)
+		}
+	})
+}
+
+func (c *Controller) forgetSent(now time.Time) {
+	const keep = time.Minute
+	for id, at := range c.sent {
+		if now.Sub(at) > keep {
+			delete(c.sent, id)
+		}
+	}
+}
+
+func newCommandID() fleet.CommandID { return fleet.CommandID(uuid.NewString()) }
--- /dev/null
+++ b/control/reconcile.go
@@ -0,0 +1,152 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"slices"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/budget"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/wave"
+)
+
+// roundState is one round of the control goroutine.
+type roundState struct {
+	c       *Controller
+	ctx     context.Context
+	now     time.Time
+	snap    *Snapshot
+	members map[fleet.PoolName][]fleet.Membership
+	// mayWrite is false while the store or the instance list cannot be relied
+	// on: recorded commands are still sent, nothing new is recorded.
+	mayWrite bool
+}
+
+// pool reconciles one pool.
+func (r *roundState) pool(name fleet.PoolName) {
+	p := r.snap.State.Pools[name]
+	plan := wave.Reconcile(r.input(name, p.Value))
+	r.c.notes[name] = plan.Notes
+	for _, s := range plan.Sends {
+		r.c.send(r.ctx, r.now, s)
+	}
+	if !r.mayWrite {
+		return
+	}
+	for _, ch := range plan.Changes {
+		r.changeMembership(ch)
+	}
+	if plan.Pool != nil {
+		write(r.ctx, r.c, record.PoolKey(name), p, plan.Pool)
+	}
+}
+
+func (r *roundState) input(name fleet.PoolName, p *fleet.Pool) wave.Input {
+	members := slices.Clone(r.members[name])
+	slices.SortFunc(members, func(a, b fleet.Membership) int { return cmp.Compare(a.Instance, b.Instance) })
+	in := wave.Input{
+		Now:        r.now,
+		Pool:       p,
+		Members:    members,
+		Instances:  r.snap.Instances,
+		Membership: r.snap.State.Membership,
+		Options:    r.c.opts.Wave,
+		NewID:      newCommandID,
+	}
+	for _, w := range r.snap.State.SortedWaves() {
+		if v := r.snap.State.Waves[w].Value; v.Includes(name) {
+			in.Waves = append(in.Waves, v)
+		}
+	}
+	slices.SortStableFunc(in.Waves, func(a, b *fleet.Wave) int { return a.StartedAt.Compare(b.StartedAt) })
+	return in
+}
+
+// changeMembership changes the one record that says where an instance belongs.
+func (r *roundState) changeMembership(ch wave.Change) {
+	shard := fleet.ShardOf(ch.Instance)
+	base := r.snap.State.Shards[shard]
+	if base.Value == nil {
+		return
+	}
+	m := base.Value.Find(ch.Instance)
+	if m == nil || m.Pool != ch.From {
+		return
+	}
+	next := base.Value.Clone()
+	target := next.Find(ch.Instance)
+	target.Pool = ch.To
+	target.Joining = ch.Joining
+	write(r.ctx, r.c, record.ShardKey(shard), base, next)
+}
+
+// wave decides whether a wave has ended or must halt.
+func (r *roundState) wave(name fleet.WaveName) {
+	w := r.snap.State.Waves[name]
+	if !r.mayWrite || w.Value.Ended() {
+		return
+	}
+	t := TallyWave(r.snap, r.members, w.Value)
+	next := w.Value.Clone()
+	switch {
+	case t.Remaining == 0 && t.Known:
+		next.State = fleet.WaveDone
+		next.EndedAt = r.now
+		next.Reason = ""
+	case w.Value.State == fleet.WaveRunning && wave.ShouldHalt(t.Failed, t.Granted, w.Value.Forgiven):
+		next.State = fleet.WaveHalted
+		next.Reason = "too many instances did not come back"
+	default:
+		return
+	}
+	r.c.deps.Log.Info("wave changed", zap.String("wave", string(name)), zap.String("state", string(next.State)), zap.String("reason", next.Reason))
+	write(r.ctx, r.c, record.WaveKey(name), w, next)
+}
+
+// WaveTally counts how far a wave is.
+type WaveTally struct {
+	Remaining int // members it has not finished with
+	Finished  int // members it rebooted
+	Failed    int // members it gave up
+	Granted   int // members it has taken out so far
+	Known     bool
+	// End is the forecast of the end, zero if there is none yet.
+	End time.Time
+}
+
+// TallyWave works out how far a wave is.
+func TallyWave(s *Snapshot, members map[fleet.PoolName][]fleet.Membership, w *fleet.Wave) WaveTally {
+	t := WaveTally{Known: len(s.Instances) > 0}
+	for _, name := range w.Pools {
+		p, ok := s.State.Pools[name]
+		if !ok {
+			continue
+		}
+		left := wave.Remaining(w.Name, p.Value, members[name], s.Instances)
+		t.Remaining += len(left)
+		for _, m := range p.Value.Maintained {
+			switch {
+			case m.Wave != w.Name:
+			case m.Skipped != "":
+				t.Failed++
+			default:
+				t.Finished++
+			}
+		}
+		for _, d := range p.Value.Disruptions {
+			if d.Wave == w.Name && !p.Value.MaintainedBy(w.Name, d.Instance) {
+				t.Granted++
+			}
+		}
+		allowed := budget.Of(p.Value, members[name], s.Instances).Allowed
+		if end, ok := wave.Forecast(time.Now(), p.Value, len(left), allowed); ok && end.After(t.End) {
+			t.End = end
+		}
+	}
+	t.Granted += t.Finished + t.Failed
+	return t
+}
--- /dev/null
+++ b/daemon/daemon.go
@@ -0,0 +1,384 @@
+// Package daemon puts an entry daemon together from its parts and runs it. The
+// command postmountd and the demo both use it.
+package daemon
+
+import (
+	"context"
+	"errors"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/adapter/backendhttp"
+	"github.com/postmount/postmount/adapter/etcdkv"
+	"github.com/postmount/postmount/adapter/peerrpc"
+	"github.com/postmount/postmount/adapter/platformhttp"
+	"github.com/postmount/postmount/adapter/workerhttp"
+	"github.com/postmount/postmount/admit"
+	"github.com/postmount/postmount/api"
+	"github.com/postmount/postmount/cluster"
+	"github.com/postmount/postmount/control"
+	"github.com/postmount/postmount/directory"
+	"github.com/postmount/postmount/entry"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/member"
+	"github.com/postmount/postmount/mirror"
+	"github.com/postmount/postmount/once"
+	"github.com/postmount/postmount/place"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/retry"
+	"github.com/postmount/postmount/route"
+	"github.com/postmount/postmount/settings"
+	"github.com/postmount/postmount/slo"
+	"github.com/postmount/postmount/telemetry"
+)
+
+// Version is set at build time by the linker, or "dev".
+var Version = "dev"
+
+// connectionsPerWorker is the number of connections that a worker takes from
+// all entry daemons together; each daemon has an equal part for the largest
+// view there can be.
+const connectionsPerWorker = 64
+
+// Daemon is one entry daemon.
+type Daemon struct {
+	set  settings.Settings
+	log  *zap.Logger
+	self fleet.Entry
+
+	store   *etcdkv.Client
+	peers   *peerrpc.Client
+	backend *backendhttp.Client
+	list    *platformhttp.Client
+	tasks   *workerhttp.Client
+
+	mirror     *mirror.Mirror
+	feed       *mirror.Feed
+	node       *cluster.Node
+	controller *control.Controller
+	dispatcher *entry.Dispatcher
+	handler    *entry.Handler
+	burn       *slo.Recorder
+	metrics    *telemetry.Metrics
+
+	traffic, apiServer *http.Server
+	peerServer         *peerrpc.Server
+	listeners          listeners
+	stopping           atomic.Bool
+	base               context.Context // ends with everything the daemon runs
+	kill               context.CancelFunc
+}
+
+type listeners struct{ traffic, api, peer net.Listener }
+
+// New puts a daemon together and binds its listeners. Logs go to logOut.
+func New(set settings.Settings, logOut io.Writer) (*Daemon, error) {
+	log, err := telemetry.NewLogger(set.Log.Level, set.Log.Format, logOut)
+	if err != nil {
+		return nil, err
+	}
+	d := &Daemon{set: set, log: log.With(zap.String("entry", set.Entry.ID)), mirror: mirror.New(), burn: slo.NewRecorder(), metrics: telemetry.NewMetrics()}
+	if err := d.listen(); err != nil {
+		return nil, err
+	}
+	d.base, d.kill = context.WithCancel(context.Background())
+	d.self = fleet.Entry{
+		ID:          fleet.EntryID(set.Entry.ID),
+		Incarnation: fleet.Incarnation(uuid.NewString()),
+		Zone:        fleet.AvailabilityZone(set.Entry.Zone),
+		PeerAddr:    orDefault(set.Listen.AdvertisePeer, d.listeners.peer.Addr().String()),
+		APIAddr:     orDefault(set.Listen.AdvertiseAPI, d.listeners.api.Addr().String()),
+	}
+	d.adapters()
+	d.cores()
+	d.servers()
+	return d, nil
+}
+
+func orDefault(s, fallback string) string {
+	if s != "" {
+		return s
+	}
+	return fallback
+}
+
+func (d *Daemon) listen() error {
+	for _, l := range []struct {
+		addr string
+		into *net.Listener
+	}{
+		{d.set.Listen.Traffic, &d.listeners.traffic},
+		{d.set.Listen.API, &d.listeners.api},
+		{d.set.Listen.Peer, &d.listeners.peer},
+	} {
+		ln, err := net.Listen("tcp", l.addr)
+		if err != nil {
+			d.closeListeners()
+			return err
+		}
+		*l.into = ln
+	}
+	return nil
+}
+
+func (d *Daemon) closeListeners() {
+	for _, l := range []net.Listener{d.listeners.traffic, d.listeners.api, d.listeners.peer} {
+		if l != nil {
+			l.Close()
+		}
+	}
+}
+
+// watchIdle is how long the store's watch may be silent. The service has to
+// send progress notices more often than that.
+const watchIdle = 15 * time.Second
+
+func (d *Daemon) adapters() {
+	s := d.set
+	d.store = etcdkv.New(etcdkv.Options{Addr: s.Store.Addr, Timeout: s.Store.Timeout.D(), WatchIdle: watchIdle})
+	d.peers = peerrpc.NewClient(s.Peers.Token, s.Peers.Timeout.D(), s.Peers.Timeout.D())
+	d.list = platformhttp.New(s.Platform.Addr, s.Platform.Timeout.D())
+	d.tasks = workerhttp.New(s.Platform.Timeout.D())
+	d.backend = backendhttp.New(backendhttp.Options{
+		MaxConnections: connectionsPerWorker / member.MaxMembers,
+		ConnectTimeout: time.Second,
+		IdleTimeout:    time.Minute,
+		MaxAnswerBytes: s.Limits.MaxAnswer,
+	})
+}
+
+func newRand() *rand.Rand { return rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())) }
+
+func (d *Daemon) cores() {
+	s := d.set
+	d.feed = &mirror.Feed{Mirror: d.mirror, Store: d.store, Rand: newRand(), OnConnection: d.storeChanged}
+	policies := entry.DefaultPolicies
+	policies.Admit.Policy = admit.Policy(s.Policies.Admit)
+	policies.Admit.MaxQueue = s.Limits.MaxQueue
+	policies.Pick = route.Policy(s.Policies.Pick)
+	policies.Retry.Policy = retry.Policy(s.Policies.Retry)
+	policies.NoLoans = s.Policies.Loans == "off"
+	d.dispatcher = entry.NewDispatcher(d.self.Incarnation, d.self.Zone, s.Limits.MaxTimeout.D(), policies, newRand())
+	d.node = cluster.New(cluster.Options{
+		Self: d.self, Seeds: s.Peers.Seeds, Heartbeat: s.Peers.Heartbeat.D(), LeaseTTL: s.Peers.LeaseTTL.D(), Grace: s.Peers.Grace.D(),
+		Member: member.DefaultOptions, Once: once.DefaultOptions,
+	}, cluster.Deps{
+		Store: d.store, Peers: d.peers, Mirror: d.mirror, Shares: d.dispatcher, Log: d.log, Rand: newRand(),
+		Connected: d.feed.Connected.Load, Burn: d.burnCounts, Instances: d.instances, SeedInstances: d.seedInstances,
+	})
+	opts := control.DefaultOptions
+	opts.Self = d.self.Incarnation
+	opts.Tick = s.Control.Tick.D()
+	opts.ListInterval = s.Control.ListInterval.D()
+	opts.ListMaxAge = max(opts.ListMaxAge, 3*opts.ListInterval)
+	opts.TaskLease = s.Control.TaskLease.D()
+	opts.Wave.RebootTimeout = s.Control.RebootTimeout.D()
+	opts.Wave.Concurrency = s.Control.WaveWidth
+	opts.Place = place.Policy(s.Policies.Place)
+	d.controller = control.New(opts, control.Deps{
+		Store: d.store, Mirror: d.mirror, List: d.list, Actions: d.list, Tasks: d.tasks, View: d.node.View,
+		Connected: d.feed.Connected.Load, OnGone: d.node.MarkGone, OnSnapshot: d.newSnapshot, Log: d.log,
+	})
+	d.handler = &entry.Handler{
+		Dispatcher: d.dispatcher, Claims: d.node.Claims, Backend: d.backend, Standing: d.node.Standing,
+		Limits: entry.Limits{
+			MaxBody: s.Limits.MaxBody, DefaultTimeout: s.Limits.DefaultTimeout.D(), MaxTimeout: s.Limits.MaxTimeout.D(),
+			MaxInFlight: s.Limits.MaxInFlight, MaxBuffered: s.Limits.MaxBuffered, MaxRetained: s.Limits.MaxRetained,
+		},
+		Observer: &telemetry.Traffic{Scope: d.metrics.Scope, Log: d.log, Burn: d.burn, Directory: d.dispatcher.Directory},
+	}
+}
+
+// Bounds of the HTTP servers.
+const (
+	headerTimeout  = 5 * time.Second
+	requestTimeout = 30 * time.Second
+	idleTimeout    = 2 * time.Minute
+	maxHeaderBytes = 64 << 10
+)
+
+func (d *Daemon) servers() {
+	errorLog, _ := zap.NewStdLogAt(d.log, zap.DebugLevel)
+	operators := &api.Server{
+		Exec: &api.Executor{
+			Store: d.store, Writer: record.NewWriter(d.store), Mirror: d.mirror,
+			Snapshot: d.controller.Snapshot, InForce: d.node.InForce,
+		},
+		Status: d.status, Burn: d.burnReport, Ready: d.Ready, Metrics: d.metrics.Handler,
+	}
+	newServer := func(h http.Handler) *http.Server {
+		return &http.Server{
+			Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, IdleTimeout: idleTimeout,
+			MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
+		}
+	}
+	d.traffic = newServer(d.handler)
+	d.apiServer = newServer(operators.Handler())
+	d.peerServer = peerrpc.NewServer(d.set.Peers.Token, d.node)
+}
+
+// TrafficAddr returns the address that callers use.
+func (d *Daemon) TrafficAddr() string { return d.listeners.traffic.Addr().String() }
+
+// APIAddr returns the address that operators use.
+func (d *Daemon) APIAddr() string { return d.listeners.api.Addr().String() }
+
+// Members returns the view in force at the daemon.
+func (d *Daemon) Members() []fleet.Entry { return d.node.View().Members }
+
+// Snapshot returns what the daemon knows of the records and instances.
+func (d *Daemon) Snapshot() *control.Snapshot { return d.controller.Snapshot() }
+
+// Self returns the daemon's own entry.
+func (d *Daemon) Self() fleet.Entry { return d.self }
+
+// Run runs the daemon until ctx ends, then stops it gracefully.
+func (d *Daemon) Run(ctx context.Context) error {
+	base := d.base
+	defer d.kill()
+	var wg sync.WaitGroup
+	start := func(fn func()) {
+		wg.Add(1)
+		go func() {
+			defer wg.Done()
+			fn()
+		}()
+	}
+	start(func() { d.feed.Run(base) })
+	start(func() { d.node.Run(base) })
+	start(func() { d.controller.Run(base) })
+	start(func() { d.dispatcher.RunLoans(base, d.self.Incarnation, d.peers) })
+	start(func() { d.peerServer.Serve(d.listeners.peer) })
+	start(func() { serve(d.apiServer, d.listeners.api) })
+	start(func() { serve(d.traffic, d.listeners.traffic) })
+	start(func() { d.gauges(base) })
+	d.log.Info("started", zap.String("traffic", d.TrafficAddr()), zap.String("api", d.APIAddr()), zap.String("version", Version))
+	select {
+	case <-ctx.Done():
+		d.stop()
+	case <-base.Done():
+	}
+	d.kill()
+	d.close()
+	wg.Wait()
+	return nil
+}
+
+func serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) && !errors.Is(err, net.ErrClosed) {
+		_ = l.Close()
+	}
+}
+
+// stop is a planned stop: no request in flight is cut off, and the claims go
+// to their new owners.
+func (d *Daemon) stop() {
+	ctx, cancel := context.WithTimeout(context.Background(), d.set.Stop.Timeout.D())
+	defer cancel()
+	d.log.Info("stopping")
+	d.stopping.Store(true)
+	d.handler.CloseConnections()
+	select {
+	case <-time.After(d.set.Stop.BalancerWait.D()):
+	case <-ctx.Done():
+	}
+	// The listener is closed before anything is refused: a caller that comes
+	// now finds another instance.
+	err := d.traffic.Shutdown(ctx)
+	d.handler.Stop()
+	if err != nil {
+		d.log.Warn("requests cut off", zap.Int64("in_flight", d.handler.InFlight()))
+	}
+	if err := d.node.Leave(ctx); err != nil {
+		d.log.Warn("left without handing over", zap.Error(err))
+	}
+	d.log.Info("stopped")
+}
+
+// Kill ends the daemon at once, as if its process had been killed: nothing is
+// finished, handed over or said to anybody.
+func (d *Daemon) Kill() {
+	d.closeListeners()
+	d.traffic.Close()
+	d.apiServer.Close()
+	d.kill()
+}
+
+func (d *Daemon) close() {
+	d.traffic.Close()
+	d.apiServer.Close()
+	d.closeListeners()
+	d.peerServer.Close()
+	d.peers.Close()
+	d.store.Close()
+	d.list.Close()
+	d.tasks.Close()
+	d.backend.Close()
+	_ = d.metrics.Close()
+	_ = d.log.Sync()
+}
+
+// SetCut makes the daemon drop its messages to the peers at the addresses that
+// cut returns true for. The demo and tests part peers with it; call it before
+// Run.
+func (d *Daemon) SetCut(cut func(addr string) bool) { d.peers.Cut = cut }
+
+func (d *Daemon) storeChanged(up bool, err error) {
+	if up {
+		d.log.Info("store reached")
+		return
+	}
+	d.log.Warn("store lost", zap.Error(err))
+}
+
+func (d *Daemon) newSnapshot(s *control.Snapshot) {
+	dir := directory.Build(s.State, s.Instances)
+	d.dispatcher.SetDirectory(dir)
+	d.backend.Keep(dir.Addrs)
+}
+
+func (d *Daemon) instances() []fleet.Instance {
+	s := d.controller.Snapshot()
+	out := make([]fleet.Instance, 0, len(s.Instances))
+	for _, i := range s.Instances {
+		out = append(out, i)
+	}
+	return out
+}
+
+func (d *Daemon) seedInstances(list []fleet.Instance) {
+	if len(list) > 0 {
+		d.controller.SeedInstances(list)
+	}
+}
+
+// Readiness errors.
+var (
+	errStopping = errors.New("stopping")
+	errNoView   = errors.New("not a current member of the view")
+	errNoConfig = errors.New("no configuration yet")
+)
+
+// Ready reports why the balancer should not send requests here.
+func (d *Daemon) Ready() error {
+	switch {
+	case d.stopping.Load():
+		return errStopping
+	case !d.node.Standing().Current(time.Now()):
+		return errNoView
+	case d.mirror.State().Revision == 0:
+		return errNoConfig
+	}
+	return nil
+}
+
+var _ port.PeerServer = (*cluster.Node)(nil)
--- /dev/null
+++ b/daemon/reports.go
@@ -0,0 +1,145 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"time"
+
+	"github.com/postmount/postmount/api"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/slo"
+)
+
+// status returns the daemon's own account of itself.
+func (d *Daemon) status() api.Status {
+	now := time.Now()
+	standing := d.node.Standing()
+	snap := d.controller.Snapshot()
+	claims, bytes := d.node.Claims.Size()
+	counts := &d.store.Counts
+	s := api.Status{
+		Entry:         string(d.self.ID),
+		Zone:          string(d.self.Zone),
+		Version:       Version,
+		Epoch:         int64(standing.Epoch),
+		Serving:       standing.Serving(now),
+		Reason:        standing.Reason,
+		StoreUp:       d.feed.Connected.Load(),
+		Revision:      int64(snap.State.Revision),
+		ListedAt:      snap.ListedAt,
+		Instances:     len(snap.Instances),
+		InFlight:      d.handler.InFlight(),
+		Claims:        claims,
+		ClaimBytes:    bytes,
+		SlotsSettled:  d.dispatcher.Settled(),
+		StoreReads:    counts.Reads.Load(),
+		StoreWrites:   counts.Writes.Load(),
+		StoreWatches:  counts.Watches.Load(),
+		StoreBytesIn:  counts.BytesIn.Load(),
+		StoreBytesOut: counts.BytesOut.Load(),
+		Conflicts:     d.controller.Counts.Conflicts.Load(),
+	}
+	for _, m := range d.node.View().Members {
+		s.Members = append(s.Members, string(m.ID))
+	}
+	return s
+}
+
+func (d *Daemon) burnCounts() port.BurnCounts {
+	out := port.BurnCounts{Entry: d.self.ID}
+	for _, c := range d.burn.Counts(time.Now()) {
+		out.Rows = append(out.Rows, port.BurnRow{Service: c.Service, Class: c.Class, Seconds: int(c.Window.Seconds()), Total: c.Total, Bad: c.Bad})
+	}
+	return out
+}
+
+// burnTimeout bounds the gathering of the members' counts.
+const burnTimeout = 2 * time.Second
+
+// burnReport gathers the counts of every member and works out the burn.
+func (d *Daemon) burnReport(r *http.Request) api.BurnReport {
+	ctx, cancel := context.WithTimeout(r.Context(), burnTimeout)
+	defer cancel()
+	var report api.BurnReport
+	sum := map[slo.Key]map[int]port.BurnRow{}
+	addCounts(sum, d.burnCounts())
+	for _, m := range d.node.View().Members {
+		if m.Incarnation == d.self.Incarnation {
+			continue
+		}
+		counts, err := d.peers.Burn(ctx, m.PeerAddr)
+		if err != nil {
+			report.Missing = append(report.Missing, string(m.ID))
+			continue
+		}
+		addCounts(sum, counts)
+	}
+	state := d.mirror.State()
+	for _, svc := range state.Config.Value.Services {
+		for _, k := range svc.Classes {
+			report.Rows = append(report.Rows, burnRow(svc.Name, k, sum[slo.Key{Service: svc.Name, Class: k.Name}]))
+		}
+	}
+	return report
+}
+
+func addCounts(sum map[slo.Key]map[int]port.BurnRow, c port.BurnCounts) {
+	for _, r := range c.Rows {
+		k := slo.Key{Service: r.Service, Class: r.Class}
+		if sum[k] == nil {
+			sum[k] = map[int]port.BurnRow{}
+		}
+		s := sum[k][r.Seconds]
+		s.Total += r.Total
+		s.Bad += r.Bad
+		sum[k][r.Seconds] = s
+	}
+}
+
+func burnRow(service fleet.ServiceName, k fleet.Class, counts map[int]port.BurnRow) api.BurnRow {
+	row := api.BurnRow{Service: string(service), Class: string(k.Name), Objective: k.Objective.Availability}
+	rates := map[time.Duration]float64{}
+	for _, w := range slo.Windows {
+		c := counts[int(w.Seconds())]
+		rates[w] = slo.Rate(c.Total, c.Bad, k.Objective.Availability)
+		row.Windows = append(row.Windows, api.BurnWindow{Seconds: int(w.Seconds()), Total: c.Total, Bad: c.Bad, Rate: rates[w]})
+	}
+	row.Alert = string(slo.Judge(rates))
+	return row
+}
+
+// gaugeInterval is how often gauges are brought up to date.
+const gaugeInterval = time.Second
+
+// gauges keeps the metrics that mirror counters and state kept elsewhere.
+func (d *Daemon) gauges(ctx context.Context) {
+	t := time.NewTicker(gaugeInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+		}
+		s := d.status()
+		scope := d.metrics.Scope
+		for name, v := range map[string]int64{
+			"view_epoch": s.Epoch, "revision": s.Revision, "requests_in_flight": s.InFlight,
+			"claims": int64(s.Claims), "claim_bytes": int64(s.ClaimBytes),
+			"store_reads": s.StoreReads, "store_writes": s.StoreWrites, "store_watches": s.StoreWatches,
+			"store_bytes_in": s.StoreBytesIn, "store_bytes_out": s.StoreBytesOut,
+			"write_conflicts": s.Conflicts, "peer_rejected": d.peerServer.Rejected.Load(), "bad_records": d.mirror.BadRecords.Load(),
+			"commands": d.controller.Counts.Commands.Load(), "list_errors": d.controller.Counts.ListErrors.Load(),
+		} {
+			scope.Gauge(name).Update(float64(v))
+		}
+		for _, b := range []struct {
+			name string
+			on   bool
+		}{{"store_up", s.StoreUp}, {"serving", s.Serving}, {"slots_settled", s.SlotsSettled}} {
+			scope.Gauge(b.name).Update(float64(slices.Index([]bool{false, true}, b.on)))
+		}
+	}
+}
--- /dev/null
+++ b/entry/keyed.go
@@ -0,0 +1,128 @@
+package entry
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/postmount/postmount/once"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/retry"
+	"github.com/postmount/postmount/verdict"
+)
+
+// inProgressPause is the pause between questions about an attempt that runs
+// elsewhere.
+const inProgressPause = 30 * time.Millisecond
+
+// sendKeyed claims the request's key before it sends anything. A request whose
+// key was claimed before gets the first attempt's answer instead.
+func (h *Handler) sendKeyed(ctx context.Context, c *call, grant *Grant, attempt int) (*port.BackendAnswer, error) {
+	fp := fingerprint(c)
+	id, reply, err := h.Claims.Ask(ctx, c.key, fp)
+	if err != nil || reply.Result != once.Granted {
+		h.Dispatcher.Unused(grant)
+	}
+	if err != nil {
+		return nil, &refusal{cause: asVerdict(err), retryAfter: time.Second}
+	}
+	for reply.Result == once.InProgress {
+		if !pause(ctx, inProgressPause) {
+			return nil, verdict.New(verdict.MayHaveRun, CodeInProgress, "an earlier attempt with this key is still running")
+		}
+		// The earlier attempt may be abandoned, and this one granted.
+		if id, reply, err = h.Claims.Ask(ctx, c.key, fp); err != nil {
+			return nil, verdict.New(verdict.MayHaveRun, CodeInProgress, "an earlier attempt with this key was running")
+		}
+		if reply.Result == once.Granted {
+			if grant, err = h.Dispatcher.Acquire(ctx, c.route.Service, c.route.Class, c.deadline); err != nil {
+				h.Claims.End(id, once.Abandoned, nil)
+				return nil, err
+			}
+		}
+	}
+	if reply.Result != once.Granted {
+		return earlierAnswer(reply)
+	}
+	return h.sendClaimed(ctx, c, grant, id, attempt)
+}
+
+func asVerdict(err error) *verdict.Error {
+	return verdict.Wrap(err, verdict.Of(err), verdict.CodeOf(err), "claim the key")
+}
+
+// sendClaimed sends a request whose key is claimed, and notes its end.
+func (h *Handler) sendClaimed(ctx context.Context, c *call, grant *Grant, id once.Attempt, attempt int) (*port.BackendAnswer, error) {
+	answer, err := h.send(ctx, c, grant, attempt)
+	switch {
+	case err == nil:
+		h.Claims.End(id, once.Finished, h.retained(answer))
+	case verdict.Of(err) == verdict.NotRun:
+		h.Claims.End(id, once.Abandoned, nil)
+	default:
+		h.Claims.End(id, once.Unknown, nil)
+	}
+	return answer, err
+}
+
+// retained returns the answer as it is kept for a resend, nil if too large.
+func (h *Handler) retained(a *port.BackendAnswer) *once.Answer {
+	if len(a.Body) > h.Limits.MaxRetained {
+		return nil
+	}
+	return &once.Answer{Status: a.Status, Header: a.Header, Body: a.Body}
+}
+
+// HeaderReplayed marks an answer that belongs to an earlier attempt with the
+// same key.
+const HeaderReplayed = "Postmount-Replayed"
+
+// earlierAnswer turns the owner's reply about an earlier attempt into the
+// answer of this one.
+func earlierAnswer(r once.Reply) (*port.BackendAnswer, error) {
+	switch r.Result {
+	case once.Answered:
+		header := http.Header(r.Answer.Header).Clone()
+		if header == nil {
+			header = http.Header{}
+		}
+		header.Set(HeaderReplayed, "true")
+		return &port.BackendAnswer{Status: r.Answer.Status, Header: header, Body: r.Answer.Body}, nil
+	case once.NotRetained:
+		return nil, verdict.New(verdict.MayHaveRun, CodeNotRetained, "the request ran, and its answer is no longer kept")
+	case once.Mismatch:
+		return nil, verdict.New(verdict.NotRun, CodeKeyReused, "the key was used for another request")
+	case once.Expired:
+		return nil, verdict.New(verdict.MayHaveRun, CodeKeyExpired, "the key is older than answers are kept")
+	case once.FromFuture:
+		return nil, verdict.New(verdict.NotRun, CodeKeyFuture, "the key's time lies in the future")
+	default:
+		return nil, verdict.New(verdict.MayHaveRun, CodeUnknown, "an earlier attempt with this key may have run")
+	}
+}
+
+// again decides whether a failed try is repeated. A keyed request that may
+// have run never is: its key stays claimed.
+func (h *Handler) again(ctx context.Context, c *call, attempt int, err error) (time.Duration, bool) {
+	if ctx.Err() != nil || (err != nil && h.final(err)) {
+		return 0, false
+	}
+	return h.Dispatcher.Retry(c.route.Service, retry.Attempt{
+		Number:     attempt,
+		Verdict:    verdict.Of(err), // Done for an answer that reports a failure
+		Idempotent: c.idempotent,
+		Overload:   verdict.CodeOf(err) == port.CodeRefused,
+		Remaining:  time.Until(c.deadline),
+	})
+}
+
+// final reports whether a failure was postmount's own decision: it is answered
+// at once and not tried again.
+func (h *Handler) final(err error) bool {
+	switch verdict.CodeOf(err) {
+	case port.CodeConnect, port.CodeBroken, port.CodeTruncated, port.CodeForeign, port.CodeTimeout:
+		return false
+	default:
+		return true
+	}
+}
--- /dev/null
+++ b/entry/loans.go
@@ -0,0 +1,238 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/postmount/postmount/directory"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/slots"
+)
+
+// Times of lending.
+const (
+	// loanIdle is how long a borrowed slot may lie idle before it goes back.
+	loanIdle = 300 * time.Millisecond
+	loanTick = 100 * time.Millisecond
+	// peakDecay is by how much the remembered peak shrinks at each tick.
+	peakDecay = 0.97
+	// borrowPause is the pause after every peer has refused.
+	borrowPause = 20 * time.Millisecond
+	// returnDeadline bounds the tries to give a loan back.
+	returnDeadline = 30 * time.Second
+)
+
+// SetView implements cluster.Shares.
+func (d *Dispatcher) SetView(now time.Time, v *fleet.View) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.view = v
+	d.slots.SetView(now, v)
+	d.pumpAll(now)
+}
+
+// SelfSettled implements cluster.Shares.
+func (d *Dispatcher) SelfSettled() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.slots.SelfSettled()
+}
+
+// PeerSettled implements cluster.Shares.
+func (d *Dispatcher) PeerSettled(peer fleet.Incarnation, e fleet.Epoch) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slots.PeerSettled(peer, e)
+	d.slots.Tick(time.Now())
+	d.pumpAll(time.Now())
+}
+
+// OnBorrow implements cluster.Shares: it lends a slot that is not needed here.
+func (d *Dispatcher) OnBorrow(r port.BorrowRequest) port.BorrowReply {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	l, ok := d.slots.Lend(time.Now(), r.Loan, r.Borrower, r.Epoch, r.Workers, d.keep)
+	return port.BorrowReply{Granted: ok, Loan: l}
+}
+
+// keep returns how many idle slots of a worker stay here: all of them while
+// requests wait, none while the idle slots of its service outnumber what the
+// recent peak would need.
+func (d *Dispatcher) keep(id fleet.InstanceID) int {
+	for name, svc := range d.dir.Services {
+		for _, w := range svc.Workers {
+			if w.ID == id {
+				return d.keepOf(d.services[name], svc, id)
+			}
+		}
+	}
+	return 0
+}
+
+func (d *Dispatcher) keepOf(s *service, svc *directory.Service, id fleet.InstanceID) int {
+	idle := 0
+	for _, w := range svc.Workers {
+		idle += d.slots.Free(w.ID)
+	}
+	if s.queue.Waiting() == 0 && float64(idle) > s.peak-float64(s.inUse) {
+		return 0
+	}
+	return d.slots.Free(id)
+}
+
+// OnReturn implements cluster.Shares.
+func (d *Dispatcher) OnReturn(ids []slots.LoanID) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, id := range ids {
+		d.slots.Returned(id)
+	}
+	d.pumpAll(time.Now())
+}
+
+// RunLoans borrows slots for waiting requests and returns idle ones, until ctx
+// ends.
+func (d *Dispatcher) RunLoans(ctx context.Context, self fleet.Incarnation, peers port.Peers) {
+	t := time.NewTicker(loanTick)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case name := <-d.needs:
+			if !d.policies.NoLoans {
+				d.borrowFor(ctx, name, self, peers)
+			}
+		case <-t.C:
+			d.tick(ctx, peers)
+		}
+	}
+}
+
+// tick gives idle loans back and lets the remembered peaks fade.
+func (d *Dispatcher) tick(ctx context.Context, peers port.Peers) {
+	d.mu.Lock()
+	now := time.Now()
+	d.slots.Tick(now)
+	idle := d.slots.Idle(now.Add(-loanIdle))
+	view := d.view
+	for name, s := range d.services {
+		s.peak = max(float64(s.inUse), s.peak*peakDecay)
+		if s.queue.Waiting() > 0 {
+			d.wake(name)
+		}
+	}
+	d.pumpAll(now)
+	d.mu.Unlock()
+	byLender := map[fleet.Incarnation][]slots.LoanID{}
+	for _, l := range idle {
+		byLender[l.Lender] = append(byLender[l.Lender], l.ID)
+	}
+	for lender, ids := range byLender {
+		if m := view.Member(lender); m != nil {
+			go giveBack(ctx, peers, m.PeerAddr, ids)
+		}
+	}
+}
+
+// giveBack returns loans until the lender has heard of it.
+func giveBack(ctx context.Context, peers port.Peers, addr string, ids []slots.LoanID) {
+	ctx, cancel := context.WithTimeout(ctx, returnDeadline)
+	defer cancel()
+	for peers.Return(ctx, addr, ids) != nil {
+		if !pause(ctx, loanIdle) {
+			return
+		}
+	}
+}
+
+// borrowFor asks the peers in turn, at random, until nobody waits or every
+// peer has refused.
+func (d *Dispatcher) borrowFor(ctx context.Context, name fleet.ServiceName, self fleet.Incarnation, peers port.Peers) {
+	refused := 0
+	for ctx.Err() == nil {
+		lender, req, ok := d.borrowRequest(name, self)
+		if !ok {
+			return
+		}
+		reply, err := peers.Borrow(ctx, lender.PeerAddr, req)
+		switch {
+		case err != nil:
+			// The loan may have been granted unheard.
+			go giveBack(ctx, peers, lender.PeerAddr, []slots.LoanID{req.Loan})
+			refused++
+		case reply.Granted:
+			d.borrowed(ctx, name, reply.Loan, peers, lender.PeerAddr)
+			refused = 0
+		default:
+			refused++
+		}
+		if refused >= d.peerCount() {
+			pause(ctx, borrowPause)
+			return
+		}
+	}
+}
+
+func (d *Dispatcher) peerCount() int {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return len(d.view.Members) - 1
+}
+
+func (d *Dispatcher) borrowRequest(name fleet.ServiceName, self fleet.Incarnation) (fleet.Entry, port.BorrowRequest, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	s, svc := d.services[name], d.dir.Services[name]
+	if s == nil || svc == nil || s.queue.Waiting() == 0 {
+		return fleet.Entry{}, port.BorrowRequest{}, false
+	}
+	var others []fleet.Entry
+	for _, m := range d.view.Members {
+		if m.Incarnation != self {
+			others = append(others, m)
+		}
+	}
+	if len(others) == 0 {
+		return fleet.Entry{}, port.BorrowRequest{}, false
+	}
+	req := port.BorrowRequest{Loan: slots.LoanID(uuid.NewString()), Epoch: d.view.Epoch, Borrower: self}
+	now := time.Now()
+	for _, i := range d.rnd.Perm(len(svc.Workers)) {
+		if usable, _ := s.health.Usable(now, svc.Workers[i].ID); usable {
+			req.Workers = append(req.Workers, svc.Workers[i].ID)
+		}
+	}
+	return others[d.rnd.IntN(len(others))], req, len(req.Workers) > 0
+}
+
+func (d *Dispatcher) borrowed(ctx context.Context, name fleet.ServiceName, l slots.Loan, peers port.Peers, addr string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.slots.Borrowed(l) {
+		go giveBack(ctx, peers, addr, []slots.LoanID{l.ID})
+		return
+	}
+	d.pump(time.Now(), name, d.services[name])
+}
+
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// Settled reports whether the slot shares of the view in force are taken up.
+func (d *Dispatcher) Settled() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.slots.Settled()
+}
--- /dev/null
+++ b/fleet/instance.go
@@ -0,0 +1,96 @@
+package fleet
+
+// InstanceID names one instance (machine) of the fleet.
+type InstanceID string
+
+// AvailabilityZone names a failure domain made of racks.
+type AvailabilityZone string
+
+// Rack names a failure domain inside an availability zone.
+type Rack string
+
+// Resources are what a worker has, or what a job asks for.
+type Resources struct {
+	Slots        int // concurrent requests
+	Connections  int // TCP connections over all entry instances together
+	CPUMilli     int // thousandths of a processor core
+	MemoryMB     int
+	Accelerators int
+}
+
+// Fits reports whether need is covered by r. Connections are not compared:
+// they bound request traffic, not tasks.
+func (r Resources) Fits(need Resources) bool {
+	return need.Slots <= r.Slots &&
+		need.CPUMilli <= r.CPUMilli &&
+		need.MemoryMB <= r.MemoryMB &&
+		need.Accelerators <= r.Accelerators
+}
+
+// Sub returns r less used.
+func (r Resources) Sub(used Resources) Resources {
+	return Resources{
+		Slots:        r.Slots - used.Slots,
+		Connections:  r.Connections - used.Connections,
+		CPUMilli:     r.CPUMilli - used.CPUMilli,
+		MemoryMB:     r.MemoryMB - used.MemoryMB,
+		Accelerators: r.Accelerators - used.Accelerators,
+	}
+}
+
+// Add returns the sum of r and more.
+func (r Resources) Add(more Resources) Resources {
+	return r.Sub(Resources{}.Sub(more))
+}
+
+// InstanceState is the state in which the platform reports an instance.
+type InstanceState string
+
+// States of an instance, as the platform's instance list reports them.
+const (
+	InstanceReady     InstanceState = "ready"     // serves requests and tasks
+	InstanceDraining  InstanceState = "draining"  // finishes what it has, takes nothing new
+	InstanceDrained   InstanceState = "drained"   // up, empty and out of service
+	InstanceRebooting InstanceState = "rebooting" // down, expected back
+	InstanceFailed    InstanceState = "failed"    // down, not expected back
+)
+
+// Instance is one machine as the platform last reported it. The report lags.
+type Instance struct {
+	ID    InstanceID
+	Zone  AvailabilityZone
+	Rack  Rack
+	Addr  string // IP:port of the worker's HTTP listener
+	State InstanceState
+	// Generation counts the commands the platform has carried out on the
+	// instance and its restarts. A command names the generation it expects,
+	// so that a late duplicate is refused.
+	Generation int64
+	// LastCommand is the id of the command that led to Generation.
+	LastCommand CommandID
+	Capacity    Resources
+}
+
+// Serving reports whether the instance can take requests and tasks.
+func (i Instance) Serving() bool { return i.State == InstanceReady }
+
+// CommandID identifies one command to the platform or from an operator.
+type CommandID string
+
+// Action is what a command asks the platform to do with an instance.
+type Action string
+
+// Actions the platform offers on an instance.
+const (
+	ActionDrain  Action = "drain"
+	ActionReboot Action = "reboot"
+	ActionReturn Action = "return"
+)
+
+// Command is one recorded order to the platform. It is sent at least once;
+// ID and Generation make its effect happen at most once.
+type Command struct {
+	ID         CommandID
+	Action     Action
+	Generation int64
+}
--- /dev/null
+++ b/fleet/pool.go
@@ -0,0 +1,196 @@
+package fleet
+
+import (
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// PoolName names a pool of instances.
+type PoolName string
+
+// AvailabilityBudget bounds how many instances of a pool may be out at once.
+type AvailabilityBudget struct {
+	// MaxUnavailable is a number of instances, or a percentage of the pool
+	// when Percent is true. A percentage is rounded down: rounding never
+	// favours a disruption.
+	MaxUnavailable int
+	Percent        bool
+	// MinAvailable is a floor of instances in service; 0 means none. It also
+	// bounds how far moves may shrink the pool.
+	MinAvailable int
+	// SurviveZone asks that the budget would still hold if the largest
+	// availability zone of the pool failed.
+	SurviveZone bool
+}
+
+// Allowed returns how many of size instances may be out at once.
+func (b AvailabilityBudget) Allowed(size int) int {
+	allowed := b.MaxUnavailable
+	if b.Percent {
+		allowed = size * b.MaxUnavailable / 100
+	}
+	if b.MinAvailable > 0 {
+		allowed = min(allowed, size-b.MinAvailable)
+	}
+	return max(allowed, 0)
+}
+
+// String returns the operators' notation: "2" or "10%".
+func (b AvailabilityBudget) String() string {
+	if b.Percent {
+		return strconv.Itoa(b.MaxUnavailable) + "%"
+	}
+	return strconv.Itoa(b.MaxUnavailable)
+}
+
+// ParseMaxUnavailable reads "N" or "N%".
+func ParseMaxUnavailable(s string) (AvailabilityBudget, error) {
+	digits, percent := strings.CutSuffix(s, "%")
+	n, err := strconv.Atoi(digits)
+	if err != nil || n < 0 || (percent && n > 100) {
+		return AvailabilityBudget{}, fmt.Errorf("max-unavailable %q: want a number of instances or 0%% to 100%%", s)
+	}
+	return AvailabilityBudget{MaxUnavailable: n, Percent: percent}, nil
+}
+
+// Phase is how far a disruption has come.
+type Phase string
+
+// Phases of a disruption. Each of drain, reboot and return has one recorded
+// command; the phase moves on only when the platform's report shows its effect.
+const (
+	PhaseDrain  Phase = "drain"  // being emptied
+	PhaseHeld   Phase = "held"   // empty, kept out by an operator's drain
+	PhaseMove   Phase = "move"   // empty, its pool record is about to change
+	PhaseReboot Phase = "reboot" // rebooting
+	PhaseReturn Phase = "return" // coming back into service
+)
+
+// DisruptionKind says who asked for a disruption.
+type DisruptionKind string
+
+// Kinds of disruption.
+const (
+	DisruptByWave  DisruptionKind = "wave"
+	DisruptByDrain DisruptionKind = "drain"
+	DisruptByMove  DisruptionKind = "move"
+)
+
+// Disruption is one instance claimed from the availability budget, and the
+// outbox entry of the command that goes with the claim. Both change in one
+// compare-and-swap of the pool's record.
+type Disruption struct {
+	Instance InstanceID
+	Kind     DisruptionKind
+	Wave     WaveName `json:",omitempty"` // set when Kind is DisruptByWave
+	Target   PoolName `json:",omitempty"` // set when Kind is DisruptByMove
+	Phase    Phase
+	Command  Command
+	Since    time.Time // when the budget was claimed
+	PhaseAt  time.Time // when Phase began
+	// LeaveWanted asks a held instance to return.
+	LeaveWanted bool `json:",omitempty"`
+}
+
+// Maintained records that a wave has finished with an instance.
+type Maintained struct {
+	Wave     WaveName
+	Instance InstanceID
+	// Skipped is the reason why the wave gave the instance up, "" if it was
+	// rebooted and came back.
+	Skipped string `json:",omitempty"`
+}
+
+// Request is an operator's drain or move that waits for room in the budget. It
+// goes before any wave.
+type Request struct {
+	Instance InstanceID
+	Kind     DisruptionKind // DisruptByDrain or DisruptByMove
+	Target   PoolName       `json:",omitempty"` // set when Kind is DisruptByMove
+	At       time.Time
+}
+
+// Pool is the record of one pool: what operators want of it (Service, Budget,
+// Requests), the claims on its budget, and the commands not yet confirmed.
+// Any daemon may write it, by compare-and-swap on its revision.
+type Pool struct {
+	Name        PoolName
+	Service     ServiceName
+	Budget      AvailabilityBudget
+	Requests    []Request    `json:",omitempty"`
+	Disruptions []Disruption `json:",omitempty"`
+	Maintained  []Maintained `json:",omitempty"`
+	// MeanOut is the moving average of how long an instance is out for
+	// maintenance; forecasts are made with it. Zero before the first.
+	MeanOut time.Duration `json:",omitempty"`
+	Applied CommandLog    `json:",omitempty"`
+}
+
+// Clone returns a deep copy of p.
+func (p *Pool) Clone() *Pool {
+	c := *p
+	c.Requests = slices.Clone(p.Requests)
+	c.Disruptions = slices.Clone(p.Disruptions)
+	c.Maintained = slices.Clone(p.Maintained)
+	c.Applied = slices.Clone(p.Applied)
+	return &c
+}
+
+// Disruption returns the claim on instance id, or nil.
+func (p *Pool) Disruption(id InstanceID) *Disruption {
+	for i := range p.Disruptions {
+		if p.Disruptions[i].Instance == id {
+			return &p.Disruptions[i]
+		}
+	}
+	return nil
+}
+
+// Request returns the operator's request for instance id, or nil.
+func (p *Pool) Request(id InstanceID) *Request {
+	for i := range p.Requests {
+		if p.Requests[i].Instance == id {
+			return &p.Requests[i]
+		}
+	}
+	return nil
+}
+
+// Withdraw drops the operator's request for instance id.
+func (p *Pool) Withdraw(id InstanceID) {
+	p.Requests = slices.DeleteFunc(p.Requests, func(r Request) bool { return r.Instance == id })
+}
+
+// Release drops the claim on instance id.
+func (p *Pool) Release(id InstanceID) {
+	p.Disruptions = slices.DeleteFunc(p.Disruptions, func(d Disruption) bool { return d.Instance == id })
+}
+
+// MaintainedBy reports whether wave w has finished with instance id.
+func (p *Pool) MaintainedBy(w WaveName, id InstanceID) bool {
+	return slices.ContainsFunc(p.Maintained, func(m Maintained) bool {
+		return m.Wave == w && m.Instance == id
+	})
+}
+
+// commandLogSize bounds how many operator commands a record remembers.
+const commandLogSize = 64
+
+// CommandLog lists the operator commands that a record already includes, so
+// that a repeated command is answered and not carried out again.
+type CommandLog []CommandID
+
+// Has reports whether id is in the log.
+func (l CommandLog) Has(id CommandID) bool { return slices.Contains(l, id) }
+
+// With returns the log with id appended, the oldest dropped over the bound.
+func (l CommandLog) With(id CommandID) CommandLog {
+	out := append(slices.Clone(l), id)
+	if len(out) > commandLogSize {
+		out = out[len(out)-commandLogSize:]
+	}
+	return out
+}
--- /dev/null
+++ b/fleet/wave.go
@@ -0,0 +1,51 @@
+package fleet
+
+import (
+	"slices"
+	"time"
+)
+
+// WaveName names a maintenance wave.
+type WaveName string
+
+// WaveState is what operators want of a wave, or that it has ended.
+type WaveState string
+
+// States of a wave.
+const (
+	WaveRunning   WaveState = "running"
+	WavePaused    WaveState = "paused" // by an operator
+	WaveHalted    WaveState = "halted" // by the failure rule
+	WaveCancelled WaveState = "cancelled"
+	WaveDone      WaveState = "done"
+)
+
+// Wave drains, reboots and returns every instance of its pools once.
+type Wave struct {
+	Name      WaveName
+	Pools     []PoolName
+	State     WaveState
+	Reason    string `json:",omitempty"` // why it is halted
+	StartedAt time.Time
+	EndedAt   time.Time // zero while it goes on
+	// Deadline is when the wave must have ended; zero means none.
+	Deadline time.Time
+	// Forgiven is how many failed instances the operators knew of when they
+	// resumed the wave; the halt rule counts only those beyond.
+	Forgiven int        `json:",omitempty"`
+	Applied  CommandLog `json:",omitempty"`
+}
+
+// Clone returns a deep copy of w.
+func (w *Wave) Clone() *Wave {
+	c := *w
+	c.Pools = slices.Clone(w.Pools)
+	c.Applied = slices.Clone(w.Applied)
+	return &c
+}
+
+// Includes reports whether the wave covers pool p.
+func (w *Wave) Includes(p PoolName) bool { return slices.Contains(w.Pools, p) }
+
+// Ended reports whether no new disruption will come from the wave.
+func (w *Wave) Ended() bool { return w.State == WaveCancelled || w.State == WaveDone }
--- /dev/null
+++ b/lab/demo.go
@@ -0,0 +1,324 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/standin/store"
+	"github.com/postmount/postmount/standin/worker"
+	"github.com/postmount/postmount/verdict"
+)
+
+// DemoOptions describe a demo.
+type DemoOptions struct {
+	Topology Topology
+	Entries  int
+	Seed     uint64
+	For      time.Duration // how long the load lasts
+	Progress io.Writer
+	Logs     io.Writer // nil drops the daemons' logs
+}
+
+// Report is the result of a demo.
+type Report struct {
+	Classes []Summary     `json:"classes"`
+	Pools   []PoolReport  `json:"pools"`
+	Workers worker.Report `json:"workers"`
+	Wave    WaveReport    `json:"wave"`
+	// InstanceMoves and JobMoves count what was relocated.
+	InstanceMoves int `json:"instance_moves"`
+	JobMoves      int `json:"job_moves"`
+	Jobs          int `json:"jobs"`
+	JobsDone      int `json:"jobs_done"`
+	// BufferShare is the mean share of worker slots that were out of service
+	// or idle for the budgets; IdealBuffer is what the budgets alone need.
+	BufferShare float64 `json:"buffer_share"`
+	IdealBuffer float64 `json:"ideal_buffer"`
+	// InForceMillis holds, per operators' change, the time from recorded to in
+	// force everywhere.
+	InForceMillis []int64 `json:"in_force_ms"`
+	// Broken lists every promise that was seen broken.
+	Broken []string `json:"broken"`
+	Took   float64  `json:"took_seconds"`
+}
+
+// PoolReport is one pool's availability over the demo.
+type PoolReport struct {
+	Pool    string `json:"pool"`
+	Size    int    `json:"size"`
+	Allowed int    `json:"allowed_out"`
+	MostOut int    `json:"most_out"`
+	Samples int    `json:"samples"`
+	Broken  int    `json:"broken_samples"`
+}
+
+// WaveReport compares a wave's roll-out time with its lower bound.
+type WaveReport struct {
+	Instances    int     `json:"instances"`
+	Seconds      float64 `json:"seconds"`
+	BoundSeconds float64 `json:"bound_seconds"`
+	Done         bool    `json:"done"`
+}
+
+// demo is one demo under way.
+type demo struct {
+	o      DemoOptions
+	f      *Fixture
+	start  time.Time
+	report Report
+	mu     sync.Mutex
+	pools  map[fleet.PoolName]*PoolReport
+	sample struct {
+		n           int
+		outSlots    float64
+		budgetSlots float64
+	}
+}
+
+// Demo runs the main job: daemons, load, a wave over every pool, jobs, a move,
+// a budget change, a graceful stop, a kill and a store outage, in this order
+// and over one another.
+func Demo(ctx context.Context, o DemoOptions) (*Report, error) {
+	logs := o.Logs
+	if logs == nil {
+		logs = io.Discard
+	}
+	d := &demo{o: o, start: time.Now(), pools: map[fleet.PoolName]*PoolReport{}}
+	f, err := NewFixture(o.Topology, o.Entries, nil, logs)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	d.f = f
+	if err := d.setUp(ctx); err != nil {
+		return nil, err
+	}
+	if err := d.run(ctx); err != nil {
+		return nil, err
+	}
+	d.finish()
+	return &d.report, nil
+}
+
+func (d *demo) say(format string, args ...any) {
+	fmt.Fprintf(d.o.Progress, "%5.1fs  %s\n", time.Since(d.start).Seconds(), fmt.Sprintf(format, args...))
+}
+
+const readyTimeout = 15 * time.Second
+
+func (d *demo) setUp(ctx context.Context) error {
+	wait, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := d.f.WaitReady(wait); err != nil {
+		return err
+	}
+	d.say("%d entry daemons agree on a view", d.o.Entries)
+	if err := d.exec(ctx, d.o.Topology.Statements()); err != nil {
+		return err
+	}
+	d.say("%d pools with %d workers are in force", len(d.o.Topology.Services), len(d.o.Topology.Workers()))
+	return nil
+}
+
+// exec carries out statements and keeps the time until they were in force.
+func (d *demo) exec(ctx context.Context, text string) error {
+	a, err := d.f.Client().Exec(ctx, text)
+	if err != nil {
+		return err
+	}
+	for _, r := range a.Results {
+		if r.Verdict != verdict.Done {
+			return fmt.Errorf("statement %d: %s: %s", r.Statement, r.Verdict, r.Message)
+		}
+		if r.Table == nil {
+			d.report.InForceMillis = append(d.report.InForceMillis, r.InForceMillis)
+		}
+	}
+	return nil
+}
+
+// step is one event of the demo at a share of its length.
+type step struct {
+	at  float64
+	say string
+	do  func(ctx context.Context) error
+}
+
+func (d *demo) steps() []step {
+	pools := d.o.Topology.Services
+	first, second := pools[0].Name, pools[1].Name
+	return []step{
+		{0.06, "jobs are submitted", func(ctx context.Context) error { return d.exec(ctx, d.jobStatements()) }},
+		{0.12, "a wave starts on every pool", func(ctx context.Context) error { return d.exec(ctx, "start wave demo on all pools") }},
+		{0.25, "an instance moves from " + first + " to " + second, func(ctx context.Context) error { return d.move(ctx, first, second) }},
+		{0.30, "pool " + second + " gets a wider budget", func(ctx context.Context) error {
+			return d.exec(ctx, "set budget "+second+" max-unavailable 3")
+		}},
+		{0.38, "an entry daemon is stopped gracefully", func(context.Context) error {
+			d.f.Daemons[0].Stop()
+			return nil
+		}},
+		{0.50, "the store goes down", func(context.Context) error { d.f.Store.SetFaults(store.Faults{Down: true}); return nil }},
+		{0.56, "an entry daemon is killed", func(context.Context) error { d.f.Daemons[1].Kill(); return nil }},
+		{0.66, "the store is back, and loses the answers of its next 5 writes", func(context.Context) error {
+			d.f.Store.SetFaults(store.Faults{LoseAnswers: 5})
+			return nil
+		}},
+		{0.74, "a fresh entry daemon starts", func(ctx context.Context) error {
+			_, err := d.f.StartDaemon(d.o.Entries + 1)
+			return err
+		}},
+	}
+}
+
+// jobStatements submits some jobs to every pool.
+func (d *demo) jobStatements() string {
+	var b strings.Builder
+	for _, s := range d.o.Topology.Services {
+		fmt.Fprintf(&b, "submit job rebuild to pool %s count 4 cpu 4 memory 16GB run 6s;\n", s.Name)
+		fmt.Fprintf(&b, "submit job urgent to pool %s cpu 2 memory 4GB run 2s urgent;\n", s.Name)
+	}
+	return b.String()
+}
+
+// move moves the last instance of a pool; it waits its turn in the budget.
+func (d *demo) move(ctx context.Context, from, to string) error {
+	d.report.InstanceMoves++
+	return d.exec(ctx, fmt.Sprintf("move instance %s to pool %s", WorkerID(from, d.o.Topology.Services[0].Workers), to))
+}
+
+func (d *demo) run(ctx context.Context) error {
+	loadCtx, cancel := context.WithTimeout(ctx, d.o.For)
+	defer cancel()
+	load := NewLoad(LoadOptions{
+		Topology: d.o.Topology, Entries: d.f.TrafficAddrs(), Ready: d.f.Balancer(), Scale: 1, Resend: 0.1, Seed: d.o.Seed,
+	})
+	var wg sync.WaitGroup
+	wg.Add(2)
+	go func() {
+		defer wg.Done()
+		load.Run(loadCtx)
+	}()
+	sampling, stopSampling := context.WithCancel(ctx)
+	go func() {
+		defer wg.Done()
+		d.sampleLoop(sampling)
+	}()
+	d.say("load starts")
+	started := time.Now()
+	err := d.play(loadCtx, started)
+	if err == nil {
+		d.waitWave(ctx)
+	}
+	<-loadCtx.Done()
+	stopSampling()
+	wg.Wait()
+	d.report.Classes = load.Summaries()
+	d.report.Broken = append(d.report.Broken, load.CheckRan(d.f.Workers.Ran)...)
+	return err
+}
+
+// play carries out the steps when they are due.
+func (d *demo) play(ctx context.Context, started time.Time) error {
+	for _, s := range d.steps() {
+		due := started.Add(time.Duration(s.at * float64(d.o.For)))
+		select {
+		case <-time.After(time.Until(due)):
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+		d.say("%s", s.say)
+		if err := s.do(ctx); err != nil {
+			return fmt.Errorf("%s: %w", s.say, err)
+		}
+	}
+	return nil
+}
+
+// waveTimeout bounds the wait for the wave's end.
+const waveTimeout = 15 * time.Second
+
+func (d *demo) waitWave(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, waveTimeout)
+	defer cancel()
+	for {
+		if w := d.wave(); w != nil && w.State == fleet.WaveDone {
+			d.say("the wave has ended")
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-time.After(100 * time.Millisecond):
+		}
+	}
+}
+
+func (d *demo) alive() *Running {
+	i := slices.IndexFunc(d.f.Daemons, func(r *Running) bool { return !r.Over() })
+	return d.f.Daemons[i]
+}
+
+func (d *demo) wave() *fleet.Wave {
+	v, ok := d.alive().Snapshot().State.Waves["demo"]
+	if !ok {
+		return nil
+	}
+	return v.Value
+}
+
+// sampleInterval is how often the pools' true state is looked at.
+const sampleInterval = 25 * time.Millisecond
+
+func (d *demo) sampleLoop(ctx context.Context) {
+	t := time.NewTicker(sampleInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-t.C:
+			d.takeSample()
+		}
+	}
+}
+
+// takeSample compares each pool's instances that are truly out with its budget.
+func (d *demo) takeSample() {
+	s := d.alive().Snapshot().State
+	truth := d.f.Platform.States()
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.sample.n++
+	for name, v := range s.Pools {
+		r := d.pools[name]
+		if r == nil {
+			r = &PoolReport{Pool: string(name)}
+			d.pools[name] = r
+		}
+		size, out := 0, 0
+		for _, m := range s.MembersOf(name) {
+			if m.Joining {
+				continue
+			}
+			size++
+			if truth[string(m.Instance)] != string(fleet.InstanceReady) {
+				out++
+			}
+		}
+		r.Size, r.Allowed = size, v.Value.Budget.Allowed(size)
+		r.MostOut = max(r.MostOut, out)
+		r.Samples++
+		if out > r.Allowed {
+			r.Broken++
+		}
+		d.sample.outSlots += float64(out * workerSlots)
+		d.sample.budgetSlots += float64(r.Allowed * workerSlots)
+	}
+}
--- /dev/null
+++ b/lab/fixture_test.go
@@ -0,0 +1,28 @@
+package lab
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/require"
+)
+
+func TestWholePath(t *testing.T) {
+	f, err := NewFixture(OrderDesks(), 3, nil, io.Discard)
+	require.NoError(t, err)
+	defer f.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	defer cancel()
+	require.NoError(t, f.WaitReady(ctx))
+	require.NoError(t, f.Exec(ctx, f.Topology.Statements()))
+	load := NewLoad(LoadOptions{Topology: f.Topology, Entries: f.TrafficAddrs(), Ready: f.Balancer(), Scale: 1, Resend: 0.1, Seed: 1})
+	lctx, lcancel := context.WithTimeout(ctx, 3*time.Second)
+	defer lcancel()
+	load.Run(lctx)
+	for _, s := range load.Summaries() {
+		t.Logf("%+v", s)
+	}
+	require.Empty(t, load.CheckRan(f.Workers.Ran))
+}
--- /dev/null
+++ b/lab/load.go
@@ -0,0 +1,349 @@
+package lab
+
+import (
+	"bytes"
+	"context"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+	"github.com/google/uuid"
+
+	"github.com/postmount/postmount/entry"
+	"github.com/postmount/postmount/standin/worker"
+	"github.com/postmount/postmount/verdict"
+)
+
+// LoadOptions describe the load of one run.
+type LoadOptions struct {
+	Topology Topology
+	// Entries are the traffic addresses that the balancer knows.
+	Entries []string
+	// Ready reports whether the balancer would send to an entry now; nil
+	// means always.
+	Ready func(addr string) bool
+	// Scale multiplies every arrival rate.
+	Scale float64
+	// Resend is the share of keyed requests that are sent again through
+	// another entry, half of them while the first is still running.
+	Resend float64
+	Seed   uint64
+}
+
+// Load is an open-loop caller: requests are sent when they are due, whether
+// earlier ones were answered or not, and latency counts from that moment.
+type Load struct {
+	opts  LoadOptions
+	http  *http.Client
+	next  atomic.Uint64
+	stats map[string]*ClassStats // by "service/class"; fixed after New
+
+	mu      sync.Mutex
+	outcome map[string]verdict.Verdict // of each keyed request, all its sends together
+}
+
+// ClassStats are the results of one class.
+type ClassStats struct {
+	mu      sync.Mutex
+	Sent    int64
+	Done    int64
+	NotRun  int64
+	MayRun  int64
+	Lost    int64 // no answer at all: the entry was gone
+	Cut     int64 // an answer that broke off
+	Foreign int64 // an answer to another request
+	Differs int64 // a resend's answer that differs from the first
+	Codes   map[string]int64
+	latency *hdrhistogram.Histogram // microseconds, of whole answers
+}
+
+const (
+	maxLatency        = 60 * 1000 * 1000 // microseconds
+	significantDigits = 3
+)
+
+// NewLoad returns a load that has not started.
+func NewLoad(o LoadOptions) *Load {
+	l := &Load{
+		opts: o,
+		http: &http.Client{Transport: &http.Transport{
+			DialContext:         (&net.Dialer{Timeout: 2 * time.Second}).DialContext,
+			MaxIdleConnsPerHost: 256,
+			DisableCompression:  true,
+		}},
+		stats:   map[string]*ClassStats{},
+		outcome: map[string]verdict.Verdict{},
+	}
+	for _, s := range o.Topology.Services {
+		for _, c := range s.Classes {
+			l.stats[s.Name+"/"+c.Name] = &ClassStats{Codes: map[string]int64{}, latency: hdrhistogram.New(1, maxLatency, significantDigits)}
+		}
+	}
+	return l
+}
+
+// Run sends requests until ctx ends, then waits for the last answers.
+func (l *Load) Run(ctx context.Context) {
+	var wg sync.WaitGroup
+	seed := l.opts.Seed
+	for _, s := range l.opts.Topology.Services {
+		for _, c := range s.Classes {
+			seed++
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				l.runClass(ctx, s.Name, c, rand.New(rand.NewPCG(l.opts.Seed, seed)))
+			}()
+		}
+	}
+	wg.Wait()
+	l.http.CloseIdleConnections()
+}
+
+// runClass sends one class's requests at random intervals of its mean rate.
+func (l *Load) runClass(ctx context.Context, service string, c Class, rnd *rand.Rand) {
+	var wg sync.WaitGroup
+	defer wg.Wait()
+	due := time.Now()
+	for {
+		due = due.Add(time.Duration(rnd.ExpFloat64() / (c.Rate * l.opts.Scale) * float64(time.Second)))
+		t := time.NewTimer(time.Until(due))
+		select {
+		case <-ctx.Done():
+			t.Stop()
+			return
+		case <-t.C:
+		}
+		resend, early := rnd.Float64() < l.opts.Resend, rnd.IntN(2) == 0
+		wg.Add(1)
+		go func(due time.Time) {
+			defer wg.Done()
+			l.one(service, c, due, resend && c.Keyed, early)
+		}(due)
+	}
+}
+
+// request is one request with its identity.
+type request struct {
+	service string
+	class   Class
+	id      string // also the key, if the class is keyed
+	body    []byte
+	due     time.Time
+}
+
+// answer is what came of one send.
+type answer struct {
+	verdict verdict.Verdict
+	body    []byte // of a whole answer
+}
+
+func (l *Load) one(service string, c Class, due time.Time, resend, early bool) {
+	id, err := uuid.NewV7()
+	if err != nil {
+		return
+	}
+	r := request{service: service, class: c, id: id.String(), due: due, body: []byte("order " + id.String())}
+	entryNumber := int(l.next.Add(1))
+	if !resend {
+		l.note(r, l.send(r, entryNumber))
+		return
+	}
+	var second answer
+	var wg sync.WaitGroup
+	again := func() {
+		defer wg.Done()
+		second = l.send(r, entryNumber+1)
+	}
+	wg.Add(1)
+	if early {
+		go again()
+	}
+	first := l.send(r, entryNumber)
+	if !early {
+		again()
+	}
+	wg.Wait()
+	l.note(r, first)
+	l.note(r, second)
+	if first.verdict == verdict.Done && second.verdict == verdict.Done && !bytes.Equal(first.body, second.body) {
+		l.count(r, func(s *ClassStats) { s.Differs++ })
+	}
+}
+
+// note keeps the strongest word on a keyed request: done, then may have run.
+func (l *Load) note(r request, a answer) {
+	if !r.class.Keyed {
+		return
+	}
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	old, known := l.outcome[r.id]
+	if !known || a.verdict == verdict.Done || (a.verdict == verdict.MayHaveRun && old == verdict.NotRun) {
+		l.outcome[r.id] = a.verdict
+	}
+}
+
+func (l *Load) count(r request, fn func(*ClassStats)) {
+	s := l.stats[r.service+"/"+r.class.Name]
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fn(s)
+}
+
+// pick returns the entry that the balancer sends to.
+func (l *Load) pick(n int) string {
+	for i := range l.opts.Entries {
+		addr := l.opts.Entries[(n+i)%len(l.opts.Entries)]
+		if l.opts.Ready == nil || l.opts.Ready(addr) {
+			return addr
+		}
+	}
+	return l.opts.Entries[n%len(l.opts.Entries)]
+}
+
+// send sends a request once and checks its answer.
+func (l *Load) send(r request, n int) answer {
+	l.count(r, func(s *ClassStats) { s.Sent++ })
+	resp, body, err := l.exchange(r, l.pick(n))
+	if resp == nil {
+		l.count(r, func(s *ClassStats) { s.Lost++ })
+		return answer{verdict: verdict.MayHaveRun}
+	}
+	v := verdict.Parse(resp.Header.Get(verdict.Header))
+	took := time.Since(r.due)
+	l.count(r, func(s *ClassStats) {
+		switch {
+		case err != nil:
+			s.Cut++
+		case v == verdict.Done:
+			s.Done++
+			_ = s.latency.RecordValue(min(took.Microseconds(), maxLatency))
+			s.Foreign += foreign(r, body, resp.StatusCode)
+		case v == verdict.NotRun:
+			s.NotRun++
+			s.Codes[problemCode(body)]++
+		default:
+			s.MayRun++
+			s.Codes[problemCode(body)]++
+		}
+	})
+	return answer{verdict: v, body: body}
+}
+
+func (l *Load) exchange(r request, addr string) (*http.Response, []byte, error) {
+	method := http.MethodGet
+	if r.class.Keyed {
+		method = http.MethodPost
+	}
+	// A body without GetBody keeps the caller's own transport from replaying.
+	req, err := http.NewRequest(method, "http://"+addr+"/"+r.class.Name+"/"+r.id, struct{ io.Reader }{bytes.NewReader(r.body)})
+	if err != nil {
+		return nil, nil, err
+	}
+	req.ContentLength = int64(len(r.body))
+	req.Host = Host(r.service)
+	req.Header.Set(entry.HeaderDeadline, strconv.Itoa(r.class.DeadlineMS))
+	req.Header.Set("X-Load-Id", r.id)
+	req.Header.Set(worker.HeaderServiceMS, strconv.Itoa(r.class.ServiceMS))
+	if r.class.Keyed {
+		req.Header.Set(entry.HeaderKey, r.id)
+		req.Header.Set(worker.HeaderOnce, r.id)
+	}
+	resp, err := l.http.Do(req)
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	body, err := io.ReadAll(resp.Body)
+	return resp, body, err
+}
+
+// foreign returns 1 if a whole answer is not the one to r.
+func foreign(r request, body []byte, status int) int64 {
+	var a worker.Answer
+	if err := json.Unmarshal(body, &a); err != nil {
+		return 1
+	}
+	sum := sha256.Sum256(r.body)
+	if a.LoadID != r.id || a.BodySum != hex.EncodeToString(sum[:]) {
+		return 1
+	}
+	return 0
+}
+
+func problemCode(body []byte) string {
+	var p entry.Problem
+	if json.Unmarshal(body, &p) != nil || p.Type == "" {
+		return "unknown"
+	}
+	return p.Type[len("urn:postmount:"):]
+}
+
+// Summary is the result of one class.
+type Summary struct {
+	Service string           `json:"service"`
+	Class   string           `json:"class"`
+	Sent    int64            `json:"sent"`
+	Done    int64            `json:"done"`
+	NotRun  int64            `json:"not_run"`
+	MayRun  int64            `json:"may_have_run"`
+	Lost    int64            `json:"lost"`
+	Cut     int64            `json:"cut"`
+	Foreign int64            `json:"foreign"`
+	Differs int64            `json:"differs"`
+	Codes   map[string]int64 `json:"codes"`
+	P50MS   float64          `json:"p50_ms"`
+	P99MS   float64          `json:"p99_ms"`
+	P999MS  float64          `json:"p999_ms"`
+	MaxMS   float64          `json:"max_ms"`
+}
+
+// Summaries returns the results in the order of the topology.
+func (l *Load) Summaries() []Summary {
+	var out []Summary
+	for _, s := range l.opts.Topology.Services {
+		for _, c := range s.Classes {
+			st := l.stats[s.Name+"/"+c.Name]
+			st.mu.Lock()
+			ms := func(q float64) float64 { return float64(st.latency.ValueAtQuantile(q)) / 1000 }
+			out = append(out, Summary{
+				Service: s.Name, Class: c.Name, Sent: st.Sent, Done: st.Done, NotRun: st.NotRun, MayRun: st.MayRun,
+				Lost: st.Lost, Cut: st.Cut, Foreign: st.Foreign, Differs: st.Differs, Codes: st.Codes,
+				P50MS: ms(50), P99MS: ms(99), P999MS: ms(99.9), MaxMS: float64(st.latency.Max()) / 1000,
+			})
+			st.mu.Unlock()
+		}
+	}
+	return out
+}
+
+// CheckRan compares what callers were told about keyed requests with how often
+// the workers ran them. It returns one line for each promise that was broken.
+func (l *Load) CheckRan(ran func(id string) int) []string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var broken []string
+	for id, v := range l.outcome {
+		n := ran(id)
+		switch {
+		case n > 1:
+			broken = append(broken, fmt.Sprintf("request %s ran %d times", id, n))
+		case v == verdict.NotRun && n != 0:
+			broken = append(broken, fmt.Sprintf("request %s ran, its caller was told that it did not", id))
+		case v == verdict.Done && n != 1:
+			broken = append(broken, fmt.Sprintf("request %s was answered and ran %d times", id, n))
+		}
+	}
+	return broken
+}
--- /dev/null
+++ b/lab/report.go
@@ -0,0 +1,146 @@
+package lab
+
+import (
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"text/tabwriter"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/standin/platform"
+)
+
+// finish works out the report and lists what was broken.
+func (d *demo) finish() {
+	r := &d.report
+	r.Workers = d.f.Workers.Report()
+	for _, name := range d.alive().Snapshot().State.SortedPools() {
+		if p := d.pools[name]; p != nil {
+			r.Pools = append(r.Pools, *p)
+		}
+	}
+	d.finishWave()
+	d.finishJobs()
+	total := float64(len(d.o.Topology.Workers()) * workerSlots)
+	if n := float64(d.sample.n); n > 0 {
+		r.BufferShare = d.sample.outSlots / n / total
+		r.IdealBuffer = d.sample.budgetSlots / n / total
+	}
+	r.Took = time.Since(d.start).Seconds()
+	d.findBroken()
+}
+
+// finishWave compares the wave's time with the lower bound that the budgets
+// and the reboot time allow: the slowest pool's rounds, each as long as a
+// reboot.
+func (d *demo) finishWave() {
+	w := d.wave()
+	if w == nil {
+		return
+	}
+	r := &d.report.Wave
+	r.Done = w.State == fleet.WaveDone
+	r.Instances = len(d.o.Topology.Workers())
+	end := w.EndedAt
+	if end.IsZero() {
+		end = time.Now()
+	}
+	r.Seconds = end.Sub(w.StartedAt).Seconds()
+	reboot := float64(platform.DefaultFaults.RebootMS) / 1000
+	for _, s := range d.o.Topology.Services {
+		const allowed = 2 // the budget that the fleet is set up with
+		rounds := (s.Workers + allowed - 1) / allowed
+		r.BoundSeconds = max(r.BoundSeconds, float64(rounds)*reboot)
+	}
+}
+
+func (d *demo) finishJobs() {
+	for _, js := range d.alive().Snapshot().State.Jobs {
+		for _, j := range js.Value.Jobs {
+			d.report.Jobs++
+			if j.State == fleet.JobDone {
+				d.report.JobsDone++
+			}
+			d.report.JobMoves += max(j.Attempt-1, 0)
+		}
+	}
+}
+
+// findBroken lists the promises that were seen broken.
+func (d *demo) findBroken() {
+	r := &d.report
+	broken := func(n int64, what string) {
+		if n > 0 {
+			r.Broken = append(r.Broken, fmt.Sprintf("%d %s", n, what))
+		}
+	}
+	for _, c := range r.Classes {
+		name := c.Service + "/" + c.Class
+		broken(c.Cut, "answers cut off in "+name)
+		broken(c.Foreign, "foreign answers in "+name)
+		broken(c.Differs, "resends with another answer in "+name)
+	}
+	for _, p := range r.Pools {
+		broken(int64(p.Broken), "samples below the budget of pool "+p.Pool)
+	}
+	broken(int64(len(r.Workers.Duplicates)), "requests that ran twice")
+	broken(r.Workers.OverSlots, "requests beyond a worker's slots")
+	broken(r.Workers.OverConns, "connections beyond a worker's limit")
+	broken(r.Workers.LateWork, "requests to a worker that was long leaving")
+	broken(r.Workers.TasksTwice, "tasks that ran beside another attempt")
+	if !r.Wave.Done {
+		r.Broken = append(r.Broken, "the wave did not end")
+	}
+	if r.JobsDone != r.Jobs {
+		r.Broken = append(r.Broken, fmt.Sprintf("%d of %d jobs were done", r.JobsDone, r.Jobs))
+	}
+}
+
+// PrintSummaries prints one line per class.
+func PrintSummaries(w io.Writer, sums []Summary) {
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "class\tsent\tdone\tnot run\tmay have run\tlost\tcut\tforeign\tdiffers\tp50 ms\tp99 ms\tmax ms\t")
+	for _, s := range sums {
+		fmt.Fprintf(t, "%s/%s\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%d\t%.1f\t%.1f\t%.1f\t\n",
+			s.Service, s.Class, s.Sent, s.Done, s.NotRun, s.MayRun, s.Lost, s.Cut, s.Foreign, s.Differs, s.P50MS, s.P99MS, s.MaxMS)
+	}
+	_ = t.Flush()
+}
+
+// Print prints the report as tables.
+func (r *Report) Print(w io.Writer) {
+	PrintSummaries(w, r.Classes)
+	codes := map[string]int64{}
+	for _, s := range r.Classes {
+		for c, n := range s.Codes {
+			codes[c] += n
+		}
+	}
+	if len(codes) > 0 {
+		fmt.Fprintf(w, "\nrefusals and failures by code: %v\n", codes)
+	}
+	fmt.Fprintln(w)
+	t := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
+	fmt.Fprintln(t, "pool\tsize\tallowed out\tmost out\tsamples\tbelow budget\t")
+	for _, p := range r.Pools {
+		fmt.Fprintf(t, "%s\t%d\t%d\t%d\t%d\t%d\t\n", p.Pool, p.Size, p.Allowed, p.MostOut, p.Samples, p.Broken)
+	}
+	_ = t.Flush()
+	fmt.Fprintf(w, "\nwave: %d instances in %.1f s; the budgets and the reboot time alone allow %.1f s\n", r.Wave.Instances, r.Wave.Seconds, r.Wave.BoundSeconds)
+	fmt.Fprintf(w, "moves: %d instances, %d jobs; jobs done: %d of %d\n", r.InstanceMoves, r.JobMoves, r.JobsDone, r.Jobs)
+	fmt.Fprintf(w, "buffer: %.1f%% of slots out on average; the budgets allow %.1f%%\n", 100*r.BufferShare, 100*r.IdealBuffer)
+	if n := len(r.InForceMillis); n > 0 {
+		sorted := slices.Clone(r.InForceMillis)
+		slices.Sort(sorted)
+		fmt.Fprintf(w, "configuration: %d changes, in force everywhere after %d ms (median), %d ms (longest)\n", n, sorted[n/2], sorted[n-1])
+	}
+	fmt.Fprintf(w, "workers: %d requests, %d keyed ones ran, %d ran twice; at most %d at once on one worker\n",
+		r.Workers.Requests, r.Workers.Ran, len(r.Workers.Duplicates), r.Workers.MaxAtOnce)
+	if len(r.Broken) == 0 {
+		fmt.Fprintf(w, "\nno promise was broken (%.1f s)\n", r.Took)
+		return
+	}
+	fmt.Fprintf(w, "\nBROKEN:\n  %s\n", strings.Join(r.Broken, "\n  "))
+}
--- /dev/null
+++ b/lab/topology.go
@@ -0,0 +1,153 @@
+// Package lab runs postmount against its stand-ins: it describes the users'
+// fleets, puts load on entry daemons and checks every answer, and runs the
+// demo.
+package lab
+
+import (
+	"fmt"
+	"strings"
+
+	"github.com/postmount/postmount/standin/worker"
+)
+
+// Service is one service of a user with its pool.
+type Service struct {
+	Name    string
+	Workers int
+	Classes []Class
+}
+
+// Class is one class of traffic.
+type Class struct {
+	Name       string
+	Weight     int
+	Rate       float64 // requests a second
+	ServiceMS  int     // time at the worker
+	DeadlineMS int
+	// Keyed requests are not idempotent and carry a key.
+	Keyed bool
+	// Availability is the objective in percent, LatencyMS its bound.
+	Availability float64
+	LatencyMS    int
+}
+
+// Topology is a user's fleet.
+type Topology struct {
+	Name     string
+	Zones    []string
+	Services []Service
+}
+
+// OrderDesks is the fleet of Halvorsen Jordan Clearing.
+func OrderDesks() Topology {
+	desk := func(name string, workers int) Service {
+		return Service{Name: name, Workers: workers, Classes: []Class{
+			{Name: "retail", Weight: 8, Rate: 40, ServiceMS: 10, DeadlineMS: 2000, Keyed: true, Availability: 99.9, LatencyMS: 500},
+			{Name: "intraday", Weight: 4, Rate: 20, ServiceMS: 10, DeadlineMS: 2000, Availability: 99, LatencyMS: 1000},
+			{Name: "bulk", Weight: 1, Rate: 20, ServiceMS: 40, DeadlineMS: 10000, Availability: 95},
+		}}
+	}
+	return Topology{
+		Name:  "order-desks",
+		Zones: []string{"zone-a", "zone-b", "zone-c", "zone-d"},
+		Services: []Service{
+			desk("tidewater", 12), desk("harbour", 10), desk("northgate", 10), desk("meridian", 8),
+			{Name: "settlement", Workers: 10, Classes: []Class{
+				{Name: "margin", Weight: 4, Rate: 20, ServiceMS: 20, DeadlineMS: 5000, Keyed: true, Availability: 99.9},
+				{Name: "rebuild", Weight: 1, Rate: 10, ServiceMS: 60, DeadlineMS: 20000, Availability: 95},
+			}},
+		},
+	}
+}
+
+// AlumniHub is the fleet of Sen Vang Software.
+func AlumniHub() Topology {
+	service := func(name string, workers int, classes ...Class) Service {
+		return Service{Name: name, Workers: workers, Classes: classes}
+	}
+	return Topology{
+		Name:  "alumni-hub",
+		Zones: []string{"zone-a", "zone-b", "zone-c"},
+		Services: []Service{
+			service("directory", 12, Class{Name: "search", Weight: 4, Rate: 80, ServiceMS: 8, DeadlineMS: 2000, Availability: 99.5, LatencyMS: 500}),
+			service("giving", 8, Class{Name: "donation", Weight: 8, Rate: 30, ServiceMS: 15, DeadlineMS: 3000, Keyed: true, Availability: 99.95}),
+			service("events", 10, Class{Name: "registration", Weight: 4, Rate: 40, ServiceMS: 12, DeadlineMS: 3000, Keyed: true, Availability: 99.9}),
+			service("mailer", 10, Class{Name: "mailing", Weight: 1, Rate: 30, ServiceMS: 40, DeadlineMS: 10000, Keyed: true, Availability: 99}),
+			service("admin", 10, Class{Name: "staff", Weight: 2, Rate: 20, ServiceMS: 15, DeadlineMS: 3000, Availability: 99}),
+		},
+	}
+}
+
+// TopologyByName returns a user's fleet.
+func TopologyByName(name string) (Topology, error) {
+	for _, t := range []Topology{OrderDesks(), AlumniHub()} {
+		if t.Name == name {
+			return t, nil
+		}
+	}
+	return Topology{}, fmt.Errorf("no fleet %q", name)
+}
+
+// Shape of a worker of both users, and how many share a rack.
+const (
+	workerSlots       = 8
+	workerConnections = 64
+	workerCPUMilli    = 32_000
+	workerMemoryMB    = 128 * 1024
+	workersPerRack    = 4
+)
+
+// WorkerID names the i-th worker of a service, from 1.
+func WorkerID(service string, i int) string { return fmt.Sprintf("%s-%02d", service, i) }
+
+// Workers returns the specs of every worker; their ports are free ones.
+func (t Topology) Workers() []worker.Spec {
+	var out []worker.Spec
+	n := 0
+	for _, s := range t.Services {
+		for i := range s.Workers {
+			zone := t.Zones[n%len(t.Zones)]
+			out = append(out, worker.Spec{
+				ID: WorkerID(s.Name, i+1), Zone: zone, Rack: fmt.Sprintf("%s-rack-%d", zone, n/len(t.Zones)/workersPerRack),
+				Addr: "127.0.0.1:0", Slots: workerSlots, Connections: workerConnections, CPUMilli: workerCPUMilli, MemoryMB: workerMemoryMB,
+			})
+			n++
+		}
+	}
+	return out
+}
+
+// Host is the host name that callers of a service use.
+func Host(service string) string { return service + ".example" }
+
+// Statements returns the commands that set the fleet up: services, routes,
+// objectives, pools with a budget of one instance in ten, and their instances.
+func (t Topology) Statements() string {
+	var b strings.Builder
+	for _, s := range t.Services {
+		var classes []string
+		for _, c := range s.Classes {
+			classes = append(classes, fmt.Sprintf("class %s weight %d", c.Name, c.Weight))
+		}
+		fmt.Fprintf(&b, "create service %s %s;\n", s.Name, strings.Join(classes, ", "))
+		for _, c := range s.Classes {
+			idempotent := ""
+			if !c.Keyed {
+				idempotent = " idempotent"
+			}
+			fmt.Fprintf(&b, "create route \"%s/%s\" to service %s class %s%s timeout 10s;\n", Host(s.Name), c.Name, s.Name, c.Name, idempotent)
+			latency := ""
+			if c.LatencyMS > 0 {
+				latency = fmt.Sprintf(" latency %dms", c.LatencyMS)
+			}
+			fmt.Fprintf(&b, "set objective service %s class %s availability %g%s;\n", s.Name, c.Name, c.Availability, latency)
+		}
+		fmt.Fprintf(&b, "create pool %s for service %s max-unavailable 2;\n", s.Name, s.Name)
+		var ids []string
+		for i := range s.Workers {
+			ids = append(ids, WorkerID(s.Name, i+1))
+		}
+		fmt.Fprintf(&b, "add instance %s to pool %s;\n", strings.Join(ids, ", "), s.Name)
+	}
+	return b.String()
+}
