--- /dev/null
+++ b/member/member.go
@@ -0,0 +1,235 @@
+// Package member decides which view of the entry daemons is in force and
+// whether this daemon may act on it.
+//
+// The store's compare-and-swap chooses every view; members never vote on one.
+// What they confirm to each other is only that they know of nothing newer.
+// Everything here is pure: time comes in as an argument.
+package member
+
+import (
+	"slices"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+)
+
+// Options are the times that the safety argument depends on.
+type Options struct {
+	// ConfirmWindow is how long a member's confirmation counts, measured from
+	// the moment the question was sent.
+	ConfirmWindow time.Duration
+	// DriftMargin bounds how much faster another member's clock may run over
+	// one ConfirmWindow.
+	DriftMargin time.Duration
+}
+
+// DefaultOptions are the times used in production.
+var DefaultOptions = Options{ConfirmWindow: 1500 * time.Millisecond, DriftMargin: 100 * time.Millisecond}
+
+// Core is one daemon's part in the membership. It is not safe for concurrent
+// use.
+type Core struct {
+	opts Options
+	self fleet.Incarnation
+	view fleet.View
+	// highest is the newest epoch heard of, from the store or from a peer.
+	highest fleet.Epoch
+	// confirmed holds, for each peer, when the newest question was sent that
+	// it answered with "nothing newer than view.Epoch".
+	confirmed map[fleet.Incarnation]time.Time
+	// known is the newest epoch that each peer said it knows.
+	known map[fleet.Incarnation]fleet.Epoch
+	gone  map[fleet.Incarnation]bool
+	// retiredAt is when every earlier view was first known to be unable to
+	// gather confirmations; zero before.
+	retiredAt time.Time
+}
+
+// New returns the core of the daemon with incarnation self.
+func New(self fleet.Incarnation, opts Options) *Core {
+	return &Core{
+		opts:      opts,
+		self:      self,
+		confirmed: map[fleet.Incarnation]time.Time{},
+		known:     map[fleet.Incarnation]fleet.Epoch{},
+		gone:      map[fleet.Incarnation]bool{},
+	}
+}
+
+// View returns the view in force at this daemon. Callers must not change it.
+func (c *Core) View() *fleet.View { return &c.view }
+
+// Highest returns the newest epoch heard of. It is what this daemon answers to
+// a peer's question: once it is larger than an epoch, the daemon no longer
+// confirms that epoch.
+func (c *Core) Highest() fleet.Epoch { return c.highest }
+
+// Adopt puts v in force if it is newer than the current view.
+func (c *Core) Adopt(now time.Time, v *fleet.View) bool {
+	if v.Epoch <= c.view.Epoch {
+		return false
+	}
+	c.view = *v.Clone()
+	c.highest = max(c.highest, v.Epoch)
+	clear(c.confirmed)
+	c.retiredAt = time.Time{}
+	c.checkRetired(now)
+	return true
+}
+
+// Heard notes that a peer mentioned epoch e, in a question or an answer.
+func (c *Core) Heard(now time.Time, peer fleet.Incarnation, e fleet.Epoch) {
+	c.highest = max(c.highest, e)
+	c.known[peer] = max(c.known[peer], e)
+	c.checkRetired(now)
+}
+
+// Confirmed takes in a peer's answer to a question that was sent at sentAt
+// under epoch asked: the newest epoch the peer knows is e.
+func (c *Core) Confirmed(now, sentAt time.Time, peer fleet.Incarnation, asked, e fleet.Epoch) {
+	c.Heard(now, peer, e)
+	if asked != c.view.Epoch || e != asked {
+		return
+	}
+	if sentAt.After(c.confirmed[peer]) {
+		c.confirmed[peer] = sentAt
+	}
+}
+
+// MarkGone notes that the platform's instance list shows a member's process to
+// have ended. It can confirm nothing any more.
+func (c *Core) MarkGone(now time.Time, member fleet.Incarnation) {
+	c.gone[member] = true
+	c.checkRetired(now)
+}
+
+// checkRetired sets retiredAt when, for each earlier view, a majority of its
+// members can no longer confirm it.
+func (c *Core) checkRetired(now time.Time) {
+	if !c.retiredAt.IsZero() || c.view.Epoch == 0 {
+		return
+	}
+	for _, old := range c.view.Unretired {
+		if !c.cannotServe(old) {
+			return
+		}
+	}
+	c.retiredAt = now
+}
+
+func (c *Core) cannotServe(old fleet.RetiringView) bool {
+	stopped, first := 0, false
+	for i, m := range old.Members {
+		if m == c.self || c.gone[m] || c.known[m] > old.Epoch {
+			stopped++
+			first = first || i == 0
+		}
+	}
+	return quorum(stopped, first, len(old.Members))
+}
+
+// quorum reports whether n of total members outweigh the rest. Exactly half of
+// them do if the view's first member is one of them, so that a fleet cut into
+// equal halves keeps one that serves. Two disjoint sets are never both a
+// quorum.
+func quorum(n int, first bool, total int) bool {
+	return 2*n > total || (2*n == total && first)
+}
+
+// Standing says what a daemon may do under its view. It is computed on the
+// control goroutine and read by others, so it carries the time it ends by
+// itself.
+type Standing struct {
+	Epoch fleet.Epoch
+	// Until is when the confirmations of a quorum lapse.
+	Until time.Time
+	// Retired tells that every earlier view has certainly stopped.
+	Retired bool
+	Reason  string // why the standing is not a serving one; "" if it is
+}
+
+// Current reports whether the daemon may use its share of the workers at time
+// now: no view that leaves it out can have taken the share away yet.
+func (s Standing) Current(now time.Time) bool { return s.Epoch > 0 && now.Before(s.Until) }
+
+// Serving reports whether the daemon may act as an owner of claims at time now.
+//
+// Invariant: no two epochs are served at the same time. Reason: serving N
+// needs confirmations of a quorum of N's members, each at most ConfirmWindow
+// old; a member that knows N+1 no longer confirms N; and N+1 is served only
+// ConfirmWindow (and the clock margin) after a quorum of N's members knew N+1
+// or had ended. Two quorums of one view share a member.
+func (s Standing) Serving(now time.Time) bool { return s.Retired && s.Current(now) }
+
+// Reasons of a standing that does not serve.
+const (
+	ReasonNoView     = "no view yet"
+	ReasonNotMember  = "not a member of the view"
+	ReasonNewerEpoch = "a newer epoch exists"
+	ReasonMinority   = "no recent confirmation from a quorum"
+	ReasonRetiring   = "an earlier view may still be served"
+)
+
+// Standing works out this daemon's standing at time now.
+func (c *Core) Standing(now time.Time) Standing {
+	s := Standing{Epoch: c.view.Epoch, Retired: c.retired(now)}
+	switch {
+	case c.view.Epoch == 0:
+		s.Reason = ReasonNoView
+	case c.view.Member(c.self) == nil:
+		s.Reason = ReasonNotMember
+	case c.highest > c.view.Epoch:
+		s.Reason = ReasonNewerEpoch
+	default:
+		s.Until = c.confirmedUntil(now)
+	}
+	switch {
+	case s.Reason != "":
+	case !s.Current(now):
+		s.Reason = ReasonMinority
+	case !s.Retired:
+		s.Reason = ReasonRetiring
+	}
+	return s
+}
+
+// confirmedUntil returns until when a quorum's confirmations count. A view of
+// one needs nobody else; its standing is renewed at every computation.
+func (c *Core) confirmedUntil(now time.Time) time.Time {
+	times := make([]confirmation, 0, len(c.view.Members))
+	for i, m := range c.view.Members {
+		at := c.confirmed[m.Incarnation]
+		if m.Incarnation == c.self {
+			at = now
+		}
+		times = append(times, confirmation{at: at, first: i == 0})
+	}
+	slices.SortFunc(times, func(a, b confirmation) int { return b.at.Compare(a.at) })
+	first := false
+	for i, t := range times {
+		first = first || t.first
+		if quorum(i+1, first, len(times)) {
+			if t.at.IsZero() {
+				return time.Time{}
+			}
+			return t.at.Add(c.opts.ConfirmWindow)
+		}
+	}
+	return time.Time{}
+}
+
+type confirmation struct {
+	at    time.Time
+	first bool // of the view's first member
+}
+
+// retired reports whether every earlier view has certainly stopped.
+func (c *Core) retired(now time.Time) bool {
+	if c.retiredAt.IsZero() {
+		return false
+	}
+	if len(c.view.Unretired) == 0 {
+		return true
+	}
+	return now.Sub(c.retiredAt) >= c.opts.ConfirmWindow+c.opts.DriftMargin
+}
--- /dev/null
+++ b/mirror/feed.go
@@ -0,0 +1,92 @@
+package mirror
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Feed keeps a mirror up to date from the store with one listing and one
+// waiting watch, whatever the number of pools.
+type Feed struct {
+	Mirror *Mirror
+	Store  port.Store
+	Rand   *rand.Rand
+	// Connected is true while the watch is known to be alive.
+	Connected atomic.Bool
+	// OnConnection is told of each change of Connected; may be nil.
+	OnConnection func(connected bool, err error)
+	// Resyncs counts listings.
+	Resyncs atomic.Int64
+}
+
+// Pauses between attempts to reach the store: doubled from the first to the
+// last, each drawn at random between half of it and the whole, so that a fleet
+// that was cut off does not come back all at once.
+const (
+	firstPause = 200 * time.Millisecond
+	lastPause  = 5 * time.Second
+)
+
+// Run feeds the mirror until ctx ends.
+func (f *Feed) Run(ctx context.Context) {
+	pause := firstPause
+	relist := true
+	for ctx.Err() == nil {
+		err := f.follow(ctx, &relist, &pause)
+		f.setConnected(false, err)
+		if verdict.CodeOf(err) == port.CodeCompacted {
+			relist = true
+		}
+		if !wait(ctx, jitter(f.Rand, pause)) {
+			return
+		}
+		pause = min(2*pause, lastPause)
+	}
+}
+
+// follow lists if needed, then watches until the stream breaks.
+func (f *Feed) follow(ctx context.Context, relist *bool, pause *time.Duration) error {
+	if *relist {
+		l, err := f.Store.List(ctx, record.Root)
+		if err != nil {
+			return err
+		}
+		f.Resyncs.Add(1)
+		f.Mirror.Replace(l)
+		*relist = false
+	}
+	return f.Store.Watch(ctx, record.Root, f.Mirror.State().Revision, func(events []port.Event) {
+		*pause = firstPause
+		f.setConnected(true, nil)
+		if len(events) > 0 {
+			f.Mirror.Apply(events, events[len(events)-1].Revision)
+		}
+	})
+}
+
+func (f *Feed) setConnected(up bool, err error) {
+	if f.Connected.Swap(up) != up && f.OnConnection != nil {
+		f.OnConnection(up, err)
+	}
+}
+
+func jitter(r *rand.Rand, d time.Duration) time.Duration {
+	return d/2 + time.Duration(r.Int64N(int64(d/2)+1))
+}
+
+func wait(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/place/place.go
@@ -0,0 +1,215 @@
+// Package place chooses workers for jobs. It is pure: a snapshot comes in, and
+// assignments with their reasons go out.
+package place
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+)
+
+// Worker is one worker of the pool as placement sees it.
+type Worker struct {
+	ID       fleet.InstanceID
+	Zone     fleet.AvailabilityZone
+	Rack     fleet.Rack
+	Capacity fleet.Resources
+	// Used is what is in use: as observed where the report is fresh, as
+	// declared otherwise.
+	Used fleet.Resources
+	// Usable is false for workers that are out, about to be, or put aside.
+	Usable bool
+	// Maintained is true for a worker that the running waves have finished
+	// with: a job placed there does not have to move again.
+	Maintained bool
+	// Failures counts tasks that failed on the worker in a row.
+	Failures int
+}
+
+// TeamUse is a team's quota and what it uses fleet-wide.
+type TeamUse struct {
+	Quota fleet.Resources
+	Used  fleet.Resources
+	// Limited is false for a team without a quota.
+	Limited bool
+}
+
+// Policy selects how a worker is chosen. FirstFit is the baseline.
+type Policy string
+
+// Policies.
+const (
+	PolicyBestFit  Policy = "best-fit"
+	PolicyFirstFit Policy = "first-fit"
+)
+
+// Input is the snapshot of one pool.
+type Input struct {
+	Now     time.Time
+	Jobs    []fleet.Job
+	Workers []Worker
+	Teams   map[string]TeamUse
+	Policy  Policy
+}
+
+// Decision is what becomes of one pending job.
+type Decision struct {
+	Job    fleet.JobName
+	State  fleet.JobState // JobPlaced, JobPending or JobUnplaceable
+	Worker fleet.InstanceID
+	Reason string
+}
+
+// MaxFailures is how many tasks in a row may fail on a worker before it gets
+// no more.
+const MaxFailures = 3
+
+// Plan decides about every pending job: urgent ones first, then by deadline,
+// then by age.
+func Plan(in Input) []Decision {
+	workers := slices.Clone(in.Workers)
+	teams := make(map[string]TeamUse, len(in.Teams))
+	for name, t := range in.Teams {
+		teams[name] = t
+	}
+	var out []Decision
+	for _, j := range pending(in.Jobs) {
+		d := decide(in, j, workers, teams)
+		out = append(out, d)
+		if d.State == fleet.JobPlaced {
+			occupy(workers, teams, j, d.Worker)
+		}
+	}
+	return out
+}
+
+func pending(jobs []fleet.Job) []fleet.Job {
+	var out []fleet.Job
+	for _, j := range jobs {
+		if j.State == fleet.JobPending {
+			out = append(out, j)
+		}
+	}
+	slices.SortStableFunc(out, func(a, b fleet.Job) int {
+		return cmp.Or(boolFirst(a.Urgent, b.Urgent), byDeadline(a, b), a.Submitted.Compare(b.Submitted))
+	})
+	return out
+}
+
+func boolFirst(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case a:
+		return -1
+	default:
+		return 1
+	}
+}
+
+// byDeadline puts jobs without a deadline last.
+func byDeadline(a, b fleet.Job) int {
+	if a.Deadline.IsZero() || b.Deadline.IsZero() {
+		return boolFirst(!a.Deadline.IsZero(), !b.Deadline.IsZero())
+	}
+	return a.Deadline.Compare(b.Deadline)
+}
+
+func decide(in Input, j fleet.Job, workers []Worker, teams map[string]TeamUse) Decision {
+	if !fitsAnywhere(workers, j.Need) {
+		return Decision{Job: j.Name, State: fleet.JobUnplaceable, Reason: unplaceable(workers, j.Need)}
+	}
+	if t := teams[j.Team]; t.Limited && !t.Quota.Sub(t.Used).Fits(j.Need) {
+		return Decision{Job: j.Name, State: fleet.JobPending, Reason: fmt.Sprintf("team %s has used up its quota", j.Team)}
+	}
+	best, why := choose(in.Policy, workers, j)
+	if best == nil {
+		return Decision{Job: j.Name, State: fleet.JobPending, Reason: why}
+	}
+	return Decision{Job: j.Name, State: fleet.JobPlaced, Worker: best.ID}
+}
+
+func fitsAnywhere(workers []Worker, need fleet.Resources) bool {
+	if len(workers) == 0 {
+		return true // an empty pool may get workers; the job waits
+	}
+	return slices.ContainsFunc(workers, func(w Worker) bool { return w.Capacity.Fits(need) })
+}
+
+// unplaceable names the resource that no worker of the pool has enough of.
+func unplaceable(workers []Worker, need fleet.Resources) string {
+	var most fleet.Resources
+	for _, w := range workers {
+		most.Slots = max(most.Slots, w.Capacity.Slots)
+		most.CPUMilli = max(most.CPUMilli, w.Capacity.CPUMilli)
+		most.MemoryMB = max(most.MemoryMB, w.Capacity.MemoryMB)
+		most.Accelerators = max(most.Accelerators, w.Capacity.Accelerators)
+	}
+	switch {
+	case need.Accelerators > most.Accelerators:
+		return fmt.Sprintf("asks for %d accelerators; the largest worker has %d", need.Accelerators, most.Accelerators)
+	case need.MemoryMB > most.MemoryMB:
+		return fmt.Sprintf("asks for %d MB of memory; the largest worker has %d", need.MemoryMB, most.MemoryMB)
+	case need.CPUMilli > most.CPUMilli:
+		return fmt.Sprintf("asks for %d thousandths of a core; the largest worker has %d", need.CPUMilli, most.CPUMilli)
+	case need.Slots > most.Slots:
+		return fmt.Sprintf("asks for %d slots; the largest worker has %d", need.Slots, most.Slots)
+	default:
+		return "no single worker has all that it asks for"
+	}
+}
+
+func choose(policy Policy, workers []Worker, j fleet.Job) (*Worker, string) {
+	var best *Worker
+	aside, full := 0, 0
+	for i := range workers {
+		w := &workers[i]
+		switch {
+		case !w.Usable || w.Failures >= MaxFailures:
+			aside++
+			continue
+		case !w.Capacity.Sub(w.Used).Fits(j.Need):
+			full++
+			continue
+		}
+		if best == nil {
+			best = w
+			if policy == PolicyFirstFit {
+				break
+			}
+			continue
+		}
+		if better(w, best, j.Need) {
+			best = w
+		}
+	}
+	return best, fmt.Sprintf("no room: %d workers are full, %d are out of service", full, aside)
+}
+
+// better prefers workers that need no further maintenance, then those without
+// failures, then the one that is left with the least memory to spare: large
+// jobs keep finding room.
+func better(a, b *Worker, need fleet.Resources) bool {
+	if a.Maintained != b.Maintained {
+		return a.Maintained
+	}
+	if a.Failures != b.Failures {
+		return a.Failures < b.Failures
+	}
+	left := func(w *Worker) int { return w.Capacity.MemoryMB - w.Used.MemoryMB - need.MemoryMB }
+	return left(a) < left(b)
+}
+
+func occupy(workers []Worker, teams map[string]TeamUse, j fleet.Job, id fleet.InstanceID) {
+	for i := range workers {
+		if workers[i].ID == id {
+			workers[i].Used = workers[i].Used.Add(j.Need)
+		}
+	}
+	t := teams[j.Team]
+	t.Used = t.Used.Add(j.Need)
+	teams[j.Team] = t
+}
--- /dev/null
+++ b/port/port.go
@@ -0,0 +1,110 @@
+// Package port declares the interfaces through which decisions and the entry
+// path reach the outside: the platform's store, its instance list and pool
+// actions, workers' tasks, and peers. Adapters implement them.
+package port
+
+import (
+	"context"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/verdict"
+)
+
+// LeaseID identifies a store lease; 0 means none.
+type LeaseID int64
+
+// KV is one key of the store.
+type KV struct {
+	Key      string
+	Value    []byte
+	Revision fleet.Revision // modification revision
+}
+
+// Listing is the content of a prefix at one revision.
+type Listing struct {
+	KVs      []KV
+	Revision fleet.Revision
+}
+
+// Event is one change seen by a watch. A deletion has Deleted set and no value.
+type Event struct {
+	KV
+	Deleted bool
+}
+
+// Store is the platform's key-value service. Every method makes one call.
+//
+// A write that fails carries a verdict: NotRun if it is proven not to have
+// taken effect, MayHaveRun otherwise.
+type Store interface {
+	Get(ctx context.Context, key string) (kv KV, found bool, err error)
+	List(ctx context.Context, prefix string) (Listing, error)
+	// CompareAndSwap writes value if key is at revision expect (0: absent).
+	// A lost race returns swapped == false and no error.
+	CompareAndSwap(ctx context.Context, key string, expect fleet.Revision, value []byte, lease LeaseID) (rev fleet.Revision, swapped bool, err error)
+	// CompareAndDelete removes key if it is at revision expect.
+	CompareAndDelete(ctx context.Context, key string, expect fleet.Revision) (deleted bool, err error)
+	// Watch calls fn for each change under prefix after revision from, until
+	// ctx ends or the stream breaks; it always returns an error. fn is also
+	// called with no events when the stream is known to be alive.
+	Watch(ctx context.Context, prefix string, from fleet.Revision, fn func([]Event)) error
+	GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error)
+	// KeepAlive renews a lease; alive is false if it had lapsed.
+	KeepAlive(ctx context.Context, id LeaseID) (alive bool, err error)
+	RevokeLease(ctx context.Context, id LeaseID) error
+}
+
+// Codes of store errors.
+const (
+	CodeStoreDown    verdict.Code = "store-unavailable"
+	CodeStoreLimited verdict.Code = "store-rate-limited"
+	CodeCompacted    verdict.Code = "store-compacted"
+)
+
+// InstanceList is the platform's list of live and leaving instances. It lags.
+type InstanceList interface {
+	Instances(ctx context.Context) ([]fleet.Instance, error)
+	// GoneEntries lists incarnations of entry daemons that the platform knows
+	// to have ended.
+	GoneEntries(ctx context.Context) ([]fleet.Incarnation, error)
+}
+
+// Actions carries out commands on instances. A command is idempotent by its
+// id, and refused when its generation is not the instance's.
+type Actions interface {
+	Send(ctx context.Context, instance fleet.InstanceID, cmd fleet.Command) error
+}
+
+// Tasks reaches the task API of one worker.
+type Tasks interface {
+	// Sync renews the leases of the tasks in keep, starts those of start and
+	// stops those of stop, then returns every task the worker knows.
+	Sync(ctx context.Context, addr string, req TaskSync) ([]fleet.Task, error)
+}
+
+// TaskStart asks a worker to run one attempt of a job.
+type TaskStart struct {
+	Pool    fleet.PoolName
+	Job     fleet.JobName
+	Attempt int
+	Need    fleet.Resources
+	RunFor  time.Duration
+}
+
+// TaskRef names one attempt of a job.
+type TaskRef struct {
+	Pool    fleet.PoolName
+	Job     fleet.JobName
+	Attempt int
+}
+
+// TaskSync is one round with a worker.
+type TaskSync struct {
+	Lease time.Duration // how long a renewed or started task may run unrenewed
+	Start []TaskStart
+	Keep  []TaskRef
+	Stop  []TaskRef
+	// Checkpoint asks stopped tasks to save their state first.
+	Checkpoint bool
+}
--- /dev/null
+++ b/query/grammar.go
@@ -0,0 +1,303 @@
+// Package query parses the operators' language. It only checks form; package
+// command decides what a statement means against the records.
+package query
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/alecthomas/participle/v2"
+	"github.com/alecthomas/participle/v2/lexer"
+)
+
+// Program is a list of statements, separated by nothing, ";" or line ends.
+type Program struct {
+	Statements []*Statement `parser:"';'* ( @@ ';'* )*"`
+}
+
+// Statement is one command. Exactly one of the fields is set.
+type Statement struct {
+	Pos    lexer.Position
+	Show   *Show       `parser:"( 'show' @@"`
+	Why    *Why        `parser:"| 'why' @@"`
+	Drain  *Drain      `parser:"| 'drain' 'instance' @@"`
+	Return *Return     `parser:"| 'return' 'instance' @@"`
+	Move   *Move       `parser:"| 'move' 'instance' @@"`
+	Create *Create     `parser:"| 'create' @@"`
+	Add    *Add        `parser:"| 'add' 'instance' @@"`
+	Set    *Set        `parser:"| 'set' @@"`
+	Start  *StartWave  `parser:"| 'start' 'wave' @@"`
+	Wave   *ChangeWave `parser:"| @@"`
+	Submit *Submit     `parser:"| 'submit' 'job' @@"`
+	Cancel *CancelJobs `parser:"| 'cancel' @@ )"`
+	// AtRevision is the newest revision of the changed record that the
+	// operator has seen; 0 if not said.
+	AtRevision int64 `parser:"( 'at' 'revision' @Number )?"`
+}
+
+// ReadOnly reports whether the statement changes nothing.
+func (s *Statement) ReadOnly() bool { return s.Show != nil || s.Why != nil }
+
+// Show lists things.
+type Show struct {
+	What  string       `parser:"@( 'pools' | 'instances' | 'jobs' | 'waves' | 'revisions' | 'services' | 'routes' | 'teams' )"`
+	Where []*Condition `parser:"( 'where' @@ ( 'and' @@ )* )?"`
+}
+
+// Condition compares a column with a value.
+type Condition struct {
+	Field string `parser:"@Ident"`
+	Not   bool   `parser:"( @'!' )? '='"`
+	Value Text   `parser:"@( Ident | Number | String )"`
+}
+
+// Why asks for the facts and rules behind what is seen.
+type Why struct {
+	Kind string `parser:"@( 'instance' | 'job' | 'wave' | 'pool' )"`
+	Name string `parser:"@Ident"`
+	Pool string `parser:"( 'in' 'pool' @Ident )?"`
+}
+
+// Drain takes an instance out of service until it is returned.
+type Drain struct {
+	Instance string `parser:"@Ident"`
+}
+
+// Return brings a drained instance back.
+type Return struct {
+	Instance string `parser:"@Ident"`
+}
+
+// Move moves an instance to another pool.
+type Move struct {
+	Instance string `parser:"@Ident"`
+	Pool     string `parser:"'to' 'pool' @Ident"`
+}
+
+// Create makes a service, route, team or pool.
+type Create struct {
+	Service *CreateService `parser:"  'service' @@"`
+	Route   *CreateRoute   `parser:"| 'route' @@"`
+	Team    *CreateTeam    `parser:"| 'team' @@"`
+	Pool    *CreatePool    `parser:"| 'pool' @@"`
+}
+
+// CreateService makes a service with its priority classes.
+type CreateService struct {
+	Name    string   `parser:"@Ident"`
+	Classes []*Class `parser:"@@ ( ',' @@ )*"`
+}
+
+// Class is a priority class and its weight.
+type Class struct {
+	Name   string `parser:"'class' @Ident"`
+	Weight int    `parser:"'weight' @Number"`
+}
+
+// CreateRoute maps "host/prefix" to a class of a service.
+type CreateRoute struct {
+	Match      Text     `parser:"@String"`
+	Service    string   `parser:"'to' 'service' @Ident"`
+	Class      string   `parser:"'class' @Ident"`
+	Idempotent bool     `parser:"( @'idempotent' )?"`
+	Timeout    Duration `parser:"( 'timeout' @Number )?"`
+}
+
+// CreateTeam makes a team with a quota.
+type CreateTeam struct {
+	Name  string   `parser:"@Ident"`
+	Quota []*Needs `parser:"'quota' @@+"`
+}
+
+// Needs is an amount of one resource.
+type Needs struct {
+	CPU          *Number `parser:"  'cpu' @Number"`
+	Memory       *Memory `parser:"| 'memory' @Number"`
+	Accelerators *int    `parser:"| 'accelerators' @Number"`
+	Slots        *int    `parser:"| 'slots' @Number"`
+}
+
+// CreatePool makes a pool for a service.
+type CreatePool struct {
+	Name    string `parser:"@Ident"`
+	Service string `parser:"'for' 'service' @Ident"`
+	Budget  Budget `parser:"@@"`
+}
+
+// Budget is an availability budget.
+type Budget struct {
+	MaxUnavailable string `parser:"'max-unavailable' @Number"`
+	MinAvailable   int    `parser:"( 'min-available' @Number )?"`
+	SurviveZone    bool   `parser:"( @'survive-zone' )?"`
+}
+
+// Add puts instances into a pool.
+type Add struct {
+	Instances []string `parser:"@Ident ( ',' @Ident )*"`
+	Pool      string   `parser:"'to' 'pool' @Ident"`
+}
+
+// Set changes a budget, an objective or the weights.
+type Set struct {
+	Budget    *SetBudget    `parser:"  'budget' @@"`
+	Objective *SetObjective `parser:"| 'objective' @@"`
+	Weights   *SetWeights   `parser:"| 'weights' @@"`
+}
+
+// SetBudget changes the availability budget of a pool.
+type SetBudget struct {
+	Pool   string `parser:"@Ident"`
+	Budget Budget `parser:"@@"`
+}
+
+// SetObjective sets the service level of a class.
+type SetObjective struct {
+	Service      string   `parser:"'service' @Ident"`
+	Class        string   `parser:"'class' @Ident"`
+	Availability Number   `parser:"'availability' @Number"`
+	Latency      Duration `parser:"( 'latency' @Number )?"`
+}
+
+// SetWeights ranks the three measures.
+type SetWeights struct {
+	RollOut Number `parser:"'rollout' @Number"`
+	Buffer  Number `parser:"'buffer' @Number"`
+	Moves   Number `parser:"'moves' @Number"`
+}
+
+// StartWave starts a maintenance wave.
+type StartWave struct {
+	Name   string   `parser:"@Ident"`
+	All    bool     `parser:"'on' ( @'all' 'pools'"`
+	Pools  []string `parser:"| 'pools' @Ident ( ',' @Ident )* )"`
+	Within Duration `parser:"( 'within' @Number )?"`
+}
+
+// ChangeWave pauses, resumes or cancels a wave.
+type ChangeWave struct {
+	Verb string `parser:"@( 'pause' | 'resume' | 'cancel' ) 'wave'"`
+	Name string `parser:"@Ident"`
+}
+
+// Submit submits one job, or Count equal ones.
+type Submit struct {
+	Name   string   `parser:"@Ident"`
+	Pool   string   `parser:"'to' 'pool' @Ident"`
+	Team   string   `parser:"( 'team' @Ident )?"`
+	Count  int      `parser:"( 'count' @Number )?"`
+	Needs  []*Needs `parser:"@@*"`
+	Run    Duration `parser:"( 'run' @Number )?"`
+	Within Duration `parser:"( 'within' @Number )?"`
+	Urgent bool     `parser:"( @'urgent' )?"`
+}
+
+// CancelJobs cancels one job, or all jobs of a pool in one change.
+type CancelJobs struct {
+	All  bool   `parser:"( @'jobs'"`
+	Name string `parser:"| 'job' @Ident )"`
+	Pool string `parser:"'in' 'pool' @Ident"`
+}
+
+// Text is a word, number or quoted text.
+type Text string
+
+// Capture implements participle.Capture.
+func (t *Text) Capture(values []string) error {
+	*t = Text(strings.Trim(values[0], `"`))
+	return nil
+}
+
+// Duration is a Go duration such as 90s or 2h30m.
+type Duration time.Duration
+
+// Capture implements participle.Capture.
+func (d *Duration) Capture(values []string) error {
+	v, err := time.ParseDuration(values[0])
+	if err != nil || v <= 0 {
+		return fmt.Errorf("%q is no duration: want for example 500ms, 90s or 2h", values[0])
+	}
+	*d = Duration(v)
+	return nil
+}
+
+// Number is a number with an optional fraction.
+type Number float64
+
+// Capture implements participle.Capture.
+func (n *Number) Capture(values []string) error {
+	var v float64
+	if _, err := fmt.Sscanf(values[0], "%g", &v); err != nil {
+		return fmt.Errorf("%q is no number", values[0])
+	}
+	*n = Number(v)
+	return nil
+}
+
+// Memory is an amount of memory in MB; "GB" may follow the number.
+type Memory int
+
+// Capture implements participle.Capture.
+func (m *Memory) Capture(values []string) error {
+	var n int
+	var unit string
+	if _, err := fmt.Sscanf(values[0]+" ", "%d%s", &n, &unit); err != nil && unit == "" && n == 0 {
+		return fmt.Errorf("%q is no amount of memory: want for example 512MB or 4GB", values[0])
+	}
+	switch strings.ToUpper(unit) {
+	case "", "MB":
+		*m = Memory(n)
+	case "GB":
+		*m = Memory(n * 1024)
+	default:
+		return fmt.Errorf("%q: unknown unit %q, want MB or GB", values[0], unit)
+	}
+	return nil
+}
+
+var words = lexer.MustSimple([]lexer.SimpleRule{
+	{Name: "Comment", Pattern: `#[^\n]*`},
+	{Name: "String", Pattern: `"[^"\n]*"`},
+	{Name: "Number", Pattern: `[0-9]+(\.[0-9]+)?([a-zA-Z%][a-zA-Z0-9]*)?`},
+	{Name: "Ident", Pattern: `[a-zA-Z_][a-zA-Z0-9_.\-]*`},
+	{Name: "Punct", Pattern: `[=,;!]`},
+	{Name: "Space", Pattern: `\s+`},
+})
+
+var parser = participle.MustBuild[Program](
+	participle.Lexer(words),
+	participle.Elide("Comment", "Space"),
+	participle.UseLookahead(3),
+)
+
+// Error is a mistake in the text of a command.
+type Error struct {
+	Line, Column int // from 1
+	Message      string
+}
+
+// Error implements error.
+func (e *Error) Error() string {
+	return fmt.Sprintf("line %d, column %d: %s", e.Line, e.Column, e.Message)
+}
+
+// MaxLength bounds the text of a program in bytes.
+const MaxLength = 256 << 10
+
+// Parse reads a program. A mistake is returned as an *Error that says where it
+// is and what was expected.
+func Parse(text string) (*Program, error) {
+	if len(text) > MaxLength {
+		return nil, &Error{Line: 1, Column: 1, Message: fmt.Sprintf("the text has %d bytes; at most %d are taken", len(text), MaxLength)}
+	}
+	p, err := parser.ParseString("", text)
+	if err == nil {
+		return p, nil
+	}
+	var at participle.Error
+	if errors.As(err, &at) {
+		return nil, &Error{Line: at.Position().Line, Column: at.Position().Column, Message: at.Message()}
+	}
+	return nil, &Error{Line: 1, Column: 1, Message: err.Error()}
+}
--- /dev/null
+++ b/record/record.go
@@ -0,0 +1,215 @@
+// Package record maps domain records to keys of the platform's store and
+// writes them by compare-and-swap, resolving lost answers.
+package record
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Root is the prefix of every key that postmount writes.
+const Root = "postmount/"
+
+// Keys and key prefixes below Root.
+const (
+	ConfigKey    = Root + "config"
+	ViewKey      = Root + "view"
+	PoolPrefix   = Root + "pool/"
+	MemberPrefix = Root + "members/"
+	WavePrefix   = Root + "wave/"
+	JobsPrefix   = Root + "jobs/"
+	EntryPrefix  = Root + "entry/"
+)
+
+// PoolKey is the key of a pool's record.
+func PoolKey(p fleet.PoolName) string { return PoolPrefix + string(p) }
+
+// WaveKey is the key of a wave's record.
+func WaveKey(w fleet.WaveName) string { return WavePrefix + string(w) }
+
+// JobsKey is the key of a pool's jobs.
+func JobsKey(p fleet.PoolName) string { return JobsPrefix + string(p) }
+
+// EntryKey is the key of an entry daemon's registration.
+func EntryKey(e fleet.EntryID) string { return EntryPrefix + string(e) }
+
+// ShardKey is the key of a membership shard.
+func ShardKey(i int) string { return fmt.Sprintf("%s%02d", MemberPrefix, i) }
+
+// ParseShard returns the shard number of a key below MemberPrefix.
+func ParseShard(key string) (int, error) {
+	return strconv.Atoi(strings.TrimPrefix(key, MemberPrefix))
+}
+
+// tokensKept bounds how many writer tokens a record remembers.
+const tokensKept = 16
+
+// envelope is the stored form of a record.
+type envelope struct {
+	// Tokens are those of the last writes, the newest last.
+	Tokens []string        `json:"tokens"`
+	Data   json.RawMessage `json:"data"`
+}
+
+// Decode reads a stored record.
+func Decode[T any](kv port.KV) (fleet.Versioned[T], error) {
+	var env envelope
+	if err := json.Unmarshal(kv.Value, &env); err != nil {
+		return fleet.Versioned[T]{}, fmt.Errorf("record %s: %w", kv.Key, err)
+	}
+	value := new(T)
+	if err := json.Unmarshal(env.Data, value); err != nil {
+		return fleet.Versioned[T]{}, fmt.Errorf("record %s: %w", kv.Key, err)
+	}
+	return fleet.Versioned[T]{Value: value, Revision: kv.Revision, Tokens: env.Tokens}, nil
+}
+
+func encode[T any](value *T, tokens []string) ([]byte, error) {
+	data, err := json.Marshal(value)
+	if err != nil {
+		return nil, err
+	}
+	return json.Marshal(envelope{Tokens: tokens, Data: data})
+}
+
+// Codes of write errors.
+const (
+	// CodeConflict means that somebody else changed the record first.
+	CodeConflict verdict.Code = "conflict"
+	// CodeUnknownOutcome means that the write may or may not be in the store.
+	CodeUnknownOutcome verdict.Code = "unknown-outcome"
+)
+
+// Writer writes records. The zero value is not usable; use NewWriter.
+type Writer struct {
+	store    port.Store
+	newToken func() string
+	retry    time.Duration // pause between attempts to learn an outcome
+}
+
+// resolvePause is the pause between attempts to learn a write's outcome.
+const resolvePause = 50 * time.Millisecond
+
+// NewWriter returns a writer whose tokens are random UUIDs.
+func NewWriter(store port.Store) *Writer {
+	return &Writer{store: store, newToken: uuid.NewString, retry: resolvePause}
+}
+
+// Written is the result of a successful write.
+type Written struct {
+	KV port.KV // as stored, for the writer's own mirror
+}
+
+// Write stores value at key if the record is still the one in base; a base of
+// revision 0 creates it.
+//
+// Invariant: an error with verdict NotRun means that the value is not in the
+// store and will never be. Reason: after a lost answer the writer either finds
+// its token, or repeats the same compare-and-swap while the record is at the
+// expected revision, or finds a newer record whose token list reaches back to
+// base and lacks its own. A write still under way then loses its swap.
+func Write[T any](ctx context.Context, w *Writer, key string, base fleet.Versioned[T], value *T, lease port.LeaseID) (Written, error) {
+	token := w.newToken()
+	tokens := append(slices.Clone(base.Tokens), token)
+	if len(tokens) > tokensKept {
+		tokens = tokens[len(tokens)-tokensKept:]
+	}
+	body, err := encode(value, tokens)
+	if err != nil {
+		return Written{}, verdict.Wrap(err, verdict.NotRun, CodeConflict, "encode %s", key)
+	}
+	p := pending{key: key, expect: base.Revision, body: body, token: token, lease: lease, lastKnown: last(base.Tokens)}
+	return w.swap(ctx, p)
+}
+
+func last(tokens []string) string {
+	if len(tokens) == 0 {
+		return ""
+	}
+	return tokens[len(tokens)-1]
+}
+
+// pending is one write whose outcome is being learnt.
+type pending struct {
+	key       string
+	expect    fleet.Revision
+	body      []byte
+	token     string
+	lease     port.LeaseID
+	lastKnown string // newest token of the record the write is based on
+}
+
+func (w *Writer) swap(ctx context.Context, p pending) (Written, error) {
+	uncertain := false
+	for {
+		rev, ok, err := w.store.CompareAndSwap(ctx, p.key, p.expect, p.body, p.lease)
+		switch {
+		case err == nil && ok:
+			return Written{port.KV{Key: p.key, Value: p.body, Revision: rev}}, nil
+		case err == nil && !uncertain:
+			return Written{}, verdict.New(verdict.NotRun, CodeConflict, "%s changed since revision %d", p.key, p.expect)
+		case err != nil && verdict.Of(err) == verdict.NotRun && !uncertain:
+			return Written{}, err
+		}
+		uncertain = true
+		out, settled, err := w.readBack(ctx, p)
+		if settled {
+			return out, err
+		}
+		if !sleep(ctx, w.retry) {
+			return Written{}, verdict.New(verdict.MayHaveRun, CodeUnknownOutcome, "%s: the answer was lost and the store cannot be asked", p.key)
+		}
+	}
+}
+
+// readBack asks the store whether p took effect. settled is false while the
+// record is still at the expected revision or the store does not answer.
+func (w *Writer) readBack(ctx context.Context, p pending) (out Written, settled bool, err error) {
+	kv, found, err := w.store.Get(ctx, p.key)
+	if err != nil {
+		return Written{}, false, nil
+	}
+	if !found {
+		if p.expect == 0 {
+			return Written{}, false, nil
+		}
+		return Written{}, true, verdict.New(verdict.MayHaveRun, CodeUnknownOutcome, "%s was deleted while its write was under way", p.key)
+	}
+	if kv.Revision == p.expect {
+		return Written{}, false, nil
+	}
+	var env envelope
+	if err := json.Unmarshal(kv.Value, &env); err != nil {
+		return Written{}, true, verdict.Wrap(err, verdict.MayHaveRun, CodeUnknownOutcome, "%s", p.key)
+	}
+	if slices.Contains(env.Tokens, p.token) {
+		return Written{kv}, true, nil
+	}
+	reachesBack := slices.Contains(env.Tokens, p.lastKnown) || (p.expect == 0 && len(env.Tokens) < tokensKept)
+	if reachesBack {
+		return Written{}, true, verdict.New(verdict.NotRun, CodeConflict, "%s changed since revision %d", p.key, p.expect)
+	}
+	return Written{}, true, verdict.New(verdict.MayHaveRun, CodeUnknownOutcome, "%s was written too often to tell", p.key)
+}
+
+func sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/route/pick.go
@@ -0,0 +1,84 @@
+package route
+
+import (
+	"math/rand/v2"
+
+	"github.com/postmount/postmount/fleet"
+)
+
+// Policy selects how a worker is picked.
+type Policy string
+
+// Policies. Random is the baseline that the measurements compare with.
+const (
+	PolicyLeastLoaded Policy = "least-loaded" // own zone first, then least used
+	PolicyRandom      Policy = "random"
+)
+
+// Candidate is one worker that may take a request now.
+type Candidate struct {
+	Worker   fleet.InstanceID
+	Zone     fleet.AvailabilityZone
+	Free     int // slots this daemon may still use, at least 1
+	Capacity int // slots this daemon may use in all
+	Probe    bool
+}
+
+// zoneFull is the share of used slots above which the own zone is no longer
+// preferred, so that preference never overloads a zone.
+const zoneFull = 0.8
+
+// Pick chooses among the candidates; it returns false if there are none. A
+// worker that is due for a probe goes first, so that it is tried at all.
+func Pick(candidates []Candidate, zone fleet.AvailabilityZone, rnd *rand.Rand, policy Policy) (fleet.InstanceID, bool) {
+	if len(candidates) == 0 {
+		return "", false
+	}
+	if policy == PolicyRandom {
+		return candidates[rnd.IntN(len(candidates))].Worker, true
+	}
+	for _, c := range candidates {
+		if c.Probe {
+			return c.Worker, true
+		}
+	}
+	if local := inZone(candidates, zone); len(local) > 0 && used(local) < zoneFull {
+		candidates = local
+	}
+	return leastLoaded(candidates, rnd).Worker, true
+}
+
+func inZone(candidates []Candidate, zone fleet.AvailabilityZone) []Candidate {
+	var out []Candidate
+	for _, c := range candidates {
+		if c.Zone == zone {
+			out = append(out, c)
+		}
+	}
+	return out
+}
+
+func used(candidates []Candidate) float64 {
+	free, capacity := 0, 0
+	for _, c := range candidates {
+		free += c.Free
+		capacity += c.Capacity
+	}
+	return 1 - float64(free)/float64(max(capacity, 1))
+}
+
+// leastLoaded returns the candidate with the lowest share of slots in use,
+// starting at a random one so that ties spread.
+func leastLoaded(candidates []Candidate, rnd *rand.Rand) Candidate {
+	start := rnd.IntN(len(candidates))
+	best := candidates[start]
+	for i := range candidates {
+		c := candidates[(start+i)%len(candidates)]
+		if load(c) < load(best) {
+			best = c
+		}
+	}
+	return best
+}
+
+func load(c Candidate) float64 { return 1 - float64(c.Free)/float64(max(c.Capacity, 1)) }
--- /dev/null
+++ b/slo/slo.go
@@ -0,0 +1,134 @@
+// Package slo counts requests against service-level objectives and works out
+// how fast each error budget burns.
+package slo
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+)
+
+// Windows of the burn report, in order. The pairs of a long and a short window
+// follow the usual practice for fast and slow burn alerts.
+var Windows = []time.Duration{5 * time.Minute, 30 * time.Minute, time.Hour, 6 * time.Hour}
+
+// Burn rates that alert: a fast burn spends 2% of a 30-day budget in an hour,
+// a slow one 5% in six hours.
+const (
+	FastBurn = 14.4
+	SlowBurn = 6.0
+)
+
+const (
+	bucketLength = 30 * time.Second
+	buckets      = int(6 * time.Hour / bucketLength)
+)
+
+type bucket struct {
+	number int64 // of the bucket since the epoch
+	total  int64
+	bad    int64
+}
+
+// Key names one class of one service.
+type Key struct {
+	Service fleet.ServiceName
+	Class   fleet.ClassName
+}
+
+// Recorder counts requests. It is safe for concurrent use. Each key takes
+// about 17 KB.
+type Recorder struct {
+	mu     sync.Mutex
+	series map[Key]*[buckets]bucket
+}
+
+// NewRecorder returns an empty recorder.
+func NewRecorder() *Recorder { return &Recorder{series: map[Key]*[buckets]bucket{}} }
+
+// Record counts one request that ended at time now.
+func (r *Recorder) Record(now time.Time, k Key, good bool) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	s := r.series[k]
+	if s == nil {
+		s = new([buckets]bucket)
+		r.series[k] = s
+	}
+	n := now.UnixNano() / int64(bucketLength)
+	b := &s[n%int64(buckets)]
+	if b.number != n {
+		*b = bucket{number: n}
+	}
+	b.total++
+	if !good {
+		b.bad++
+	}
+}
+
+// Count is the number of requests of one key in one window.
+type Count struct {
+	Key
+	Window     time.Duration
+	Total, Bad int64
+}
+
+// Counts returns the counts of every key and window at time now.
+func (r *Recorder) Counts(now time.Time) []Count {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	newest := now.UnixNano() / int64(bucketLength)
+	var out []Count
+	for k, s := range r.series {
+		for _, w := range Windows {
+			c := Count{Key: k, Window: w}
+			oldest := newest - int64(w/bucketLength) + 1
+			for _, b := range s {
+				if b.number >= oldest && b.number <= newest {
+					c.Total += b.total
+					c.Bad += b.bad
+				}
+			}
+			out = append(out, c)
+		}
+	}
+	slices.SortFunc(out, func(a, b Count) int {
+		return cmp.Or(cmp.Compare(a.Service, b.Service), cmp.Compare(a.Class, b.Class), cmp.Compare(a.Window, b.Window))
+	})
+	return out
+}
+
+// Rate is how many times faster than sustainable the error budget burns: 1
+// spends it exactly over the objective's period.
+func Rate(total, bad int64, objective float64) float64 {
+	if total == 0 || objective <= 0 || objective >= 1 {
+		return 0
+	}
+	return float64(bad) / float64(total) / (1 - objective)
+}
+
+// Alert names the burn alert in force.
+type Alert string
+
+// Alerts.
+const (
+	AlertNone Alert = ""
+	AlertFast Alert = "fast"
+	AlertSlow Alert = "slow"
+)
+
+// Judge applies the alert rules to the burn rates by window. Both windows of a
+// pair must burn, so that an alert ends soon after its cause.
+func Judge(rate map[time.Duration]float64) Alert {
+	switch {
+	case rate[time.Hour] >= FastBurn && rate[5*time.Minute] >= FastBurn:
+		return AlertFast
+	case rate[6*time.Hour] >= SlowBurn && rate[30*time.Minute] >= SlowBurn:
+		return AlertSlow
+	default:
+		return AlertNone
+	}
+}
--- /dev/null
+++ b/standin/store/server.go
@@ -0,0 +1,182 @@
+package store
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+)
+
+// Server serves an Engine over the etcd v3 JSON gateway, with faults.
+type Server struct {
+	engine *Engine
+	board  *switchboard
+	router chi.Router
+	stop   chan struct{}
+}
+
+// NewServer returns a server over a new, empty engine. Close stops its timer.
+func NewServer() *Server {
+	s := &Server{engine: NewEngine(), board: newSwitchboard(), stop: make(chan struct{})}
+	r := chi.NewRouter()
+	r.Post("/v3/kv/range", s.handle(kindRead, s.rangeKeys))
+	r.Post("/v3/kv/txn", s.handle(kindWrite, s.txn))
+	r.Post("/v3/lease/grant", s.handle(kindWrite, s.grant))
+	r.Post("/v3/lease/keepalive", s.handle(kindWrite, s.keepAlive))
+	r.Post("/v3/lease/revoke", s.handle(kindWrite, s.revoke))
+	r.Post("/v3/watch", s.watch)
+	r.Get("/standin/faults", s.getFaults)
+	r.Put("/standin/faults", s.putFaults)
+	r.Post("/standin/drop-watches", s.dropWatches)
+	r.Post("/standin/lapse-leases", s.lapseLeases)
+	r.Get("/standin/calls", s.getCalls)
+	s.router = r
+	go s.expireLoop()
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) { s.router.ServeHTTP(w, r) }
+
+// Close stops the lease timer.
+func (s *Server) Close() { close(s.stop) }
+
+// SetFaults replaces the faults in force.
+func (s *Server) SetFaults(f Faults) {
+	if outage := s.board.set(f, time.Now()); outage > 0 {
+		s.engine.ExtendLeases(outage)
+	}
+}
+
+// Calls returns the counts since the start.
+func (s *Server) Calls() Calls {
+	_, c := s.board.snapshot()
+	return c
+}
+
+// LapseLeases ends every lease at once.
+func (s *Server) LapseLeases() { s.engine.LapseLeases() }
+
+// DropWatches cuts every watch stream.
+func (s *Server) DropWatches() { s.board.dropWatches() }
+
+const expireInterval = 100 * time.Millisecond
+
+func (s *Server) expireLoop() {
+	t := time.NewTicker(expireInterval)
+	defer t.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-t.C:
+			if f, _ := s.board.snapshot(); !f.Down {
+				s.engine.Expire()
+			}
+		}
+	}
+}
+
+// gatewayError is the JSON body of a failed call.
+type gatewayError struct {
+	Error   string `json:"error"`
+	Code    int    `json:"code"`
+	Message string `json:"message"`
+}
+
+// Codes of the gateway, from gRPC.
+const (
+	codeResourceExhausted = 8
+	codeOutOfRange        = 11
+	codeUnavailable       = 14
+	codeInvalidArgument   = 3
+)
+
+func fail(w http.ResponseWriter, status, code int, text string) {
+	w.Header().Set("Content-Type", "application/json")
+	w.WriteHeader(status)
+	_ = json.NewEncoder(w).Encode(gatewayError{Error: text, Code: code, Message: text})
+}
+
+// errLost makes the server cut the connection in place of an answer.
+type errLost struct{}
+
+func (errLost) Error() string { return "answer lost" }
+
+// maxRequest bounds a request body: values reach 1 MB before base64.
+const maxRequest = 2 << 20
+
+func (s *Server) handle(k kind, serve func(body json.RawMessage) (any, error)) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		if _, ok := s.admit(w, r, k); !ok {
+			return
+		}
+		var body json.RawMessage
+		if err := json.NewDecoder(http.MaxBytesReader(w, r.Body, maxRequest)).Decode(&body); err != nil {
+			fail(w, http.StatusBadRequest, codeInvalidArgument, err.Error())
+			return
+		}
+		answer, err := serve(body)
+		if _, lost := err.(errLost); lost {
+			panic(http.ErrAbortHandler)
+		}
+		if err != nil {
+			fail(w, http.StatusBadRequest, codeInvalidArgument, err.Error())
+			return
+		}
+		w.Header().Set("Content-Type", "application/json")
+		_ = json.NewEncoder(w).Encode(answer)
+	}
+}
+
+// admit applies the faults to a call; it answers and returns false if the call
+// goes no further.
+func (s *Server) admit(w http.ResponseWriter, r *http.Request, k kind) (decision, bool) {
+	d := s.board.admit(k, time.Now())
+	if d.down {
+		fail(w, http.StatusServiceUnavailable, codeUnavailable, "etcdserver: no leader")
+		return d, false
+	}
+	if d.limited {
+		fail(w, http.StatusTooManyRequests, codeResourceExhausted, "etcdserver: too many requests")
+		return d, false
+	}
+	if d.delay == 0 {
+		return d, true
+	}
+	select {
+	case <-time.After(d.delay):
+		return d, true
+	case <-r.Context().Done():
+		return d, false
+	}
+}
+
+func (s *Server) getFaults(w http.ResponseWriter, _ *http.Request) {
+	f, _ := s.board.snapshot()
+	_ = json.NewEncoder(w).Encode(f)
+}
+
+func (s *Server) putFaults(w http.ResponseWriter, r *http.Request) {
+	var f Faults
+	dec := json.NewDecoder(r.Body)
+	dec.DisallowUnknownFields()
+	if err := dec.Decode(&f); err != nil {
+		fail(w, http.StatusBadRequest, codeInvalidArgument, err.Error())
+		return
+	}
+	s.SetFaults(f)
+}
+
+func (s *Server) getCalls(w http.ResponseWriter, _ *http.Request) {
+	_ = json.NewEncoder(w).Encode(s.Calls())
+}
+
+func (s *Server) dropWatches(http.ResponseWriter, *http.Request) { s.DropWatches() }
+
+func (s *Server) lapseLeases(http.ResponseWriter, *http.Request) { s.LapseLeases() }
+
+// int64String is how the gateway writes 64-bit integers.
+func int64String(n int64) string { return strconv.FormatInt(n, 10) }
--- /dev/null
+++ b/standin/worker/tasks.go
@@ -0,0 +1,122 @@
+package worker
+
+import (
+	"encoding/json"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/postmount/postmount/adapter/workerhttp"
+	"github.com/postmount/postmount/fleet"
+)
+
+func itoa(n int) string { return strconv.Itoa(n) }
+
+// taskID names a job; a worker runs at most one attempt of it.
+type taskID struct{ pool, job string }
+
+type task struct {
+	msg     workerhttp.TaskMessage
+	ends    time.Time // when it is done
+	lease   time.Time // when it is stopped unless renewed
+	state   fleet.TaskState
+	stopped bool
+}
+
+// usedShare is how much of its declared need a task really uses, in percent:
+// declared sizes are far off.
+const usedShare = 60
+
+// sync serves one round of the task API.
+func (w *Worker) sync(rw http.ResponseWriter, r *http.Request) {
+	var m workerhttp.SyncMessage
+	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+		http.Error(rw, err.Error(), http.StatusBadRequest)
+		return
+	}
+	w.mu.Lock()
+	now := time.Now()
+	w.advance(now)
+	lease := now.Add(time.Duration(m.LeaseMS) * time.Millisecond)
+	for _, t := range m.Stop {
+		w.stopTask(t)
+	}
+	for _, t := range m.Keep {
+		if have := w.tasks[taskID{t.Pool, t.Job}]; have != nil && have.msg.Attempt == t.Attempt {
+			have.lease = lease
+		}
+	}
+	for _, t := range m.Start {
+		w.startTask(now, lease, t)
+	}
+	answer := w.report()
+	w.mu.Unlock()
+	_ = json.NewEncoder(rw).Encode(answer)
+}
+
+// startTask starts an attempt unless it, or a newer one, is known already.
+func (w *Worker) startTask(now, lease time.Time, t workerhttp.TaskMessage) {
+	id := taskID{t.Pool, t.Job}
+	have := w.tasks[id]
+	if have != nil && have.msg.Attempt >= t.Attempt {
+		have.lease = lease
+		return
+	}
+	if !w.draining.IsZero() {
+		return
+	}
+	if have != nil && have.state == fleet.TaskRunning {
+		w.counts.TasksTwice++
+	}
+	w.tasks[id] = &task{msg: t, ends: now.Add(time.Duration(t.RunForMS) * time.Millisecond), lease: lease, state: fleet.TaskRunning}
+}
+
+func (w *Worker) stopTask(t workerhttp.TaskMessage) {
+	id := taskID{t.Pool, t.Job}
+	if have := w.tasks[id]; have != nil && have.msg.Attempt == t.Attempt && have.state == fleet.TaskRunning {
+		delete(w.tasks, id)
+	}
+}
+
+// advance ends the tasks whose time or lease is over.
+func (w *Worker) advance(now time.Time) {
+	for id, t := range w.tasks {
+		switch {
+		case t.state != fleet.TaskRunning:
+		case w.faults.Fail:
+			t.state = fleet.TaskFailed
+		case now.After(t.ends) && t.ends.Before(t.lease):
+			t.state = fleet.TaskDone
+			w.counts.TasksDone++
+		case now.After(t.lease):
+			w.counts.Lapsed++
+			delete(w.tasks, id)
+		}
+	}
+}
+
+func (w *Worker) report() workerhttp.SyncAnswer {
+	var a workerhttp.SyncAnswer
+	for _, t := range w.tasks {
+		a.Tasks = append(a.Tasks, workerhttp.TaskMessage{
+			Pool: t.msg.Pool, Job: t.msg.Job, Attempt: t.msg.Attempt, State: string(t.state),
+			CPUMilli: t.msg.CPUMilli * usedShare / 100, MemoryMB: t.msg.MemoryMB * usedShare / 100,
+			Accelerators: t.msg.Accelerators, Slots: t.msg.Slots,
+		})
+	}
+	return a
+}
+
+// busy returns the requests in flight and the running tasks.
+func (w *Worker) busy() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.advance(time.Now())
+	n := w.atOnce
+	for _, t := range w.tasks {
+		if t.state == fleet.TaskRunning {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/telemetry/telemetry.go
@@ -0,0 +1,127 @@
+// Package telemetry counts what the daemon does, and logs changes of state.
+package telemetry
+
+import (
+	"io"
+	"net/http"
+	"time"
+
+	prom "github.com/prometheus/client_golang/prometheus"
+	"github.com/uber-go/tally/v4"
+	"github.com/uber-go/tally/v4/prometheus"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"github.com/postmount/postmount/directory"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/slo"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Metrics is the root of the daemon's metrics with its scrape endpoint.
+type Metrics struct {
+	Scope   tally.Scope
+	Handler http.Handler
+	closer  io.Closer
+}
+
+// reportInterval is how often counters are handed to the scrape endpoint.
+const reportInterval = time.Second
+
+// NewMetrics returns an empty set of metrics under the prefix "postmount".
+func NewMetrics() *Metrics {
+	// Each daemon has a registry of its own: several may run in one process.
+	registry := prom.NewRegistry()
+	reporter := prometheus.NewReporter(prometheus.Options{Registerer: registry, Gatherer: registry})
+	scope, closer := tally.NewRootScope(tally.ScopeOptions{
+		Prefix:                 "postmount",
+		CachedReporter:         reporter,
+		Separator:              prometheus.DefaultSeparator,
+		SanitizeOptions:        &prometheus.DefaultSanitizerOpts,
+		OmitCardinalityMetrics: true,
+	}, reportInterval)
+	return &Metrics{Scope: scope, Handler: reporter.HTTPHandler(), closer: closer}
+}
+
+// Close stops the reporting.
+func (m *Metrics) Close() error { return m.closer.Close() }
+
+// NewLogger returns a logger that writes to w.
+func NewLogger(level, format string, w io.Writer) (*zap.Logger, error) {
+	lvl, err := zapcore.ParseLevel(level)
+	if err != nil {
+		return nil, err
+	}
+	cfg := zap.NewProductionEncoderConfig()
+	cfg.EncodeTime = zapcore.RFC3339NanoTimeEncoder
+	enc := zapcore.NewJSONEncoder(cfg)
+	if format == "console" {
+		enc = zapcore.NewConsoleEncoder(cfg)
+	}
+	return zap.New(zapcore.NewCore(enc, zapcore.Lock(zapcore.AddSync(w)), lvl)), nil
+}
+
+// Traffic observes the entry path.
+type Traffic struct {
+	Scope     tally.Scope
+	Log       *zap.Logger
+	Burn      *slo.Recorder
+	Directory func() *directory.Directory
+}
+
+// latencyBuckets of the request histogram.
+var latencyBuckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 16)
+
+// Answered implements entry.Observer. A request that could not be routed is
+// the caller's mistake and counts against no objective.
+func (t *Traffic) Answered(service fleet.ServiceName, class fleet.ClassName, v verdict.Verdict, code verdict.Code, status int, took time.Duration) {
+	tags := map[string]string{"service": string(service), "class": string(class), "verdict": v.String(), "code": string(code)}
+	scope := t.Scope.Tagged(tags)
+	scope.Counter("requests").Inc(1)
+	if service == "" {
+		return
+	}
+	t.Scope.Tagged(map[string]string{"service": string(service), "class": string(class)}).Histogram("latency", latencyBuckets).RecordDuration(took)
+	t.Burn.Record(time.Now(), slo.Key{Service: service, Class: class}, t.good(service, class, v, status, took))
+}
+
+func (t *Traffic) good(service fleet.ServiceName, class fleet.ClassName, v verdict.Verdict, status int, took time.Duration) bool {
+	if v != verdict.Done {
+		return status < http.StatusInternalServerError // the caller's mistake
+	}
+	if status >= http.StatusInternalServerError {
+		return false
+	}
+	svc := t.Directory().Services[service]
+	if svc == nil {
+		return true
+	}
+	for _, k := range svc.Classes {
+		if k.Name == class && k.Objective.Latency > 0 {
+			return took <= k.Objective.Latency
+		}
+	}
+	return true
+}
+
+// Tried implements entry.Observer.
+func (t *Traffic) Tried(service fleet.ServiceName, _ fleet.InstanceID, attempt int, err error) {
+	outcome := "answered"
+	if err != nil {
+		outcome = string(verdict.CodeOf(err))
+	}
+	retried := "false"
+	if attempt > 1 {
+		retried = "true"
+	}
+	t.Scope.Tagged(map[string]string{"service": string(service), "outcome": outcome, "retry": retried}).Counter("tries").Inc(1)
+}
+
+// Health implements entry.Observer.
+func (t *Traffic) Health(service fleet.ServiceName, worker fleet.InstanceID, ejected bool) {
+	if ejected {
+		t.Log.Info("worker put aside", zap.String("service", string(service)), zap.String("worker", string(worker)))
+		return
+	}
+	t.Log.Info("worker back in use", zap.String("service", string(service)), zap.String("worker", string(worker)))
+}
--- /dev/null
+++ b/verdict/verdict.go
@@ -0,0 +1,116 @@
+// Package verdict says, for every outcome, whether the request may have run.
+//
+// A caller that sees NotRun may resend freely. A caller that sees MayHaveRun
+// may only resend an idempotent request, or the same Idempotency-Key.
+package verdict
+
+import (
+	"context"
+	"errors"
+
+	"github.com/samber/oops"
+)
+
+// Verdict classifies the effect of a request or a store write.
+type Verdict uint8
+
+const (
+	// MayHaveRun is the zero value, so that an outcome nobody classified is
+	// never reported as safe to repeat.
+	MayHaveRun Verdict = iota
+	// NotRun means that it is proven that the request had no effect.
+	NotRun
+	// Done means that the request ran once and its whole answer is known.
+	Done
+)
+
+// Header is the HTTP response header that carries the verdict to a caller.
+const Header = "Postmount-Verdict"
+
+// String returns the wire form of v.
+func (v Verdict) String() string {
+	switch v {
+	case NotRun:
+		return "not-run"
+	case Done:
+		return "done"
+	default:
+		return "may-have-run"
+	}
+}
+
+// Parse is the inverse of String. An unknown text is MayHaveRun.
+func Parse(s string) Verdict {
+	switch s {
+	case "not-run":
+		return NotRun
+	case "done":
+		return Done
+	default:
+		return MayHaveRun
+	}
+}
+
+// MarshalText implements encoding.TextMarshaler.
+func (v Verdict) MarshalText() ([]byte, error) { return []byte(v.String()), nil }
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (v *Verdict) UnmarshalText(b []byte) error {
+	*v = Parse(string(b))
+	return nil
+}
+
+// Code names a kind of failure; codes are stable and documented for callers.
+type Code string
+
+// Error is a failure together with its verdict and code.
+type Error struct {
+	Verdict Verdict
+	Code    Code
+	err     error
+}
+
+// Error implements error.
+func (e *Error) Error() string { return e.err.Error() }
+
+// Unwrap returns the cause.
+func (e *Error) Unwrap() error { return e.err }
+
+// New returns an error with the given verdict and code.
+func New(v Verdict, code Code, format string, args ...any) *Error {
+	err := oops.Code(string(code)).With("verdict", v.String()).Errorf(format, args...)
+	return &Error{Verdict: v, Code: code, err: err}
+}
+
+// Wrap attaches a verdict and code to err, keeping it as the cause.
+func Wrap(err error, v Verdict, code Code, format string, args ...any) *Error {
+	wrapped := oops.Code(string(code)).With("verdict", v.String()).Wrapf(err, format, args...)
+	return &Error{Verdict: v, Code: code, err: wrapped}
+}
+
+// Of returns the verdict carried by err. A nil error is Done; an error without
+// a verdict is MayHaveRun.
+func Of(err error) Verdict {
+	if err == nil {
+		return Done
+	}
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Verdict
+	}
+	return MayHaveRun
+}
+
+// CodeOf returns the code carried by err, or "" if there is none.
+func CodeOf(err error) Code {
+	var e *Error
+	if errors.As(err, &e) {
+		return e.Code
+	}
+	return ""
+}
+
+// IsContext reports whether err comes from a cancelled or expired context.
+func IsContext(err error) bool {
+	return errors.Is(err, context.Canceled) || errors.Is(err, context.DeadlineExceeded)
+}
