Views change without a pause for what does not move

Cause: after each change of the view every daemon refused requests until a quorum had confirmed the new view, and every claim waited 1.6 s for the old view to lapse, although most owners and all slot shares had not changed hands. Ruled out: a shorter confirmation window (it only trades the pause for false alarms when a daemon is late). Change: slot use carries the last view's confirmations over; a view is retired at once when all members of the earlier ones know it; a partition that stays with its owner does not wait at all. Shares of vanished members are taken up only after the earlier view has stopped and their requests have ended. Also: settings with durations no longer panic (test), a wave keeps its final counts, daemons that all stop at once do not wait for each other. What is left are the keys of a killed owner while the store is down, which nobody may take over.

--- a/cluster/claims.go
+++ b/cluster/claims.go
@@ -145,7 +145,7 @@
 	defer c.mu.Unlock()
 	now := time.Now()
 	s := c.node.Standing()
-	return c.table.Claim(now, s.Serving(now) && s.Epoch == r.Epoch, r)
+	return c.table.Claim(now, once.Standing{Confirmed: s.Confirmed(now) && s.Epoch == r.Epoch, Retired: s.Retired}, r)
 }
 
 // OnNote takes in what became of an attempt.
@@ -185,8 +185,15 @@
 	c.mu.Unlock()
 	uncertain := false
 	for {
-		reply, maybe := c.askOnce(ctx, cl)
+		asked := c.node.View()
+		reply, maybe := c.askOnce(ctx, asked, cl)
 		uncertain = uncertain || maybe
+		if reply.Result == once.Granted && c.node.View().Epoch != asked.Epoch {
+			// A grant under a view that has ended meanwhile is asked for again:
+			// the owner may have been paused before it answered.
+			uncertain = true
+			continue
+		}
 		switch reply.Result {
 		case once.Granted:
 			c.granted(attempt)
@@ -223,10 +230,9 @@
 	c.mu.Unlock()
 }
 
-// askOnce asks the owner under the view in force. maybe tells that the owner
+// askOnce asks the owner under view v. maybe tells that the owner
 // may have granted the claim without this daemon knowing.
-func (c *Claims) askOnce(ctx context.Context, cl once.Claim) (reply once.Reply, maybe bool) {
-	v := c.node.View()
+func (c *Claims) askOnce(ctx context.Context, v *fleet.View, cl once.Claim) (reply once.Reply, maybe bool) {
 	r := once.Request{Epoch: v.Epoch, Key: cl.Key, Fingerprint: cl.Fingerprint, Attempt: cl.Attempt, Claimer: cl.Claimer}
 	owner := v.Member(once.Owner(v, cl.Key.Partition()))
 	if owner == nil {
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -36,7 +36,8 @@
 // Shares is what the traffic side offers to the node: the daemon's shares of
 // the workers' slots follow the view.
 type Shares interface {
-	SetView(now time.Time, v *fleet.View)
+	SetView(v *fleet.View)
+	Advance(now time.Time, retired bool)
 	SelfSettled() bool
 	PeerSettled(peer fleet.Incarnation, e fleet.Epoch)
 	OnBorrow(r port.BorrowRequest) port.BorrowReply
@@ -99,6 +100,8 @@
 	View     *fleet.View
 	Revision map[fleet.Incarnation]fleet.Revision
 	HeardAt  map[fleet.Incarnation]time.Time
+	// Stopping holds the members that are leaving.
+	Stopping map[fleet.Incarnation]bool
 }
 
 // New returns a node that has not started.
@@ -220,7 +223,7 @@
 	// The standing under the old view ends before anything acts on the new one.
 	n.publish(now)
 	n.deps.Log.Info("view adopted", zap.Int64("epoch", int64(v.Epoch)), zap.Int("members", len(v.Members)))
-	n.deps.Shares.SetView(now, v)
+	n.deps.Shares.SetView(v)
 	n.Claims.setView(ctx, v)
 	n.beatAll(ctx, now)
 }
@@ -229,6 +232,7 @@
 func (n *Node) publish(now time.Time) {
 	s := n.core.Standing(now)
 	n.standing.Store(&s)
+	n.deps.Shares.Advance(now, s.Retired)
 	if s.Reason != n.lastReason {
 		n.lastReason = s.Reason
 		n.deps.Log.Info("standing changed", zap.Int64("epoch", int64(s.Epoch)), zap.String("reason", s.Reason))
@@ -237,10 +241,12 @@
 		View:     n.core.View().Clone(),
 		Revision: map[fleet.Incarnation]fleet.Revision{n.opts.Self.Incarnation: n.deps.Mirror.State().Revision},
 		HeardAt:  map[fleet.Incarnation]time.Time{n.opts.Self.Incarnation: now},
+		Stopping: map[fleet.Incarnation]bool{n.opts.Self.Incarnation: n.stopping},
 	}
 	for i, peer := range n.peers {
 		p.Revision[i] = peer.revision
 		p.HeardAt[i] = peer.heardAt
+		p.Stopping[i] = peer.stopping
 	}
 	n.progress.Store(p)
 }
--- a/cluster/register.go
+++ b/cluster/register.go
@@ -101,9 +101,7 @@
 	t := time.NewTicker(n.opts.Heartbeat / 4)
 	defer t.Stop()
 	for {
-		v := n.View()
-		alone := len(v.Members) == 1
-		if v.Epoch > 0 && (v.Member(n.opts.Self.Incarnation) == nil || alone) && n.Claims.handedOver() {
+		if n.left() && n.Claims.handedOver() {
 			return nil
 		}
 		n.do(func(now time.Time) { n.propose(ctx, now) })
@@ -115,3 +113,18 @@
 		}
 	}
 }
+
+// left reports whether this daemon is out of the view, or everybody in it is
+// leaving, so that there is nobody to hand over to.
+func (n *Node) left() bool {
+	p := n.Progress()
+	if p.View.Member(n.opts.Self.Incarnation) == nil {
+		return true
+	}
+	for _, m := range p.View.Members {
+		if !p.Stopping[m.Incarnation] {
+			return false
+		}
+	}
+	return true
+}
--- a/cmd/postmount/wait.go
+++ b/cmd/postmount/wait.go
@@ -22,10 +22,16 @@
 	}
 }
 
-const waitInterval = time.Second
+// waitInterval is the pause between questions; after giveUpAfter failed ones in
+// a row the wave's end is left unknown.
+const (
+	waitInterval = time.Second
+	giveUpAfter  = 60
+)
 
 func waitForWave(ctx context.Context, c *client.Client, name string) int {
 	last := ""
+	failed := 0
 	for {
 		state, line, err := waveProgress(ctx, c, name)
 		if err != nil {
@@ -33,8 +39,13 @@
 			if verdict.CodeOf(err) != client.CodeUnreachable {
 				return exitNotRun
 			}
+			if failed++; failed >= giveUpAfter {
+				return exitMayHaveRun
+			}
+		} else {
+			failed = 0
 		}
-		if line != last {
+		if line != "" && line != last {
 			fmt.Println(line)
 			last = line
 		}
--- a/command/show.go
+++ b/command/show.go
@@ -111,9 +111,6 @@
 	for _, name := range p.state.SortedWaves() {
 		v := p.state.Waves[name]
 		c := control.TallyWave(p.Snap, members, v.Value)
-		if v.Value.Ended() {
-			c.Remaining = 0
-		}
 		var pools []string
 		for _, n := range v.Value.Pools {
 			pools = append(pools, string(n))
--- a/command/wave.go
+++ b/command/wave.go
@@ -59,6 +59,8 @@
 		next.Reason = ""
 		next.Forgiven = control.TallyWave(p.Snap, p.state.MembersByPool(), v.Value).Failed
 	case "cancel":
+		t := control.TallyWave(p.Snap, p.state.MembersByPool(), v.Value)
+		next.Finished, next.Failed = t.Finished, t.Failed
 		next.State = fleet.WaveCancelled
 		next.EndedAt = p.Now
 	}
--- a/control/reconcile.go
+++ b/control/reconcile.go
@@ -97,6 +97,7 @@
 		next.State = fleet.WaveDone
 		next.EndedAt = r.now
 		next.Reason = ""
+		next.Finished, next.Failed = t.Finished, t.Failed
 	case w.Value.State == fleet.WaveRunning && wave.ShouldHalt(t.Failed, t.Granted, w.Value.Forgiven):
 		next.State = fleet.WaveHalted
 		next.Reason = "too many instances did not come back"
@@ -120,6 +121,9 @@
 
 // TallyWave works out how far a wave is.
 func TallyWave(s *Snapshot, members map[fleet.PoolName][]fleet.Membership, w *fleet.Wave) WaveTally {
+	if w.Ended() {
+		return WaveTally{Finished: w.Finished, Failed: w.Failed, Known: true}
+	}
 	t := WaveTally{Known: len(s.Instances) > 0}
 	for _, name := range w.Pools {
 		p, ok := s.State.Pools[name]
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -167,7 +167,7 @@
 	policies.Pick = route.Policy(s.Policies.Pick)
 	policies.Retry.Policy = retry.Policy(s.Policies.Retry)
 	policies.NoLoans = s.Policies.Loans == "off"
-	d.dispatcher = entry.NewDispatcher(d.self.Incarnation, d.self.Zone, s.Limits.MaxTimeout.D(), policies, newRand())
+	d.dispatcher = entry.NewDispatcher(d.self.Incarnation, d.self.Zone, s.Limits.MaxTimeout.D()+member.DefaultOptions.ConfirmWindow, policies, newRand())
 	d.node = cluster.New(cluster.Options{
 		Self: d.self, Seeds: s.Peers.Seeds, Heartbeat: s.Peers.Heartbeat.D(), LeaseTTL: s.Peers.LeaseTTL.D(), Grace: s.Peers.Grace.D(),
 		Member: member.DefaultOptions, Once: once.DefaultOptions,
@@ -337,7 +337,9 @@
 		d.log.Info("store reached")
 		return
 	}
-	d.log.Warn("store lost", zap.Error(err))
+	if d.base.Err() == nil {
+		d.log.Warn("store lost", zap.Error(err))
+	}
 }
 
 func (d *Daemon) newSnapshot(s *control.Snapshot) {
--- a/entry/loans.go
+++ b/entry/loans.go
@@ -26,12 +26,12 @@
 )
 
 // SetView implements cluster.Shares.
-func (d *Dispatcher) SetView(now time.Time, v *fleet.View) {
+func (d *Dispatcher) SetView(v *fleet.View) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.view = v
-	d.slots.SetView(now, v)
-	d.pumpAll(now)
+	d.slots.SetView(v)
+	d.pumpAll(time.Now())
 }
 
 // SelfSettled implements cluster.Shares.
@@ -46,8 +46,15 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.slots.PeerSettled(peer, e)
-	d.slots.Tick(time.Now())
-	d.pumpAll(time.Now())
+}
+
+// Advance implements cluster.Shares: it takes up the shares of the view in
+// force once nothing of earlier views can be in use.
+func (d *Dispatcher) Advance(now time.Time, retired bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.slots.Tick(now, retired)
+	d.pumpAll(now)
 }
 
 // OnBorrow implements cluster.Shares: it lends a slot that is not needed here.
@@ -116,7 +123,6 @@
 func (d *Dispatcher) tick(ctx context.Context, peers port.Peers) {
 	d.mu.Lock()
 	now := time.Now()
-	d.slots.Tick(now)
 	idle := d.slots.Idle(now.Add(-loanIdle))
 	view := d.view
 	for name, s := range d.services {
--- a/fleet/wave.go
+++ b/fleet/wave.go
@@ -32,7 +32,11 @@
 	Deadline time.Time
 	// Forgiven is how many failed instances the operators knew of when they
 	// resumed the wave; the halt rule counts only those beyond.
-	Forgiven int        `json:",omitempty"`
+	Forgiven int `json:",omitempty"`
+	// Finished and Failed are set when the wave ends: how many instances it
+	// rebooted and how many it gave up.
+	Finished int        `json:",omitempty"`
+	Failed   int        `json:",omitempty"`
 	Applied  CommandLog `json:",omitempty"`
 }
 
--- a/member/member.go
+++ b/member/member.go
@@ -41,8 +41,13 @@
 	known map[fleet.Incarnation]fleet.Epoch
 	gone  map[fleet.Incarnation]bool
 	// retiredAt is when every earlier view was first known to be unable to
-	// gather confirmations; zero before.
-	retiredAt time.Time
+	// gather confirmations; zero before. allStopped tells that every member of
+	// every earlier view is known to have stopped serving it.
+	retiredAt  time.Time
+	allStopped bool
+	// carried is until when the confirmations of the last view count for the
+	// use of slots under the view in force.
+	carried time.Time
 }
 
 // New returns the core of the daemon with incarnation self.
@@ -69,10 +74,12 @@
 	if v.Epoch <= c.view.Epoch {
 		return false
 	}
+	c.carried = c.Standing(now).Until
 	c.view = *v.Clone()
 	c.highest = max(c.highest, v.Epoch)
 	clear(c.confirmed)
 	c.retiredAt = time.Time{}
+	c.allStopped = false
 	c.checkRetired(now)
 	return true
 }
@@ -103,29 +110,35 @@
 	c.checkRetired(now)
 }
 
-// checkRetired sets retiredAt when, for each earlier view, a majority of its
-// members can no longer confirm it.
+// checkRetired sets retiredAt when, for each earlier view, a quorum of its
+// members can no longer confirm it, and allStopped when none of them can.
 func (c *Core) checkRetired(now time.Time) {
-	if !c.retiredAt.IsZero() || c.view.Epoch == 0 {
+	if c.view.Epoch == 0 || c.allStopped {
 		return
 	}
+	retired, all := true, true
 	for _, old := range c.view.Unretired {
-		if !c.cannotServe(old) {
-			return
-		}
+		stopped, first := c.stopped(old)
+		retired = retired && quorum(stopped, first, len(old.Members))
+		all = all && stopped == len(old.Members)
+	}
+	c.allStopped = all
+	if retired && c.retiredAt.IsZero() {
+		c.retiredAt = now
 	}
-	c.retiredAt = now
 }
 
-func (c *Core) cannotServe(old fleet.RetiringView) bool {
-	stopped, first := 0, false
+// stopped counts the members that no longer serve or confirm an earlier view:
+// they know a newer one or have ended. first tells that the view's first member
+// is among them.
+func (c *Core) stopped(old fleet.RetiringView) (n int, first bool) {
 	for i, m := range old.Members {
 		if m == c.self || c.gone[m] || c.known[m] > old.Epoch {
-			stopped++
+			n++
 			first = first || i == 0
 		}
 	}
-	return quorum(stopped, first, len(old.Members))
+	return n, first
 }
 
 // quorum reports whether n of total members outweigh the rest. Exactly half of
@@ -141,25 +154,35 @@
 // itself.
 type Standing struct {
 	Epoch fleet.Epoch
-	// Until is when the confirmations of a quorum lapse.
+	// Until is when the daemon must stop using its share of the workers unless
+	// a quorum confirms the view again.
 	Until time.Time
+	// ServeUntil is the same for its part as an owner of claims; it is zero as
+	// soon as a newer epoch has been heard of.
+	ServeUntil time.Time
 	// Retired tells that every earlier view has certainly stopped.
 	Retired bool
 	Reason  string // why the standing is not a serving one; "" if it is
 }
 
 // Current reports whether the daemon may use its share of the workers at time
-// now: no view that leaves it out can have taken the share away yet.
+// now. Another daemon takes that share over only after it has waited for
+// longer than any confirmation counts (see package slots).
 func (s Standing) Current(now time.Time) bool { return s.Epoch > 0 && now.Before(s.Until) }
 
-// Serving reports whether the daemon may act as an owner of claims at time now.
+// Confirmed reports whether a quorum recently knew of nothing newer than the
+// view.
+func (s Standing) Confirmed(now time.Time) bool { return s.Epoch > 0 && now.Before(s.ServeUntil) }
+
+// Serving reports whether the daemon may act as an owner of any claims at time
+// now.
 //
 // Invariant: no two epochs are served at the same time. Reason: serving N
 // needs confirmations of a quorum of N's members, each at most ConfirmWindow
-// old; a member that knows N+1 no longer confirms N; and N+1 is served only
-// ConfirmWindow (and the clock margin) after a quorum of N's members knew N+1
-// or had ended. Two quorums of one view share a member.
-func (s Standing) Serving(now time.Time) bool { return s.Retired && s.Current(now) }
+// old; a member that knows N+1 neither serves nor confirms N; and N+1 is served
+// once every member of N knew N+1 or had ended, or ConfirmWindow (and the clock
+// margin) after a quorum of them did. Two quorums of one view share a member.
+func (s Standing) Serving(now time.Time) bool { return s.Retired && s.Confirmed(now) }
 
 // Reasons of a standing that does not serve.
 const (
@@ -176,16 +199,23 @@
 	switch {
 	case c.view.Epoch == 0:
 		s.Reason = ReasonNoView
+		return s
 	case c.view.Member(c.self) == nil:
 		s.Reason = ReasonNotMember
-	case c.highest > c.view.Epoch:
-		s.Reason = ReasonNewerEpoch
-	default:
-		s.Until = c.confirmedUntil(now)
+		return s
+	}
+	confirmed := c.confirmedUntil(now)
+	s.Until = confirmed
+	if c.carried.After(confirmed) {
+		s.Until = c.carried
+	}
+	if c.highest == c.view.Epoch {
+		s.ServeUntil = confirmed
 	}
 	switch {
-	case s.Reason != "":
-	case !s.Current(now):
+	case c.highest > c.view.Epoch:
+		s.Reason = ReasonNewerEpoch
+	case !s.Confirmed(now):
 		s.Reason = ReasonMinority
 	case !s.Retired:
 		s.Reason = ReasonRetiring
@@ -225,11 +255,8 @@
 
 // retired reports whether every earlier view has certainly stopped.
 func (c *Core) retired(now time.Time) bool {
-	if c.retiredAt.IsZero() {
-		return false
-	}
-	if len(c.view.Unretired) == 0 {
-		return true
+	if c.allStopped || c.retiredAt.IsZero() {
+		return c.allStopped
 	}
 	return now.Sub(c.retiredAt) >= c.opts.ConfirmWindow+c.opts.DriftMargin
 }
--- a/once/once.go
+++ b/once/once.go
@@ -161,6 +161,9 @@
 	// takenAt the epoch from which on this daemon owns the partition.
 	from    fleet.Incarnation
 	takenAt fleet.Epoch
+	// sole tells that this daemon owns the partition under every view that may
+	// still be served, so that it need not wait for them to stop.
+	sole bool
 	// since is the time from which the table is complete: any key made at or
 	// after it that was ever claimed is in claims.
 	since  time.Time
@@ -215,10 +218,22 @@
 		case owner != t.self && mine != nil:
 			out = append(out, t.export(p, owner))
 		}
+		if mine = t.parts[p]; mine != nil {
+			mine.sole = t.soleOwner(v, p)
+		}
 	}
 	return out
 }
 
+func (t *Table) soleOwner(v *fleet.View, p Partition) bool {
+	for _, old := range v.Unretired {
+		if rendezvous.Owner(old.Members, partitionKey(p)) != t.self {
+			return false
+		}
+	}
+	return true
+}
+
 // takeOver prepares a partition that this daemon owns from view v on. The
 // first view of all has nothing to wait for.
 func (t *Table) takeOver(old, v *fleet.View, p Partition) *partition {
@@ -356,19 +371,28 @@
 	Claimer     fleet.Incarnation
 }
 
-// Claim decides whether the request may run. serving is the daemon's standing
-// under its view at time now.
+// Standing is what the owner's daemon may do under the table's view.
+type Standing struct {
+	// Confirmed tells that a quorum recently knew of no newer view.
+	Confirmed bool
+	// Retired tells that every earlier view has certainly stopped.
+	Retired bool
+}
+
+// Claim decides whether the request may run.
 //
 // Invariant: of all attempts with one key, at most one is ever granted while
 // none of the earlier ones was abandoned. Reason: a grant is noted before it
 // is given, an owner grants only what its table is complete for, and two views
-// are never served at once.
-func (t *Table) Claim(now time.Time, serving bool, r Request) Reply {
+// are never served at once for one partition.
+func (t *Table) Claim(now time.Time, s Standing, r Request) Reply {
 	p := t.parts[r.Key.Partition()]
-	if !serving || p == nil || r.Epoch != t.view.Epoch {
+	if !s.Confirmed || p == nil || r.Epoch != t.view.Epoch || !(s.Retired || p.sole) {
 		return Reply{Result: NotOwner}
 	}
-	t.Serve(now)
+	if s.Retired {
+		t.Serve(now)
+	}
 	c, found := p.claims[r.Key]
 	if found && c.Status != Abandoned {
 		return t.known(c, r)
--- a/query/grammar.go
+++ b/query/grammar.go
@@ -297,7 +297,33 @@
 	}
 	var at participle.Error
 	if errors.As(err, &at) {
-		return nil, &Error{Line: at.Position().Line, Column: at.Position().Column, Message: at.Message()}
+		return nil, &Error{Line: at.Position().Line, Column: at.Position().Column, Message: readable(at.Message())}
 	}
 	return nil, &Error{Line: 1, Column: 1, Message: err.Error()}
 }
+
+// expected words what the grammar's own names stand for.
+var expected = strings.NewReplacer(
+	"(expected Show)", "(expected pools, instances, jobs, waves, services, routes, teams or revisions)",
+	"(expected Why)", "(expected instance, job, wave or pool, and its name)",
+	"(expected Create)", "(expected service, route, team or pool)",
+	"(expected Set)", "(expected budget, objective or weights)",
+	"(expected CancelJobs)", "(expected wave, job or jobs)",
+	"(expected Budget)", "(expected max-unavailable and a number or percentage)",
+	"(expected Class", "(expected class NAME weight NUMBER",
+	"(expected Condition", "(expected FIELD = VALUE",
+	"(expected Needs", "(expected cpu, memory, accelerators or slots with an amount",
+	"<ident>", "a name", "<number>", "a number", "<string>", "a quoted text",
+)
+
+const statements = "show, why, drain, return, move, create, add, set, start, pause, resume, cancel or submit"
+
+func readable(message string) string {
+	if unlexed, found := strings.CutPrefix(message, "lexer: "); found {
+		return unlexed
+	}
+	if before, _, found := strings.Cut(message, " (expected"); !found {
+		return before + " (expected " + statements + ")"
+	}
+	return expected.Replace(message)
+}
--- /dev/null
+++ b/query/grammar_test.go
@@ -0,0 +1,65 @@
+package query
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func TestParseStatements(t *testing.T) {
+	p, err := Parse(`
+		show instances where pool = giving and state != ready; # a comment
+		why instance events-07
+		drain instance events-07; return instance events-07
+		move instance a-1 to pool b at revision 12
+		create service giving class donation weight 8, class staff weight 1
+		create route "giving.example/donate" to service giving class donation timeout 5s
+		create team margin quota cpu 32 memory 128GB accelerators 4
+		create pool giving for service giving max-unavailable 10% min-available 5 survive-zone
+		add instance a-1, a-2 to pool giving
+		set budget giving max-unavailable 2
+		set objective service giving class donation availability 99.9 latency 500ms
+		set weights rollout 3 buffer 1 moves 0.5
+		start wave w on pools a, b within 2h
+		start wave x on all pools
+		pause wave w; resume wave w; cancel wave w
+		submit job j to pool p team t count 3 cpu 0.5 memory 512MB run 10s within 1h urgent
+		cancel job j in pool p; cancel jobs in pool p`)
+	require.NoError(t, err)
+	require.Len(t, p.Statements, 21)
+	assert.Equal(t, Text("ready"), p.Statements[0].Show.Where[1].Value)
+	assert.True(t, p.Statements[0].Show.Where[1].Not)
+	assert.EqualValues(t, 12, p.Statements[4].AtRevision)
+	assert.Equal(t, "10%", p.Statements[8].Create.Pool.Budget.MaxUnavailable)
+	assert.Equal(t, Duration(2*time.Hour), p.Statements[13].Start.Within)
+	assert.Equal(t, "cancel", p.Statements[17].Wave.Verb)
+	assert.EqualValues(t, 512, *p.Statements[18].Submit.Needs[1].Memory)
+	assert.True(t, p.Statements[20].Cancel.All)
+}
+
+func TestParseSaysWhereAndWhatWasExpected(t *testing.T) {
+	for _, tc := range []struct{ text, want string }{
+		{"show poles", `line 1, column 6: unexpected token "poles" (expected pools, instances, jobs, waves, services, routes, teams or revisions)`},
+		{"show pools\nfetch x", `line 2, column 1: unexpected token "fetch" (expected ` + statements + `)`},
+		{"move instance a to pol b", `line 1, column 20: unexpected token "pol" (expected "pool" a name)`},
+		{"set budget p max-unavailable", `line 1, column 29: unexpected token "<EOF>" (expected a number ("min-available" a number)? "survive-zone"?)`},
+		{"start wave w on all pools within soon", `line 1, column 34: unexpected token "soon" (expected a number)`},
+		{"show pools where a = \"x", `line 1, column 22: invalid input text "\"x"`},
+	} {
+		t.Run(tc.text, func(t *testing.T) {
+			_, err := Parse(tc.text)
+			require.Error(t, err)
+			assert.True(t, strings.HasPrefix(err.Error(), tc.want), "%s", err)
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add("show pools where a = b")
+	f.Add("create route \"x/y\" to service s class c")
+	f.Add("submit job j to pool p memory 9999999999999999999GB")
+	f.Fuzz(func(_ *testing.T, text string) { _, _ = Parse(text) })
+}
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -8,6 +8,7 @@
 	"net/netip"
 	"os"
 	"reflect"
+	"regexp"
 	"strings"
 	"time"
 
@@ -65,17 +66,17 @@
 // Endpoint is an outside service.
 type Endpoint struct {
 	Addr    string   `toml:"addr" validate:"required,ipport"`
-	Timeout Duration `toml:"timeout" validate:"min=10ms,max=60s"`
+	Timeout Duration `toml:"timeout" validate:"mindur=10ms,maxdur=60s"`
 }
 
 // Peers is how daemons find and know each other.
 type Peers struct {
 	Token     string   `toml:"token" validate:"required,min=16,max=128,printascii"`
 	Seeds     []string `toml:"seeds" validate:"dive,ipport"`
-	Heartbeat Duration `toml:"heartbeat" validate:"min=50ms,max=500ms"`
-	LeaseTTL  Duration `toml:"lease_ttl" validate:"min=1s,max=60s"`
-	Grace     Duration `toml:"grace" validate:"min=1s,max=60s"`
-	Timeout   Duration `toml:"timeout" validate:"min=50ms,max=10s"`
+	Heartbeat Duration `toml:"heartbeat" validate:"mindur=50ms,maxdur=500ms"`
+	LeaseTTL  Duration `toml:"lease_ttl" validate:"mindur=1s,maxdur=60s"`
+	Grace     Duration `toml:"grace" validate:"mindur=1s,maxdur=60s"`
+	Timeout   Duration `toml:"timeout" validate:"mindur=50ms,maxdur=10s"`
 }
 
 // Limits bound what callers may ask for.
@@ -85,17 +86,17 @@
 	MaxRetained    int      `toml:"max_retained_bytes" validate:"min=0,max=1048576"`
 	MaxInFlight    int64    `toml:"max_in_flight" validate:"min=1,max=100000"`
 	MaxBuffered    int64    `toml:"max_buffered_bytes" validate:"min=1,max=8589934592"`
-	DefaultTimeout Duration `toml:"default_timeout" validate:"min=10ms,max=10m"`
-	MaxTimeout     Duration `toml:"max_timeout" validate:"min=10ms,max=10m"`
+	DefaultTimeout Duration `toml:"default_timeout" validate:"mindur=10ms,maxdur=10m"`
+	MaxTimeout     Duration `toml:"max_timeout" validate:"mindur=10ms,maxdur=10m"`
 	MaxQueue       int      `toml:"max_queue" validate:"min=1,max=100000"`
 }
 
 // Control holds the times of the reconcile loops.
 type Control struct {
-	Tick          Duration `toml:"tick" validate:"min=10ms,max=10s"`
-	ListInterval  Duration `toml:"list_interval" validate:"min=50ms,max=60s"`
-	TaskLease     Duration `toml:"task_lease" validate:"min=500ms,max=10m"`
-	RebootTimeout Duration `toml:"reboot_timeout" validate:"min=1s,max=2h"`
+	Tick          Duration `toml:"tick" validate:"mindur=10ms,maxdur=10s"`
+	ListInterval  Duration `toml:"list_interval" validate:"mindur=50ms,maxdur=60s"`
+	TaskLease     Duration `toml:"task_lease" validate:"mindur=500ms,maxdur=10m"`
+	RebootTimeout Duration `toml:"reboot_timeout" validate:"mindur=1s,maxdur=2h"`
 	WaveWidth     int      `toml:"wave_width" validate:"min=0,max=10000"`
 }
 
@@ -103,9 +104,9 @@
 type Stop struct {
 	// BalancerWait is how long the balancer takes to see that the instance is
 	// no longer ready.
-	BalancerWait Duration `toml:"balancer_wait" validate:"min=0s,max=10m"`
+	BalancerWait Duration `toml:"balancer_wait" validate:"mindur=0s,maxdur=10m"`
 	// Timeout bounds the whole stop.
-	Timeout Duration `toml:"timeout" validate:"min=1s,max=1h"`
+	Timeout Duration `toml:"timeout" validate:"mindur=1s,maxdur=1h"`
 }
 
 // Log says what is logged and how.
@@ -210,6 +211,9 @@
 	return s, problems
 }
 
+// typeMistake is how the decoder words a value of a wrong type.
+var typeMistake = regexp.MustCompile(`cannot decode TOML (\w+) into struct field \S+ of type (\S+)`)
+
 // decode reads the text. The decoder stops at the first value of a wrong type;
 // its line is then blanked and the text decoded again, to find the others too.
 func decode(data []byte) (Settings, []Problem) {
@@ -235,7 +239,7 @@
 			return s, append(problems, Problem{Text: err.Error()})
 		}
 		row, _ := wrong.Position()
-		problems = append(problems, Problem{row, strings.Join(wrong.Key(), "."), strings.TrimPrefix(wrong.Error(), "toml: ")})
+		problems = append(problems, Problem{row, strings.Join(wrong.Key(), "."), typeMistake.ReplaceAllString(strings.TrimPrefix(wrong.Error(), "toml: "), "is of type $1: want $2")})
 		if row < 1 || row > len(lines) || lines[row-1] == "" {
 			return s, problems
 		}
@@ -251,6 +255,12 @@
 		_, err := netip.ParseAddrPort(f.Field().String())
 		return err == nil
 	}))
+	must(v.RegisterValidation("mindur", func(f validator.FieldLevel) bool {
+		return time.Duration(f.Field().Int()) >= mustDuration(f.Param())
+	}))
+	must(v.RegisterValidation("maxdur", func(f validator.FieldLevel) bool {
+		return time.Duration(f.Field().Int()) <= mustDuration(f.Param())
+	}))
 	must(v.RegisterValidation("name", func(f validator.FieldLevel) bool {
 		return validName(f.Field().String())
 	}))
@@ -274,6 +284,13 @@
 	}
 }
 
+// mustDuration reads the parameter of a validate tag.
+func mustDuration(s string) time.Duration {
+	d, err := time.ParseDuration(s)
+	must(err)
+	return d
+}
+
 func validName(s string) bool {
 	for _, r := range s {
 		if !strings.ContainsRune("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-", r) {
@@ -295,9 +312,9 @@
 		return fmt.Sprintf("%q: want an IP number and port, such as \"10.0.0.1:7000\"; host names are not looked up", value)
 	case "name":
 		return fmt.Sprintf("%q: want letters, digits, '.', '_' and '-'", value)
-	case "min":
+	case "min", "mindur":
 		return fmt.Sprintf("is %v: want at least %s", value, f.Param())
-	case "max":
+	case "max", "maxdur":
 		return fmt.Sprintf("is %v: want at most %s", value, f.Param())
 	case "oneof":
 		return fmt.Sprintf("is %q: want one of %s", value, f.Param())
--- /dev/null
+++ b/settings/settings_test.go
@@ -0,0 +1,89 @@
+package settings
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// valid is the least that a file must say.
+const valid = `
+[entry]
+id = "entry-1"
+zone = "zone-a"
+[listen]
+traffic = "127.0.0.1:1"
+api = "127.0.0.1:2"
+peer = "127.0.0.1:3"
+[store]
+addr = "127.0.0.1:4"
+[platform]
+addr = "127.0.0.1:5"
+[peers]
+token = "0123456789abcdef"
+`
+
+func TestParseAcceptsTheLeastAndFillsInDefaults(t *testing.T) {
+	s, problems := Parse([]byte(valid))
+	require.Empty(t, problems)
+	assert.Equal(t, Default().Limits, s.Limits)
+	assert.Equal(t, "entry-1", s.Entry.ID)
+}
+
+func TestExamplesAreValid(t *testing.T) {
+	files, err := filepath.Glob("../examples/*.toml")
+	require.NoError(t, err)
+	require.Len(t, files, 2)
+	for _, f := range files {
+		_, err := Load(f)
+		assert.NoError(t, err)
+	}
+}
+
+func TestParseReportsEveryMistakeWithItsPlace(t *testing.T) {
+	for _, tc := range []struct {
+		name, text string
+		want       []Problem
+	}{
+		{"unknown key", valid + "[log]\nlevle = \"info\"\n", []Problem{{16, "log.levle", "unknown key"}}},
+		{"wrong type", valid + "[limits]\nmax_queue = \"many\"\n", []Problem{{16, "limits.max_queue", "is of type string: want int"}}},
+		{"out of range", valid + "[limits]\nmax_queue = 0\ndefault_timeout = \"1h\"\n", []Problem{
+			{0, "limits.default_timeout", "is 1h0m0s: want at most 10m"},
+			{0, "limits.max_queue", "is 0: want at least 1"},
+			{0, "limits.default_timeout", "is longer than limits.max_timeout"},
+		}},
+		{"host name", valid + "[peers2]\n[limits]\n", []Problem{{15, "peers2", "unknown key"}}},
+		{"bad duration", valid + "[stop]\ntimeout = \"soon\"\n[log]\nlevel = 3\n", []Problem{
+			{16, "stop.timeout", "\"soon\" is no duration: want for example \"500ms\" or \"10s\""},
+			{18, "log.level", "is of type integer: want string"},
+		}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			_, problems := Parse([]byte(tc.text))
+			assert.Equal(t, tc.want, problems)
+		})
+	}
+}
+
+func TestParseRefusesHostNames(t *testing.T) {
+	_, problems := Parse([]byte(valid + "seeds = [\"entry-2:7002\"]\n"))
+	require.Len(t, problems, 1)
+	assert.Equal(t, "peers.seeds[0]", problems[0].Key)
+	assert.Contains(t, problems[0].Text, "want an IP number and port")
+}
+
+func TestLoadNamesTheFile(t *testing.T) {
+	f := filepath.Join(t.TempDir(), "x.toml")
+	require.NoError(t, os.WriteFile(f, []byte("[entry\n"), 0o600))
+	_, err := Load(f)
+	assert.ErrorContains(t, err, f+": line 1")
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add([]byte(valid))
+	f.Add([]byte("[limits]\nmax_queue = \"x\"\n[entry]\nid = 3\n"))
+	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = Parse(data) })
+}
--- a/slots/slots.go
+++ b/slots/slots.go
@@ -48,30 +48,33 @@
 	// settledBy holds the members that have no more than their new base share
 	// in use under the view in force.
 	settledBy map[fleet.Incarnation]bool
-	// quarantine holds members that ended without leaving, and until when
-	// their requests may still run on workers.
-	quarantine map[fleet.Incarnation]time.Time
+	// vanished tells that a member of an earlier view ended without leaving;
+	// its requests may still run on workers. quietSince is when every member
+	// of the view had settled and every earlier view had stopped.
+	vanished   bool
+	quietSince time.Time
 	settled    bool // every member settled: base == next
 	lent       map[LoanID]Loan
 	borrowed   map[LoanID]Loan
 	refused    map[LoanID]bool // loans returned before they were asked for
-	// Drain is how long a vanished daemon's requests may still run on workers.
+	// drain is how long after its view stopped a vanished daemon's requests may
+	// still run on workers.
 	drain time.Duration
 }
 
 // New returns the account of daemon self. drain is the longest time that a
-// request may run on a worker.
+// request may run on a worker, and the time that a confirmation of a view
+// counts.
 func New(self fleet.Incarnation, drain time.Duration) *Core {
 	return &Core{
-		self:       self,
-		view:       &fleet.View{},
-		workers:    map[fleet.InstanceID]*worker{},
-		settledBy:  map[fleet.Incarnation]bool{},
-		quarantine: map[fleet.Incarnation]time.Time{},
-		lent:       map[LoanID]Loan{},
-		borrowed:   map[LoanID]Loan{},
-		refused:    map[LoanID]bool{},
-		drain:      drain,
+		self:      self,
+		view:      &fleet.View{},
+		workers:   map[fleet.InstanceID]*worker{},
+		settledBy: map[fleet.Incarnation]bool{},
+		lent:      map[LoanID]Loan{},
+		borrowed:  map[LoanID]Loan{},
+		refused:   map[LoanID]bool{},
+		drain:     drain,
 	}
 }
 
@@ -118,20 +121,13 @@
 // SetView puts a newer view in force.
 //
 // Invariant: over all daemons, the slots in use of a worker never exceed its
-// total. Reason: until every member of the new view has settled, each may take
-// up new slots only below the least of its shares in all unsettled views, less
-// what it lent; loans end with their view, but the lender's account keeps them
-// until all have settled.
-func (c *Core) SetView(now time.Time, v *fleet.View) {
-	for _, m := range c.view.Members {
-		if v.Member(m.Incarnation) == nil && !slices.Contains(v.Departed, m.Incarnation) {
-			c.quarantine[m.Incarnation] = now.Add(c.drain)
-		}
-	}
-	if c.view.Epoch == 0 && v.Epoch > 1 {
-		// This daemon does not know who was in earlier views.
-		c.quarantineUnretired(now, v)
-	}
+// total. Reason: until every member of the new view has settled, and the
+// requests of those that vanished have ended, each may take up new slots only
+// below the least of its shares in all unsettled views, less what it lent; loans
+// end with their view, but the lender's account keeps them until then.
+func (c *Core) SetView(v *fleet.View) {
+	c.vanished = c.vanished || c.anyVanished(v)
+	c.quietSince = time.Time{}
 	first := v.Epoch == 1
 	c.view = v
 	clear(c.settledBy)
@@ -149,14 +145,15 @@
 	c.settled = first
 }
 
-func (c *Core) quarantineUnretired(now time.Time, v *fleet.View) {
-	for _, old := range v.Unretired {
-		for _, m := range old.Members {
-			if v.Member(m) == nil && !slices.Contains(v.Departed, m) {
-				c.quarantine[m] = now.Add(c.drain)
-			}
-		}
+// anyVanished reports whether a member of an earlier view that is not known to
+// have stopped is missing from v without having left. A daemon that is new to
+// the views learns of earlier members from v itself.
+func (c *Core) anyVanished(v *fleet.View) bool {
+	gone := func(m fleet.Incarnation) bool { return v.Member(m) == nil && !slices.Contains(v.Departed, m) }
+	if slices.ContainsFunc(c.view.Incarnations(), gone) {
+		return true
 	}
+	return slices.ContainsFunc(v.Unretired, func(old fleet.RetiringView) bool { return slices.ContainsFunc(old.Members, gone) })
 }
 
 // SelfSettled reports whether this daemon has at most its new share in use,
@@ -177,12 +174,14 @@
 	}
 }
 
-// Tick takes up the new base shares once everyone has settled.
-func (c *Core) Tick(now time.Time) {
-	if c.settled || !c.allSettled(now) {
+// Tick takes up the new base shares once everyone has settled. retired tells
+// that every earlier view has certainly stopped.
+func (c *Core) Tick(now time.Time, retired bool) {
+	if c.settled || !c.quiet(now, retired) {
 		return
 	}
 	c.settled = true
+	c.vanished = false
 	for id, l := range c.lent {
 		if l.Epoch < c.view.Epoch {
 			c.workers[l.Worker].lent--
@@ -194,22 +193,32 @@
 	}
 }
 
-func (c *Core) allSettled(now time.Time) bool {
-	if !c.SelfSettled() {
+// quiet reports whether nothing of earlier views can still be in use: every
+// member has settled, and if one vanished, its requests have certainly ended.
+// A vanished member may go on sending until its last confirmation lapses.
+func (c *Core) quiet(now time.Time, retired bool) bool {
+	if !c.membersSettled() {
+		return false
+	}
+	if !c.vanished {
+		return true
+	}
+	if !retired {
 		return false
 	}
+	if c.quietSince.IsZero() {
+		c.quietSince = now
+	}
+	return now.Sub(c.quietSince) >= c.drain
+}
+
+func (c *Core) membersSettled() bool {
 	for _, m := range c.view.Members {
 		if m.Incarnation != c.self && !c.settledBy[m.Incarnation] {
 			return false
 		}
 	}
-	for m, until := range c.quarantine {
-		if now.Before(until) {
-			return false
-		}
-		delete(c.quarantine, m)
-	}
-	return true
+	return c.SelfSettled()
 }
 
 // Settled reports whether the shares of the view in force are all taken up.
