Claims on a gone owner are refused at once; the instance list comes as deltas

Cause: a keyed request whose owner was killed held a slot until its deadline (2 s) before it was refused; pools of a killed daemon stood still until the view changed; and the whole instance list (11 KB for 50 instances) came twice a second, 22 KB/s against a limit of 7 KB/s. Ruled out: keeping the list poll slow (each wave step waits for it). Change: an owner that has been silent for 4 heartbeats is refused before a slot is taken, and no owner is asked for longer than 400 ms; reconcile work is divided among members heard of lately; the list is asked for changes since a version.

--- a/adapter/platformhttp/client.go
+++ b/adapter/platformhttp/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"time"
 
 	"github.com/postmount/postmount/fleet"
@@ -63,14 +64,12 @@
 	Accelerators int    `json:"accelerators"`
 }
 
-// ListMessage is the answer of GET /v1/instances.
+// ListMessage is the answer of GET /v1/instances?since=VERSION.
 type ListMessage struct {
-	Instances []InstanceMessage `json:"instances"`
-}
-
-// GoneMessage is the answer of GET /v1/entries/gone.
-type GoneMessage struct {
-	Incarnations []string `json:"incarnations"`
+	Version     int64             `json:"version"`
+	Full        bool              `json:"full"`
+	Instances   []InstanceMessage `json:"instances,omitempty"`
+	GoneEntries []string          `json:"gone_entries,omitempty"`
 }
 
 // CommandMessage is the body of POST /v1/instances/{id}/commands.
@@ -116,15 +115,18 @@
 	return nil
 }
 
-// Instances implements port.InstanceList.
-func (c *Client) Instances(ctx context.Context) ([]fleet.Instance, error) {
+// Changes implements port.InstanceList.
+func (c *Client) Changes(ctx context.Context, since int64) (port.InstanceChanges, error) {
 	var m ListMessage
-	if err := c.call(ctx, http.MethodGet, "/v1/instances", nil, &m); err != nil {
-		return nil, err
+	if err := c.call(ctx, http.MethodGet, "/v1/instances?since="+strconv.FormatInt(since, 10), nil, &m); err != nil {
+		return port.InstanceChanges{}, err
 	}
-	out := make([]fleet.Instance, len(m.Instances))
-	for i, x := range m.Instances {
-		out[i] = x.instance()
+	out := port.InstanceChanges{Version: m.Version, Full: m.Full}
+	for _, x := range m.Instances {
+		out.Instances = append(out.Instances, x.instance())
+	}
+	for _, x := range m.GoneEntries {
+		out.GoneEntries = append(out.GoneEntries, fleet.Incarnation(x))
 	}
 	return out, nil
 }
@@ -148,19 +150,6 @@
 	}
 }
 
-// GoneEntries implements port.InstanceList.
-func (c *Client) GoneEntries(ctx context.Context) ([]fleet.Incarnation, error) {
-	var m GoneMessage
-	if err := c.call(ctx, http.MethodGet, "/v1/entries/gone", nil, &m); err != nil {
-		return nil, err
-	}
-	out := make([]fleet.Incarnation, len(m.Incarnations))
-	for i, x := range m.Incarnations {
-		out[i] = fleet.Incarnation(x)
-	}
-	return out, nil
-}
-
 // Send implements port.Actions.
 func (c *Client) Send(ctx context.Context, instance fleet.InstanceID, cmd fleet.Command) error {
 	m := CommandMessage{ID: string(cmd.ID), Action: string(cmd.Action), Generation: cmd.Generation}
--- a/cluster/claims.go
+++ b/cluster/claims.go
@@ -174,10 +174,31 @@
 // CodeNoOwner is the code of a request whose key's owner cannot be reached.
 const CodeNoOwner verdict.Code = "key-owner-unavailable"
 
-// Ask asks the owner of a key for a claim until it decides or ctx ends. With
-// Granted, the caller must end the returned attempt with End. An error has
+// askPatience bounds how long an owner is asked: a view that changes settles
+// well within it, and a caller is not kept waiting for an owner that is gone.
+const askPatience = 400 * time.Millisecond
+
+// ownerSilent is how long a peer must have been silent to be taken for gone.
+const ownerSilent = 4
+
+// Reachable reports whether the owner of a key has been heard of lately. A
+// request whose key's owner has not is refused before it takes up a slot.
+func (c *Claims) Reachable(key once.Key) bool {
+	p := c.node.Progress()
+	owner := once.Owner(p.View, key.Partition())
+	if owner == "" || owner == c.node.opts.Self.Incarnation {
+		return owner != ""
+	}
+	heard, known := p.HeardAt[owner]
+	return !known || time.Since(heard) < ownerSilent*c.node.opts.Heartbeat
+}
+
+// Ask asks the owner of a key for a claim until it decides, for askPatience at
+// most. With Granted, the caller must end the returned attempt with End. An error has
 // verdict NotRun: the attempt will not be run.
 func (c *Claims) Ask(ctx context.Context, key once.Key, fp once.Fingerprint) (once.Attempt, once.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, askPatience)
+	defer cancel()
 	attempt := once.Attempt(uuid.NewString())
 	cl := once.Claim{Key: key, Fingerprint: fp, Attempt: attempt, Claimer: c.node.opts.Self.Incarnation}
 	c.mu.Lock()
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -251,6 +251,23 @@
 	n.progress.Store(p)
 }
 
+// liveFor is for how many heartbeats a silent member still counts as live.
+const liveFor = 5
+
+// Live lists the members of the view that were heard of lately.
+func (n *Node) Live() []fleet.Incarnation {
+	p := n.Progress()
+	now := time.Now()
+	var out []fleet.Incarnation
+	for _, m := range p.View.Members {
+		self := m.Incarnation == n.opts.Self.Incarnation
+		if self || now.Sub(p.HeardAt[m.Incarnation]) < liveFor*n.opts.Heartbeat {
+			out = append(out, m.Incarnation)
+		}
+	}
+	return out
+}
+
 // MarkGone takes in the incarnations that the platform knows to have ended.
 func (n *Node) MarkGone(gone []fleet.Incarnation) {
 	if len(gone) == 0 {
--- a/control/controller.go
+++ b/control/controller.go
@@ -41,7 +41,7 @@
 // DefaultOptions are those of production.
 var DefaultOptions = Options{
 	Tick:         200 * time.Millisecond,
-	ListInterval: 500 * time.Millisecond,
+	ListInterval: 200 * time.Millisecond,
 	ListMaxAge:   3 * time.Second,
 	TaskLease:    3 * time.Second,
 	Wave:         wave.Options{RebootTimeout: 10 * time.Minute},
@@ -50,12 +50,14 @@
 
 // Deps are what a controller works with.
 type Deps struct {
-	Store     port.Store
-	Mirror    *mirror.Mirror
-	List      port.InstanceList
-	Actions   port.Actions
-	Tasks     port.Tasks
-	View      func() *fleet.View
+	Store   port.Store
+	Mirror  *mirror.Mirror
+	List    port.InstanceList
+	Actions port.Actions
+	Tasks   port.Tasks
+	// Live lists the members of the view that were heard of lately. They
+	// divide the work among themselves.
+	Live      func() []fleet.Incarnation
 	Connected func() bool // whether the store's watch is alive
 	// OnGone is told of entry daemons that the platform knows to have ended.
 	OnGone func([]fleet.Incarnation)
@@ -93,6 +95,8 @@
 	done     chan struct{}
 	wg       sync.WaitGroup
 
+	listFrom int64 // version of the instance list, of the polling goroutine
+
 	// The fields below belong to the control goroutine.
 	instances   map[fleet.InstanceID]fleet.Instance
 	listVersion int // counts changes of instances
@@ -189,21 +193,33 @@
 
 func (c *Controller) readList(ctx context.Context) {
 	asked := time.Now()
-	list, err := c.deps.List.Instances(ctx)
+	ch, err := c.deps.List.Changes(ctx, c.listFrom)
 	if err != nil {
 		c.Counts.ListErrors.Add(1)
 		return
 	}
+	c.listFrom = ch.Version
 	c.post(func() {
 		c.listedAt = asked
-		if fresh := index(list); !maps.Equal(fresh, c.instances) {
-			c.instances = fresh
+		if ch.Full || len(ch.Instances) > 0 {
+			c.instances = merge(c.instances, ch)
 			c.listVersion++
 		}
 	})
-	if gone, err := c.deps.List.GoneEntries(ctx); err == nil {
-		c.deps.OnGone(gone)
+	c.deps.OnGone(ch.GoneEntries)
+}
+
+// merge returns the list with the changes taken in. The old one is left as it
+// is: snapshots share it.
+func merge(old map[fleet.InstanceID]fleet.Instance, ch port.InstanceChanges) map[fleet.InstanceID]fleet.Instance {
+	if ch.Full {
+		return index(ch.Instances)
+	}
+	next := maps.Clone(old)
+	for _, i := range ch.Instances {
+		next[i.ID] = i
 	}
+	return next
 }
 
 func index(list []fleet.Instance) map[fleet.InstanceID]fleet.Instance {
@@ -246,7 +262,7 @@
 
 // mine reports whether this daemon is the one that tries for a key.
 func (c *Controller) mine(key string) bool {
-	return rendezvous.Owner(c.deps.View().Incarnations(), key) == c.opts.Self
+	return rendezvous.Owner(c.deps.Live(), key) == c.opts.Self
 }
 
 func (c *Controller) publish() *Snapshot {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -185,7 +185,7 @@
 	opts.Wave.Concurrency = s.Control.WaveWidth
 	opts.Place = place.Policy(s.Policies.Place)
 	d.controller = control.New(opts, control.Deps{
-		Store: d.store, Mirror: d.mirror, List: d.list, Actions: d.list, Tasks: d.tasks, View: d.node.View,
+		Store: d.store, Mirror: d.mirror, List: d.list, Actions: d.list, Tasks: d.tasks, Live: d.node.Live,
 		Connected: d.feed.Connected.Load, OnGone: d.node.MarkGone, OnSnapshot: d.newSnapshot, Log: d.log,
 	})
 	d.handler = &entry.Handler{
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -43,11 +43,14 @@
 	CodeUnknown     verdict.Code = "earlier-attempt-unknown"
 	CodeInProgress  verdict.Code = "earlier-attempt-running"
 	CodeCutOff      verdict.Code = "cut-off-from-peers"
+	CodeNoOwner     verdict.Code = "key-owner-unavailable"
 	CodeStopping    verdict.Code = "stopping"
 )
 
 // Claims is what the handler needs of the claims on idempotency keys.
 type Claims interface {
+	// Reachable reports whether the owner of a key has been heard of lately.
+	Reachable(key once.Key) bool
 	Ask(ctx context.Context, key once.Key, fp once.Fingerprint) (once.Attempt, once.Reply, error)
 	End(attempt once.Attempt, status once.Status, answer *once.Answer)
 }
@@ -260,6 +263,9 @@
 	if !h.Standing().Current(time.Now()) {
 		return nil, refuse(CodeCutOff, "this entry instance is cut off from its peers", time.Second)
 	}
+	if c.key != "" && !h.Claims.Reachable(c.key) {
+		return nil, refuse(CodeNoOwner, "the entry instance that knows about this key cannot be reached", time.Second)
+	}
 	grant, err := h.Dispatcher.Acquire(ctx, c.route.Service, c.route.Class, c.deadline)
 	if err != nil {
 		return nil, err
--- a/member/propose.go
+++ b/member/propose.go
@@ -28,12 +28,16 @@
 	Stopping map[fleet.Incarnation]bool
 }
 
+// missingLeast is how long a registration must have been missing; a daemon that
+// registers anew in between is not left out.
+const missingLeast = 500 * time.Millisecond
+
 // Propose returns the view that should follow cur, or false if cur is right.
 // serving tells that the proposer knows every earlier view to have stopped.
 //
 // A member is left out when it was replaced under the same EntryID, when the
-// platform shows it gone, when it says that it is leaving, or when it has been
-// without a registration and silent for grace. A lapsed lease alone removes
+// platform shows it gone, when it says that it is leaving, or when it has no
+// registration and has been silent for grace. A lapsed lease alone removes
 // nobody: after a store outage every lease may have lapsed.
 func Propose(now time.Time, cur *fleet.View, ev Evidence, grace time.Duration, serving bool) (*fleet.View, bool) {
 	var members []fleet.Entry
@@ -70,7 +74,7 @@
 		}
 	}
 	missing, ok := ev.MissingSince[m.Incarnation]
-	return ok && now.Sub(missing) >= grace && now.Sub(ev.HeardAt[m.Incarnation]) >= grace
+	return ok && now.Sub(missing) >= missingLeast && now.Sub(ev.HeardAt[m.Incarnation]) >= grace
 }
 
 func unretired(cur *fleet.View, serving bool) []fleet.RetiringView {
--- a/port/port.go
+++ b/port/port.go
@@ -62,12 +62,23 @@
 	CodeCompacted    verdict.Code = "store-compacted"
 )
 
+// InstanceChanges are the instances whose entry in the platform's list changed
+// after a version.
+type InstanceChanges struct {
+	Version int64 // to ask from the next time
+	// Full tells that Instances is the whole list, because the version asked
+	// from is unknown to the platform.
+	Full      bool
+	Instances []fleet.Instance
+	// GoneEntries lists the incarnations of entry daemons that the platform
+	// knows to have ended.
+	GoneEntries []fleet.Incarnation
+}
+
 // InstanceList is the platform's list of live and leaving instances. It lags.
 type InstanceList interface {
-	Instances(ctx context.Context) ([]fleet.Instance, error)
-	// GoneEntries lists incarnations of entry daemons that the platform knows
-	// to have ended.
-	GoneEntries(ctx context.Context) ([]fleet.Incarnation, error)
+	// Changes returns what changed after version since; 0 asks for everything.
+	Changes(ctx context.Context, since int64) (InstanceChanges, error)
 }
 
 // Actions carries out commands on instances. A command is idempotent by its
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -132,7 +132,7 @@
 		Store:    Endpoint{Timeout: Duration(time.Second)},
 		Platform: Endpoint{Timeout: Duration(2 * time.Second)},
 		Peers: Peers{
-			Heartbeat: Duration(300 * time.Millisecond), LeaseTTL: Duration(5 * time.Second),
+			Heartbeat: Duration(300 * time.Millisecond), LeaseTTL: Duration(3 * time.Second),
 			Grace: Duration(3 * time.Second), Timeout: Duration(time.Second),
 		},
 		Limits: Limits{
@@ -140,7 +140,7 @@
 			DefaultTimeout: Duration(10 * time.Second), MaxTimeout: Duration(30 * time.Second), MaxQueue: 1024,
 		},
 		Control: Control{
-			Tick: Duration(200 * time.Millisecond), ListInterval: Duration(500 * time.Millisecond),
+			Tick: Duration(200 * time.Millisecond), ListInterval: Duration(200 * time.Millisecond),
 			TaskLease: Duration(3 * time.Second), RebootTimeout: Duration(10 * time.Minute),
 		},
 		Stop:     Stop{BalancerWait: Duration(3 * time.Second), Timeout: Duration(time.Minute)},
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -10,6 +10,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strconv"
 	"sync"
 	"time"
 
@@ -48,6 +49,12 @@
 	commands map[string]bool // ids carried out
 }
 
+// listing is an instance as the list shows it.
+type listing struct {
+	msg     platformhttp.InstanceMessage
+	version int64 // of its last change
+}
+
 // pending is a change that does not show in the list yet.
 type pending struct {
 	at  time.Time
@@ -61,7 +68,8 @@
 	mu        sync.Mutex
 	faults    Faults
 	instances map[string]*instance
-	listed    map[string]platformhttp.InstanceMessage
+	listed    map[string]listing
+	version   int64 // of the newest change in listed
 	pending   []pending
 	gone      []string
 	router    chi.Router
@@ -72,10 +80,9 @@
 
 // New returns a platform without instances.
 func New(workers Workers, faults Faults) *Platform {
-	p := &Platform{workers: workers, faults: faults, instances: map[string]*instance{}, listed: map[string]platformhttp.InstanceMessage{}, closed: make(chan struct{})}
+	p := &Platform{workers: workers, faults: faults, instances: map[string]*instance{}, listed: map[string]listing{}, closed: make(chan struct{})}
 	r := chi.NewRouter()
 	r.Get("/v1/instances", p.unlessDown(p.list))
-	r.Get("/v1/entries/gone", p.unlessDown(p.listGone))
 	r.Post("/v1/instances/{id}/commands", p.unlessDown(p.command))
 	r.Put("/standin/faults", p.putFaults)
 	r.Get("/standin/faults", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(p.Faults()) })
@@ -118,10 +125,15 @@
 		m.State = string(fleet.InstanceReady)
 		m.Generation = 1
 		p.instances[m.ID] = &instance{msg: m, commands: map[string]bool{}}
-		p.listed[m.ID] = m
+		p.showLocked(m)
 	}
 }
 
+func (p *Platform) showLocked(m platformhttp.InstanceMessage) {
+	p.version++
+	p.listed[m.ID] = listing{m, p.version}
+}
+
 // MarkGone lists entry daemons that have ended.
 func (p *Platform) MarkGone(incarnations ...string) {
 	p.mu.Lock()
@@ -153,29 +165,26 @@
 			rest = append(rest, c)
 			continue
 		}
-		p.listed[c.msg.ID] = c.msg
+		p.showLocked(c.msg)
 	}
 	p.pending = rest
 }
 
-func (p *Platform) list(w http.ResponseWriter, _ *http.Request) {
+// list answers with what changed after the version asked from.
+func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
+	since, err := strconv.ParseInt(r.URL.Query().Get("since"), 10, 64)
 	p.mu.Lock()
 	p.publishLocked(time.Now())
-	var m platformhttp.ListMessage
+	m := platformhttp.ListMessage{Version: p.version, Full: err != nil || since <= 0 || since > p.version, GoneEntries: slices.Clone(p.gone)}
 	for _, id := range slices.Sorted(maps.Keys(p.listed)) {
-		m.Instances = append(m.Instances, p.listed[id])
+		if l := p.listed[id]; m.Full || l.version > since {
+			m.Instances = append(m.Instances, l.msg)
+		}
 	}
 	p.mu.Unlock()
 	_ = json.NewEncoder(w).Encode(m)
 }
 
-func (p *Platform) listGone(w http.ResponseWriter, _ *http.Request) {
-	p.mu.Lock()
-	m := platformhttp.GoneMessage{Incarnations: slices.Clone(p.gone)}
-	p.mu.Unlock()
-	_ = json.NewEncoder(w).Encode(m)
-}
-
 func (p *Platform) unlessDown(next http.HandlerFunc) http.HandlerFunc {
 	return func(w http.ResponseWriter, r *http.Request) {
 		if p.Faults().Down {
@@ -346,12 +355,12 @@
 }
 
 func (p *Platform) postGone(w http.ResponseWriter, r *http.Request) {
-	var m platformhttp.GoneMessage
-	if err := json.NewDecoder(r.Body).Decode(&m); err != nil {
+	var incarnations []string
+	if err := json.NewDecoder(r.Body).Decode(&incarnations); err != nil {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
-	p.MarkGone(m.Incarnations...)
+	p.MarkGone(incarnations...)
 }
 
 func answer(w http.ResponseWriter, err error) {
