Fault matrix of the request path in virtual time; tests of the cores

Cause: nothing proved the promises under failure. Property test of slot shares over views. Found while writing: a note of an attempt that was only asked for, or abandoned, got a key past a new owner's checks (test TestAbandonedAttemptDoesNotVouchForOthers); a daemon that slept through a view took its old table for complete (TestMissedViews); an owner exported a table it had given up waiting for as incomplete.

--- a/cluster/beat.go
+++ b/cluster/beat.go
@@ -186,7 +186,7 @@
 		n.writeView(ctx, state.View, next)
 		n.post(func(now time.Time) {
 			n.proposing = false
-			n.notBefore = now.Add(proposeEvery/2 + time.Duration(n.deps.Rand.Int64N(int64(proposeEvery))))
+			n.notBefore = now.Add(proposeEvery/2 + time.Duration(n.rand.Int64N(int64(proposeEvery))))
 		})
 	})
 }
--- a/cluster/claims.go
+++ b/cluster/claims.go
@@ -126,10 +126,10 @@
 func (c *Claims) tick(now time.Time) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.table.Expire(now)
 	if c.node.Standing().Serving(now) {
 		c.table.Serve(now)
 	}
+	c.table.Tick(now)
 }
 
 // Size returns the number of claims held and the bytes of retained answers.
--- a/cluster/node.go
+++ b/cluster/node.go
@@ -51,7 +51,7 @@
 	Mirror *mirror.Mirror
 	Shares Shares
 	Log    *zap.Logger
-	Rand   *rand.Rand // used by the control goroutine only
+	Seed   uint64 // of the jitter
 	// Connected tells whether the store's watch is alive.
 	Connected func() bool
 	Burn      func() port.BurnCounts
@@ -76,6 +76,7 @@
 	wg       sync.WaitGroup
 
 	// The fields below belong to the control goroutine.
+	rand         *rand.Rand
 	core         *member.Core
 	peers        map[fleet.Incarnation]*peerState
 	missingSince map[fleet.Incarnation]time.Time
@@ -113,6 +114,7 @@
 		events:       make(chan func(time.Time)),
 		urgent:       make(chan struct{}, 1),
 		done:         make(chan struct{}),
+		rand:         rand.New(rand.NewPCG(deps.Seed, 1)),
 		core:         member.New(opts.Self.Incarnation, opts.Member),
 		peers:        map[fleet.Incarnation]*peerState{},
 		missingSince: map[fleet.Incarnation]time.Time{},
--- a/cluster/register.go
+++ b/cluster/register.go
@@ -16,11 +16,12 @@
 // lapsed lease is noticed at the next renewal and replaced.
 func (n *Node) registerLoop(ctx context.Context) {
 	var lease port.LeaseID
+	rnd := rand.New(rand.NewPCG(n.deps.Seed, 2))
 	for ctx.Err() == nil {
 		lease = n.renew(ctx, lease)
 		pause := n.opts.LeaseTTL / 3
 		if lease == 0 {
-			pause = n.opts.LeaseTTL/10 + rand.N(n.opts.LeaseTTL/5)
+			pause = n.opts.LeaseTTL/10 + time.Duration(rnd.Int64N(int64(n.opts.LeaseTTL/5)))
 		}
 		t := time.NewTimer(pause)
 		select {
--- /dev/null
+++ b/internal/importrule/rule_test.go
@@ -0,0 +1,95 @@
+// Package importrule checks which packages of postmount may import which.
+package importrule
+
+import (
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const module = "github.com/postmount/postmount/"
+
+// pure lists the domain and decision packages and what of postmount each may
+// import. None of them may do I/O or start goroutines.
+var pure = map[string][]string{
+	"verdict":    {},
+	"fleet":      {},
+	"rendezvous": {},
+	"slo":        {"fleet"},
+	"route":      {"fleet"},
+	"admit":      {"fleet"},
+	"retry":      {"verdict"},
+	"health":     {"fleet"},
+	"budget":     {"fleet"},
+	"wave":       {"fleet", "budget"},
+	"place":      {"fleet"},
+	"member":     {"fleet"},
+	"once":       {"fleet", "rendezvous"},
+	"slots":      {"fleet", "rendezvous"},
+	"directory":  {"fleet", "route"},
+}
+
+// impure are packages that decisions must not use.
+var impure = []string{"net", "net/http", "os", "io", "log", "go.uber.org/zap", "database/sql", "math/rand"}
+
+// shells may not import adapters or stand-ins: they reach the outside through
+// ports.
+var shells = []string{"cluster", "control", "entry", "mirror", "record", "command", "port"}
+
+func TestImports(t *testing.T) {
+	imports := readImports(t)
+	for pkg, allowed := range pure {
+		require.Contains(t, imports, pkg)
+		for _, path := range imports[pkg] {
+			if own, ok := strings.CutPrefix(path, module); ok {
+				assert.Contains(t, allowed, own, "package %s imports %s", pkg, own)
+			}
+			assert.NotContains(t, impure, path, "package %s imports %s", pkg, path)
+		}
+	}
+	for _, pkg := range shells {
+		require.Contains(t, imports, pkg)
+		for _, path := range imports[pkg] {
+			own := strings.TrimPrefix(path, module)
+			assert.False(t, strings.HasPrefix(own, "adapter/") || strings.HasPrefix(own, "standin/"), "package %s imports %s", pkg, own)
+		}
+	}
+}
+
+// TestNoProxyLibraryAndNoChildProcess checks what the brief rules out.
+func TestNoProxyLibraryAndNoChildProcess(t *testing.T) {
+	for pkg, paths := range readImports(t) {
+		assert.NotContains(t, paths, "net/http/httputil", pkg)
+		assert.NotContains(t, paths, "os/exec", pkg)
+	}
+}
+
+// readImports returns the imports of every package's files that are not tests.
+func readImports(t *testing.T) map[string][]string {
+	root := filepath.Join("..", "..")
+	out := map[string][]string{}
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		f, err := parser.ParseFile(token.NewFileSet(), path, nil, parser.ImportsOnly)
+		if err != nil {
+			return err
+		}
+		pkg, err := filepath.Rel(root, filepath.Dir(path))
+		for _, i := range f.Imports {
+			name, _ := strconv.Unquote(i.Path.Value)
+			out[filepath.ToSlash(pkg)] = append(out[filepath.ToSlash(pkg)], name)
+		}
+		return err
+	})
+	require.NoError(t, err)
+	return out
+}
--- /dev/null
+++ b/internal/matrix/installation_test.go
@@ -0,0 +1,507 @@
+// Package matrix drives whole entry daemons, without a network and in virtual
+// time, through every fault at every step of a request.
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/cluster"
+	"github.com/postmount/postmount/directory"
+	"github.com/postmount/postmount/entry"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/member"
+	"github.com/postmount/postmount/mirror"
+	"github.com/postmount/postmount/once"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/route"
+	"github.com/postmount/postmount/slots"
+	"github.com/postmount/postmount/standin/store"
+	"github.com/postmount/postmount/verdict"
+)
+
+// step is a point on a request's way.
+type step string
+
+const (
+	stepAccept  step = "accept"
+	stepAdmit   step = "admit"
+	stepClaim   step = "claim"
+	stepClaimed step = "claimed"
+	stepConnect step = "connect"
+	stepWrite   step = "write"
+	stepWait    step = "wait"
+	stepRead    step = "read"
+	stepAnswer  step = "answer"
+	stepRecord  step = "record"
+)
+
+var steps = []step{stepAccept, stepAdmit, stepClaim, stepClaimed, stepConnect, stepWrite, stepWait, stepRead, stepAnswer, stepRecord}
+
+// daemon is one entry daemon with its fake surroundings.
+type daemon struct {
+	in         *installation
+	number     int
+	self       fleet.Entry
+	store      *store.Direct
+	mirror     *mirror.Mirror
+	feed       *mirror.Feed
+	node       *cluster.Node
+	dispatcher *entry.Dispatcher
+	handler    *entry.Handler
+	cancel     context.CancelFunc
+
+	mu     sync.Mutex
+	dead   bool
+	frozen chan struct{} // not nil while frozen; closed to go on
+}
+
+// installation is a fleet of daemons that share an engine, workers and a
+// network.
+type installation struct {
+	engine  *store.Engine
+	daemons []*daemon
+	backend *backend
+	wg      sync.WaitGroup
+
+	mu  sync.Mutex
+	cut map[[2]int]bool
+	// hook is called when the first request reaches a step at a daemon.
+	hook func(s step, d *daemon)
+}
+
+const workers = 3
+
+func newInstallation(n int) *installation {
+	in := &installation{engine: store.NewEngine(), cut: map[[2]int]bool{}}
+	in.backend = &backend{in: in, ran: map[string][]string{}}
+	for range n {
+		in.start()
+	}
+	return in
+}
+
+// start adds a daemon.
+func (in *installation) start() *daemon {
+	n := len(in.daemons)
+	name := fmt.Sprintf("e%d", n+1)
+	d := &daemon{in: in, number: n, store: store.NewDirect(in.engine), mirror: mirror.New()}
+	d.self = fleet.Entry{ID: fleet.EntryID(name), Incarnation: fleet.Incarnation(name), PeerAddr: name}
+	rnd := rand.New(rand.NewPCG(1, uint64(n)))
+	d.feed = &mirror.Feed{Mirror: d.mirror, Store: d.store, Rand: rnd}
+	d.dispatcher = entry.NewDispatcher(d.self.Incarnation, "z", 10*time.Second, entry.DefaultPolicies, rand.New(rand.NewPCG(2, uint64(n))))
+	d.node = cluster.New(cluster.Options{
+		Self: d.self, Heartbeat: 300 * time.Millisecond, LeaseTTL: 3 * time.Second, Grace: 3 * time.Second,
+		Member: member.DefaultOptions, Once: once.DefaultOptions,
+	}, cluster.Deps{
+		Store: d.store, Peers: &peers{in, d}, Mirror: d.mirror, Shares: d.dispatcher, Log: zap.NewNop(), Seed: uint64(n),
+		Connected: d.feed.Connected.Load, Burn: func() port.BurnCounts { return port.BurnCounts{} },
+		Instances: func() []fleet.Instance { return nil }, SeedInstances: func([]fleet.Instance) {},
+	})
+	d.handler = &entry.Handler{
+		Dispatcher: d.dispatcher, Claims: &hookedClaims{d.node.Claims, d}, Backend: &hookedBackend{d}, Standing: d.node.Standing, Observer: &hookedObserver{d},
+		Limits: entry.Limits{MaxBody: 1 << 20, DefaultTimeout: 2 * time.Second, MaxTimeout: 10 * time.Second, MaxInFlight: 100, MaxBuffered: 1 << 30, MaxRetained: 1 << 16},
+	}
+	d.dispatcher.SetDirectory(fixedDirectory())
+	ctx, cancel := context.WithCancel(context.Background())
+	d.cancel = cancel
+	in.mu.Lock()
+	in.daemons = append(in.daemons, d)
+	in.mu.Unlock()
+	for _, run := range []func(){
+		func() { d.feed.Run(ctx) },
+		func() { d.node.Run(ctx) },
+		func() { d.dispatcher.RunLoans(ctx, d.self.Incarnation, &peers{in, d}) },
+	} {
+		in.wg.Add(1)
+		go func() {
+			defer in.wg.Done()
+			run()
+		}()
+	}
+	return d
+}
+
+func fixedDirectory() *directory.Directory {
+	d := directory.Empty()
+	d.Routes = route.NewTable([]fleet.Route{{Prefix: "/", Service: "orders", Class: "retail"}})
+	svc := &directory.Service{Name: "orders", Classes: []fleet.Class{{Name: "retail", Weight: 1}}}
+	for i := range workers {
+		id := fleet.InstanceID(fmt.Sprint("w", i+1))
+		svc.Workers = append(svc.Workers, directory.Worker{ID: id, Addr: string(id), Slots: 8})
+		d.Slots[id] = 8
+	}
+	d.Services["orders"] = svc
+	return d
+}
+
+// settle waits until every live daemon serves the same view.
+func (in *installation) settle() {
+	for range 400 {
+		time.Sleep(50 * time.Millisecond)
+		synctest.Wait()
+		if in.agreed() {
+			return
+		}
+	}
+}
+
+func (in *installation) agreed() bool {
+	var epoch fleet.Epoch
+	live := 0
+	for _, d := range in.daemons {
+		if d.isDead() {
+			continue
+		}
+		live++
+		s := d.node.Standing()
+		if !s.Serving(time.Now()) || (epoch != 0 && s.Epoch != epoch) {
+			return false
+		}
+		epoch = s.Epoch
+	}
+	return len(in.daemons[0].node.View().Members) == live || in.daemons[0].isDead()
+}
+
+func (in *installation) close() {
+	for _, d := range in.daemons {
+		d.thaw()
+		d.cancel()
+	}
+	in.wg.Wait()
+}
+
+func (d *daemon) isDead() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.dead
+}
+
+// kill ends the daemon at once; the platform notices two seconds later.
+func (d *daemon) kill() {
+	d.mu.Lock()
+	d.dead = true
+	d.mu.Unlock()
+	d.cancel()
+	d.in.later(2*time.Second, func() {
+		for _, other := range d.in.daemons {
+			if !other.isDead() {
+				other.node.MarkGone([]fleet.Incarnation{d.self.Incarnation})
+			}
+		}
+	})
+}
+
+func (in *installation) later(after time.Duration, fn func()) {
+	in.wg.Add(1)
+	go func() {
+		defer in.wg.Done()
+		time.Sleep(after)
+		fn()
+	}()
+}
+
+// freeze stops the daemon's messages, in and out, and its requests at the next
+// step, as if its process were paused.
+func (d *daemon) freeze(length time.Duration) {
+	d.mu.Lock()
+	d.frozen = make(chan struct{})
+	d.mu.Unlock()
+	d.in.later(length, d.thaw)
+}
+
+func (d *daemon) thaw() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.frozen != nil {
+		close(d.frozen)
+		d.frozen = nil
+	}
+}
+
+// pass waits while the daemon is frozen and reports whether it is alive.
+func (d *daemon) pass() bool {
+	d.mu.Lock()
+	frozen := d.frozen
+	d.mu.Unlock()
+	if frozen != nil {
+		<-frozen
+	}
+	return !d.isDead()
+}
+
+// at announces that a request has reached a step, and reports whether the
+// daemon is alive afterwards.
+func (d *daemon) at(s step) bool {
+	d.in.mu.Lock()
+	hook := d.in.hook
+	d.in.mu.Unlock()
+	if hook != nil {
+		hook(s, d)
+	}
+	return d.pass()
+}
+
+// setCut parts a daemon from all others, or joins it again.
+func (in *installation) setCut(d *daemon, cut bool) {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for _, other := range in.daemons {
+		in.cut[[2]int{d.number, other.number}] = cut
+		in.cut[[2]int{other.number, d.number}] = cut
+	}
+}
+
+func (in *installation) find(addr string) *daemon {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	for _, d := range in.daemons {
+		if d.self.PeerAddr == addr {
+			return d
+		}
+	}
+	return nil
+}
+
+func (in *installation) parted(a, b *daemon) bool {
+	in.mu.Lock()
+	defer in.mu.Unlock()
+	return in.cut[[2]int{a.number, b.number}]
+}
+
+// peers is one daemon's way to the others.
+type peers struct {
+	in   *installation
+	from *daemon
+}
+
+const oneWay = time.Millisecond
+
+// callTimeout is that of a call between daemons.
+const callTimeout = time.Second
+
+var errUnreachable = verdict.New(verdict.NotRun, "peer-unreachable", "unreachable")
+
+// call carries a message to addr and its answer back. A message may be lost on
+// either way; the caller then waits for its timeout.
+func call[R any](p *peers, ctx context.Context, addr string, serve func(port.PeerServer) R) (R, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
+	defer cancel()
+	var none R
+	to := p.in.find(addr)
+	if to == nil || !p.from.pass() {
+		return none, errUnreachable
+	}
+	done := make(chan R, 1)
+	p.in.wg.Add(1)
+	go func() {
+		defer p.in.wg.Done()
+		time.Sleep(oneWay)
+		if p.in.parted(p.from, to) || !to.pass() {
+			return
+		}
+		r := serve(to.node)
+		time.Sleep(oneWay)
+		if to.pass() && !p.in.parted(p.from, to) {
+			done <- r
+		}
+	}()
+	select {
+	case r := <-done:
+		if !p.from.pass() {
+			return none, errUnreachable
+		}
+		return r, nil
+	case <-ctx.Done():
+		return none, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, "peer-unreachable", "%s", addr)
+	}
+}
+
+func (p *peers) Beat(ctx context.Context, addr string, b port.Beat) (port.BeatReply, error) {
+	return call(p, ctx, addr, func(s port.PeerServer) port.BeatReply { return s.OnBeat(b) })
+}
+
+func (p *peers) Changes(ctx context.Context, addr string, since fleet.Revision) (port.Changes, error) {
+	return call(p, ctx, addr, func(s port.PeerServer) port.Changes { return s.OnChanges(since) })
+}
+
+func (p *peers) Claim(ctx context.Context, addr string, r once.Request) (once.Reply, error) {
+	return call(p, ctx, addr, func(s port.PeerServer) once.Reply { return s.OnClaim(r) })
+}
+
+func (p *peers) Note(ctx context.Context, addr string, n once.Claim) (bool, error) {
+	p.from.at(stepRecord)
+	return call(p, ctx, addr, func(s port.PeerServer) bool { return s.OnNote(n) })
+}
+
+func (p *peers) Transfer(ctx context.Context, addr string, t once.Transfer) (bool, error) {
+	return call(p, ctx, addr, func(s port.PeerServer) bool { return s.OnTransfer(t) })
+}
+
+func (p *peers) Borrow(ctx context.Context, addr string, r port.BorrowRequest) (port.BorrowReply, error) {
+	return call(p, ctx, addr, func(s port.PeerServer) port.BorrowReply { return s.OnBorrow(r) })
+}
+
+func (p *peers) Return(ctx context.Context, addr string, ids []slots.LoanID) error {
+	_, err := call(p, ctx, addr, func(s port.PeerServer) bool { s.OnReturn(ids); return true })
+	return err
+}
+
+func (p *peers) Burn(ctx context.Context, addr string) (port.BurnCounts, error) {
+	return call(p, ctx, addr, func(s port.PeerServer) port.BurnCounts { return s.OnBurn() })
+}
+
+// hookedClaims announces the steps around a claim.
+type hookedClaims struct {
+	entry.Claims
+	d *daemon
+}
+
+func (h *hookedClaims) Reachable(key once.Key) bool {
+	h.d.at(stepAdmit)
+	return h.Claims.Reachable(key)
+}
+
+func (h *hookedClaims) Ask(ctx context.Context, key once.Key, fp once.Fingerprint) (once.Attempt, once.Reply, error) {
+	h.d.at(stepClaim)
+	attempt, reply, err := h.Claims.Ask(ctx, key, fp)
+	h.d.at(stepClaimed)
+	return attempt, reply, err
+}
+
+// hookedObserver announces that an answer is about to be written.
+type hookedObserver struct{ d *daemon }
+
+func (h *hookedObserver) Answered(fleet.ServiceName, fleet.ClassName, verdict.Verdict, verdict.Code, int, time.Duration) {
+	h.d.at(stepAnswer)
+}
+func (h *hookedObserver) Tried(fleet.ServiceName, fleet.InstanceID, int, error) {}
+func (h *hookedObserver) Health(fleet.ServiceName, fleet.InstanceID, bool)      {}
+
+// backend is the workers of all daemons.
+type backend struct {
+	in *installation
+
+	mu   sync.Mutex
+	down bool // refuses connections
+	hang bool // never answers
+	cut  bool // breaks its answers off
+	// ran lists, per key, the sends that ran it.
+	ran map[string][]string
+}
+
+func (b *backend) set(fn func(*backend)) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	fn(b)
+}
+
+// hookedBackend is one daemon's way to the workers.
+type hookedBackend struct{ d *daemon }
+
+func (h *hookedBackend) Keep(map[fleet.InstanceID]string) {}
+
+const serviceTime = 100 * time.Millisecond
+
+// Send runs a request the way a worker does, with a step at each point where
+// something may go wrong.
+func (h *hookedBackend) Send(ctx context.Context, r port.BackendRequest) (*port.BackendAnswer, error) {
+	b := h.d.in.backend
+	if !h.d.at(stepConnect) || ctx.Err() != nil || b.isDown() {
+		return nil, verdict.New(verdict.NotRun, port.CodeConnect, "refused")
+	}
+	if !h.d.at(stepWrite) || b.isDown() {
+		return nil, verdict.New(verdict.MayHaveRun, port.CodeBroken, "broken")
+	}
+	key := r.Header.Get(entry.HeaderKey)
+	b.set(func(b *backend) { b.ran[key] = append(b.ran[key], r.Header.Get(headerSend)) })
+	h.d.at(stepWait)
+	select {
+	case <-time.After(serviceTime):
+	case <-ctx.Done():
+		return nil, verdict.New(verdict.MayHaveRun, port.CodeTimeout, "timeout")
+	}
+	h.d.at(stepRead)
+	b.mu.Lock()
+	hang, broken := b.hang, b.cut || b.down
+	b.mu.Unlock()
+	switch {
+	case hang:
+		<-ctx.Done()
+		return nil, verdict.New(verdict.MayHaveRun, port.CodeTimeout, "timeout")
+	case broken:
+		return nil, verdict.New(verdict.MayHaveRun, port.CodeTruncated, "cut")
+	}
+	return &port.BackendAnswer{Status: http.StatusOK, Header: http.Header{}, Body: []byte("answer to " + key)}, nil
+}
+
+func (b *backend) isDown() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.down
+}
+
+func (b *backend) runs(key string) []string {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return append([]string(nil), b.ran[key]...)
+}
+
+// headerSend names one send of a request.
+const headerSend = "X-Send"
+
+// reply is what a caller saw of one send.
+type reply struct {
+	send    string
+	lost    bool // the daemon ended before it answered
+	verdict verdict.Verdict
+	body    string
+	took    time.Duration
+}
+
+// mark is the reply's letter in the table.
+func (r reply) mark() string {
+	if r.lost {
+		return "L"
+	}
+	return map[verdict.Verdict]string{verdict.Done: "D", verdict.NotRun: "N", verdict.MayHaveRun: "M"}[r.verdict]
+}
+
+// request sends a keyed request through daemon d and waits for the reply.
+func (d *daemon) request(ctx context.Context, send, key string) reply {
+	started := time.Now()
+	if d.isDead() {
+		return reply{send: send, lost: true}
+	}
+	req := httptest.NewRequestWithContext(ctx, http.MethodPost, "http://orders.example/order", strings.NewReader("order "+key))
+	req.Header.Set(entry.HeaderKey, key)
+	req.Header.Set(headerSend, send)
+	rec := httptest.NewRecorder()
+	if d.at(stepAccept) {
+		d.handler.ServeHTTP(rec, req)
+	}
+	if d.isDead() {
+		return reply{send: send, lost: true}
+	}
+	return reply{send: send, verdict: verdict.Parse(rec.Header().Get(verdict.Header)), body: rec.Body.String(), took: time.Since(started)}
+}
+
+// newKey returns a key made now whose owner under the view in force is d.
+func (in *installation) newKey(d *daemon) string {
+	for {
+		k := once.Key(uuid.Must(uuid.NewV7()).String())
+		if once.Owner(d.node.View(), k.Partition()) == d.self.Incarnation {
+			return string(k)
+		}
+	}
+}
--- a/once/once.go
+++ b/once/once.go
@@ -529,9 +529,11 @@
 	}
 }
 
-// Expire drops the claims whose keys can no longer be used.
-func (t *Table) Expire(now time.Time) {
+// Tick gives up on tables that were awaited long enough, and drops the claims
+// whose keys can no longer be used.
+func (t *Table) Tick(now time.Time) {
 	for _, p := range t.parts {
+		t.ready(now, p)
 		for k, c := range p.claims {
 			if now.Sub(k.Time()) > t.opts.Retention+t.opts.MaxSkew {
 				t.forget(c)
--- /dev/null
+++ b/once/once_test.go
@@ -0,0 +1,196 @@
+package once
+
+import (
+	"testing"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/fleet"
+)
+
+var t0 = time.UnixMilli(1_800_000_000_000)
+
+// keyAt returns a key made at time at, in a partition that owner owns under v.
+func keyAt(at time.Time, v *fleet.View, owner fleet.Incarnation) Key {
+	for i := 0; ; i++ {
+		var id uuid.UUID
+		ms := at.UnixMilli()
+		for b := range 6 {
+			id[b] = byte(ms >> (8 * (5 - b)))
+		}
+		id[6], id[8] = 0x70, 0x80
+		id[14], id[15] = byte(i>>8), byte(i)
+		if k := Key(id.String()); Owner(v, k.Partition()) == owner {
+			return k
+		}
+	}
+}
+
+func view(epoch fleet.Epoch, unretired []fleet.Incarnation, ids ...fleet.Incarnation) *fleet.View {
+	v := &fleet.View{Epoch: epoch}
+	for _, id := range ids {
+		v.Members = append(v.Members, fleet.Entry{Incarnation: id})
+	}
+	if unretired != nil {
+		v.Unretired = []fleet.RetiringView{{Epoch: epoch - 1, Members: unretired}}
+	}
+	return v
+}
+
+var serving = Standing{Confirmed: true, Retired: true}
+
+func ask(v *fleet.View, k Key, attempt Attempt) Request {
+	return Request{Epoch: v.Epoch, Key: k, Fingerprint: Fingerprint{1}, Attempt: attempt, Claimer: "a"}
+}
+
+func TestKeyTime(t *testing.T) {
+	id, err := uuid.NewV7()
+	require.NoError(t, err)
+	k, ok := ParseKey(id.String())
+	require.True(t, ok)
+	assert.WithinDuration(t, time.Now(), k.Time(), time.Minute)
+	for _, bad := range []string{"", "x", uuid.NewString(), "{" + id.String() + "}"} {
+		_, ok := ParseKey(bad)
+		assert.False(t, ok, bad)
+	}
+}
+
+func TestClaimsOfOneKey(t *testing.T) {
+	v := view(1, nil, "a")
+	table := NewTable("a", DefaultOptions)
+	table.SetView(v)
+	k := keyAt(t0, v, "a")
+	require.Equal(t, Granted, table.Claim(t0, serving, ask(v, k, "1")).Result)
+	assert.Equal(t, Granted, table.Claim(t0, serving, ask(v, k, "1")).Result, "the same message again")
+	assert.Equal(t, InProgress, table.Claim(t0, serving, ask(v, k, "2")).Result)
+	other := ask(v, k, "3")
+	other.Fingerprint = Fingerprint{2}
+	assert.Equal(t, Mismatch, table.Claim(t0, serving, other).Result)
+	answer := &Answer{Status: 200, Body: []byte("x")}
+	table.Note(Claim{Key: k, Attempt: "1", Status: Finished, Answer: answer})
+	assert.Equal(t, Reply{Result: Answered, Answer: answer}, table.Claim(t0, serving, ask(v, k, "4")))
+}
+
+func TestRefusesWithoutStandingOrUnderAnotherEpoch(t *testing.T) {
+	v := view(1, nil, "a")
+	table := NewTable("a", DefaultOptions)
+	table.SetView(v)
+	k := keyAt(t0, v, "a")
+	assert.Equal(t, NotOwner, table.Claim(t0, Standing{}, ask(v, k, "1")).Result)
+	old := ask(v, k, "1")
+	old.Epoch = 0
+	assert.Equal(t, NotOwner, table.Claim(t0, serving, old).Result)
+}
+
+func TestKeysOutOfTime(t *testing.T) {
+	v := view(1, nil, "a")
+	table := NewTable("a", DefaultOptions)
+	table.SetView(v)
+	assert.Equal(t, Expired, table.Claim(t0, serving, ask(v, keyAt(t0.Add(-11*time.Minute), v, "a"), "1")).Result)
+	assert.Equal(t, FromFuture, table.Claim(t0, serving, ask(v, keyAt(t0.Add(time.Second), v, "a"), "1")).Result)
+}
+
+// TestOwnerLost checks that a key which the lost owner may have granted is never
+// granted by its successor.
+func TestOwnerLost(t *testing.T) {
+	v1, v2 := view(1, nil, "a", "b"), view(2, []fleet.Incarnation{"a", "b"}, "b")
+	k := keyAt(t0, v1, "a")
+	table := NewTable("b", DefaultOptions)
+	table.SetView(v1)
+	table.SetView(v2)
+	now := t0.Add(time.Second)
+	assert.Equal(t, NotReady, table.Claim(now, serving, ask(v2, k, "2")).Result, "the old owner's table may still come")
+	now = now.Add(DefaultOptions.HandoverWait)
+	assert.Equal(t, MayHaveRun, table.Claim(now, serving, ask(v2, k, "2")).Result)
+	fresh := keyAt(t0.Add(5*time.Second), v1, "a")
+	assert.Equal(t, Granted, table.Claim(t0.Add(5*time.Second), serving, ask(v2, fresh, "3")).Result)
+}
+
+func TestHandOver(t *testing.T) {
+	v1, v2 := view(1, nil, "a", "b"), view(2, []fleet.Incarnation{"a", "b"}, "b")
+	k := keyAt(t0, v1, "a")
+	from, to := NewTable("a", DefaultOptions), NewTable("b", DefaultOptions)
+	from.SetView(v1)
+	to.SetView(v1)
+	require.Equal(t, Granted, from.Claim(t0, serving, ask(v1, k, "1")).Result)
+	from.Note(Claim{Key: k, Attempt: "1", Status: Finished, Answer: &Answer{Status: 201}})
+	to.SetView(v2)
+	for _, tr := range from.SetView(v2) {
+		assert.True(t, to.Receive(tr))
+	}
+	assert.Equal(t, NotOwner, from.Claim(t0, serving, ask(v2, k, "2")).Result)
+	assert.Equal(t, Answered, to.Claim(t0, serving, ask(v2, k, "2")).Result)
+	assert.Equal(t, Granted, to.Claim(t0, serving, ask(v2, keyAt(t0.Add(time.Millisecond), v1, "a"), "3")).Result, "a complete table grants keys of its own time")
+}
+
+// TestAbandonedAttemptDoesNotVouchForOthers: an owner that lost its
+// predecessor's table hears of an attempt that was given up. That says nothing
+// about an earlier attempt that the predecessor granted.
+func TestAbandonedAttemptDoesNotVouchForOthers(t *testing.T) {
+	v1, v2 := view(1, nil, "a", "b"), view(2, []fleet.Incarnation{"a", "b"}, "b")
+	k := keyAt(t0, v1, "a")
+	table := NewTable("b", DefaultOptions)
+	table.SetView(v1)
+	table.SetView(v2)
+	table.Serve(t0)
+	now := t0.Add(2 * time.Second)
+	require.True(t, table.Note(Claim{Key: k, Attempt: "2", Status: Abandoned}))
+	assert.Equal(t, MayHaveRun, table.Claim(now, serving, ask(v2, k, "3")).Result)
+}
+
+func TestAbandonOvertakesItsClaim(t *testing.T) {
+	v := view(1, nil, "a")
+	table := NewTable("a", DefaultOptions)
+	table.SetView(v)
+	k := keyAt(t0, v, "a")
+	table.Note(Claim{Key: k, Attempt: "1", Status: Abandoned})
+	assert.Equal(t, NotOwner, table.Claim(t0, serving, ask(v, k, "1")).Result)
+	assert.Equal(t, Granted, table.Claim(t0, serving, ask(v, k, "2")).Result)
+}
+
+// TestMissedViews: a daemon that slept through a view in which another daemon
+// owned the partition does not take its own old table for complete.
+func TestMissedViews(t *testing.T) {
+	v1, v2 := view(1, nil, "a", "b"), view(2, nil, "b")
+	v3 := view(3, []fleet.Incarnation{"b"}, "a", "b")
+	k := keyAt(t0, v1, "a")
+	sleeper := NewTable("a", DefaultOptions)
+	sleeper.SetView(v1)
+	other := NewTable("b", DefaultOptions)
+	other.SetView(v1)
+	other.SetView(v2)
+	other.Serve(t0)
+	later := t0.Add(5 * time.Second)
+	k2 := keyAt(later, v1, "a")
+	require.Equal(t, Granted, other.Claim(later, serving, ask(v2, k2, "1")).Result)
+	other.Tick(later)
+	sleeper.SetView(v3)
+	assert.Equal(t, NotReady, sleeper.Claim(later, serving, ask(v3, k2, "2")).Result)
+	for _, tr := range other.SetView(v3) {
+		sleeper.Receive(tr)
+	}
+	assert.Equal(t, InProgress, sleeper.Claim(later, serving, ask(v3, k2, "2")).Result)
+	assert.Equal(t, MayHaveRun, sleeper.Claim(later, serving, ask(v3, k, "3")).Result, "b never had a's first table")
+}
+
+func TestBounds(t *testing.T) {
+	v := view(1, nil, "a")
+	o := DefaultOptions
+	o.MaxClaims, o.MaxAnswerBytes = 10, 100
+	table := NewTable("a", o)
+	table.SetView(v)
+	var keys []Key
+	for i := range 30 {
+		k := keyAt(t0.Add(time.Duration(i)*time.Millisecond), v, "a")
+		keys = append(keys, k)
+		table.Claim(t0.Add(time.Second), serving, ask(v, k, "1"))
+		table.Note(Claim{Key: k, Attempt: "1", Status: Finished, Answer: &Answer{Body: make([]byte, 40)}})
+	}
+	claims, bytes := table.Size()
+	assert.LessOrEqual(t, claims, 10)
+	assert.LessOrEqual(t, bytes, 100)
+	assert.Equal(t, MayHaveRun, table.Claim(t0.Add(time.Second), serving, ask(v, keys[0], "2")).Result, "a forgotten key is not run again")
+}
--- /dev/null
+++ b/slots/slots_test.go
@@ -0,0 +1,260 @@
+package slots
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
+
+	"github.com/postmount/postmount/fleet"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// The property tests give the same verdict on every run.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "500")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+const drain = 10 * time.Second
+
+func view(epoch fleet.Epoch, departed []fleet.Incarnation, ids ...fleet.Incarnation) *fleet.View {
+	v := &fleet.View{Epoch: epoch, Departed: departed}
+	for _, id := range ids {
+		v.Members = append(v.Members, fleet.Entry{Incarnation: id})
+	}
+	return v
+}
+
+func TestSharesAddUpToTheWhole(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n, total := rapid.IntRange(1, 8).Draw(t, "members"), rapid.IntRange(0, 64).Draw(t, "total")
+		v := &fleet.View{Epoch: 1}
+		for i := range n {
+			v.Members = append(v.Members, fleet.Entry{Incarnation: fleet.Incarnation(fmt.Sprint("m", i))})
+		}
+		sum := 0
+		for _, m := range v.Members {
+			sum += Share(v, m.Incarnation, "w", total)
+		}
+		assert.Equal(t, total, sum)
+	})
+}
+
+func core(self fleet.Incarnation, v *fleet.View) *Core {
+	c := New(self, drain)
+	c.SetView(v)
+	c.SetWorkers(map[fleet.InstanceID]int{"w": 8})
+	return c
+}
+
+func all(fleet.InstanceID) int { return 0 }
+
+func TestLoanMovesASlot(t *testing.T) {
+	v := view(1, nil, "a", "b")
+	a, b := core("a", v), core("b", v)
+	require.Equal(t, 4, a.Free("w"))
+	l, ok := a.Lend(t0, "l1", "b", 1, []fleet.InstanceID{"w"}, all)
+	require.True(t, ok)
+	again, ok := a.Lend(t0, "l1", "b", 1, []fleet.InstanceID{"w"}, all)
+	require.True(t, ok)
+	assert.Equal(t, l, again, "a repeated question lends nothing more")
+	require.True(t, b.Borrowed(l))
+	assert.Equal(t, 3, a.Free("w"))
+	assert.Equal(t, 5, b.Free("w"))
+	idle := b.Idle(t0.Add(time.Second))
+	require.Len(t, idle, 1)
+	a.Returned(idle[0].ID)
+	assert.Equal(t, 4, a.Free("w"))
+	assert.Equal(t, 4, b.Free("w"))
+}
+
+func TestLoanReturnedBeforeItWasAskedForIsRefused(t *testing.T) {
+	a := core("a", view(1, nil, "a", "b"))
+	a.Returned("l1")
+	_, ok := a.Lend(t0, "l1", "b", 1, []fleet.InstanceID{"w"}, all)
+	assert.False(t, ok)
+}
+
+func TestLoanOfAnEarlierViewIsNotUsed(t *testing.T) {
+	a, b := core("a", view(1, nil, "a", "b")), core("b", view(1, nil, "a", "b"))
+	l, ok := a.Lend(t0, "l1", "b", 1, []fleet.InstanceID{"w"}, all)
+	require.True(t, ok)
+	b.SetView(view(2, nil, "a", "b"))
+	assert.False(t, b.Borrowed(l))
+	_, ok = a.Lend(t0, "l2", "b", 2, []fleet.InstanceID{"w"}, all)
+	assert.False(t, ok, "the lender does not know the borrower's view yet")
+}
+
+func TestVanishedMembersShareIsTakenUpOnlyAfterItsRequestsEnded(t *testing.T) {
+	a := core("a", view(1, nil, "a", "b"))
+	a.SetView(view(2, nil, "a"))
+	a.Tick(t0, false)
+	assert.Equal(t, 4, a.Free("w"), "the earlier view may still be in use")
+	a.Tick(t0, true)
+	assert.Equal(t, 4, a.Free("w"))
+	a.Tick(t0.Add(drain), true)
+	assert.Equal(t, 8, a.Free("w"))
+}
+
+func TestDepartedMembersShareIsTakenUpAtOnce(t *testing.T) {
+	a := core("a", view(1, nil, "a", "b"))
+	a.SetView(view(2, []fleet.Incarnation{"b"}, "a"))
+	a.Tick(t0, false)
+	assert.Equal(t, 8, a.Free("w"))
+}
+
+// fleetOf runs several cores against each other with messages that are lost,
+// late or repeated, and counts what is truly in use on the worker.
+type fleetOf struct {
+	cores  map[fleet.Incarnation]*Core
+	inUse  map[fleet.Incarnation]int
+	view   *fleet.View
+	now    time.Time
+	loans  []Loan
+	backs  []Loan
+	gone   map[fleet.Incarnation]time.Time
+	nextID int
+}
+
+// TestSlotsNeverExceedTheWorker drives cores through views, loans and lost
+// messages at random, and checks after every step that no more than the
+// worker's slots are in use.
+func TestSlotsNeverExceedTheWorker(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := &fleetOf{cores: map[fleet.Incarnation]*Core{}, inUse: map[fleet.Incarnation]int{}, now: t0, gone: map[fleet.Incarnation]time.Time{}}
+		f.view = view(1, nil, "a", "b", "c")
+		for _, id := range f.view.Incarnations() {
+			f.cores[id] = core(id, f.view)
+		}
+		t.Repeat(map[string]func(*rapid.T){
+			"":        f.check,
+			"acquire": f.acquire,
+			"release": f.release,
+			"borrow":  f.borrow,
+			"deliver": f.deliver,
+			"return":  f.giveBack,
+			"tick":    f.tick,
+			"change":  f.change,
+		})
+	})
+}
+
+func (f *fleetOf) pick(t *rapid.T) fleet.Incarnation {
+	return rapid.SampledFrom(f.view.Incarnations()).Draw(t, "member")
+}
+
+func (f *fleetOf) check(t *rapid.T) {
+	sum := 0
+	for _, n := range f.inUse {
+		sum += n
+	}
+	if sum > 8 {
+		t.Fatalf("%d of 8 slots in use: %v", sum, f.inUse)
+	}
+}
+
+func (f *fleetOf) acquire(t *rapid.T) {
+	if id := f.pick(t); f.cores[id].Acquire("w") {
+		f.inUse[id]++
+	}
+}
+
+func (f *fleetOf) release(t *rapid.T) {
+	if id := f.pick(t); f.inUse[id] > 0 {
+		f.cores[id].Release("w")
+		f.inUse[id]--
+	}
+}
+
+func (f *fleetOf) borrow(t *rapid.T) {
+	lender, borrower := f.pick(t), f.pick(t)
+	if lender == borrower {
+		return
+	}
+	f.nextID++
+	if l, ok := f.cores[lender].Lend(f.now, LoanID(fmt.Sprint(f.nextID)), borrower, f.cores[borrower].view.Epoch, []fleet.InstanceID{"w"}, all); ok {
+		f.loans = append(f.loans, l)
+	}
+}
+
+// deliver hands a grant over, perhaps a second time, perhaps under a later view.
+func (f *fleetOf) deliver(t *rapid.T) {
+	if len(f.loans) == 0 {
+		return
+	}
+	l := rapid.SampledFrom(f.loans).Draw(t, "loan")
+	if c := f.cores[l.Borrower]; c != nil && !f.returned(l) {
+		c.Borrowed(l)
+	}
+}
+
+func (f *fleetOf) returned(l Loan) bool {
+	for _, b := range f.backs {
+		if b.ID == l.ID {
+			return true
+		}
+	}
+	return false
+}
+
+func (f *fleetOf) giveBack(t *rapid.T) {
+	for _, l := range f.cores[f.pick(t)].Idle(f.now.Add(time.Second)) {
+		f.backs = append(f.backs, l)
+		if c := f.cores[l.Lender]; c != nil && rapid.Bool().Draw(t, "arrives") {
+			c.Returned(l.ID)
+		}
+	}
+}
+
+// tick lets members learn how the others are, some of them, and time pass.
+func (f *fleetOf) tick(t *rapid.T) {
+	f.now = f.now.Add(time.Duration(rapid.IntRange(0, 4).Draw(t, "seconds")) * time.Second)
+	for id, ended := range f.gone {
+		if f.now.Sub(ended) >= drain {
+			f.inUse[id] = 0
+		}
+	}
+	for _, a := range f.view.Incarnations() {
+		for _, b := range f.view.Incarnations() {
+			if a != b && f.cores[b].SelfSettled() && rapid.Bool().Draw(t, "heard") {
+				f.cores[a].PeerSettled(b, f.cores[b].view.Epoch)
+			}
+		}
+		f.cores[a].Tick(f.now, true)
+	}
+}
+
+// change replaces a member: it vanishes with its requests under way, or leaves
+// with none. Every daemon adopts the new view.
+func (f *fleetOf) change(t *rapid.T) {
+	old := f.pick(t)
+	f.nextID++
+	next := &fleet.View{Epoch: f.view.Epoch + 1, Unretired: []fleet.RetiringView{{Epoch: f.view.Epoch, Members: f.view.Incarnations()}}}
+	for _, m := range f.view.Members {
+		if m.Incarnation != old {
+			next.Members = append(next.Members, m)
+		}
+	}
+	if f.inUse[old] == 0 && rapid.Bool().Draw(t, "leaves") {
+		next.Departed = []fleet.Incarnation{old}
+	}
+	fresh := fleet.Incarnation(fmt.Sprint("n", f.nextID))
+	next.Members = append(next.Members, fleet.Entry{Incarnation: fresh})
+	delete(f.cores, old)
+	f.gone[old] = f.now
+	f.view = next
+	for _, c := range f.cores {
+		c.SetView(next)
+	}
+	c := New(fresh, drain)
+	c.SetWorkers(map[fleet.InstanceID]int{"w": 8})
+	c.SetView(next)
+	f.cores[fresh] = c
+}
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -73,7 +73,6 @@
 	pending   []pending
 	gone      []string
 	router    chi.Router
-	commands  int64
 	timers    sync.WaitGroup
 	closed    chan struct{}
 }
--- a/standin/worker/tasks.go
+++ b/standin/worker/tasks.go
@@ -16,11 +16,10 @@
 type taskID struct{ pool, job string }
 
 type task struct {
-	msg     workerhttp.TaskMessage
-	ends    time.Time // when it is done
-	lease   time.Time // when it is stopped unless renewed
-	state   fleet.TaskState
-	stopped bool
+	msg   workerhttp.TaskMessage
+	ends  time.Time // when it is done
+	lease time.Time // when it is stopped unless renewed
+	state fleet.TaskState
 }
 
 // usedShare is how much of its declared need a task really uses, in percent:
