A handed-over claim outweighs the trace of an abandoned attempt

Cause: pairs of faults found a request that ran twice: the owner was paused after it answered, a resend gave its attempt up and told the new owner so, and when the old owner's table came, the claim of the attempt that ran was dropped because the key was known already, as abandoned. Two merge rules stood side by side. Ruled out: the loss of the table itself (it arrived whole and in time). Change: one merge rule for notes and tables: a granted attempt's word outweighs an abandoned one's. Test: TestHandOverOutweighsAnAbandonedAttempt failed, passes. Keys of the search are the same in every run now.

--- a/internal/matrix/installation_test.go
+++ b/internal/matrix/installation_test.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
 	"net/http"
@@ -215,7 +216,9 @@
 // step, as if its process were paused.
 func (d *daemon) freeze(length time.Duration) {
 	d.mu.Lock()
-	d.frozen = make(chan struct{})
+	if d.frozen == nil {
+		d.frozen = make(chan struct{})
+	}
 	d.mu.Unlock()
 	d.in.later(length, d.thaw)
 }
@@ -496,12 +499,22 @@
 	return reply{send: send, verdict: verdict.Parse(rec.Header().Get(verdict.Header)), body: rec.Body.String(), took: time.Since(started)}
 }
 
-// newKey returns a key made now whose owner under the view in force is d.
-func (in *installation) newKey(d *daemon) string {
-	for {
-		k := once.Key(uuid.Must(uuid.NewV7()).String())
-		if once.Owner(d.node.View(), k.Partition()) == d.self.Incarnation {
+// newKey returns the n-th key made now whose owner under the view in force is
+// d. The same n gives the same key in every run.
+func (in *installation) newKey(d *daemon, n int) string {
+	const version, variant = 0x70, 0x80
+	for i := 0; ; i++ {
+		var id uuid.UUID
+		binary.BigEndian.PutUint64(id[:], uint64(time.Now().UnixMilli())<<16)
+		binary.BigEndian.PutUint64(id[8:], uint64(i))
+		id[6], id[8] = version, variant
+		k := once.Key(id.String())
+		if once.Owner(d.node.View(), k.Partition()) != d.self.Incarnation {
+			continue
+		}
+		if n == 0 {
 			return string(k)
 		}
+		n--
 	}
 }
--- a/internal/matrix/request_test.go
+++ b/internal/matrix/request_test.go
@@ -5,6 +5,7 @@
 	"flag"
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -13,6 +14,7 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"pgregory.net/rapid"
 
 	"github.com/postmount/postmount/standin/store"
 	"github.com/postmount/postmount/verdict"
@@ -57,6 +59,9 @@
 			c.in.later(0, func() {
 				ctx, cancel := context.WithTimeout(context.Background(), faultLength)
 				defer cancel()
+				// A planned stop finishes what is in flight before it leaves.
+				for c.owner.handler.InFlight() > 0 && pause(ctx) {
+				}
 				_ = c.owner.node.Leave(ctx)
 			})
 		}},
@@ -74,6 +79,11 @@
 	}
 }
 
+func pause(ctx context.Context) bool {
+	time.Sleep(10 * time.Millisecond)
+	return ctx.Err() == nil
+}
+
 func (c *cell) setStores(f store.Faults) {
 	for _, d := range c.in.daemons {
 		d.store.SetFaults(f)
@@ -83,21 +93,24 @@
 // run carries a request through the cell: once, again through another daemon
 // while it may still run, and once more when everything is well again. second,
 // if not nil, strikes a random time after the first fault.
-func run(t *testing.T, name string, self bool, first strike, second *strike) (replies []reply) {
+func run(t *testing.T, key int, self bool, first strike, second *strike) (r result) {
 	synctest.Test(t, func(t *testing.T) {
 		in := newInstallation(3)
 		defer in.close()
 		in.settle()
-		require.True(t, in.agreed(), "no view")
+		if !in.agreed() {
+			r.broken = append(r.broken, "the daemons did not agree on a view")
+			return
+		}
 		c := &cell{in: in, receiver: in.daemons[0], owner: in.daemons[1], other: in.daemons[2]}
 		if self {
 			c.owner = c.receiver
 		}
-		key := in.newKey(c.owner)
+		key := in.newKey(c.owner, key)
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		c.hangUp = cancel
-		in.hook = c.hook(first, second)
+		in.hook = c.hook(first, second, &r.hit)
 		var again reply
 		var wg sync.WaitGroup
 		wg.Add(1)
@@ -106,18 +119,36 @@
 			time.Sleep(resendAfter)
 			again = c.other.request(context.Background(), "again", key)
 		}()
-		replies = append(replies, c.receiver.request(ctx, "first", key))
+		r.replies = append(r.replies, c.receiver.request(ctx, "first", key))
 		wg.Wait()
-		replies = append(replies, again)
+		r.replies = append(r.replies, again)
 		time.Sleep(healed)
 		in.backend.set(func(b *backend) { b.down, b.hang, b.cut = false, false, false })
 		in.mu.Lock()
 		in.hook = nil
 		in.mu.Unlock()
-		replies = append(replies, c.other.request(context.Background(), "late", key))
-		check(t, name, replies, in.backend.runs(key), first.slow || (second != nil && second.slow))
+		r.replies = append(r.replies, c.other.request(context.Background(), "late", key))
+		r.check(in.backend.runs(key), first.slow || (second != nil && second.slow))
 	})
-	return replies
+	return r
+}
+
+// result is what came of one run.
+type result struct {
+	replies []reply
+	hit     bool     // the fault's step was reached
+	broken  []string // promises seen broken
+}
+
+func (r *result) marks() string {
+	if !r.hit {
+		return "-"
+	}
+	marks := ""
+	for _, x := range r.replies {
+		marks += x.mark()
+	}
+	return marks
 }
 
 const (
@@ -133,13 +164,14 @@
 }
 
 // hook hits with the first fault when the first send reaches its step.
-func (c *cell) hook(first strike, second *strike) func(step, *daemon) {
+func (c *cell) hook(first strike, second *strike, hit *bool) func(step, *daemon) {
 	var once sync.Once
 	return func(s step, d *daemon) {
 		if s != first.at || d != c.receiver {
 			return
 		}
 		once.Do(func() {
+			*hit = true
 			first.hit(c)
 			if second != nil {
 				c.in.later(second.delay, func() { second.hit(c) })
@@ -148,20 +180,27 @@
 	}
 }
 
-// check tests what must always hold.
-func check(t *testing.T, name string, replies []reply, ran []string, slow bool) {
-	assert.LessOrEqual(t, len(ran), 1, "%s: ran %v", name, ran)
-	for _, r := range replies {
+// latest is how late a reply may come: the request's deadline and a little.
+const latest = 2100 * time.Millisecond
+
+// check tests what must always hold, given the sends that ran.
+func (r *result) check(ran []string, slow bool) {
+	say := func(format string, args ...any) { r.broken = append(r.broken, fmt.Sprintf(format, args...)) }
+	if len(ran) > 1 {
+		say("ran more than once: %v", ran)
+	}
+	for _, x := range r.replies {
 		switch {
-		case r.lost:
-		case r.verdict == verdict.Done:
-			assert.Len(t, ran, 1, "%s: %s was answered", name, r.send)
-			assert.Contains(t, r.body, "answer to ", "%s: %s got a whole answer", name, r.send)
-		case r.verdict == verdict.NotRun:
-			assert.NotContains(t, ran, r.send, "%s: %s was told that it did not run", name, r.send)
+		case x.lost:
+		case x.verdict == verdict.Done && len(ran) != 1:
+			say("%s was answered, ran %v", x.send, ran)
+		case x.verdict == verdict.Done && !strings.Contains(x.body, "answer to "):
+			say("%s got no whole answer: %q", x.send, x.body)
+		case x.verdict == verdict.NotRun && slices.Contains(ran, x.send):
+			say("%s ran and was told that it did not", x.send)
 		}
-		if !slow {
-			assert.LessOrEqual(t, r.took, 2100*time.Millisecond, "%s: %s was answered late", name, r.send)
+		if !slow && x.took > latest {
+			say("%s was answered after %s", x.send, x.took)
 		}
 	}
 }
@@ -184,11 +223,9 @@
 		for _, f := range faults() {
 			fmt.Fprintf(&b, "| %s |", f.name)
 			for _, s := range steps {
-				marks := ""
-				for _, r := range run(t, f.name+" at "+string(s), self, strike{fault: f, at: s}, nil) {
-					marks += r.mark()
-				}
-				fmt.Fprintf(&b, " %s |", marks)
+				r := run(t, 0, self, strike{fault: f, at: s}, nil)
+				assert.Empty(t, r.broken, "%s at %s", f.name, s)
+				fmt.Fprintf(&b, " %s |", r.marks())
 			}
 			b.WriteString("\n")
 		}
@@ -196,6 +233,31 @@
 	compareTable(t, "request", b.String())
 }
 
+// The random search gives the same verdict on every run.
+func init() {
+	_ = flag.Set("rapid.seed", "1")
+	_ = flag.Set("rapid.checks", "300")
+	_ = flag.Set("rapid.nofailfile", "true")
+}
+
+// TestPairsOfFaults lets two faults meet at random; what fails is shrunk to the
+// smallest pair.
+func TestPairsOfFaults(t *testing.T) {
+	all := faults()
+	rapid.Check(t, func(rt *rapid.T) {
+		first := strike{fault: all[rapid.IntRange(0, len(all)-1).Draw(rt, "first")], at: rapid.SampledFrom(steps).Draw(rt, "step")}
+		second := strike{
+			fault: all[rapid.IntRange(0, len(all)-1).Draw(rt, "second")],
+			delay: time.Duration(rapid.IntRange(0, 6000).Draw(rt, "ms later")) * time.Millisecond,
+		}
+		key := rapid.IntRange(0, 30).Draw(rt, "key")
+		r := run(t, key, rapid.Bool().Draw(rt, "receiver owns the key"), first, &second)
+		if len(r.broken) > 0 {
+			rt.Fatalf("%s at %s, then %s after %s: %v", first.name, first.at, second.name, second.delay, r.broken)
+		}
+	})
+}
+
 const faultsPage = "../../docs/FAULTS.md"
 
 // compareTable compares a table with the one between its marks on the page.
--- a/once/once.go
+++ b/once/once.go
@@ -319,11 +319,8 @@
 	if mine == nil {
 		return false
 	}
-	for i := range tr.Claims {
-		c := tr.Claims[i]
-		if _, known := mine.claims[c.Key]; !known {
-			t.insert(mine, &c)
-		}
+	for _, c := range tr.Claims {
+		t.merge(mine, c)
 	}
 	if tr.Complete && tr.Epoch >= mine.takenAt && tr.From == mine.from {
 		// A table that was given up on and arrives late still completes ours:
@@ -460,21 +457,28 @@
 	if p == nil {
 		return false
 	}
-	c, ok := p.claims[n.Key]
-	if !ok {
+	t.merge(p, n)
+	return true
+}
+
+// merge takes in what is known of one attempt. What an attempt that was granted
+// says of itself outweighs the trace of another that was given up; of two
+// words about one attempt the one about its end counts.
+func (t *Table) merge(p *partition, n Claim) {
+	c, known := p.claims[n.Key]
+	switch {
+	case !known:
 		t.insert(p, &n)
-		return true
-	}
-	if c.Status == Abandoned && n.Status != Abandoned {
-		// What an attempt that was granted says of itself outweighs the trace
-		// of another that was not.
+	case c.Status == Abandoned && n.Status != Abandoned:
 		t.forget(c)
 		t.insert(p, &n)
-		return true
-	}
-	if c.Attempt != n.Attempt || c.Status != Running {
-		return true // about an older attempt, or known already
+	case c.Attempt == n.Attempt && c.Status == Running:
+		t.end(c, n)
 	}
+}
+
+// end notes how a running attempt ended.
+func (t *Table) end(c *Claim, n Claim) {
 	c.Status = n.Status
 	c.Answer = n.Answer
 	if c.Answer != nil {
@@ -482,7 +486,6 @@
 		t.finished = append(t.finished, c.Key)
 		t.bound()
 	}
-	return true
 }
 
 // bound keeps the table within its limits. An answer goes before a claim. A
--- a/once/once_test.go
+++ b/once/once_test.go
@@ -141,6 +141,23 @@
 	assert.Equal(t, MayHaveRun, table.Claim(now, serving, ask(v2, k, "3")).Result)
 }
 
+// TestHandOverOutweighsAnAbandonedAttempt: the new owner hears first of another
+// attempt that was given up, and then gets the old owner's table.
+func TestHandOverOutweighsAnAbandonedAttempt(t *testing.T) {
+	v1, v2 := view(1, nil, "a", "b"), view(2, []fleet.Incarnation{"a", "b"}, "b")
+	k := keyAt(t0, v1, "a")
+	from, to := NewTable("a", DefaultOptions), NewTable("b", DefaultOptions)
+	from.SetView(v1)
+	to.SetView(v1)
+	require.Equal(t, Granted, from.Claim(t0, serving, ask(v1, k, "1")).Result)
+	to.SetView(v2)
+	require.True(t, to.Note(Claim{Key: k, Attempt: "2", Status: Abandoned}))
+	for _, tr := range from.SetView(v2) {
+		require.True(t, to.Receive(tr))
+	}
+	assert.NotEqual(t, Granted, to.Claim(t0, serving, ask(v2, k, "3")).Result)
+}
+
 func TestAbandonOvertakesItsClaim(t *testing.T) {
 	v := view(1, nil, "a")
 	table := NewTable("a", DefaultOptions)
