--- /dev/null
+++ b/admit/admit_test.go
@@ -0,0 +1,110 @@
+package admit
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/fleet"
+)
+
+var t0 = time.Date(2026, 1, 1, 9, 30, 0, 0, time.UTC)
+
+func newCore(p Policy) *Core {
+	o := DefaultOptions
+	o.Policy = p
+	o.MaxQueue = 100
+	c := New(o)
+	c.SetClasses([]fleet.Class{{Name: "retail", Weight: 8}, {Name: "bulk", Weight: 1}})
+	c.SetSlots(10)
+	return c
+}
+
+func push(t *testing.T, c *Core, id ID, class fleet.ClassName, within time.Duration) {
+	require.Nil(t, c.Push(t0, id, class, t0.Add(within)))
+}
+
+func order(c *Core, n int) (out []ID) {
+	for range n {
+		id, ok, _ := c.Pop(t0)
+		if !ok {
+			return out
+		}
+		out = append(out, id)
+	}
+	return out
+}
+
+func TestBulkDoesNotStandBeforeRetail(t *testing.T) {
+	c := newCore(PolicyWeighted)
+	for i := range 50 {
+		push(t, c, ID(i), "bulk", time.Minute)
+	}
+	for i := range 4 {
+		push(t, c, ID(100+i), "retail", time.Minute)
+	}
+	first := order(c, 6)
+	assert.Subset(t, first, []ID{100, 101, 102, 103})
+	fifo := newCore(PolicyFIFO)
+	for i := range 50 {
+		push(t, fifo, ID(i), "bulk", time.Minute)
+	}
+	push(t, fifo, 100, "retail", time.Minute)
+	assert.NotContains(t, order(fifo, 50), ID(100), "the baseline does")
+}
+
+func TestNoClassStarves(t *testing.T) {
+	c := newCore(PolicyWeighted)
+	for i := range 90 {
+		push(t, c, ID(i), "retail", time.Minute)
+	}
+	push(t, c, 100, "bulk", time.Minute)
+	assert.Contains(t, order(c, 18), ID(100), "one in nine goes to bulk")
+}
+
+func TestEarliestDeadlineFirstWithinAClass(t *testing.T) {
+	c := newCore(PolicyWeighted)
+	push(t, c, 1, "retail", 3*time.Second)
+	push(t, c, 2, "retail", time.Second)
+	push(t, c, 3, "retail", 2*time.Second)
+	assert.Equal(t, []ID{2, 3, 1}, order(c, 3))
+}
+
+func TestRefusesAtOnceWhatWouldBeLate(t *testing.T) {
+	c := newCore(PolicyWeighted)
+	for range 100 {
+		c.Observe(time.Second)
+	}
+	for i := range 40 {
+		push(t, c, ID(i), "retail", time.Minute)
+	}
+	r := c.Push(t0, 99, "retail", t0.Add(3*time.Second))
+	require.NotNil(t, r)
+	assert.Equal(t, ReasonTooLate, r.Reason)
+	assert.InDelta(t, 4.1, r.RetryAfter.Seconds(), 0.2, "41 requests before it at 10 a second")
+}
+
+func TestQueueIsBounded(t *testing.T) {
+	c := newCore(PolicyWeighted)
+	for i := range 100 {
+		push(t, c, ID(i), "bulk", time.Hour)
+	}
+	assert.Equal(t, ReasonQueueFull, c.Push(t0, 101, "bulk", t0.Add(time.Hour)).Reason)
+	assert.Nil(t, c.Push(t0, 102, "retail", t0.Add(time.Hour)), "each class has its own")
+}
+
+func TestExpiredAndRemovedRequestsAreNotRun(t *testing.T) {
+	c := newCore(PolicyWeighted)
+	push(t, c, 1, "retail", time.Second)
+	push(t, c, 2, "retail", 2*time.Second)
+	push(t, c, 3, "retail", 3*time.Second)
+	require.True(t, c.Remove(2))
+	assert.False(t, c.Remove(2))
+	id, ok, expired := c.Pop(t0.Add(1500 * time.Millisecond))
+	assert.True(t, ok)
+	assert.Equal(t, ID(3), id)
+	assert.Equal(t, []ID{1}, expired)
+	assert.Zero(t, c.Waiting())
+}
--- /dev/null
+++ b/internal/matrix/mutations.sh
@@ -0,0 +1,57 @@
+#!/usr/bin/env bash
+# Breaks one mechanism after another in a scratch copy and runs the tests that
+# are meant to notice. Prints a table for docs/FAULTS.md. Not part of CI: it
+# takes minutes.
+set -u
+top=$(cd "$(dirname "$0")/../.." && pwd)
+copy=$(mktemp -d)
+trap 'rm -rf "$copy"' EXIT
+
+echo "| mechanism broken | where | noticed by |"
+echo "|---|---|---|"
+
+# broken NAME FILE PERL-SUBSTITUTION PACKAGES
+broken() {
+  rm -rf "$copy/src"
+  mkdir "$copy/src"
+  (cd "$top" && git ls-files -z | tar --null -T - -cf - ) | tar -xf - -C "$copy/src"
+  perl -0pi -e "$3" "$copy/src/$2"
+  if cmp -s "$top/$2" "$copy/src/$2"; then
+    echo "| $1 | $2 | NOT APPLIED |"
+    return
+  fi
+  local out
+  out=$(cd "$copy/src" && timeout 120 go test -timeout 100s $4 2>&1)
+  if [ $? -eq 0 ]; then
+    echo "| $1 | $2 | NOT NOTICED |"
+    return
+  fi
+  echo "| $1 | $2 | $(grep -oE -- '^--- FAIL: [A-Za-z]+' <<<"$out" | sed 's/--- FAIL: //' | sort -u | head -4 | paste -sd' ' || true) |"
+}
+
+M=./internal/matrix
+broken "a lost owner's keys are granted" once/once.go 's/case made\.Before\(p\.since\):/case false:/' "$M ./once"
+broken "a new owner does not wait for the old table" once/once.go 's/if t\.servingAt\.IsZero\(\) \|\| now\.Sub\(t\.servingAt\) < t\.opts\.HandoverWait/if false/' "$M ./once"
+broken "a grant is not noted" once/once.go 's/\tt\.insert\(p, &Claim\{Key: r\.Key[^\n]*\n//' "$M ./once"
+broken "an abandoned attempt vouches for others" once/once.go 's/if refusal, ok := t\.unfit\(now, p, r\.Key\); ok \{/if refusal, ok := t.unfit(now, p, r.Key); ok && !found {/' "$M ./once"
+broken "a table handed over does not outweigh" once/once.go 's/case c\.Status == Abandoned && n\.Status != Abandoned:/case false:/' "$M ./once"
+broken "missed views are not noticed" once/once.go 's/if missed == 0 \{/if true {/' "$M ./once"
+broken "a view serves before the earlier one stopped" member/member.go 's/return c\.allStopped\n/return true\n/' "$M ./member"
+broken "a minority serves" member/member.go 's/return 2\*n > total[^\n]*/return true/' "$M ./member"
+broken "a newer epoch is ignored" member/member.go 's/if c\.highest == c\.view\.Epoch \{/if true {/' "$M ./member"
+broken "what may have run is noted as not run" entry/keyed.go 's/case verdict\.Of\(err\) == verdict\.NotRun:\n\t\th\.Claims/case true:\n\t\th.Claims/' "$M"
+broken "the request is sent without a claim" entry/handler.go 's/if c\.key == "" \{\n\t\treturn h\.send/if true {\n\t\treturn h.send/' "$M"
+broken "a cut-off daemon goes on sending" entry/handler.go 's/if !h\.Standing\(\)\.Current\(time\.Now\(\)\) \{/if false {/g' "$M"
+broken "a keyed request that may have run is retried" retry/retry.go 's/repeatable := a\.Verdict == verdict\.NotRun \|\| a\.Idempotent/repeatable := true/' "$M ./retry"
+broken "net/http may replay" adapter/backendhttp/client.go 's/req\.Body = opaqueBody\{bytes\.NewReader\(r\.Body\)\}/req.Body = http.NoBody/' "./adapter/backendhttp"
+broken "a late write is let through" adapter/backendhttp/client.go 's/\tc\.sealed = true\n//' "./adapter/backendhttp"
+broken "shares are taken up at once" slots/slots.go 's/\tif !c\.vanished \{\n\t\treturn true/\tif true {\n\t\treturn true/' "./slots"
+broken "loans outlive their view" slots/slots.go 's/if l\.Epoch != c\.view\.Epoch \|\| w == nil/if w == nil/' "./slots"
+broken "a lost answer counts as not written" record/record.go 's/\t\tuncertain = true\n/\t\treturn Written{}, verdict.New(verdict.NotRun, CodeConflict, "x")\n/' "./record"
+broken "an overwritten record counts as lost race" record/record.go 's/if slices\.Contains\(env\.Tokens, p\.token\)/if false/' "./record"
+broken "failures do not count against the budget" budget/budget.go 's/a\.Failed = append\(a\.Failed, m\.Instance\)/_ = 0/' "$M ./wave"
+broken "a wave ignores the budget" wave/grant.go 's/if account\.Headroom\(\) <= 0 \{/if false {/' "$M ./wave"
+broken "a claim is dropped before the instance is back" wave/advance.go 's/done = inst\.State == fleet\.InstanceReady/done = true/' "$M ./wave"
+broken "an outdated command counts as carried out" wave/advance.go 's/inst\.Generation == d\.Command\.Generation\+1:/inst.Generation > d.Command.Generation:/' "$M ./wave"
+broken "a moved instance keeps its claim in no pool" wave/advance.go 's/p\.enter\(d, fleet\.PhaseReturn, inst\)\n\t\treturn\n\t\}\n\tp\.plan\.Changes/p.release(d)\n\t\treturn\n\t}\n\tp.plan.Changes/' "$M ./wave"
+broken "a refused worker is retried into its overload" retry/retry.go 's/!repeatable \|\| a\.Overload/!repeatable/' "./retry"
--- /dev/null
+++ b/record/record_test.go
@@ -0,0 +1,116 @@
+package record
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/verdict"
+)
+
+// lossyStore is a store of one key whose answers can be lost, and in which
+// others write while the writer is unsure.
+type lossyStore struct {
+	port.Store
+	kv      port.KV
+	lose    bool // the write takes effect, its answer is lost
+	drop    bool // the write is lost before it takes effect
+	down    bool // reads fail
+	between func(*lossyStore)
+}
+
+func (s *lossyStore) CompareAndSwap(_ context.Context, key string, expect fleet.Revision, value []byte, _ port.LeaseID) (fleet.Revision, bool, error) {
+	lose, drop := s.lose, s.drop
+	s.lose, s.drop = false, false
+	ok := s.kv.Revision == expect
+	if ok && !drop {
+		s.kv = port.KV{Key: key, Value: value, Revision: expect + 1}
+	}
+	if between := s.between; between != nil && (lose || drop) {
+		s.between = nil
+		between(s)
+	}
+	if lose || drop {
+		return 0, false, verdict.New(verdict.MayHaveRun, port.CodeStoreDown, "lost")
+	}
+	return s.kv.Revision, ok, nil
+}
+
+func (s *lossyStore) Get(context.Context, string) (port.KV, bool, error) {
+	if s.down {
+		return port.KV{}, false, verdict.New(verdict.NotRun, port.CodeStoreDown, "down")
+	}
+	return s.kv, s.kv.Revision > 0, nil
+}
+
+type thing struct{ N int }
+
+// others lets another writer write n times.
+func others(n int) func(*lossyStore) {
+	return func(s *lossyStore) {
+		w := NewWriter(s)
+		for i := range n {
+			base := fleet.Versioned[thing]{}
+			if s.kv.Revision > 0 {
+				base, _ = Decode[thing](s.kv)
+			}
+			_, _ = Write(context.Background(), w, "k", base, &thing{100 + i}, 0)
+		}
+	}
+}
+
+func TestWriteLearnsWhatALostAnswerMeant(t *testing.T) {
+	for _, tc := range []struct {
+		name  string
+		store lossyStore
+		want  verdict.Verdict
+	}{
+		{"answered", lossyStore{}, verdict.Done},
+		{"answer lost", lossyStore{lose: true}, verdict.Done},
+		{"write lost", lossyStore{drop: true}, verdict.Done},
+		{"answer lost, then overwritten", lossyStore{lose: true, between: others(3)}, verdict.Done},
+		{"write lost, somebody else first", lossyStore{drop: true, between: others(1)}, verdict.NotRun},
+		{"write lost, overwritten too often to tell", lossyStore{drop: true, between: others(tokensKept + 2)}, verdict.MayHaveRun},
+		{"answer lost, store down", lossyStore{lose: true, down: true}, verdict.MayHaveRun},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := tc.store
+				w := NewWriter(&s)
+				ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+				defer cancel()
+				_, err := Write(ctx, w, "k", fleet.Versioned[thing]{}, &thing{1}, 0)
+				assert.Equal(t, tc.want, verdict.Of(err), "%v", err)
+			})
+		})
+	}
+}
+
+func TestConflictIsNotRun(t *testing.T) {
+	s := &lossyStore{}
+	w := NewWriter(s)
+	_, err := Write(context.Background(), w, "k", fleet.Versioned[thing]{}, &thing{1}, 0)
+	require.NoError(t, err)
+	_, err = Write(context.Background(), w, "k", fleet.Versioned[thing]{}, &thing{2}, 0)
+	assert.Equal(t, verdict.NotRun, verdict.Of(err))
+	assert.Equal(t, CodeConflict, verdict.CodeOf(err))
+	base, err := Decode[thing](s.kv)
+	require.NoError(t, err)
+	assert.Equal(t, 1, base.Value.N)
+}
+
+func TestKeys(t *testing.T) {
+	for i := range fleet.MemberShards {
+		n, err := ParseShard(ShardKey(i))
+		require.NoError(t, err)
+		assert.Equal(t, i, n)
+	}
+	assert.Equal(t, "postmount/pool/a", fmt.Sprint(PoolKey("a")))
+}
--- /dev/null
+++ b/retry/retry_test.go
@@ -0,0 +1,54 @@
+package retry
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/postmount/postmount/verdict"
+)
+
+func TestOnlyWhatMayBeRepeatedIs(t *testing.T) {
+	ok := Attempt{Number: 1, Verdict: verdict.NotRun, Remaining: time.Minute}
+	for _, tc := range []struct {
+		name   string
+		change func(*Attempt)
+		want   bool
+	}{
+		{"did not run", func(*Attempt) {}, true},
+		{"may have run", func(a *Attempt) { a.Verdict = verdict.MayHaveRun }, false},
+		{"may have run, idempotent", func(a *Attempt) { a.Verdict, a.Idempotent = verdict.MayHaveRun, true }, true},
+		{"overload", func(a *Attempt) { a.Overload = true }, false},
+		{"last attempt", func(a *Attempt) { a.Number = 3 }, false},
+		{"no time left", func(a *Attempt) { a.Remaining = 0 }, false},
+	} {
+		a := ok
+		tc.change(&a)
+		_, again := NewBudget(DefaultOptions).Next(a, rand.New(rand.NewPCG(1, 1)))
+		assert.Equal(t, tc.want, again, tc.name)
+	}
+}
+
+// TestAmplificationIsBounded: when every try fails, retries stay at the share
+// that successes have earned.
+func TestAmplificationIsBounded(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	tries := func(p Policy) (n int) {
+		o := DefaultOptions
+		o.Policy = p
+		b := NewBudget(o)
+		for range 1000 {
+			for attempt := 1; ; attempt++ {
+				n++
+				if _, again := b.Next(Attempt{Number: attempt, Verdict: verdict.NotRun, Remaining: time.Minute}, rnd); !again {
+					break
+				}
+			}
+		}
+		return n
+	}
+	assert.Equal(t, 1000+int(DefaultOptions.Burst), tries(PolicyBudgeted))
+	assert.Equal(t, 3000, tries(PolicyUnbudgeted), "the baseline triples the load")
+}
--- a/wave/advance.go
+++ b/wave/advance.go
@@ -114,7 +114,7 @@
 		p.giveUp(d, "failed during "+string(d.Phase))
 	case inst.State == fleet.InstanceFailed:
 		p.giveUp(d, "failed before it was drained")
-	case inst.LastCommand == d.Command.ID && inst.Generation > d.Command.Generation:
+	case inst.LastCommand == d.Command.ID && inst.Generation == d.Command.Generation+1:
 		p.carriedOut(d, inst)
 	case inst.Generation > d.Command.Generation:
 		p.overtaken(d, inst)
--- /dev/null
+++ b/wave/wave_test.go
@@ -0,0 +1,160 @@
+package wave
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/fleet"
+)
+
+var t0 = time.Date(2026, 1, 1, 3, 0, 0, 0, time.UTC)
+
+// input is a pool of n ready instances with one running wave.
+func input(n int, b fleet.AvailabilityBudget) Input {
+	in := Input{
+		Now: t0, Pool: &fleet.Pool{Name: "p", Budget: b}, Instances: map[fleet.InstanceID]fleet.Instance{},
+		Waves:      []*fleet.Wave{{Name: "w", Pools: []fleet.PoolName{"p"}, State: fleet.WaveRunning, StartedAt: t0}},
+		Options:    Options{RebootTimeout: time.Minute},
+		NewID:      func() fleet.CommandID { return "new" },
+		Membership: func(fleet.InstanceID) *fleet.Membership { return nil },
+	}
+	for i := range n {
+		id := fleet.InstanceID(fmt.Sprintf("i%d", i))
+		zone := fleet.AvailabilityZone(fmt.Sprint("z", i%2))
+		in.Members = append(in.Members, fleet.Membership{Instance: id, Pool: "p"})
+		in.Instances[id] = fleet.Instance{ID: id, Zone: zone, State: fleet.InstanceReady, Generation: 1}
+	}
+	return in
+}
+
+func set(in Input, id fleet.InstanceID, state fleet.InstanceState, generation int64, last fleet.CommandID) {
+	i := in.Instances[id]
+	i.State, i.Generation, i.LastCommand = state, generation, last
+	in.Instances[id] = i
+}
+
+func claimed(p *fleet.Pool) (out []fleet.InstanceID) {
+	for _, d := range p.Disruptions {
+		out = append(out, d.Instance)
+	}
+	return out
+}
+
+func TestGrantsUpToTheBudgetZoneByZone(t *testing.T) {
+	plan := Reconcile(input(6, fleet.AvailabilityBudget{MaxUnavailable: 2}))
+	require.NotNil(t, plan.Pool)
+	assert.Equal(t, []fleet.InstanceID{"i0", "i2"}, claimed(plan.Pool), "both in one zone")
+	assert.Empty(t, plan.Sends, "a command goes out only once its claim is recorded")
+}
+
+func TestFailuresCountFirst(t *testing.T) {
+	in := input(6, fleet.AvailabilityBudget{MaxUnavailable: 2})
+	set(in, "i5", fleet.InstanceFailed, 2, "")
+	assert.Len(t, claimed(Reconcile(in).Pool), 1)
+	set(in, "i4", fleet.InstanceFailed, 2, "")
+	assert.Nil(t, Reconcile(in).Pool)
+}
+
+func TestPercentIsRoundedDown(t *testing.T) {
+	assert.Len(t, claimed(Reconcile(input(19, fleet.AvailabilityBudget{MaxUnavailable: 10, Percent: true})).Pool), 1)
+	assert.Nil(t, Reconcile(input(9, fleet.AvailabilityBudget{MaxUnavailable: 10, Percent: true})).Pool)
+}
+
+func TestSurviveZoneKeepsRoomForTheLargestZone(t *testing.T) {
+	b := fleet.AvailabilityBudget{MaxUnavailable: 4, SurviveZone: true}
+	assert.Len(t, claimed(Reconcile(input(6, b)).Pool), 1, "with it and the three of the other zone four are out")
+}
+
+func TestNothingIsStartedThatWouldNotBeBackInTime(t *testing.T) {
+	in := input(4, fleet.AvailabilityBudget{MaxUnavailable: 1})
+	in.Pool.MeanOut = 10 * time.Minute
+	in.Waves[0].Deadline = t0.Add(5 * time.Minute)
+	plan := Reconcile(in)
+	assert.Nil(t, plan.Pool)
+	assert.Contains(t, plan.Notes[0].Text, "would not be back before")
+}
+
+func TestOperatorsRequestsGoBeforeWaves(t *testing.T) {
+	in := input(4, fleet.AvailabilityBudget{MaxUnavailable: 1})
+	in.Pool.Requests = []fleet.Request{{Instance: "i3", Kind: fleet.DisruptByDrain, At: t0}}
+	assert.Equal(t, []fleet.InstanceID{"i3"}, claimed(Reconcile(in).Pool))
+}
+
+// TestOneInstanceThroughAWave follows the phases of one instance.
+func TestOneInstanceThroughAWave(t *testing.T) {
+	in := input(1, fleet.AvailabilityBudget{MaxUnavailable: 1})
+	step := func(want fleet.Phase) {
+		plan := Reconcile(in)
+		require.NotNil(t, plan.Pool, want)
+		in.Pool = plan.Pool
+		require.Equal(t, want, in.Pool.Disruptions[0].Phase)
+	}
+	step(fleet.PhaseDrain)
+	assert.Len(t, Reconcile(in).Sends, 1)
+	set(in, "i0", fleet.InstanceDraining, 2, "new")
+	assert.Empty(t, Reconcile(in).Sends, "it was carried out")
+	set(in, "i0", fleet.InstanceDrained, 2, "new")
+	step(fleet.PhaseReboot)
+	set(in, "i0", fleet.InstanceDrained, 3, "new")
+	step(fleet.PhaseReturn)
+	in.Now = t0.Add(time.Minute)
+	set(in, "i0", fleet.InstanceReady, 4, "new")
+	plan := Reconcile(in)
+	assert.Empty(t, plan.Pool.Disruptions)
+	assert.True(t, plan.Pool.MaintainedBy("w", "i0"))
+	assert.Equal(t, time.Minute, plan.Pool.MeanOut)
+}
+
+// TestRestartAfterTheCommandStartsThePhaseAgain: the drain was carried out, and
+// then the instance restarted by itself and is back in service.
+func TestRestartAfterTheCommandStartsThePhaseAgain(t *testing.T) {
+	in := input(1, fleet.AvailabilityBudget{MaxUnavailable: 1})
+	in.Pool = Reconcile(in).Pool
+	set(in, "i0", fleet.InstanceReady, 3, "new")
+	in.NewID = func() fleet.CommandID { return "newer" }
+	plan := Reconcile(in)
+	require.NotNil(t, plan.Pool)
+	assert.Equal(t, fleet.Command{ID: "newer", Action: fleet.ActionDrain, Generation: 3}, plan.Pool.Disruptions[0].Command)
+}
+
+func TestInstanceThatDoesNotComeBackIsGivenUpAndStaysCounted(t *testing.T) {
+	in := input(2, fleet.AvailabilityBudget{MaxUnavailable: 1})
+	in.Pool.Disruptions = []fleet.Disruption{{
+		Instance: "i0", Kind: fleet.DisruptByWave, Wave: "w", Phase: fleet.PhaseReboot, Command: fleet.Command{ID: "c", Generation: 2}, PhaseAt: t0.Add(-2 * time.Minute),
+	}}
+	set(in, "i0", fleet.InstanceRebooting, 3, "c")
+	plan := Reconcile(in)
+	assert.True(t, plan.Pool.MaintainedBy("w", "i0"))
+	assert.Equal(t, []fleet.InstanceID{"i0"}, claimed(plan.Pool), "it still uses the budget up")
+}
+
+func TestMoveChangesTheRecordBetweenDrainAndReturn(t *testing.T) {
+	in := input(2, fleet.AvailabilityBudget{MaxUnavailable: 1})
+	in.Waves = nil
+	in.Pool.Disruptions = []fleet.Disruption{{Instance: "i0", Kind: fleet.DisruptByMove, Target: "q", Phase: fleet.PhaseMove, PhaseAt: t0}}
+	set(in, "i0", fleet.InstanceDrained, 2, "c")
+	plan := Reconcile(in)
+	assert.Equal(t, []Change{{Instance: "i0", From: "p", To: "q", Joining: true}}, plan.Changes)
+	assert.Nil(t, plan.Pool)
+	in.Membership = func(fleet.InstanceID) *fleet.Membership { return &fleet.Membership{Instance: "i0", Pool: "q", Joining: true} }
+	assert.Equal(t, fleet.PhaseReturn, Reconcile(in).Pool.Disruptions[0].Phase)
+}
+
+func TestHaltRule(t *testing.T) {
+	for _, tc := range []struct {
+		failures, granted, forgiven int
+		want                        bool
+	}{{1, 1, 0, false}, {2, 10, 0, true}, {2, 30, 0, false}, {4, 30, 0, true}, {4, 30, 4, false}} {
+		assert.Equal(t, tc.want, ShouldHalt(tc.failures, tc.granted, tc.forgiven), "%+v", tc)
+	}
+}
+
+func TestForecast(t *testing.T) {
+	end, ok := Forecast(t0, &fleet.Pool{MeanOut: time.Minute}, 5, 2)
+	assert.True(t, ok)
+	assert.Equal(t, t0.Add(3*time.Minute), end)
+}
