--- a/cmd/postmount-lab/main.go
+++ b/cmd/postmount-lab/main.go
@@ -31,6 +31,7 @@
 	statementsCommand(app, runners)
 	loadCommand(app, runners)
 	demoCommand(app, runners)
+	measureCommand(app, runners)
 	name := kingpin.MustParse(app.Parse(os.Args[1:]))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
--- a/internal/matrix/mutations.sh
+++ b/internal/matrix/mutations.sh
@@ -14,7 +14,7 @@
 broken() {
   rm -rf "$copy/src"
   mkdir "$copy/src"
-  (cd "$top" && git ls-files -z | tar --null -T - -cf - ) | tar -xf - -C "$copy/src"
+  (cd "$top" && git ls-files -coz --exclude-standard | tar --null -T - -cf - ) | tar -xf - -C "$copy/src"
   perl -0pi -e "$3" "$copy/src/$2"
   if cmp -s "$top/$2" "$copy/src/$2"; then
     echo "| $1 | $2 | NOT APPLIED |"
@@ -30,6 +30,7 @@
 }
 
 M=./internal/matrix
+broken "nothing (a comment is changed)" once/once.go 's/Package once makes/Package once lets/' "$M ./once"
 broken "a lost owner's keys are granted" once/once.go 's/case made\.Before\(p\.since\):/case false:/' "$M ./once"
 broken "a new owner does not wait for the old table" once/once.go 's/if t\.servingAt\.IsZero\(\) \|\| now\.Sub\(t\.servingAt\) < t\.opts\.HandoverWait/if false/' "$M ./once"
 broken "a grant is not noted" once/once.go 's/\tt\.insert\(p, &Claim\{Key: r\.Key[^\n]*\n//' "$M ./once"
--- a/internal/matrix/request_test.go
+++ b/internal/matrix/request_test.go
@@ -205,11 +205,26 @@
 	}
 }
 
-var update = flag.Bool("update", false, "write the tables of docs/FAULTS.md anew")
+// updating reports whether golden files and the tables of docs/FAULTS.md are to
+// be written anew; package goldie defines the flag.
+func updating() bool { return flag.Lookup("update").Value.String() == "true" }
 
-// TestEveryFaultAtEveryStep prints its outcomes into docs/FAULTS.md.
-func TestEveryFaultAtEveryStep(t *testing.T) {
+// table is the outcome of every fault at every step, as Markdown, and the
+// promises that were seen broken.
+type table struct {
+	text   string
+	broken []string
+}
+
+var requestTable *table
+
+// requestMatrix runs the matrix once for all tests that look at it.
+func requestMatrix(t *testing.T) *table {
+	if requestTable != nil {
+		return requestTable
+	}
 	var b strings.Builder
+	out := &table{}
 	for _, self := range []bool{false, true} {
 		owner := "another daemon"
 		if self {
@@ -224,13 +239,28 @@
 			fmt.Fprintf(&b, "| %s |", f.name)
 			for _, s := range steps {
 				r := run(t, 0, self, strike{fault: f, at: s}, nil)
-				assert.Empty(t, r.broken, "%s at %s", f.name, s)
+				for _, x := range r.broken {
+					out.broken = append(out.broken, fmt.Sprintf("%s at %s: %s", f.name, s, x))
+				}
 				fmt.Fprintf(&b, " %s |", r.marks())
 			}
 			b.WriteString("\n")
 		}
 	}
-	compareTable(t, "request", b.String())
+	out.text = b.String()
+	requestTable = out
+	return out
+}
+
+// TestEveryFaultAtEveryStep checks the promises in each cell.
+func TestEveryFaultAtEveryStep(t *testing.T) {
+	assert.Empty(t, requestMatrix(t).broken)
+}
+
+// TestOutcomesAreThoseOfThePage compares the outcomes with docs/FAULTS.md, so
+// that a change of what callers get to see is noticed.
+func TestOutcomesAreThoseOfThePage(t *testing.T) {
+	compareTable(t, "request", requestMatrix(t).text)
 }
 
 // The random search gives the same verdict on every run.
@@ -269,7 +299,7 @@
 	require.True(t, ok, "the page has no mark %q", begin)
 	old, tail, ok := strings.Cut(rest, end)
 	require.True(t, ok)
-	if *update {
+	if updating() {
 		require.NoError(t, os.WriteFile(faultsPage, []byte(head+begin+table+end+tail), 0o644))
 		return
 	}
--- /dev/null
+++ b/internal/matrix/session_test.go
@@ -0,0 +1,187 @@
+package matrix
+
+import (
+	"context"
+	"fmt"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/directory"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/standin/store"
+)
+
+// session is one promise of the brief played through from caller to backend
+// server; what happens is written down in order, with the virtual time.
+type session struct {
+	in    *installation
+	key   string
+	start time.Time
+	mu    sync.Mutex
+	out   strings.Builder
+}
+
+func (s *session) log(format string, args ...any) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	fmt.Fprintf(&s.out, "%6d ms  %s\n", time.Since(s.start).Milliseconds(), fmt.Sprintf(format, args...))
+}
+
+// logged are the steps that a session shows, and how.
+var logged = map[step]string{
+	stepClaimed: "has the owner's word on the key",
+	stepConnect: "connects to a worker",
+	stepWait:    "has sent the request; the worker runs it",
+}
+
+// send sends the session's request through a daemon.
+func (s *session) send(d *daemon, name string) reply {
+	s.log("caller   -> %s   %s", d.self.ID, name)
+	r := d.request(context.Background(), name, s.key)
+	switch {
+	case r.lost:
+		s.log("caller   <- %s   %s: no answer", d.self.ID, name)
+	case r.verdict.String() == "done":
+		s.log("caller   <- %s   %s: done, %q", d.self.ID, name, strings.ReplaceAll(r.body, s.key, "KEY"))
+	default:
+		s.log("caller   <- %s   %s: %s", d.self.ID, name, r.verdict)
+	}
+	// The owner hears of the end a moment after the caller.
+	time.Sleep(10 * time.Millisecond)
+	return r
+}
+
+// meanwhile runs fn while the session goes on.
+func (s *session) meanwhile(wg *sync.WaitGroup, after time.Duration, fn func()) {
+	wg.Add(1)
+	go func() {
+		defer wg.Done()
+		time.Sleep(after)
+		fn()
+	}()
+}
+
+// TestSessions keeps whole sessions as golden files; -update writes them anew.
+func TestSessions(t *testing.T) {
+	plays := map[string]func(*session, []*daemon, *sync.WaitGroup){
+		"resend-through-another-entry": func(s *session, d []*daemon, wg *sync.WaitGroup) {
+			s.meanwhile(wg, 30*time.Millisecond, func() { s.send(d[2], "resend while it runs") })
+			s.send(d[0], "order")
+			wg.Wait()
+			s.send(d[2], "resend after it ended")
+		},
+		"entry-killed-while-it-waits": func(s *session, d []*daemon, wg *sync.WaitGroup) {
+			s.meanwhile(wg, 50*time.Millisecond, func() { s.log("e1 is killed"); d[0].kill() })
+			s.send(d[0], "order")
+			time.Sleep(10 * time.Second)
+			s.send(d[2], "resend")
+		},
+		"owner-killed": func(s *session, d []*daemon, wg *sync.WaitGroup) {
+			s.send(d[0], "order")
+			s.log("e2, which owns the key, is killed")
+			d[1].kill()
+			time.Sleep(10 * time.Second)
+			s.send(d[2], "resend")
+		},
+		"planned-stop-cuts-nothing": func(s *session, d []*daemon, wg *sync.WaitGroup) {
+			s.meanwhile(wg, 30*time.Millisecond, func() {
+				s.log("e1 stops: it takes nothing new and finishes what it has")
+				d[0].handler.Stop()
+				s.send(d[0], "order that comes too late")
+				for d[0].handler.InFlight() > 0 {
+					time.Sleep(10 * time.Millisecond)
+				}
+				_ = d[0].node.Leave(context.Background())
+				s.log("e1 has left the view")
+			})
+			s.send(d[0], "order")
+			wg.Wait()
+			s.send(d[2], "resend")
+		},
+		"store-outage": func(s *session, d []*daemon, wg *sync.WaitGroup) {
+			s.log("the store goes down")
+			for _, x := range d {
+				x.store.SetFaults(store.Faults{Down: true})
+			}
+			time.Sleep(time.Hour)
+			s.key = s.in.newKey(d[1], 0)
+			s.send(d[0], "order after an hour")
+			s.send(d[2], "resend")
+		},
+		"refused-did-not-run": func(s *session, d []*daemon, wg *sync.WaitGroup) {
+			s.in.backend.set(func(b *backend) { b.down = true })
+			s.log("no worker can be reached")
+			s.send(d[0], "order")
+			s.in.backend.set(func(b *backend) { b.down = false })
+			s.log("workers are back; that they did not run the order is certain, so it may run now")
+			time.Sleep(50 * time.Millisecond)
+			s.send(d[2], "resend")
+		},
+		"cut-answer-is-not-passed-on": func(s *session, d []*daemon, wg *sync.WaitGroup) {
+			s.in.backend.set(func(b *backend) { b.cut = true })
+			s.log("workers break their answers off")
+			s.send(d[0], "order")
+			s.in.backend.set(func(b *backend) { b.cut = false })
+			s.send(d[2], "resend")
+		},
+		"leaving-worker-gets-no-new-work": func(s *session, d []*daemon, wg *sync.WaitGroup) {
+			dir := fixedDirectory()
+			dir.Services["orders"].Workers = dir.Services["orders"].Workers[:0]
+			d[0].dispatcher.SetDirectory(dir)
+			s.log("e1 learns that every worker is leaving")
+			s.send(d[0], "order")
+			s.log("e3 has not heard of it yet")
+			s.send(d[2], "resend")
+		},
+	}
+	for name, play := range plays {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				in := newInstallation(3)
+				defer in.close()
+				in.settle()
+				require.True(t, in.agreed())
+				s := &session{in: in, key: in.newKey(in.daemons[1], 0), start: time.Now()}
+				in.mu.Lock()
+				in.hook = func(at step, d *daemon) {
+					if text := logged[at]; text != "" && !d.isDead() {
+						s.log("%s %s", d.self.ID, text)
+					}
+				}
+				in.mu.Unlock()
+				var wg sync.WaitGroup
+				play(s, in.daemons, &wg)
+				wg.Wait()
+				s.log("the workers ran it %d time(s)", len(in.backend.runs(s.key)))
+				goldie.New(t).Assert(t, name, []byte(s.out.String()))
+			})
+		})
+	}
+}
+
+// TestDirectoryTakesOutWhatEitherSourceNames checks the invariant behind the
+// promise that a leaving worker gets no new work.
+func TestDirectoryTakesOutWhatEitherSourceNames(t *testing.T) {
+	state := fleet.NewState()
+	state.Config.Value.Services = []fleet.Service{{Name: "orders"}}
+	state.Pools["p"] = fleet.Versioned[fleet.Pool]{Value: &fleet.Pool{Name: "p", Service: "orders", Disruptions: []fleet.Disruption{{Instance: "claimed"}}}}
+	shard := &fleet.MemberShard{}
+	instances := map[fleet.InstanceID]fleet.Instance{}
+	for _, id := range []fleet.InstanceID{"claimed", "draining", "failed", "unlisted", "fine"} {
+		shard.Members = append(shard.Members, fleet.Membership{Instance: id, Pool: "p"})
+		instances[id] = fleet.Instance{ID: id, State: fleet.InstanceReady}
+	}
+	delete(instances, "unlisted")
+	instances["draining"] = fleet.Instance{ID: "draining", State: fleet.InstanceDraining}
+	instances["failed"] = fleet.Instance{ID: "failed", State: fleet.InstanceFailed}
+	state.Shards[0] = fleet.Versioned[fleet.MemberShard]{Value: shard}
+	got := directory.Build(state, instances).Services["orders"].Workers
+	require.Len(t, got, 1)
+	require.EqualValues(t, "fine", got[0].ID)
+}
--- /dev/null
+++ b/lab/measure.go
@@ -0,0 +1,283 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"time"
+
+	"github.com/postmount/postmount/settings"
+	"github.com/postmount/postmount/standin/worker"
+)
+
+// Row is one line of a measurement: what was varied, and the figures.
+type Row struct {
+	Case    string
+	Figures []string
+}
+
+// Experiment is one measurement against a baseline, with the same seed.
+type Experiment struct {
+	Name    string
+	Columns []string
+	Run     func(ctx context.Context, seed uint64) ([]Row, error)
+}
+
+// Experiments are the measurements of the request path.
+func Experiments() []Experiment {
+	return []Experiment{saturation(), goodput(), amplification(), endings(), shares()}
+}
+
+// Print runs an experiment and prints it as a Markdown table.
+func (e Experiment) Print(ctx context.Context, w io.Writer, seed uint64) error {
+	rows, err := e.Run(ctx, seed)
+	if err != nil {
+		return err
+	}
+	fmt.Fprintf(w, "\n### %s\n\n| case | %s |\n|%s\n", e.Name, strings.Join(e.Columns, " | "), strings.Repeat("---|", len(e.Columns)+1))
+	for _, r := range rows {
+		fmt.Fprintf(w, "| %s | %s |\n", r.Case, strings.Join(r.Figures, " | "))
+	}
+	return nil
+}
+
+// trial is one run of a load against a fresh installation.
+type trial struct {
+	topology Topology
+	entries  int
+	length   time.Duration
+	resend   float64
+	adjust   func(*settings.Settings)
+	// only makes all requests enter through the first entry.
+	only bool
+	// prepare is called before the load starts, during while it runs.
+	prepare func(*Fixture) error
+	during  func(*Fixture)
+}
+
+// measured is what a trial gave.
+type measured struct {
+	classes map[string]Summary
+	workers worker.Report
+}
+
+func (t trial) run(ctx context.Context, seed uint64) (measured, error) {
+	f, err := NewFixture(t.topology, t.entries, t.adjust, io.Discard)
+	if err != nil {
+		return measured{}, err
+	}
+	defer f.Close()
+	wait, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.WaitReady(wait); err != nil {
+		return measured{}, err
+	}
+	if err := f.Exec(ctx, t.topology.Statements()); err != nil {
+		return measured{}, err
+	}
+	if t.prepare != nil {
+		if err := t.prepare(f); err != nil {
+			return measured{}, err
+		}
+	}
+	addrs := f.TrafficAddrs()
+	if t.only {
+		addrs = addrs[:1]
+	}
+	load := NewLoad(LoadOptions{Topology: t.topology, Entries: addrs, Ready: f.Balancer(), Scale: 1, Resend: t.resend, Seed: seed})
+	loadCtx, stop := context.WithTimeout(ctx, t.length)
+	defer stop()
+	if t.during != nil {
+		go t.during(f)
+	}
+	load.Run(loadCtx)
+	m := measured{classes: map[string]Summary{}, workers: f.Workers.Report()}
+	for _, s := range load.Summaries() {
+		m.classes[s.Class] = s
+	}
+	if broken := load.CheckRan(f.Workers.Ran); len(broken) > 0 {
+		return m, fmt.Errorf("broken: %v", broken)
+	}
+	return m, nil
+}
+
+// desk is a fleet of one service. Its capacity is workers x 8 slots.
+func desk(workers int, classes ...Class) Topology {
+	return Topology{Name: "desk", Zones: []string{"zone-a", "zone-b", "zone-c", "zone-d"}, Services: []Service{{Name: "desk", Workers: workers, Classes: classes}}}
+}
+
+func ms(v float64) string { return fmt.Sprintf("%.1f", v) }
+
+func percent(part, whole int64) string {
+	if whole == 0 {
+		return "-"
+	}
+	return fmt.Sprintf("%.2f%%", 100*float64(part)/float64(whole))
+}
+
+func admission(policy string) func(*settings.Settings) {
+	return func(s *settings.Settings) { s.Policies.Admit = policy }
+}
+
+// saturation: bulk repricing offers 1.5 times the capacity of 4 workers
+// (32 slots / 40 ms = 800 a second) while retail orders come at 40 a second.
+func saturation() Experiment {
+	return Experiment{
+		Name:    "Retail orders while bulk repricing saturates the desk",
+		Columns: []string{"retail p50 ms", "p99 ms", "p99.9 ms", "retail done", "bulk done", "ideal (service time) ms"},
+		Run: func(ctx context.Context, seed uint64) (rows []Row, err error) {
+			for _, policy := range []string{"weighted", "fifo"} {
+				m, err := trial{
+					topology: desk(4,
+						Class{Name: "retail", Weight: 8, Rate: 40, ServiceMS: 10, DeadlineMS: 5000, Keyed: true, Availability: 99},
+						Class{Name: "bulk", Weight: 1, Rate: 1200, ServiceMS: 40, DeadlineMS: 10000, Availability: 90}),
+					entries: 6, length: 8 * time.Second, adjust: admission(policy),
+				}.run(ctx, seed)
+				if err != nil {
+					return nil, err
+				}
+				r, b := m.classes["retail"], m.classes["bulk"]
+				rows = append(rows, Row{policy, []string{ms(r.P50MS), ms(r.P99MS), ms(r.P999MS), percent(r.Done, r.Sent), percent(b.Done, b.Sent), "10"}})
+			}
+			return rows, nil
+		},
+	}
+}
+
+// goodput: three classes with deadlines of one second at multiples of the
+// capacity of 4 workers (800 a second at 40 ms).
+func goodput() Experiment {
+	return Experiment{
+		Name:    "Answers in time at multiples of capacity (800 a second)",
+		Columns: []string{"retail done", "intraday done", "bulk done", "done a second", "share of capacity", "refused at once, p99 of answers ms"},
+		Run: func(ctx context.Context, seed uint64) (rows []Row, err error) {
+			const capacity = 800
+			for _, policy := range []string{"weighted", "fifo"} {
+				for _, load := range []float64{1, 1.5, 2, 4} {
+					class := func(name string, weight int, share float64) Class {
+						return Class{Name: name, Weight: weight, Rate: capacity * load * share, ServiceMS: 40, DeadlineMS: 1000, Availability: 90}
+					}
+					const length = 6 * time.Second
+					m, err := trial{
+						topology: desk(4, class("retail", 8, 0.2), class("intraday", 4, 0.3), class("bulk", 1, 0.5)),
+						entries:  6, length: length, adjust: admission(policy),
+					}.run(ctx, seed)
+					if err != nil {
+						return nil, err
+					}
+					done, worst := 0.0, 0.0
+					figures := []string{}
+					for _, name := range []string{"retail", "intraday", "bulk"} {
+						c := m.classes[name]
+						figures = append(figures, percent(c.Done, c.Sent))
+						done += float64(c.Done)
+						worst = max(worst, c.P99MS)
+					}
+					rate := done / length.Seconds()
+					figures = append(figures, fmt.Sprintf("%.0f", rate), fmt.Sprintf("%.2f", rate/capacity), ms(worst))
+					rows = append(rows, Row{fmt.Sprintf("%s, %gx", policy, load), figures})
+				}
+			}
+			return rows, nil
+		},
+	}
+}
+
+// amplification: a third of 6 workers fail every request.
+func amplification() Experiment {
+	return Experiment{
+		Name:    "Tries per request while a third of the workers fail every request",
+		Columns: []string{"tries per request", "done", "lower bound"},
+		Run: func(ctx context.Context, seed uint64) (rows []Row, err error) {
+			for _, policy := range []string{"budgeted", "unbudgeted"} {
+				m, err := trial{
+					topology: desk(6, Class{Name: "intraday", Weight: 1, Rate: 300, ServiceMS: 10, DeadlineMS: 2000, Availability: 99}),
+					entries:  6, length: 6 * time.Second,
+					adjust: func(s *settings.Settings) { s.Policies.Retry = policy },
+					prepare: func(f *Fixture) error {
+						for _, i := range []int{1, 2} {
+							if err := f.Workers.SetFaults(WorkerID("desk", i), worker.Faults{Fail: true}); err != nil {
+								return err
+							}
+						}
+						return nil
+					},
+				}.run(ctx, seed)
+				if err != nil {
+					return nil, err
+				}
+				c := m.classes["intraday"]
+				rows = append(rows, Row{policy, []string{fmt.Sprintf("%.3f", float64(m.workers.Requests)/float64(c.Sent)), percent(c.Done, c.Sent), "1"}})
+			}
+			return rows, nil
+		},
+	}
+}
+
+// endings: one of 6 entry daemons is stopped or killed under keyed load.
+func endings() Experiment {
+	return Experiment{
+		Name:    "Keyed requests when one of six entry daemons ends",
+		Columns: []string{"sent", "done", "did not run", "may have run", "no answer", "p99 ms", "max ms"},
+		Run: func(ctx context.Context, seed uint64) (rows []Row, err error) {
+			for _, c := range []struct {
+				name string
+				end  func(*Fixture)
+			}{
+				{"none ends", func(*Fixture) {}},
+				{"stopped gracefully", func(f *Fixture) { f.Daemons[0].Stop() }},
+				{"killed", func(f *Fixture) { f.Daemons[0].Kill() }},
+			} {
+				m, err := trial{
+					topology: desk(6, Class{Name: "retail", Weight: 1, Rate: 400, ServiceMS: 10, DeadlineMS: 2000, Keyed: true, Availability: 99}),
+					entries:  6, length: 12 * time.Second, resend: 0.1,
+					during: func(f *Fixture) {
+						time.Sleep(2 * time.Second)
+						c.end(f)
+					},
+				}.run(ctx, seed)
+				if err != nil {
+					return nil, err
+				}
+				s := m.classes["retail"]
+				rows = append(rows, Row{c.name, []string{
+					fmt.Sprint(s.Sent), percent(s.Done, s.Sent), percent(s.NotRun, s.Sent), percent(s.MayRun, s.Sent), percent(s.Lost, s.Sent), ms(s.P99MS), ms(s.MaxMS),
+				}})
+			}
+			return rows, nil
+		},
+	}
+}
+
+// shares: every request enters through one of six daemons, whose own share is
+// a sixth of the slots; the ideal is a single daemon that has them all.
+func shares() Experiment {
+	return Experiment{
+		Name:    "Wait caused by slot shares: all requests through one daemon (6 workers, 800 a second of 1200)",
+		Columns: []string{"p50 ms", "p99 ms", "done", "wait over the ideal p99"},
+		Run: func(ctx context.Context, seed uint64) (rows []Row, err error) {
+			ideal := 0.0
+			for _, c := range []struct {
+				name    string
+				entries int
+				loans   string
+			}{{"one daemon (ideal)", 1, "on"}, {"six, idle shares lent", 6, "on"}, {"six, no loans", 6, "off"}} {
+				m, err := trial{
+					topology: desk(6, Class{Name: "retail", Weight: 1, Rate: 800, ServiceMS: 40, DeadlineMS: 4000, Availability: 99}),
+					entries:  c.entries, length: 6 * time.Second, only: true,
+					adjust: func(s *settings.Settings) { s.Policies.Loans = c.loans },
+				}.run(ctx, seed)
+				if err != nil {
+					return nil, err
+				}
+				s := m.classes["retail"]
+				if ideal == 0 {
+					ideal = s.P99MS
+				}
+				rows = append(rows, Row{c.name, []string{ms(s.P50MS), ms(s.P99MS), percent(s.Done, s.Sent), fmt.Sprintf("%.2fx", s.P99MS/ideal)}})
+			}
+			return rows, nil
+		},
+	}
+}
--- /dev/null
+++ b/place/place_test.go
@@ -0,0 +1,81 @@
+package place
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/postmount/postmount/fleet"
+)
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func worker(id string, change func(*Worker)) Worker {
+	w := Worker{ID: fleet.InstanceID(id), Capacity: fleet.Resources{CPUMilli: 32000, MemoryMB: 131072, Accelerators: 2}, Usable: true}
+	if change != nil {
+		change(&w)
+	}
+	return w
+}
+
+func job(name string, memory int, change func(*fleet.Job)) fleet.Job {
+	j := fleet.Job{Name: fleet.JobName(name), State: fleet.JobPending, Need: fleet.Resources{CPUMilli: 1000, MemoryMB: memory}, Submitted: t0}
+	if change != nil {
+		change(&j)
+	}
+	return j
+}
+
+func TestChoice(t *testing.T) {
+	for _, tc := range []struct {
+		name    string
+		workers []Worker
+		job     fleet.Job
+		want    Decision
+	}{
+		{"tightest fit", []Worker{worker("a", nil), worker("b", func(w *Worker) { w.Used.MemoryMB = 100000 })}, job("j", 1000, nil),
+			Decision{Job: "j", State: fleet.JobPlaced, Worker: "b"}},
+		{"maintained worker before a tighter one", []Worker{worker("a", func(w *Worker) { w.Maintained = true }), worker("b", func(w *Worker) { w.Used.MemoryMB = 100000 })}, job("j", 1000, nil),
+			Decision{Job: "j", State: fleet.JobPlaced, Worker: "a"}},
+		{"not on a worker that fails every task", []Worker{worker("a", func(w *Worker) { w.Failures = MaxFailures }), worker("b", nil)}, job("j", 1000, nil),
+			Decision{Job: "j", State: fleet.JobPlaced, Worker: "b"}},
+		{"not on one that is leaving", []Worker{worker("a", func(w *Worker) { w.Usable = false })}, job("j", 1000, nil),
+			Decision{Job: "j", State: fleet.JobPending, Reason: "no room: 0 workers are full, 1 are out of service"}},
+		{"can never run", []Worker{worker("a", nil)}, job("j", 1000, func(j *fleet.Job) { j.Need.Accelerators = 4 }),
+			Decision{Job: "j", State: fleet.JobUnplaceable, Reason: "asks for 4 accelerators; the largest worker has 2"}},
+		{"full for now", []Worker{worker("a", func(w *Worker) { w.Used.MemoryMB = 131072 })}, job("j", 1000, nil),
+			Decision{Job: "j", State: fleet.JobPending, Reason: "no room: 1 workers are full, 0 are out of service"}},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			got := Plan(Input{Now: t0, Jobs: []fleet.Job{tc.job}, Workers: tc.workers, Policy: PolicyBestFit})
+			assert.Equal(t, []Decision{tc.want}, got)
+		})
+	}
+}
+
+func TestUrgentFirstThenByDeadline(t *testing.T) {
+	jobs := []fleet.Job{
+		job("old", 1, nil),
+		job("late", 1, func(j *fleet.Job) { j.Deadline = t0.Add(time.Hour) }),
+		job("soon", 1, func(j *fleet.Job) { j.Deadline = t0.Add(time.Minute) }),
+		job("urgent", 1, func(j *fleet.Job) { j.Urgent = true }),
+	}
+	var order []fleet.JobName
+	for _, d := range Plan(Input{Now: t0, Jobs: jobs, Workers: []Worker{worker("a", nil)}}) {
+		order = append(order, d.Job)
+	}
+	assert.Equal(t, []fleet.JobName{"urgent", "soon", "late", "old"}, order)
+}
+
+func TestQuotaCoversWhatIsPlacedInTheSamePlan(t *testing.T) {
+	var jobs []fleet.Job
+	for i := range 3 {
+		jobs = append(jobs, job(fmt.Sprint(i), 1000, func(j *fleet.Job) { j.Team = "t" }))
+	}
+	quota := TeamUse{Quota: fleet.Resources{CPUMilli: 2000, MemoryMB: 10000}, Limited: true}
+	got := Plan(Input{Now: t0, Jobs: jobs, Workers: []Worker{worker("a", nil)}, Teams: map[string]TeamUse{"t": quota}})
+	assert.Equal(t, fleet.JobPlaced, got[1].State)
+	assert.Equal(t, Decision{Job: "2", State: fleet.JobPending, Reason: "team t has used up its quota"}, got[2])
+}
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -140,7 +140,9 @@
 	plan := Reconcile(in)
 	assert.Equal(t, []Change{{Instance: "i0", From: "p", To: "q", Joining: true}}, plan.Changes)
 	assert.Nil(t, plan.Pool)
-	in.Membership = func(fleet.InstanceID) *fleet.Membership { return &fleet.Membership{Instance: "i0", Pool: "q", Joining: true} }
+	in.Membership = func(fleet.InstanceID) *fleet.Membership {
+		return &fleet.Membership{Instance: "i0", Pool: "q", Joining: true}
+	}
 	assert.Equal(t, fleet.PhaseReturn, Reconcile(in).Pool.Disruptions[0].Phase)
 }
 
