--- a/api/messages.go
+++ b/api/messages.go
@@ -88,6 +88,35 @@
 	Rate    float64 `json:"rate"`
 }
 
+// WaveReport is how a wave went, as the asked daemon saw it since its start.
+type WaveReport struct {
+	Wave     string     `json:"wave"`
+	State    string     `json:"state"`
+	Started  time.Time  `json:"started"`
+	Ended    time.Time  `json:"ended,omitzero"`
+	Deadline time.Time  `json:"deadline,omitzero"`
+	Finished int        `json:"finished"`
+	Failed   int        `json:"failed"`
+	Pools    []WavePool `json:"pools"`
+}
+
+// WavePool is one pool's availability over the wave.
+type WavePool struct {
+	Pool    string        `json:"pool"`
+	MostOut int           `json:"most_out"`
+	Broken  bool          `json:"broken"` // more was out than allowed at some time
+	Samples []PoolAtATime `json:"samples"`
+}
+
+// PoolAtATime is a pool's availability from a time on.
+type PoolAtATime struct {
+	At        time.Time `json:"at"`
+	Available int       `json:"available"`
+	Floor     int       `json:"floor"` // least that the budget allows
+	Out       int       `json:"out"`
+	Allowed   int       `json:"allowed"`
+}
+
 // ErrorAnswer is the body of a request that was refused as a whole.
 type ErrorAnswer struct {
 	Verdict verdict.Verdict `json:"verdict"`
--- a/api/server.go
+++ b/api/server.go
@@ -7,6 +7,7 @@
 
 	"github.com/go-chi/chi/v5"
 
+	"github.com/postmount/postmount/command"
 	"github.com/postmount/postmount/query"
 	"github.com/postmount/postmount/verdict"
 )
@@ -22,6 +23,7 @@
 	Exec    *Executor
 	Status  func() Status
 	Burn    func(r *http.Request) BurnReport
+	Wave    func(name string) (WaveReport, bool)
 	Ready   func() error
 	Metrics http.Handler
 }
@@ -35,12 +37,22 @@
 	r.Post("/v1/exec", s.exec)
 	r.Get("/v1/status", func(w http.ResponseWriter, _ *http.Request) { writeJSON(w, http.StatusOK, s.Status()) })
 	r.Get("/v1/burn", func(w http.ResponseWriter, q *http.Request) { writeJSON(w, http.StatusOK, s.Burn(q)) })
+	r.Get("/v1/waves/{wave}/report", s.wave)
 	r.Get("/healthz", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
 	r.Get("/readyz", s.ready)
 	r.Handle("/metrics", s.Metrics)
 	return r
 }
 
+func (s *Server) wave(w http.ResponseWriter, r *http.Request) {
+	report, ok := s.Wave(chi.URLParam(r, "wave"))
+	if !ok {
+		writeJSON(w, http.StatusNotFound, ErrorAnswer{Verdict: verdict.NotRun, Code: command.CodeUnknownName, Message: "there is no such wave"})
+		return
+	}
+	writeJSON(w, http.StatusOK, report)
+}
+
 func (s *Server) ready(w http.ResponseWriter, _ *http.Request) {
 	if err := s.Ready(); err != nil {
 		writeJSON(w, http.StatusServiceUnavailable, ErrorAnswer{Verdict: verdict.NotRun, Code: "not-ready", Message: err.Error()})
--- a/client/client.go
+++ b/client/client.go
@@ -9,6 +9,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/url"
 	"time"
 
 	"github.com/google/uuid"
@@ -75,6 +76,13 @@
 	return out, err
 }
 
+// Wave returns how a wave went, as the first server that answers saw it.
+func (c *Client) Wave(ctx context.Context, name string) (api.WaveReport, error) {
+	var out api.WaveReport
+	_, err := c.try(ctx, http.MethodGet, "/v1/waves/"+url.PathEscape(name)+"/report", nil, &out)
+	return out, err
+}
+
 // Burn returns the fleet's burn report.
 func (c *Client) Burn(ctx context.Context) (api.BurnReport, error) {
 	var out api.BurnReport
--- a/cmd/postmount/report.go
+++ b/cmd/postmount/report.go
@@ -14,7 +14,7 @@
 	"github.com/postmount/postmount/verdict"
 )
 
-// reportCommand adds "report burn".
+// reportCommand adds "report burn" and "report wave".
 func reportCommand(app *kingpin.Application, runners map[string]runner) {
 	cmd := app.Command("report", "Print a report.")
 	burn := cmd.Command("burn", "Service-level burn of the whole fleet.")
@@ -31,6 +31,7 @@
 		printBurn(r)
 		return exitDone
 	}
+	reportWaveCommand(cmd, runners)
 }
 
 func printBurn(r api.BurnReport) {
--- /dev/null
+++ b/cmd/postmount/report_wave.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"strconv"
+	"time"
+
+	"github.com/alecthomas/kingpin/v2"
+	"github.com/wcharczuk/go-chart/v2"
+
+	"github.com/postmount/postmount/api"
+	"github.com/postmount/postmount/verdict"
+)
+
+// reportWaveCommand adds "report wave".
+func reportWaveCommand(report *kingpin.CmdClause, runners map[string]runner) {
+	cmd := report.Command("wave", "How a wave went: availability of its pools against their budgets.")
+	name := cmd.Arg("wave", "Name of the wave.").Required().String()
+	plot := cmd.Flag("plot", "Write a plot of availability over time to this file (SVG).").String()
+	pool := cmd.Flag("pool", "Plot only this pool.").String()
+	runners[cmd.FullCommand()] = func(ctx context.Context, o *options) int {
+		r, err := o.client().Wave(ctx, *name)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitStatus(verdict.Of(err))
+		}
+		if *plot != "" {
+			if err := plotWave(*plot, *pool, r); err != nil {
+				fmt.Fprintln(os.Stderr, err)
+				return exitNotRun
+			}
+		}
+		if o.output == "json" {
+			printJSON(r)
+			return exitDone
+		}
+		printWave(r)
+		return exitDone
+	}
+}
+
+func printWave(r api.WaveReport) {
+	took := "still going on"
+	if !r.Ended.IsZero() {
+		took = "took " + r.Ended.Sub(r.Started).Round(time.Millisecond).String()
+	}
+	fmt.Printf("wave %s is %s: %d finished, %d failed, %s\n", r.Wave, r.State, r.Finished, r.Failed, took)
+	var rows [][]string
+	for _, p := range r.Pools {
+		least, floor := -1, 0
+		for _, s := range p.Samples {
+			if least < 0 || s.Available < least {
+				least, floor = s.Available, s.Floor
+			}
+		}
+		rows = append(rows, []string{p.Pool, strconv.Itoa(least), strconv.Itoa(floor), strconv.Itoa(p.MostOut), strconv.FormatBool(!p.Broken)})
+	}
+	printTable([]string{"pool", "least available", "floor then", "most out", "budget held"}, rows)
+}
+
+// Size of a plot in pixels.
+const (
+	plotWidth  = 1200
+	plotHeight = 500
+)
+
+// plotWave draws each pool's availability as steps, with its floor.
+func plotWave(file, only string, r api.WaveReport) error {
+	graph := chart.Chart{
+		Title: "wave " + r.Wave + ": instances in service, and the least that the budgets allow",
+		Width: plotWidth, Height: plotHeight,
+		Background: chart.Style{Padding: chart.Box{Top: 60, Left: 20, Right: 20, Bottom: 20}},
+		XAxis:      chart.XAxis{Name: "seconds since the start"},
+		YAxis:      chart.YAxis{Name: "instances", Range: &chart.ContinuousRange{Min: 0, Max: mostInstances(r) + 1}},
+	}
+	for i, p := range r.Pools {
+		if only != "" && p.Pool != only {
+			continue
+		}
+		color := chart.GetDefaultColor(i)
+		graph.Series = append(graph.Series,
+			stepSeries(p.Pool, r, p, chart.Style{StrokeColor: color, StrokeWidth: 2}, func(s api.PoolAtATime) float64 { return float64(s.Available) }),
+			stepSeries(p.Pool+" floor", r, p, chart.Style{StrokeColor: color, StrokeDashArray: []float64{4, 4}}, func(s api.PoolAtATime) float64 { return float64(s.Floor) }))
+	}
+	if len(graph.Series) == 0 {
+		return fmt.Errorf("there is nothing to plot")
+	}
+	graph.Elements = []chart.Renderable{chart.LegendThin(&graph)}
+	out, err := os.Create(file)
+	if err != nil {
+		return err
+	}
+	if err := graph.Render(chart.SVG, out); err != nil {
+		out.Close()
+		return err
+	}
+	return out.Close()
+}
+
+func mostInstances(r api.WaveReport) float64 {
+	most := 0
+	for _, p := range r.Pools {
+		for _, s := range p.Samples {
+			most = max(most, s.Available+s.Out)
+		}
+	}
+	return float64(most)
+}
+
+// stepSeries turns samples, each in force until the next, into a line.
+func stepSeries(name string, r api.WaveReport, p api.WavePool, style chart.Style, value func(api.PoolAtATime) float64) chart.ContinuousSeries {
+	end := r.Ended
+	if end.IsZero() {
+		end = time.Now()
+	}
+	s := chart.ContinuousSeries{Name: name, Style: style}
+	for i, sample := range p.Samples {
+		from, to := max(sample.At.Sub(r.Started).Seconds(), 0), end.Sub(r.Started).Seconds()
+		if i+1 < len(p.Samples) {
+			to = p.Samples[i+1].At.Sub(r.Started).Seconds()
+		}
+		s.XValues = append(s.XValues, from, max(to, from))
+		s.YValues = append(s.YValues, value(sample), value(sample))
+	}
+	return s
+}
--- a/control/controller.go
+++ b/control/controller.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
+	"github.com/postmount/postmount/budget"
 	"github.com/postmount/postmount/fleet"
 	"github.com/postmount/postmount/mirror"
 	"github.com/postmount/postmount/place"
@@ -89,6 +90,8 @@
 	deps   Deps
 	writer *record.Writer
 	Counts Counts
+	// History is how the pools' availability changed.
+	History *History
 
 	snapshot atomic.Pointer[Snapshot]
 	events   chan func()
@@ -115,6 +118,7 @@
 		opts:      opts,
 		deps:      deps,
 		writer:    record.NewWriter(deps.Store),
+		History:   newHistory(),
 		events:    make(chan func()),
 		done:      make(chan struct{}),
 		instances: map[fleet.InstanceID]fleet.Instance{},
@@ -242,6 +246,9 @@
 	members := s.State.MembersByPool()
 	r := &roundState{c: c, ctx: ctx, now: now, snap: s, members: members, mayWrite: c.mayWrite(now, up)}
 	for _, name := range s.State.SortedPools() {
+		if len(s.Instances) > 0 {
+			c.History.add(now, budget.Of(s.State.Pools[name].Value, members[name], s.Instances))
+		}
 		if c.mine("pool/" + string(name)) {
 			r.pool(name)
 		}
--- /dev/null
+++ b/control/history.go
@@ -0,0 +1,62 @@
+package control
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/postmount/postmount/budget"
+	"github.com/postmount/postmount/fleet"
+)
+
+// Sample is the state of a pool's availability budget from a time on.
+type Sample struct {
+	At      time.Time
+	Size    int
+	Allowed int
+	Out     int
+}
+
+// samplesKept bounds the samples of one pool: a wave over 100 instances makes
+// about 200. At 392 pools the history takes about 10 MB.
+const samplesKept = 512
+
+// History keeps how the availability of each pool changed, as this daemon saw
+// it since its start.
+type History struct {
+	mu    sync.Mutex
+	pools map[fleet.PoolName][]Sample
+}
+
+func newHistory() *History { return &History{pools: map[fleet.PoolName][]Sample{}} }
+
+// add notes a pool's account if it differs from the last one.
+func (h *History) add(now time.Time, a budget.Account) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	s := Sample{At: now, Size: a.Size, Allowed: a.Allowed, Out: a.Out()}
+	old := h.pools[a.Pool]
+	if n := len(old); n > 0 && old[n-1].Size == s.Size && old[n-1].Allowed == s.Allowed && old[n-1].Out == s.Out {
+		return
+	}
+	if len(old) >= samplesKept {
+		old = slices.Clone(old[len(old)-samplesKept/2:])
+	}
+	h.pools[a.Pool] = append(old, s)
+}
+
+// Between returns the samples of a pool that were in force from one time to
+// another.
+func (h *History) Between(name fleet.PoolName, from, to time.Time) []Sample {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	var out []Sample
+	for i, s := range h.pools[name] {
+		next := i + 1
+		endsBefore := next < len(h.pools[name]) && !h.pools[name][next].At.After(from)
+		if !endsBefore && !s.At.After(to) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -213,7 +213,7 @@
 			Store: d.store, Writer: record.NewWriter(d.store), Mirror: d.mirror,
 			Snapshot: d.controller.Snapshot, InForce: d.node.InForce,
 		},
-		Status: d.status, Burn: d.burnReport, Ready: d.Ready, Metrics: d.metrics.Handler,
+		Status: d.status, Burn: d.burnReport, Wave: d.waveReport, Ready: d.Ready, Metrics: d.metrics.Handler,
 	}
 	newServer := func(h http.Handler) *http.Server {
 		return &http.Server{
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/postmount/postmount/api"
+	"github.com/postmount/postmount/control"
 	"github.com/postmount/postmount/fleet"
 	"github.com/postmount/postmount/port"
 	"github.com/postmount/postmount/slo"
@@ -110,6 +111,41 @@
 	return row
 }
 
+// waveReport returns how the availability of a wave's pools went.
+func (d *Daemon) waveReport(name string) (api.WaveReport, bool) {
+	snap := d.controller.Snapshot()
+	v, ok := snap.State.Waves[fleet.WaveName(name)]
+	if !ok {
+		return api.WaveReport{}, false
+	}
+	w := v.Value
+	tally := control.TallyWave(snap, snap.State.MembersByPool(), w)
+	r := api.WaveReport{
+		Wave: name, State: string(w.State), Started: w.StartedAt, Ended: w.EndedAt, Deadline: w.Deadline,
+		Finished: tally.Finished, Failed: tally.Failed,
+	}
+	to := w.EndedAt
+	if to.IsZero() {
+		to = time.Now()
+	}
+	for _, pool := range w.Pools {
+		r.Pools = append(r.Pools, wavePool(pool, d.controller.History.Between(pool, w.StartedAt, to)))
+	}
+	return r, true
+}
+
+func wavePool(pool fleet.PoolName, samples []control.Sample) api.WavePool {
+	out := api.WavePool{Pool: string(pool)}
+	for _, s := range samples {
+		out.MostOut = max(out.MostOut, s.Out)
+		out.Broken = out.Broken || s.Out > s.Allowed
+		out.Samples = append(out.Samples, api.PoolAtATime{
+			At: s.At, Available: s.Size - s.Out, Floor: s.Size - s.Allowed, Out: s.Out, Allowed: s.Allowed,
+		})
+	}
+	return out
+}
+
 // gaugeInterval is how often gauges are brought up to date.
 const gaugeInterval = time.Second
 
--- a/settings/settings_test.go
+++ b/settings/settings_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"reflect"
 	"testing"
 
 	"github.com/stretchr/testify/assert"
@@ -87,3 +88,17 @@
 	f.Add([]byte("[limits]\nmax_queue = \"x\"\n[entry]\nid = 3\n"))
 	f.Fuzz(func(_ *testing.T, data []byte) { _, _ = Parse(data) })
 }
+
+// TestPageNamesEveryKey keeps the operators' page complete.
+func TestPageNamesEveryKey(t *testing.T) {
+	page, err := os.ReadFile("../docs/operating/settings.md")
+	require.NoError(t, err)
+	sections := reflect.TypeFor[Settings]()
+	for i := range sections.NumField() {
+		section := sections.Field(i)
+		for k := range section.Type.NumField() {
+			key := section.Tag.Get("toml") + "." + section.Type.Field(k).Tag.Get("toml")
+			assert.Contains(t, string(page), "| `"+key+"` |")
+		}
+	}
+}
