Replacement of all six, a long cut, and slots over all daemons, in virtual time

Change: four tests with whole daemons. Slopes benchmarks; answers without a body get no length; the traffic server bounds writing. Ruled out: keys by owner in the flood (a daemon that is not in a view owns none, and the test span for ever).

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -202,6 +202,8 @@
 const (
 	headerTimeout  = 5 * time.Second
 	requestTimeout = 30 * time.Second
+	// answerTimeout is for writing an answer, beyond the longest request.
+	answerTimeout  = 30 * time.Second
 	idleTimeout    = 2 * time.Minute
 	maxHeaderBytes = 64 << 10
 )
@@ -218,6 +220,7 @@
 	newServer := func(h http.Handler) *http.Server {
 		return &http.Server{
 			Handler: h, ReadHeaderTimeout: headerTimeout, ReadTimeout: requestTimeout, IdleTimeout: idleTimeout,
+			WriteTimeout:   requestTimeout + d.set.Limits.MaxTimeout.D() + answerTimeout,
 			MaxHeaderBytes: maxHeaderBytes, ErrorLog: errorLog,
 		}
 	}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -341,13 +341,18 @@
 		header[name] = values
 	}
 	header.Set(verdict.Header, verdict.Done.String())
-	if header.Get("Content-Length") == "" {
+	if header.Get("Content-Length") == "" && mayHaveBody(a.Status) {
 		header.Set("Content-Length", strconv.Itoa(len(a.Body)))
 	}
 	w.WriteHeader(a.Status)
 	_, _ = w.Write(a.Body)
 }
 
+// mayHaveBody reports whether an answer with this status may have a length.
+func mayHaveBody(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
 // fingerprint identifies a request's content and its caller's credentials.
 func fingerprint(c *call) once.Fingerprint {
 	h := sha256.New()
--- a/internal/matrix/installation_test.go
+++ b/internal/matrix/installation_test.go
@@ -85,7 +85,7 @@
 
 func newInstallation(n int) *installation {
 	in := &installation{engine: store.NewEngine(), cut: map[[2]int]bool{}}
-	in.backend = &backend{in: in, ran: map[string][]string{}}
+	in.backend = &backend{in: in, ran: map[string][]string{}, atOnce: map[fleet.InstanceID]int{}}
 	for range n {
 		in.start()
 	}
@@ -401,6 +401,18 @@
 	cut  bool // breaks its answers off
 	// ran lists, per key, the sends that ran it.
 	ran map[string][]string
+	// atOnce counts the requests on each worker, most the highest count seen.
+	atOnce map[fleet.InstanceID]int
+	most   int
+}
+
+// enter counts a request on a worker until the returned function is called.
+func (b *backend) enter(w fleet.InstanceID) func() {
+	b.set(func(b *backend) {
+		b.atOnce[w]++
+		b.most = max(b.most, b.atOnce[w])
+	})
+	return func() { b.set(func(b *backend) { b.atOnce[w]-- }) }
 }
 
 func (b *backend) set(fn func(*backend)) {
@@ -428,6 +440,7 @@
 	}
 	key := r.Header.Get(entry.HeaderKey)
 	b.set(func(b *backend) { b.ran[key] = append(b.ran[key], r.Header.Get(headerSend)) })
+	defer b.enter(r.Worker)()
 	h.d.at(stepWait)
 	select {
 	case <-time.After(serviceTime):
--- /dev/null
+++ b/internal/matrix/replace_test.go
@@ -0,0 +1,140 @@
+package matrix
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/verdict"
+)
+
+// replaceOne starts a daemon and lets another leave.
+func (in *installation) replaceOne(t *testing.T, old *daemon) *daemon {
+	fresh := in.start()
+	in.settle()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	require.NoError(t, old.node.Leave(ctx))
+	old.mu.Lock()
+	old.dead = true
+	old.mu.Unlock()
+	old.cancel()
+	return fresh
+}
+
+// TestAllSixReplacedOneAfterAnother: a request that ran before gets its answer
+// from daemons none of which was there.
+func TestAllSixReplacedOneAfterAnother(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(6)
+		defer in.close()
+		in.settle()
+		key := in.newKey(in.daemons[3], 0)
+		first := in.daemons[0].request(context.Background(), "first", key)
+		require.Equal(t, verdict.Done, first.verdict)
+		time.Sleep(50 * time.Millisecond)
+		var last *daemon
+		for i := range 6 {
+			last = in.replaceOne(t, in.daemons[i])
+		}
+		time.Sleep(2 * time.Second)
+		again := last.request(context.Background(), "again", key)
+		assert.Equal(t, verdict.Done, again.verdict)
+		assert.Equal(t, first.body, again.body)
+		assert.Len(t, in.backend.runs(key), 1)
+	})
+}
+
+// TestAllSixReplacedInQuickSuccession kills all six and starts six new ones at
+// once: what may have run is not run again, and new keys are served once the
+// platform shows the old daemons gone.
+func TestAllSixReplacedInQuickSuccession(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(6)
+		defer in.close()
+		in.settle()
+		key := in.newKey(in.daemons[3], 0)
+		require.Equal(t, verdict.Done, in.daemons[0].request(context.Background(), "first", key).verdict)
+		for _, d := range append([]*daemon(nil), in.daemons...) {
+			d.kill()
+		}
+		var fresh *daemon
+		for range 6 {
+			fresh = in.start()
+		}
+		time.Sleep(15 * time.Second)
+		again := fresh.request(context.Background(), "again", key)
+		assert.Equal(t, verdict.MayHaveRun, again.verdict)
+		assert.Len(t, in.backend.runs(key), 1)
+		next := in.newKey(fresh, 0)
+		assert.Equal(t, verdict.Done, fresh.request(context.Background(), "next", next).verdict)
+	})
+}
+
+// TestRejoinAfterALongCut: a daemon that was cut off for an hour refuses
+// meanwhile, and serves again afterwards.
+func TestRejoinAfterALongCut(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(3)
+		defer in.close()
+		in.settle()
+		cutOff := in.daemons[0]
+		in.setCut(cutOff, true)
+		time.Sleep(time.Hour)
+		refused := cutOff.request(context.Background(), "refused", in.newKey(in.daemons[1], 0))
+		assert.Equal(t, verdict.NotRun, refused.verdict)
+		assert.Less(t, refused.took, time.Second, "a refusal is not held back")
+		in.setCut(cutOff, false)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, verdict.Done, cutOff.request(context.Background(), "served", in.newKey(in.daemons[1], 0)).verdict)
+	})
+}
+
+// TestSlotsHoldOverAllDaemons floods three workers of eight slots through all
+// daemons while daemons are replaced and killed.
+func TestSlotsHoldOverAllDaemons(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(4)
+		defer in.close()
+		in.settle()
+		var wg sync.WaitGroup
+		stop := make(chan struct{})
+		flood := func(d *daemon) {
+			for range 20 {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					for {
+						select {
+						case <-stop:
+							return
+						default:
+							d.request(context.Background(), "flood", uuid.Must(uuid.NewV7()).String())
+							time.Sleep(5 * time.Millisecond)
+						}
+					}
+				}()
+			}
+		}
+		for _, d := range in.daemons {
+			flood(d)
+		}
+		time.Sleep(2 * time.Second)
+		flood(in.start())
+		time.Sleep(3 * time.Second)
+		in.daemons[0].kill()
+		time.Sleep(3 * time.Second)
+		flood(in.start())
+		time.Sleep(15 * time.Second)
+		close(stop)
+		wg.Wait()
+		assert.LessOrEqual(t, in.backend.most, 8)
+		assert.Equal(t, 8, in.backend.most, "the flood uses the workers up")
+	})
+}
--- /dev/null
+++ b/internal/slopes/slopes_test.go
@@ -0,0 +1,225 @@
+// Package slopes measures how the cost of control grows with the fleet. The
+// points are kept in docs/capacity/points.txt and used in docs/CAPACITY.md:
+//
+//	go test ./internal/slopes -bench . -benchmem -run '^$'
+package slopes
+
+import (
+	"encoding/json"
+	"fmt"
+	"runtime"
+	"testing"
+	"time"
+
+	"github.com/postmount/postmount/directory"
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/member"
+	"github.com/postmount/postmount/mirror"
+	"github.com/postmount/postmount/once"
+	"github.com/postmount/postmount/place"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/wave"
+)
+
+// sizes are fleets in workers; a pool has 33 of them, as in letter 1 (13,000
+// workers in 392 pools).
+var sizes = []int{50, 500, 5000, 13000}
+
+const poolSize = 33
+
+var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// listing is the records of a fleet of n workers, as the store holds them.
+func listing(n int) port.Listing {
+	var l port.Listing
+	add := func(key string, v any) {
+		data, _ := json.Marshal(v)
+		body, _ := json.Marshal(map[string]any{"tokens": make([]string, 16), "data": json.RawMessage(data)})
+		l.KVs = append(l.KVs, port.KV{Key: key, Value: body, Revision: fleet.Revision(len(l.KVs) + 1)})
+	}
+	shards := make([]fleet.MemberShard, fleet.MemberShards)
+	pools := (n + poolSize - 1) / poolSize
+	cfg := fleet.Config{}
+	for p := range pools {
+		name := fleet.PoolName(fmt.Sprintf("pool-%03d", p))
+		service := fleet.ServiceName(fmt.Sprintf("service-%03d", p))
+		cfg.Services = append(cfg.Services, fleet.Service{Name: service, Classes: []fleet.Class{{Name: "a", Weight: 1}, {Name: "b", Weight: 2}}})
+		cfg.Routes = append(cfg.Routes, fleet.Route{Host: string(service), Prefix: "/", Service: service, Class: "a"})
+		pool := fleet.Pool{Name: name, Service: service, Budget: fleet.AvailabilityBudget{MaxUnavailable: 10, Percent: true}}
+		for i := range 3 {
+			pool.Disruptions = append(pool.Disruptions, fleet.Disruption{Instance: id(p*poolSize + i), Kind: fleet.DisruptByWave, Wave: "w", Phase: fleet.PhaseReboot, Since: t0, PhaseAt: t0})
+		}
+		for i := 3; i < 20; i++ {
+			pool.Maintained = append(pool.Maintained, fleet.Maintained{Wave: "w", Instance: id(p*poolSize + i)})
+		}
+		add(record.PoolKey(name), pool)
+	}
+	for i := range n {
+		s := &shards[fleet.ShardOf(id(i))]
+		s.Members = append(s.Members, fleet.Membership{Instance: id(i), Pool: fleet.PoolName(fmt.Sprintf("pool-%03d", i/poolSize))})
+	}
+	for i, s := range shards {
+		add(record.ShardKey(i), s)
+	}
+	add(record.ConfigKey, cfg)
+	add(record.WaveKey("w"), fleet.Wave{Name: "w", State: fleet.WaveRunning, Pools: []fleet.PoolName{"pool-000"}})
+	l.Revision = fleet.Revision(len(l.KVs))
+	return l
+}
+
+func id(i int) fleet.InstanceID { return fleet.InstanceID(fmt.Sprintf("instance-%05d", i)) }
+
+func instances(n int) map[fleet.InstanceID]fleet.Instance {
+	out := make(map[fleet.InstanceID]fleet.Instance, n)
+	for i := range n {
+		out[id(i)] = fleet.Instance{
+			ID: id(i), Zone: fleet.AvailabilityZone(fmt.Sprint("zone-", i%14)), Rack: "rack", Addr: "10.0.0.1:8000", State: fleet.InstanceReady,
+			Generation: 5, LastCommand: "0190b0a0-0000-7000-8000-000000000000", Capacity: fleet.Resources{Slots: 8, Connections: 64, CPUMilli: 32000, MemoryMB: 131072, Accelerators: 2},
+		}
+	}
+	return out
+}
+
+func loaded(n int) *mirror.Mirror {
+	m := mirror.New()
+	m.Replace(listing(n))
+	return m
+}
+
+func forSizes(b *testing.B, fn func(b *testing.B, n int)) {
+	for _, n := range sizes {
+		b.Run(fmt.Sprintf("workers=%d", n), func(b *testing.B) {
+			b.ReportAllocs()
+			fn(b, n)
+		})
+	}
+}
+
+// BenchmarkDirectory is the cost of deriving the entry path's snapshot; it is
+// paid at every change of a record or of the instance list.
+func BenchmarkDirectory(b *testing.B) {
+	forSizes(b, func(b *testing.B, n int) {
+		s, list := loaded(n).State(), instances(n)
+		for b.Loop() {
+			directory.Build(s, list)
+		}
+	})
+}
+
+// BenchmarkRecordChange is the cost of taking in one changed pool record.
+func BenchmarkRecordChange(b *testing.B) {
+	forSizes(b, func(b *testing.B, n int) {
+		m := loaded(n)
+		l := listing(n)
+		rev := l.Revision
+		for b.Loop() {
+			rev++
+			kv := l.KVs[0]
+			kv.Revision = rev
+			m.Apply([]port.Event{{KV: kv}}, rev)
+		}
+	})
+}
+
+// BenchmarkGroupMembers is the part of a reconcile round that looks at every
+// membership.
+func BenchmarkGroupMembers(b *testing.B) {
+	forSizes(b, func(b *testing.B, n int) {
+		s := loaded(n).State()
+		for b.Loop() {
+			s.MembersByPool()
+		}
+	})
+}
+
+// BenchmarkReconcilePool is the decision for one pool of 33.
+func BenchmarkReconcilePool(b *testing.B) {
+	s, list := loaded(poolSize).State(), instances(poolSize)
+	in := wave.Input{
+		Now: t0, Pool: s.Pools["pool-000"].Value, Members: s.MembersOf("pool-000"), Instances: list, Waves: []*fleet.Wave{s.Waves["w"].Value},
+		Membership: s.Membership, NewID: func() fleet.CommandID { return "c" }, Options: wave.Options{RebootTimeout: time.Minute},
+	}
+	b.ReportAllocs()
+	for b.Loop() {
+		wave.Reconcile(in)
+	}
+}
+
+// BenchmarkPlaceJob is the placement of one urgent job over all workers of a
+// pool as large as the fleet.
+func BenchmarkPlaceJob(b *testing.B) {
+	forSizes(b, func(b *testing.B, n int) {
+		in := place.Input{Now: t0, Jobs: []fleet.Job{{Name: "j", Urgent: true, State: fleet.JobPending, Need: fleet.Resources{CPUMilli: 1000, MemoryMB: 1024}}}}
+		for _, i := range instances(n) {
+			in.Workers = append(in.Workers, place.Worker{ID: i.ID, Capacity: i.Capacity, Usable: true})
+		}
+		for b.Loop() {
+			place.Plan(in)
+		}
+	})
+}
+
+// BenchmarkStanding is the cost of one heartbeat's decision.
+func BenchmarkStanding(b *testing.B) {
+	c := member.New("m0", member.DefaultOptions)
+	v := &fleet.View{Epoch: 1}
+	for i := range 6 {
+		v.Members = append(v.Members, fleet.Entry{Incarnation: fleet.Incarnation(fmt.Sprint("m", i))})
+	}
+	c.Adopt(t0, v)
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Confirmed(t0, t0, "m1", 1, 1)
+		c.Standing(t0)
+	}
+}
+
+// BenchmarkClaim is an owner's decision about a key it does not know.
+func BenchmarkClaim(b *testing.B) {
+	v := &fleet.View{Epoch: 1, Members: []fleet.Entry{{Incarnation: "a"}}}
+	t := once.NewTable("a", once.DefaultOptions)
+	t.SetView(v)
+	now := time.Now()
+	b.ReportAllocs()
+	i := 0
+	for b.Loop() {
+		i++
+		key := once.Key(fmt.Sprintf("%08x-%04x-7000-8000-%012x", now.UnixMilli()>>16, now.UnixMilli()&0xffff, i))
+		t.Claim(now, once.Standing{Confirmed: true, Retired: true}, once.Request{Epoch: 1, Key: key, Attempt: "x", Claimer: "a"})
+	}
+}
+
+// BenchmarkMemory reports the heap that the mirror, the instance list and the
+// directory of a fleet take, in bytes.
+func BenchmarkMemory(b *testing.B) {
+	forSizes(b, func(b *testing.B, n int) {
+		before := heap()
+		m, list := loaded(n), instances(n)
+		d := directory.Build(m.State(), list)
+		b.ReportMetric(float64(heap()-before), "heap-bytes")
+		for b.Loop() {
+			runtime.KeepAlive(d)
+		}
+		runtime.KeepAlive(m)
+		runtime.KeepAlive(list)
+	})
+}
+
+func heap() uint64 {
+	runtime.GC()
+	var s runtime.MemStats
+	runtime.ReadMemStats(&s)
+	return s.HeapAlloc
+}
+
+// TestRecordsStayBelowTheStoresLimit checks the size of every record at the
+// size to design for.
+func TestRecordsStayBelowTheStoresLimit(t *testing.T) {
+	const limit = 1 << 20
+	for _, kv := range listing(13000).KVs {
+		if len(kv.Value) > limit/2 {
+			t.Errorf("%s has %d bytes", kv.Key, len(kv.Value))
+		}
+	}
+}
--- a/lab/fixture_test.go
+++ b/lab/fixture_test.go
@@ -9,20 +9,22 @@
 	"github.com/stretchr/testify/require"
 )
 
+// TestWholePath runs everything over real connections. It judges what was
+// answered, never how fast.
 func TestWholePath(t *testing.T) {
 	f, err := NewFixture(OrderDesks(), 3, nil, io.Discard)
 	require.NoError(t, err)
 	defer f.Close()
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	defer cancel()
 	require.NoError(t, f.WaitReady(ctx))
 	require.NoError(t, f.Exec(ctx, f.Topology.Statements()))
 	load := NewLoad(LoadOptions{Topology: f.Topology, Entries: f.TrafficAddrs(), Ready: f.Balancer(), Scale: 1, Resend: 0.1, Seed: 1})
-	lctx, lcancel := context.WithTimeout(ctx, 3*time.Second)
+	lctx, lcancel := context.WithTimeout(ctx, time.Second)
 	defer lcancel()
 	load.Run(lctx)
 	for _, s := range load.Summaries() {
-		t.Logf("%+v", s)
+		require.Zero(t, s.Cut+s.Foreign+s.Differs, "%+v", s)
 	}
 	require.Empty(t, load.CheckRan(f.Workers.Ran))
 }
