Idle rounds are rare; control traffic is counted

Cause: each daemon reconciled everything five times a second with nothing to do, and nobody counted what peers and the instance list cost. Ruled out: no rounds at all without a change (deadlines and halts need time). Change: while nothing changes and nothing is under way a whole round comes every 2 s; bytes of peers and platform are counted and exported.

--- a/adapter/peerrpc/client.go
+++ b/adapter/peerrpc/client.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/postmount/postmount/fleet"
@@ -27,11 +28,17 @@
 
 	mu    sync.Mutex
 	conns map[string]*rpc.Client
+	// Bytes counts what was sent and received, also as a server if the server
+	// was given this client's counter.
+	Bytes Bytes
 	// Cut drops the traffic to the addresses it returns true for; tests and
 	// the demo use it to part peers. Nil cuts nothing.
 	Cut func(addr string) bool
 }
 
+// Bytes counts the traffic between daemons.
+type Bytes struct{ In, Out atomic.Int64 }
+
 var _ port.Peers = (*Client)(nil)
 
 // NewClient returns a client without connections.
@@ -72,7 +79,7 @@
 		return nil, err
 	}
 	_ = tcp.SetWriteDeadline(time.Time{})
-	return c.keep(addr, rpc.NewClient(&writeDeadlineConn{tcp, c.callTimeout})), nil
+	return c.keep(addr, rpc.NewClient(&writeDeadlineConn{tcp, c.callTimeout, &c.Bytes})), nil
 }
 
 // keep stores a new connection, or drops it if another call was faster.
@@ -145,6 +152,14 @@
 type writeDeadlineConn struct {
 	net.Conn
 	timeout time.Duration
+	bytes   *Bytes
+}
+
+// Read implements net.Conn.
+func (c *writeDeadlineConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.bytes.In.Add(int64(n))
+	return n, err
 }
 
 // Write implements net.Conn.
@@ -152,6 +167,7 @@
 	if err := c.SetWriteDeadline(time.Now().Add(c.timeout)); err != nil {
 		return 0, err
 	}
+	c.bytes.Out.Add(int64(len(p)))
 	return c.Conn.Write(p)
 }
 
--- a/adapter/peerrpc/server.go
+++ b/adapter/peerrpc/server.go
@@ -37,6 +37,7 @@
 // Server serves a port.PeerServer.
 type Server struct {
 	token    string
+	bytes    *Bytes
 	rpc      *rpc.Server
 	mu       sync.Mutex
 	conns    map[net.Conn]bool
@@ -45,9 +46,10 @@
 	Rejected atomic.Int64 // connections dropped for a wrong greeting or number
 }
 
-// NewServer returns a server that accepts peers with the given token.
-func NewServer(token string, handler port.PeerServer) *Server {
-	s := &Server{token: token, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
+// NewServer returns a server that accepts peers with the given token and counts
+// its traffic into bytes.
+func NewServer(token string, handler port.PeerServer, bytes *Bytes) *Server {
+	s := &Server{token: token, bytes: bytes, rpc: rpc.NewServer(), conns: map[net.Conn]bool{}}
 	// The only error is a receiver without suitable methods.
 	if err := s.rpc.RegisterName(serviceName, &service{handler}); err != nil {
 		panic(err)
@@ -95,7 +97,7 @@
 		s.Rejected.Add(1)
 		return
 	}
-	s.rpc.ServeConn(&idleConn{Conn: conn, r: r})
+	s.rpc.ServeConn(&idleConn{Conn: conn, r: r, bytes: s.bytes})
 }
 
 func (s *Server) greeted(r *bufio.Reader) bool {
@@ -139,7 +141,14 @@
 // idleConn renews the read deadline at every read.
 type idleConn struct {
 	net.Conn
-	r io.Reader
+	r     io.Reader
+	bytes *Bytes
+}
+
+// Write implements net.Conn.
+func (c *idleConn) Write(p []byte) (int, error) {
+	c.bytes.Out.Add(int64(len(p)))
+	return c.Conn.Write(p)
 }
 
 // Read implements net.Conn.
@@ -147,7 +156,9 @@
 	if err := c.SetReadDeadline(time.Now().Add(idleTimeout)); err != nil {
 		return 0, err
 	}
-	return c.r.Read(p)
+	n, err := c.r.Read(p)
+	c.bytes.In.Add(int64(n))
+	return n, err
 }
 
 const serviceName = "Peer"
--- a/adapter/platformhttp/client.go
+++ b/adapter/platformhttp/client.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/postmount/postmount/fleet"
@@ -28,6 +29,8 @@
 	addr    string
 	timeout time.Duration
 	http    *http.Client
+	// BytesIn and BytesOut count bodies.
+	BytesIn, BytesOut atomic.Int64
 }
 
 var (
@@ -99,6 +102,8 @@
 	}
 	defer resp.Body.Close()
 	answer, err := io.ReadAll(io.LimitReader(resp.Body, maxAnswer))
+	c.BytesOut.Add(int64(len(data)))
+	c.BytesIn.Add(int64(len(answer)))
 	switch {
 	case err != nil:
 		return verdict.Wrap(err, verdict.MayHaveRun, CodePlatformDown, "platform")
--- a/api/messages.go
+++ b/api/messages.go
@@ -60,7 +60,10 @@
 	StoreWatches  int64     `json:"store_watches"`
 	StoreBytesIn  int64     `json:"store_bytes_in"`
 	StoreBytesOut int64     `json:"store_bytes_out"`
-	Conflicts     int64     `json:"write_conflicts"`
+	// ControlBytes is all traffic for control: store, platform and peers, both
+	// ways, bodies only for the first two.
+	ControlBytes int64 `json:"control_bytes"`
+	Conflicts    int64 `json:"write_conflicts"`
 }
 
 // BurnReport is the fleet's service-level burn.
--- a/cmd/postmount-lab/measure.go
+++ b/cmd/postmount-lab/measure.go
@@ -17,7 +17,7 @@
 	only := cmd.Flag("only", "Run only those whose name contains this.").String()
 	seed := cmd.Flag("seed", "Seed of the load.").Default("1").Uint64()
 	runners[cmd.FullCommand()] = func(ctx context.Context) error {
-		for _, e := range lab.Experiments() {
+		for _, e := range append(lab.Experiments(), lab.ControlExperiments()...) {
 			if !strings.Contains(strings.ToLower(e.Name), strings.ToLower(*only)) {
 				continue
 			}
--- a/control/controller.go
+++ b/control/controller.go
@@ -105,6 +105,8 @@
 	listVersion int // counts changes of instances
 	listedAt    time.Time
 	reconnected time.Time // when the store was last found again
+	reconciled  time.Time // when the last whole round was made
+	active      bool      // the last round found something under way
 	wasUp       bool
 	busy        map[string]bool // keys whose write is under way
 	sent        map[fleet.CommandID]time.Time
@@ -236,6 +238,7 @@
 
 // round publishes a snapshot and reconciles everything this daemon tries for.
 func (c *Controller) round(ctx context.Context, now time.Time) {
+	before := c.snapshot.Load()
 	s := c.publish()
 	up := c.deps.Connected()
 	if up && !c.wasUp {
@@ -243,6 +246,12 @@
 	}
 	c.wasUp = up
 	c.forgetSent(now)
+	unchanged := s.State == before.State && s.version == before.version
+	if unchanged && !c.active && now.Sub(c.reconciled) < idleRound {
+		return
+	}
+	c.reconciled = now
+	c.active = busy(s.State)
 	members := s.State.MembersByPool()
 	r := &roundState{c: c, ctx: ctx, now: now, snap: s, members: members, mayWrite: c.mayWrite(now, up)}
 	for _, name := range s.State.SortedPools() {
@@ -261,6 +270,33 @@
 	r.jobs()
 }
 
+// idleRound is the time between whole rounds while nothing changes and nothing
+// is under way.
+const idleRound = 2 * time.Second
+
+// busy reports whether anything is under way that a round may have to move on
+// though no record or instance changed.
+func busy(s *fleet.State) bool {
+	for _, p := range s.Pools {
+		if len(p.Value.Disruptions)+len(p.Value.Requests) > 0 {
+			return true
+		}
+	}
+	for _, w := range s.Waves {
+		if !w.Value.Ended() {
+			return true
+		}
+	}
+	for _, js := range s.Jobs {
+		for i := range js.Value.Jobs {
+			if !js.Value.Jobs[i].State.Ended() {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // mayWrite reports whether plans may be made from what is known. After a time
 // without the store, the instance list must first have been read anew.
 func (c *Controller) mayWrite(now time.Time, up bool) bool {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -226,7 +226,7 @@
 	}
 	d.traffic = newServer(d.handler)
 	d.apiServer = newServer(operators.Handler())
-	d.peerServer = peerrpc.NewServer(d.set.Peers.Token, d.node)
+	d.peerServer = peerrpc.NewServer(d.set.Peers.Token, d.node, &d.peers.Bytes)
 }
 
 // TrafficAddr returns the address that callers use.
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -13,6 +13,9 @@
 	"github.com/postmount/postmount/slo"
 )
 
+// Status returns the daemon's own account of itself.
+func (d *Daemon) Status() api.Status { return d.status() }
+
 // status returns the daemon's own account of itself.
 func (d *Daemon) status() api.Status {
 	now := time.Now()
@@ -40,7 +43,9 @@
 		StoreWatches:  counts.Watches.Load(),
 		StoreBytesIn:  counts.BytesIn.Load(),
 		StoreBytesOut: counts.BytesOut.Load(),
-		Conflicts:     d.controller.Counts.Conflicts.Load(),
+		ControlBytes: counts.BytesIn.Load() + counts.BytesOut.Load() + d.peers.Bytes.In.Load() + d.peers.Bytes.Out.Load() +
+			d.list.BytesIn.Load() + d.list.BytesOut.Load(),
+		Conflicts: d.controller.Counts.Conflicts.Load(),
 	}
 	for _, m := range d.node.View().Members {
 		s.Members = append(s.Members, string(m.ID))
@@ -166,7 +171,7 @@
 			"claims": int64(s.Claims), "claim_bytes": int64(s.ClaimBytes),
 			"store_reads": s.StoreReads, "store_writes": s.StoreWrites, "store_watches": s.StoreWatches,
 			"store_bytes_in": s.StoreBytesIn, "store_bytes_out": s.StoreBytesOut,
-			"write_conflicts": s.Conflicts, "peer_rejected": d.peerServer.Rejected.Load(), "bad_records": d.mirror.BadRecords.Load(),
+			"control_bytes": s.ControlBytes, "write_conflicts": s.Conflicts, "peer_rejected": d.peerServer.Rejected.Load(), "bad_records": d.mirror.BadRecords.Load(),
 			"commands": d.controller.Counts.Commands.Load(), "list_errors": d.controller.Counts.ListErrors.Load(),
 		} {
 			scope.Gauge(name).Update(float64(v))
--- a/internal/slopes/slopes_test.go
+++ b/internal/slopes/slopes_test.go
@@ -197,10 +197,11 @@
 		before := heap()
 		m, list := loaded(n), instances(n)
 		d := directory.Build(m.State(), list)
-		b.ReportMetric(float64(heap()-before), "heap-bytes")
+		used := heap() - before
 		for b.Loop() {
 			runtime.KeepAlive(d)
 		}
+		b.ReportMetric(float64(used), "heap-bytes")
 		runtime.KeepAlive(m)
 		runtime.KeepAlive(list)
 	})
--- /dev/null
+++ b/lab/control.go
@@ -0,0 +1,185 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"syscall"
+	"time"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/settings"
+	"github.com/postmount/postmount/standin/platform"
+)
+
+// ControlExperiments are the measurements of control.
+func ControlExperiments() []Experiment { return []Experiment{controlCost(), rollOut()} }
+
+// installed starts a user's fleet with n daemons and its pools.
+func installed(ctx context.Context, t Topology, n int, adjust func(*settings.Settings)) (*Fixture, error) {
+	f, err := NewFixture(t, n, adjust, io.Discard)
+	if err != nil {
+		return nil, err
+	}
+	wait, cancel := context.WithTimeout(ctx, readyTimeout)
+	defer cancel()
+	if err := f.WaitReady(wait); err == nil {
+		err = f.Exec(ctx, t.Statements())
+	}
+	if err != nil {
+		f.Close()
+		return nil, err
+	}
+	return f, nil
+}
+
+// processTime is the processor time that the process has used.
+func processTime() time.Duration {
+	var u syscall.Rusage
+	if syscall.Getrusage(syscall.RUSAGE_SELF, &u) != nil {
+		return 0
+	}
+	return time.Duration(u.Utime.Nano() + u.Stime.Nano())
+}
+
+// usage is what the daemons have used for control so far.
+type usage struct {
+	reads, writes, bytes int64
+	cpu                  time.Duration
+	at                   time.Time
+}
+
+func (f *Fixture) usage() usage {
+	u := usage{cpu: processTime(), at: time.Now()}
+	for _, d := range f.Daemons {
+		s := d.Status()
+		u.reads += s.StoreReads
+		u.writes += s.StoreWrites
+		u.bytes += s.ControlBytes
+	}
+	return u
+}
+
+// perDaemon formats what each daemon used between two moments. The processor
+// time includes the stand-ins, which share the process.
+func perDaemon(before, after usage, n int) []string {
+	seconds := after.at.Sub(before.at).Seconds() * float64(n)
+	return []string{
+		fmt.Sprintf("%.0f", 3600*float64(after.reads-before.reads)/seconds),
+		fmt.Sprintf("%.0f", 3600*float64(after.writes-before.writes)/seconds),
+		fmt.Sprintf("%.2f", float64(after.bytes-before.bytes)/seconds/1000),
+		fmt.Sprintf("%.2f%%", 100*(after.cpu-before.cpu).Seconds()/seconds),
+	}
+}
+
+// controlCost: six daemons over 50 workers, idle and during a wave, without
+// traffic.
+func controlCost() Experiment {
+	return Experiment{
+		Name:    "Control of 50 workers by six daemons, per daemon, without traffic",
+		Columns: []string{"store reads an hour", "store writes an hour", "KB a second", "of a core (stand-ins included)"},
+		Run: func(ctx context.Context, _ uint64) ([]Row, error) {
+			const daemons = 6
+			f, err := installed(ctx, OrderDesks(), daemons, nil)
+			if err != nil {
+				return nil, err
+			}
+			defer f.Close()
+			time.Sleep(3 * time.Second)
+			idle := f.usage()
+			time.Sleep(10 * time.Second)
+			end := f.usage()
+			rows := []Row{{"idle", perDaemon(idle, end, daemons)}}
+			if err := f.Exec(ctx, "start wave w on all pools"); err != nil {
+				return nil, err
+			}
+			if _, err := f.waitForWave(ctx, "w", time.Minute); err != nil {
+				return nil, err
+			}
+			return append(rows, Row{"during a wave", perDaemon(end, f.usage(), daemons)}), nil
+		},
+	}
+}
+
+// waitForWave waits until a wave has ended and returns how long it took. A wave
+// that halts is resumed, as an operator would after a look at it.
+func (f *Fixture) waitForWave(ctx context.Context, name string, atMost time.Duration) (time.Duration, error) {
+	ctx, cancel := context.WithTimeout(ctx, atMost)
+	defer cancel()
+	for {
+		for w, v := range f.Daemons[0].Snapshot().State.Waves {
+			switch {
+			case string(w) != name:
+			case !v.Value.EndedAt.IsZero():
+				return v.Value.EndedAt.Sub(v.Value.StartedAt), nil
+			case v.Value.State == fleet.WaveHalted:
+				_ = f.Exec(ctx, "resume wave "+name)
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return 0, fmt.Errorf("wave %s did not end: %w", name, ctx.Err())
+		case <-time.After(50 * time.Millisecond):
+		}
+	}
+}
+
+// rollOut: a wave over the order desks as wide as the budgets allow, against
+// one instance of a pool at a time, with quick and with slower reboots, and
+// with a tenth of the reboots never returning.
+func rollOut() Experiment {
+	return Experiment{
+		Name:    "Roll-out time of a wave over 50 workers in 5 pools, budget 2 a pool",
+		Columns: []string{"seconds", "lower bound", "ratio", "finished", "given up"},
+		Run: func(ctx context.Context, _ uint64) (rows []Row, err error) {
+			for _, c := range []struct {
+				name     string
+				width    int
+				rebootMS int
+				never    []string
+			}{
+				{"as wide as the budgets, reboot 0.4 s", 0, 400, nil},
+				{"one at a time, reboot 0.4 s", 1, 400, nil},
+				{"as wide as the budgets, reboot 2 s", 0, 2000, nil},
+				{"one at a time, reboot 2 s", 1, 2000, nil},
+				{"as wide as the budgets, reboot 2 s, 1 of each pool never returns", 0, 2000, []string{"tidewater-01", "harbour-01", "northgate-01", "meridian-01", "settlement-01"}},
+			} {
+				row, err := rollOutOnce(ctx, c.width, c.rebootMS, c.never)
+				if err != nil {
+					return nil, fmt.Errorf("%s: %w", c.name, err)
+				}
+				rows = append(rows, Row{c.name, row})
+			}
+			return rows, nil
+		},
+	}
+}
+
+func rollOutOnce(ctx context.Context, width, rebootMS int, never []string) ([]string, error) {
+	f, err := installed(ctx, OrderDesks(), 6, func(s *settings.Settings) {
+		s.Control.WaveWidth = width
+		s.Control.RebootTimeout = settings.Duration(3 * time.Second)
+	})
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	faults := platform.DefaultFaults
+	faults.RebootMS = rebootMS
+	faults.NeverReturn = never
+	f.Platform.SetFaults(faults)
+	if err := f.Exec(ctx, "start wave w on all pools"); err != nil {
+		return nil, err
+	}
+	took, err := f.waitForWave(ctx, "w", 90*time.Second)
+	if err != nil {
+		return nil, err
+	}
+	const largestPool, budget = 12, 2
+	bound := time.Duration(largestPool/budget*rebootMS) * time.Millisecond
+	w := f.Daemons[0].Snapshot().State.Waves["w"].Value
+	return []string{
+		fmt.Sprintf("%.1f", took.Seconds()), fmt.Sprintf("%.1f", bound.Seconds()), fmt.Sprintf("%.2f", took.Seconds()/bound.Seconds()),
+		fmt.Sprint(w.Finished), fmt.Sprint(w.Failed),
+	}, nil
+}
