--- /dev/null
+++ b/adapter/peerrpc/peerrpc_test.go
@@ -0,0 +1,118 @@
+package peerrpc
+
+import (
+	"bytes"
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/once"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/slots"
+	"github.com/postmount/postmount/verdict"
+)
+
+// echo answers heartbeats and blocks claims until released.
+type echo struct {
+	port.PeerServer
+	release chan struct{}
+}
+
+func (e *echo) OnBeat(b port.Beat) port.BeatReply {
+	return port.BeatReply{From: "echo", Epoch: b.Epoch, Revision: b.Revision}
+}
+func (e *echo) OnClaim(once.Request) once.Reply {
+	<-e.release
+	return once.Reply{Result: once.Granted}
+}
+func (e *echo) OnReturn([]slots.LoanID) {}
+
+const token = "a-token-of-the-tests"
+
+func start(t *testing.T) (addr string, s *Server, e *echo) {
+	e = &echo{release: make(chan struct{})}
+	s = NewServer(token, e, &Bytes{})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go s.Serve(l)
+	t.Cleanup(func() {
+		l.Close()
+		s.Close()
+	})
+	return l.Addr().String(), s, e
+}
+
+func TestCallsThereAndBack(t *testing.T) {
+	addr, _, e := start(t)
+	close(e.release)
+	c := NewClient(token, time.Second, 10*time.Second)
+	defer c.Close()
+	r, err := c.Beat(context.Background(), addr, port.Beat{Epoch: 7, Revision: fleet.Revision(9)})
+	require.NoError(t, err)
+	assert.Equal(t, port.BeatReply{From: "echo", Epoch: 7, Revision: 9}, r)
+	require.NoError(t, c.Return(context.Background(), addr, []slots.LoanID{"l"}))
+	reply, err := c.Claim(context.Background(), addr, once.Request{})
+	require.NoError(t, err)
+	assert.Equal(t, once.Granted, reply.Result)
+	assert.Positive(t, c.Bytes.Out.Load())
+}
+
+func TestCallThatIsGivenUpMayHaveRun(t *testing.T) {
+	addr, _, e := start(t)
+	c := NewClient(token, time.Second, 10*time.Second)
+	defer c.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	_, err := c.Claim(ctx, addr, once.Request{})
+	require.Error(t, err)
+	close(e.release)
+}
+
+func TestNobodyThereDidNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr := l.Addr().String()
+	l.Close()
+	_, err = NewClient(token, time.Second, time.Second).Beat(context.Background(), addr, port.Beat{})
+	assert.Equal(t, verdict.NotRun, verdict.Of(err))
+}
+
+// TestNonsenseIsDroppedBeforeItIsDecoded sends what no peer would.
+func TestNonsenseIsDroppedBeforeItIsDecoded(t *testing.T) {
+	for name, text := range map[string][]byte{
+		"wrong token":     []byte(greeting + "another\n"),
+		"another program": []byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n"),
+		"endless line":    bytes.Repeat([]byte("x"), 10*maxGreeting),
+		"binary":          bytes.Repeat([]byte{0xff, 0, '\n'}, 100),
+	} {
+		t.Run(name, func(t *testing.T) {
+			addr, s, _ := start(t)
+			conn, err := net.Dial("tcp", addr)
+			require.NoError(t, err)
+			defer conn.Close()
+			_, _ = conn.Write(text)
+			_, err = conn.Read(make([]byte, 1))
+			assert.Error(t, err, "the connection is closed")
+			assert.EqualValues(t, 1, s.Rejected.Load())
+		})
+	}
+}
+
+func TestNonsenseAfterTheGreetingEndsOnlyItsConnection(t *testing.T) {
+	addr, _, _ := start(t)
+	conn, err := net.Dial("tcp", addr)
+	require.NoError(t, err)
+	defer conn.Close()
+	_, _ = conn.Write(append([]byte(greeting+token+"\n"), bytes.Repeat([]byte{0x7f}, 4096)...))
+	_, err = conn.Read(make([]byte, 1))
+	assert.Error(t, err)
+	c := NewClient(token, time.Second, 10*time.Second)
+	defer c.Close()
+	_, err = c.Beat(context.Background(), addr, port.Beat{})
+	assert.NoError(t, err, "others are served")
+}
