--- a/control/controller.go
+++ b/control/controller.go
@@ -16,7 +16,6 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
-	"github.com/postmount/postmount/budget"
 	"github.com/postmount/postmount/fleet"
 	"github.com/postmount/postmount/mirror"
 	"github.com/postmount/postmount/place"
@@ -108,10 +107,13 @@
 	reconciled  time.Time // when the last whole round was made
 	active      bool      // the last round found something under way
 	wasUp       bool
-	busy        map[string]bool // keys whose write is under way
-	sent        map[fleet.CommandID]time.Time
-	notes       map[fleet.PoolName][]wave.Note
-	tasks       *taskBoard
+	// members groups the memberships of the state in grouped.
+	grouped *fleet.State
+	members map[fleet.PoolName][]fleet.Membership
+	busy    map[string]bool // keys whose write is under way
+	sent    map[fleet.CommandID]time.Time
+	notes   map[fleet.PoolName][]wave.Note
+	tasks   *taskBoard
 }
 
 // New returns a controller that has not started.
@@ -252,12 +254,14 @@
 	}
 	c.reconciled = now
 	c.active = busy(s.State)
-	members := s.State.MembersByPool()
-	r := &roundState{c: c, ctx: ctx, now: now, snap: s, members: members, mayWrite: c.mayWrite(now, up)}
+	if c.grouped != s.State {
+		c.grouped, c.members = s.State, s.State.MembersByPool()
+	}
+	r := &roundState{c: c, ctx: ctx, now: now, snap: s, members: c.members, mayWrite: c.mayWrite(now, up)}
+	if !unchanged {
+		r.remember()
+	}
 	for _, name := range s.State.SortedPools() {
-		if len(s.Instances) > 0 {
-			c.History.add(now, budget.Of(s.State.Pools[name].Value, members[name], s.Instances))
-		}
 		if c.mine("pool/" + string(name)) {
 			r.pool(name)
 		}
--- a/control/reconcile.go
+++ b/control/reconcile.go
@@ -26,6 +26,16 @@
 	mayWrite bool
 }
 
+// remember keeps how the pools' availability is.
+func (r *roundState) remember() {
+	if len(r.snap.Instances) == 0 {
+		return
+	}
+	for name, p := range r.snap.State.Pools {
+		r.c.History.add(r.now, budget.Of(p.Value, r.members[name], r.snap.Instances))
+	}
+}
+
 // pool reconciles one pool.
 func (r *roundState) pool(name fleet.PoolName) {
 	p := r.snap.State.Pools[name]
