--- a/cmd/postmount-lab/store.go
+++ b/cmd/postmount-lab/store.go
@@ -16,10 +16,11 @@
 	delay := cmd.Flag("delay-ms", "Hold every call for that long.").Int()
 	reads := cmd.Flag("reads-per-second", "Limit of reads, 0 for none.").Default("2000").Int()
 	writes := cmd.Flag("writes-per-second", "Limit of writes, 0 for none.").Default("400").Int()
+	lose := cmd.Flag("lose-answers", "Lose the answers of that many writes after they took effect.").Int()
 	runners[cmd.FullCommand()] = func(ctx context.Context) error {
 		s := store.NewServer()
 		defer s.Close()
-		s.SetFaults(store.Faults{Down: *down, DelayMillis: *delay, ReadsPerSecond: *reads, WritesPerSecond: *writes})
+		s.SetFaults(store.Faults{Down: *down, DelayMillis: *delay, ReadsPerSecond: *reads, WritesPerSecond: *writes, LoseAnswers: *lose})
 		return serve(ctx, *listen, s)
 	}
 }
--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -176,6 +176,7 @@
 		} {
 			scope.Gauge(name).Update(float64(v))
 		}
+		d.burnGauges()
 		for _, b := range []struct {
 			name string
 			on   bool
@@ -184,3 +185,20 @@
 		}
 	}
 }
+
+// burnGauges exports how fast this daemon's part of each error budget burns.
+func (d *Daemon) burnGauges() {
+	services := d.mirror.State().Config.Value
+	for _, c := range d.burn.Counts(time.Now()) {
+		svc := services.Service(c.Service)
+		if svc == nil {
+			continue
+		}
+		class := svc.Class(c.Class)
+		if class == nil || class.Objective.Availability == 0 {
+			continue
+		}
+		tags := map[string]string{"service": string(c.Service), "class": string(c.Class), "window": c.Window.String()}
+		d.metrics.Scope.Tagged(tags).Gauge("burn_rate").Update(slo.Rate(c.Total, c.Bad, class.Objective.Availability))
+	}
+}
--- a/lab/control.go
+++ b/lab/control.go
@@ -23,7 +23,7 @@
 	}
 	wait, cancel := context.WithTimeout(ctx, readyTimeout)
 	defer cancel()
-	if err := f.WaitReady(wait); err == nil {
+	if err = f.WaitReady(wait); err == nil {
 		err = f.Exec(ctx, t.Statements())
 	}
 	if err != nil {
