Weights choose how wide a wave is

Cause: the weights of the three measures were recorded and used by nothing. Ruled out: policies by name, a search over schedules (docs/design/0007). Change: each grant takes the width with the least weighted sum of roll-out time and instances out; a deadline goes before the weights; if buffer weighs most, jobs are packed tightly in place of being kept on maintained workers.

--- a/control/jobs.go
+++ b/control/jobs.go
@@ -85,6 +85,8 @@
 		}
 	}
 	in := place.Input{Now: r.now, Jobs: next.Jobs, Workers: r.placeWorkers(name, next), Teams: r.teams(), Policy: r.c.opts.Place}
+	weights := r.snap.State.Config.Value.Weights
+	in.Packing = weights.Buffer > weights.RollOut && weights.Buffer > weights.Moves
 	for _, d := range place.Plan(in) {
 		changed = r.applyDecision(next.Job(d.Job), d) || changed
 	}
--- a/control/reconcile.go
+++ b/control/reconcile.go
@@ -65,6 +65,7 @@
 		Instances:  r.snap.Instances,
 		Membership: r.snap.State.Membership,
 		Options:    r.c.opts.Wave,
+		Weights:    r.snap.State.Config.Value.Weights,
 		NewID:      newCommandID,
 	}
 	for _, w := range r.snap.State.SortedWaves() {
--- a/lab/control.go
+++ b/lab/control.go
@@ -13,7 +13,7 @@
 )
 
 // ControlExperiments are the measurements of control.
-func ControlExperiments() []Experiment { return []Experiment{controlCost(), rollOut()} }
+func ControlExperiments() []Experiment { return []Experiment{controlCost(), rollOut(), weights()} }
 
 // installed starts a user's fleet with n daemons and its pools.
 func installed(ctx context.Context, t Topology, n int, adjust func(*settings.Settings)) (*Fixture, error) {
@@ -183,3 +183,73 @@
 		fmt.Sprint(w.Finished), fmt.Sprint(w.Failed),
 	}, nil
 }
+
+// weights: the same wave under both users' weights. Buffer is the mean number
+// of instances out while the wave runs.
+func weights() Experiment {
+	return Experiment{
+		Name:    "A wave under both users' weights, 50 workers in 5 pools, budget 4 a pool, reboot 1 s",
+		Columns: []string{"roll-out seconds", "over the bound", "instances out on average", "over those of one a pool"},
+		Run: func(ctx context.Context, _ uint64) (rows []Row, err error) {
+			for _, c := range []struct{ name, set string }{
+				{"order desks (3, 1, 1)", "set weights rollout 3 buffer 1 moves 1"},
+				{"alumni hub (1, 3, 1)", "set weights rollout 1 buffer 3 moves 1"},
+			} {
+				row, err := weighted(ctx, c.set)
+				if err != nil {
+					return nil, err
+				}
+				rows = append(rows, Row{c.name, row})
+			}
+			return rows, nil
+		},
+	}
+}
+
+func weighted(ctx context.Context, set string) ([]string, error) {
+	f, err := installed(ctx, OrderDesks(), 6, nil)
+	if err != nil {
+		return nil, err
+	}
+	defer f.Close()
+	faults := platform.DefaultFaults
+	faults.RebootMS = 1000
+	f.Platform.SetFaults(faults)
+	for _, s := range f.Topology.Services {
+		set += "; set budget " + s.Name + " max-unavailable 4"
+	}
+	if err := f.Exec(ctx, set+"; start wave w on all pools"); err != nil {
+		return nil, err
+	}
+	out := make(chan float64, 1)
+	sampling, stop := context.WithCancel(ctx)
+	go func() { out <- f.meanOut(sampling) }()
+	took, err := f.waitForWave(ctx, "w", time.Minute)
+	stop()
+	if err != nil {
+		return nil, err
+	}
+	const bound, pools = 3.0, 5.0 // 12 instances, 4 at once, 1 s each
+	mean := <-out
+	return []string{fmt.Sprintf("%.1f", took.Seconds()), fmt.Sprintf("%.2f", took.Seconds()/bound), fmt.Sprintf("%.1f", mean), fmt.Sprintf("%.2f", mean/pools)}, nil
+}
+
+// meanOut returns how many instances were out on average until ctx ended.
+func (f *Fixture) meanOut(ctx context.Context) float64 {
+	t := time.NewTicker(sampleInterval)
+	defer t.Stop()
+	sum, samples := 0, 0
+	for {
+		select {
+		case <-ctx.Done():
+			return float64(sum) / float64(max(samples, 1))
+		case <-t.C:
+			samples++
+			for _, state := range f.Platform.States() {
+				if state != string(fleet.InstanceReady) {
+					sum++
+				}
+			}
+		}
+	}
+}
--- a/place/place.go
+++ b/place/place.go
@@ -53,6 +53,9 @@
 	Workers []Worker
 	Teams   map[string]TeamUse
 	Policy  Policy
+	// Packing puts a tight fit before a worker that needs no further
+	// maintenance: less capacity is held back, and jobs may move again.
+	Packing bool
 }
 
 // Decision is what becomes of one pending job.
@@ -125,7 +128,7 @@
 	if t := teams[j.Team]; t.Limited && !t.Quota.Sub(t.Used).Fits(j.Need) {
 		return Decision{Job: j.Name, State: fleet.JobPending, Reason: fmt.Sprintf("team %s has used up its quota", j.Team)}
 	}
-	best, why := choose(in.Policy, workers, j)
+	best, why := choose(in, workers, j)
 	if best == nil {
 		return Decision{Job: j.Name, State: fleet.JobPending, Reason: why}
 	}
@@ -162,7 +165,7 @@
 	}
 }
 
-func choose(policy Policy, workers []Worker, j fleet.Job) (*Worker, string) {
+func choose(in Input, workers []Worker, j fleet.Job) (*Worker, string) {
 	var best *Worker
 	aside, full := 0, 0
 	for i := range workers {
@@ -177,12 +180,12 @@
 		}
 		if best == nil {
 			best = w
-			if policy == PolicyFirstFit {
+			if in.Policy == PolicyFirstFit {
 				break
 			}
 			continue
 		}
-		if better(w, best, j.Need) {
+		if better(w, best, j.Need, in.Packing) {
 			best = w
 		}
 	}
@@ -192,8 +195,8 @@
 // better prefers workers that need no further maintenance, then those without
 // failures, then the one that is left with the least memory to spare: large
 // jobs keep finding room.
-func better(a, b *Worker, need fleet.Resources) bool {
-	if a.Maintained != b.Maintained {
+func better(a, b *Worker, need fleet.Resources, packing bool) bool {
+	if a.Maintained != b.Maintained && !packing {
 		return a.Maintained
 	}
 	if a.Failures != b.Failures {
--- a/wave/advance.go
+++ b/wave/advance.go
@@ -17,12 +17,10 @@
 	Members   []fleet.Membership // of the pool, sorted by instance
 	Instances map[fleet.InstanceID]fleet.Instance
 	Waves     []*fleet.Wave // that include the pool, in order of their start
-	// Failures counts, for each wave, the instances given up in all its pools,
-	// and Granted those it has taken out so far.
-	Failures, Granted map[fleet.WaveName]int
 	// Membership returns the record of an instance, nil if it has none.
 	Membership func(fleet.InstanceID) *fleet.Membership
 	Options    Options
+	Weights    fleet.Weights
 	NewID      func() fleet.CommandID
 }
 
--- a/wave/grant.go
+++ b/wave/grant.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"math"
 	"slices"
 	"time"
 
@@ -93,7 +94,8 @@
 			p.note(m.Instance, "wave %s waits: %s", w.Name, account.Explain())
 			return
 		}
-		if limit := p.in.Options.Concurrency; limit > 0 && p.outBy(w.Name) >= limit {
+		limit := p.width(w, account)
+		if p.outBy(w.Name) >= limit {
 			p.note(m.Instance, "wave %s waits: %d of %d at once are out", w.Name, limit, limit)
 			return
 		}
@@ -115,6 +117,41 @@
 	return n
 }
 
+// width returns how many instances wave w may have out at once: what the weights
+// prefer, at most what the settings allow. Near a deadline it is the whole
+// budget.
+func (p *planner) width(w *fleet.Wave, account budget.Account) int {
+	left := len(p.candidates(w)) + p.outBy(w.Name)
+	n := Width(left, account.Allowed, p.in.Weights)
+	if end, known := Forecast(p.in.Now, p.next, left, n); known && !w.Deadline.IsZero() && end.After(w.Deadline) {
+		n = account.Allowed
+	}
+	if p.in.Options.Concurrency > 0 {
+		n = min(n, p.in.Options.Concurrency)
+	}
+	return n
+}
+
+// Width chooses how many of n instances to take out at once, at most allowed.
+// A wider wave is over sooner and holds more capacity back meanwhile: the width
+// with the least weighted sum of roll-out time and of instances out is taken,
+// each as a ratio to that of the whole budget. Without weights it is the whole
+// budget.
+func Width(n, allowed int, w fleet.Weights) int {
+	if allowed <= 1 || n <= 1 || (w.RollOut == 0 && w.Buffer == 0) {
+		return allowed
+	}
+	rounds := func(width int) float64 { return math.Ceil(float64(n) / float64(width)) }
+	best, least := allowed, math.Inf(1)
+	for width := allowed; width >= 1; width-- {
+		cost := w.RollOut*rounds(width)/rounds(allowed) + w.Buffer*float64(width)/float64(allowed)
+		if cost < least {
+			best, least = width, cost
+		}
+	}
+	return best
+}
+
 // tooLate reports whether an instance taken out now would be back only after
 // the wave's deadline.
 func (p *planner) tooLate(w *fleet.Wave) bool {
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -146,6 +146,28 @@
 	assert.Equal(t, fleet.PhaseReturn, Reconcile(in).Pool.Disruptions[0].Phase)
 }
 
+// TestWeightsChooseTheWidth: the order desks weigh roll-out time most, the
+// alumni hub buffer cost.
+func TestWeightsChooseTheWidth(t *testing.T) {
+	orderDesks, alumniHub := fleet.Weights{RollOut: 3, Buffer: 1, Moves: 1}, fleet.Weights{RollOut: 1, Buffer: 3, Moves: 1}
+	for _, tc := range []struct {
+		n, allowed int
+		weights    fleet.Weights
+		want       int
+	}{
+		{12, 4, fleet.Weights{}, 4}, {12, 4, orderDesks, 4}, {12, 4, alumniHub, 2}, {12, 1, alumniHub, 1}, {12, 0, orderDesks, 0},
+		{7, 6, orderDesks, 4}, // two rounds either way
+	} {
+		assert.Equal(t, tc.want, Width(tc.n, tc.allowed, tc.weights), "%+v", tc)
+	}
+	in := input(12, fleet.AvailabilityBudget{MaxUnavailable: 4})
+	in.Weights = alumniHub
+	assert.Len(t, claimed(Reconcile(in).Pool), 2)
+	in.Pool.MeanOut = time.Minute
+	in.Waves[0].Deadline = t0.Add(4 * time.Minute)
+	assert.Len(t, claimed(Reconcile(in).Pool), 4, "a deadline goes before the weights")
+}
+
 func TestHaltRule(t *testing.T) {
 	for _, tc := range []struct {
 		failures, granted, forgiven int
