One place for waiting within a context; the claims table in four files

Change: internal/sleep; key, handover, bounds and the table itself apart. Ruled out: a common package for the JSON of the stand-in and the adapter (the stand-in is to show when the adapter is wrong).

--- a/cluster/claims.go
+++ b/cluster/claims.go
@@ -9,6 +9,7 @@
 	"go.uber.org/zap"
 
 	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/internal/sleep"
 	"github.com/postmount/postmount/once"
 	"github.com/postmount/postmount/verdict"
 )
@@ -95,7 +96,7 @@
 		if c.tryTransfer(ctx, tr) {
 			return
 		}
-		pause(ctx, ownerPause)
+		sleep.For(ctx, ownerPause)
 	}
 	c.node.deps.Log.Warn("claims not handed over", zap.Int("partition", int(tr.Partition)), zap.Int("claims", len(tr.Claims)))
 }
@@ -235,7 +236,7 @@
 			c.drop(attempt, uncertain)
 			return "", reply, nil
 		}
-		if !pause(ctx, ownerPause) {
+		if !sleep.For(ctx, ownerPause) {
 			c.drop(attempt, uncertain)
 			return "", once.Reply{}, verdict.New(verdict.NotRun, CodeNoOwner, "the owner of the key cannot grant it now")
 		}
@@ -299,7 +300,7 @@
 	ctx, cancel := context.WithTimeout(context.Background(), noteDeadline)
 	defer cancel()
 	for !c.note(ctx, cl) {
-		if c.node.stopped() || !pause(ctx, ownerPause) {
+		if c.node.stopped() || !sleep.For(ctx, ownerPause) {
 			break
 		}
 	}
@@ -330,15 +331,3 @@
 	noted, err := c.node.deps.Peers.Note(ctx, owner.PeerAddr, cl)
 	return err == nil && noted
 }
-
-// pause waits for d and reports false if ctx ended first.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/entry/handler.go
+++ b/entry/handler.go
@@ -16,6 +16,7 @@
 	"github.com/google/uuid"
 
 	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/internal/sleep"
 	"github.com/postmount/postmount/member"
 	"github.com/postmount/postmount/once"
 	"github.com/postmount/postmount/port"
@@ -246,7 +247,7 @@
 			return answer, nil
 		}
 		again, ok := h.again(ctx, c, attempt, err)
-		if !ok || !pause(ctx, again) {
+		if !ok || !sleep.For(ctx, again) {
 			return answer, err
 		}
 	}
--- a/entry/keyed.go
+++ b/entry/keyed.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/postmount/postmount/internal/sleep"
 	"github.com/postmount/postmount/once"
 	"github.com/postmount/postmount/port"
 	"github.com/postmount/postmount/retry"
@@ -27,7 +28,7 @@
 		return nil, &refusal{cause: asVerdict(err), retryAfter: time.Second}
 	}
 	for reply.Result == once.InProgress {
-		if !pause(ctx, inProgressPause) {
+		if !sleep.For(ctx, inProgressPause) {
 			return nil, verdict.New(verdict.MayHaveRun, CodeInProgress, "an earlier attempt with this key is still running")
 		}
 		// The earlier attempt may be abandoned, and this one granted.
--- a/entry/loans.go
+++ b/entry/loans.go
@@ -8,6 +8,7 @@
 
 	"github.com/postmount/postmount/directory"
 	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/internal/sleep"
 	"github.com/postmount/postmount/port"
 	"github.com/postmount/postmount/slots"
 )
@@ -149,7 +150,7 @@
 	ctx, cancel := context.WithTimeout(ctx, returnDeadline)
 	defer cancel()
 	for peers.Return(ctx, addr, ids) != nil {
-		if !pause(ctx, loanIdle) {
+		if !sleep.For(ctx, loanIdle) {
 			return
 		}
 	}
@@ -177,7 +178,7 @@
 			refused++
 		}
 		if refused >= d.peerCount() {
-			pause(ctx, borrowPause)
+			sleep.For(ctx, borrowPause)
 			return
 		}
 	}
@@ -225,17 +226,6 @@
 	d.pump(time.Now(), name, d.services[name])
 }
 
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
-
 // Settled reports whether the slot shares of the view in force are taken up.
 func (d *Dispatcher) Settled() bool {
 	d.mu.Lock()
--- a/internal/matrix/control_test.go
+++ b/internal/matrix/control_test.go
@@ -176,6 +176,11 @@
 	m.listed[id] = m.truth[id]
 }
 
+// stateOf is the state that an action puts an instance into.
+var stateOf = map[fleet.Action]fleet.InstanceState{
+	fleet.ActionDrain: fleet.InstanceDraining, fleet.ActionReboot: fleet.InstanceRebooting, fleet.ActionReturn: fleet.InstanceReady,
+}
+
 // deliver carries out a command that is on its way, and may leave a duplicate.
 func (m *model) deliver(t *rapid.T) {
 	if len(m.network) == 0 {
@@ -193,9 +198,7 @@
 	m.commands[s.command.ID] = true
 	inst.Generation++
 	inst.LastCommand = s.command.ID
-	inst.State = map[fleet.Action]fleet.InstanceState{
-		fleet.ActionDrain: fleet.InstanceDraining, fleet.ActionReboot: fleet.InstanceRebooting, fleet.ActionReturn: fleet.InstanceReady,
-	}[s.command.Action]
+	inst.State = stateOf[s.command.Action]
 	m.truth[s.instance] = inst
 }
 
@@ -362,9 +365,7 @@
 		m.commands[s.command.ID] = true
 		inst.Generation++
 		inst.LastCommand = s.command.ID
-		inst.State = map[fleet.Action]fleet.InstanceState{
-			fleet.ActionDrain: fleet.InstanceDraining, fleet.ActionReboot: fleet.InstanceRebooting, fleet.ActionReturn: fleet.InstanceReady,
-		}[s.command.Action]
+		inst.State = stateOf[s.command.Action]
 		m.truth[s.instance] = inst
 	}
 	m.network = nil
--- a/internal/matrix/mutations.sh
+++ b/internal/matrix/mutations.sh
@@ -39,7 +39,7 @@
 broken "a grant is not noted" once/once.go 's/\tt\.insert\(p, &Claim\{Key: r\.Key[^\n]*\n//' "$M ./once"
 broken "an abandoned attempt vouches for others" once/once.go 's/if refusal, ok := t\.unfit\(now, p, r\.Key\); ok \{/if refusal, ok := t.unfit(now, p, r.Key); ok && !found {/' "$M ./once"
 broken "a table handed over does not outweigh" once/once.go 's/case c\.Status == Abandoned && n\.Status != Abandoned:/case false:/' "$M ./once"
-broken "missed views are not noticed" once/once.go 's/if missed == 0 \{/if true {/' "$M ./once"
+broken "missed views are not noticed" once/handover.go 's/if missed == 0 \{/if true {/' "$M ./once"
 broken "a view serves before the earlier one stopped" member/member.go 's/return c\.allStopped\n/return true\n/' "$M ./member"
 broken "a minority serves" member/member.go 's/return 2\*n > total[^\n]*/return true/' "$M ./member"
 broken "a newer epoch is ignored" member/member.go 's/if c\.highest == c\.view\.Epoch \{/if true {/' "$M ./member"
--- a/mirror/feed.go
+++ b/mirror/feed.go
@@ -6,6 +6,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/postmount/postmount/internal/sleep"
 	"github.com/postmount/postmount/port"
 	"github.com/postmount/postmount/record"
 	"github.com/postmount/postmount/verdict"
@@ -43,7 +44,7 @@
 		if verdict.CodeOf(err) == port.CodeCompacted {
 			relist = true
 		}
-		if !wait(ctx, jitter(f.Rand, pause)) {
+		if !sleep.For(ctx, jitter(f.Rand, pause)) {
 			return
 		}
 		pause = min(2*pause, lastPause)
@@ -79,14 +80,3 @@
 func jitter(r *rand.Rand, d time.Duration) time.Duration {
 	return d/2 + time.Duration(r.Int64N(int64(d/2)+1))
 }
-
-func wait(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
--- a/record/record.go
+++ b/record/record.go
@@ -14,6 +14,7 @@
 	"github.com/google/uuid"
 
 	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/internal/sleep"
 	"github.com/postmount/postmount/port"
 	"github.com/postmount/postmount/verdict"
 )
@@ -167,7 +168,7 @@
 		if settled {
 			return out, err
 		}
-		if !sleep(ctx, w.retry) {
+		if !sleep.For(ctx, w.retry) {
 			return Written{}, verdict.New(verdict.MayHaveRun, CodeUnknownOutcome, "%s: the answer was lost and the store cannot be asked", p.key)
 		}
 	}
@@ -202,14 +203,3 @@
 	}
 	return Written{}, true, verdict.New(verdict.MayHaveRun, CodeUnknownOutcome, "%s was written too often to tell", p.key)
 }
-
-func sleep(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-t.C:
-		return true
-	case <-ctx.Done():
-		return false
-	}
-}
