A drained job is placed anew only when no start can be under way

Cause: reading the code: a start whose answer was lost could reach the worker after the stop that let the job be placed elsewhere. Ruled out: a longer lease (every lost worker would cost more). Change: the worker's word counts only if it was asked a lease after the placement and after the last round without an answer.

--- a/control/jobs.go
+++ b/control/jobs.go
@@ -18,6 +18,9 @@
 	// failures counts tasks that failed on a worker in a row.
 	failures map[fleet.InstanceID]int
 	counted  map[taskKey]bool // failed attempts already counted
+	// unsureAt is when a round with a worker last got no answer: what it
+	// started may be running, or may yet be started.
+	unsureAt map[fleet.InstanceID]time.Time
 }
 
 type taskKey struct {
@@ -40,6 +43,7 @@
 		syncedAt: map[fleet.InstanceID]time.Time{},
 		failures: map[fleet.InstanceID]int{},
 		counted:  map[taskKey]bool{},
+		unsureAt: map[fleet.InstanceID]time.Time{},
 	}
 }
 
@@ -147,13 +151,18 @@
 // jobMissing handles a placed job that its worker does not report: it may not
 // have been started yet, was stopped for a drain, or is lost with the worker.
 //
-// Invariant: a job is placed anew only when its last attempt certainly does not
-// run. Reason: the worker said so after it was asked to stop, or the task's
-// lease has lapsed, which stops the task on the worker.
+// Invariant: a job is placed anew only when its last attempt does not run.
+// Reason: the worker said so after it was asked to stop, at a time when no start
+// of the attempt could still be under way; or the task's lease has lapsed, which
+// stops the task on the worker.
 func (r *roundState) jobMissing(j *fleet.Job) bool {
 	rep, reported := r.c.tasks.reports[j.Worker]
+	settled := j.PlacedAt
+	if unsure := r.c.tasks.unsureAt[j.Worker]; unsure.After(settled) {
+		settled = unsure
+	}
 	leaving := !r.usable(j.Worker)
-	if leaving && reported && rep.asked.After(j.PlacedAt) {
+	if leaving && reported && rep.asked.After(settled.Add(r.c.opts.TaskLease)) {
 		j.State, j.Worker, j.Reason = fleet.JobPending, "", "its worker was drained"
 		return true
 	}
@@ -345,7 +354,9 @@
 	}
 	c.post(func() {
 		delete(c.tasks.busy, id)
-		if err == nil {
+		if err != nil {
+			c.tasks.unsureAt[id] = time.Now()
+		} else {
 			c.tasks.reports[id] = taskReport{at: time.Now(), asked: asked, tasks: tasks}
 		}
 	})
--- a/internal/matrix/installation_test.go
+++ b/internal/matrix/installation_test.go
@@ -75,6 +75,9 @@
 	backend *backend
 	wg      sync.WaitGroup
 
+	seeds []string // peers that a new daemon knows from its settings
+	down  bool     // the store is down for a new daemon
+
 	mu  sync.Mutex
 	cut map[[2]int]bool
 	// hook is called when the first request reaches a step at a daemon.
@@ -98,11 +101,12 @@
 	name := fmt.Sprintf("e%d", n+1)
 	d := &daemon{in: in, number: n, store: store.NewDirect(in.engine), mirror: mirror.New()}
 	d.self = fleet.Entry{ID: fleet.EntryID(name), Incarnation: fleet.Incarnation(name), PeerAddr: name}
+	d.store.SetFaults(store.Faults{Down: in.down})
 	rnd := rand.New(rand.NewPCG(1, uint64(n)))
 	d.feed = &mirror.Feed{Mirror: d.mirror, Store: d.store, Rand: rnd}
 	d.dispatcher = entry.NewDispatcher(d.self.Incarnation, "z", 10*time.Second, entry.DefaultPolicies, rand.New(rand.NewPCG(2, uint64(n))))
 	d.node = cluster.New(cluster.Options{
-		Self: d.self, Heartbeat: 300 * time.Millisecond, LeaseTTL: 2 * time.Second, Grace: 2 * time.Second,
+		Self: d.self, Seeds: in.seeds, Heartbeat: 300 * time.Millisecond, LeaseTTL: 2 * time.Second, Grace: 2 * time.Second,
 		Member: member.DefaultOptions, Once: once.DefaultOptions,
 	}, cluster.Deps{
 		Store: d.store, Peers: &peers{in, d}, Mirror: d.mirror, Shares: d.dispatcher, Log: zap.NewNop(), Seed: uint64(n),
--- a/internal/matrix/replace_test.go
+++ b/internal/matrix/replace_test.go
@@ -11,6 +11,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/postmount/postmount/standin/store"
 	"github.com/postmount/postmount/verdict"
 )
 
@@ -138,3 +139,28 @@
 		assert.Equal(t, 8, in.backend.most, "the flood uses the workers up")
 	})
 }
+
+// TestStartInAStoreOutage: a daemon that starts while the store is down gets
+// the records from a peer of its settings, refuses requests, since no view can
+// take it in, and serves once the store is back.
+func TestStartInAStoreOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		in := newInstallation(3)
+		defer in.close()
+		in.settle()
+		known := in.daemons[0].mirror.State().Revision
+		in.seeds, in.down = []string{in.daemons[1].self.PeerAddr}, true
+		for _, d := range in.daemons {
+			d.store.SetFaults(store.Faults{Down: true})
+		}
+		fresh := in.start()
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, known, fresh.mirror.State().Revision)
+		assert.Equal(t, verdict.NotRun, fresh.request(context.Background(), "refused", uuid.Must(uuid.NewV7()).String()).verdict)
+		for _, d := range in.daemons {
+			d.store.SetFaults(store.Faults{})
+		}
+		time.Sleep(20 * time.Second)
+		assert.Equal(t, verdict.Done, fresh.request(context.Background(), "served", uuid.Must(uuid.NewV7()).String()).verdict)
+	})
+}
