--- a/cluster/node.go
+++ b/cluster/node.go
@@ -291,7 +291,7 @@
 	defer t.Stop()
 	for {
 		n.Hurry()
-		behind := n.behind(rev, time.Now())
+		behind := n.behind(rev)
 		if len(behind) == 0 {
 			return nil
 		}
@@ -306,7 +306,7 @@
 // behind lists the members of the view that have not taken in revision rev. A
 // member that has been silent for the grace time is about to leave the view,
 // but is still named.
-func (n *Node) behind(rev fleet.Revision, _ time.Time) []fleet.EntryID {
+func (n *Node) behind(rev fleet.Revision) []fleet.EntryID {
 	p := n.Progress()
 	var out []fleet.EntryID
 	for _, m := range p.View.Members {
