The report of a wave no longer shows budgets broken that were held

Cause: looked at, a plot showed pools below their floors for a moment. A daemon got the record that released one instance and took the next out before its list showed the first as back, and counted both. The platform's true states (sampled in the demo) never were below. Ruled out: a grant beyond the budget (the writer of the record had seen the instance back). Change: the history is added to only with a list read after the newest record. Test: TestHistoryWaitsForAListAsNewAsTheRecords. A plot that cannot be drawn leaves no file; an unknown command exits with 2 and not 1.

--- a/adapter/backendhttp/client_test.go
+++ b/adapter/backendhttp/client_test.go
@@ -146,7 +146,7 @@
 
 func TestSealedConnectionTakesNoLateWrite(t *testing.T) {
 	client, server := net.Pipe()
-	defer server.Close()
+	server.Close() // a write that is let through fails with another error
 	c := &trackedConn{Conn: client}
 	require.True(t, c.seal(c.mark()))
 	_, err := c.Write([]byte("late"))
--- a/cmd/postmount-lab/main.go
+++ b/cmd/postmount-lab/main.go
@@ -17,6 +17,9 @@
 	"github.com/postmount/postmount/daemon"
 )
 
+// exitUsage is the exit status of a command line that is not understood.
+const exitUsage = 2
+
 // runner carries out one command.
 type runner func(ctx context.Context) error
 
@@ -32,7 +35,11 @@
 	loadCommand(app, runners)
 	demoCommand(app, runners)
 	measureCommand(app, runners)
-	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	name, err := app.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "postmount-lab: %v, try --help\n", err)
+		os.Exit(exitUsage)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	if err := runners[name](ctx); err != nil {
--- a/cmd/postmount/main.go
+++ b/cmd/postmount/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"fmt"
 	"os"
 	"os/signal"
 	"time"
@@ -66,7 +67,11 @@
 		}
 		os.Exit(status)
 	})
-	name := kingpin.MustParse(app.Parse(os.Args[1:]))
+	name, err := app.Parse(os.Args[1:])
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "postmount: %v, try --help\n", err)
+		os.Exit(exitUsage)
+	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
 	os.Exit(runners[name](ctx, o))
--- a/cmd/postmount/report_wave.go
+++ b/cmd/postmount/report_wave.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"os"
@@ -66,14 +67,17 @@
 	plotHeight = 500
 )
 
+// plotMode is the mode of a plot's file.
+const plotMode = 0o644
+
 // plotWave draws each pool's availability as steps, with its floor.
 func plotWave(file, only string, r api.WaveReport) error {
 	graph := chart.Chart{
-		Title: "wave " + r.Wave + ": instances in service, and the least that the budgets allow",
 		Width: plotWidth, Height: plotHeight,
-		Background: chart.Style{Padding: chart.Box{Top: 60, Left: 20, Right: 20, Bottom: 20}},
-		XAxis:      chart.XAxis{Name: "seconds since the start"},
-		YAxis:      chart.YAxis{Name: "instances", Range: &chart.ContinuousRange{Min: 0, Max: mostInstances(r) + 1}},
+		Background:     chart.Style{Padding: chart.Box{Top: 60, Left: 20, Right: 20, Bottom: 20}},
+		XAxis:          chart.XAxis{Name: "seconds since wave " + r.Wave + " started; instances in service, dashed: the least that the budget allows"},
+		YAxisSecondary: chart.HideYAxis(),
+		YAxis:          chart.YAxis{Range: &chart.ContinuousRange{Min: 0, Max: mostInstances(r) + 1}},
 	}
 	for i, p := range r.Pools {
 		if only != "" && p.Pool != only {
@@ -88,15 +92,11 @@
 		return fmt.Errorf("there is nothing to plot")
 	}
 	graph.Elements = []chart.Renderable{chart.LegendThin(&graph)}
-	out, err := os.Create(file)
-	if err != nil {
-		return err
-	}
-	if err := graph.Render(chart.SVG, out); err != nil {
-		out.Close()
-		return err
+	var out bytes.Buffer
+	if err := graph.Render(chart.SVG, &out); err != nil {
+		return fmt.Errorf("plot of wave %s: %w", r.Wave, err)
 	}
-	return out.Close()
+	return os.WriteFile(file, out.Bytes(), plotMode)
 }
 
 func mostInstances(r api.WaveReport) float64 {
--- a/cmd/postmountd/main.go
+++ b/cmd/postmountd/main.go
@@ -28,7 +28,10 @@
 	app.HelpFlag.Short('h')
 	file := app.Flag("settings", "File with the settings (TOML).").Required().String()
 	check := app.Flag("check", "Check the settings and exit.").Bool()
-	kingpin.MustParse(app.Parse(os.Args[1:]))
+	if _, err := app.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintf(os.Stderr, "postmountd: %v, try --help\n", err)
+		os.Exit(exitSettings)
+	}
 	os.Exit(run(*file, *check))
 }
 
--- a/control/controller.go
+++ b/control/controller.go
@@ -108,12 +108,17 @@
 	active      bool      // the last round found something under way
 	wasUp       bool
 	// members groups the memberships of the state in grouped.
-	grouped *fleet.State
-	members map[fleet.PoolName][]fleet.Membership
-	busy    map[string]bool // keys whose write is under way
-	sent    map[fleet.CommandID]time.Time
-	notes   map[fleet.PoolName][]wave.Note
-	tasks   *taskBoard
+	grouped   *fleet.State
+	groupedAt time.Time
+	members   map[fleet.PoolName][]fleet.Membership
+	// historyDue tells that something changed since the history was added to.
+	// That waits for a list read after the newest record came: a list from
+	// before shows instances as out whose claims are released already.
+	historyDue bool
+	busy       map[string]bool // keys whose write is under way
+	sent       map[fleet.CommandID]time.Time
+	notes      map[fleet.PoolName][]wave.Note
+	tasks      *taskBoard
 }
 
 // New returns a controller that has not started.
@@ -249,16 +254,19 @@
 	c.wasUp = up
 	c.forgetSent(now)
 	unchanged := s.State == before.State && s.version == before.version
-	if unchanged && !c.active && now.Sub(c.reconciled) < idleRound {
+	if unchanged && !c.active && !c.historyDue && now.Sub(c.reconciled) < idleRound {
 		return
 	}
 	c.reconciled = now
 	c.active = busy(s.State)
 	if c.grouped != s.State {
 		c.grouped, c.members = s.State, s.State.MembersByPool()
+		c.groupedAt = now
 	}
 	r := &roundState{c: c, ctx: ctx, now: now, snap: s, members: c.members, mayWrite: c.mayWrite(now, up)}
-	if !unchanged {
+	c.historyDue = c.historyDue || !unchanged
+	if c.historyDue && c.listedAt.After(c.groupedAt) {
+		c.historyDue = false
 		r.remember()
 	}
 	for _, name := range s.State.SortedPools() {
--- /dev/null
+++ b/control/history_test.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/mirror"
+	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/record"
+)
+
+func event(key string, rev fleet.Revision, value any) port.Event {
+	data, _ := json.Marshal(value)
+	body, _ := json.Marshal(map[string]any{"tokens": []string{"t"}, "data": json.RawMessage(data)})
+	return port.Event{KV: port.KV{Key: key, Value: body, Revision: rev}}
+}
+
+// TestHistoryWaitsForAListAsNewAsTheRecords: a record says that one instance is
+// back and another was taken out; the list from before shows the first as out.
+// Together they would show a broken budget that never was.
+func TestHistoryWaitsForAListAsNewAsTheRecords(t *testing.T) {
+	m := mirror.New()
+	c := New(DefaultOptions, Deps{
+		Mirror: m, Connected: func() bool { return false }, Live: func() []fleet.Incarnation { return nil },
+		OnSnapshot: func(*Snapshot) {}, Log: zap.NewNop(),
+	})
+	members := fleet.MemberShard{Members: []fleet.Membership{{Instance: "a", Pool: "p"}, {Instance: "b", Pool: "p"}}}
+	pool := fleet.Pool{Name: "p", Budget: fleet.AvailabilityBudget{MaxUnavailable: 1}, Disruptions: []fleet.Disruption{{Instance: "b"}}}
+	m.Apply([]port.Event{event(record.ShardKey(0), 1, members), event(record.PoolKey("p"), 2, pool)}, 2)
+	list := func(at time.Time, a fleet.InstanceState) {
+		c.instances = map[fleet.InstanceID]fleet.Instance{"a": {ID: "a", State: a}, "b": {ID: "b", State: fleet.InstanceReady}}
+		c.listedAt = at
+		c.listVersion++
+	}
+	list(t0, fleet.InstanceDrained)
+	c.round(context.Background(), t0.Add(time.Second))
+	assert.Empty(t, c.History.Between("p", t0, t0.Add(time.Hour)))
+	list(t0.Add(2*time.Second), fleet.InstanceReady)
+	c.round(context.Background(), t0.Add(3*time.Second))
+	got := c.History.Between("p", t0, t0.Add(time.Hour))
+	if assert.Len(t, got, 1) {
+		assert.Equal(t, 1, got[0].Out)
+	}
+}
