A test acted on its pool by accident; a claim is kept until the instance serves

And a deliberate break (a claim dropped when the return was accepted, before the instance served) was not noticed. Change: the test's daemon has a name; the phases' test looks at an instance that was told to return and is not in service yet. Ruled out: a fault in the code (a daemon always has an incarnation).

--- a/control/history_test.go
+++ b/control/history_test.go
@@ -26,7 +26,9 @@
 // Together they would show a broken budget that never was.
 func TestHistoryWaitsForAListAsNewAsTheRecords(t *testing.T) {
 	m := mirror.New()
-	c := New(DefaultOptions, Deps{
+	opts := DefaultOptions
+	opts.Self = "another daemon tries for the pool"
+	c := New(opts, Deps{
 		Mirror: m, Connected: func() bool { return false }, Live: func() []fleet.Incarnation { return nil },
 		OnSnapshot: func(*Snapshot) {}, Log: zap.NewNop(),
 	})
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -102,6 +102,8 @@
 	set(in, "i0", fleet.InstanceDrained, 3, "new")
 	step(fleet.PhaseReturn)
 	in.Now = t0.Add(time.Minute)
+	set(in, "i0", fleet.InstanceDrained, 4, "new")
+	assert.Nil(t, Reconcile(in).Pool, "told to return, not yet seen in service")
 	set(in, "i0", fleet.InstanceReady, 4, "new")
 	plan := Reconcile(in)
 	assert.Empty(t, plan.Pool.Disruptions)
