--- a/entry/dispatch.go
+++ b/entry/dispatch.go
@@ -199,14 +199,16 @@
 		}
 		usable, probe := s.health.Usable(now, w.ID)
 		if usable {
-			candidates = append(candidates, route.Candidate{Worker: w.ID, Zone: w.Zone, Free: free, Capacity: d.slots.Capacity(w.ID), Probe: probe})
+			candidates = append(candidates, route.Candidate{
+				Worker: w.ID, Zone: w.Zone, Free: free, Capacity: d.slots.Capacity(w.ID), Probe: probe, Latency: s.health.Latency(now, w.ID),
+			})
 		}
 	}
 	id, ok := route.Pick(candidates, d.zone, d.rnd, d.policies.Pick)
 	if !ok || !d.slots.Acquire(id) {
 		return nil
 	}
-	s.health.Probing(id)
+	s.health.Sent(now, id)
 	s.inUse++
 	s.peak = max(s.peak, float64(s.inUse))
 	for _, w := range svc.Workers {
@@ -274,7 +276,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if s := d.services[g.service]; s != nil {
-		s.health.NotProbed(g.Worker.ID)
+		s.health.NotSent(g.Worker.ID)
 	}
 	d.release(g)
 }
@@ -287,6 +289,7 @@
 	now := time.Now()
 	if s := d.services[g.service]; s != nil {
 		s.queue.Observe(now.Sub(g.at))
+		s.health.Took(now, g.Worker.ID, now.Sub(g.at))
 		if good {
 			restored = s.health.Succeeded(g.Worker.ID)
 			s.budget.Succeeded()
--- a/health/health.go
+++ b/health/health.go
@@ -30,16 +30,26 @@
 	probing  bool
 }
 
+// latency is a moving average of how long a worker's requests took.
+type latency struct {
+	mean time.Duration
+	at   time.Time // of the last observation
+	// waiting is when a request was sent that has not been answered, nor any
+	// after it; zero if there is none.
+	waiting time.Time
+}
+
 // Core judges the workers of one service. It is not safe for concurrent use.
 type Core struct {
-	opts    Options
-	workers map[fleet.InstanceID]*record
-	ejected int
+	opts      Options
+	workers   map[fleet.InstanceID]*record
+	latencies map[fleet.InstanceID]latency
+	ejected   int
 }
 
 // New returns a core that trusts every worker.
 func New(opts Options) *Core {
-	return &Core{opts: opts, workers: map[fleet.InstanceID]*record{}}
+	return &Core{opts: opts, workers: map[fleet.InstanceID]*record{}, latencies: map[fleet.InstanceID]latency{}}
 }
 
 // Failed notes a failure of worker id, one of total in the service. It reports
@@ -82,6 +92,40 @@
 	return r.ejected
 }
 
+// Of a worker's latency: the weight of the newest observation, and how long the
+// average counts without a new one, so that a worker that was slow is tried
+// again.
+const (
+	latencyWeight = 0.3
+	latencyMaxAge = 5 * time.Second
+)
+
+// Took notes how long a request took on worker id.
+func (c *Core) Took(now time.Time, id fleet.InstanceID, took time.Duration) {
+	l := c.latencies[id]
+	if l.at.IsZero() || now.Sub(l.at) > latencyMaxAge {
+		l.mean = took
+	}
+	l.mean += time.Duration(latencyWeight * float64(took-l.mean))
+	l.at = now
+	l.waiting = time.Time{}
+	c.latencies[id] = l
+}
+
+// Latency returns how long requests on worker id lately took, or how long one
+// has been waiting if that is longer; 0 if nothing is known.
+func (c *Core) Latency(now time.Time, id fleet.InstanceID) time.Duration {
+	l := c.latencies[id]
+	known := time.Duration(0)
+	if now.Sub(l.at) <= latencyMaxAge {
+		known = l.mean
+	}
+	if !l.waiting.IsZero() {
+		known = max(known, now.Sub(l.waiting))
+	}
+	return known
+}
+
 // Usable reports whether worker id may be picked, and whether that would be a
 // probe: one request that decides whether it comes back.
 func (c *Core) Usable(now time.Time, id fleet.InstanceID) (usable, probe bool) {
@@ -93,15 +137,24 @@
 	return due, due
 }
 
-// Probing notes that a probe of worker id is under way.
-func (c *Core) Probing(id fleet.InstanceID) {
+// Sent notes that a request is on its way to worker id; if the worker is put
+// aside it is a probe.
+func (c *Core) Sent(now time.Time, id fleet.InstanceID) {
+	if l := c.latencies[id]; l.waiting.IsZero() {
+		l.waiting = now
+		c.latencies[id] = l
+	}
 	if r := c.workers[id]; r != nil {
 		r.probing = true
 	}
 }
 
-// NotProbed notes that a probe of worker id was given up before it was sent.
-func (c *Core) NotProbed(id fleet.InstanceID) {
+// NotSent notes that a request to worker id was given up before it was sent.
+func (c *Core) NotSent(id fleet.InstanceID) {
+	if l, ok := c.latencies[id]; ok {
+		l.waiting = time.Time{}
+		c.latencies[id] = l
+	}
 	if r := c.workers[id]; r != nil {
 		r.probing = false
 	}
@@ -109,6 +162,11 @@
 
 // Forget drops what is known of workers that are no longer there.
 func (c *Core) Forget(present map[fleet.InstanceID]int) {
+	for id := range c.latencies {
+		if _, ok := present[id]; !ok {
+			delete(c.latencies, id)
+		}
+	}
 	for id, r := range c.workers {
 		if _, ok := present[id]; ok {
 			continue
--- a/health/health_test.go
+++ b/health/health_test.go
@@ -27,7 +27,7 @@
 	at := t0.Add(DefaultOptions.FirstProbe)
 	usable, probe := c.Usable(at, "w")
 	assert.True(t, usable && probe)
-	c.Probing("w")
+	c.Sent(at, "w")
 	usable, _ = c.Usable(at, "w")
 	assert.False(t, usable, "one probe at a time")
 	c.Failed(at, "w", 4)
@@ -45,3 +45,19 @@
 	}
 	assert.Equal(t, 5, c.Ejected())
 }
+
+// TestOneWaitingRequestTellsOfASlowWorker: nothing more is sent to a worker that
+// was slow, or is new, before its first answer shows how it is.
+func TestOneWaitingRequestTellsOfASlowWorker(t *testing.T) {
+	c := New(DefaultOptions)
+	assert.Zero(t, c.Latency(t0, "w"))
+	c.Sent(t0, "w")
+	assert.Equal(t, 50*time.Millisecond, c.Latency(t0.Add(50*time.Millisecond), "w"))
+	answered := t0.Add(500 * time.Millisecond)
+	c.Took(answered, "w", 500*time.Millisecond)
+	assert.Equal(t, 500*time.Millisecond, c.Latency(answered, "w"))
+	later := answered.Add(latencyMaxAge + time.Millisecond)
+	assert.Zero(t, c.Latency(later, "w"), "it is tried again")
+	c.Sent(later, "w")
+	assert.Equal(t, time.Second, c.Latency(later.Add(time.Second), "w"))
+}
--- a/internal/matrix/request_test.go
+++ b/internal/matrix/request_test.go
@@ -70,6 +70,10 @@
 			c.setStores(store.Faults{Down: true})
 			heal(c, func() { c.setStores(store.Faults{}) })
 		}},
+		{name: "store slow", hit: func(c *cell) {
+			c.setStores(store.Faults{DelayMillis: 900})
+			heal(c, func() { c.setStores(store.Faults{}) })
+		}},
 		{name: "store loses answers", hit: func(c *cell) { c.setStores(store.Faults{LoseAnswers: 3}) }},
 		{name: "leases lapse", hit: func(c *cell) { c.in.engine.LapseLeases() }},
 		{name: "worker down", hit: func(c *cell) { c.in.backend.set(func(b *backend) { b.down = true }) }},
--- a/lab/measure.go
+++ b/lab/measure.go
@@ -26,7 +26,7 @@
 
 // Experiments are the measurements of the request path.
 func Experiments() []Experiment {
-	return []Experiment{saturation(), goodput(), amplification(), endings(), shares()}
+	return []Experiment{saturation(), goodput(), amplification(), slowWorker(), endings(), shares()}
 }
 
 // Print runs an experiment and prints it as a Markdown table.
@@ -221,6 +221,35 @@
 	}
 }
 
+// slowWorker: one of 6 workers takes 500 ms longer.
+func slowWorker() Experiment {
+	return Experiment{
+		Name:    "One of six workers is 500 ms slower (600 a second of 10 ms)",
+		Columns: []string{"p50 ms", "p99 ms", "done"},
+		Run: func(ctx context.Context, seed uint64) (rows []Row, err error) {
+			for _, c := range []struct {
+				name, policy string
+				slowMS       int
+			}{{"none slow (ideal)", "least-loaded", 0}, {"least-loaded", "least-loaded", 500}, {"random", "random", 500}} {
+				m, err := trial{
+					topology: desk(6, Class{Name: "intraday", Weight: 1, Rate: 600, ServiceMS: 10, DeadlineMS: 2000, Availability: 99}),
+					entries:  6, length: 6 * time.Second,
+					adjust: func(s *settings.Settings) { s.Policies.Pick = c.policy },
+					prepare: func(f *Fixture) error {
+						return f.Workers.SetFaults(WorkerID("desk", 1), worker.Faults{SlowMS: c.slowMS})
+					},
+				}.run(ctx, seed)
+				if err != nil {
+					return nil, err
+				}
+				s := m.classes["intraday"]
+				rows = append(rows, Row{c.name, []string{ms(s.P50MS), ms(s.P99MS), percent(s.Done, s.Sent)}})
+			}
+			return rows, nil
+		},
+	}
+}
+
 // endings: one of 6 entry daemons is stopped or killed under keyed load.
 func endings() Experiment {
 	return Experiment{
--- a/route/pick.go
+++ b/route/pick.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/rand/v2"
+	"time"
 
 	"github.com/postmount/postmount/fleet"
 )
@@ -22,12 +23,18 @@
 	Free     int // slots this daemon may still use, at least 1
 	Capacity int // slots this daemon may use in all
 	Probe    bool
+	// Latency is how long the worker's requests lately took; 0 if unknown.
+	Latency time.Duration
 }
 
 // zoneFull is the share of used slots above which the own zone is no longer
 // preferred, so that preference never overloads a zone.
 const zoneFull = 0.8
 
+// zoneWorth is how many times as loaded a worker of the own zone may be to be
+// preferred all the same.
+const zoneWorth = 8
+
 // Pick chooses among the candidates; it returns false if there are none. A
 // worker that is due for a probe goes first, so that it is tried at all.
 func Pick(candidates []Candidate, zone fleet.AvailabilityZone, rnd *rand.Rand, policy Policy) (fleet.InstanceID, bool) {
@@ -42,10 +49,13 @@
 			return c.Worker, true
 		}
 	}
+	best := leastLoaded(candidates, rnd)
 	if local := inZone(candidates, zone); len(local) > 0 && used(local) < zoneFull {
-		candidates = local
+		if near := leastLoaded(local, rnd); load(near) <= zoneWorth*load(best) {
+			best = near
+		}
 	}
-	return leastLoaded(candidates, rnd).Worker, true
+	return best.Worker, true
 }
 
 func inZone(candidates []Candidate, zone fleet.AvailabilityZone) []Candidate {
@@ -67,8 +77,11 @@
 	return 1 - float64(free)/float64(max(capacity, 1))
 }
 
-// leastLoaded returns the candidate with the lowest share of slots in use,
-// starting at a random one so that ties spread.
+// leastLatency keeps small differences from outweighing the slots in use.
+const leastLatency = 20 * time.Millisecond
+
+// leastLoaded returns the candidate with the lowest load, starting at a random
+// one so that ties spread.
 func leastLoaded(candidates []Candidate, rnd *rand.Rand) Candidate {
 	start := rnd.IntN(len(candidates))
 	best := candidates[start]
@@ -81,4 +94,9 @@
 	return best
 }
 
-func load(c Candidate) float64 { return 1 - float64(c.Free)/float64(max(c.Capacity, 1)) }
+// load is the expected cost of one more request: the share of slots then in
+// use, times how long each holds one.
+func load(c Candidate) float64 {
+	share := float64(c.Capacity-c.Free+1) / float64(max(c.Capacity, 1))
+	return share * max(c.Latency, leastLatency).Seconds()
+}
--- /dev/null
+++ b/route/route_test.go
@@ -0,0 +1,53 @@
+package route
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/postmount/postmount/fleet"
+)
+
+func TestMatch(t *testing.T) {
+	table := NewTable([]fleet.Route{
+		{Host: "desk", Prefix: "/", Class: "all"}, {Host: "Desk", Prefix: "/orders", Class: "orders"}, {Prefix: "/health", Class: "any"},
+	})
+	for _, tc := range []struct {
+		host, path string
+		want       fleet.ClassName
+	}{
+		{"desk", "/orders", "orders"}, {"DESK:8080", "/orders/1", "orders"}, {"desk", "/ordersx", "all"},
+		{"other", "/health", "any"}, {"other", "/orders", ""},
+	} {
+		r, ok := table.Match(tc.host, tc.path)
+		assert.Equal(t, tc.want != "", ok, "%+v", tc)
+		assert.Equal(t, tc.want, r.Class, "%+v", tc)
+	}
+}
+
+func TestPick(t *testing.T) {
+	rnd := rand.New(rand.NewPCG(1, 1))
+	here := Candidate{Worker: "here", Zone: "a", Free: 2, Capacity: 8}
+	there := Candidate{Worker: "there", Zone: "b", Free: 8, Capacity: 8}
+	slow := Candidate{Worker: "slow", Zone: "a", Free: 8, Capacity: 8, Latency: 500 * time.Millisecond}
+	probe := Candidate{Worker: "probe", Zone: "b", Free: 1, Capacity: 8, Probe: true}
+	for _, tc := range []struct {
+		name       string
+		candidates []Candidate
+		want       fleet.InstanceID
+	}{
+		{"own zone first", []Candidate{here, there}, "here"},
+		{"own zone nearly full", []Candidate{{Worker: "here", Zone: "a", Free: 1, Capacity: 8}, there}, "there"},
+		{"not the slow one, though idle", []Candidate{here, slow}, "here"},
+		{"not the slow one, though the only one near", []Candidate{slow, there}, "there"},
+		{"a due probe goes first", []Candidate{here, probe}, "probe"},
+	} {
+		got, ok := Pick(tc.candidates, "a", rnd, PolicyLeastLoaded)
+		assert.True(t, ok)
+		assert.Equal(t, tc.want, got, tc.name)
+	}
+	_, ok := Pick(nil, "a", rnd, PolicyRandom)
+	assert.False(t, ok)
+}
