A pool without instances allows none out, and is left out of a wave's report

Cause: three processes with a pause (SIGSTOP, 4 s) and a kill by hand: the report of a wave that started right after its pools showed a floor of -2. Ruled out: a broken budget (the workers and the platform saw none). Change: at most as many are allowed out as there are; a pool's time without instances is not shown. Test: TestNoMoreIsAllowedOutThanThereIs.

--- a/daemon/reports.go
+++ b/daemon/reports.go
@@ -142,6 +142,9 @@
 func wavePool(pool fleet.PoolName, samples []control.Sample) api.WavePool {
 	out := api.WavePool{Pool: string(pool)}
 	for _, s := range samples {
+		if s.Size == 0 {
+			continue // the pool had no instances yet
+		}
 		out.MostOut = max(out.MostOut, s.Out)
 		out.Broken = out.Broken || s.Out > s.Allowed
 		out.Samples = append(out.Samples, api.PoolAtATime{
--- a/fleet/pool.go
+++ b/fleet/pool.go
@@ -35,7 +35,7 @@
 	if b.MinAvailable > 0 {
 		allowed = min(allowed, size-b.MinAvailable)
 	}
-	return max(allowed, 0)
+	return max(min(allowed, size), 0)
 }
 
 // String returns the operators' notation: "2" or "10%".
--- a/wave/wave_test.go
+++ b/wave/wave_test.go
@@ -64,6 +64,11 @@
 	assert.Nil(t, Reconcile(input(9, fleet.AvailabilityBudget{MaxUnavailable: 10, Percent: true})).Pool)
 }
 
+func TestNoMoreIsAllowedOutThanThereIs(t *testing.T) {
+	assert.Equal(t, 0, fleet.AvailabilityBudget{MaxUnavailable: 2}.Allowed(0))
+	assert.Equal(t, 1, fleet.AvailabilityBudget{MaxUnavailable: 2}.Allowed(1))
+}
+
 func TestSurviveZoneKeepsRoomForTheLargestZone(t *testing.T) {
 	b := fleet.AvailabilityBudget{MaxUnavailable: 4, SurviveZone: true}
 	assert.Len(t, claimed(Reconcile(input(6, b)).Pool), 1, "with it and the three of the other zone four are out")
