--- a/cmd/postmountd/main.go
+++ b/cmd/postmountd/main.go
@@ -26,12 +26,20 @@
 	app := kingpin.New("postmountd", "The postmount entry daemon.")
 	app.Version(daemon.Version)
 	app.HelpFlag.Short('h')
-	file := app.Flag("settings", "File with the settings (TOML).").Required().String()
+	file := app.Flag("settings", "File with the settings (TOML).").String()
+	onPlatform := app.Flag("platform", "Serve jobs on the users' platform, with its settings file.").Bool()
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintf(os.Stderr, "postmountd: %v, try --help\n", err)
 		os.Exit(exitSettings)
 	}
+	if *onPlatform {
+		os.Exit(runOnPlatform(*check))
+	}
+	if *file == "" {
+		fmt.Fprintln(os.Stderr, "postmountd: --settings FILE or --platform is needed, try --help")
+		os.Exit(exitSettings)
+	}
 	os.Exit(run(*file, *check))
 }
 
--- /dev/null
+++ b/jobs/gateway/gateway.go
@@ -0,0 +1,240 @@
+// Package gateway answers callers: it accepts jobs, tells their state, cancels
+// them and counts queues.
+package gateway
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Jobs is what the gateway needs of the daemon.
+type Jobs interface {
+	// Catalog returns the configuration in force, nil before the first one.
+	Catalog() *job.Catalog
+	Accept(ctx context.Context, j *job.Job) error
+	// Cancel reports whether the job is known.
+	Cancel(ctx context.Context, id job.ID) (bool, error)
+	State(ctx context.Context, id job.ID) (job.State, bool, error)
+	Pending(ctx context.Context, queue string) (int, error)
+}
+
+// Decoder decodes the body of a submission.
+type Decoder func(raw []byte) (*job.Job, error)
+
+// Observer counts answers and writes a line for each that is worth one.
+type Observer interface {
+	Answered(kind string, status int, took time.Duration)
+}
+
+// Figures of answers.
+const (
+	// defaultDeadline is for callers that do not say how long they wait.
+	defaultDeadline = 3 * time.Second
+	// answerMargin is left of a caller's deadline for the way back.
+	answerMargin = 250 * time.Millisecond
+	// shortestWork is the least time given to a request whose deadline is close.
+	shortestWork = 50 * time.Millisecond
+	// retryAfter is what a refused caller is told: the time in which another
+	// daemon takes over, or the store is back after a short outage.
+	retryAfter = 1 * time.Second
+	// defaultBody bounds a body until the configuration says.
+	defaultBody = 256 << 10
+)
+
+// deadlineHeader says how many milliseconds the caller waits.
+const deadlineHeader = "Deadline-Ms"
+
+// Gateway is an http.Handler.
+type Gateway struct {
+	jobs     Jobs
+	decode   Decoder
+	observe  Observer
+	log      *zap.Logger
+	stopping atomic.Bool
+}
+
+// New returns a gateway.
+func New(jobs Jobs, decode Decoder, observe Observer, log *zap.Logger) *Gateway {
+	return &Gateway{jobs: jobs, decode: decode, observe: observe, log: log}
+}
+
+// Stop makes each answer the last one on its connection.
+func (g *Gateway) Stop() { g.stopping.Store(true) }
+
+// reply is what is answered to a caller.
+type reply struct {
+	status  int
+	body    any
+	problem string // why a request was refused
+	retry   bool
+}
+
+type stateBody struct {
+	State job.State `json:"state"`
+}
+
+type pendingBody struct {
+	Pending int `json:"pending"`
+}
+
+type problemBody struct {
+	Error   string `json:"error"`
+	Verdict string `json:"verdict"`
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(r.Context(), workTime(r))
+	defer cancel()
+	rep, id := g.route(ctx, r)
+	g.write(w, rep)
+	took := time.Since(began)
+	g.observe.Answered(r.Method, rep.status, took)
+	if rep.status >= http.StatusTooManyRequests {
+		g.log.Info("request-refused", zap.String("method", r.Method), zap.String("job", id),
+			zap.Int("status", rep.status), zap.String("why", rep.problem), zap.Duration("took", took))
+	}
+}
+
+func workTime(r *http.Request) time.Duration {
+	d := defaultDeadline
+	if n, err := strconv.Atoi(r.Header.Get(deadlineHeader)); err == nil && n > 0 {
+		d = time.Duration(n) * time.Millisecond
+	}
+	return max(shortestWork, d-answerMargin)
+}
+
+func (g *Gateway) route(ctx context.Context, r *http.Request) (reply, string) {
+	catalog := g.jobs.Catalog()
+	if catalog == nil {
+		return reply{status: http.StatusServiceUnavailable, problem: "no configuration yet", retry: true}, ""
+	}
+	queue, rest := catalog.Match(r.Host, r.URL.Path)
+	if queue == nil {
+		return reply{status: http.StatusNotFound, problem: "no such queue"}, rest
+	}
+	if rest == "" && r.Method == http.MethodGet {
+		return g.pending(ctx, queue), ""
+	}
+	if !job.ValidID(rest) {
+		return reply{status: http.StatusBadRequest, problem: "a job's id has 16 hexadecimal digits"}, rest
+	}
+	id := job.ID(rest)
+	switch r.Method {
+	case http.MethodPost, http.MethodPut:
+		return g.submit(ctx, r, catalog, queue, id), rest
+	case http.MethodGet:
+		return g.state(ctx, id), rest
+	case http.MethodDelete:
+		return g.cancel(ctx, id), rest
+	}
+	return reply{status: http.StatusMethodNotAllowed, problem: "POST, GET or DELETE"}, rest
+}
+
+func (g *Gateway) submit(ctx context.Context, r *http.Request, catalog *job.Catalog, queue *job.Queue, id job.ID) reply {
+	limit := catalog.Limits.BodyBytes
+	if limit <= 0 {
+		limit = defaultBody
+	}
+	raw, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
+	if err != nil {
+		return reply{status: http.StatusBadRequest, problem: "the body broke off"}
+	}
+	if len(raw) > limit {
+		return reply{status: http.StatusRequestEntityTooLarge, problem: "the body is too large"}
+	}
+	j, err := g.decode(raw)
+	if err != nil {
+		return reply{status: http.StatusBadRequest, problem: err.Error()}
+	}
+	j.ID = id
+	j.Queue = queue.Name
+	j.Service = queue.Service
+	j.AcceptedAt = time.Now()
+	if err := g.jobs.Accept(ctx, j); err != nil {
+		return refusal(err)
+	}
+	g.log.Debug("job-accepted", zap.String("job", string(id)), zap.String("queue", queue.Name), zap.Int64("config", catalog.Version))
+	return reply{status: http.StatusOK, body: struct{}{}}
+}
+
+func (g *Gateway) state(ctx context.Context, id job.ID) reply {
+	state, known, err := g.jobs.State(ctx, id)
+	switch {
+	case err != nil:
+		return refusal(err)
+	case !known:
+		return reply{status: http.StatusGone, problem: "no such job"}
+	}
+	return reply{status: http.StatusOK, body: stateBody{state}}
+}
+
+func (g *Gateway) cancel(ctx context.Context, id job.ID) reply {
+	known, err := g.jobs.Cancel(ctx, id)
+	switch {
+	case err != nil:
+		return refusal(err)
+	case !known:
+		return reply{status: http.StatusGone, problem: "no such job"}
+	}
+	g.log.Info("job-cancel-accepted", zap.String("job", string(id)))
+	return reply{status: http.StatusOK, body: struct{}{}}
+}
+
+func (g *Gateway) pending(ctx context.Context, queue *job.Queue) reply {
+	n, err := g.jobs.Pending(ctx, queue.Name)
+	if err != nil {
+		return refusal(err)
+	}
+	return reply{status: http.StatusOK, body: pendingBody{n}}
+}
+
+// refusal turns an error into an answer by its verdict: 503 says that the
+// request has not run, 504 that it may have.
+func refusal(err error) reply {
+	if verdict.Of(err) == verdict.NotRun {
+		return reply{status: http.StatusServiceUnavailable, problem: err.Error(), retry: true}
+	}
+	return reply{status: http.StatusGatewayTimeout, problem: err.Error(), retry: true}
+}
+
+func (g *Gateway) write(w http.ResponseWriter, rep reply) {
+	h := w.Header()
+	h.Set("Content-Type", "application/json")
+	if g.stopping.Load() {
+		h.Set("Connection", "close")
+	}
+	if rep.retry {
+		h.Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+	}
+	body := rep.body
+	if rep.problem != "" {
+		v := verdict.NotRun
+		if rep.status == http.StatusGatewayTimeout {
+			v = verdict.MayHaveRun
+		}
+		h.Set(verdict.Header, v.String())
+		body = problemBody{rep.problem, v.String()}
+	}
+	raw, err := json.Marshal(body)
+	if err != nil {
+		g.log.Error("answer-not-encoded", zap.Error(err))
+	}
+	h.Set("Content-Length", strconv.Itoa(len(raw)))
+	w.WriteHeader(rep.status)
+	if _, err := w.Write(raw); err != nil && !errors.Is(err, http.ErrHandlerTimeout) {
+		g.log.Debug("answer-not-delivered", zap.Error(err))
+	}
+}
--- /dev/null
+++ b/jobs/job/job.go
@@ -0,0 +1,236 @@
+// Package job holds the types of the job subsystem: queues, jobs, steps,
+// tasks and what is kept of them in the store. It imports nothing of ours.
+package job
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// ID is the caller's name of a job, 16 hexadecimal digits.
+type ID string
+
+// idLength is the number of digits of an ID.
+const idLength = 16
+
+// ValidID reports whether s has the form of an ID.
+func ValidID(s string) bool {
+	if len(s) != idLength {
+		return false
+	}
+	for _, c := range s {
+		hex := c >= '0' && c <= '9' || c >= 'a' && c <= 'f' || c >= 'A' && c <= 'F'
+		if !hex {
+			return false
+		}
+	}
+	return true
+}
+
+// Resources are what a task asks for, or what a worker has.
+type Resources struct {
+	CPUMilli int // thousandths of a core
+	MemMB    int
+	GPU      int
+}
+
+// Fits reports whether need is within r.
+func (r Resources) Fits(need Resources) bool {
+	return need.CPUMilli <= r.CPUMilli && need.MemMB <= r.MemMB && need.GPU <= r.GPU
+}
+
+// Sub returns r less o.
+func (r Resources) Sub(o Resources) Resources {
+	return Resources{r.CPUMilli - o.CPUMilli, r.MemMB - o.MemMB, r.GPU - o.GPU}
+}
+
+// Add returns the sum of r and o.
+func (r Resources) Add(o Resources) Resources {
+	return Resources{r.CPUMilli + o.CPUMilli, r.MemMB + o.MemMB, r.GPU + o.GPU}
+}
+
+// Step is a group of equal tasks of a job.
+type Step struct {
+	Count         int
+	Need          Resources
+	Estimate      time.Duration // a rough guess of one task's duration
+	After         []int         // numbers of earlier steps that must be done first
+	Checkpoints   bool          // its tasks can resume from a checkpoint
+	Gang          bool          // its tasks work only together
+	SameRack      bool          // a gang that is slower on more than one rack
+	RequiredLabel string        // label that the worker must have
+	PreferredRack string        // rack on which the task is faster
+	MaxPerWorker  int           // 0: no limit
+	Speculative   bool          // copies may run in parallel
+	LongRunning   bool          // runs until the job is cancelled
+	Image         string        // tasks of one image behave alike
+	LatencyTarget time.Duration // a serving task's tail must stay below; 0: none
+	Filler        bool          // uses only processor time that others leave
+	MayMiss       int           // how many of its tasks maintenance may take away at once
+}
+
+// Occupies returns what a task of the step takes of a worker's room.
+func (s *Step) Occupies() Resources {
+	need := s.Need
+	if s.Filler {
+		need.CPUMilli = 0
+	}
+	return need
+}
+
+// Job is what a caller submitted. It never changes.
+type Job struct {
+	ID         ID
+	Queue      string // name of the route it came by
+	Service    string // service of the queue when it was accepted
+	Payload    string // handed to the workers as it came
+	Steps      []Step
+	Repeat     int           // occurrences; 0: the job runs once, at once
+	StartAt    time.Time     // due time of the first occurrence
+	Interval   time.Duration // between due times of occurrences
+	AcceptedAt time.Time     // wall clock of the accepting daemon
+}
+
+// Occurrences returns how often the steps run.
+func (j *Job) Occurrences() int { return max(1, j.Repeat) }
+
+// Due returns when occurrence k may start.
+func (j *Job) Due(k int) time.Time {
+	if j.Repeat == 0 {
+		return time.Time{}
+	}
+	return j.StartAt.Add(time.Duration(k) * j.Interval)
+}
+
+// TaskID names one task of a job.
+type TaskID struct {
+	Job        ID
+	Occurrence int
+	Step       int
+	Index      int
+}
+
+// String returns the task's name, JOB.OCCURRENCE.STEP.INDEX.
+func (t TaskID) String() string {
+	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+}
+
+// ParseTaskID is the inverse of String.
+func ParseTaskID(s string) (TaskID, error) {
+	parts := strings.Split(s, ".")
+	if len(parts) != 4 {
+		return TaskID{}, fmt.Errorf("task name %q has %d parts, want 4", s, len(parts))
+	}
+	var n [3]int
+	for i := range n {
+		v, err := strconv.Atoi(parts[i+1])
+		if err != nil {
+			return TaskID{}, fmt.Errorf("task name %q: %w", s, err)
+		}
+		n[i] = v
+	}
+	return TaskID{ID(parts[0]), n[0], n[1], n[2]}, nil
+}
+
+// State is a job's state as its caller sees it.
+type State string
+
+// The states of a job.
+const (
+	Queued    State = "queued"
+	Running   State = "running"
+	Completed State = "completed"
+	Failed    State = "failed"
+	Cancelled State = "cancelled"
+)
+
+// Final reports whether a job in state s does not change any more.
+func (s State) Final() bool { return s == Completed || s == Failed || s == Cancelled }
+
+// Queue is a route of the configuration: where jobs are submitted and which
+// service runs them.
+type Queue struct {
+	Name        string
+	Host        string
+	Prefix      string // of the path; ends with a slash
+	Service     string
+	Priority    int           // 0 comes first
+	MaxAttempts int           // a task that failed so often fails its job
+	Stretch     float64       // objective: Stretch times the longest chain of work ...
+	Objective   time.Duration // ... and this much more
+	Timeout     time.Duration // of a caller's request
+	Advice      *Advice       // nil: every worker of the service may run its steps
+}
+
+// Advice describes the service that says which workers may run a step.
+type Advice struct {
+	Decision  time.Duration // of one call
+	PerWorker time.Duration // more for each worker asked about
+	Validity  time.Duration // of a ticket
+}
+
+// Service is a pool of workers.
+type Service struct {
+	Name         string
+	EnforcesRoom bool // its workers reject what does not fit
+	Spare        bool // its instances are off and cost nothing
+}
+
+// Catalog is one version of the operators' configuration.
+type Catalog struct {
+	Version  int64
+	Queues   []Queue
+	Services []Service
+	Limits   Limits
+}
+
+// Limits bound callers' requests.
+type Limits struct {
+	HeaderBytes   int
+	BodyBytes     int
+	HeaderTimeout time.Duration
+	IdleTimeout   time.Duration
+}
+
+// Match returns the queue with the longest prefix for a request, and the rest
+// of the path.
+func (c *Catalog) Match(host, path string) (q *Queue, rest string) {
+	if i := strings.LastIndexByte(host, ':'); i >= 0 {
+		host = host[:i]
+	}
+	for i := range c.Queues {
+		r := &c.Queues[i]
+		if r.Host != host || !strings.HasPrefix(path, r.Prefix) {
+			continue
+		}
+		if q == nil || len(r.Prefix) > len(q.Prefix) {
+			q = r
+		}
+	}
+	if q == nil {
+		return nil, ""
+	}
+	return q, path[len(q.Prefix):]
+}
+
+// Queue returns the queue with the given name, nil if there is none.
+func (c *Catalog) Queue(name string) *Queue {
+	for i := range c.Queues {
+		if c.Queues[i].Name == name {
+			return &c.Queues[i]
+		}
+	}
+	return nil
+}
+
+// Service returns the service with the given name, nil if there is none.
+func (c *Catalog) Service(name string) *Service {
+	for i := range c.Services {
+		if c.Services[i].Name == name {
+			return &c.Services[i]
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/jobs/job/progress.go
@@ -0,0 +1,38 @@
+package job
+
+import "time"
+
+// Progress is what is kept of a job beside its submission. Only the owner
+// writes it.
+type Progress struct {
+	State State
+	// Steps holds what is known of each step of each occurrence, in the order
+	// occurrence, step. A missing entry means that nothing has ended.
+	Steps []StepProgress `json:",omitempty"`
+	// EndedAt is when the state became final, for the removal of the record.
+	EndedAt time.Time `json:",omitzero"`
+}
+
+// StepProgress counts the ends of the tasks of a step in one occurrence.
+type StepProgress struct {
+	Occurrence int            `json:"O,omitempty"`
+	Step       int            `json:"S,omitempty"`
+	Done       Bitset         `json:"D,omitempty"`
+	Failed     map[int]int    `json:"F,omitempty"` // attempts that failed, by index
+	Checkpoint map[int]string `json:"C,omitempty"` // newest one, by index
+}
+
+// Bitset is a set of small numbers.
+type Bitset []byte
+
+// Has reports whether i is in the set.
+func (b Bitset) Has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
+
+// With returns the set with i added. It may change b.
+func (b Bitset) With(i int) Bitset {
+	for len(b) <= i/8 {
+		b = append(b, 0)
+	}
+	b[i/8] |= 1 << (i % 8)
+	return b
+}
--- /dev/null
+++ b/jobs/ledger/accept.go
@@ -0,0 +1,194 @@
+package ledger
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Figures of accepting jobs.
+const (
+	// acceptBatch is how many submissions share a transaction: each takes a
+	// condition and a put.
+	acceptBatch = MaxTxnEntries / 2
+	// acceptWorkers is how many transactions are under way at the same time, so
+	// that one slow answer does not hold up the others.
+	acceptWorkers = 4
+	// acceptQueue is how many submissions may wait; more are refused at once.
+	acceptQueue = 512
+	// acceptTimeout bounds one try: the store answers in 4 ms, and in 300 ms in
+	// its slow hours.
+	acceptTimeout = 900 * time.Millisecond
+	// acceptTries of a transaction whose answer was lost. It may be repeated:
+	// its condition lets it happen once.
+	acceptTries = 3
+)
+
+// CodeBusy says that too many submissions wait.
+const CodeBusy verdict.Code = "too-many-submissions"
+
+// Acceptor writes submissions, several at a time.
+type Acceptor struct {
+	store Store
+	queue chan submission
+}
+
+type submission struct {
+	key   string
+	value []byte
+	done  chan error
+}
+
+// NewAcceptor returns an acceptor that works until ctx ends.
+func NewAcceptor(ctx context.Context, s Store) *Acceptor {
+	a := &Acceptor{store: s, queue: make(chan submission, acceptQueue)}
+	for range acceptWorkers {
+		go a.work(ctx)
+	}
+	return a
+}
+
+// Accept stores a job. A nil error means that it is in the store, by this call
+// or an earlier one; otherwise the verdict says whether it may be.
+func (a *Acceptor) Accept(ctx context.Context, j *job.Job) error {
+	s := submission{key: prefixSubmitted + string(j.ID), value: encode(j), done: make(chan error, 1)}
+	select {
+	case a.queue <- s:
+	default:
+		return verdict.New(verdict.NotRun, CodeBusy, "%d submissions wait for the store", acceptQueue)
+	}
+	select {
+	case err := <-s.done:
+		return err
+	case <-ctx.Done():
+		return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, CodeStore, "job %s is being stored", j.ID)
+	}
+}
+
+func (a *Acceptor) work(ctx context.Context) {
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case first := <-a.queue:
+			a.storeBatch(ctx, a.gather(first))
+		}
+	}
+}
+
+// gather takes what else waits, up to a full transaction. Two submissions of
+// one job must not share it.
+func (a *Acceptor) gather(first submission) map[string][]submission {
+	batch := map[string][]submission{first.key: {first}}
+	for len(batch) < acceptBatch {
+		select {
+		case s := <-a.queue:
+			batch[s.key] = append(batch[s.key], s)
+		default:
+			return batch
+		}
+	}
+	return batch
+}
+
+// storeBatch writes a batch. Jobs that are in the store already are taken out of
+// it, and the rest is sent again.
+func (a *Acceptor) storeBatch(ctx context.Context, batch map[string][]submission) {
+	sent := false // an earlier try may still take effect
+	for try := 0; len(batch) > 0; {
+		res, err := a.commit(ctx, batch)
+		switch {
+		case err != nil:
+			sent = sent || verdict.Of(err) != verdict.NotRun
+			try++
+			if try < acceptTries && sent {
+				continue
+			}
+			if sent {
+				err = verdict.Wrap(err, verdict.MayHaveRun, CodeStore, "after %d tries", try)
+			}
+			finish(batch, err)
+			return
+		case res.Committed:
+			finish(batch, nil)
+			return
+		}
+		if a.dropExisting(batch, res) == 0 {
+			finish(batch, verdict.New(verdict.MayHaveRun, CodeStore, "the store refused a batch and named no existing key"))
+			return
+		}
+	}
+}
+
+func (a *Acceptor) commit(ctx context.Context, batch map[string][]submission) (TxnResult, error) {
+	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
+	defer cancel()
+	var t Txn
+	for key, s := range batch {
+		t.If = append(t.If, Condition{Key: key})
+		t.Puts = append(t.Puts, Put{Key: key, Value: s[0].value})
+	}
+	return a.store.Commit(ctx, t)
+}
+
+func (a *Acceptor) dropExisting(batch map[string][]submission, res TxnResult) int {
+	n := 0
+	for _, i := range res.Current {
+		s, ok := batch[i.Key]
+		if !ok {
+			continue
+		}
+		n++
+		delete(batch, i.Key)
+		finish(map[string][]submission{i.Key: s}, nil)
+	}
+	return n
+}
+
+func finish(batch map[string][]submission, err error) {
+	for _, ss := range batch {
+		for _, s := range ss {
+			s.done <- err
+		}
+	}
+}
+
+// Cancel records a caller's wish to cancel a job. known is false if there is
+// no such job.
+func Cancel(ctx context.Context, s Store, id job.ID) (known bool, err error) {
+	_, known, err = s.Get(ctx, prefixSubmitted+string(id), false)
+	if err != nil || !known {
+		return known, err
+	}
+	t := Txn{
+		If:   []Condition{{Key: prefixCancelled + string(id)}},
+		Puts: []Put{{Key: prefixCancelled + string(id), Value: []byte("{}")}},
+	}
+	_, err = s.Commit(ctx, t) // a refusal says that it was cancelled before
+	return true, err
+}
+
+// StateOf reads a job's state from the store, for when the owner is away.
+func StateOf(ctx context.Context, s Store, id job.ID) (state job.State, known bool, err error) {
+	if _, known, err = s.Get(ctx, prefixSubmitted+string(id), false); err != nil || !known {
+		return "", known, err
+	}
+	if item, found, err := s.Get(ctx, prefixProgress+string(id), false); err != nil {
+		return "", true, err
+	} else if found {
+		p, err := decode[job.Progress](item)
+		return p.State, true, err
+	}
+	if _, found, err := s.Get(ctx, prefixCancelled+string(id), false); err != nil {
+		return "", true, err
+	} else if found {
+		return job.Cancelled, true, nil
+	}
+	return job.Queued, true, nil
+}
+
+// idOf returns the job of a key with the given prefix.
+func idOf(key, prefix string) job.ID { return job.ID(strings.TrimPrefix(key, prefix)) }
--- /dev/null
+++ b/jobs/ledger/failover.go
@@ -0,0 +1,140 @@
+package ledger
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/postmount/postmount/verdict"
+)
+
+// Relays reach the store through other daemons.
+type Relays interface {
+	// Relay returns the store as another daemon reaches it, nil if there is
+	// none to ask. Successive calls may name different ones.
+	Relay() Store
+}
+
+// Failover is the store by the direct way, and through another daemon for a
+// while after the direct way failed: the store may turn one daemon away while
+// it serves the others.
+type Failover struct {
+	direct Store
+	relays Relays
+
+	mu    sync.Mutex
+	avoid time.Time // the direct way is not tried before
+	now   func() time.Time
+	onBad func(err error)
+}
+
+// avoidDirect is how long the direct way is left after a failure; a try costs
+// a timeout if the store does not answer.
+const avoidDirect = 700 * time.Millisecond
+
+// NewFailover returns a store with two ways. onBad is told each failure of the
+// direct one.
+func NewFailover(direct Store, relays Relays, now func() time.Time, onBad func(error)) *Failover {
+	return &Failover{direct: direct, relays: relays, now: now, onBad: onBad}
+}
+
+// ways returns the stores to try in order.
+func (f *Failover) ways() []Store {
+	f.mu.Lock()
+	skip := f.now().Before(f.avoid)
+	f.mu.Unlock()
+	relay := f.relays.Relay()
+	if relay == nil {
+		return []Store{f.direct}
+	}
+	if skip {
+		return []Store{relay, f.direct}
+	}
+	return []Store{f.direct, relay}
+}
+
+func (f *Failover) failed(s Store, err error) {
+	if s != f.direct {
+		return
+	}
+	f.mu.Lock()
+	f.avoid = f.now().Add(avoidDirect)
+	f.mu.Unlock()
+	f.onBad(err)
+}
+
+// read tries both ways.
+func read[T any](ctx context.Context, f *Failover, call func(Store) (T, error)) (T, error) {
+	var out T
+	var err error
+	for _, s := range f.ways() {
+		out, err = call(s)
+		if err == nil || verdict.CodeOf(err) != CodeStore {
+			return out, err
+		}
+		if ctx.Err() != nil {
+			f.failed(s, err)
+			return out, err
+		}
+		f.failed(s, err)
+	}
+	return out, err
+}
+
+type found struct {
+	item Item
+	ok   bool
+}
+
+// Get implements Store.
+func (f *Failover) Get(ctx context.Context, key string, stale bool) (Item, bool, error) {
+	r, err := read(ctx, f, func(s Store) (found, error) {
+		i, ok, err := s.Get(ctx, key, stale)
+		return found{i, ok}, err
+	})
+	return r.item, r.ok, err
+}
+
+// Range implements Store.
+func (f *Failover) Range(ctx context.Context, prefix, after string, stale bool) (Page, error) {
+	return read(ctx, f, func(s Store) (Page, error) { return s.Range(ctx, prefix, after, stale) })
+}
+
+// Watch implements Store.
+func (f *Failover) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error) {
+	return read(ctx, f, func(s Store) (Changes, error) { return s.Watch(ctx, prefix, after, wait) })
+}
+
+// Commit implements Store. The second way is tried only if the first one
+// certainly had no effect.
+func (f *Failover) Commit(ctx context.Context, t Txn) (TxnResult, error) {
+	var res TxnResult
+	var err error
+	for _, s := range f.ways() {
+		res, err = s.Commit(ctx, t)
+		if err == nil {
+			return res, nil
+		}
+		f.failed(s, err)
+		if verdict.Of(err) != verdict.NotRun || ctx.Err() != nil {
+			return res, err
+		}
+	}
+	return res, err
+}
+
+// GrantLease implements Store.
+func (f *Failover) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
+	return read(ctx, f, func(s Store) (LeaseID, error) { return s.GrantLease(ctx, ttl) })
+}
+
+// KeepAlive implements Store.
+func (f *Failover) KeepAlive(ctx context.Context, id LeaseID) (bool, error) {
+	return read(ctx, f, func(s Store) (bool, error) { return s.KeepAlive(ctx, id) })
+}
+
+// EndLease implements Store.
+func (f *Failover) EndLease(ctx context.Context, id LeaseID) error {
+	_, err := read(ctx, f, func(s Store) (struct{}, error) { return struct{}{}, s.EndLease(ctx, id) })
+	return err
+}
--- /dev/null
+++ b/jobs/ledger/keys.go
@@ -0,0 +1,84 @@
+package ledger
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// Keys of the store. Submissions and cancellations share a prefix, so that one
+// watch of the owner hears of both.
+const (
+	// PrefixJobs is watched by the owner.
+	PrefixJobs      = "jobs/"
+	prefixSubmitted = "jobs/in/"
+	prefixCancelled = "jobs/cx/"
+	prefixProgress  = "progress/"
+	// PrefixOwner is watched by every daemon.
+	PrefixOwner = "owner/"
+	keyLock     = "owner/lock"
+	keyTerm     = "owner/term"
+	// keySequence is changed by every transaction of the owner, which holds on
+	// its last revision: a transaction that the store carries out late fails.
+	keySequence = "sequence"
+	// PrefixMembers lists the live daemons.
+	PrefixMembers = "member/"
+	prefixWaves   = "wave/"
+)
+
+// Lock says who the owner is. It is under the owner's lease.
+type Lock struct {
+	Node  string
+	Addr  string // of its peer listener
+	Term  uint64
+	Lease LeaseID `json:"-"` // tells two lives of one daemon apart
+}
+
+// Member is a live daemon. It is under the daemon's lease.
+type Member struct {
+	Node string
+	Addr string // of its peer listener
+}
+
+func encode(v any) []byte {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(fmt.Sprintf("ledger: %T cannot be encoded: %v", v, err)) // our own types always can
+	}
+	return raw
+}
+
+func decode[T any](i Item) (T, error) {
+	var v T
+	if err := json.Unmarshal(i.Value, &v); err != nil {
+		return v, fmt.Errorf("key %s: %w", i.Key, err)
+	}
+	return v, nil
+}
+
+// DecodeMember decodes an entry under PrefixMembers.
+func DecodeMember(i Item) (Member, error) { return decode[Member](i) }
+
+// Change is what a key under PrefixJobs says.
+type Change struct {
+	Submitted *job.Job // a job was accepted
+	Cancelled job.ID   // or a job's caller has cancelled it
+}
+
+// DecodeChange decodes a key under PrefixJobs; ok is false for one of neither
+// kind.
+func DecodeChange(i Item) (ch Change, ok bool, err error) {
+	if id, found := strings.CutPrefix(i.Key, prefixCancelled); found {
+		return Change{Cancelled: job.ID(id)}, true, nil
+	}
+	if !strings.HasPrefix(i.Key, prefixSubmitted) {
+		return Change{}, false, nil
+	}
+	j, err := decode[job.Job](i)
+	return Change{Submitted: &j}, err == nil, err
+}
+
+// EncodeMember is the inverse of DecodeMember.
+func EncodeMember(m Member) []byte { return encode(m) }
--- /dev/null
+++ b/jobs/ledger/term.go
@@ -0,0 +1,285 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"strconv"
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/owner"
+	"github.com/postmount/postmount/verdict"
+)
+
+// CodeDeposed says that another daemon is the owner.
+const CodeDeposed verdict.Code = "not-the-owner"
+
+// Term is this daemon's ownership: the right to write progress. All its
+// transactions hold on the lock's revision and run one after another.
+type Term struct {
+	Number   uint64
+	store    Store
+	lock     Condition
+	sequence int64 // revision of keySequence that the next transaction holds on
+	unsure   bool  // the last transaction's answer was lost
+	writes   uint64
+}
+
+// sequenceValue tells a lost transaction's outcome: who wrote the key last.
+type sequenceValue struct {
+	Term  uint64
+	Write uint64
+}
+
+// Elect tries to become the owner. It returns nil if another daemon is.
+func Elect(ctx context.Context, s Store, self Member, lease LeaseID) (*Term, error) {
+	term, _, err := s.Get(ctx, keyTerm, false)
+	if err != nil {
+		return nil, err
+	}
+	number, err := termNumber(term)
+	if err != nil {
+		return nil, err
+	}
+	number++
+	t := Txn{
+		If: []Condition{{Key: keyLock}, {Key: keyTerm, Revision: term.Revision}},
+		Puts: []Put{
+			{Key: keyLock, Value: encode(Lock{Node: self.Node, Addr: self.Addr, Term: number}), Lease: lease},
+			{Key: keyTerm, Value: []byte(strconv.FormatUint(number, 10))},
+		},
+	}
+	res, err := s.Commit(ctx, t)
+	if err != nil {
+		return nil, err
+	}
+	if res.LeaseGone {
+		return nil, verdict.New(verdict.NotRun, CodeStore, "the lease %d has ended", lease)
+	}
+	if !res.Committed {
+		return nil, nil
+	}
+	return resume(ctx, s, number, res.Revision)
+}
+
+// Resume returns the term that lock, which names this daemon, gives it. That
+// is how a daemon learns that an election whose answer was lost was won.
+func Resume(ctx context.Context, s Store, lock Lock, revision int64) (*Term, error) {
+	return resume(ctx, s, lock.Term, revision)
+}
+
+func resume(ctx context.Context, s Store, number uint64, lockRevision int64) (*Term, error) {
+	seq, _, err := s.Get(ctx, keySequence, false)
+	if err != nil {
+		return nil, err
+	}
+	return &Term{Number: number, store: s, lock: Condition{keyLock, lockRevision}, sequence: seq.Revision}, nil
+}
+
+func termNumber(i Item) (uint64, error) {
+	if len(i.Value) == 0 {
+		return 0, nil
+	}
+	n, err := strconv.ParseUint(string(i.Value), 10, 64)
+	if err != nil {
+		return 0, fmt.Errorf("key %s: %w", keyTerm, err)
+	}
+	return n, nil
+}
+
+// ReadLock returns who the owner is; held is false if nobody is.
+func ReadLock(ctx context.Context, s Store) (l Lock, revision int64, held bool, err error) {
+	item, held, err := s.Get(ctx, keyLock, false)
+	if err != nil || !held {
+		return Lock{}, 0, held, err
+	}
+	l, err = lockOf(item)
+	return l, item.Revision, true, err
+}
+
+func lockOf(i Item) (Lock, error) {
+	l, err := decode[Lock](i)
+	l.Lease = i.Lease
+	return l, err
+}
+
+// LockOf decodes an event under PrefixOwner; ok is false if it is not about
+// the lock.
+func LockOf(e Event) (l Lock, held, ok bool, err error) {
+	if e.Key != keyLock {
+		return Lock{}, false, false, nil
+	}
+	if e.Deleted {
+		return Lock{}, false, true, nil
+	}
+	l, err = lockOf(e.Item)
+	return l, true, true, err
+}
+
+// entriesOfTerm of a transaction are conditions on the lock and the sequence,
+// and the put of the sequence.
+const entriesOfTerm = 3
+
+// MaxRecords is how many records one Write takes.
+const MaxRecords = MaxTxnEntries - entriesOfTerm
+
+// Write stores puts and deletes if this daemon still is the owner. After an
+// error the caller calls again, with the same or newer values, until it gets
+// nil or CodeDeposed.
+func (t *Term) Write(ctx context.Context, puts []Put, deletes []string) error {
+	if t.unsure {
+		if err := t.settle(ctx); err != nil {
+			return err
+		}
+	}
+	t.writes++
+	txn := Txn{
+		If:      []Condition{t.lock, {Key: keySequence, Revision: t.sequence}},
+		Puts:    append([]Put{{Key: keySequence, Value: encode(sequenceValue{t.Number, t.writes})}}, puts...),
+		Deletes: deletes,
+	}
+	res, err := t.store.Commit(ctx, txn)
+	if err != nil {
+		t.unsure = verdict.Of(err) != verdict.NotRun
+		return err
+	}
+	if res.Committed {
+		t.sequence = res.Revision
+		return nil
+	}
+	return t.refused(res)
+}
+
+// refused finds out why a transaction did not hold: another owner, or an
+// earlier transaction of ours that was carried out late.
+func (t *Term) refused(res TxnResult) error {
+	lockHeld := false
+	for _, i := range res.Current {
+		switch i.Key {
+		case keyLock:
+			lockHeld = i.Revision == t.lock.Revision
+		case keySequence:
+			t.sequence = i.Revision
+		}
+	}
+	if !lockHeld {
+		return verdict.New(verdict.NotRun, CodeDeposed, "term %d is over", t.Number)
+	}
+	return verdict.New(verdict.NotRun, CodeStore, "an earlier write of this term came late")
+}
+
+// settle reads the sequence after a lost answer. A transaction that is still
+// on its way holds on a revision that the next write replaces.
+func (t *Term) settle(ctx context.Context) error {
+	item, _, err := t.store.Get(ctx, keySequence, false)
+	if err != nil {
+		return err
+	}
+	t.sequence = item.Revision
+	t.unsure = false
+	return nil
+}
+
+// RecordPut returns the put of a job's progress.
+func RecordPut(r owner.Record) Put {
+	return Put{Key: prefixProgress + string(r.ID), Value: encode(r.Progress)}
+}
+
+// WavePut returns the put of what has begun of a wave.
+func WavePut(wave int, p WaveProgress) Put {
+	return Put{Key: prefixWaves + strconv.Itoa(wave), Value: encode(p)}
+}
+
+// WaveProgress is what is kept of a wave.
+type WaveProgress struct {
+	Begun []owner.InstanceID
+	Done  bool
+}
+
+// JobKeys returns all keys of a job.
+func JobKeys(id job.ID) []string {
+	return []string{prefixSubmitted + string(id), prefixCancelled + string(id), prefixProgress + string(id)}
+}
+
+// Release ends the term early, so that another daemon can take over at once.
+func (t *Term) Release(ctx context.Context) error {
+	_, err := t.store.Commit(ctx, Txn{If: []Condition{t.lock}, Deletes: []string{keyLock}})
+	return err
+}
+
+// Snapshot is what an owner finds in the store.
+type Snapshot struct {
+	Jobs     []owner.Loaded
+	Waves    map[int]WaveProgress
+	Revision int64 // watching PrefixJobs from there misses nothing
+}
+
+// loadTimeout bounds the reading of one snapshot: some pages of 1 MB.
+const loadTimeout = 10 * time.Second
+
+// Load reads all jobs.
+func Load(ctx context.Context, s Store) (Snapshot, error) {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	snap := Snapshot{Waves: map[int]WaveProgress{}}
+	items, revision, err := RangeAll(ctx, s, PrefixJobs, false)
+	if err != nil {
+		return snap, err
+	}
+	snap.Revision = revision
+	progress, _, err := RangeAll(ctx, s, prefixProgress, false)
+	if err != nil {
+		return snap, err
+	}
+	waves, _, err := RangeAll(ctx, s, prefixWaves, false)
+	if err != nil {
+		return snap, err
+	}
+	if snap.Jobs, err = assemble(items, progress); err != nil {
+		return snap, err
+	}
+	for _, i := range waves {
+		n, err := strconv.Atoi(i.Key[len(prefixWaves):])
+		if err != nil {
+			return snap, fmt.Errorf("key %s: %w", i.Key, err)
+		}
+		if snap.Waves[n], err = decode[WaveProgress](i); err != nil {
+			return snap, err
+		}
+	}
+	return snap, nil
+}
+
+func assemble(items, progress []Item) ([]owner.Loaded, error) {
+	done := map[job.ID]*job.Progress{}
+	for _, i := range progress {
+		p, err := decode[job.Progress](i)
+		if err != nil {
+			return nil, err
+		}
+		done[idOf(i.Key, prefixProgress)] = &p
+	}
+	cancelled := map[job.ID]bool{}
+	var out []owner.Loaded
+	for _, i := range items {
+		ch, ok, err := DecodeChange(i)
+		if err != nil {
+			return nil, err
+		}
+		if !ok {
+			continue
+		}
+		if ch.Submitted == nil {
+			cancelled[ch.Cancelled] = true
+			continue
+		}
+		out = append(out, owner.Loaded{Job: ch.Submitted, Progress: done[ch.Submitted.ID]})
+	}
+	for n := range out {
+		out[n].Cancelled = cancelled[out[n].Job.ID]
+	}
+	return out, nil
+}
+
+// LockRevision returns the revision of the lock that this term holds on.
+func (t *Term) LockRevision() int64 { return t.lock.Revision }
--- /dev/null
+++ b/jobs/node/handler.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/peer"
+)
+
+// peerHandler answers other daemons.
+type peerHandler struct{ n *Node }
+
+// State implements peer.Handler.
+func (h peerHandler) State(r peer.StateRequest) peer.StateReply { return h.n.ownState(r.Job) }
+
+// Pending implements peer.Handler.
+func (h peerHandler) Pending(r peer.PendingRequest) peer.PendingReply {
+	t := h.n.term.Load()
+	if t == nil {
+		return peer.PendingReply{}
+	}
+	return t.pending(r.Queue)
+}
+
+// Cancelled implements peer.Handler.
+func (h peerHandler) Cancelled(r peer.CancelRequest) {
+	if t := h.n.term.Load(); t != nil {
+		t.cancelled(r.Job)
+	}
+}
+
+// Relay implements peer.Handler. It goes the direct way only, so that calls do
+// not circle between daemons.
+func (h peerHandler) Relay(r peer.RelayRequest) peer.RelayReply {
+	return peer.Answer(h.n.platform.Store, r)
+}
+
+// ownState answers from this daemon's term, if it has one.
+func (n *Node) ownState(id job.ID) peer.StateReply {
+	t := n.term.Load()
+	if t == nil {
+		return peer.StateReply{}
+	}
+	return t.state(id)
+}
--- /dev/null
+++ b/jobs/node/loops.go
@@ -0,0 +1,275 @@
+package node
+
+import (
+	"context"
+	"strings"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/jobs/ledger"
+	"github.com/postmount/postmount/jobs/owner"
+	"github.com/postmount/postmount/verdict"
+)
+
+// keepLease holds a lease in the store, and this daemon's entry under it.
+func (n *Node) keepLease(ctx context.Context) {
+	for ctx.Err() == nil {
+		if n.lease.Load() == 0 {
+			n.grantLease(ctx)
+		} else {
+			n.renewLease(ctx)
+		}
+		wait := renewEvery
+		if n.lease.Load() == 0 {
+			wait = retryPause
+		}
+		if !pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+func (n *Node) grantLease(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	asked := n.sinceStart()
+	id, err := n.store.GrantLease(ctx, max(storeLease, n.set.MinStoreLease))
+	if err != nil {
+		return // logged by storeFailed; asked again at once
+	}
+	key := ledger.PrefixMembers + n.set.Node
+	_, err = n.store.Commit(ctx, ledger.Txn{Puts: []ledger.Put{{Key: key, Value: ledger.EncodeMember(n.self()), Lease: id}}})
+	if err != nil {
+		n.log.Warn("entry-not-written", zap.Error(err))
+	}
+	n.renewed.Store(asked)
+	n.lease.Store(int64(id))
+	n.log.Info("lease-granted", zap.Int64("lease", int64(id)))
+}
+
+func (n *Node) renewLease(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	id := ledger.LeaseID(n.lease.Load())
+	asked := n.sinceStart()
+	alive, err := n.store.KeepAlive(ctx, id)
+	switch {
+	case err != nil: // logged by storeFailed
+	case alive:
+		n.renewed.Store(asked)
+	default:
+		n.log.Warn("lease-ended", zap.Int64("lease", int64(id)))
+		n.lease.Store(0)
+	}
+}
+
+// listMembers reads the list of live daemons from time to time.
+func (n *Node) listMembers(ctx context.Context) {
+	for ctx.Err() == nil {
+		n.listMembersOnce(ctx)
+		if !pause(ctx, membersEvery) {
+			return
+		}
+	}
+}
+
+func (n *Node) listMembersOnce(ctx context.Context) {
+	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	defer cancel()
+	items, _, err := ledger.RangeAll(ctx, n.store, ledger.PrefixMembers, true)
+	if err != nil || len(items) == 0 {
+		return // logged by storeFailed; the old list is better than none
+	}
+	var list []ledger.Member
+	for _, i := range items {
+		m, err := ledger.DecodeMember(i)
+		if err != nil {
+			n.log.Error("entry-unreadable", zap.String("key", i.Key), zap.Error(err))
+			continue
+		}
+		list = append(list, m)
+	}
+	n.members.Store(&list)
+}
+
+// follow reads all keys of a prefix and hands them to apply, then every change.
+// It starts over when the store has dropped the history in between. reset is
+// called before each reading of the whole.
+func (n *Node) follow(ctx context.Context, prefix string, reset func(), apply func(ledger.Event)) {
+	for ctx.Err() == nil {
+		items, revision, err := n.readAll(ctx, prefix)
+		if err != nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		reset()
+		for _, i := range items {
+			apply(ledger.Event{Item: i})
+		}
+		n.followFrom(ctx, prefix, revision, apply)
+	}
+}
+
+func (n *Node) readAll(ctx context.Context, prefix string) ([]ledger.Item, int64, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	return ledger.RangeAll(ctx, n.store, prefix, false)
+}
+
+// followFrom hands changes after a revision to apply until the history is
+// gone.
+func (n *Node) followFrom(ctx context.Context, prefix string, revision int64, apply func(ledger.Event)) {
+	for ctx.Err() == nil {
+		ch, err := n.watchOnce(ctx, prefix, revision)
+		if verdict.CodeOf(err) == ledger.CodeCompacted {
+			n.log.Warn("history-gone", zap.String("prefix", prefix), zap.Int64("after", revision))
+			return
+		}
+		if err != nil {
+			pause(ctx, retryPause)
+			continue
+		}
+		for _, e := range ch.Events {
+			apply(e)
+		}
+		revision = max(revision, ch.Revision)
+	}
+}
+
+func (n *Node) watchOnce(ctx context.Context, prefix string, after int64) (ledger.Changes, error) {
+	ctx, cancel := context.WithTimeout(ctx, watchWait+watchReserve)
+	defer cancel()
+	return n.store.Watch(ctx, prefix, after, watchWait)
+}
+
+// watchOperators follows the configuration and the waves.
+func (n *Node) watchOperators(ctx context.Context) {
+	n.follow(ctx, n.platform.Dialect.OperatorKeys, func() {}, func(e ledger.Event) {
+		switch {
+		case e.Deleted:
+		case e.Key == n.platform.Dialect.ConfigKey:
+			n.configure(e.Value)
+		case strings.HasPrefix(e.Key, n.platform.Dialect.WavePrefix):
+			n.addWave(e.Value)
+		}
+	})
+}
+
+// configure applies a configuration, unless a newer one is in force.
+func (n *Node) configure(raw []byte) {
+	c, err := n.platform.Dialect.DecodeCatalog(raw)
+	if err != nil {
+		n.log.Error("configuration-unreadable", zap.Error(err))
+		return
+	}
+	if old := n.catalog.Load(); old != nil && old.Version >= c.Version {
+		return
+	}
+	n.catalog.Store(c)
+	n.log.Info("configuration-applied", zap.Int64("version", c.Version), zap.Int("queues", len(c.Queues)))
+	if t := n.term.Load(); t != nil {
+		t.do(func(core *owner.Core, _ time.Time) { core.Configure(c) })
+	}
+}
+
+func (n *Node) addWave(raw []byte) {
+	w, err := n.platform.Dialect.DecodeWave(raw)
+	if err != nil {
+		n.log.Error("wave-unreadable", zap.Error(err))
+		return
+	}
+	n.wavesMu.Lock()
+	n.waves[w.Wave] = w
+	n.wavesMu.Unlock()
+	if t := n.term.Load(); t != nil {
+		t.do(func(core *owner.Core, now time.Time) { core.OnWave(w, nil, false, now) })
+	}
+}
+
+// elect follows who the owner is, and becomes it when nobody is.
+func (n *Node) elect(ctx context.Context) {
+	wake := make(chan struct{}, 1)
+	signal := func() {
+		select {
+		case wake <- struct{}{}:
+		default:
+		}
+	}
+	go n.follow(ctx, ledger.PrefixOwner, func() { n.setLock(ledger.Lock{}, false, 0); signal() }, func(e ledger.Event) {
+		l, held, ok, err := ledger.LockOf(e)
+		if err != nil {
+			n.log.Error("lock-unreadable", zap.Error(err))
+			return
+		}
+		if ok {
+			n.setLock(l, held, e.Revision)
+			signal()
+		}
+	})
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-wake:
+		case <-time.After(renewEvery):
+		}
+		n.considerTerm(ctx)
+	}
+}
+
+// setLock takes who the owner is, and ends this daemon's term if it is another.
+func (n *Node) setLock(l ledger.Lock, held bool, revision int64) {
+	if !held {
+		n.lock.Store(nil)
+	} else {
+		n.lock.Store(&l)
+	}
+	t := n.term.Load()
+	if t == nil || revision == 0 {
+		return
+	}
+	if !held && revision > t.term.LockRevision() {
+		t.depose("its lock was removed")
+	}
+	if held && l.Term > t.term.Number {
+		t.depose("another daemon holds a newer term")
+	}
+}
+
+// considerTerm tries to become the owner if there is none.
+func (n *Node) considerTerm(ctx context.Context) {
+	if n.stopping.Load() || n.term.Load() != nil || n.lease.Load() == 0 || n.catalog.Load() == nil {
+		return
+	}
+	lease := ledger.LeaseID(n.lease.Load())
+	if l := n.lock.Load(); l != nil && l.Lease != lease {
+		return
+	}
+	term, err := n.tryElect(ctx, lease)
+	if err != nil {
+		n.log.Warn("election-failed", zap.Error(err))
+		return
+	}
+	if term == nil {
+		return
+	}
+	n.log.Info("owner", zap.Uint64("term", term.Number))
+	n.runTerm(ctx, term)
+}
+
+func (n *Node) tryElect(ctx context.Context, lease ledger.LeaseID) (*ledger.Term, error) {
+	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
+	defer cancel()
+	l, revision, held, err := ledger.ReadLock(ctx, n.store)
+	if err != nil {
+		return nil, err
+	}
+	if held && l.Lease != lease {
+		return nil, nil
+	}
+	if held {
+		return ledger.Resume(ctx, n.store, l, revision)
+	}
+	return ledger.Elect(ctx, n.store, n.self(), lease)
+}
--- /dev/null
+++ b/jobs/node/metrics.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/uber-go/tally/v4"
+
+	"github.com/postmount/postmount/jobs/owner"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Metrics counts what a daemon does.
+type Metrics struct {
+	scope   tally.Scope
+	handler http.Handler
+}
+
+// NewMetrics counts in scope and serves h.
+func NewMetrics(scope tally.Scope, h http.Handler) *Metrics {
+	return &Metrics{scope: scope, handler: h}
+}
+
+// Handler serves the metrics as text.
+func (m *Metrics) Handler() http.Handler { return m.handler }
+
+// buckets of latencies: 1 ms to 16 s.
+var buckets = tally.MustMakeExponentialDurationBuckets(time.Millisecond, 2, 15)
+
+// Answered implements gateway.Observer.
+func (m *Metrics) Answered(kind string, status int, took time.Duration) {
+	s := m.scope.Tagged(map[string]string{"method": kind, "status": strconv.Itoa(status)})
+	s.Counter("answers").Inc(1)
+	m.scope.Tagged(map[string]string{"method": kind}).Histogram("answer_time", buckets).RecordDuration(took)
+}
+
+func (m *Metrics) order(kind string, o owner.Outcome) {
+	m.scope.Tagged(map[string]string{"order": kind, "outcome": o.String()}).Counter("orders").Inc(1)
+}
+
+func (m *Metrics) commit(err error, took time.Duration) {
+	outcome := "written"
+	if err != nil {
+		outcome = string(verdict.CodeOf(err))
+	}
+	m.scope.Tagged(map[string]string{"outcome": outcome}).Counter("commits").Inc(1)
+	m.scope.Histogram("commit_time", buckets).RecordDuration(took)
+}
+
+func (m *Metrics) storeFailure(err error) {
+	m.scope.Tagged(map[string]string{"code": string(verdict.CodeOf(err)), "verdict": verdict.Of(err).String()}).Counter("store_failures").Inc(1)
+}
--- /dev/null
+++ b/jobs/node/node.go
@@ -0,0 +1,310 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-chi/chi/v5"
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/jobs/gateway"
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/ledger"
+	"github.com/postmount/postmount/jobs/owner"
+	"github.com/postmount/postmount/jobs/peer"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Dialect is how the platform spells what others write into its store.
+type Dialect struct {
+	ConfigKey     string
+	OperatorKeys  string // prefix of ConfigKey and of the waves
+	WavePrefix    string
+	WorkerPrefix  string
+	DecodeJob     gateway.Decoder
+	DecodeCatalog func(raw []byte) (*job.Catalog, error)
+	DecodeWorker  func(key string, raw []byte) (owner.Registration, error)
+	DecodeWave    func(raw []byte) (owner.WaveRequest, error)
+	WaveStatus    func(wave int, done bool) (key string, value []byte)
+}
+
+// Platform is what a daemon reaches outside of itself.
+type Platform struct {
+	Store   ledger.Store
+	Workers owner.Workers
+	Manager owner.InstanceManager
+	Dialect Dialect
+}
+
+// Node is one daemon.
+type Node struct {
+	set      Settings
+	platform Platform
+	log      *zap.Logger
+	metrics  *Metrics
+	store    *ledger.Failover
+	peers    *peer.Client
+	accept   *ledger.Acceptor
+	gateway  *gateway.Gateway
+
+	catalog  atomic.Pointer[job.Catalog]
+	lock     atomic.Pointer[ledger.Lock] // nil: nobody is known to be the owner
+	term     atomic.Pointer[termRun]     // nil: this daemon is not the owner
+	members  atomic.Pointer[[]ledger.Member]
+	relayNo  atomic.Uint64
+	lease    atomic.Int64 // ledger.LeaseID; 0: none
+	renewed  atomic.Int64 // when the lease was last renewed, in ns since start
+	started  time.Time
+	stopping atomic.Bool
+
+	wavesMu sync.Mutex
+	waves   map[int]owner.WaveRequest
+}
+
+// New returns a daemon that does not run yet.
+func New(set Settings, p Platform, log *zap.Logger, m *Metrics) *Node {
+	n := &Node{
+		set: set, platform: p, log: log, metrics: m,
+		peers: peer.NewClient(), started: time.Now(),
+		waves: map[int]owner.WaveRequest{},
+	}
+	n.store = ledger.NewFailover(p.Store, n, time.Now, n.storeFailed)
+	n.gateway = gateway.New(n, p.Dialect.DecodeJob, m, log)
+	return n
+}
+
+func (n *Node) storeFailed(err error) {
+	n.metrics.storeFailure(err)
+	n.log.Warn("store-call-failed", zap.Error(err))
+}
+
+// Relay implements ledger.Relays: the other daemons by turns.
+func (n *Node) Relay() ledger.Store {
+	list := n.members.Load()
+	if list == nil {
+		return nil
+	}
+	var others []string
+	for _, m := range *list {
+		if m.Node != n.set.Node {
+			others = append(others, m.Addr)
+		}
+	}
+	if len(others) == 0 {
+		return nil
+	}
+	return n.peers.Store(others[n.relayNo.Add(1)%uint64(len(others))])
+}
+
+// Run works until ctx ends, then stops gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	n.accept = ledger.NewAcceptor(work, n.store)
+	listeners, err := n.listen()
+	if err != nil {
+		return err
+	}
+	callers := &http.Server{Handler: n.gateway, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	go n.serve(callers, listeners.callers)
+	go n.serve(&http.Server{Handler: n.readyHandler()}, listeners.ready)
+	go n.serve(&http.Server{Handler: n.metrics.Handler()}, listeners.metrics)
+	go n.servePeers(listeners.peers)
+	leaseDone := make(chan struct{})
+	go func() { defer close(leaseDone); n.keepLease(work) }()
+	go n.watchOperators(work)
+	go n.listMembers(work)
+	electDone := make(chan struct{})
+	go func() { defer close(electDone); n.elect(work) }()
+	n.log.Info("start", zap.String("node", n.set.Node), zap.String("zone", n.set.Zone), zap.String("callers", n.set.CallersAddr))
+	<-ctx.Done()
+	n.stop(callers)
+	stopWork()
+	<-electDone
+	<-leaseDone
+	n.log.Info("stop")
+	return nil
+}
+
+// Bounds of callers' connections until the configuration says.
+const (
+	defaultHeaderTimeout = 5 * time.Second
+	defaultIdleTimeout   = 60 * time.Second
+)
+
+// stop hands over what this daemon owns, waits until the balancer has noticed,
+// and finishes what is in flight.
+func (n *Node) stop(callers *http.Server) {
+	n.log.Info("stopping")
+	n.stopping.Store(true)
+	n.gateway.Stop()
+	if t := n.term.Load(); t != nil {
+		t.handOver()
+	}
+	began := time.Now()
+	time.Sleep(min(balancerNotice, n.set.StopGrace/2))
+	left := n.set.StopGrace - time.Since(began) - stopReserve
+	ctx, cancel := context.WithTimeout(context.Background(), max(left, stopReserve))
+	defer cancel()
+	if err := callers.Shutdown(ctx); err != nil {
+		n.log.Warn("callers-cut-off", zap.Error(err))
+	}
+	if id := ledger.LeaseID(n.lease.Load()); id != 0 {
+		if err := n.store.EndLease(ctx, id); err != nil {
+			n.log.Warn("lease-not-ended", zap.Error(err))
+		}
+	}
+}
+
+// stopReserve of the grace is kept for the end of the process.
+const stopReserve = 500 * time.Millisecond
+
+type listeners struct{ callers, ready, peers, metrics net.Listener }
+
+func (n *Node) listen() (l listeners, err error) {
+	for _, e := range []struct {
+		to   *net.Listener
+		addr string
+	}{
+		{&l.callers, n.set.CallersAddr},
+		{&l.ready, n.set.ReadyAddr},
+		{&l.peers, n.set.peerAddr()},
+		{&l.metrics, fmt.Sprintf("%s:%d", n.set.IP, n.set.MetricsPort)},
+	} {
+		if *e.to, err = net.Listen("tcp", e.addr); err != nil {
+			return l, err
+		}
+	}
+	return l, nil
+}
+
+func (n *Node) serve(s *http.Server, l net.Listener) {
+	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
+		n.log.Error("listener-failed", zap.String("addr", l.Addr().String()), zap.Error(err))
+	}
+}
+
+func (n *Node) servePeers(l net.Listener) {
+	if err := peer.Serve(l, peerHandler{n}); err != nil {
+		n.log.Error("listener-failed", zap.String("addr", l.Addr().String()), zap.Error(err))
+	}
+}
+
+// readyHandler answers every path: the balancer's question is the only one.
+func (n *Node) readyHandler() http.Handler {
+	r := chi.NewRouter()
+	r.HandleFunc("/*", func(w http.ResponseWriter, _ *http.Request) {
+		if n.stopping.Load() || n.catalog.Load() == nil {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		w.WriteHeader(http.StatusOK)
+	})
+	return r
+}
+
+// pause waits for d or the end of ctx; it reports whether to go on.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
+func (n *Node) sinceStart() int64 { return int64(time.Since(n.started)) }
+
+// leaseHeld reports whether the lease in the store is held for certain, with
+// some time left.
+func (n *Node) leaseHeld() bool {
+	return n.lease.Load() != 0 && time.Duration(n.sinceStart()-n.renewed.Load()) < storeLease-dutyReserve
+}
+
+// self is this daemon's entry in the store.
+func (n *Node) self() ledger.Member { return ledger.Member{Node: n.set.Node, Addr: n.set.peerAddr()} }
+
+// Catalog implements gateway.Jobs.
+func (n *Node) Catalog() *job.Catalog { return n.catalog.Load() }
+
+// Accept implements gateway.Jobs.
+func (n *Node) Accept(ctx context.Context, j *job.Job) error { return n.accept.Accept(ctx, j) }
+
+// Cancel implements gateway.Jobs.
+func (n *Node) Cancel(ctx context.Context, id job.ID) (bool, error) {
+	known, err := ledger.Cancel(ctx, n.store, id)
+	if err != nil || !known {
+		return known, err
+	}
+	go n.tellCancelled(id)
+	return true, nil
+}
+
+// tellCancelled tells the owner sooner than its watch does. If it fails, the
+// watch does it.
+func (n *Node) tellCancelled(id job.ID) {
+	lock := n.lock.Load()
+	if lock == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	if err := n.peers.Cancelled(ctx, lock.Addr, id); err != nil {
+		n.log.Info("owner-not-told", zap.String("job", string(id)), zap.Error(err))
+	}
+}
+
+// State implements gateway.Jobs: from the owner, or from the store while there
+// is none, or if it has not heard of the job.
+func (n *Node) State(ctx context.Context, id job.ID) (job.State, bool, error) {
+	if r, err := n.askState(ctx, id); err == nil && r.Owner && r.Known {
+		return r.State, true, nil
+	}
+	return ledger.StateOf(ctx, n.store, id)
+}
+
+func (n *Node) askState(ctx context.Context, id job.ID) (peer.StateReply, error) {
+	if n.term.Load() != nil {
+		return n.ownState(id), nil
+	}
+	lock := n.lock.Load()
+	if lock == nil {
+		return peer.StateReply{}, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	return n.peers.State(ctx, lock.Addr, id)
+}
+
+// CodeNoOwner says that no daemon owns the jobs at present.
+const CodeNoOwner verdict.Code = "no-owner"
+
+// Pending implements gateway.Jobs.
+func (n *Node) Pending(ctx context.Context, queue string) (int, error) {
+	if t := n.term.Load(); t != nil {
+		if r := t.pending(queue); r.Owner {
+			return r.Count, nil
+		}
+	}
+	lock := n.lock.Load()
+	if lock == nil {
+		return 0, verdict.New(verdict.NotRun, CodeNoOwner, "no daemon owns the jobs at present")
+	}
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	r, err := n.peers.Pending(ctx, lock.Addr, queue)
+	if err != nil {
+		return 0, verdict.Wrap(err, verdict.NotRun, CodeNoOwner, "count of %s", queue)
+	}
+	if !r.Owner {
+		return 0, verdict.New(verdict.NotRun, CodeNoOwner, "the owner is changing")
+	}
+	return r.Count, nil
+}
--- /dev/null
+++ b/jobs/node/settings.go
@@ -0,0 +1,112 @@
+// Package node is the daemon of the job subsystem: it wires the gateway, the
+// ledger, the peers and, while this daemon is the owner, the scheduler.
+package node
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+)
+
+// Settings of one daemon.
+type Settings struct {
+	Node        string
+	Zone        string
+	IP          string
+	CallersAddr string // callers connect here
+	ReadyAddr   string // the balancer asks here whether to send callers
+	PeerPort    int
+	MetricsPort int
+	StoreAddr   string
+	ManagerAddr string
+	AdvisorAddr string // "" if no queue needs advice
+	MemoryMB    int    // limit of the process
+
+	MaxTaskLease    time.Duration // longest lease that workers give
+	StopGrace       time.Duration // between SIGTERM and SIGKILL
+	TaskStopTimeout time.Duration
+	DutyHandover    time.Duration // between orders of two holders of the duty
+	MinStoreLease   time.Duration
+	Heartbeat       time.Duration // of the workers' registrations
+	KeepStatus      time.Duration // of ended jobs
+	HarmLimit       time.Duration // of a serving task over its target
+}
+
+// Validate returns all mistakes in the settings.
+func (s *Settings) Validate() error {
+	var errs []error
+	for _, a := range []struct{ key, value string }{
+		{"CallersAddr", s.CallersAddr}, {"ReadyAddr", s.ReadyAddr}, {"StoreAddr", s.StoreAddr}, {"ManagerAddr", s.ManagerAddr},
+	} {
+		if _, _, err := net.SplitHostPort(a.value); err != nil {
+			errs = append(errs, fmt.Errorf("%s: %q is no address: %w", a.key, a.value, err))
+		}
+	}
+	if s.Node == "" {
+		errs = append(errs, errors.New("Node is empty"))
+	}
+	if s.PeerPort <= 0 {
+		errs = append(errs, fmt.Errorf("PeerPort is %d", s.PeerPort))
+	}
+	if s.MaxTaskLease <= 0 {
+		errs = append(errs, fmt.Errorf("MaxTaskLease is %s", s.MaxTaskLease))
+	}
+	return errors.Join(errs...)
+}
+
+func (s *Settings) peerAddr() string { return net.JoinHostPort(s.IP, strconv.Itoa(s.PeerPort)) }
+
+// Figures of the daemon.
+const (
+	// storeLease is the time to live of this daemon's keys: an owner that is
+	// gone is noticed so late. Renewals cost a tenth of a call.
+	storeLease = 2 * time.Second
+	renewEvery = 500 * time.Millisecond
+	// dutyReserve is left of the lease when the last order for an instance may
+	// be sent.
+	dutyReserve = 700 * time.Millisecond
+	// storeTimeout bounds calls that can be repeated: the store answers in 4 ms,
+	// and in 300 ms in its slow hours.
+	storeTimeout = 900 * time.Millisecond
+	// watchWait is how long a watch waits for changes. It bounds how long a
+	// daemon hangs on a connection that a partition has cut.
+	watchWait = 1500 * time.Millisecond
+	// watchReserve is added for the answer.
+	watchReserve = 700 * time.Millisecond
+	// retryPause follows a failed call.
+	retryPause = 100 * time.Millisecond
+	// membersEvery is how often the list of live daemons is read, stale.
+	membersEvery = 2 * time.Second
+	// registrationsEvery is how often the owner reads the workers' entries. It
+	// is a fifth of the time in which a draining worker must be left alone.
+	registrationsEvery = 400 * time.Millisecond
+	// instancesEvery is how often the owner reads the instance list.
+	instancesEvery = 700 * time.Millisecond
+	// tickEvery is the resolution of the owner's timers.
+	tickEvery = 25 * time.Millisecond
+	// commitEvery is the least time between two transactions of the owner. It
+	// trades the store's price of a call against the wait of a task's followers.
+	commitEvery = 15 * time.Millisecond
+	// taskLease is how long workers' tasks live without renewal. It outlasts a
+	// change of owner (the store's lease, an election and the reading of all
+	// jobs) and ends soon enough for a task that is cut off to be started anew.
+	taskLease = 4500 * time.Millisecond
+	// holdWait is how long a worker waits for an end before it answers; it is
+	// also how old its tasks' progress may be.
+	holdWait = 900 * time.Millisecond
+	// holdReserve is added to holdWait for the answer.
+	holdReserve = 500 * time.Millisecond
+	// peerTimeout bounds a question to the owner.
+	peerTimeout = 500 * time.Millisecond
+	// instanceOrderTimeout bounds an order for an instance.
+	instanceOrderTimeout = time.Second
+	// expireEvery is how often ended jobs are removed from the store.
+	expireEvery = 5 * time.Second
+	// flushTimeout bounds the last writes of an owner that stops.
+	flushTimeout = 600 * time.Millisecond
+	// balancerNotice is how long the balancer takes to leave out a daemon that
+	// is not ready: two questions, one a second, and the way.
+	balancerNotice = 2500 * time.Millisecond
+)
--- /dev/null
+++ b/jobs/owner/health.go
@@ -0,0 +1,164 @@
+package owner
+
+import (
+	"time"
+)
+
+// Figures of the search for bad workers. They come from the faults that the
+// platform names: a worker that fails all it starts, and one whose tasks
+// stand still.
+const (
+	// endsKept is how many recent ends a worker is judged by.
+	endsKept = 8
+	// endsAge is how old these may be.
+	endsAge = 5 * time.Second
+	// failuresToAvoid in that window, and half of its ends at least, put a
+	// worker aside; one failure alone is often the task's own fault.
+	failuresToAvoid = 2
+	// firstPenalty and maxPenalty bound how long; it doubles each time.
+	firstPenalty = time.Second
+	maxPenalty   = 8 * time.Second
+	// stallTime without progress shows that a task stands still: a task of 5 s
+	// on a worker eight times slow still moves by 1% in 400 ms, and a worker is
+	// asked once a second.
+	stallTime = 1600 * time.Millisecond
+	// startupStall is stallTime for a long-running task that starts up.
+	startupStall = 3500 * time.Millisecond
+	// avoidedShare of a service's workers may be put aside at most.
+	avoidedShare = 0.34
+)
+
+// endWindow holds the newest ends on a worker.
+type endWindow struct {
+	failed [endsKept]bool
+	at     [endsKept]time.Time
+	next   int
+}
+
+func (e *endWindow) add(kind EndKind, now time.Time) {
+	if kind != EndDone && kind != EndFailed {
+		return
+	}
+	e.failed[e.next] = kind == EndFailed
+	e.at[e.next] = now
+	e.next = (e.next + 1) % endsKept
+}
+
+func (e *endWindow) count(now time.Time) (failed, all int) {
+	for i, at := range e.at {
+		if at.IsZero() || now.Sub(at) > endsAge {
+			continue
+		}
+		all++
+		if e.failed[i] {
+			failed++
+		}
+	}
+	return failed, all
+}
+
+// judge puts a worker aside if too much failed on it.
+func (c *Core) judge(w *worker, now time.Time) {
+	failed, all := w.ends.count(now)
+	if failed < failuresToAvoid || failed*2 < all {
+		return
+	}
+	c.avoid(w, "its tasks fail", now)
+}
+
+// avoid keeps new tasks from a worker for a while, unless too many of its
+// service are put aside already.
+func (c *Core) avoid(w *worker, reason string, now time.Time) {
+	if now.Before(w.avoidUntil) {
+		return
+	}
+	all, aside := 0, 0
+	for _, o := range c.workers {
+		if o.Service != w.Service || o.gone || !o.registered {
+			continue
+		}
+		all++
+		if now.Before(o.avoidUntil) {
+			aside++
+		}
+	}
+	if float64(aside+1) > avoidedShare*float64(all) {
+		return
+	}
+	w.penalty = min(maxPenalty, max(firstPenalty, 2*w.penalty))
+	w.avoidUntil = now.Add(w.penalty)
+	c.note(Decision{Event: "worker-avoided", Worker: w.Worker, Reason: reason + " for " + w.penalty.String()})
+}
+
+// endStalls stops tasks that make no progress, to run them elsewhere.
+func (c *Core) endStalls(now time.Time) {
+	for _, w := range c.workers {
+		if w.gone || !w.silentSince.IsZero() {
+			continue
+		}
+		for _, r := range w.runs {
+			if !stalled(r, now) {
+				continue
+			}
+			c.avoid(w, "a task stands still", now)
+			c.stop(r, "no progress for "+now.Sub(r.movedAt).String(), now)
+		}
+	}
+}
+
+func stalled(r *run, now time.Time) bool {
+	spec := r.task.step.spec
+	if r.phase != running || spec.Gang || r.percent >= 100 || r.throttle < 100 {
+		return false
+	}
+	limit := stallTime
+	if spec.LongRunning || spec.Filler {
+		limit = startupStall
+	}
+	// The hold that showed the last percentage may be old: only one that was
+	// sent since then, and answered, proves the standstill.
+	return now.Sub(r.movedAt) > limit && r.worker.holdSent.Sub(r.movedAt) > limit/2
+}
+
+// remainingWork returns the core-seconds of a job that are not done, by its
+// estimates.
+func (j *jobState) remainingWork() float64 {
+	sum := 0.0
+	for _, s := range j.steps {
+		sum += float64(s.left) * float64(s.spec.Need.CPUMilli) / 1000 * s.spec.Estimate.Seconds()
+	}
+	return sum
+}
+
+// remainingChain returns the longest chain of steps that are not done in the
+// first unfinished occurrence, by the estimates.
+func (j *jobState) remainingChain() time.Duration {
+	n := len(j.spec.Steps)
+	var longest time.Duration
+	for first := 0; first < len(j.steps); first += n {
+		ends := make([]time.Duration, n)
+		for i := range n {
+			s := j.steps[first+i]
+			var from time.Duration
+			for _, a := range s.spec.After {
+				from = max(from, ends[a])
+			}
+			ends[i] = from
+			if s.left > 0 {
+				ends[i] += s.spec.Estimate
+			}
+			longest = max(longest, ends[i])
+		}
+	}
+	return longest
+}
+
+// deadline is when the job stops being worth its whole value.
+func (j *jobState) deadline() time.Time {
+	allowed := time.Duration(j.queue.Stretch*float64(j.chain)) + j.queue.Objective
+	from := j.spec.AcceptedAt
+	if j.spec.Repeat > 0 {
+		from = j.spec.Due(max(0, j.nextOcc-1))
+	}
+	return from.Add(allowed)
+}
--- /dev/null
+++ b/jobs/owner/instances.go
@@ -0,0 +1,382 @@
+package owner
+
+import (
+	"sort"
+	"time"
+)
+
+// waveState is a wave and how far it is.
+type waveState struct {
+	WaveRequest
+	since     time.Time
+	begun     map[InstanceID]bool      // maintenance was accepted by the platform
+	down      map[InstanceID]downSince // ordered and not back yet
+	announced bool                     // its status was written
+	completed bool
+}
+
+// downSince is an instance under maintenance.
+type downSince struct {
+	at   time.Time
+	life WorkerID // before its maintenance
+}
+
+// Figures of maintenance.
+const (
+	// drainPatience is how long a wave waits for the tasks on an instance to
+	// end by themselves: most are shorter, and the rest is stopped.
+	drainPatience = 2500 * time.Millisecond
+	// orderRetry is the pause before an order for an instance is sent again.
+	orderRetry = 500 * time.Millisecond
+	// dutyMargin is added to the pause after a change of owner, for the time
+	// that an order of the old one may have been on its way.
+	dutyMargin = 300 * time.Millisecond
+	// instanceListAge is how old the instance list may be for an order.
+	instanceListAge = 3 * time.Second
+)
+
+// OnInstances takes the newest instance list.
+func (c *Core) OnInstances(list []Instance, now time.Time) {
+	c.instAt = now
+	seen := map[InstanceID]bool{}
+	for _, i := range list {
+		seen[i.ID] = true
+		c.onInstance(i, now)
+	}
+	for id := range c.instances {
+		if !seen[id] {
+			delete(c.instances, id)
+		}
+	}
+}
+
+func (c *Core) onInstance(i Instance, now time.Time) {
+	old := c.instances[i.ID]
+	if old != nil && old.Worker != "" && old.Worker != i.Worker {
+		if w := c.workers[old.Worker]; w != nil {
+			c.lifeOver(w, "the instance list shows another life", now)
+		}
+	}
+	if i.State == InstanceDown && i.Worker != "" {
+		if w := c.workers[i.Worker]; w != nil && !w.silentSince.IsZero() {
+			c.lifeOver(w, "the instance list shows it down", now)
+		}
+	}
+	c.instances[i.ID] = &i
+	if i.Worker != "" {
+		c.lives[i.Worker] = i.ID
+	}
+	for _, ws := range c.waves {
+		ws.observe(i)
+	}
+}
+
+// observe takes what the instance list says of an instance of the wave.
+func (ws *waveState) observe(i Instance) {
+	d, down := ws.down[i.ID]
+	switch {
+	case i.State == InstanceMaintained:
+		ws.begun[i.ID] = true
+		if !down {
+			ws.down[i.ID] = downSince{life: i.Worker}
+		}
+	case down && i.State == InstanceUp && i.Worker != "" && i.Worker != d.life:
+		delete(ws.down, i.ID)
+	}
+}
+
+// OnWave takes an operators' request for a wave. begun are instances whose
+// maintenance an earlier owner has recorded.
+func (c *Core) OnWave(req WaveRequest, begun []InstanceID, completed bool, now time.Time) {
+	if c.waves[req.Wave] != nil {
+		return
+	}
+	ws := &waveState{WaveRequest: req, since: now, begun: map[InstanceID]bool{}, down: map[InstanceID]downSince{}, completed: completed, announced: completed}
+	for _, id := range begun {
+		ws.begun[id] = true
+	}
+	c.waves[req.Wave] = ws
+	c.note(Decision{Event: "wave-known", Reason: req.Within.String()})
+}
+
+// Begun returns the instances of a wave whose maintenance has begun.
+func (c *Core) Begun(wave int) []InstanceID {
+	ws := c.waves[wave]
+	if ws == nil {
+		return nil
+	}
+	var out []InstanceID
+	for id := range ws.begun {
+		out = append(out, id)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a] < out[b] })
+	return out
+}
+
+// SetStoreLease tells whether this daemon's lease in the store is known to be
+// held; duties are done only while it is.
+func (c *Core) SetStoreLease(held bool, now time.Time) {
+	if held {
+		c.dutyLost = time.Time{}
+	} else if c.dutyLost.IsZero() {
+		c.dutyLost = now
+	}
+}
+
+// mayDoDuty reports whether orders for instances may be sent.
+func (c *Core) mayDoDuty(now time.Time) bool {
+	if !c.dutyLost.IsZero() || c.fenced || now.Sub(c.instAt) > instanceListAge {
+		return false
+	}
+	return c.opt.Term == 1 || now.Sub(c.startedAt) > c.opt.DutyHandover+dutyMargin
+}
+
+// maintain advances the waves.
+func (c *Core) maintain(now time.Time) {
+	for _, ws := range c.sortedWaves() {
+		if ws.completed {
+			continue
+		}
+		if !ws.announced {
+			ws.announced = true
+			c.out.Waves = append(c.out.Waves, WaveStatus{Wave: ws.Wave})
+		}
+		if c.waveDone(ws) {
+			ws.completed = true
+			c.note(Decision{Event: "wave-completed", Reason: now.Sub(ws.since).String()})
+			c.out.Waves = append(c.out.Waves, WaveStatus{Wave: ws.Wave, Done: true})
+			continue
+		}
+		c.advanceWave(ws, now)
+	}
+}
+
+func (c *Core) sortedWaves() []*waveState {
+	var out []*waveState
+	for _, ws := range c.waves {
+		out = append(out, ws)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Wave < out[b].Wave })
+	return out
+}
+
+// waveDone reports whether every instance of the wave that still is there has
+// begun its maintenance.
+func (c *Core) waveDone(ws *waveState) bool {
+	if c.instAt.IsZero() {
+		return false
+	}
+	for _, id := range ws.Instances {
+		if !ws.begun[id] && c.instances[id] != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// candidate is an instance that waits for its maintenance.
+type candidate struct {
+	id   InstanceID
+	w    *worker // nil: nothing runs on it
+	cost float64 // core-seconds that are left on it
+}
+
+// advanceWave reserves instances, so that their tasks end, and maintains those
+// that are ready.
+func (c *Core) advanceWave(ws *waveState, now time.Time) {
+	if !c.mayDoDuty(now) {
+		return
+	}
+	reserved := c.reservedFor(ws)
+	for _, cand := range reserved {
+		if len(ws.down) >= ws.MaxDown {
+			break
+		}
+		if c.readyToGo(cand.w, now) {
+			c.orderMaintenance(ws, cand, now)
+		}
+	}
+	free := ws.MaxDown - len(ws.down) - len(c.reservedFor(ws))
+	for _, cand := range c.nextForWave(ws, now) {
+		if free <= 0 {
+			return
+		}
+		free--
+		if cand.w == nil || len(cand.w.runs) == 0 {
+			if len(ws.down) < ws.MaxDown {
+				c.orderMaintenance(ws, cand, now)
+			}
+			continue
+		}
+		cand.w.reserved = "maintenance"
+		cand.w.reservedAt = now
+		c.note(Decision{Event: "worker-reserved", Worker: cand.w.Worker, Reason: "maintenance"})
+	}
+}
+
+func (c *Core) workerOf(id InstanceID) *worker {
+	i := c.instances[id]
+	if i == nil || i.Worker == "" {
+		return nil
+	}
+	return c.workers[i.Worker]
+}
+
+func (c *Core) reservedFor(ws *waveState) []candidate {
+	var out []candidate
+	for _, id := range ws.Instances {
+		w := c.workerOf(id)
+		_, down := ws.down[id]
+		if w != nil && w.reserved == "maintenance" && !w.gone && !down && !ws.begun[id] {
+			out = append(out, candidate{id: id, w: w})
+		}
+	}
+	return out
+}
+
+// nextForWave returns the instances that may be reserved, cheapest first.
+func (c *Core) nextForWave(ws *waveState, now time.Time) []candidate {
+	var out []candidate
+	for _, id := range ws.Instances {
+		i := c.instances[id]
+		_, down := ws.down[id]
+		if i == nil || i.State != InstanceUp || ws.begun[id] || down {
+			continue
+		}
+		w := c.workerOf(id)
+		if w != nil && (w.gone || w.Draining || w.reserved != "") {
+			continue
+		}
+		cand := candidate{id: id, w: w}
+		if w != nil {
+			if !c.mayTake(w, now) {
+				continue
+			}
+			cand.cost = w.load()
+		}
+		out = append(out, cand)
+	}
+	sort.SliceStable(out, func(a, b int) bool { return out[a].cost < out[b].cost })
+	return out
+}
+
+// load returns the core-seconds that are left of what runs on the worker.
+func (w *worker) load() float64 {
+	sum := 0.0
+	for _, r := range w.runs {
+		spec := r.task.step.spec
+		if spec.LongRunning {
+			sum += float64(spec.Need.CPUMilli) / 1000
+			continue
+		}
+		left := spec.Estimate.Seconds() * float64(100-r.percent) / 100
+		sum += left * float64(spec.Need.CPUMilli) / 1000
+	}
+	return sum
+}
+
+// mayTake reports whether the budgets of the long-running tasks on the worker
+// allow to take it away now: of each step at most MayMiss tasks are away.
+func (c *Core) mayTake(w *worker, now time.Time) bool {
+	here := map[*stepState]int{}
+	for _, r := range w.runs {
+		if s := r.task.step; s.spec.LongRunning && !s.job.state.Final() {
+			here[s]++
+		}
+	}
+	for s, n := range here {
+		away := 0
+		for _, t := range s.tasks {
+			if !t.atWork() && !t.on(w) || t.leaving(w) {
+				away++
+			}
+		}
+		if away+n > s.spec.MayMiss {
+			return false
+		}
+	}
+	return true
+}
+
+// on reports whether the task runs on w.
+func (t *task) on(w *worker) bool {
+	for _, r := range t.runs {
+		if r.worker == w {
+			return true
+		}
+	}
+	return false
+}
+
+// leaving reports whether the task runs on another worker that is about to be
+// taken away.
+func (t *task) leaving(w *worker) bool {
+	for _, r := range t.runs {
+		if r.worker != w && r.worker.reserved != "" {
+			return true
+		}
+	}
+	return false
+}
+
+// readyToGo reports whether a reserved worker may be taken away now.
+func (c *Core) readyToGo(w *worker, now time.Time) bool {
+	if !c.mayTake(w, now) {
+		return false
+	}
+	for _, r := range w.runs {
+		if !r.task.step.spec.LongRunning && now.Sub(w.reservedAt) < drainPatience {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) orderMaintenance(ws *waveState, cand candidate, now time.Time) {
+	d := downSince{at: now}
+	if cand.w != nil {
+		d.life = cand.w.Worker
+	}
+	ws.down[cand.id] = d
+	c.note(Decision{Event: "maintenance-ordered", Worker: d.life, Reason: string(cand.id)})
+	c.out.Instances = append(c.out.Instances, MoveOrder{Instance: cand.id, Wave: ws.Wave})
+}
+
+// OnInstanceOrder takes the platform's answer to an order for an instance.
+func (c *Core) OnInstanceOrder(o MoveOrder, outcome DutyOutcome, now time.Time) {
+	if o.Wave == 0 {
+		c.onMove(o, outcome, now)
+		return
+	}
+	ws := c.waves[o.Wave]
+	if ws == nil {
+		return
+	}
+	w := c.workerOf(o.Instance)
+	switch outcome {
+	case DutyDone:
+		ws.begun[o.Instance] = true
+		if w != nil && w.Worker == ws.down[o.Instance].life {
+			c.lifeOver(w, "its maintenance has begun", now)
+		}
+		c.out.Waves = append(c.out.Waves, WaveStatus{Wave: o.Wave})
+	case DutyUnanswered:
+		// It may have begun: it stays among those that are down and is asked for
+		// again until the platform answers.
+		c.out.Instances = append(c.out.Instances, o)
+	case DutyFenced:
+		c.fenced = true
+	default:
+		delete(ws.down, o.Instance)
+		if w != nil {
+			w.reserved = ""
+			w.avoidUntil = later(w.avoidUntil, now.Add(orderRetry))
+		}
+	}
+	c.note(Decision{Event: "maintenance-answer", Reason: string(o.Instance) + " " + outcome.String()})
+}
+
+var dutyNames = [...]string{"unanswered", "done", "fenced", "refused", "invalid"}
+
+// String returns the outcome's name in logs and metrics.
+func (o DutyOutcome) String() string { return dutyNames[o] }
--- /dev/null
+++ b/jobs/owner/jobs.go
@@ -0,0 +1,346 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// load takes over a job from the store.
+func (c *Core) load(l Loaded, now time.Time) {
+	j := c.add(l.Job, now)
+	j.inherited = true
+	if l.Progress != nil {
+		c.restore(j, l.Progress, now)
+	}
+	if l.Cancelled {
+		c.Cancel(j.spec.ID, now)
+	}
+}
+
+func (c *Core) restore(j *jobState, p *job.Progress, now time.Time) {
+	for _, sp := range p.Steps {
+		c.begin(j, sp.Occurrence)
+		s := j.step(sp.Occurrence, sp.Step)
+		if s == nil {
+			continue
+		}
+		for _, t := range s.tasks {
+			t.attempts = sp.Failed[t.index]
+			t.checkpoint = sp.Checkpoint[t.index]
+			if sp.Done.Has(t.index) {
+				c.complete(t)
+			}
+		}
+		j.begun = true
+	}
+	if p.State.Final() {
+		j.state = p.State
+		j.endedAt = now
+		j.written = j.version
+		delete(c.open, j.spec.ID)
+		delete(c.dirty, j.spec.ID)
+	}
+}
+
+// Submit adds a job that was accepted.
+func (c *Core) Submit(spec *job.Job, now time.Time) {
+	if c.jobs[spec.ID] != nil {
+		return
+	}
+	j := c.add(spec, now)
+	c.note(Decision{Event: "job-known", Job: spec.ID, Reason: j.service})
+	c.resolveStrangers(j, now)
+}
+
+func (c *Core) add(spec *job.Job, now time.Time) *jobState {
+	j := &jobState{spec: spec, service: spec.Service, state: job.Queued}
+	c.jobs[spec.ID] = j
+	c.open[spec.ID] = j
+	c.requeue(j)
+	j.chain, j.work = chainAndWork(spec)
+	c.beginDue(j, now)
+	return j
+}
+
+// requeue takes the newest settings of the job's queue. A queue that is no
+// longer configured keeps its last ones.
+func (c *Core) requeue(j *jobState) {
+	if c.catalog == nil {
+		return
+	}
+	if q := c.catalog.Queue(j.spec.Queue); q != nil {
+		j.queue = *q
+		j.service = q.Service
+	}
+	c.changed[j.service] = true
+}
+
+// chainAndWork returns the longest chain of steps by the estimates, and the
+// core-seconds of one occurrence.
+func chainAndWork(spec *job.Job) (chain time.Duration, work float64) {
+	ends := make([]time.Duration, len(spec.Steps))
+	for i, s := range spec.Steps {
+		var from time.Duration
+		for _, a := range s.After {
+			from = max(from, ends[a])
+		}
+		ends[i] = from + s.Estimate
+		chain = max(chain, ends[i])
+		work += float64(s.Count) * float64(s.Need.CPUMilli) / 1000 * s.Estimate.Seconds()
+	}
+	return chain, work
+}
+
+// beginDue begins the occurrences whose time has come.
+func (c *Core) beginDue(j *jobState, now time.Time) {
+	for j.nextOcc < j.spec.Occurrences() && !j.spec.Due(j.nextOcc).After(now) {
+		c.begin(j, j.nextOcc)
+	}
+}
+
+// begin creates the steps of all occurrences up to k.
+func (c *Core) begin(j *jobState, k int) {
+	if k >= j.spec.Occurrences() {
+		return
+	}
+	for ; j.nextOcc <= k; j.nextOcc++ {
+		for i := range j.spec.Steps {
+			s := &stepState{job: j, spec: &j.spec.Steps[i], occurrence: j.nextOcc, index: i}
+			s.left = s.spec.Count
+			s.blocked = len(s.spec.After)
+			for n := range s.spec.Count {
+				s.tasks = append(s.tasks, &task{step: s, index: n})
+			}
+			j.steps = append(j.steps, s)
+		}
+	}
+	c.changed[j.service] = true
+}
+
+// complete marks a task as done and unblocks what waits for its step.
+func (c *Core) complete(t *task) {
+	if t.done {
+		return
+	}
+	t.done = true
+	t.checkpoint = ""
+	s := t.step
+	s.left--
+	if s.left > 0 {
+		return
+	}
+	j := s.job
+	for i := range j.spec.Steps {
+		for _, a := range j.spec.Steps[i].After {
+			if a == s.index {
+				j.step(s.occurrence, i).blocked--
+			}
+		}
+	}
+	c.changed[j.service] = true
+}
+
+// touch says that something of the job has to be kept.
+func (c *Core) touch(j *jobState) {
+	j.version++
+	c.dirty[j.spec.ID] = j
+}
+
+// finishIfDone moves a job to completed once all its occurrences are done.
+func (c *Core) finishIfDone(j *jobState, now time.Time) {
+	if j.state.Final() || j.nextOcc < j.spec.Occurrences() {
+		return
+	}
+	for _, s := range j.steps {
+		if s.left > 0 {
+			return
+		}
+	}
+	c.finish(j, job.Completed, now)
+}
+
+func (c *Core) finish(j *jobState, state job.State, now time.Time) {
+	j.state = state
+	j.endedAt = now
+	c.touch(j)
+	c.note(Decision{Event: "job-" + string(state), Job: j.spec.ID})
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			for _, r := range t.runs {
+				c.stop(r, "job "+string(state), now)
+			}
+		}
+	}
+}
+
+// Cancel ends a job for its caller. It reports whether the job is known.
+func (c *Core) Cancel(id job.ID, now time.Time) bool {
+	j := c.jobs[id]
+	if j == nil {
+		return false
+	}
+	if j.state.Final() {
+		return true
+	}
+	j.cancelled = true
+	c.finish(j, job.Cancelled, now)
+	return true
+}
+
+// State returns what the caller of a job may be told: a final state only once
+// it is in the store.
+func (c *Core) State(id job.ID) (job.State, bool) {
+	j := c.jobs[id]
+	if j == nil {
+		return "", false
+	}
+	if j.state == job.Cancelled {
+		return job.Cancelled, true // the caller's request is in the store
+	}
+	if j.state.Final() && j.written == j.version {
+		return j.state, true
+	}
+	if j.begun {
+		return job.Running, true
+	}
+	return job.Queued, true
+}
+
+// Pending counts the jobs of a queue of which no task has started.
+func (c *Core) Pending(queue string) int {
+	n := 0
+	for _, j := range c.open {
+		if j.spec.Queue == queue && !j.begun && !j.state.Final() {
+			n++
+		}
+	}
+	return n
+}
+
+// Configure takes a newer configuration.
+func (c *Core) Configure(catalog *job.Catalog) {
+	c.catalog = catalog
+	for _, j := range c.open {
+		c.requeue(j)
+	}
+}
+
+// Uncommitted returns records that have to be written, at most n.
+func (c *Core) Uncommitted(n int) []Record {
+	var out []Record
+	for id, j := range c.dirty {
+		if len(out) == n {
+			break
+		}
+		out = append(out, Record{ID: id, Progress: j.progress(), version: j.version})
+	}
+	return out
+}
+
+// Urgent reports whether a record waits whose writing lets a caller go on.
+func (c *Core) Urgent() bool {
+	for _, j := range c.dirty {
+		if j.state.Final() {
+			return true
+		}
+	}
+	return false
+}
+
+// Dirty returns how many jobs have to be written.
+func (c *Core) Dirty() int { return len(c.dirty) }
+
+// Committed says that records are in the store.
+func (c *Core) Committed(records []Record, now time.Time) {
+	c.counts.Commits++
+	for _, r := range records {
+		j := c.jobs[r.ID]
+		if j == nil {
+			continue
+		}
+		j.written = max(j.written, r.version)
+		if j.written < j.version {
+			continue
+		}
+		delete(c.dirty, r.ID)
+		if j.state.Final() {
+			delete(c.open, r.ID)
+			c.note(Decision{Event: "job-recorded", Job: r.ID, Reason: string(j.state)})
+		}
+	}
+	for _, w := range c.workers {
+		w.advanceAck(now)
+	}
+}
+
+// progress returns the record of the job. A final state needs no details.
+func (j *jobState) progress() job.Progress {
+	p := job.Progress{State: j.state}
+	if j.state.Final() {
+		p.EndedAt = j.endedAt
+		return p
+	}
+	p.State = job.Running
+	for _, s := range j.steps {
+		sp := job.StepProgress{Occurrence: s.occurrence, Step: s.index}
+		known := false
+		for _, t := range s.tasks {
+			if t.done {
+				sp.Done = sp.Done.With(t.index)
+				known = true
+			}
+			if t.attempts > 0 {
+				sp.Failed = put(sp.Failed, t.index, t.attempts)
+				known = true
+			}
+			if t.checkpoint != "" {
+				sp.Checkpoint = put(sp.Checkpoint, t.index, t.checkpoint)
+				known = true
+			}
+		}
+		if known {
+			p.Steps = append(p.Steps, sp)
+		}
+	}
+	return p
+}
+
+func put[V any](m map[int]V, k int, v V) map[int]V {
+	if m == nil {
+		m = map[int]V{}
+	}
+	m[k] = v
+	return m
+}
+
+// Expired removes jobs that ended long ago from the core and returns their
+// ids, at most n, for removal from the store.
+func (c *Core) Expired(n int, now time.Time) []job.ID {
+	var out []job.ID
+	for id, j := range c.jobs {
+		if len(out) == n {
+			break
+		}
+		if !j.state.Final() || j.written < j.version || now.Sub(j.endedAt) < 2*c.opt.KeepStatus {
+			continue
+		}
+		if c.occupied(j) {
+			continue
+		}
+		delete(c.jobs, id)
+		out = append(out, id)
+	}
+	return out
+}
+
+func (c *Core) occupied(j *jobState) bool {
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if len(t.runs) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/jobs/owner/orders.go
@@ -0,0 +1,176 @@
+package owner
+
+import (
+	"time"
+)
+
+// Retries of orders.
+const (
+	// startTries is how often a start is sent before its run is given up and
+	// fenced off by a stop: an unanswered order takes the shell's timeout each.
+	startTries = 2
+	// stopRetry is the pause before an unanswered stop is sent again.
+	stopRetry = 100 * time.Millisecond
+	// noRoomPause is how long a worker gets no tasks after it refused one for
+	// want of room: its ends are known by then.
+	noRoomPause = 100 * time.Millisecond
+)
+
+func (c *Core) sendStart(r *run, now time.Time) {
+	r.sentAt = now
+	r.tries++
+	c.out.Starts = append(c.out.Starts, Start{
+		Target:     c.target(r.worker),
+		Task:       r.task.id(),
+		Run:        r.number,
+		Payload:    r.task.step.job.spec.Payload,
+		Until:      r.worker.lease.grant(c.opt.TaskLease, now),
+		Checkpoint: r.task.checkpoint,
+	})
+}
+
+// OnStarted takes a worker's answer to a start.
+func (c *Core) OnStarted(o Start, a Answer, now time.Time) {
+	w := c.workers[o.Worker]
+	if w == nil {
+		return
+	}
+	w.lease.heard(a.Clock, now)
+	r := w.runs[o.Task]
+	if r == nil || r.number != o.Run {
+		c.afterLateAnswer(w, o, a, now)
+		return
+	}
+	switch a.Outcome {
+	case Taken:
+		if r.phase == starting {
+			r.phase = running
+			r.ackedAt = now
+			r.movedAt = now
+		}
+		return
+	case Fenced:
+		c.fence(w)
+		return
+	case OtherBoot:
+		c.lifeOver(w, "another life answers at its address", now)
+		return
+	case Unanswered:
+		c.startUnanswered(r, a, now)
+		return
+	}
+	c.counts.Refused++
+	c.note(Decision{Event: "start-refused", Job: o.Task.Job, Task: o.Task.String(), Worker: w.Worker, Run: o.Run, Reason: reasonOf(a)})
+	if r.phase != starting {
+		return
+	}
+	switch a.Outcome {
+	case NoRoom:
+		w.avoidUntil = later(w.avoidUntil, now.Add(noRoomPause))
+	case Unhealthy:
+		w.avoidUntil = later(w.avoidUntil, now.Add(unhealthyPause))
+	case Invalid:
+		r.task.notBefore = now.Add(time.Second)
+	}
+	if r.lost {
+		c.stop(r, "an earlier order for it may still arrive", now)
+		return
+	}
+	c.release(r)
+}
+
+// afterLateAnswer handles the answer to a start whose run was freed meanwhile.
+func (c *Core) afterLateAnswer(w *worker, o Start, a Answer, now time.Time) {
+	if a.Outcome == Taken {
+		// Listed by the next hold, which decides.
+		c.note(Decision{Event: "late-answer", Job: o.Task.Job, Task: o.Task.String(), Worker: w.Worker, Run: o.Run})
+	}
+}
+
+func (c *Core) startUnanswered(r *run, a Answer, now time.Time) {
+	if r.phase != starting {
+		return
+	}
+	r.lost = true
+	id := r.task.id()
+	c.note(Decision{Event: "start-unanswered", Job: id.Job, Task: id.String(), Worker: r.worker.Worker, Run: r.number, Reason: reasonOf(a)})
+	if r.tries < startTries && !r.task.done {
+		c.sendStart(r, now)
+		return
+	}
+	c.stop(r, "its start was not answered", now)
+}
+
+// stop ends a run. Its room is free once its end is listed.
+func (c *Core) stop(r *run, reason string, now time.Time) {
+	if r.phase == stopping {
+		return
+	}
+	r.phase = stopping
+	r.reason = reason
+	r.ackedAt = time.Time{}
+	c.note(Decision{Event: "run-stopped", Job: r.task.step.job.spec.ID, Task: r.task.id().String(), Worker: r.worker.Worker, Run: r.number, Reason: reason})
+	c.sendStop(r, now)
+}
+
+func (c *Core) sendStop(r *run, now time.Time) {
+	r.sentAt = now
+	c.out.Stops = append(c.out.Stops, Stop{Target: c.target(r.worker), Task: r.task.id(), Run: r.number})
+}
+
+// OnStopped takes a worker's answer to a stop.
+func (c *Core) OnStopped(o Stop, a Answer, now time.Time) {
+	w := c.workers[o.Worker]
+	if w == nil {
+		return
+	}
+	w.lease.heard(a.Clock, now)
+	switch a.Outcome {
+	case Fenced:
+		c.fence(w)
+		return
+	case OtherBoot:
+		c.lifeOver(w, "another life answers at its address", now)
+		return
+	}
+	r := w.runs[o.Task]
+	if r == nil || r.number != o.Run || r.phase != stopping {
+		return
+	}
+	if a.Outcome == Taken || a.Outcome == RunTooOld {
+		r.ackedAt = now
+		return
+	}
+	r.sentAt = now
+	r.ackedAt = time.Time{}
+	r.tries++
+}
+
+// resendStops sends unanswered stops again.
+func (c *Core) resendStops(now time.Time) {
+	for _, w := range c.workers {
+		if w.gone {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.phase == stopping && r.ackedAt.IsZero() && now.Sub(r.sentAt) > c.stopPause() {
+				c.sendStop(r, now)
+			}
+		}
+	}
+}
+
+// stopPause is longer than the shell waits for an answer, so that one stop at
+// a time is under way.
+func (c *Core) stopPause() time.Duration { return OrderTimeout + stopRetry }
+
+// OrderTimeout is how long the shell waits for the answer to a start or stop:
+// some hundred round trips, and short against the time of a small task.
+const OrderTimeout = 400 * time.Millisecond
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/jobs/owner/schedule.go
@@ -0,0 +1,261 @@
+package owner
+
+import (
+	"sort"
+	"time"
+
+	"github.com/postmount/postmount/jobs/placement"
+)
+
+// band orders jobs before all else.
+type band int
+
+const (
+	bandLasting band = iota // long-running: they serve users all the time
+	bandInTime              // can still meet their objective
+	bandLate
+)
+
+// claim is a job with tasks to place, and its place in the order.
+type claim struct {
+	job      *jobState
+	band     band
+	priority int
+	work     float64 // least remaining work first
+}
+
+func (c *Core) claimOf(j *jobState, now time.Time) claim {
+	cl := claim{job: j, band: bandInTime, priority: j.queue.Priority, work: j.remainingWork()}
+	switch {
+	case j.spec.Steps[0].LongRunning:
+		cl.band = bandLasting
+	case now.Add(j.remainingChain()).After(j.deadline()):
+		cl.band = bandLate
+	}
+	return cl
+}
+
+func (a claim) before(b claim) bool {
+	if a.band != b.band {
+		return a.band < b.band
+	}
+	if a.priority != b.priority {
+		return a.priority < b.priority
+	}
+	if a.work != b.work {
+		return a.work < b.work
+	}
+	return a.job.spec.ID < b.job.spec.ID
+}
+
+// schedule places waiting tasks of the services in which something changed.
+func (c *Core) schedule(now time.Time) {
+	if c.fenced {
+		return
+	}
+	for service := range c.changed {
+		delete(c.changed, service)
+		c.scheduleService(service, now)
+	}
+}
+
+func (c *Core) scheduleService(service string, now time.Time) {
+	var claims []claim
+	for _, j := range c.open {
+		if j.service == service && !j.state.Final() && waits(j, now) {
+			claims = append(claims, c.claimOf(j, now))
+		}
+	}
+	pool := c.pool(service)
+	pool.waiting = 0
+	if len(claims) == 0 {
+		return
+	}
+	sort.Slice(claims, func(a, b int) bool { return claims[a].before(claims[b]) })
+	known := c.certain(service, now)
+	room := c.roomOf(service, now)
+	for _, cl := range claims {
+		if cl.job.inherited && !known {
+			continue
+		}
+		for _, s := range cl.job.steps {
+			if s.ready() {
+				c.placeStep(s, room, pool, now)
+			}
+		}
+	}
+}
+
+// waits reports whether the job has a task to place.
+func waits(j *jobState, now time.Time) bool {
+	for _, s := range j.steps {
+		if !s.ready() {
+			continue
+		}
+		for _, t := range s.tasks {
+			if t.waits(now) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+func (t *task) waits(now time.Time) bool {
+	return !t.done && len(t.runs) == 0 && !now.Before(t.notBefore)
+}
+
+// roomView is the workers of a service as placement sees them.
+type roomView struct {
+	workers []*worker
+	views   []placement.Worker
+}
+
+func (c *Core) roomOf(service string, now time.Time) *roomView {
+	v := &roomView{}
+	for _, w := range c.workers {
+		if w.Service == service && w.usable(now) {
+			v.workers = append(v.workers, w)
+		}
+	}
+	sort.Slice(v.workers, func(a, b int) bool { return v.workers[a].Worker < v.workers[b].Worker })
+	for _, w := range v.workers {
+		pw := placement.Worker{Room: w.Room, Free: w.free(), Rack: w.Rack, Labels: w.Labels}
+		if failed, _ := w.ends.count(now); failed > 0 {
+			pw.Suspect = failed >= failuresToAvoid
+		}
+		for _, r := range w.runs {
+			if r.task.step.spec.Filler {
+				pw.Fillers++
+			}
+			if r.task.step.spec.LatencyTarget > 0 {
+				pw.Serving++
+			}
+		}
+		v.views = append(v.views, pw)
+	}
+	return v
+}
+
+// countOf sets how many tasks of the step run on each worker.
+func (v *roomView) countOf(s *stepState) {
+	for i, w := range v.workers {
+		v.views[i].Mine = 0
+		for _, r := range w.runs {
+			if r.task.step == s {
+				v.views[i].Mine++
+			}
+		}
+	}
+}
+
+func requestOf(s *stepState) placement.Request {
+	return placement.Request{
+		Need:          s.spec.Occupies(),
+		Filler:        s.spec.Filler,
+		Serving:       s.spec.LatencyTarget > 0,
+		RequiredLabel: s.spec.RequiredLabel,
+		PreferredRack: s.spec.PreferredRack,
+		MaxPerWorker:  s.spec.MaxPerWorker,
+	}
+}
+
+func (c *Core) placeStep(s *stepState, room *roomView, pool *poolState, now time.Time) {
+	req := requestOf(s)
+	room.countOf(s)
+	if s.spec.Gang {
+		c.placeGang(s, req, room, pool, now)
+		return
+	}
+	for _, t := range s.tasks {
+		if !t.waits(now) {
+			continue
+		}
+		i := placement.Choose(room.views, req)
+		if i < 0 {
+			pool.wait(s, countWaiting(s, now))
+			return
+		}
+		placement.Take(&room.views[i], &req)
+		c.start(t, room.workers[i], c.nextRun(), now)
+	}
+}
+
+func countWaiting(s *stepState, now time.Time) int {
+	n := 0
+	for _, t := range s.tasks {
+		if t.waits(now) {
+			n++
+		}
+	}
+	return n
+}
+
+// placeGang starts all tasks of a gang under one run number, or none.
+func (c *Core) placeGang(s *stepState, req placement.Request, room *roomView, pool *poolState, now time.Time) {
+	for _, t := range s.tasks {
+		if !t.waits(now) {
+			return
+		}
+	}
+	chosen := placement.ChooseGang(room.views, req, len(s.tasks), s.spec.SameRack)
+	if chosen == nil {
+		pool.wait(s, len(s.tasks))
+		return
+	}
+	number := c.nextRun()
+	for n, i := range chosen {
+		placement.Take(&room.views[i], &req)
+		c.start(s.tasks[n], room.workers[i], number, now)
+	}
+}
+
+func (c *Core) nextRun() uint64 {
+	c.lastRun++
+	return c.lastRun
+}
+
+func (c *Core) start(t *task, w *worker, number uint64, now time.Time) {
+	r := &run{task: t, number: number, worker: w, phase: starting, throttle: 100}
+	t.runs = append(t.runs, r)
+	w.runs[t.id()] = r
+	t.step.job.begun = true
+	c.counts.Starts++
+	c.sendStart(r, now)
+}
+
+// Tick does what is due by now: it ends leases, sends holds and retries,
+// begins occurrences, and places tasks.
+func (c *Core) Tick(now time.Time) {
+	c.expireLeases(now)
+	c.expireStrangers(now)
+	c.resendStops(now)
+	c.endStalls(now)
+	c.holdDue(now)
+	for _, j := range c.open {
+		if j.nextOcc < j.spec.Occurrences() && !j.state.Final() {
+			c.beginDue(j, now)
+		}
+	}
+	c.pace(now)
+	c.maintain(now)
+	c.size(now)
+	c.recheck(now)
+	c.schedule(now)
+}
+
+// recheck looks again at services whose waiting tasks may go on because time
+// has passed.
+func (c *Core) recheck(now time.Time) {
+	for _, j := range c.open {
+		if !j.state.Final() && waits(j, now) {
+			c.changed[j.service] = true
+		}
+	}
+}
+
+// React sends what an event made possible, without waiting for the next tick.
+func (c *Core) React(now time.Time) {
+	c.holdDue(now)
+	c.schedule(now)
+}
--- /dev/null
+++ b/jobs/owner/state.go
@@ -0,0 +1,285 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// Options are the figures that the core works with.
+type Options struct {
+	Node         string
+	Term         uint64        // number of this ownership; rises with each owner
+	TaskLease    time.Duration // how long a worker's tasks live without renewal
+	HoldWait     time.Duration // how long a hold waits for an end
+	DutyHandover time.Duration // no duty is done so long after a change of owner
+	KeepStatus   time.Duration // how long ended jobs are kept
+	HarmLimit    time.Duration // a serving task must not be over its target so long
+}
+
+// termRuns is how many runs an owner can start in one term.
+const termRuns = 1_000_000
+
+// run is one attempt of a task on a worker.
+type run struct {
+	task     *task
+	number   uint64
+	worker   *worker
+	phase    phase
+	sentAt   time.Time // last order for it
+	tries    int       // orders sent without an answer
+	ackedAt  time.Time // when the worker confirmed the start, or the stop
+	percent  int
+	movedAt  time.Time // when percent last changed
+	usage    int
+	throttle int  // percent of its speed that was ordered; 100 at the start
+	lost     bool // an order for it went unanswered; it may arrive late
+	reason   string
+}
+
+type phase int
+
+const (
+	starting phase = iota // ordered, not confirmed
+	running
+	stopping // to be ended, its room is not free yet
+)
+
+// task is one task of a step of an occurrence.
+type task struct {
+	step       *stepState
+	index      int
+	done       bool
+	attempts   int // that failed
+	checkpoint string
+	runs       []*run
+	notBefore  time.Time // backoff after a failure
+	placedNone bool      // no worker can ever take it
+}
+
+func (t *task) id() job.TaskID {
+	return job.TaskID{Job: t.step.job.spec.ID, Occurrence: t.step.occurrence, Step: t.step.index, Index: t.index}
+}
+
+// live returns the run that works for the task, nil if there is none.
+func (t *task) live() *run {
+	for _, r := range t.runs {
+		if r.phase != stopping {
+			return r
+		}
+	}
+	return nil
+}
+
+func (t *task) findRun(number uint64, w *worker) *run {
+	for _, r := range t.runs {
+		if r.number == number && r.worker == w {
+			return r
+		}
+	}
+	return nil
+}
+
+// atWork reports whether a long-running task serves.
+func (t *task) atWork() bool {
+	for _, r := range t.runs {
+		if r.phase == running && r.percent >= 100 {
+			return true
+		}
+	}
+	return false
+}
+
+// stepState is one step of one occurrence.
+type stepState struct {
+	job        *jobState
+	spec       *job.Step
+	occurrence int
+	index      int
+	tasks      []*task
+	left       int // tasks that are not done
+	blocked    int // earlier steps that are not done
+	gangFails  int
+}
+
+func (s *stepState) ready() bool { return s.blocked == 0 && s.left > 0 }
+
+// jobState is a job and what became of it.
+type jobState struct {
+	spec      *job.Job
+	queue     job.Queue // newest known settings of its queue
+	service   string
+	steps     []*stepState // in the order occurrence, step
+	nextOcc   int          // first occurrence that has not begun
+	state     job.State
+	begun     bool // a task was started
+	cancelled bool
+	endedAt   time.Time
+	inherited bool   // accepted before this term
+	version   uint64 // rises with each change that has to be kept
+	written   uint64 // newest version in the store
+	flying    uint64 // version in the transaction under way
+	chain     time.Duration
+	work      float64 // core-seconds by the estimates, for the order of jobs
+}
+
+func (j *jobState) step(occurrence, index int) *stepState {
+	n := occurrence*len(j.spec.Steps) + index
+	if occurrence < 0 || index < 0 || index >= len(j.spec.Steps) || n >= len(j.steps) {
+		return nil
+	}
+	return j.steps[n]
+}
+
+// unackedEnd is an end that the worker may forget once version of job is kept.
+type unackedEnd struct {
+	number  uint64
+	job     *jobState
+	version uint64
+}
+
+// worker is one life of a worker and what it may be running.
+type worker struct {
+	Registration
+	lease        workerLease
+	held         bool      // answered a hold with our token
+	registered   bool      // in the newest list of registrations
+	missingSince time.Time // when it was first missing there
+	gone         bool      // this life has ended for certain
+	holding      bool      // a hold is under way
+	holdSent     time.Time
+	nextHold     time.Time
+	silentSince  time.Time // no hold was answered since; zero: answered
+	runs         map[job.TaskID]*run
+	strangers    map[job.TaskID]stranger // runs of jobs that are not known yet
+	seen         uint64                  // highest end that was handled
+	acked        uint64                  // highest end that may be forgotten
+	unacked      []unackedEnd
+	waiting      map[uint64]waitingEnd // ends of jobs that are not known yet
+	avoidUntil   time.Time             // no new tasks until then
+	ends         endWindow             // recent ends, to find bad workers
+	nextPace     time.Time
+	penalty      time.Duration
+	reservedAt   time.Time
+	reserved     string // why it gets no new tasks: a wave or a move
+}
+
+type stranger struct {
+	run   uint64
+	since time.Time
+}
+
+type waitingEnd struct {
+	end   End
+	since time.Time
+}
+
+// free returns the room that no run occupies, as far as is known.
+func (w *worker) free() job.Resources {
+	room := w.Room
+	for _, r := range w.runs {
+		room = room.Sub(r.task.step.spec.Occupies())
+	}
+	return room
+}
+
+// usable reports whether new tasks may be placed on the worker.
+func (w *worker) usable(now time.Time) bool {
+	return w.held && w.registered && !w.gone && !w.Draining && w.lease.known &&
+		w.reserved == "" && w.silentSince.IsZero() && !now.Before(w.avoidUntil)
+}
+
+// Core is the state of the owner of all jobs.
+type Core struct {
+	opt       Options
+	token     uint64
+	lastRun   uint64
+	catalog   *job.Catalog
+	jobs      map[job.ID]*jobState
+	open      map[job.ID]*jobState // not final, or not written as final
+	workers   map[WorkerID]*worker
+	instances map[InstanceID]*Instance
+	lives     map[WorkerID]InstanceID
+	waves     map[int]*waveState
+	pools     map[string]*poolState
+	dirty     map[job.ID]*jobState
+	changed   map[string]bool // services with something to place
+	out       Effects
+	startedAt time.Time
+	listedAt  time.Time // newest list of registrations
+	settleAt  time.Time // missing registrations count as gone from then on
+	instAt    time.Time // newest instance list
+	fenced    bool
+	dutyLost  time.Time // zero: the store's lease is held
+	events    []Decision
+	counts    Counts
+}
+
+// Counts are totals since the start of the term.
+type Counts struct {
+	Starts, Refused, Failed, Lapsed, Lost, Stopped, Done, Commits int64
+}
+
+// Decision is a line for the log: what was decided about a job, a worker or an
+// instance, and why.
+type Decision struct {
+	Event  string // one word for the kind of decision
+	Job    job.ID
+	Task   string
+	Worker WorkerID
+	Run    uint64
+	Reason string
+}
+
+func (c *Core) note(d Decision) { c.events = append(c.events, d) }
+
+// TakeDecisions returns the decisions since the last call.
+func (c *Core) TakeDecisions() []Decision {
+	out := c.events
+	c.events = nil
+	return out
+}
+
+// Take returns the effects since the last call.
+func (c *Core) Take() Effects {
+	out := c.out
+	c.out = Effects{}
+	return out
+}
+
+// Fenced reports whether a worker has seen a higher fencing token: another
+// daemon is the owner.
+func (c *Core) Fenced() bool { return c.fenced }
+
+// New returns a core for a term that begins at now. loaded are all jobs in the
+// store at that time.
+func New(opt Options, catalog *job.Catalog, loaded []Loaded, now time.Time) *Core {
+	c := &Core{
+		opt:       opt,
+		token:     opt.Term,
+		lastRun:   opt.Term * termRuns,
+		catalog:   catalog,
+		jobs:      map[job.ID]*jobState{},
+		open:      map[job.ID]*jobState{},
+		workers:   map[WorkerID]*worker{},
+		instances: map[InstanceID]*Instance{},
+		lives:     map[WorkerID]InstanceID{},
+		waves:     map[int]*waveState{},
+		pools:     map[string]*poolState{},
+		dirty:     map[job.ID]*jobState{},
+		changed:   map[string]bool{},
+		startedAt: now,
+		settleAt:  now,
+	}
+	for _, l := range loaded {
+		c.load(l, now)
+	}
+	return c
+}
+
+// Loaded is a job as the store holds it.
+type Loaded struct {
+	Job       *job.Job
+	Progress  *job.Progress // nil: none was written
+	Cancelled bool
+}
--- /dev/null
+++ b/jobs/owner/types.go
@@ -0,0 +1,241 @@
+// Package owner schedules all jobs of the fleet while this daemon is their
+// owner. Core is a state machine: events in, effects out, with the time as an
+// argument; it does no I/O and starts no goroutine.
+package owner
+
+import (
+	"context"
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// WorkerID names one life of a worker: a restart gives it a new one.
+type WorkerID string
+
+// InstanceID names an instance over all lives of its worker.
+type InstanceID string
+
+// Registration is what a worker says of itself in the store.
+type Registration struct {
+	Worker   WorkerID
+	Service  string
+	Addr     string
+	Zone     string
+	Rack     string
+	Labels   []string
+	Room     job.Resources
+	Draining bool
+}
+
+// InstanceState is where an instance is in its life.
+type InstanceState int
+
+// The states of an instance.
+const (
+	InstanceUnknown InstanceState = iota
+	InstanceUp
+	InstanceMoving
+	InstanceMaintained
+	InstanceDown
+)
+
+// Instance is an entry of the platform's instance list.
+type Instance struct {
+	ID     InstanceID
+	Pool   string
+	State  InstanceState
+	Zone   string
+	Rack   string
+	Worker WorkerID // of its present life; "" if there is none
+}
+
+// WaveRequest is an operators' request for the maintenance of instances.
+type WaveRequest struct {
+	Wave      int
+	Instances []InstanceID
+	Within    time.Duration // from the request to the last instance
+	MaxDown   int           // instances of the wave down at the same time
+}
+
+// Target is the worker that an order is meant for.
+type Target struct {
+	Worker WorkerID
+	Addr   string
+	Token  uint64 // fencing token of the owner
+}
+
+// Start orders a worker to run a task.
+type Start struct {
+	Target
+	Task       job.TaskID
+	Run        uint64
+	Payload    string
+	Until      int64 // end of the worker's lease, on the worker's clock, in ms
+	Checkpoint string
+	Ticket     string
+}
+
+// Stop orders a worker to end a run, or never to begin it.
+type Stop struct {
+	Target
+	Task job.TaskID
+	Run  uint64
+}
+
+// Throttle lets a run work at a share of its speed.
+type Throttle struct {
+	Target
+	Task    job.TaskID
+	Run     uint64
+	Percent int
+}
+
+// Hold renews a worker's lease, acknowledges ends and asks what runs.
+type Hold struct {
+	Target
+	Until       int64  // as in Start; 0: do not renew
+	Acknowledge uint64 // ends up to this number are recorded and may be forgotten
+	Wait        time.Duration
+}
+
+// Outcome is how a worker met an order.
+type Outcome int
+
+// The outcomes of an order. Only Unanswered leaves open whether it was, or
+// will be, carried out.
+const (
+	Unanswered Outcome = iota
+	Taken
+	Fenced    // a higher fencing token was seen there
+	RunTooOld // this or a higher run was stopped or ended there
+	LeaseOver // the order's lease had already ended
+	NoRoom
+	BadTicket
+	OtherBoot // another life of the worker answered
+	Unhealthy // the worker refuses work at present
+	Invalid
+)
+
+var outcomeNames = [...]string{"unanswered", "taken", "fenced", "run-too-old", "lease-over", "no-room", "bad-ticket", "other-boot", "unhealthy", "invalid"}
+
+// String returns the outcome's name in logs and metrics.
+func (o Outcome) String() string { return outcomeNames[o] }
+
+// Answer is a worker's answer to an order.
+type Answer struct {
+	Outcome Outcome
+	Clock   int64 // the worker's clock when it answered, in ms; 0: not told
+	Err     error // why there is no answer
+}
+
+// ActiveRun is a run that a worker lists as running.
+type ActiveRun struct {
+	Task       job.TaskID
+	Run        uint64
+	Checkpoint string
+	Percent    int // of its work; a long-running task is at work at 100
+	Usage      int // tail latency in ms of a serving task, else thousandths of a core in use
+}
+
+// EndKind is how a run ended.
+type EndKind int
+
+// The kinds of ends.
+const (
+	EndDone EndKind = iota
+	EndFailed
+	EndStopped
+	EndLapsed
+	EndPeerEnded      // another member of its gang ended
+	EndGangIncomplete // the other members of its gang did not come
+)
+
+var endNames = [...]string{"done", "failed", "stopped", "lapsed", "peer-ended", "gang-incomplete"}
+
+// String returns the kind's name in logs and metrics.
+func (k EndKind) String() string { return endNames[k] }
+
+// End is a run that a worker lists as ended.
+type End struct {
+	Number     uint64 // rises within one life of the worker
+	Task       job.TaskID
+	Run        uint64
+	Kind       EndKind
+	Checkpoint string
+}
+
+// Held is a worker's answer to a Hold.
+type Held struct {
+	Answer
+	Active []ActiveRun
+	Ends   []End
+}
+
+// Workers sends orders to workers.
+type Workers interface {
+	Start(ctx context.Context, o Start) Answer
+	Stop(ctx context.Context, o Stop) Answer
+	Throttle(ctx context.Context, o Throttle) Answer
+	Hold(ctx context.Context, o Hold) Held
+}
+
+// Duty identifies the holder of the duty of moves and maintenance.
+type Duty struct {
+	Holder string
+	Token  uint64
+}
+
+// DutyOutcome is how the platform met an order for an instance.
+type DutyOutcome int
+
+// The outcomes of an order for an instance.
+const (
+	DutyUnanswered DutyOutcome = iota
+	DutyDone
+	DutyFenced  // a higher fencing token was seen
+	DutyRefused // the instance is busy, or the order does not apply to it
+	DutyInvalid // no such instance or pool
+)
+
+// InstanceManager lists instances and acts on them.
+type InstanceManager interface {
+	Instances(ctx context.Context) ([]Instance, error)
+	Move(ctx context.Context, d Duty, id InstanceID, pool string) DutyOutcome
+	Maintain(ctx context.Context, d Duty, id InstanceID, wave int) DutyOutcome
+}
+
+// Record is a job's progress to be written to the store.
+type Record struct {
+	ID       job.ID
+	Progress job.Progress
+	version  uint64
+}
+
+// MoveOrder moves an instance to a pool, or maintains it for a wave.
+type MoveOrder struct {
+	Instance InstanceID
+	Pool     string // if it is to be moved
+	Wave     int    // if it is to be maintained
+}
+
+// WaveStatus is the state of a wave for the operators.
+type WaveStatus struct {
+	Wave int
+	Done bool
+}
+
+// Effects are what the shell has to carry out, in any order.
+type Effects struct {
+	Starts    []Start
+	Stops     []Stop
+	Throttles []Throttle
+	Holds     []Hold
+	Instances []MoveOrder
+	Waves     []WaveStatus
+}
+
+// Empty reports whether there is nothing to carry out.
+func (e *Effects) Empty() bool {
+	return len(e.Starts)+len(e.Stops)+len(e.Throttles)+len(e.Holds)+len(e.Instances)+len(e.Waves) == 0
+}
--- /dev/null
+++ b/jobs/owner/workers.go
@@ -0,0 +1,508 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// Times of the watch over workers.
+const (
+	// outage is a gap between lists of registrations that counts as an outage of
+	// the store: three missed reads of 400 ms.
+	outage = 1500 * time.Millisecond
+	// settleTime is how long after an outage missing registrations may come
+	// back: the platform's page says about 2 s.
+	settleTime = 2200 * time.Millisecond
+	// holdRetry is the pause after a hold without an answer.
+	holdRetry = 150 * time.Millisecond
+	// ackWait is how long the next hold waits for the ends of the last one to be
+	// recorded, before it looks again without acknowledging them.
+	ackWait = 300 * time.Millisecond
+	// strangerWait is how long a run of an unknown job is left alone. A job is
+	// known within the delay of the store's watch, a second in its worst hour.
+	strangerWait = 4 * time.Second
+	// unhealthyPause is how long a worker that refuses work gets none.
+	unhealthyPause = 500 * time.Millisecond
+)
+
+// Register takes the newest list of registrations.
+func (c *Core) Register(list []Registration, now time.Time) {
+	if !c.listedAt.IsZero() && now.Sub(c.listedAt) > outage {
+		c.settleAt = now.Add(settleTime)
+		c.note(Decision{Event: "registrations-back", Reason: now.Sub(c.listedAt).String()})
+	}
+	c.listedAt = now
+	present := map[WorkerID]bool{}
+	for _, r := range list {
+		present[r.Worker] = true
+		c.registerOne(r, now)
+	}
+	for id, w := range c.workers {
+		if present[id] {
+			continue
+		}
+		if w.missingSince.IsZero() {
+			w.missingSince = now
+		}
+		if w.registered && !now.Before(c.settleAt) {
+			w.registered = false
+			c.note(Decision{Event: "worker-unregistered", Worker: id})
+		}
+	}
+}
+
+func (c *Core) registerOne(r Registration, now time.Time) {
+	w := c.workers[r.Worker]
+	if w == nil {
+		w = &worker{
+			runs:      map[job.TaskID]*run{},
+			strangers: map[job.TaskID]stranger{},
+			waiting:   map[uint64]waitingEnd{},
+		}
+		c.workers[r.Worker] = w
+		c.note(Decision{Event: "worker-new", Worker: r.Worker, Reason: r.Service})
+	}
+	if r.Draining && !w.Draining {
+		c.note(Decision{Event: "worker-draining", Worker: r.Worker})
+	}
+	if w.Service != r.Service {
+		c.changed[w.Service] = true
+	}
+	w.Registration = r
+	w.registered = true
+	w.missingSince = time.Time{}
+	c.changed[r.Service] = true
+}
+
+// target returns the address of an order to w.
+func (c *Core) target(w *worker) Target {
+	return Target{Worker: w.Worker, Addr: w.Addr, Token: c.token}
+}
+
+// holdDue sends the holds whose time has come.
+func (c *Core) holdDue(now time.Time) {
+	for _, w := range c.workers {
+		if w.holding || w.gone || now.Before(w.nextHold) {
+			continue
+		}
+		wait := c.opt.HoldWait
+		if !w.held || !w.silentSince.IsZero() || len(w.unacked) > 0 {
+			wait = 0
+		}
+		w.holding = true
+		w.holdSent = now
+		c.out.Holds = append(c.out.Holds, Hold{
+			Target:      c.target(w),
+			Until:       w.lease.grant(c.opt.TaskLease, now),
+			Acknowledge: w.acked,
+			Wait:        wait,
+		})
+	}
+}
+
+// OnHeld takes a worker's answer to a hold.
+func (c *Core) OnHeld(id WorkerID, h Held, now time.Time) {
+	w := c.workers[id]
+	if w == nil {
+		return
+	}
+	w.holding = false
+	w.lease.heard(h.Clock, now)
+	switch h.Outcome {
+	case Taken:
+	case Fenced:
+		c.fence(w)
+		return
+	case OtherBoot:
+		c.lifeOver(w, "another life answers at its address", now)
+		return
+	default:
+		if w.silentSince.IsZero() {
+			w.silentSince = now
+			c.note(Decision{Event: "worker-silent", Worker: id, Reason: reasonOf(h.Answer)})
+		}
+		w.nextHold = now.Add(holdRetry)
+		return
+	}
+	if !w.silentSince.IsZero() {
+		c.note(Decision{Event: "worker-answers", Worker: id, Reason: now.Sub(w.silentSince).String()})
+		w.silentSince = time.Time{}
+	}
+	first := !w.held
+	w.held = true
+	for _, e := range h.Ends {
+		if e.Number > w.seen {
+			w.seen = e.Number
+			c.onEnd(w, e, now)
+		}
+	}
+	c.onActive(w, h.Active, now)
+	w.advanceAck(now)
+	w.nextHold = now
+	if len(w.unacked) > 0 {
+		w.nextHold = now.Add(ackWait)
+	}
+	if first {
+		c.note(Decision{Event: "worker-held", Worker: id, Reason: w.Service})
+	}
+	c.changed[w.Service] = true
+}
+
+func reasonOf(a Answer) string {
+	if a.Err != nil {
+		return a.Outcome.String() + ": " + a.Err.Error()
+	}
+	return a.Outcome.String()
+}
+
+func (c *Core) fence(w *worker) {
+	if c.fenced {
+		return
+	}
+	c.fenced = true
+	c.note(Decision{Event: "fenced", Worker: w.Worker, Reason: "a higher fencing token was seen there"})
+}
+
+// advanceAck moves the number up to which ends may be forgotten.
+func (w *worker) advanceAck(now time.Time) {
+	n := 0
+	for _, u := range w.unacked {
+		if u.job != nil && u.job.written < u.version {
+			break
+		}
+		if _, waits := w.waiting[u.number]; waits {
+			break
+		}
+		w.acked = u.number
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	w.unacked = w.unacked[n:]
+	if len(w.unacked) == 0 && w.nextHold.After(now) {
+		w.nextHold = now
+	}
+}
+
+// onEnd handles one end that a worker lists.
+func (c *Core) onEnd(w *worker, e End, now time.Time) {
+	j := c.jobs[e.Task.Job]
+	if j == nil {
+		w.waiting[e.Number] = waitingEnd{e, now}
+		w.unacked = append(w.unacked, unackedEnd{number: e.Number})
+		return
+	}
+	c.applyEnd(w, j, e, now)
+	w.unacked = append(w.unacked, unackedEnd{e.Number, j, j.version})
+}
+
+func (c *Core) applyEnd(w *worker, j *jobState, e End, now time.Time) {
+	delete(w.strangers, e.Task)
+	c.begin(j, e.Task.Occurrence)
+	s := j.step(e.Task.Occurrence, e.Task.Step)
+	if s == nil || e.Task.Index >= len(s.tasks) {
+		c.note(Decision{Event: "end-of-unknown-task", Task: e.Task.String(), Worker: w.Worker})
+		return
+	}
+	t := s.tasks[e.Task.Index]
+	r := t.findRun(e.Run, w)
+	j.begun = true
+	if r != nil {
+		c.release(r)
+	}
+	if j.state.Final() {
+		return
+	}
+	w.ends.add(e.Kind, now)
+	switch e.Kind {
+	case EndDone:
+		c.counts.Done++
+		c.onDone(t, now)
+	case EndFailed:
+		c.counts.Failed++
+		c.onFailed(w, t, e, now)
+	case EndStopped:
+		c.counts.Stopped++
+		c.keepCheckpoint(t, e.Checkpoint)
+	default:
+		c.counts.Lapsed++
+		c.keepCheckpoint(t, e.Checkpoint)
+		c.note(Decision{Event: "task-" + e.Kind.String(), Job: j.spec.ID, Task: e.Task.String(), Worker: w.Worker, Run: e.Run})
+	}
+	c.changed[j.service] = true
+}
+
+func (c *Core) onDone(t *task, now time.Time) {
+	s := t.step
+	if s.spec.LongRunning {
+		c.changed[s.job.service] = true
+		return
+	}
+	members := []*task{t}
+	if s.spec.Gang {
+		members = s.tasks
+	}
+	for _, m := range members {
+		c.complete(m)
+		for _, r := range m.runs {
+			c.stop(r, "the task is done", now)
+		}
+	}
+	c.touch(s.job)
+	c.finishIfDone(s.job, now)
+}
+
+// failureBackoff keeps a task that failed from using up its attempts at once
+// on one bad worker.
+const failureBackoff = 20 * time.Millisecond
+
+func (c *Core) onFailed(w *worker, t *task, e End, now time.Time) {
+	s := t.step
+	j := s.job
+	c.keepCheckpoint(t, e.Checkpoint)
+	c.note(Decision{Event: "task-failed", Job: j.spec.ID, Task: e.Task.String(), Worker: w.Worker, Run: e.Run})
+	c.judge(w, now)
+	if s.spec.LongRunning {
+		return
+	}
+	t.attempts++
+	t.notBefore = now.Add(failureBackoff)
+	attempts := t.attempts
+	if s.spec.Gang {
+		s.gangFails++
+		attempts = s.gangFails
+	}
+	c.touch(j)
+	if j.queue.MaxAttempts > 0 && attempts >= j.queue.MaxAttempts {
+		c.finish(j, job.Failed, now)
+	}
+}
+
+func (c *Core) keepCheckpoint(t *task, checkpoint string) {
+	if checkpoint == "" || checkpoint == t.checkpoint || t.done {
+		return
+	}
+	t.checkpoint = checkpoint
+	if t.step.spec.Gang {
+		for _, m := range t.step.tasks {
+			m.checkpoint = checkpoint
+		}
+	}
+	c.touch(t.step.job)
+}
+
+// release frees the room of a run that is over.
+func (c *Core) release(r *run) {
+	delete(r.worker.runs, r.task.id())
+	for i, o := range r.task.runs {
+		if o == r {
+			r.task.runs = append(r.task.runs[:i:i], r.task.runs[i+1:]...)
+			break
+		}
+	}
+	c.changed[r.worker.Service] = true
+	c.changed[r.task.step.job.service] = true
+}
+
+// onActive compares what a worker runs with what it should run.
+func (c *Core) onActive(w *worker, active []ActiveRun, now time.Time) {
+	listed := map[job.TaskID]bool{}
+	for _, a := range active {
+		listed[a.Task] = true
+		c.onActiveRun(w, a, now)
+	}
+	for id, r := range w.runs {
+		if listed[id] {
+			continue
+		}
+		confirmed := r.phase != starting && !r.ackedAt.IsZero() && w.holdSent.After(r.ackedAt)
+		if !confirmed {
+			continue
+		}
+		c.release(r) // its end was listed before, or it never began
+		if r.phase == running {
+			c.counts.Lost++
+			c.note(Decision{Event: "run-vanished", Job: id.Job, Task: id.String(), Worker: w.Worker, Run: r.number})
+		}
+	}
+	for id := range w.strangers {
+		if !listed[id] {
+			delete(w.strangers, id)
+		}
+	}
+}
+
+func (c *Core) onActiveRun(w *worker, a ActiveRun, now time.Time) {
+	r := w.runs[a.Task]
+	if r != nil && r.number == a.Run {
+		c.onProgress(r, a, now)
+		return
+	}
+	j := c.jobs[a.Task.Job]
+	if j == nil {
+		if _, known := w.strangers[a.Task]; !known {
+			w.strangers[a.Task] = stranger{a.Run, now}
+		}
+		return
+	}
+	c.adopt(w, j, a, now)
+}
+
+// adopt takes over a run that an earlier owner started, or stops it.
+func (c *Core) adopt(w *worker, j *jobState, a ActiveRun, now time.Time) {
+	delete(w.strangers, a.Task)
+	c.begin(j, a.Task.Occurrence)
+	s := j.step(a.Task.Occurrence, a.Task.Step)
+	if s == nil || a.Task.Index >= len(s.tasks) {
+		return
+	}
+	if a.Run > c.opt.Term*termRuns {
+		// Ours, but given up for certain. It must not go on.
+		c.note(Decision{Event: "run-unexpected", Job: j.spec.ID, Task: a.Task.String(), Worker: w.Worker, Run: a.Run})
+		c.out.Stops = append(c.out.Stops, Stop{Target: c.target(w), Task: a.Task, Run: a.Run})
+		return
+	}
+	t := s.tasks[a.Task.Index]
+	r := &run{task: t, number: a.Run, worker: w, phase: running, sentAt: now, ackedAt: now, movedAt: now, percent: a.Percent, throttle: 100}
+	other := t.live()
+	t.runs = append(t.runs, r)
+	w.runs[a.Task] = r
+	j.begun = true
+	switch {
+	case j.state.Final() || t.done:
+		c.stop(r, "its task is over", now)
+	case other != nil:
+		c.stop(r, "its task runs elsewhere", now)
+	default:
+		c.note(Decision{Event: "run-adopted", Job: j.spec.ID, Task: a.Task.String(), Worker: w.Worker, Run: a.Run})
+	}
+}
+
+func (c *Core) onProgress(r *run, a ActiveRun, now time.Time) {
+	r.lost = false
+	if r.phase == starting {
+		r.phase = running
+		r.ackedAt = now
+		r.movedAt = now
+	}
+	if a.Percent != r.percent {
+		r.percent = a.Percent
+		r.movedAt = now
+	}
+	r.usage = a.Usage
+	if a.Checkpoint != "" && r.task.step.spec.Checkpoints {
+		r.task.checkpoint = a.Checkpoint // kept in the store only when the run ends
+	}
+}
+
+// resolveStrangers handles what workers said of a job before it was known.
+func (c *Core) resolveStrangers(j *jobState, now time.Time) {
+	for _, w := range c.workers {
+		for n, we := range w.waiting {
+			if we.end.Task.Job != j.spec.ID {
+				continue
+			}
+			delete(w.waiting, n)
+			c.applyEnd(w, j, we.end, now)
+			for i := range w.unacked {
+				if w.unacked[i].number == n {
+					w.unacked[i].job, w.unacked[i].version = j, j.version
+				}
+			}
+		}
+		w.advanceAck(now)
+	}
+}
+
+// expireStrangers gives up on jobs that stay unknown: their runs are stopped
+// and their ends forgotten.
+func (c *Core) expireStrangers(now time.Time) {
+	for _, w := range c.workers {
+		for n, we := range w.waiting {
+			if now.Sub(we.since) > strangerWait {
+				delete(w.waiting, n)
+				c.note(Decision{Event: "end-of-unknown-job", Task: we.end.Task.String(), Worker: w.Worker})
+				w.advanceAck(now)
+			}
+		}
+		for id, s := range w.strangers {
+			if now.Sub(s.since) > strangerWait {
+				w.strangers[id] = stranger{s.run, now}
+				c.note(Decision{Event: "run-of-unknown-job", Task: id.String(), Worker: w.Worker, Run: s.run})
+				c.out.Stops = append(c.out.Stops, Stop{Target: c.target(w), Task: id, Run: s.run})
+			}
+		}
+	}
+}
+
+// lifeOver handles the certain end of a worker's life: nothing runs there.
+func (c *Core) lifeOver(w *worker, proof string, now time.Time) {
+	if w.gone {
+		return
+	}
+	w.gone = true
+	c.note(Decision{Event: "worker-gone", Worker: w.Worker, Reason: proof})
+	for _, r := range w.runs {
+		c.counts.Lost++
+		c.release(r)
+	}
+	for _, j := range c.open {
+		c.changed[j.service] = true
+	}
+}
+
+// expireLeases frees the runs of workers that are silent for longer than
+// every lease that they were given.
+func (c *Core) expireLeases(now time.Time) {
+	for id, w := range c.workers {
+		if w.gone || w.silentSince.IsZero() {
+			if w.gone && !w.registered && !w.holding {
+				delete(c.workers, id)
+			}
+			continue
+		}
+		if len(w.runs) > 0 && w.lease.over(now) {
+			c.note(Decision{Event: "leases-over", Worker: id, Reason: "silent for " + now.Sub(w.silentSince).String()})
+			for _, r := range w.runs {
+				c.counts.Lost++
+				c.release(r)
+			}
+		}
+		if !w.registered && len(w.runs) == 0 && now.Sub(w.silentSince) > c.opt.TaskLease*2 {
+			w.gone = true
+		}
+	}
+}
+
+// certain reports whether every run that an earlier owner may have started for
+// the service is known: each instance up in its pool answered our token, or
+// all its leases have run out.
+func (c *Core) certain(service string, now time.Time) bool {
+	if c.opt.Term == 1 {
+		return true
+	}
+	bound := time.Duration(float64(c.opt.TaskLease)/(1-workerClockSlow)) + leaseSlack
+	if now.Sub(c.startedAt) > bound {
+		return true
+	}
+	if c.instAt.IsZero() {
+		return false
+	}
+	for _, i := range c.instances {
+		if i.Pool != service || i.State != InstanceUp || i.Worker == "" {
+			continue
+		}
+		w := c.workers[i.Worker]
+		if w == nil || !w.held && !w.gone {
+			return false
+		}
+	}
+	for _, w := range c.workers {
+		if w.Service == service && !w.held && !w.gone {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/jobs/peer/peer.go
@@ -0,0 +1,219 @@
+// Package peer is the protocol between daemons: net/rpc over TCP. A daemon asks
+// the owner for the state of jobs, and another daemon to make a call to the
+// store for it.
+package peer
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/rpc"
+	"sync"
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/ledger"
+	"github.com/postmount/postmount/verdict"
+)
+
+// serviceName is the name of the methods on the wire.
+const serviceName = "Peer"
+
+// dialTimeout bounds opening a connection to a peer: some round trips.
+const dialTimeout = 400 * time.Millisecond
+
+// CodePeer says that a peer could not be asked.
+const CodePeer verdict.Code = "peer-unreachable"
+
+// StateRequest asks for the state of a job.
+type StateRequest struct{ Job job.ID }
+
+// StateReply is the owner's answer. Known is false for a job that it has not
+// heard of; Owner is false if the peer is not the owner.
+type StateReply struct {
+	Owner bool
+	Known bool
+	State job.State
+}
+
+// PendingRequest asks how many jobs of a queue wait for their first task.
+type PendingRequest struct{ Queue string }
+
+// PendingReply is the owner's answer.
+type PendingReply struct {
+	Owner bool
+	Count int
+}
+
+// CancelRequest tells the owner of a cancellation that is in the store.
+type CancelRequest struct{ Job job.ID }
+
+// Empty is a reply without content.
+type Empty struct{ Ignored bool }
+
+// Operation is a call to the store.
+type Operation int
+
+// The operations of a relay.
+const (
+	OpGet Operation = iota
+	OpRange
+	OpWatch
+	OpCommit
+	OpGrant
+	OpKeepAlive
+	OpEndLease
+)
+
+// RelayRequest is a call to the store for another daemon.
+type RelayRequest struct {
+	Op       Operation
+	Key      string // or prefix
+	After    string
+	Revision int64
+	Stale    bool
+	Wait     time.Duration // of a watch, or the time to live of a lease
+	Txn      ledger.Txn
+	Lease    ledger.LeaseID
+}
+
+// RelayReply is the store's answer. Message is empty if there was no error.
+type RelayReply struct {
+	Item    ledger.Item
+	Found   bool
+	Page    ledger.Page
+	Changes ledger.Changes
+	Result  ledger.TxnResult
+	Lease   ledger.LeaseID
+	Message string
+	Verdict verdict.Verdict
+	Code    verdict.Code
+}
+
+// Handler answers peers.
+type Handler interface {
+	State(r StateRequest) StateReply
+	Pending(r PendingRequest) PendingReply
+	Cancelled(r CancelRequest)
+	Relay(r RelayRequest) RelayReply
+}
+
+// server adapts a Handler to net/rpc's form of methods.
+type server struct{ h Handler }
+
+func (s *server) State(r StateRequest, out *StateReply) error {
+	*out = s.h.State(r)
+	return nil
+}
+
+func (s *server) Pending(r PendingRequest, out *PendingReply) error {
+	*out = s.h.Pending(r)
+	return nil
+}
+
+func (s *server) Cancelled(r CancelRequest, _ *Empty) error {
+	s.h.Cancelled(r)
+	return nil
+}
+
+func (s *server) Relay(r RelayRequest, out *RelayReply) error {
+	*out = s.h.Relay(r)
+	return nil
+}
+
+// Serve answers peers on l until it is closed.
+func Serve(l net.Listener, h Handler) error {
+	srv := rpc.NewServer()
+	if err := srv.RegisterName(serviceName, &server{h}); err != nil {
+		return err
+	}
+	srv.Accept(l)
+	return nil
+}
+
+// Client calls peers over one kept connection each.
+type Client struct {
+	mu    sync.Mutex
+	conns map[string]*rpc.Client
+}
+
+// NewClient returns a client without connections.
+func NewClient() *Client { return &Client{conns: map[string]*rpc.Client{}} }
+
+func (c *Client) conn(ctx context.Context, addr string) (*rpc.Client, error) {
+	c.mu.Lock()
+	conn := c.conns[addr]
+	c.mu.Unlock()
+	if conn != nil {
+		return conn, nil
+	}
+	d := net.Dialer{Timeout: dialTimeout}
+	raw, err := d.DialContext(ctx, "tcp", addr)
+	if err != nil {
+		return nil, verdict.Wrap(err, verdict.NotRun, CodePeer, "peer %s", addr)
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if other := c.conns[addr]; other != nil {
+		raw.Close()
+		return other, nil
+	}
+	conn = rpc.NewClient(raw)
+	c.conns[addr] = conn
+	return conn, nil
+}
+
+// drop closes a connection that failed.
+func (c *Client) drop(addr string, conn *rpc.Client) {
+	c.mu.Lock()
+	if c.conns[addr] == conn {
+		delete(c.conns, addr)
+	}
+	c.mu.Unlock()
+	conn.Close()
+}
+
+// call makes one call. A connection that is broken or does not answer in time
+// is closed.
+func (c *Client) call(ctx context.Context, addr, method string, req, reply any) error {
+	conn, err := c.conn(ctx, addr)
+	if err != nil {
+		return err
+	}
+	pending := conn.Go(serviceName+"."+method, req, reply, make(chan *rpc.Call, 1))
+	select {
+	case <-ctx.Done():
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			c.drop(addr, conn)
+		}
+		return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, CodePeer, "peer %s %s", addr, method)
+	case <-pending.Done:
+	}
+	if pending.Error == nil {
+		return nil
+	}
+	c.drop(addr, conn)
+	return verdict.Wrap(pending.Error, verdict.MayHaveRun, CodePeer, "peer %s %s", addr, method)
+}
+
+// State asks the peer at addr for the state of a job.
+func (c *Client) State(ctx context.Context, addr string, id job.ID) (StateReply, error) {
+	var out StateReply
+	err := c.call(ctx, addr, "State", StateRequest{id}, &out)
+	return out, err
+}
+
+// Pending asks the peer at addr for the length of a queue.
+func (c *Client) Pending(ctx context.Context, addr, queue string) (PendingReply, error) {
+	var out PendingReply
+	err := c.call(ctx, addr, "Pending", PendingRequest{queue}, &out)
+	return out, err
+}
+
+// Cancelled tells the peer at addr of a cancellation.
+func (c *Client) Cancelled(ctx context.Context, addr string, id job.ID) error {
+	return c.call(ctx, addr, "Cancelled", CancelRequest{id}, &Empty{})
+}
+
+// Store returns the store as the peer at addr reaches it.
+func (c *Client) Store(addr string) ledger.Store { return &relayed{c, addr} }
--- /dev/null
+++ b/jobs/peer/relay.go
@@ -0,0 +1,104 @@
+package peer
+
+import (
+	"context"
+	"time"
+
+	"github.com/postmount/postmount/jobs/ledger"
+	"github.com/postmount/postmount/verdict"
+)
+
+// relayTimeout bounds a call that is made for a peer.
+const relayTimeout = 1200 * time.Millisecond
+
+// relayed is the store by way of a peer.
+type relayed struct {
+	client *Client
+	addr   string
+}
+
+func (s *relayed) do(ctx context.Context, r RelayRequest) (RelayReply, error) {
+	ctx, cancel := context.WithTimeout(ctx, relayTimeout+r.Wait)
+	defer cancel()
+	var out RelayReply
+	if err := s.client.call(ctx, s.addr, "Relay", r, &out); err != nil {
+		return out, verdict.Wrap(err, verdict.Of(err), ledger.CodeStore, "store by a peer")
+	}
+	if out.Message != "" {
+		return out, verdict.New(out.Verdict, out.Code, "store by %s: %s", s.addr, out.Message)
+	}
+	return out, nil
+}
+
+func (s *relayed) Get(ctx context.Context, key string, stale bool) (ledger.Item, bool, error) {
+	out, err := s.do(ctx, RelayRequest{Op: OpGet, Key: key, Stale: stale})
+	return out.Item, out.Found, err
+}
+
+func (s *relayed) Range(ctx context.Context, prefix, after string, stale bool) (ledger.Page, error) {
+	out, err := s.do(ctx, RelayRequest{Op: OpRange, Key: prefix, After: after, Stale: stale})
+	return out.Page, err
+}
+
+func (s *relayed) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (ledger.Changes, error) {
+	out, err := s.do(ctx, RelayRequest{Op: OpWatch, Key: prefix, Revision: after, Wait: wait})
+	return out.Changes, err
+}
+
+func (s *relayed) Commit(ctx context.Context, t ledger.Txn) (ledger.TxnResult, error) {
+	out, err := s.do(ctx, RelayRequest{Op: OpCommit, Txn: t})
+	return out.Result, err
+}
+
+func (s *relayed) GrantLease(ctx context.Context, ttl time.Duration) (ledger.LeaseID, error) {
+	out, err := s.do(ctx, RelayRequest{Op: OpGrant, Wait: ttl})
+	return out.Lease, err
+}
+
+func (s *relayed) KeepAlive(ctx context.Context, id ledger.LeaseID) (bool, error) {
+	out, err := s.do(ctx, RelayRequest{Op: OpKeepAlive, Lease: id})
+	return out.Found, err
+}
+
+func (s *relayed) EndLease(ctx context.Context, id ledger.LeaseID) error {
+	_, err := s.do(ctx, RelayRequest{Op: OpEndLease, Lease: id})
+	return err
+}
+
+// Answer makes a relayed call to the store.
+func Answer(s ledger.Store, r RelayRequest) RelayReply {
+	timeout := relayTimeout
+	if r.Op == OpWatch {
+		timeout += r.Wait
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), timeout)
+	defer cancel()
+	var out RelayReply
+	err := answer(ctx, s, r, &out)
+	if err != nil {
+		out.Message, out.Verdict, out.Code = err.Error(), verdict.Of(err), verdict.CodeOf(err)
+	}
+	return out
+}
+
+func answer(ctx context.Context, s ledger.Store, r RelayRequest, out *RelayReply) (err error) {
+	switch r.Op {
+	case OpGet:
+		out.Item, out.Found, err = s.Get(ctx, r.Key, r.Stale)
+	case OpRange:
+		out.Page, err = s.Range(ctx, r.Key, r.After, r.Stale)
+	case OpWatch:
+		out.Changes, err = s.Watch(ctx, r.Key, r.Revision, r.Wait)
+	case OpCommit:
+		out.Result, err = s.Commit(ctx, r.Txn)
+	case OpGrant:
+		out.Lease, err = s.GrantLease(ctx, r.Wait)
+	case OpKeepAlive:
+		out.Found, err = s.KeepAlive(ctx, r.Lease)
+	case OpEndLease:
+		err = s.EndLease(ctx, r.Lease)
+	default:
+		err = verdict.New(verdict.NotRun, CodePeer, "unknown operation %d", r.Op)
+	}
+	return err
+}
