An instance of a wave that is back counts as back; budgets are checked again before each reservation

Cause: a spare instance has no worker, so that it was never seen to be back, and instances reserved in one pass blocked each other by the budget of one step.

--- a/jobs/owner/instances.go
+++ b/jobs/owner/instances.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"sort"
 	"time"
 )
@@ -18,7 +19,8 @@
 // downSince is an instance under maintenance.
 type downSince struct {
 	at   time.Time
-	life WorkerID // before its maintenance
+	life WorkerID // before its maintenance; "" for a spare instance, which has none
+	seen bool     // the instance list has shown it under maintenance
 }
 
 // Figures of maintenance.
@@ -73,14 +75,16 @@
 
 // observe takes what the instance list says of an instance of the wave.
 func (ws *waveState) observe(i Instance) {
+	if !slices.Contains(ws.Instances, i.ID) {
+		return
+	}
 	d, down := ws.down[i.ID]
 	switch {
 	case i.State == InstanceMaintained:
 		ws.begun[i.ID] = true
-		if !down {
-			ws.down[i.ID] = downSince{life: i.Worker}
-		}
-	case down && i.State == InstanceUp && i.Worker != "" && i.Worker != d.life:
+		d.seen = true
+		ws.down[i.ID] = d
+	case down && i.State == InstanceUp && (d.seen || i.Worker != d.life):
 		delete(ws.down, i.ID)
 	}
 }
@@ -201,15 +205,19 @@
 		if free <= 0 {
 			return
 		}
-		free--
 		if cand.w == nil || len(cand.w.runs) == 0 {
 			if len(ws.down) < ws.MaxDown {
 				c.orderMaintenance(ws, cand, now)
+				free--
 			}
 			continue
 		}
+		if !c.mayTake(cand.w, now) {
+			continue // one that was reserved a moment ago has tasks of the same step
+		}
 		cand.w.reserved = "maintenance"
 		cand.w.reservedAt = now
+		free--
 		c.note(Decision{Event: "worker-reserved", Worker: cand.w.Worker, Reason: "maintenance"})
 	}
 }
