A silent worker's lease is not renewed; cancellations before the job is known are kept

Ruled out: a late write of the store (the keys were there), a wrong budget of the wave (it counted rightly what it was told).

--- a/jobs/node/handler.go
+++ b/jobs/node/handler.go
@@ -27,6 +27,13 @@
 	}
 }
 
+// Submitted implements peer.Handler.
+func (h peerHandler) Submitted(r peer.SubmitRequest) {
+	if t := h.n.term.Load(); t != nil {
+		t.submitted(&r.Job)
+	}
+}
+
 // Relay implements peer.Handler. It goes the direct way only, so that calls do
 // not circle between daemons.
 func (h peerHandler) Relay(r peer.RelayRequest) peer.RelayReply {
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -235,7 +235,13 @@
 func (n *Node) Catalog() *job.Catalog { return n.catalog.Load() }
 
 // Accept implements gateway.Jobs.
-func (n *Node) Accept(ctx context.Context, j *job.Job) error { return n.accept.Accept(ctx, j) }
+func (n *Node) Accept(ctx context.Context, j *job.Job) error {
+	if err := n.accept.Accept(ctx, j); err != nil {
+		return err
+	}
+	go n.tellOwner(j.ID, func(ctx context.Context, addr string) error { return n.peers.Submitted(ctx, addr, j) })
+	return nil
+}
 
 // Cancel implements gateway.Jobs.
 func (n *Node) Cancel(ctx context.Context, id job.ID) (bool, error) {
@@ -243,20 +249,20 @@
 	if err != nil || !known {
 		return known, err
 	}
-	go n.tellCancelled(id)
+	go n.tellOwner(id, func(ctx context.Context, addr string) error { return n.peers.Cancelled(ctx, addr, id) })
 	return true, nil
 }
 
-// tellCancelled tells the owner sooner than its watch does. If it fails, the
-// watch does it.
-func (n *Node) tellCancelled(id job.ID) {
+// tellOwner tells the owner of what is in the store, sooner than its watch
+// does. If that fails, the watch does it.
+func (n *Node) tellOwner(id job.ID, tell func(ctx context.Context, addr string) error) {
 	lock := n.lock.Load()
 	if lock == nil {
 		return
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
 	defer cancel()
-	if err := n.peers.Cancelled(ctx, lock.Addr, id); err != nil {
+	if err := tell(ctx, lock.Addr); err != nil {
 		n.log.Info("owner-not-told", zap.String("job", string(id)), zap.Error(err))
 	}
 }
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -97,7 +97,7 @@
 	// also how old its tasks' progress may be.
 	holdWait = 900 * time.Millisecond
 	// holdReserve is added to holdWait for the answer.
-	holdReserve = 500 * time.Millisecond
+	holdReserve = 300 * time.Millisecond
 	// peerTimeout bounds a question to the owner.
 	peerTimeout = 500 * time.Millisecond
 	// instanceOrderTimeout bounds an order for an instance.
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -440,3 +440,7 @@
 func (t *termRun) cancelled(id job.ID) {
 	t.do(func(c *owner.Core, now time.Time) { c.Cancel(id, now) })
 }
+
+func (t *termRun) submitted(j *job.Job) {
+	t.do(func(c *owner.Core, now time.Time) { c.Submit(j, now) })
+}
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -51,6 +51,10 @@
 	j := c.add(spec, now)
 	c.note(Decision{Event: "job-known", Job: spec.ID, Reason: j.service})
 	c.resolveStrangers(j, now)
+	if _, cancelled := c.early[spec.ID]; cancelled {
+		delete(c.early, spec.ID)
+		c.Cancel(spec.ID, now)
+	}
 }
 
 func (c *Core) add(spec *job.Job, now time.Time) *jobState {
@@ -174,18 +178,28 @@
 	}
 }
 
-// Cancel ends a job for its caller. It reports whether the job is known.
-func (c *Core) Cancel(id job.ID, now time.Time) bool {
+// Cancel ends a job for its caller. The cancellation may be heard of before the
+// job itself is.
+func (c *Core) Cancel(id job.ID, now time.Time) {
 	j := c.jobs[id]
 	if j == nil {
-		return false
+		c.early[id] = now
+		return
 	}
-	if j.state.Final() {
-		return true
+	if !j.state.Final() {
+		c.finish(j, job.Cancelled, now)
+	}
+}
+
+// earlyKept is how long the cancellation of a job that stays unknown is kept.
+const earlyKept = time.Minute
+
+func (c *Core) expireEarly(now time.Time) {
+	for id, at := range c.early {
+		if now.Sub(at) > earlyKept {
+			delete(c.early, id)
+		}
 	}
-	j.cancelled = true
-	c.finish(j, job.Cancelled, now)
-	return true
 }
 
 // State returns what the caller of a job may be told: a final state only once
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -24,7 +24,7 @@
 		Task:       r.task.id(),
 		Run:        r.number,
 		Payload:    r.task.step.job.spec.Payload,
-		Until:      r.worker.lease.grant(c.opt.TaskLease, now),
+		Until:      c.renewal(r.worker, now),
 		Checkpoint: r.task.checkpoint,
 	})
 }
@@ -35,7 +35,7 @@
 	if w == nil {
 		return
 	}
-	w.lease.heard(a.Clock, now)
+	w.heard(a, now)
 	r := w.runs[o.Task]
 	if r == nil || r.number != o.Run {
 		c.afterLateAnswer(w, o, a, now)
@@ -92,6 +92,7 @@
 		return
 	}
 	r.lost = true
+	r.worker.unheard(r.sentAt)
 	id := r.task.id()
 	c.note(Decision{Event: "start-unanswered", Job: id.Job, Task: id.String(), Worker: r.worker.Worker, Run: r.number, Reason: reasonOf(a)})
 	if r.tries < startTries && !r.task.done {
@@ -124,7 +125,7 @@
 	if w == nil {
 		return
 	}
-	w.lease.heard(a.Clock, now)
+	w.heard(a, now)
 	switch a.Outcome {
 	case Fenced:
 		c.fence(w)
@@ -137,6 +138,9 @@
 	if r == nil || r.number != o.Run || r.phase != stopping {
 		return
 	}
+	if a.Outcome == Unanswered {
+		w.unheard(r.sentAt)
+	}
 	if a.Outcome == Taken || a.Outcome == RunTooOld {
 		r.ackedAt = now
 		return
--- a/jobs/owner/pace.go
+++ b/jobs/owner/pace.go
@@ -83,7 +83,7 @@
 	if w == nil {
 		return
 	}
-	w.lease.heard(a.Clock, now)
+	w.heard(a, now)
 	if a.Outcome == Fenced {
 		c.fence(w)
 		return
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -229,6 +229,7 @@
 func (c *Core) Tick(now time.Time) {
 	c.expireLeases(now)
 	c.expireStrangers(now)
+	c.expireEarly(now)
 	c.resendStops(now)
 	c.endStalls(now)
 	c.holdDue(now)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -80,10 +80,10 @@
 	return nil
 }
 
-// atWork reports whether a long-running task serves.
+// atWork reports whether a long-running task serves, as far as is known.
 func (t *task) atWork() bool {
 	for _, r := range t.runs {
-		if r.phase == running && r.percent >= 100 {
+		if r.phase == running && r.percent >= 100 && !r.worker.silent() {
 			return true
 		}
 	}
@@ -113,7 +113,6 @@
 	nextOcc   int          // first occurrence that has not begun
 	state     job.State
 	begun     bool // a task was started
-	cancelled bool
 	endedAt   time.Time
 	inherited bool   // accepted before this term
 	version   uint64 // rises with each change that has to be kept
@@ -150,6 +149,8 @@
 	holdSent     time.Time
 	nextHold     time.Time
 	silentSince  time.Time // no hold was answered since; zero: answered
+	heardAt      time.Time // newest answer to any order
+	suspect      bool      // an order sent after heardAt went unanswered
 	runs         map[job.TaskID]*run
 	strangers    map[job.TaskID]stranger // runs of jobs that are not known yet
 	seen         uint64                  // highest end that was handled
@@ -186,7 +187,7 @@
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
 	return w.held && w.registered && !w.gone && !w.Draining && w.lease.known &&
-		w.reserved == "" && w.silentSince.IsZero() && !now.Before(w.avoidUntil)
+		w.reserved == "" && !w.silent() && !now.Before(w.avoidUntil)
 }
 
 // Core is the state of the owner of all jobs.
@@ -210,7 +211,8 @@
 	settleAt  time.Time // missing registrations count as gone from then on
 	instAt    time.Time // newest instance list
 	fenced    bool
-	dutyLost  time.Time // zero: the store's lease is held
+	dutyLost  time.Time            // zero: the store's lease is held
+	early     map[job.ID]time.Time // cancellations of jobs that are not known yet
 	events    []Decision
 	counts    Counts
 }
@@ -268,6 +270,7 @@
 		pools:     map[string]*poolState{},
 		dirty:     map[job.ID]*jobState{},
 		changed:   map[string]bool{},
+		early:     map[job.ID]time.Time{},
 		startedAt: now,
 		settleAt:  now,
 	}
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -94,13 +94,43 @@
 		w.holdSent = now
 		c.out.Holds = append(c.out.Holds, Hold{
 			Target:      c.target(w),
-			Until:       w.lease.grant(c.opt.TaskLease, now),
+			Until:       c.renewal(w, now),
 			Acknowledge: w.acked,
 			Wait:        wait,
 		})
 	}
 }
 
+// renewal returns the end of the lease for an order to w. A silent worker's
+// lease is not renewed: it has to end for its tasks to start elsewhere.
+func (c *Core) renewal(w *worker, now time.Time) int64 {
+	if w.silent() {
+		return w.lease.granted
+	}
+	return w.lease.grant(c.opt.TaskLease, now)
+}
+
+// silent reports whether the newest order to w, or its newest hold, went
+// unanswered, and nothing was heard of it since.
+func (w *worker) silent() bool { return !w.silentSince.IsZero() || w.suspect }
+
+// heard takes note of an answer.
+func (w *worker) heard(a Answer, now time.Time) {
+	if a.Outcome == Unanswered {
+		return
+	}
+	w.lease.heard(a.Clock, now)
+	w.heardAt = now
+	w.suspect = false
+}
+
+// unheard takes note of an order, sent at sent, that went unanswered.
+func (w *worker) unheard(sent time.Time) {
+	if w.heardAt.Before(sent) {
+		w.suspect = true
+	}
+}
+
 // OnHeld takes a worker's answer to a hold.
 func (c *Core) OnHeld(id WorkerID, h Held, now time.Time) {
 	w := c.workers[id]
@@ -108,7 +138,7 @@
 		return
 	}
 	w.holding = false
-	w.lease.heard(h.Clock, now)
+	w.heard(h.Answer, now)
 	switch h.Outcome {
 	case Taken:
 	case Fenced:
--- a/jobs/peer/peer.go
+++ b/jobs/peer/peer.go
@@ -48,6 +48,9 @@
 // CancelRequest tells the owner of a cancellation that is in the store.
 type CancelRequest struct{ Job job.ID }
 
+// SubmitRequest tells the owner of a job that is in the store.
+type SubmitRequest struct{ Job job.Job }
+
 // Empty is a reply without content.
 type Empty struct{ Ignored bool }
 
@@ -95,6 +98,7 @@
 	State(r StateRequest) StateReply
 	Pending(r PendingRequest) PendingReply
 	Cancelled(r CancelRequest)
+	Submitted(r SubmitRequest)
 	Relay(r RelayRequest) RelayReply
 }
 
@@ -116,6 +120,11 @@
 	return nil
 }
 
+func (s *server) Submitted(r SubmitRequest, _ *Empty) error {
+	s.h.Submitted(r)
+	return nil
+}
+
 func (s *server) Relay(r RelayRequest, out *RelayReply) error {
 	*out = s.h.Relay(r)
 	return nil
@@ -215,5 +224,10 @@
 	return c.call(ctx, addr, "Cancelled", CancelRequest{id}, &Empty{})
 }
 
+// Submitted tells the peer at addr of a job.
+func (c *Client) Submitted(ctx context.Context, addr string, j *job.Job) error {
+	return c.call(ctx, addr, "Submitted", SubmitRequest{*j}, &Empty{})
+}
+
 // Store returns the store as the peer at addr reaches it.
 func (c *Client) Store(addr string) ledger.Store { return &relayed{c, addr} }
