--- /dev/null
+++ b/internal/jobmatrix/day_test.go
@@ -0,0 +1,173 @@
+// Package jobmatrix plays short days of a whole installation of the job
+// subsystem on stand-ins, in virtual time, and brings about every kind of fault
+// at every step. The stand-ins' judge checks the promises.
+package jobmatrix
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/owner"
+	"github.com/postmount/postmount/standin/jobfleet"
+	"github.com/postmount/postmount/telemetry"
+)
+
+// The prefixes of the queues of the day.
+const (
+	ordersPrefix  = "/orders/"
+	reportsPrefix = "/reports/"
+)
+
+var daemonNames = []string{"d1", "d2", "d3", "d4", "d5", "d6"}
+
+// day is one short day.
+type day struct {
+	t      *testing.T
+	in     *jobfleet.Installation
+	caller *jobfleet.Caller
+	jobs   []*job.Job
+	queue  map[job.ID]string // prefix
+	ok     map[job.ID]bool   // accepted
+}
+
+// logTo is where the daemons' logs go: POSTMOUNT_TEST_LOG=1 shows them.
+func logTo() io.Writer {
+	if os.Getenv("POSTMOUNT_TEST_LOG") != "" {
+		return os.Stderr
+	}
+	return io.Discard
+}
+
+func newDay(t *testing.T, ctx context.Context) *day {
+	log := zap.NewNop()
+	if logTo() != io.Discard {
+		var err error
+		log, err = telemetry.NewLogger("info", "console", logTo())
+		require.NoError(t, err)
+	}
+	d := &day{t: t, in: jobfleet.NewInstallation(ctx, log), queue: map[job.ID]string{}, ok: map[job.ID]bool{}}
+	d.caller = d.in.Caller()
+	for i := range 8 {
+		pool := "orders"
+		if i >= 4 {
+			pool = "reports"
+		}
+		d.in.Fleet.Add(owner.InstanceID(fmt.Sprintf("i%d", i)), pool, fmt.Sprintf("r%d", i/2), job.Resources{CPUMilli: 8000, MemMB: 16000})
+	}
+	for i := range 2 {
+		d.in.Fleet.Add(owner.InstanceID(fmt.Sprintf("spare%d", i)), "spare", "r9", job.Resources{CPUMilli: 8000, MemMB: 16000})
+	}
+	d.in.Configure(catalog(1))
+	for _, n := range daemonNames {
+		d.in.Start(n)
+	}
+	return d
+}
+
+func catalog(version int64) *job.Catalog {
+	return &job.Catalog{
+		Version: version,
+		Queues: []job.Queue{
+			{Name: "orders", Host: "jobs.example", Prefix: ordersPrefix, Service: "orders", MaxAttempts: 3, Stretch: 2, Objective: time.Second},
+			{Name: "reports", Host: "jobs.example", Prefix: reportsPrefix, Service: "reports", MaxAttempts: 3, Stretch: 2, Objective: time.Second},
+		},
+		Services: []job.Service{{Name: "orders", EnforcesRoom: true}, {Name: "reports", EnforcesRoom: true}, {Name: "spare", Spare: true}},
+	}
+}
+
+// batchJob has two steps; the second one waits for the first.
+func batchJob(n int) *job.Job {
+	return &job.Job{ID: job.ID(fmt.Sprintf("%016x", n+1)), Steps: []job.Step{
+		{Count: 3, Need: job.Resources{CPUMilli: 1000, MemMB: 500}, Estimate: 300 * time.Millisecond},
+		{Count: 2, Need: job.Resources{CPUMilli: 2000, MemMB: 500}, Estimate: 500 * time.Millisecond, After: []int{0}, Checkpoints: true},
+	}}
+}
+
+// lastingJob serves until it is cancelled.
+func lastingJob(n int) *job.Job {
+	return &job.Job{ID: job.ID(fmt.Sprintf("%016x", n+1)), Steps: []job.Step{
+		{Count: 3, Need: job.Resources{CPUMilli: 1000, MemMB: 500}, LongRunning: true, MaxPerWorker: 1, MayMiss: 1},
+	}}
+}
+
+// submit sends a job until it is accepted, as callers do after a refusal or
+// without an answer.
+func (d *day) submit(prefix string, j *job.Job) {
+	d.jobs = append(d.jobs, j)
+	d.queue[j.ID] = prefix
+	for range 12 {
+		accepted, _ := d.caller.Submit(prefix, j)
+		if accepted {
+			d.ok[j.ID] = true
+			return
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+}
+
+// submitSome sends jobs to both queues over some seconds.
+func (d *day) submitSome(from, n int) {
+	for i := from; i < from+n; i++ {
+		prefix := ordersPrefix
+		if i%2 == 1 {
+			prefix = reportsPrefix
+		}
+		d.submit(prefix, batchJob(i))
+		time.Sleep(150 * time.Millisecond)
+	}
+}
+
+// finish waits until every accepted job without long-running tasks is shown as
+// completed, and checks the promises.
+func (d *day) finish(within time.Duration) {
+	end := time.Now().Add(within)
+	open := 1
+	for open > 0 && time.Now().Before(end) {
+		open = 0
+		for _, j := range d.jobs {
+			if !d.ok[j.ID] || j.Steps[0].LongRunning {
+				continue
+			}
+			if s := d.caller.State(d.queue[j.ID], j.ID); s != job.Completed && s != job.Cancelled {
+				open++
+			}
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	assert.Zero(d.t, open, "accepted jobs are not completed")
+	assert.Empty(d.t, d.in.Judge.Broken())
+}
+
+// play runs a day in virtual time.
+func play(t *testing.T, f func(d *day)) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		d := newDay(t, ctx)
+		time.Sleep(2 * time.Second)
+		f(d)
+		cancel()
+		for _, dm := range d.in.Daemons() {
+			d.in.Kill(dm.Name)
+		}
+		time.Sleep(20 * time.Second) // calls and timers of the stand-ins end
+	})
+}
+
+func TestCalmDay(t *testing.T) {
+	play(t, func(d *day) {
+		d.submitSome(0, 10)
+		d.finish(10 * time.Second)
+		assert.Len(t, d.ok, 10)
+		assert.Equal(t, 50, d.in.Judge.Starts())
+	})
+}
--- /dev/null
+++ b/internal/jobmatrix/faults_test.go
@@ -0,0 +1,212 @@
+package jobmatrix
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/owner"
+	"github.com/postmount/postmount/standin/jobfleet"
+)
+
+// fault is one kind of trouble. strike is called at a step of the daemon named;
+// what it returns becomes of the call that was the step.
+type fault struct {
+	name   string
+	strike func(d *day, daemon string) jobfleet.Failure
+}
+
+// call returns a fault of the call alone.
+func call(name string, f jobfleet.Failure) fault {
+	return fault{name, func(*day, string) jobfleet.Failure { return f }}
+}
+
+// around returns a fault of something else, while the call goes on.
+func around(name string, f func(d *day, daemon string)) fault {
+	return fault{name, func(d *day, daemon string) jobfleet.Failure {
+		f(d, daemon)
+		return jobfleet.NoFailure
+	}}
+}
+
+func gateOf(d *day, daemon string) *jobfleet.Gate {
+	for _, dm := range d.in.Daemons() {
+		if dm.Name == daemon {
+			return dm.Gate
+		}
+	}
+	return &jobfleet.Gate{} // it is gone already
+}
+
+// storeFor gives all calls to the store a failure for a while.
+func storeFor(d *day, f jobfleet.Failure, lasts time.Duration) {
+	end := time.Now().Add(lasts)
+	d.in.SetHook(func(_, op string) jobfleet.Failure {
+		if time.Now().Before(end) && storeOps[op] {
+			return f
+		}
+		return jobfleet.NoFailure
+	})
+}
+
+var storeOps = map[string]bool{"get": true, "range": true, "watch": true, "commit": true, "grant": true, "keep": true, "end": true}
+
+// restart starts a daemon again a moment later, at the same address.
+func restart(d *day, daemon string) {
+	time.AfterFunc(time.Second, func() { d.in.Start(daemon) })
+}
+
+var faults = []fault{
+	call("the call is refused", jobfleet.Refused),
+	call("the call is swallowed", jobfleet.Swallowed),
+	call("its answer is lost", jobfleet.AnswerLost),
+	call("it is carried out late", jobfleet.Late),
+	around("the daemon is killed", func(d *day, dm string) { go func() { d.in.Kill(dm); restart(d, dm) }() }),
+	{"the daemon is killed before the answer", func(d *day, dm string) jobfleet.Failure {
+		go func() { d.in.Kill(dm); restart(d, dm) }()
+		return jobfleet.AnswerLost
+	}},
+	around("the daemon is stopped", func(d *day, dm string) { go func() { d.in.Stop(dm); restart(d, dm) }() }),
+	around("all daemons are killed", func(d *day, _ string) {
+		go func() {
+			for _, n := range daemonNames {
+				d.in.Kill(n)
+				restart(d, n)
+			}
+		}()
+	}),
+	around("the daemon freezes for 1 s", func(d *day, dm string) { gateOf(d, dm).Freeze(time.Second) }),
+	around("the daemon freezes for 4 s", func(d *day, dm string) { gateOf(d, dm).Freeze(4 * time.Second) }),
+	around("the daemon is cut off from the store and its peers", func(d *day, dm string) { gateOf(d, dm).CutStore(4 * time.Second) }),
+	around("the store turns the daemon away", func(d *day, dm string) { gateOf(d, dm).TurnAway(5 * time.Second) }),
+	around("the store refuses all", func(d *day, _ string) { storeFor(d, jobfleet.Refused, 4*time.Second) }),
+	around("the store is silent", func(d *day, _ string) { storeFor(d, jobfleet.Swallowed, 4*time.Second) }),
+	around("the store loses answers", func(d *day, _ string) { storeFor(d, jobfleet.AnswerLost, 3*time.Second) }),
+	around("the store is late", func(d *day, _ string) { storeFor(d, jobfleet.Late, 3*time.Second) }),
+	around("the store ends all leases", func(d *day, _ string) { d.in.Store.RevokeAll() }),
+	around("the store forgets its history", func(d *day, _ string) { d.in.Store.Forget() }),
+	around("an instance crashes", func(d *day, _ string) { go d.in.Fleet.Crash("i0", 3*time.Second) }),
+	around("a rack crashes", func(d *day, _ string) {
+		go func() { d.in.Fleet.Crash("i4", 3*time.Second); d.in.Fleet.Crash("i5", 3*time.Second) }()
+	}),
+	around("an instance is cut off and runs on", func(d *day, _ string) { go d.in.Fleet.Cut("i1", 7*time.Second) }),
+	around("tasks fail on an instance", func(d *day, _ string) { go d.in.Fleet.FailTasks("i0", 2*time.Second) }),
+	around("tasks stand still on an instance", func(d *day, _ string) { go d.in.Fleet.Hang("i5", 2*time.Second) }),
+	around("an instance drains", func(d *day, _ string) { go d.in.Fleet.Drain("i1") }),
+}
+
+// steps are the calls at which faults strike; n tells which of them.
+var steps = []struct {
+	op string
+	n  int
+}{
+	{"commit", 1}, {"commit", 8}, {"keep", 3}, {"watch", 4}, {"get", 2}, {"range", 3},
+	{"start", 1}, {"start", 12}, {"hold", 6}, {"hold", 40}, {"stop", 1}, {"maintain", 1}, {"maintain", 2},
+}
+
+// at calls strike at the n-th call of a kind from now on.
+func (d *day) at(op string, n int, f fault) *sync.Once {
+	var mu sync.Mutex
+	var once sync.Once
+	seen := 0
+	d.in.SetHook(func(daemon, o string) jobfleet.Failure {
+		if o != op {
+			return jobfleet.NoFailure
+		}
+		mu.Lock()
+		seen++
+		hit := seen == n
+		mu.Unlock()
+		if !hit {
+			return jobfleet.NoFailure
+		}
+		out := jobfleet.NoFailure
+		once.Do(func() { out = f.strike(d, daemon) })
+		return out
+	})
+	return &once
+}
+
+// wholeDay submits, cancels, maintains and configures.
+func (d *day) wholeDay() {
+	lasting := lastingJob(900)
+	d.submit(ordersPrefix, lasting)
+	d.submitSome(0, 4)
+	d.in.RequestWave(owner.WaveRequest{Wave: 1, Instances: []owner.InstanceID{"i0", "i4", "spare0"}, Within: 20 * time.Second, MaxDown: 2})
+	d.submitSome(4, 4)
+	cancelled := batchJob(500)
+	cancelled.Steps[0].Estimate = 20 * time.Second
+	d.submit(reportsPrefix, cancelled)
+	time.Sleep(400 * time.Millisecond)
+	for range 10 {
+		if !d.ok[cancelled.ID] || d.caller.Cancel(reportsPrefix, cancelled.ID) {
+			break
+		}
+		time.Sleep(500 * time.Millisecond)
+	}
+	d.in.Configure(catalog(2))
+	d.submitSome(8, 4)
+	d.finish(30 * time.Second)
+	d.lastingServes(lasting)
+	for i := 0; i < 60 && !d.in.WaveDone(1); i++ {
+		time.Sleep(500 * time.Millisecond)
+	}
+	assert.True(d.t, d.in.WaveDone(1), "the wave is not completed")
+	assert.Equal(d.t, 3, d.in.Judge.Begun(1))
+	assert.Empty(d.t, d.in.Judge.Broken())
+}
+
+// lastingServes checks that all tasks of a long-running job run in the end.
+func (d *day) lastingServes(j *job.Job) {
+	if !d.ok[j.ID] {
+		return
+	}
+	runs := 0
+	for i := 0; i < 40 && runs < j.Steps[0].Count; i++ {
+		time.Sleep(500 * time.Millisecond)
+		runs = d.in.Judge.Running(j.ID)
+	}
+	assert.Equal(d.t, j.Steps[0].Count, runs, "tasks of the long-running job")
+}
+
+func TestFaultAtEveryStep(t *testing.T) {
+	for _, f := range faults {
+		for _, s := range steps {
+			t.Run(fmt.Sprintf("%s at %s %d", f.name, s.op, s.n), func(t *testing.T) {
+				play(t, func(d *day) {
+					d.at(s.op, s.n, f)
+					d.wholeDay()
+				})
+			})
+		}
+	}
+}
+
+// pairSeeds is how many pairs of faults CI plays.
+const pairSeeds = 60
+
+// TestPairsOfFaults lets two faults strike at steps chosen by seed.
+func TestPairsOfFaults(t *testing.T) {
+	for seed := range uint64(pairSeeds) {
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playPair(t, seed) })
+	}
+}
+
+func playPair(t *testing.T, seed uint64) {
+	r := rand.New(rand.NewPCG(seed, 1))
+	first, second := faults[r.IntN(len(faults))], faults[r.IntN(len(faults))]
+	a, b := steps[r.IntN(len(steps))], steps[r.IntN(len(steps))]
+	gap := time.Duration(r.IntN(4000)) * time.Millisecond
+	t.Logf("%s at %s %d, then after %s %s at %s %d", first.name, a.op, a.n, gap, second.name, b.op, b.n)
+	play(t, func(d *day) {
+		d.at(a.op, a.n, first)
+		timer := time.AfterFunc(gap+time.Second, func() { d.at(b.op, b.n, second) })
+		defer timer.Stop()
+		d.wholeDay()
+	})
+}
--- a/jobs/ledger/accept.go
+++ b/jobs/ledger/accept.go
@@ -42,13 +42,16 @@
 	done  chan error
 }
 
-// NewAcceptor returns an acceptor that works until ctx ends.
-func NewAcceptor(ctx context.Context, s Store) *Acceptor {
-	a := &Acceptor{store: s, queue: make(chan submission, acceptQueue)}
+// NewAcceptor returns an acceptor that does nothing before Run.
+func NewAcceptor(s Store) *Acceptor {
+	return &Acceptor{store: s, queue: make(chan submission, acceptQueue)}
+}
+
+// Run starts the acceptor's goroutines, which end with ctx.
+func (a *Acceptor) Run(ctx context.Context) {
 	for range acceptWorkers {
 		go a.work(ctx)
 	}
-	return a
 }
 
 // Accept stores a job. A nil error means that it is in the store, by this call
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -33,11 +33,21 @@
 	WaveStatus    func(wave int, done bool) (key string, value []byte)
 }
 
+// Peers reaches other daemons by the addresses of their peer listeners.
+type Peers interface {
+	peer.Relayer
+	State(ctx context.Context, addr string, id job.ID) (peer.StateReply, error)
+	Pending(ctx context.Context, addr, queue string) (peer.PendingReply, error)
+	Cancelled(ctx context.Context, addr string, id job.ID) error
+	Submitted(ctx context.Context, addr string, j *job.Job) error
+}
+
 // Platform is what a daemon reaches outside of itself.
 type Platform struct {
 	Store   ledger.Store
 	Workers owner.Workers
 	Manager owner.InstanceManager
+	Peers   Peers
 	Dialect Dialect
 }
 
@@ -48,7 +58,7 @@
 	log      *zap.Logger
 	metrics  *Metrics
 	store    *ledger.Failover
-	peers    *peer.Client
+	peers    Peers
 	accept   *ledger.Acceptor
 	gateway  *gateway.Gateway
 
@@ -70,10 +80,11 @@
 func New(set Settings, p Platform, log *zap.Logger, m *Metrics) *Node {
 	n := &Node{
 		set: set, platform: p, log: log, metrics: m,
-		peers: peer.NewClient(), started: time.Now(),
+		peers: p.Peers, started: time.Now(),
 		waves: map[int]owner.WaveRequest{},
 	}
 	n.store = ledger.NewFailover(p.Store, n, time.Now, n.storeFailed)
+	n.accept = ledger.NewAcceptor(n.store)
 	n.gateway = gateway.New(n, p.Dialect.DecodeJob, m, log)
 	return n
 }
@@ -98,39 +109,64 @@
 	if len(others) == 0 {
 		return nil
 	}
-	return n.peers.Store(others[n.relayNo.Add(1)%uint64(len(others))])
+	return peer.StoreBy(n.peers, others[n.relayNo.Add(1)%uint64(len(others))])
 }
 
-// Run works until ctx ends, then stops gracefully.
+// Run listens and works until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
-	work, stopWork := context.WithCancel(context.Background())
-	defer stopWork()
-	n.accept = ledger.NewAcceptor(work, n.store)
 	listeners, err := n.listen()
 	if err != nil {
 		return err
 	}
 	callers := &http.Server{Handler: n.gateway, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	work, stopWork := context.WithCancel(context.Background())
+	defer stopWork()
+	done := make(chan struct{})
+	go func() { defer close(done); n.Work(work) }()
 	go n.serve(callers, listeners.callers)
 	go n.serve(&http.Server{Handler: n.readyHandler()}, listeners.ready)
 	go n.serve(&http.Server{Handler: n.metrics.Handler()}, listeners.metrics)
 	go n.servePeers(listeners.peers)
-	leaseDone := make(chan struct{})
-	go func() { defer close(leaseDone); n.keepLease(work) }()
-	go n.watchOperators(work)
-	go n.listMembers(work)
-	electDone := make(chan struct{})
-	go func() { defer close(electDone); n.elect(work) }()
 	n.log.Info("start", zap.String("node", n.set.Node), zap.String("zone", n.set.Zone), zap.String("callers", n.set.CallersAddr))
 	<-ctx.Done()
 	n.stop(callers)
 	stopWork()
-	<-electDone
-	<-leaseDone
+	<-done
 	n.log.Info("stop")
 	return nil
 }
 
+// Work does all that a daemon does beside listening, until ctx ends. It ends
+// at once, as a process that is killed does; HandOver is what a planned stop
+// does before.
+func (n *Node) Work(ctx context.Context) {
+	n.accept.Run(ctx)
+	var wg sync.WaitGroup
+	for _, loop := range []func(context.Context){n.keepLease, n.watchOperators, n.listMembers, n.elect} {
+		wg.Go(func() { loop(ctx) })
+	}
+	wg.Wait()
+}
+
+// Callers returns the handler of callers' requests.
+func (n *Node) Callers() http.Handler { return n.gateway }
+
+// PeerHandler returns what answers other daemons.
+func (n *Node) PeerHandler() peer.Handler { return peerHandler{n} }
+
+// Owner reports whether this daemon schedules the jobs at present.
+func (n *Node) Owner() bool { return n.term.Load() != nil }
+
+// HandOver makes the daemon ready to end: it takes no new duties, and another
+// one can be the owner at once.
+func (n *Node) HandOver() {
+	n.stopping.Store(true)
+	n.gateway.Stop()
+	if t := n.term.Load(); t != nil {
+		t.handOver()
+	}
+}
+
 // Bounds of callers' connections until the configuration says.
 const (
 	defaultHeaderTimeout = 5 * time.Second
@@ -141,11 +177,7 @@
 // and finishes what is in flight.
 func (n *Node) stop(callers *http.Server) {
 	n.log.Info("stopping")
-	n.stopping.Store(true)
-	n.gateway.Stop()
-	if t := n.term.Load(); t != nil {
-		t.handOver()
-	}
+	n.HandOver()
 	began := time.Now()
 	time.Sleep(min(balancerNotice, n.set.StopGrace/2))
 	left := n.set.StopGrace - time.Since(began) - stopReserve
@@ -190,7 +222,7 @@
 }
 
 func (n *Node) servePeers(l net.Listener) {
-	if err := peer.Serve(l, peerHandler{n}); err != nil {
+	if err := peer.Serve(l, n.PeerHandler()); err != nil {
 		n.log.Error("listener-failed", zap.String("addr", l.Addr().String()), zap.Error(err))
 	}
 }
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -36,6 +36,8 @@
 	left     chan struct{} // closed when the lock is released
 	leaveOne sync.Once
 
+	listing chan struct{} // holds one token while the instance list is read
+
 	committing bool
 	lastCommit time.Time
 	lastExpire time.Time
@@ -53,7 +55,7 @@
 		}
 		return
 	}
-	t := &termRun{n: n, term: term, events: make(chan event, eventQueue), leaving: make(chan struct{}), left: make(chan struct{})}
+	t := &termRun{n: n, term: term, events: make(chan event, eventQueue), leaving: make(chan struct{}), left: make(chan struct{}), listing: make(chan struct{}, 1)}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	defer t.cancel()
 	t.core = owner.New(owner.Options{
@@ -237,7 +239,7 @@
 		})
 	}
 	for _, o := range e.Instances {
-		go t.order(instanceOrderTimeout, func(ctx context.Context) event { return t.orderInstance(ctx, o) })
+		go t.order(2*instanceOrderTimeout, func(ctx context.Context) event { return t.orderInstance(ctx, o) })
 	}
 	for _, s := range e.Waves {
 		t.putWave(s)
@@ -262,8 +264,11 @@
 			outcome = t.n.platform.Manager.Move(ctx, duty, o.Instance, o.Pool)
 		}
 	}
-	if outcome == owner.DutyUnanswered {
+	switch outcome {
+	case owner.DutyUnanswered:
 		pause(t.ctx, retryPause)
+	case owner.DutyDone:
+		t.listInstances() // it shows whose life is over
 	}
 	return func(c *owner.Core, now time.Time) { c.OnInstanceOrder(o, outcome, now) }
 }
@@ -394,20 +399,33 @@
 
 func (t *termRun) pollInstances() {
 	for t.ctx.Err() == nil {
-		ctx, cancel := context.WithTimeout(t.ctx, instanceOrderTimeout)
-		list, err := t.n.platform.Manager.Instances(ctx)
-		cancel()
-		if err == nil {
-			t.do(func(c *owner.Core, now time.Time) { c.OnInstances(list, now) })
-		} else if t.ctx.Err() == nil {
-			t.n.log.Warn("instance-list-failed", zap.Error(err))
-		}
+		t.listInstances()
 		if !pause(t.ctx, instancesEvery) {
 			return
 		}
 	}
 }
 
+// listInstances reads the list once. One reading at a time keeps their order.
+func (t *termRun) listInstances() {
+	select {
+	case t.listing <- struct{}{}:
+		defer func() { <-t.listing }()
+	case <-t.ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, instanceOrderTimeout)
+	defer cancel()
+	list, err := t.n.platform.Manager.Instances(ctx)
+	if err != nil {
+		if t.ctx.Err() == nil {
+			t.n.log.Warn("instance-list-failed", zap.Error(err))
+		}
+		return
+	}
+	t.do(func(c *owner.Core, now time.Time) { c.OnInstances(list, now) })
+}
+
 // ask runs a question on the core's goroutine.
 func ask[T any](t *termRun, question func(c *owner.Core) T) (answer T, ok bool) {
 	out := make(chan T, 1)
--- a/jobs/owner/instances.go
+++ b/jobs/owner/instances.go
@@ -21,6 +21,8 @@
 	at   time.Time
 	life WorkerID // before its maintenance; "" for a spare instance, which has none
 	seen bool     // the instance list has shown it under maintenance
+
+	accepted time.Time // when the platform accepted the order; zero: not yet
 }
 
 // Figures of maintenance.
@@ -54,15 +56,17 @@
 
 func (c *Core) onInstance(i Instance, now time.Time) {
 	old := c.instances[i.ID]
-	if old != nil && old.Worker != "" && old.Worker != i.Worker {
-		if w := c.workers[old.Worker]; w != nil {
-			c.lifeOver(w, "the instance list shows another life", now)
+	if old != nil && old.Worker != i.Worker {
+		if w := c.workers[i.Worker]; w != nil && w.gone {
+			return // an answer that is older than what is known
 		}
+		c.lifeOverOf(old.Worker, "the instance list shows another life", now)
 	}
-	if i.State == InstanceDown && i.Worker != "" {
-		if w := c.workers[i.Worker]; w != nil && !w.silentSince.IsZero() {
-			c.lifeOver(w, "the instance list shows it down", now)
-		}
+	switch i.State {
+	case InstanceDown:
+		c.lifeOverOf(i.Worker, "the instance list shows it down", now)
+	case InstanceMaintained, InstanceMoving:
+		c.lifeOverOf(i.Worker, "the instance list shows it away", now)
 	}
 	c.instances[i.ID] = &i
 	if i.Worker != "" {
@@ -73,6 +77,12 @@
 	}
 }
 
+func (c *Core) lifeOverOf(id WorkerID, proof string, now time.Time) {
+	if w := c.workers[id]; w != nil {
+		c.lifeOver(w, proof, now)
+	}
+}
+
 // observe takes what the instance list says of an instance of the wave.
 func (ws *waveState) observe(i Instance) {
 	if !slices.Contains(ws.Instances, i.ID) {
@@ -185,14 +195,44 @@
 	cost float64 // core-seconds that are left on it
 }
 
+// doneBefore is how long after the platform accepted an order the instance list
+// must still show a spare instance as up to prove that its maintenance was
+// over already. It is half of what maintenance takes, and more than the list's
+// lag.
+const doneBefore = 1200 * time.Millisecond
+
+// stillUp forgets instances that were not taken down by the order, because
+// their maintenance was over before.
+func (c *Core) stillUp(ws *waveState, now time.Time) {
+	for id, d := range ws.down {
+		if d.accepted.IsZero() || d.seen {
+			continue
+		}
+		w := c.workers[d.life]
+		alive := w != nil && !w.gone && w.answered.After(d.accepted)
+		if w == nil && d.life == "" {
+			i := c.instances[id]
+			alive = i != nil && i.State == InstanceUp && c.instAt.Sub(d.accepted) > doneBefore
+		}
+		if !alive {
+			continue
+		}
+		delete(ws.down, id)
+		if w != nil {
+			w.reserved = ""
+		}
+		c.note(Decision{Event: "maintained-before", Worker: d.life, Reason: string(id)})
+	}
+}
+
 // advanceWave reserves instances, so that their tasks end, and maintains those
 // that are ready.
 func (c *Core) advanceWave(ws *waveState, now time.Time) {
 	if !c.mayDoDuty(now) {
 		return
 	}
-	reserved := c.reservedFor(ws)
-	for _, cand := range reserved {
+	c.stillUp(ws, now)
+	for _, cand := range c.reservedFor(ws) {
 		if len(ws.down) >= ws.MaxDown {
 			break
 		}
@@ -363,9 +403,13 @@
 	w := c.workerOf(o.Instance)
 	switch outcome {
 	case DutyDone:
+		// The platform says so too if an earlier owner had it done. Then the worker
+		// lives on, which its next answer shows; otherwise the instance list shows
+		// that its life is over.
 		ws.begun[o.Instance] = true
-		if w != nil && w.Worker == ws.down[o.Instance].life {
-			c.lifeOver(w, "its maintenance has begun", now)
+		if d, down := ws.down[o.Instance]; down {
+			d.accepted = now
+			ws.down[o.Instance] = d
 		}
 		c.out.Waves = append(c.out.Waves, WaveStatus{Wave: o.Wave})
 	case DutyUnanswered:
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -147,6 +147,7 @@
 	gone         bool      // this life has ended for certain
 	holding      bool      // a hold is under way
 	holdSent     time.Time
+	answered     time.Time // when the newest hold that was answered was sent
 	nextHold     time.Time
 	silentSince  time.Time // no hold was answered since; zero: answered
 	heardAt      time.Time // newest answer to any order
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -161,6 +161,7 @@
 	}
 	first := !w.held
 	w.held = true
+	w.answered = w.holdSent
 	for _, e := range h.Ends {
 		if e.Number > w.seen {
 			w.seen = e.Number
--- a/jobs/peer/peer.go
+++ b/jobs/peer/peer.go
@@ -229,5 +229,9 @@
 	return c.call(ctx, addr, "Submitted", SubmitRequest{*j}, &Empty{})
 }
 
-// Store returns the store as the peer at addr reaches it.
-func (c *Client) Store(addr string) ledger.Store { return &relayed{c, addr} }
+// Relay makes a call to the store by way of the peer at addr.
+func (c *Client) Relay(ctx context.Context, addr string, r RelayRequest) (RelayReply, error) {
+	var out RelayReply
+	err := c.call(ctx, addr, "Relay", r, &out)
+	return out, err
+}
--- a/jobs/peer/relay.go
+++ b/jobs/peer/relay.go
@@ -11,17 +11,25 @@
 // relayTimeout bounds a call that is made for a peer.
 const relayTimeout = 1200 * time.Millisecond
 
+// Relayer makes calls to the store by way of peers.
+type Relayer interface {
+	Relay(ctx context.Context, addr string, r RelayRequest) (RelayReply, error)
+}
+
+// StoreBy returns the store as the peer at addr reaches it.
+func StoreBy(client Relayer, addr string) ledger.Store { return &relayed{client, addr} }
+
 // relayed is the store by way of a peer.
 type relayed struct {
-	client *Client
+	client Relayer
 	addr   string
 }
 
 func (s *relayed) do(ctx context.Context, r RelayRequest) (RelayReply, error) {
 	ctx, cancel := context.WithTimeout(ctx, relayTimeout+r.Wait)
 	defer cancel()
-	var out RelayReply
-	if err := s.client.call(ctx, s.addr, "Relay", r, &out); err != nil {
+	out, err := s.client.Relay(ctx, s.addr, r)
+	if err != nil {
 		return out, verdict.Wrap(err, verdict.Of(err), ledger.CodeStore, "store by a peer")
 	}
 	if out.Message != "" {
--- /dev/null
+++ b/standin/jobfleet/judge.go
@@ -0,0 +1,274 @@
+package jobfleet
+
+import (
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// Judge checks the promises from what workers, callers and the instance
+// manager saw.
+type Judge struct {
+	mu       sync.Mutex
+	began    time.Time
+	broken   []string
+	tasks    map[job.TaskID]*taskRecord
+	jobs     map[job.ID]*jobRecord
+	drained  map[owner.WorkerID]time.Time
+	waves    map[int]*waveRecord
+	starts   int
+	lastDuty owner.Duty
+	dutyAt   time.Time
+}
+
+type taskRecord struct {
+	running map[owner.WorkerID]uint64
+	done    bool
+	acked   bool
+}
+
+type jobRecord struct {
+	spec      *job.Job
+	refused   bool // every answer to its submission so far said that it never runs
+	unclear   bool // an answer did not come, or said that it may run
+	accepted  bool
+	cancelled time.Time
+}
+
+type waveRecord struct {
+	limit int
+	begun map[owner.InstanceID]bool
+}
+
+// Grace of the promises with a bound in time.
+const (
+	drainBound   = 2 * time.Second
+	cancelBound  = 3 * time.Second
+	dutyHandover = 3 * time.Second
+)
+
+// NewJudge returns a judge that has seen nothing.
+func NewJudge() *Judge {
+	return &Judge{
+		began: time.Now(), tasks: map[job.TaskID]*taskRecord{}, jobs: map[job.ID]*jobRecord{},
+		drained: map[owner.WorkerID]time.Time{}, waves: map[int]*waveRecord{},
+	}
+}
+
+// Broken returns a line for each promise that was not kept.
+func (j *Judge) Broken() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.broken...)
+}
+
+// Starts returns how many tasks were started.
+func (j *Judge) Starts() int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return j.starts
+}
+
+func (j *Judge) fail(format string, args ...any) {
+	at := time.Since(j.began).Round(time.Millisecond)
+	j.broken = append(j.broken, at.String()+": "+fmt.Sprintf(format, args...))
+}
+
+// Submitted says that a caller's request with this job was sent.
+func (j *Judge) Submitted(spec *job.Job) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.jobs[spec.ID] == nil {
+		j.jobs[spec.ID] = &jobRecord{spec: spec}
+	}
+}
+
+// Answered says what the caller of a submission was told: accepted, that it
+// never runs, or neither.
+func (j *Judge) Answered(id job.ID, accepted, refused bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := j.jobs[id]
+	r.accepted = r.accepted || accepted
+	r.unclear = r.unclear || !accepted && !refused
+	r.refused = refused && !r.accepted && !r.unclear
+}
+
+// Cancelled says that a caller's cancellation was confirmed.
+func (j *Judge) Cancelled(id job.ID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.jobs[id].cancelled = time.Now()
+}
+
+// Shown checks a state that a caller was shown.
+func (j *Judge) Shown(id job.ID, s job.State) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := j.jobs[id]
+	switch s {
+	case job.Completed:
+		if !j.allDone(r.spec) {
+			j.fail("job %s is shown as completed while a task is not done", id)
+		}
+	case job.Cancelled:
+		if r.cancelled.IsZero() {
+			j.fail("job %s is shown as cancelled, nobody cancelled it", id)
+		}
+	}
+}
+
+// Gone says that a caller was told that there is no such job.
+func (j *Judge) Gone(id job.ID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.jobs[id].accepted {
+		j.fail("job %s was accepted and is said not to exist", id)
+	}
+}
+
+func (j *Judge) allDone(spec *job.Job) bool {
+	for k := range spec.Occurrences() {
+		for s := range spec.Steps {
+			if !j.stepDone(spec, k, s) {
+				return false
+			}
+		}
+	}
+	return true
+}
+
+func (j *Judge) stepDone(spec *job.Job, occurrence, step int) bool {
+	for i := range spec.Steps[step].Count {
+		t := j.tasks[job.TaskID{Job: spec.ID, Occurrence: occurrence, Step: step, Index: i}]
+		if t == nil || !t.done {
+			return false
+		}
+	}
+	return true
+}
+
+// Wave says how many instances of a wave may be down at once.
+func (j *Judge) Wave(wave, limit int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.waves[wave] = &waveRecord{limit: limit, begun: map[owner.InstanceID]bool{}}
+}
+
+// Begun returns how many instances of a wave have been maintained.
+func (j *Judge) Begun(wave int) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return len(j.waves[wave].begun)
+}
+
+func (j *Judge) started(t job.TaskID, run uint64, w owner.WorkerID, token uint64) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.starts++
+	r := j.record(t)
+	for other, n := range r.running {
+		j.fail("task %s runs twice: run %d on %s, run %d on %s under token %d", t, n, other, run, w, token)
+	}
+	if r.acked {
+		j.fail("task %s starts on %s after its end was acknowledged", t, w)
+	}
+	r.running[w] = run
+	j.judgeJob(t)
+	if at, ok := j.drained[w]; ok && time.Since(at) > drainBound {
+		j.fail("task %s starts on %s, draining for %s", t, w, time.Since(at))
+	}
+}
+
+func (j *Judge) judgeJob(t job.TaskID) {
+	r := j.jobs[t.Job]
+	if r == nil {
+		j.fail("task %s was submitted by nobody", t)
+		return
+	}
+	if r.refused {
+		j.fail("task %s starts, its job was refused", t)
+	}
+	if !r.cancelled.IsZero() && time.Since(r.cancelled) > cancelBound {
+		j.fail("task %s starts %s after its job was cancelled", t, time.Since(r.cancelled))
+	}
+	for _, a := range r.spec.Steps[t.Step].After {
+		if !j.stepDone(r.spec, t.Occurrence, a) {
+			j.fail("task %s starts before step %d is done", t, a)
+		}
+	}
+}
+
+func (j *Judge) record(t job.TaskID) *taskRecord {
+	r := j.tasks[t]
+	if r == nil {
+		r = &taskRecord{running: map[owner.WorkerID]uint64{}}
+		j.tasks[t] = r
+	}
+	return r
+}
+
+func (j *Judge) ended(t job.TaskID, run uint64, w owner.WorkerID, how string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := j.record(t)
+	if r.running[w] == run {
+		delete(r.running, w)
+	}
+	r.done = r.done || how == owner.EndDone.String()
+}
+
+func (j *Judge) acknowledged(t job.TaskID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.record(t).acked = true
+}
+
+func (j *Judge) draining(w owner.WorkerID) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.drained[w] = time.Now()
+}
+
+func (j *Judge) maintained(wave int, id owner.InstanceID) bool {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	w := j.waves[wave]
+	return w != nil && w.begun[id]
+}
+
+func (j *Judge) duty(d owner.Duty, id owner.InstanceID, wave, down int) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	if j.lastDuty.Holder != "" && j.lastDuty.Holder != d.Holder && time.Since(j.dutyAt) < dutyHandover {
+		j.fail("%s orders instance %s %s after %s did", d.Holder, id, time.Since(j.dutyAt), j.lastDuty.Holder)
+	}
+	if d.Token < j.lastDuty.Token {
+		j.fail("%s orders instance %s with token %d after %d", d.Holder, id, d.Token, j.lastDuty.Token)
+	}
+	j.lastDuty, j.dutyAt = d, time.Now()
+	if wave == 0 {
+		return
+	}
+	w := j.waves[wave]
+	w.begun[id] = true
+	if down > w.limit {
+		j.fail("%d instances of wave %d are down, %d may be", down, wave, w.limit)
+	}
+}
+
+// Running returns how many tasks of a job run.
+func (j *Judge) Running(id job.ID) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := 0
+	for t, r := range j.tasks {
+		if t.Job == id && len(r.running) > 0 {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/standin/jobfleet/network.go
@@ -0,0 +1,115 @@
+package jobfleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/peer"
+	"github.com/postmount/postmount/verdict"
+)
+
+// peerLatency is one way between daemons.
+const peerLatency = time.Millisecond
+
+// Network connects daemons.
+type Network struct {
+	mu       sync.Mutex
+	handlers map[string]peer.Handler
+	gates    map[string]*Gate
+}
+
+// NewNetwork returns a network without daemons.
+func NewNetwork() *Network {
+	return &Network{handlers: map[string]peer.Handler{}, gates: map[string]*Gate{}}
+}
+
+// Join makes a daemon reachable at addr.
+func (n *Network) Join(addr string, h peer.Handler, gate *Gate) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.handlers[addr], n.gates[addr] = h, gate
+}
+
+// Leave ends a daemon's listener.
+func (n *Network) Leave(addr string) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	delete(n.handlers, addr)
+}
+
+// PeerClient is the network as one daemon sees it.
+type PeerClient struct {
+	network *Network
+	gate    *Gate
+}
+
+// Client returns the network for a daemon.
+func (n *Network) Client(gate *Gate) *PeerClient { return &PeerClient{n, gate} }
+
+// reach passes the gates of both daemons.
+func (c *PeerClient) reach(ctx context.Context, addr string) (peer.Handler, error) {
+	c.network.mu.Lock()
+	h, gate := c.network.handlers[addr], c.network.gates[addr]
+	c.network.mu.Unlock()
+	if h == nil {
+		return nil, verdict.New(verdict.NotRun, peer.CodePeer, "nobody listens at %s", addr)
+	}
+	if c.gate.pass(ctx, toPeers) != nil || gate.pass(ctx, toPeers) != nil {
+		return nil, verdict.Wrap(errLost, verdict.MayHaveRun, peer.CodePeer, "peer %s", addr)
+	}
+	time.Sleep(peerLatency)
+	return h, ctx.Err()
+}
+
+// State implements node.Peers.
+func (c *PeerClient) State(ctx context.Context, addr string, id job.ID) (peer.StateReply, error) {
+	h, err := c.reach(ctx, addr)
+	if err != nil {
+		return peer.StateReply{}, err
+	}
+	return h.State(peer.StateRequest{Job: id}), nil
+}
+
+// Pending implements node.Peers.
+func (c *PeerClient) Pending(ctx context.Context, addr, queue string) (peer.PendingReply, error) {
+	h, err := c.reach(ctx, addr)
+	if err != nil {
+		return peer.PendingReply{}, err
+	}
+	return h.Pending(peer.PendingRequest{Queue: queue}), nil
+}
+
+// Cancelled implements node.Peers.
+func (c *PeerClient) Cancelled(ctx context.Context, addr string, id job.ID) error {
+	h, err := c.reach(ctx, addr)
+	if err != nil {
+		return err
+	}
+	h.Cancelled(peer.CancelRequest{Job: id})
+	return nil
+}
+
+// Submitted implements node.Peers.
+func (c *PeerClient) Submitted(ctx context.Context, addr string, j *job.Job) error {
+	h, err := c.reach(ctx, addr)
+	if err != nil {
+		return err
+	}
+	h.Submitted(peer.SubmitRequest{Job: *j})
+	return nil
+}
+
+// Relay implements peer.Relayer.
+func (c *PeerClient) Relay(ctx context.Context, addr string, r peer.RelayRequest) (peer.RelayReply, error) {
+	h, err := c.reach(ctx, addr)
+	if err != nil {
+		return peer.RelayReply{}, err
+	}
+	out := h.Relay(r)
+	if c.gate.pass(ctx, toPeers) != nil {
+		return peer.RelayReply{}, verdict.Wrap(errLost, verdict.MayHaveRun, peer.CodePeer, "peer %s", addr)
+	}
+	return out, nil
+}
--- /dev/null
+++ b/standin/jobfleet/store.go
@@ -0,0 +1,307 @@
+// Package jobfleet holds small stand-ins for what the job subsystem reaches
+// outside of itself: the store, workers, the instance manager and the network
+// between daemons, all in memory and on the process' clock, with faults to
+// inject. A Judge checks from what callers and workers saw that the promises
+// were kept.
+package jobfleet
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sort"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/postmount/postmount/jobs/ledger"
+	"github.com/postmount/postmount/verdict"
+)
+
+// storeLatency is one way to the store.
+const storeLatency = 2 * time.Millisecond
+
+// lateDelay is how long the store takes to carry out a write whose answer was
+// lost and that is late.
+const lateDelay = 2 * time.Second
+
+// pageItems is how many items a page of a range holds.
+const pageItems = 100
+
+// Store is a key-value service with revisions, leases and watches.
+type Store struct {
+	mu        sync.Mutex
+	rev       int64
+	items     map[string]ledger.Item
+	history   []ledger.Event
+	forgotten int64 // history up to this revision is gone
+	leases    map[ledger.LeaseID]*lease
+	nextLease ledger.LeaseID
+	changed   chan struct{} // closed at the next change
+	calls     map[string]int
+}
+
+type lease struct {
+	ttl   time.Duration
+	timer *time.Timer
+}
+
+// NewStore returns an empty store.
+func NewStore() *Store {
+	return &Store{
+		items:   map[string]ledger.Item{},
+		leases:  map[ledger.LeaseID]*lease{},
+		changed: make(chan struct{}),
+		calls:   map[string]int{},
+	}
+}
+
+// Calls returns how many calls of a kind were made; "" counts all.
+func (s *Store) Calls(kind string) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if kind != "" {
+		return s.calls[kind]
+	}
+	n := 0
+	for _, c := range s.calls {
+		n += c
+	}
+	return n
+}
+
+// Put writes a key for the operator or a worker.
+func (s *Store) Put(key string, value []byte) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.write(ledger.Put{Key: key, Value: value})
+	s.bump()
+}
+
+// Remove removes a key for the operator or a worker.
+func (s *Store) Remove(key string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.remove(key)
+	s.bump()
+}
+
+// Forget drops the history, so that watches have to start anew.
+func (s *Store) Forget() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.forgotten = s.rev
+	s.history = nil
+	s.bump()
+}
+
+// Revoke removes all keys of a daemon's leases and ends these.
+func (s *Store) Revoke(id ledger.LeaseID) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.endLease(id)
+}
+
+// RevokeAll ends every lease, as an outage in which leases lapse does.
+func (s *Store) RevokeAll() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.endLease(id)
+	}
+}
+
+// Value returns the value of a key, nil if there is none.
+func (s *Store) Value(key string) []byte {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.items[key].Value
+}
+
+// bump wakes the watches.
+func (s *Store) bump() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+func (s *Store) write(p ledger.Put) {
+	s.rev++
+	old, exists := s.items[p.Key]
+	item := ledger.Item{Key: p.Key, Value: slices.Clone(p.Value), Revision: s.rev, Created: s.rev, Lease: p.Lease}
+	if exists {
+		item.Created = old.Created
+	}
+	s.items[p.Key] = item
+	s.history = append(s.history, ledger.Event{Item: item})
+}
+
+func (s *Store) remove(key string) {
+	if _, exists := s.items[key]; !exists {
+		return
+	}
+	s.rev++
+	delete(s.items, key)
+	s.history = append(s.history, ledger.Event{Item: ledger.Item{Key: key, Revision: s.rev}, Deleted: true})
+}
+
+func (s *Store) endLease(id ledger.LeaseID) {
+	l := s.leases[id]
+	if l == nil {
+		return
+	}
+	l.timer.Stop()
+	delete(s.leases, id)
+	for key, item := range s.items {
+		if item.Lease == id {
+			s.remove(key)
+		}
+	}
+	s.bump()
+}
+
+func (s *Store) get(key string) (ledger.Item, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["get"]++
+	i, ok := s.items[key]
+	return i, ok
+}
+
+func (s *Store) page(prefix, after string) ledger.Page {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["range"]++
+	var keys []string
+	for k := range s.items {
+		if strings.HasPrefix(k, prefix) && k > after {
+			keys = append(keys, k)
+		}
+	}
+	sort.Strings(keys)
+	out := ledger.Page{Revision: s.rev, More: len(keys) > pageItems}
+	for _, k := range keys[:min(len(keys), pageItems)] {
+		out.Items = append(out.Items, s.items[k])
+	}
+	return out
+}
+
+// look returns the changes after a revision, or a channel that is closed at
+// the next one.
+func (s *Store) look(prefix string, after int64) (ledger.Changes, <-chan struct{}, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if after < s.forgotten {
+		return ledger.Changes{}, nil, verdict.New(verdict.NotRun, ledger.CodeCompacted, "history after %d is gone", after)
+	}
+	out := ledger.Changes{Revision: s.rev}
+	for _, e := range s.history {
+		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
+			out.Events = append(out.Events, e)
+		}
+	}
+	return out, s.changed, nil
+}
+
+func (s *Store) watch(ctx context.Context, prefix string, after int64, wait time.Duration) (ledger.Changes, error) {
+	s.mu.Lock()
+	s.calls["watch"]++
+	s.mu.Unlock()
+	end := time.NewTimer(wait)
+	defer end.Stop()
+	for {
+		out, changed, err := s.look(prefix, after)
+		if err != nil || len(out.Events) > 0 {
+			return out, err
+		}
+		select {
+		case <-changed:
+		case <-end.C:
+			return out, nil
+		case <-ctx.Done():
+			return out, lost(ctx)
+		}
+	}
+}
+
+func (s *Store) commit(t ledger.Txn) (ledger.TxnResult, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["commit"]++
+	if n := len(t.If) + len(t.Puts) + len(t.Deletes); n > ledger.MaxTxnEntries {
+		return ledger.TxnResult{}, verdict.New(verdict.NotRun, ledger.CodeStore, "%d entries", n)
+	}
+	held := true
+	var current []ledger.Item
+	for _, c := range t.If {
+		item := s.items[c.Key]
+		held = held && item.Revision == c.Revision
+		if item.Revision != 0 {
+			current = append(current, item)
+		}
+	}
+	if !held {
+		return ledger.TxnResult{Current: current}, nil
+	}
+	for _, p := range t.Puts {
+		if p.Lease != 0 && s.leases[p.Lease] == nil {
+			return ledger.TxnResult{LeaseGone: true}, nil
+		}
+	}
+	before := s.rev
+	for _, p := range t.Puts {
+		s.write(p)
+	}
+	for _, k := range t.Deletes {
+		s.remove(k)
+	}
+	s.unify(before)
+	s.bump()
+	return ledger.TxnResult{Committed: true, Revision: s.rev}, nil
+}
+
+// unify gives all changes of a transaction the same revision.
+func (s *Store) unify(before int64) {
+	for i := range s.history {
+		e := &s.history[i]
+		if e.Revision <= before {
+			continue
+		}
+		e.Revision = s.rev
+		if item, ok := s.items[e.Key]; ok && item.Revision > before {
+			if item.Created > before {
+				item.Created = s.rev
+			}
+			item.Revision = s.rev
+			s.items[e.Key] = item
+			e.Created = item.Created
+		}
+	}
+}
+
+func (s *Store) grant(ttl time.Duration) ledger.LeaseID {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["lease"]++
+	s.nextLease++
+	id := s.nextLease
+	s.leases[id] = &lease{ttl: ttl, timer: time.AfterFunc(ttl, func() { s.Revoke(id) })}
+	return id
+}
+
+func (s *Store) keep(id ledger.LeaseID) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.calls["keep"]++
+	l := s.leases[id]
+	if l == nil {
+		return false
+	}
+	l.timer.Reset(l.ttl)
+	return true
+}
+
+var errLost = errors.New("no answer")
+
+func lost(ctx context.Context) error {
+	return verdict.Wrap(errors.Join(errLost, ctx.Err()), verdict.MayHaveRun, ledger.CodeStore, "store")
+}
--- /dev/null
+++ b/standin/jobfleet/workers.go
@@ -0,0 +1,557 @@
+package jobfleet
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// Figures of the stand-in's workers.
+const (
+	workerLatency = time.Millisecond
+	startupTime   = 300 * time.Millisecond // of a long-running task
+	maintenance   = 2 * time.Second
+	migration     = 1500 * time.Millisecond
+	lateOrder     = 2500 * time.Millisecond // delay of an order that is carried out late
+	maxLease      = 10 * time.Second
+)
+
+// Fleet is instances and the workers that are their lives.
+type Fleet struct {
+	mu        sync.Mutex
+	began     time.Time
+	instances map[owner.InstanceID]*instance
+	workers   map[owner.WorkerID]*worker
+	jobs      map[job.ID]*job.Job // what callers submitted
+	lives     int
+	judge     *Judge
+	publish   func(key string, r *owner.Registration) // nil registration: removed
+	down      map[owner.InstanceID]int                // wave of the instances under maintenance
+}
+
+type instance struct {
+	owner.Instance
+	room job.Resources
+	fell int // how often a life of it ended
+}
+
+type worker struct {
+	reg    owner.Registration
+	at     *instance
+	token  uint64
+	active map[job.TaskID]*execution
+	ended  []owner.End
+	number uint64
+	latest map[job.TaskID]uint64 // highest run that ended or was stopped
+	lease  time.Time
+	lapse  *time.Timer
+	ping   chan struct{} // closed at the next end
+	dead   bool
+	cut    bool // its path to all daemons is cut
+	fails  bool // every task fails
+	hangs  bool // tasks stand still
+}
+
+type execution struct {
+	task  job.TaskID
+	run   uint64
+	began time.Time
+	takes time.Duration // 0: until it is stopped
+	timer *time.Timer
+	need  job.Resources
+}
+
+// NewFleet returns a fleet without instances. publish is told of registrations.
+func NewFleet(j *Judge, publish func(key string, r *owner.Registration)) *Fleet {
+	return &Fleet{
+		began: time.Now(), judge: j, publish: publish,
+		instances: map[owner.InstanceID]*instance{},
+		workers:   map[owner.WorkerID]*worker{},
+		jobs:      map[job.ID]*job.Job{},
+		down:      map[owner.InstanceID]int{},
+	}
+}
+
+// Know tells the workers what a job's tasks are.
+func (f *Fleet) Know(j *job.Job) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.jobs[j.ID] = j
+}
+
+// Add adds an instance to a pool.
+func (f *Fleet) Add(id owner.InstanceID, pool, rack string, room job.Resources) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := &instance{Instance: owner.Instance{ID: id, Pool: pool, Rack: rack}, room: room}
+	f.instances[id] = i
+	f.rise(i)
+}
+
+// rise begins a new life of an instance.
+func (f *Fleet) rise(i *instance) {
+	f.lives++
+	id := owner.WorkerID(fmt.Sprintf("w-%03d", f.lives))
+	i.State = owner.InstanceUp
+	i.Worker = id
+	w := &worker{
+		reg: owner.Registration{Worker: id, Service: i.Pool, Addr: string(id), Rack: i.Rack, Labels: []string{i.Rack}, Room: i.room},
+		at:  i, active: map[job.TaskID]*execution{}, latest: map[job.TaskID]uint64{}, ping: make(chan struct{}),
+	}
+	f.workers[id] = w
+	delete(f.down, i.ID)
+	f.publish(string(id), &w.reg)
+}
+
+// fall ends the life of an instance.
+func (f *Fleet) fall(i *instance, state owner.InstanceState) {
+	w := f.workers[i.Worker]
+	i.State = state
+	i.fell++
+	if w == nil || w.dead {
+		return
+	}
+	w.dead = true
+	for _, e := range w.active {
+		e.timer.Stop()
+		f.judge.ended(e.task, e.run, w.reg.Worker, "gone")
+	}
+	f.publish(string(w.reg.Worker), nil)
+}
+
+// Crash ends a worker without notice; it comes back after d.
+func (f *Fleet) Crash(id owner.InstanceID, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := f.instances[id]
+	f.fall(i, owner.InstanceDown)
+	f.riseAfter(i, d)
+}
+
+// Cut cuts an instance off from all daemons for a while; it runs on.
+func (f *Fleet) Cut(id owner.InstanceID, d time.Duration) {
+	f.set(id, d, func(w *worker, on bool) { w.cut = on })
+}
+
+// FailTasks lets every task on an instance fail for a while.
+func (f *Fleet) FailTasks(id owner.InstanceID, d time.Duration) {
+	f.set(id, d, func(w *worker, on bool) { w.fails = on })
+}
+
+// Hang lets tasks that start on an instance stand still for a while.
+func (f *Fleet) Hang(id owner.InstanceID, d time.Duration) {
+	f.set(id, d, func(w *worker, on bool) { w.hangs = on })
+}
+
+func (f *Fleet) set(id owner.InstanceID, d time.Duration, change func(w *worker, on bool)) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[f.instances[id].Worker]
+	if w == nil {
+		return
+	}
+	change(w, true)
+	time.AfterFunc(d, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		change(w, false)
+	})
+}
+
+// Drain announces that an instance's worker leaves.
+func (f *Fleet) Drain(id owner.InstanceID) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[f.instances[id].Worker]; w != nil && !w.dead {
+		w.reg.Draining = true
+		f.judge.draining(w.reg.Worker)
+		f.publish(string(w.reg.Worker), &w.reg)
+	}
+}
+
+func (f *Fleet) clock() int64 { return time.Since(f.began).Milliseconds() + 1000 }
+
+// extend takes the end of a lease from an order. It never shortens.
+func (f *Fleet) extend(w *worker, until int64) {
+	end := f.began.Add(time.Duration(until-1000) * time.Millisecond)
+	if limit := time.Now().Add(maxLease); end.After(limit) {
+		end = limit
+	}
+	if until == 0 || !end.After(w.lease) {
+		return
+	}
+	w.lease = end
+	if w.lapse != nil {
+		w.lapse.Stop()
+	}
+	w.lapse = time.AfterFunc(time.Until(end), func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if w.dead || time.Now().Before(w.lease) {
+			return
+		}
+		for _, e := range w.active {
+			f.end(w, e, owner.EndLapsed)
+		}
+	})
+}
+
+func (f *Fleet) end(w *worker, e *execution, kind owner.EndKind) {
+	if w.active[e.task] != e {
+		return
+	}
+	e.timer.Stop()
+	delete(w.active, e.task)
+	w.latest[e.task] = max(w.latest[e.task], e.run)
+	w.number++
+	w.ended = append(w.ended, owner.End{Number: w.number, Task: e.task, Run: e.run, Kind: kind})
+	f.judge.ended(e.task, e.run, w.reg.Worker, kind.String())
+	close(w.ping)
+	w.ping = make(chan struct{})
+}
+
+func (f *Fleet) start(w *worker, o owner.Start) owner.Answer {
+	a := owner.Answer{Outcome: owner.Taken, Clock: f.clock()}
+	if o.Token < w.token {
+		a.Outcome = owner.Fenced
+		return a
+	}
+	w.token = o.Token
+	if o.Until <= f.clock() {
+		a.Outcome = owner.LeaseOver
+		return a
+	}
+	f.extend(w, o.Until)
+	if e := w.active[o.Task]; e != nil && e.run == o.Run {
+		return a
+	}
+	if w.active[o.Task] != nil || o.Run <= w.latest[o.Task] {
+		a.Outcome = owner.RunTooOld
+		return a
+	}
+	spec := f.stepOf(o.Task)
+	if spec == nil {
+		a.Outcome = owner.Invalid
+		return a
+	}
+	if !f.freeOf(w).Fits(spec.Occupies()) {
+		a.Outcome = owner.NoRoom
+		return a
+	}
+	f.execute(w, o, spec)
+	return a
+}
+
+func (f *Fleet) stepOf(t job.TaskID) *job.Step {
+	j := f.jobs[t.Job]
+	if j == nil || t.Step >= len(j.Steps) {
+		return nil
+	}
+	return &j.Steps[t.Step]
+}
+
+func (f *Fleet) freeOf(w *worker) job.Resources {
+	room := w.reg.Room
+	for _, e := range w.active {
+		room = room.Sub(e.need)
+	}
+	return room
+}
+
+func (f *Fleet) execute(w *worker, o owner.Start, spec *job.Step) {
+	e := &execution{task: o.Task, run: o.Run, began: time.Now(), need: spec.Occupies()}
+	w.active[o.Task] = e
+	f.judge.started(o.Task, o.Run, w.reg.Worker, o.Token)
+	e.takes = spec.Estimate
+	kind := owner.EndDone
+	if w.fails {
+		kind = owner.EndFailed
+	}
+	if spec.LongRunning || w.hangs {
+		e.timer = time.NewTimer(time.Hour)
+		if w.hangs {
+			e.takes = time.Hour
+		}
+		return
+	}
+	e.timer = time.AfterFunc(e.takes, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if !w.dead {
+			f.end(w, e, kind)
+		}
+	})
+}
+
+func (f *Fleet) stop(w *worker, o owner.Stop) owner.Answer {
+	a := owner.Answer{Outcome: owner.Taken, Clock: f.clock()}
+	if o.Token < w.token {
+		a.Outcome = owner.Fenced
+		return a
+	}
+	w.token = o.Token
+	w.latest[o.Task] = max(w.latest[o.Task], o.Run)
+	if e := w.active[o.Task]; e != nil && e.run <= o.Run {
+		f.end(w, e, owner.EndStopped)
+	}
+	return a
+}
+
+// beginHold applies a hold; the caller waits for its end.
+func (f *Fleet) beginHold(w *worker, o owner.Hold) owner.Answer {
+	a := owner.Answer{Outcome: owner.Taken, Clock: f.clock()}
+	if o.Token < w.token {
+		a.Outcome = owner.Fenced
+		return a
+	}
+	w.token = o.Token
+	f.extend(w, o.Until)
+	kept := w.ended[:0]
+	for _, e := range w.ended {
+		if e.Number > o.Acknowledge {
+			kept = append(kept, e)
+			continue
+		}
+		if e.Kind == owner.EndDone {
+			f.judge.acknowledged(e.Task)
+		}
+	}
+	w.ended = kept
+	return a
+}
+
+func (f *Fleet) list(w *worker) owner.Held {
+	h := owner.Held{Answer: owner.Answer{Outcome: owner.Taken, Clock: f.clock()}}
+	for _, e := range w.active {
+		h.Active = append(h.Active, owner.ActiveRun{Task: e.task, Run: e.run, Percent: e.percent()})
+	}
+	h.Ends = append(h.Ends, w.ended...)
+	return h
+}
+
+func (e *execution) percent() int {
+	takes := e.takes
+	if takes == 0 {
+		takes = startupTime
+	}
+	return min(100, int(100*time.Since(e.began)/takes))
+}
+
+// FleetClient is the fleet as one daemon reaches it.
+type FleetClient struct {
+	fleet  *Fleet
+	daemon string
+	gate   *Gate
+	hook   Hook
+}
+
+// Client returns the fleet for a daemon.
+func (f *Fleet) Client(daemon string, gate *Gate, hook Hook) *FleetClient {
+	return &FleetClient{fleet: f, daemon: daemon, gate: gate, hook: hook}
+}
+
+// order carries out do on a worker with the faults of the daemon and the worker.
+func (c *FleetClient) order(ctx context.Context, to owner.Target, op string, do func(w *worker) owner.Answer) owner.Answer {
+	unheard := owner.Answer{Outcome: owner.Unanswered, Err: errLost}
+	if c.gate.pass(ctx, toWorkers) != nil {
+		return unheard
+	}
+	time.Sleep(workerLatency)
+	apply := func() owner.Answer {
+		c.fleet.mu.Lock()
+		defer c.fleet.mu.Unlock()
+		w := c.fleet.workers[to.Worker]
+		if w == nil || w.dead || w.cut {
+			return unheard
+		}
+		return do(w)
+	}
+	a := unheard
+	switch c.hook(c.daemon, op) {
+	case Refused:
+		return owner.Answer{Outcome: owner.Unhealthy}
+	case Swallowed:
+	case AnswerLost:
+		apply()
+	case Late:
+		time.AfterFunc(lateOrder, func() { apply() })
+	default:
+		a = apply()
+	}
+	if a.Outcome == owner.Unanswered {
+		<-ctx.Done()
+		return a
+	}
+	if c.gate.pass(ctx, toWorkers) != nil {
+		return unheard
+	}
+	return a
+}
+
+// Start implements owner.Workers.
+func (c *FleetClient) Start(ctx context.Context, o owner.Start) owner.Answer {
+	return c.order(ctx, o.Target, "start", func(w *worker) owner.Answer { return c.fleet.start(w, o) })
+}
+
+// Stop implements owner.Workers.
+func (c *FleetClient) Stop(ctx context.Context, o owner.Stop) owner.Answer {
+	return c.order(ctx, o.Target, "stop", func(w *worker) owner.Answer { return c.fleet.stop(w, o) })
+}
+
+// Throttle implements owner.Workers.
+func (c *FleetClient) Throttle(ctx context.Context, o owner.Throttle) owner.Answer {
+	return c.order(ctx, o.Target, "throttle", func(w *worker) owner.Answer {
+		return owner.Answer{Outcome: owner.Taken, Clock: c.fleet.clock()}
+	})
+}
+
+// Hold implements owner.Workers.
+func (c *FleetClient) Hold(ctx context.Context, o owner.Hold) owner.Held {
+	a := c.order(ctx, o.Target, "hold", func(w *worker) owner.Answer { return c.fleet.beginHold(w, o) })
+	if a.Outcome != owner.Taken {
+		return owner.Held{Answer: a}
+	}
+	end := time.NewTimer(o.Wait)
+	defer end.Stop()
+	for {
+		h, ping := c.look(o.Worker)
+		if len(h.Ends) > 0 || h.Outcome != owner.Taken {
+			return c.heard(ctx, h)
+		}
+		select {
+		case <-ping:
+		case <-end.C:
+			return c.heard(ctx, h)
+		case <-ctx.Done():
+			return owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered, Err: errLost}}
+		}
+	}
+}
+
+// heard loses an answer that comes to a daemon that is cut off or killed.
+func (c *FleetClient) heard(ctx context.Context, h owner.Held) owner.Held {
+	if h.Outcome == owner.Unanswered {
+		<-ctx.Done()
+		return h
+	}
+	if c.gate.pass(ctx, toWorkers) != nil {
+		return owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered, Err: errLost}}
+	}
+	return h
+}
+
+func (c *FleetClient) look(id owner.WorkerID) (owner.Held, <-chan struct{}) {
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	w := c.fleet.workers[id]
+	if w == nil || w.dead || w.cut {
+		return owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered, Err: errLost}}, nil
+	}
+	return c.fleet.list(w), w.ping
+}
+
+// Instances implements owner.InstanceManager.
+func (c *FleetClient) Instances(ctx context.Context) ([]owner.Instance, error) {
+	if c.gate.pass(ctx, toWorkers) != nil {
+		return nil, errLost
+	}
+	c.fleet.mu.Lock()
+	defer c.fleet.mu.Unlock()
+	var out []owner.Instance
+	for _, i := range c.fleet.instances {
+		out = append(out, i.Instance)
+	}
+	return out, nil
+}
+
+// Move implements owner.InstanceManager.
+func (c *FleetClient) Move(ctx context.Context, d owner.Duty, id owner.InstanceID, pool string) owner.DutyOutcome {
+	return c.act(ctx, "move", func() owner.DutyOutcome {
+		i := c.fleet.instances[id]
+		if i == nil {
+			return owner.DutyInvalid
+		}
+		if i.Pool == pool {
+			return owner.DutyDone
+		}
+		if i.State != owner.InstanceUp {
+			return owner.DutyRefused
+		}
+		c.fleet.judge.duty(d, id, 0, 0)
+		c.fleet.fall(i, owner.InstanceMoving)
+		i.Pool = pool
+		c.fleet.riseAfter(i, migration)
+		return owner.DutyDone
+	})
+}
+
+// Maintain implements owner.InstanceManager.
+func (c *FleetClient) Maintain(ctx context.Context, d owner.Duty, id owner.InstanceID, wave int) owner.DutyOutcome {
+	return c.act(ctx, "maintain", func() owner.DutyOutcome {
+		i := c.fleet.instances[id]
+		if i == nil {
+			return owner.DutyInvalid
+		}
+		if c.fleet.judge.maintained(wave, id) {
+			return owner.DutyDone
+		}
+		if i.State != owner.InstanceUp {
+			return owner.DutyRefused
+		}
+		c.fleet.down[id] = wave
+		c.fleet.judge.duty(d, id, wave, c.fleet.downOf(wave))
+		c.fleet.fall(i, owner.InstanceMaintained)
+		c.fleet.riseAfter(i, maintenance)
+		return owner.DutyDone
+	})
+}
+
+func (f *Fleet) downOf(wave int) int {
+	n := 0
+	for _, w := range f.down {
+		if w == wave {
+			n++
+		}
+	}
+	return n
+}
+
+// riseAfter begins a new life of an instance after d, unless something else
+// has befallen it by then.
+func (f *Fleet) riseAfter(i *instance, d time.Duration) {
+	fell := i.fell
+	time.AfterFunc(d, func() {
+		f.mu.Lock()
+		defer f.mu.Unlock()
+		if i.fell == fell {
+			f.rise(i)
+		}
+	})
+}
+
+func (c *FleetClient) act(ctx context.Context, op string, do func() owner.DutyOutcome) owner.DutyOutcome {
+	if c.gate.pass(ctx, toWorkers) != nil {
+		return owner.DutyUnanswered
+	}
+	time.Sleep(workerLatency)
+	apply := func() owner.DutyOutcome {
+		c.fleet.mu.Lock()
+		defer c.fleet.mu.Unlock()
+		return do()
+	}
+	switch c.hook(c.daemon, op) {
+	case Refused, Swallowed:
+		return owner.DutyUnanswered
+	case AnswerLost:
+		apply()
+		return owner.DutyUnanswered
+	case Late:
+		time.AfterFunc(lateOrder, func() { apply() })
+		return owner.DutyUnanswered
+	}
+	return apply()
+}
