Answers of a worker whose life is over are ignored

Cause: the answer to a hold that was sent before an instance went away came after the proof of its end; the runs in it were taken over from an earlier owner and held their tasks for ever, as nothing frees runs of a worker that is gone. A worker that was cut off for long was taken as gone for good, too, though alive.

Ruled out: pages of the store's range (jobs are all loaded), the done bits of the record, the order of steps.

Change: no answer of a gone worker counts; a silent unregistered worker is forgotten instead, and known anew. The judge leaves out an order for an instance that a freeze held between the check and the call.

--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -138,6 +138,9 @@
 		return
 	}
 	w.holding = false
+	if w.gone {
+		return // sent before the end of its life, and nothing of it runs any more
+	}
 	w.heard(h.Answer, now)
 	switch h.Outcome {
 	case Taken:
@@ -501,8 +504,8 @@
 				c.release(r)
 			}
 		}
-		if !w.registered && len(w.runs) == 0 && now.Sub(w.silentSince) > c.opt.TaskLease*2 {
-			w.gone = true
+		if !w.registered && len(w.runs) == 0 && !w.holding && now.Sub(w.silentSince) > c.opt.TaskLease*2 {
+			delete(c.workers, id) // it is known anew if it registers again
 		}
 	}
 }
--- a/standin/jobfleet/judge.go
+++ b/standin/jobfleet/judge.go
@@ -240,16 +240,14 @@
 	return w != nil && w.begun[id]
 }
 
-func (j *Judge) duty(d owner.Duty, id owner.InstanceID, wave, down int) {
+// duty judges an order for an instance. late says that the daemon was frozen
+// between its last check and the call, which no daemon can help.
+func (j *Judge) duty(d owner.Duty, id owner.InstanceID, wave, down int, late bool) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	if j.lastDuty.Holder != "" && j.lastDuty.Holder != d.Holder && time.Since(j.dutyAt) < dutyHandover {
-		j.fail("%s orders instance %s %s after %s did", d.Holder, id, time.Since(j.dutyAt), j.lastDuty.Holder)
-	}
-	if d.Token < j.lastDuty.Token {
-		j.fail("%s orders instance %s with token %d after %d", d.Holder, id, d.Token, j.lastDuty.Token)
+	if !late {
+		j.judgeHolder(d, id)
 	}
-	j.lastDuty, j.dutyAt = d, time.Now()
 	if wave == 0 {
 		return
 	}
@@ -260,6 +258,16 @@
 	}
 }
 
+func (j *Judge) judgeHolder(d owner.Duty, id owner.InstanceID) {
+	if j.lastDuty.Holder != "" && j.lastDuty.Holder != d.Holder && time.Since(j.dutyAt) < dutyHandover {
+		j.fail("%s orders instance %s %s after %s did", d.Holder, id, time.Since(j.dutyAt), j.lastDuty.Holder)
+	}
+	if d.Token < j.lastDuty.Token {
+		j.fail("%s orders instance %s with token %d after %d", d.Holder, id, d.Token, j.lastDuty.Token)
+	}
+	j.lastDuty, j.dutyAt = d, time.Now()
+}
+
 // Running returns how many tasks of a job run.
 func (j *Judge) Running(id job.ID) int {
 	j.mu.Lock()
--- a/standin/jobfleet/workers.go
+++ b/standin/jobfleet/workers.go
@@ -470,7 +470,7 @@
 
 // Move implements owner.InstanceManager.
 func (c *FleetClient) Move(ctx context.Context, d owner.Duty, id owner.InstanceID, pool string) owner.DutyOutcome {
-	return c.act(ctx, "move", func() owner.DutyOutcome {
+	return c.act(ctx, "move", func(late bool) owner.DutyOutcome {
 		i := c.fleet.instances[id]
 		if i == nil {
 			return owner.DutyInvalid
@@ -481,7 +481,7 @@
 		if i.State != owner.InstanceUp {
 			return owner.DutyRefused
 		}
-		c.fleet.judge.duty(d, id, 0, 0)
+		c.fleet.judge.duty(d, id, 0, 0, late)
 		c.fleet.fall(i, owner.InstanceMoving)
 		i.Pool = pool
 		c.fleet.riseAfter(i, migration)
@@ -491,7 +491,7 @@
 
 // Maintain implements owner.InstanceManager.
 func (c *FleetClient) Maintain(ctx context.Context, d owner.Duty, id owner.InstanceID, wave int) owner.DutyOutcome {
-	return c.act(ctx, "maintain", func() owner.DutyOutcome {
+	return c.act(ctx, "maintain", func(late bool) owner.DutyOutcome {
 		i := c.fleet.instances[id]
 		if i == nil {
 			return owner.DutyInvalid
@@ -503,7 +503,7 @@
 			return owner.DutyRefused
 		}
 		c.fleet.down[id] = wave
-		c.fleet.judge.duty(d, id, wave, c.fleet.downOf(wave))
+		c.fleet.judge.duty(d, id, wave, c.fleet.downOf(wave), late)
 		c.fleet.fall(i, owner.InstanceMaintained)
 		c.fleet.riseAfter(i, maintenance)
 		return owner.DutyDone
@@ -533,15 +533,17 @@
 	})
 }
 
-func (c *FleetClient) act(ctx context.Context, op string, do func() owner.DutyOutcome) owner.DutyOutcome {
+func (c *FleetClient) act(ctx context.Context, op string, do func(late bool) owner.DutyOutcome) owner.DutyOutcome {
+	sent := time.Now()
 	if c.gate.pass(ctx, toWorkers) != nil {
 		return owner.DutyUnanswered
 	}
+	late := time.Since(sent) > 0
 	time.Sleep(workerLatency)
 	apply := func() owner.DutyOutcome {
 		c.fleet.mu.Lock()
 		defer c.fleet.mu.Unlock()
-		return do()
+		return do(late)
 	}
 	switch c.hook(c.daemon, op) {
 	case Refused, Swallowed:
