--- a/internal/jobmatrix/day_test.go
+++ b/internal/jobmatrix/day_test.go
@@ -171,3 +171,14 @@
 		assert.Equal(t, 50, d.in.Judge.Starts())
 	})
 }
+
+// TestLongTasks lets tasks run that are much longer than all timeouts.
+func TestLongTasks(t *testing.T) {
+	play(t, func(d *day) {
+		j := batchJob(1)
+		j.Steps[0].Estimate = 20 * time.Second
+		d.submit(ordersPrefix, j)
+		d.finish(30 * time.Second)
+		assert.Equal(t, 5, d.in.Judge.Starts())
+	})
+}
--- a/standin/jobfleet/workers.go
+++ b/standin/jobfleet/workers.go
@@ -425,6 +425,7 @@
 		select {
 		case <-ping:
 		case <-end.C:
+			h, _ = c.look(o.Worker)
 			return c.heard(ctx, h)
 		case <-ctx.Done():
 			return owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered, Err: errLost}}
