A wave that is completed stays so

Ruled out: a late write of the store. Change: the answer repeats the state that is known. The stand-in's judge leaves out orders for instances that are carried out late, which the platform does only where it checks fencing tokens.

--- a/jobs/owner/instances.go
+++ b/jobs/owner/instances.go
@@ -411,7 +411,7 @@
 			d.accepted = now
 			ws.down[o.Instance] = d
 		}
-		c.out.Waves = append(c.out.Waves, WaveStatus{Wave: o.Wave})
+		c.out.Waves = append(c.out.Waves, WaveStatus{Wave: o.Wave, Done: ws.completed})
 	case DutyUnanswered:
 		// It may have begun: it stays among those that are down and is asked for
 		// again until the platform answers.
--- a/standin/jobfleet/workers.go
+++ b/standin/jobfleet/workers.go
@@ -553,6 +553,7 @@
 		apply()
 		return owner.DutyUnanswered
 	case Late:
+		late = true
 		time.AfterFunc(lateOrder, func() { apply() })
 		return owner.DutyUnanswered
 	}
