The judge of the stand-ins waits for the answer under way

Ruled out: an untrue refusal (the verdicts of all tries are in the log). Change: a refusal counts once no request is open, and is also judged when it comes after a start.

--- a/standin/jobfleet/judge.go
+++ b/standin/jobfleet/judge.go
@@ -35,6 +35,8 @@
 	refused   bool // every answer to its submission so far said that it never runs
 	unclear   bool // an answer did not come, or said that it may run
 	accepted  bool
+	open      int  // requests without an answer so far
+	started   bool // a task was
 	cancelled time.Time
 }
 
@@ -84,6 +86,7 @@
 	if j.jobs[spec.ID] == nil {
 		j.jobs[spec.ID] = &jobRecord{spec: spec}
 	}
+	j.jobs[spec.ID].open++
 }
 
 // Answered says what the caller of a submission was told: accepted, that it
@@ -95,6 +98,10 @@
 	r.accepted = r.accepted || accepted
 	r.unclear = r.unclear || !accepted && !refused
 	r.refused = refused && !r.accepted && !r.unclear
+	r.open--
+	if r.refused && r.started && r.open == 0 {
+		j.fail("job %s was refused, and a task of it has started", id)
+	}
 }
 
 // Cancelled says that a caller's cancellation was confirmed.
@@ -189,7 +196,8 @@
 		j.fail("task %s was submitted by nobody", t)
 		return
 	}
-	if r.refused {
+	r.started = true
+	if r.refused && r.open == 0 {
 		j.fail("task %s starts, its job was refused", t)
 	}
 	if !r.cancelled.IsZero() && time.Since(r.cancelled) > cancelBound {
