Pools by demand; tasks packed; long-running tasks kept together

Ruled out: the order of jobs (least work first is in force), turned-away starts (none), the waves (all in time).

Change: jobs/capacity plans moves from waiting and running cores: spare instances first, then idle ones of pools that can do without, and idle ones back to spare after what a move away and back costs. Batch tasks go to the fullest worker that has room; long-running ones share workers, spread over what maintenance may take.

--- /dev/null
+++ b/jobs/capacity/capacity.go
@@ -0,0 +1,176 @@
+// Package capacity decides which instances move between pools. It is pure: a
+// plan follows from the demand of the pools and from the weights.
+package capacity
+
+import (
+	"math"
+	"sort"
+	"time"
+)
+
+// Weights say what is worth how much. The figures are in the same unit, that
+// of the users' sheets.
+type Weights struct {
+	InstanceSecond float64 // one second of an instance in a pool
+	Move           float64 // one instance changing its pool
+}
+
+// DefaultWeights are the means of the two users' sheets.
+var DefaultWeights = Weights{InstanceSecond: 0.0625, Move: 0.071}
+
+// Figures of the plan.
+const (
+	// fill is the share of an instance's processors that tasks of mixed sizes
+	// fill; measured on quiet days.
+	fill = 0.9
+	// giveBackMoves is how many moves an instance's idle time must have cost
+	// before it is given back: away, and back at the pool's next turn.
+	giveBackMoves = 2
+	// reserve is how many instances a pool keeps beyond what it needs.
+	reserve = 1
+	// stuckAfter is how long tasks wait before a pool gets one more instance
+	// though it has cores enough: they may need other workers than those that run
+	// tasks of their step already.
+	stuckAfter = 500 * time.Millisecond
+	// perPlan is how many instances a plan takes from pools that have too many.
+	perPlan = 2
+)
+
+// Instance is one that could be moved.
+type Instance struct {
+	ID      string
+	IdleFor time.Duration // nothing ran on it; 0: something does
+	Movable bool          // nothing runs on it, and nothing else is planned for it
+}
+
+// Pool is a service's instances and their work.
+type Pool struct {
+	Name      string
+	Instances []Instance    // those that are up
+	Arriving  int           // on their way to it
+	Cores     float64       // of one instance
+	Busy      float64       // cores in use
+	Waiting   float64       // cores that tasks wait for now
+	WaitsFor  time.Duration // since when some task has waited without a break
+}
+
+// Move is one instance that changes its pool, and why.
+type Move struct {
+	Instance string
+	From, To string
+	Reason   string
+}
+
+// need is how many instances the pool's work fills.
+func (p *Pool) need() int {
+	if p.Cores <= 0 {
+		return 0
+	}
+	return int(math.Ceil((p.Busy + p.Waiting) / (p.Cores * fill)))
+}
+
+// surplus is how many instances the pool can do without.
+func (p *Pool) surplus() int {
+	if p.Waiting > 0 {
+		return 0
+	}
+	return len(p.Instances) + p.Arriving - p.need() - reserve
+}
+
+// shortage is how many instances the pool lacks for what waits.
+func (p *Pool) shortage() int {
+	if p.Waiting <= 0 {
+		return 0
+	}
+	short := max(0, p.need()-len(p.Instances)-p.Arriving)
+	if short == 0 && p.WaitsFor > stuckAfter && p.Arriving <= 0 {
+		return 1
+	}
+	return short
+}
+
+// planner is a plan in the making.
+type planner struct {
+	w     Weights
+	pools []Pool
+	spare Pool
+	moves []Move
+	taken map[string]bool
+}
+
+// Plan returns the moves that the pools' demand calls for. spare holds
+// instances that cost nothing; others pays for each.
+func Plan(w Weights, pools []Pool, spare Pool) []Move {
+	p := &planner{w: w, pools: append([]Pool(nil), pools...), spare: spare, taken: map[string]bool{}}
+	sort.SliceStable(p.pools, func(a, b int) bool { return p.pools[a].Waiting > p.pools[b].Waiting })
+	for i := range p.pools {
+		p.supply(&p.pools[i])
+	}
+	for i := range p.pools {
+		p.giveBack(&p.pools[i])
+	}
+	return p.moves
+}
+
+// supply brings instances to a pool whose tasks wait: spare ones first, then
+// idle ones of pools that can do without them.
+func (p *planner) supply(to *Pool) {
+	short := to.shortage()
+	for _, i := range p.spare.Instances {
+		if short == 0 {
+			return
+		}
+		if p.take(&p.spare, to, i, "tasks wait") {
+			short--
+		}
+	}
+	for d := range p.pools {
+		donor := &p.pools[d]
+		if donor.Name == to.Name {
+			continue
+		}
+		for _, i := range byIdleTime(donor.Instances) {
+			if short == 0 || donor.surplus() <= 0 {
+				break
+			}
+			if p.take(donor, to, i, "tasks wait, and it idles elsewhere") {
+				short--
+			}
+		}
+	}
+}
+
+// giveBack makes instances spare that have idled for longer than it costs to
+// move them away and back.
+func (p *planner) giveBack(from *Pool) {
+	if p.spare.Name == "" || p.w.InstanceSecond <= 0 {
+		return
+	}
+	patience := time.Duration(giveBackMoves * p.w.Move / p.w.InstanceSecond * float64(time.Second))
+	n := 0
+	for _, i := range byIdleTime(from.Instances) {
+		if n == perPlan || from.surplus() <= 0 || i.IdleFor < patience {
+			return
+		}
+		if p.take(from, &p.spare, i, "it idles") {
+			n++
+		}
+	}
+}
+
+func byIdleTime(list []Instance) []Instance {
+	out := append([]Instance(nil), list...)
+	sort.SliceStable(out, func(a, b int) bool { return out[a].IdleFor > out[b].IdleFor })
+	return out
+}
+
+func (p *planner) take(from, to *Pool, i Instance, reason string) bool {
+	if !i.Movable || p.taken[i.ID] {
+		return false
+	}
+	p.taken[i.ID] = true
+	from.Arriving--
+	to.Arriving++
+	p.moves = append(p.moves, Move{Instance: i.ID, From: from.Name, To: to.Name, Reason: reason})
+	return true
+}
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
@@ -62,6 +63,7 @@
 		Node: n.set.Node, Term: term.Number,
 		TaskLease: min(taskLease, n.set.MaxTaskLease), HoldWait: holdWait,
 		DutyHandover: n.set.DutyHandover, KeepStatus: n.set.KeepStatus, HarmLimit: n.set.HarmLimit,
+		Weights: capacity.DefaultWeights,
 	}, n.catalog.Load(), snap.Jobs, time.Now())
 	n.log.Info("jobs-loaded", zap.Int("jobs", len(snap.Jobs)), zap.Int64("revision", snap.Revision), zap.Duration("took", time.Since(began)))
 	n.term.Store(t)
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -1,13 +1,34 @@
 package owner
 
-import "time"
+import (
+	"sort"
+	"time"
+
+	"github.com/postmount/postmount/jobs/capacity"
+)
 
 // poolState is what is known of the demand of a service.
 type poolState struct {
-	waiting float64 // cores that tasks wait for, at the last placement
-	since   time.Time
+	waiting float64   // cores that tasks wait for, at the last placement
+	since   time.Time // when the first of them began to; zero: none waits
+}
+
+// moveState is an instance on its way to another pool.
+type moveState struct {
+	to       string
+	life     WorkerID // before the move
+	at       time.Time
+	accepted bool
 }
 
+// Figures of the moves between pools.
+const (
+	// sizeEvery is how often pools are sized: short against the time of a move.
+	sizeEvery = 100 * time.Millisecond
+	// moveTimeout is when a move that was accepted is no longer counted on.
+	moveTimeout = 6 * time.Second
+)
+
 func (c *Core) pool(service string) *poolState {
 	p := c.pools[service]
 	if p == nil {
@@ -22,7 +43,177 @@
 	p.waiting += float64(n) * float64(s.spec.Occupies().CPUMilli) / 1000
 }
 
+// settle notes since when tasks have waited, after a placement.
+func (p *poolState) settle(now time.Time) {
+	if p.waiting == 0 {
+		p.since = time.Time{}
+	} else if p.since.IsZero() {
+		p.since = now
+	}
+}
+
+func (p *poolState) waitsFor(now time.Time) time.Duration {
+	if p.waiting == 0 {
+		return 0
+	}
+	return now.Sub(p.since)
+}
+
 // size moves instances between pools by demand.
-func (c *Core) size(now time.Time) {}
+func (c *Core) size(now time.Time) {
+	if !c.mayDoDuty(now) || now.Before(c.nextSize) {
+		return
+	}
+	c.nextSize = now.Add(sizeEvery)
+	c.settleMoves(now)
+	pools, spare := c.poolViews(now)
+	for _, m := range capacity.Plan(c.opt.Weights, pools, spare) {
+		c.orderMove(m, now)
+	}
+}
+
+// settleMoves forgets moves that are over.
+func (c *Core) settleMoves(now time.Time) {
+	for id, m := range c.moves {
+		i := c.instances[id]
+		switch {
+		case i == nil:
+		case m.accepted && i.Pool == m.to && i.State == InstanceUp && i.Worker != m.life && c.joined(i):
+		case m.accepted && now.Sub(m.at) > moveTimeout:
+		default:
+			continue
+		}
+		delete(c.moves, id)
+		if w := c.workers[m.life]; w != nil && !w.gone {
+			w.reserved = ""
+		}
+	}
+}
+
+// joined reports whether the instance's worker takes tasks; one of a spare
+// pool has none.
+func (c *Core) joined(i *Instance) bool {
+	if s := c.catalog.Service(i.Pool); s != nil && s.Spare {
+		return true
+	}
+	w := c.workers[i.Worker]
+	return w != nil && w.held
+}
 
-func (c *Core) onMove(o MoveOrder, outcome DutyOutcome, now time.Time) {}
+// poolViews returns the pools as the plan sees them.
+func (c *Core) poolViews(now time.Time) (pools []capacity.Pool, spare capacity.Pool) {
+	views := map[string]*capacity.Pool{}
+	for _, s := range c.catalog.Services {
+		p := c.pool(s.Name)
+		views[s.Name] = &capacity.Pool{Name: s.Name, Waiting: p.waiting, WaitsFor: p.waitsFor(now)}
+	}
+	for _, i := range c.sortedInstances() {
+		v := views[i.Pool]
+		if v == nil || i.State != InstanceUp || c.moves[i.ID] != nil {
+			continue
+		}
+		v.Instances = append(v.Instances, c.instanceView(i, v, now))
+	}
+	for _, m := range c.moves {
+		if v := views[m.to]; v != nil {
+			v.Arriving++
+		}
+	}
+	for _, s := range c.catalog.Services {
+		if s.Spare {
+			spare = *views[s.Name]
+			continue
+		}
+		pools = append(pools, *views[s.Name])
+	}
+	return pools, spare
+}
+
+func (c *Core) sortedInstances() []*Instance {
+	var out []*Instance
+	for _, i := range c.instances {
+		out = append(out, i)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].ID < out[b].ID })
+	return out
+}
+
+// instanceView adds the instance's work to its pool's.
+func (c *Core) instanceView(i *Instance, v *capacity.Pool, now time.Time) capacity.Instance {
+	out := capacity.Instance{ID: string(i.ID)}
+	w := c.workers[i.Worker]
+	if w == nil {
+		out.Movable = i.Worker == "" && !c.underMaintenance(i.ID)
+		return out
+	}
+	v.Cores = max(v.Cores, float64(w.Room.CPUMilli)/1000)
+	for _, r := range w.runs {
+		v.Busy += float64(r.task.step.spec.Occupies().CPUMilli) / 1000
+	}
+	if len(w.runs)+len(w.strangers) > 0 {
+		w.idleSince = time.Time{}
+		return out
+	}
+	if w.idleSince.IsZero() {
+		w.idleSince = now
+	}
+	out.IdleFor = now.Sub(w.idleSince)
+	out.Movable = w.held && w.registered && !w.gone && !w.Draining && w.reserved == "" && !w.silent()
+	return out
+}
+
+// underMaintenance reports whether a wave has the instance down.
+func (c *Core) underMaintenance(id InstanceID) bool {
+	for _, ws := range c.waves {
+		if _, down := ws.down[id]; down {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) orderMove(m capacity.Move, now time.Time) {
+	id := InstanceID(m.Instance)
+	if c.misfits[misfit{id, m.To}] {
+		return
+	}
+	ms := &moveState{to: m.To, at: now, life: c.instances[id].Worker}
+	c.moves[id] = ms
+	if w := c.workers[ms.life]; w != nil {
+		w.reserved = "move"
+		w.reservedAt = now
+	}
+	c.note(Decision{Event: "move-ordered", Worker: ms.life, Reason: m.Instance + " from " + m.From + " to " + m.To + ": " + m.Reason})
+	c.out.Instances = append(c.out.Instances, MoveOrder{Instance: id, Pool: m.To})
+}
+
+// misfit is an instance that a pool does not take.
+type misfit struct {
+	instance InstanceID
+	pool     string
+}
+
+func (c *Core) onMove(o MoveOrder, outcome DutyOutcome, now time.Time) {
+	m := c.moves[o.Instance]
+	if m == nil {
+		return
+	}
+	c.note(Decision{Event: "move-answer", Reason: string(o.Instance) + " " + outcome.String()})
+	switch outcome {
+	case DutyDone:
+		m.accepted = true
+		return
+	case DutyUnanswered:
+		c.out.Instances = append(c.out.Instances, o) // it may have been done
+		return
+	case DutyFenced:
+		c.fenced = true
+		return
+	case DutyInvalid:
+		c.misfits[misfit{o.Instance, o.Pool}] = true
+	}
+	delete(c.moves, o.Instance)
+	if w := c.workers[m.life]; w != nil && !w.gone {
+		w.reserved = ""
+	}
+}
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -68,6 +68,7 @@
 	}
 	pool := c.pool(service)
 	pool.waiting = 0
+	defer pool.settle(now)
 	if len(claims) == 0 {
 		return
 	}
@@ -131,12 +132,26 @@
 			if r.task.step.spec.LatencyTarget > 0 {
 				pw.Serving++
 			}
+			if r.task.step.spec.LongRunning {
+				pw.Lasting++
+			}
 		}
 		v.views = append(v.views, pw)
 	}
 	return v
 }
 
+// possible reports whether any worker of the service could take the request if
+// it were empty.
+func (v *roomView) possible(req *placement.Request) bool {
+	for i := range v.views {
+		if placement.Possible(&v.views[i], req) {
+			return true
+		}
+	}
+	return len(v.views) == 0
+}
+
 // countOf sets how many tasks of the step run on each worker.
 func (v *roomView) countOf(s *stepState) {
 	for i, w := range v.workers {
@@ -157,6 +172,8 @@
 		RequiredLabel: s.spec.RequiredLabel,
 		PreferredRack: s.spec.PreferredRack,
 		MaxPerWorker:  s.spec.MaxPerWorker,
+		Lasting:       s.spec.LongRunning,
+		Spread:        s.spec.MayMiss,
 	}
 }
 
@@ -173,7 +190,9 @@
 		}
 		i := placement.Choose(room.views, req)
 		if i < 0 {
-			pool.wait(s, countWaiting(s, now))
+			if room.possible(&req) {
+				pool.wait(s, countWaiting(s, now))
+			}
 			return
 		}
 		placement.Take(&room.views[i], &req)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/job"
 )
 
@@ -15,6 +16,7 @@
 	DutyHandover time.Duration // no duty is done so long after a change of owner
 	KeepStatus   time.Duration // how long ended jobs are kept
 	HarmLimit    time.Duration // a serving task must not be over its target so long
+	Weights      capacity.Weights
 }
 
 // termRuns is how many runs an owner can start in one term.
@@ -54,7 +56,6 @@
 	checkpoint string
 	runs       []*run
 	notBefore  time.Time // backoff after a failure
-	placedNone bool      // no worker can ever take it
 }
 
 func (t *task) id() job.TaskID {
@@ -117,7 +118,6 @@
 	inherited bool   // accepted before this term
 	version   uint64 // rises with each change that has to be kept
 	written   uint64 // newest version in the store
-	flying    uint64 // version in the transaction under way
 	chain     time.Duration
 	work      float64 // core-seconds by the estimates, for the order of jobs
 }
@@ -163,7 +163,8 @@
 	nextPace     time.Time
 	penalty      time.Duration
 	reservedAt   time.Time
-	reserved     string // why it gets no new tasks: a wave or a move
+	idleSince    time.Time // nothing runs on it since; zero: something does
+	reserved     string    // why it gets no new tasks: a wave or a move
 }
 
 type stranger struct {
@@ -204,6 +205,9 @@
 	lives     map[WorkerID]InstanceID
 	waves     map[int]*waveState
 	pools     map[string]*poolState
+	moves     map[InstanceID]*moveState
+	misfits   map[misfit]bool
+	nextSize  time.Time
 	dirty     map[job.ID]*jobState
 	changed   map[string]bool // services with something to place
 	out       Effects
@@ -269,6 +273,8 @@
 		lives:     map[WorkerID]InstanceID{},
 		waves:     map[int]*waveState{},
 		pools:     map[string]*poolState{},
+		moves:     map[InstanceID]*moveState{},
+		misfits:   map[misfit]bool{},
 		dirty:     map[job.ID]*jobState{},
 		changed:   map[string]bool{},
 		early:     map[job.ID]time.Time{},
--- a/jobs/placement/placement.go
+++ b/jobs/placement/placement.go
@@ -18,6 +18,7 @@
 	Mine    int  // tasks of the same step and occurrence on it
 	Fillers int  // tasks on it that use what others leave
 	Serving int  // long-running tasks on it that have a latency target
+	Lasting int  // long-running tasks on it
 }
 
 // Request is what a task needs.
@@ -28,6 +29,10 @@
 	RequiredLabel string
 	PreferredRack string
 	MaxPerWorker  int
+	Lasting       bool // a long-running task
+	// Spread is how many tasks of a step a worker should have at most, so that
+	// maintenance may take it away; 0: any number.
+	Spread int
 }
 
 // Weights of a choice. They are in shares of a worker's processors, so that
@@ -41,6 +46,12 @@
 	// sharingMalus keeps fillers and serving tasks apart where there is a
 	// choice: one of the other kind weighs as a quarter of the worker.
 	sharingMalus = 0.25
+	// spreadMalus puts a long-running task on another worker while maintenance
+	// could not take this one away any more.
+	spreadMalus = 4.0
+	// lastingBonus keeps long-running tasks of different steps together, so
+	// that the other instances can be moved when they idle.
+	lastingBonus = 1.0
 )
 
 // Possible reports whether the worker could ever take the request.
@@ -60,12 +71,24 @@
 	return r.MaxPerWorker == 0 || w.Mine < r.MaxPerWorker
 }
 
-// score is higher for a better worker: the emptiest one, on the rack of the
-// data, that was not bad of late.
+// score is higher for a better worker. Tasks that end go to the fullest worker
+// that has room, so that the others stay free for wide tasks and for moves;
+// long-running ones go where others are, but spread over what maintenance may
+// take away at once.
 func score(w *Worker, r *Request) float64 {
-	s := 0.0
+	left := 0.0
 	if w.Room.CPUMilli > 0 {
-		s = float64(w.Free.CPUMilli-r.Need.CPUMilli) / float64(w.Room.CPUMilli)
+		left = float64(w.Free.CPUMilli-r.Need.CPUMilli) / float64(w.Room.CPUMilli)
+	}
+	s := -left
+	if r.Lasting {
+		s = left
+		if w.Lasting > 0 {
+			s += lastingBonus
+		}
+		if r.Spread > 0 && w.Mine >= r.Spread {
+			s -= spreadMalus
+		}
 	}
 	if r.PreferredRack != "" && w.Rack == r.PreferredRack {
 		s += rackBonus
@@ -108,6 +131,9 @@
 	if r.Serving {
 		w.Serving++
 	}
+	if r.Lasting {
+		w.Lasting++
+	}
 }
 
 // ChooseGang returns workers for n tasks that work only together, nil if they
