Workers with more tasks of a step than maintenance may take are thinned out

Ruled out: the instance list's lag, orders refused (none in the log).

Change: a reserved worker gives such tasks away one at a time, within the budget; only tasks that are not at work, or on a worker that was ordered away, count. TestWaveThinsOutWorkers fails without either.

--- a/internal/jobmatrix/day_test.go
+++ b/internal/jobmatrix/day_test.go
@@ -182,3 +182,22 @@
 		assert.Equal(t, 5, d.in.Judge.Starts())
 	})
 }
+
+// TestWaveThinsOutWorkers maintains a worker that has more tasks of a
+// long-running step than maintenance may take away at once.
+func TestWaveThinsOutWorkers(t *testing.T) {
+	play(t, func(d *day) {
+		j := lastingJob(1)
+		j.Steps[0].Count = 6 // on four instances
+		j.Steps[0].MaxPerWorker = 0
+		d.submit(ordersPrefix, j)
+		time.Sleep(2 * time.Second)
+		d.in.RequestWave(owner.WaveRequest{Wave: 1, Instances: []owner.InstanceID{"i0", "i1", "i2", "i3"}, Within: 60 * time.Second, MaxDown: 2})
+		for i := 0; i < 120 && !d.in.WaveDone(1); i++ {
+			time.Sleep(500 * time.Millisecond)
+		}
+		assert.True(t, d.in.WaveDone(1), "the wave is not completed")
+		d.lastingServes(j)
+		assert.Empty(t, d.in.Judge.Broken())
+	})
+}
--- a/jobs/owner/instances.go
+++ b/jobs/owner/instances.go
@@ -219,7 +219,7 @@
 		}
 		delete(ws.down, id)
 		if w != nil {
-			w.reserved = ""
+			w.unreserve()
 		}
 		c.note(Decision{Event: "maintained-before", Worker: d.life, Reason: string(id)})
 	}
@@ -238,7 +238,9 @@
 		}
 		if c.readyToGo(cand.w, now) {
 			c.orderMaintenance(ws, cand, now)
+			continue
 		}
+		c.thin(cand.w, now)
 	}
 	free := ws.MaxDown - len(ws.down) - len(c.reservedFor(ws))
 	for _, cand := range c.nextForWave(ws, now) {
@@ -252,7 +254,7 @@
 			}
 			continue
 		}
-		if !c.mayTake(cand.w, now) {
+		if !mayTake(cand.w) && !mayThin(cand.w) {
 			continue // one that was reserved a moment ago has tasks of the same step
 		}
 		cand.w.reserved = "maintenance"
@@ -297,7 +299,7 @@
 		}
 		cand := candidate{id: id, w: w}
 		if w != nil {
-			if !c.mayTake(w, now) {
+			if !mayTake(w) && !mayThin(w) {
 				continue
 			}
 			cand.cost = w.load()
@@ -323,44 +325,80 @@
 	return sum
 }
 
-// mayTake reports whether the budgets of the long-running tasks on the worker
-// allow to take it away now: of each step at most MayMiss tasks are away.
-func (c *Core) mayTake(w *worker, now time.Time) bool {
+// lastingOn counts the long-running tasks on a worker by their step.
+func lastingOn(w *worker) map[*stepState]int {
 	here := map[*stepState]int{}
 	for _, r := range w.runs {
 		if s := r.task.step; s.spec.LongRunning && !s.job.state.Final() {
 			here[s]++
 		}
 	}
-	for s, n := range here {
-		away := 0
-		for _, t := range s.tasks {
-			if !t.atWork() && !t.on(w) || t.leaving(w) {
-				away++
-			}
+	return here
+}
+
+// awayBeside counts the tasks of a step that are away beside those on w. A task
+// on a worker that was ordered away is.
+func awayBeside(s *stepState, w *worker) int {
+	away := 0
+	for _, t := range s.tasks {
+		if !t.on(w) && !t.atWork() {
+			away++
 		}
-		if away+n > s.spec.MayMiss {
+	}
+	return away
+}
+
+// mayTake reports whether the budgets of the long-running tasks on the worker
+// allow to take it away now: of each step at most MayMiss tasks are away.
+func mayTake(w *worker) bool {
+	for s, n := range lastingOn(w) {
+		if awayBeside(s, w)+n > s.spec.MayMiss {
 			return false
 		}
 	}
 	return true
 }
 
-// on reports whether the task runs on w.
-func (t *task) on(w *worker) bool {
-	for _, r := range t.runs {
-		if r.worker == w {
+// mayThin reports whether tasks can be moved away from the worker one by one,
+// because it has more of a step than may be away at once.
+func mayThin(w *worker) bool {
+	for s, n := range lastingOn(w) {
+		if s.spec.MayMiss == 0 || n <= s.spec.MayMiss && awayBeside(s, w)+n > s.spec.MayMiss {
+			return false
+		}
+	}
+	return true
+}
+
+// thin stops one task of each step of which a reserved worker has more than
+// may be away at once; it comes back on another worker.
+func (c *Core) thin(w *worker, now time.Time) {
+	for s, n := range lastingOn(w) {
+		if n <= s.spec.MayMiss || awayBeside(s, w) > 0 || stoppingOn(s, w) {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.task.step == s && r.phase == running {
+				c.stop(r, "its worker is due for maintenance", now)
+				break
+			}
+		}
+	}
+}
+
+func stoppingOn(s *stepState, w *worker) bool {
+	for _, r := range w.runs {
+		if r.task.step == s && (r.phase != running || r.percent < 100) {
 			return true
 		}
 	}
 	return false
 }
 
-// leaving reports whether the task runs on another worker that is about to be
-// taken away.
-func (t *task) leaving(w *worker) bool {
+// on reports whether the task runs on w.
+func (t *task) on(w *worker) bool {
 	for _, r := range t.runs {
-		if r.worker != w && r.worker.reserved != "" {
+		if r.worker == w {
 			return true
 		}
 	}
@@ -369,7 +407,7 @@
 
 // readyToGo reports whether a reserved worker may be taken away now.
 func (c *Core) readyToGo(w *worker, now time.Time) bool {
-	if !c.mayTake(w, now) {
+	if !mayTake(w) {
 		return false
 	}
 	for _, r := range w.runs {
@@ -386,6 +424,9 @@
 		d.life = cand.w.Worker
 	}
 	ws.down[cand.id] = d
+	if cand.w != nil {
+		cand.w.departing = true
+	}
 	c.note(Decision{Event: "maintenance-ordered", Worker: d.life, Reason: string(cand.id)})
 	c.out.Instances = append(c.out.Instances, MoveOrder{Instance: cand.id, Wave: ws.Wave})
 }
@@ -421,13 +462,19 @@
 	default:
 		delete(ws.down, o.Instance)
 		if w != nil {
-			w.reserved = ""
+			w.unreserve()
 			w.avoidUntil = later(w.avoidUntil, now.Add(orderRetry))
 		}
 	}
 	c.note(Decision{Event: "maintenance-answer", Reason: string(o.Instance) + " " + outcome.String()})
 }
 
+// unreserve lets a worker have new tasks again.
+func (w *worker) unreserve() {
+	w.reserved = ""
+	w.departing = false
+}
+
 var dutyNames = [...]string{"unanswered", "done", "fenced", "refused", "invalid"}
 
 // String returns the outcome's name in logs and metrics.
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -85,7 +85,7 @@
 		}
 		delete(c.moves, id)
 		if w := c.workers[m.life]; w != nil && !w.gone {
-			w.reserved = ""
+			w.unreserve()
 		}
 	}
 }
@@ -214,6 +214,6 @@
 	}
 	delete(c.moves, o.Instance)
 	if w := c.workers[m.life]; w != nil && !w.gone {
-		w.reserved = ""
+		w.unreserve()
 	}
 }
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -84,7 +84,7 @@
 // atWork reports whether a long-running task serves, as far as is known.
 func (t *task) atWork() bool {
 	for _, r := range t.runs {
-		if r.phase == running && r.percent >= 100 && !r.worker.silent() {
+		if r.phase == running && r.percent >= 100 && !r.worker.silent() && !r.worker.departing {
 			return true
 		}
 	}
@@ -163,6 +163,7 @@
 	nextPace     time.Time
 	penalty      time.Duration
 	reservedAt   time.Time
+	departing    bool      // an order that ends this life was sent
 	idleSince    time.Time // nothing runs on it since; zero: something does
 	reserved     string    // why it gets no new tasks: a wave or a move
 }
