Registrations are read every 100 ms while workers are expected

Cause: a worker that moved to a pool waits up to 400 ms for its registration to be read. Ruled out: the first hold (6 ms). Change: 100 ms while instances are on their way to a pool.

--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -82,6 +82,9 @@
 	// registrationsEvery is how often the owner reads the workers' entries. It
 	// is a fifth of the time in which a draining worker must be left alone.
 	registrationsEvery = 400 * time.Millisecond
+	// expectingEvery is registrationsEvery while instances are on their way to a
+	// pool: each read costs a thirtieth of a second of an instance.
+	expectingEvery = 100 * time.Millisecond
 	// instancesEvery is how often the owner reads the instance list.
 	instancesEvery = 700 * time.Millisecond
 	// tickEvery is the resolution of the owner's timers.
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -39,6 +40,7 @@
 
 	listing chan struct{} // holds one token while the instance list is read
 
+	expecting  atomic.Bool // workers are about to register
 	committing bool
 	lastCommit time.Time
 	lastExpire time.Time
@@ -378,9 +380,16 @@
 		items, _, err := t.n.readAll(t.ctx, t.n.platform.Dialect.WorkerPrefix)
 		if err == nil {
 			list := t.decodeRegistrations(items)
-			t.do(func(c *owner.Core, now time.Time) { c.Register(list, now) })
+			t.do(func(c *owner.Core, now time.Time) {
+				c.Register(list, now)
+				t.expecting.Store(c.Expecting())
+			})
 		}
-		if !pause(t.ctx, registrationsEvery) {
+		every := registrationsEvery
+		if t.expecting.Load() {
+			every = expectingEvery
+		}
+		if !pause(t.ctx, every) {
 			return
 		}
 	}
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -90,6 +90,16 @@
 	}
 }
 
+// Expecting reports whether workers are about to register.
+func (c *Core) Expecting() bool {
+	for _, m := range c.moves {
+		if s := c.catalog.Service(m.to); s == nil || !s.Spare {
+			return true
+		}
+	}
+	return false
+}
+
 // joined reports whether the instance's worker takes tasks; one of a spare
 // pool has none.
 func (c *Core) joined(i *Instance) bool {
