A wave leaves instances on their way to a pool; tests of the owner by hand

Ruled out: the stale list of a lagging platform (the life is compared, not the state alone).

Change: instances with a life that is not known yet wait; the life is taken from the instance list. TestWaveLeavesInstancesOnTheirWay fails without. More tests drive the core by hand, one for each fault found so far.

--- a/jobs/capacity/capacity.go
+++ b/jobs/capacity/capacity.go
@@ -23,6 +23,9 @@
 	// fill is the share of an instance's processors that tasks of mixed sizes
 	// fill; measured on quiet days.
 	fill = 0.9
+	// headroom is how much more work than there is a pool is sized for: a turn of
+	// traffic grows several times over in the time of a move.
+	headroom = 1.3
 	// giveBackMoves is how many moves an instance's idle time must have cost
 	// before it is given back: away, and back at the pool's next turn.
 	giveBackMoves = 2
@@ -66,7 +69,7 @@
 	if p.Cores <= 0 {
 		return 0
 	}
-	return int(math.Ceil((p.Busy + p.Waiting) / (p.Cores * fill)))
+	return int(math.Ceil((headroom*p.Busy + p.Waiting) / (p.Cores * fill)))
 }
 
 // surplus is how many instances the pool can do without.
@@ -77,11 +80,8 @@
 	return len(p.Instances) + p.Arriving - p.need() - reserve
 }
 
-// shortage is how many instances the pool lacks for what waits.
+// shortage is how many instances the pool lacks.
 func (p *Pool) shortage() int {
-	if p.Waiting <= 0 {
-		return 0
-	}
 	short := max(0, p.need()-len(p.Instances)-p.Arriving)
 	if short == 0 && p.WaitsFor > stuckAfter && p.Arriving <= 0 {
 		return 1
--- /dev/null
+++ b/jobs/owner/core_test.go
@@ -0,0 +1,301 @@
+package owner
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// rig drives a core by hand.
+type rig struct {
+	t    *testing.T
+	core *Core
+	now  time.Time
+	out  Effects
+	regs []Registration
+	inst []Instance
+}
+
+const (
+	rigLease = 4 * time.Second
+	rigClock = 100_000 // of every worker when the rig starts, in ms
+)
+
+func newRig(t *testing.T, term uint64, loaded ...Loaded) *rig {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	catalog := &job.Catalog{
+		Queues:   []job.Queue{{Name: "q", Service: "s", MaxAttempts: 2, Stretch: 2, Objective: time.Second}},
+		Services: []job.Service{{Name: "s"}, {Name: "spare", Spare: true}},
+	}
+	opt := Options{Term: term, TaskLease: rigLease, HoldWait: 500 * time.Millisecond, DutyHandover: 3 * time.Second, KeepStatus: time.Minute}
+	return &rig{t: t, core: New(opt, catalog, loaded, now), now: now}
+}
+
+// worker registers a worker and its instance.
+func (r *rig) worker(id string) WorkerID {
+	r.regs = append(r.regs, Registration{Worker: WorkerID(id), Service: "s", Addr: id, Room: job.Resources{CPUMilli: 8000, MemMB: 8000}})
+	r.inst = append(r.inst, Instance{ID: InstanceID("i-" + id), Pool: "s", State: InstanceUp, Worker: WorkerID(id)})
+	r.list()
+	return WorkerID(id)
+}
+
+func (r *rig) list() {
+	r.core.Register(r.regs, r.now)
+	r.core.OnInstances(r.inst, r.now)
+	r.tick(0)
+}
+
+// tick lets time pass in steps of 25 ms and collects effects.
+func (r *rig) tick(d time.Duration) {
+	for end := r.now.Add(d); ; r.now = r.now.Add(25 * time.Millisecond) {
+		r.core.Tick(r.now)
+		r.take()
+		if !r.now.Before(end) {
+			return
+		}
+	}
+}
+
+func (r *rig) take() {
+	e := r.core.Take()
+	r.out.Starts = append(r.out.Starts, e.Starts...)
+	r.out.Stops = append(r.out.Stops, e.Stops...)
+	r.out.Holds = append(r.out.Holds, e.Holds...)
+	r.out.Instances = append(r.out.Instances, e.Instances...)
+	r.out.Waves = append(r.out.Waves, e.Waves...)
+}
+
+func (r *rig) clock() int64 {
+	return rigClock + r.now.Sub(r.core.startedAt).Milliseconds()
+}
+
+// held answers the hold that is under way.
+func (r *rig) held(id WorkerID, active []ActiveRun, ends ...End) {
+	r.core.OnHeld(id, Held{Answer: Answer{Outcome: Taken, Clock: r.clock()}, Active: active, Ends: ends}, r.now)
+	r.core.React(r.now)
+	r.take()
+}
+
+// unheard lets the hold that is under way go unanswered.
+func (r *rig) unheard(id WorkerID) {
+	r.core.OnHeld(id, Held{Answer: Answer{Outcome: Unanswered, Err: errors.New("lost")}}, r.now)
+	r.core.React(r.now)
+	r.take()
+}
+
+func (r *rig) submit(n, count int) *job.Job {
+	j := simpleJob(n, count)
+	r.core.Submit(j, r.now)
+	r.core.React(r.now)
+	r.take()
+	return j
+}
+
+func simpleJob(n, count int) *job.Job {
+	return &job.Job{ID: job.ID(fmt.Sprintf("%016d", n)), Queue: "q", Service: "s", Steps: []job.Step{
+		{Count: count, Need: job.Resources{CPUMilli: 1000, MemMB: 100}, Estimate: time.Second},
+	}}
+}
+
+// started confirms all starts so far and returns them.
+func (r *rig) started() []Start {
+	out := r.out.Starts
+	r.out.Starts = nil
+	for _, s := range out {
+		r.core.OnStarted(s, Answer{Outcome: Taken, Clock: r.clock()}, r.now)
+	}
+	r.take()
+	return out
+}
+
+func TestASilentWorkersTasksStartElsewhere(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	r.submit(1, 1)
+	require.Len(t, r.started(), 1)
+	b := r.worker("b")
+	r.held(b, nil)
+	for range 60 { // 6 s without an answer of a
+		r.unheard(a)
+		r.tick(100 * time.Millisecond)
+		r.held(b, nil)
+	}
+	again := r.started()
+	require.Len(t, again, 1, "the lease of a silent worker has to end")
+	assert.Equal(t, b, again[0].Worker)
+}
+
+func TestCancellationBeforeTheJobIsKnown(t *testing.T) {
+	r := newRig(t, 1)
+	r.held(r.worker("a"), nil)
+	j := simpleJob(1, 1)
+	r.core.Cancel(j.ID, r.now)
+	r.core.Submit(j, r.now)
+	r.core.React(r.now)
+	r.take()
+	assert.Empty(t, r.out.Starts)
+	state, known := r.core.State(j.ID)
+	assert.True(t, known)
+	assert.Equal(t, job.Cancelled, state)
+}
+
+func TestAnswerOfAWorkerThatIsGone(t *testing.T) {
+	j := simpleJob(1, 1)
+	r := newRig(t, 2, Loaded{Job: j})
+	a := r.worker("a")
+	b := r.worker("b")
+	r.held(b, nil)
+	r.inst[0].State = InstanceMaintained // while the first hold of a is under way
+	r.list()
+	r.held(a, []ActiveRun{{Task: job.TaskID{Job: j.ID}, Run: 1_000_001}})
+	r.tick(100 * time.Millisecond)
+	starts := r.started()
+	require.Len(t, starts, 1, "the run on the worker that is gone holds the task")
+	assert.Equal(t, b, starts[0].Worker)
+}
+
+func TestInheritedTasksWaitForEveryWorker(t *testing.T) {
+	j := simpleJob(1, 1)
+	r := newRig(t, 2, Loaded{Job: j})
+	r.worker("a")
+	b := r.worker("b")
+	r.held(b, nil)
+	r.tick(time.Second)
+	assert.Empty(t, r.out.Starts, "the task may run on a")
+	r.submit(2, 1)
+	assert.Len(t, r.started(), 1, "a job of this term cannot")
+	r.tick(rigLease)
+	assert.Len(t, r.started(), 1, "every lease of the earlier owner has ended")
+}
+
+func TestUnansweredStart(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	r.submit(1, 1)
+	first := r.out.Starts[0]
+	r.out.Starts = nil
+	r.core.OnStarted(first, Answer{Outcome: Unanswered}, r.now)
+	r.take()
+	require.Len(t, r.out.Starts, 1, "it is sent again")
+	second := r.out.Starts[0]
+	assert.Equal(t, first.Run, second.Run, "with the same run")
+	r.out.Starts = nil
+	r.core.OnStarted(second, Answer{Outcome: NoRoom, Clock: r.clock()}, r.now)
+	r.take()
+	require.Len(t, r.out.Stops, 1, "the first order may still arrive")
+	r.tick(300 * time.Millisecond)
+	assert.Empty(t, r.out.Starts, "the task waits for the stop")
+	r.core.OnStopped(r.out.Stops[0], Answer{Outcome: Taken, Clock: r.clock()}, r.now)
+	r.tick(25 * time.Millisecond)
+	r.held(a, nil) // that was under way
+	r.tick(25 * time.Millisecond)
+	r.held(a, nil) // sent after the stop was answered
+	r.tick(200 * time.Millisecond)
+	require.Len(t, r.out.Starts, 1)
+	assert.Greater(t, r.out.Starts[0].Run, first.Run)
+}
+
+func TestEndsAreAcknowledgedOnceRecorded(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	j := r.submit(1, 1)
+	s := r.started()[0]
+	r.out.Holds = nil
+	r.held(a, nil, End{Number: 1, Task: s.Task, Run: s.Run, Kind: EndDone})
+	r.tick(400 * time.Millisecond)
+	require.NotEmpty(t, r.out.Holds)
+	assert.Zero(t, r.out.Holds[len(r.out.Holds)-1].Acknowledge)
+	state, _ := r.core.State(j.ID)
+	assert.Equal(t, job.Running, state, "not completed before it is recorded")
+	r.core.Committed(r.core.Uncommitted(10), r.now)
+	state, _ = r.core.State(j.ID)
+	assert.Equal(t, job.Completed, state)
+	r.held(a, nil)
+	r.tick(25 * time.Millisecond)
+	assert.EqualValues(t, 1, r.out.Holds[len(r.out.Holds)-1].Acknowledge)
+}
+
+func TestAttemptsAreCountedOverTerms(t *testing.T) {
+	j := simpleJob(1, 1)
+	p := &job.Progress{State: job.Running, Steps: []job.StepProgress{{Failed: map[int]int{0: 1}}}}
+	r := newRig(t, 2, Loaded{Job: j, Progress: p})
+	a := r.worker("a")
+	r.held(a, nil)
+	s := r.started()[0]
+	r.held(a, nil, End{Number: 1, Task: s.Task, Run: s.Run, Kind: EndFailed})
+	r.tick(time.Second)
+	assert.Empty(t, r.out.Starts)
+	r.core.Committed(r.core.Uncommitted(10), r.now)
+	state, _ := r.core.State(j.ID)
+	assert.Equal(t, job.Failed, state)
+}
+
+// orders returns the maintenance that was ordered so far.
+func (r *rig) maintenances() []MoveOrder {
+	var out []MoveOrder
+	for _, o := range r.out.Instances {
+		if o.Wave != 0 {
+			out = append(out, o)
+		}
+	}
+	return out
+}
+
+func TestWaveLeavesInstancesOnTheirWay(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	// The list shows a new life whose worker has not registered yet.
+	r.inst = append(r.inst, Instance{ID: "i-new", Pool: "s", State: InstanceUp, Worker: "new"})
+	r.core.OnInstances(r.inst, r.now)
+	r.core.OnWave(WaveRequest{Wave: 1, Instances: []InstanceID{"i-new", "i-a"}, Within: time.Minute, MaxDown: 1}, nil, false, r.now)
+	r.tick(100 * time.Millisecond)
+	require.Len(t, r.maintenances(), 1)
+	assert.EqualValues(t, "i-a", r.maintenances()[0].Instance)
+	r.core.OnInstances(r.inst, r.now) // read before the order was carried out
+	r.tick(100 * time.Millisecond)
+	assert.Len(t, r.maintenances(), 1, "one instance may be down")
+}
+
+func TestCompletedWaveStaysSo(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	r.core.OnWave(WaveRequest{Wave: 1, Instances: []InstanceID{"i-a"}, Within: time.Minute, MaxDown: 1}, nil, false, r.now)
+	r.tick(100 * time.Millisecond)
+	require.Len(t, r.maintenances(), 1)
+	r.inst[0].State = InstanceMaintained
+	r.list()
+	r.core.OnInstanceOrder(r.maintenances()[0], DutyDone, r.now)
+	r.tick(100 * time.Millisecond)
+	assert.True(t, r.out.Waves[len(r.out.Waves)-1].Done)
+}
+
+func TestMaintenanceDoneByAnEarlierOwner(t *testing.T) {
+	r := newRig(t, 2)
+	a := r.worker("a")
+	r.held(a, nil)
+	r.core.OnWave(WaveRequest{Wave: 1, Instances: []InstanceID{"i-a"}, Within: time.Minute, MaxDown: 1}, nil, false, r.now)
+	for range 35 { // nothing before the pause of a change of owner is over
+		r.tick(100 * time.Millisecond)
+		r.list()
+		r.held(a, nil)
+	}
+	require.Len(t, r.maintenances(), 1)
+	r.core.OnInstanceOrder(r.maintenances()[0], DutyDone, r.now)
+	r.held(a, nil) // was under way
+	r.tick(50 * time.Millisecond)
+	r.held(a, nil) // sent after the platform's yes: the worker lives on
+	r.tick(50 * time.Millisecond)
+	r.submit(1, 1)
+	assert.Len(t, r.started(), 1, "the worker takes tasks again")
+}
--- a/jobs/owner/instances.go
+++ b/jobs/owner/instances.go
@@ -294,6 +294,9 @@
 			continue
 		}
 		w := c.workerOf(id)
+		if w == nil && i.Worker != "" || c.moves[id] != nil {
+			continue // on its way to a pool: what runs there is not known yet
+		}
 		if w != nil && (w.gone || w.Draining || w.reserved != "") {
 			continue
 		}
@@ -419,10 +422,7 @@
 }
 
 func (c *Core) orderMaintenance(ws *waveState, cand candidate, now time.Time) {
-	d := downSince{at: now}
-	if cand.w != nil {
-		d.life = cand.w.Worker
-	}
+	d := downSince{at: now, life: c.instances[cand.id].Worker}
 	ws.down[cand.id] = d
 	if cand.w != nil {
 		cand.w.departing = true
