Logs are bounded and never wait; postmount explain puts one job's lines in order

Cause: on-call engineers have only logs and metrics; lines went to standard output directly, so that a slow reader would stop a daemon, and a storm of one event had no bound. Change: a buffered writer that drops and counts; of one event 60 lines a second, then one in 50, the rest counted (log_lines_left_out); lines for a job's first start and for why it had to wait; postmount explain ID FILES.

--- /dev/null
+++ b/cmd/postmount/explain.go
@@ -0,0 +1,65 @@
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/alecthomas/kingpin/v2"
+
+	"github.com/postmount/postmount/jobs/explain"
+)
+
+// explainCommand adds the command that tells from log files what befell a job.
+func explainCommand(app *kingpin.Application, runners map[string]runner) {
+	cmd := app.Command("explain", "Tell from the daemons' log files what befell a job.")
+	id := cmd.Arg("job", "The job's id.").Required().String()
+	files := cmd.Arg("files", "Log files, one or more for each daemon.").Required().ExistingFiles()
+	runners[cmd.FullCommand()] = func(_ context.Context, o *options) int {
+		t, err := explainFiles(*id, *files)
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitNotRun
+		}
+		if o.output == "json" {
+			err = json.NewEncoder(os.Stdout).Encode(t)
+		} else {
+			err = t.Write(os.Stdout)
+		}
+		if err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			return exitNotRun
+		}
+		if len(t.Lines) == 0 {
+			return exitNotRun
+		}
+		return exitDone
+	}
+}
+
+func explainFiles(id string, files []string) (explain.Timeline, error) {
+	var all []explain.Line
+	unreadable := 0
+	for _, name := range files {
+		f, err := os.Open(name)
+		if err != nil {
+			return explain.Timeline{}, err
+		}
+		source := strings.TrimSuffix(filepath.Base(name), filepath.Ext(name))
+		lines, bad, err := explain.Read(source, f)
+		f.Close()
+		if err != nil {
+			return explain.Timeline{}, fmt.Errorf("%s: %w", name, err)
+		}
+		all = append(all, lines...)
+		unreadable += bad
+	}
+	t := explain.Explain(id, all)
+	if unreadable > 0 {
+		t.Findings = append(t.Findings, fmt.Sprintf("%d lines of the files could not be read", unreadable))
+	}
+	return t, nil
+}
--- a/cmd/postmount/main.go
+++ b/cmd/postmount/main.go
@@ -61,6 +61,7 @@
 	statusCommand(app, runners)
 	waitCommand(app, runners)
 	reportCommand(app, runners)
+	explainCommand(app, runners)
 	app.Terminate(func(status int) {
 		if status != 0 {
 			status = exitUsage
--- a/cmd/postmountd/platform.go
+++ b/cmd/postmountd/platform.go
@@ -39,12 +39,17 @@
 	if set.MemoryMB > 0 {
 		debug.SetMemoryLimit(int64(float64(set.MemoryMB) * memoryShare * (1 << 20)))
 	}
-	log, err := telemetry.NewLogger("info", "json", os.Stdout)
+	lines := telemetry.NewAsyncWriter(os.Stdout)
+	defer lines.Close()
+	log, err := telemetry.NewLogger("info", "json", lines)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitFailed
 	}
 	m := telemetry.NewMetrics()
+	defer m.Close()
+	left := m.Scope.Counter("log_lines_left_out")
+	log = telemetry.Bounded(log, func() { left.Inc(1) })
 	n := node.New(set, platform.New(set), log, node.NewMetrics(m.Scope, m.Handler))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, syscall.SIGINT)
 	defer stop()
--- /dev/null
+++ b/jobs/explain/explain.go
@@ -0,0 +1,206 @@
+// Package explain puts the log lines of all daemons about one job in order, and
+// says what is missing or contradicts.
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"sort"
+	"strings"
+	"time"
+)
+
+// Line is one log line.
+type Line struct {
+	Source string // file that it came from
+	Time   time.Time
+	Level  string
+	Event  string
+	Job    string
+	Fields []Field // the others, by name
+}
+
+// Field is one value of a line.
+type Field struct{ Name, Value string }
+
+// Get returns the value of a field, "" if the line has none.
+func (l Line) Get(name string) string {
+	for _, f := range l.Fields {
+		if f.Name == name {
+			return f.Value
+		}
+	}
+	return ""
+}
+
+// maxLine bounds a line of a log, in bytes.
+const maxLine = 1 << 20
+
+// Read returns the lines of a log. Text before a line's first brace, such as a
+// time or a host name, is passed over; lines that are not JSON are counted.
+func Read(source string, r io.Reader) (lines []Line, unreadable int, err error) {
+	s := bufio.NewScanner(r)
+	s.Buffer(nil, maxLine)
+	for s.Scan() {
+		_, raw, found := strings.Cut(s.Text(), "{")
+		if !found {
+			continue
+		}
+		l, ok := parse(source, "{"+raw)
+		if !ok {
+			unreadable++
+			continue
+		}
+		lines = append(lines, l)
+	}
+	return lines, unreadable, s.Err()
+}
+
+func parse(source, raw string) (Line, bool) {
+	var m map[string]json.RawMessage
+	if json.Unmarshal([]byte(raw), &m) != nil {
+		return Line{}, false
+	}
+	l := Line{Source: source}
+	for name, v := range m {
+		text := strings.Trim(string(v), `"`)
+		switch name {
+		case "ts":
+			t, err := time.Parse(time.RFC3339Nano, text)
+			if err != nil {
+				return Line{}, false
+			}
+			l.Time = t
+		case "level":
+			l.Level = text
+		case "msg":
+			l.Event = text
+		case "job":
+			l.Job = text
+		default:
+			var unquoted string
+			if json.Unmarshal(v, &unquoted) == nil {
+				text = unquoted
+			}
+			l.Fields = append(l.Fields, Field{name, text})
+		}
+	}
+	sort.Slice(l.Fields, func(a, b int) bool { return l.Fields[a].Name < l.Fields[b].Name })
+	return l, l.Event != ""
+}
+
+// Timeline is what the logs say about a job.
+type Timeline struct {
+	Job      string
+	Lines    []Line // by time
+	Findings []string
+}
+
+// surroundings are events of the daemons, without a job, that explain delays.
+var surroundings = map[string]bool{
+	"owner": true, "no-longer-owner": true, "deposed": true, "jobs-loaded": true, "start": true, "stop": true,
+	"history-gone": true, "lease-ended": true, "fenced": true, "registrations-back": true,
+}
+
+// Explain picks the lines of a job, and those around them that concern all jobs.
+func Explain(id string, lines []Line) Timeline {
+	t := Timeline{Job: id}
+	var first, last time.Time
+	for _, l := range lines {
+		if l.Job != id {
+			continue
+		}
+		if first.IsZero() || l.Time.Before(first) {
+			first = l.Time
+		}
+		if l.Time.After(last) {
+			last = l.Time
+		}
+	}
+	if first.IsZero() {
+		t.Findings = []string{"no line names this job: it was never accepted by these daemons, or its lines were left out under load (see log_lines_left_out)"}
+		return t
+	}
+	for _, l := range lines {
+		around := surroundings[l.Event] && !l.Time.Before(first) && !l.Time.After(last)
+		if l.Job == id || around {
+			t.Lines = append(t.Lines, l)
+		}
+	}
+	sort.SliceStable(t.Lines, func(a, b int) bool { return t.Lines[a].Time.Before(t.Lines[b].Time) })
+	t.Findings = findings(t.Lines, id)
+	return t
+}
+
+// findings says what is missing or contradicts in the lines of a job.
+func findings(lines []Line, id string) []string {
+	at := map[string]Line{}
+	n := map[string]int{}
+	for _, l := range lines {
+		if l.Job != id && l.Job != "" {
+			continue
+		}
+		if n[l.Event] == 0 {
+			at[l.Event] = l
+		}
+		n[l.Event]++
+	}
+	var out []string
+	add := func(format string, args ...any) { out = append(out, fmt.Sprintf(format, args...)) }
+	if n["request-refused"] > 0 {
+		add("refused %d times, first with status %s: %s", n["request-refused"], at["request-refused"].Get("status"), at["request-refused"].Get("why"))
+	}
+	if n["job-accepted"] > 0 && n["job-known"] == 0 && n["jobs-loaded"] == 0 {
+		add("accepted, but no owner says that it knows the job")
+	}
+	if n["job-known"] > 0 && n["job-started"] == 0 && n["run-adopted"] == 0 && n["job-cancelled"] == 0 {
+		add("known, but no task of it was started")
+	}
+	if n["job-waits"] > 0 {
+		add("it had to wait: %s", at["job-waits"].Get("why"))
+	}
+	if n["task-failed"] > 0 {
+		add("%d attempts failed, the first on worker %s", n["task-failed"], at["task-failed"].Get("worker"))
+	}
+	if n["start-unanswered"] > 0 {
+		add("%d starts went unanswered, the first to worker %s", n["start-unanswered"], at["start-unanswered"].Get("worker"))
+	}
+	if n["run-vanished"]+n["task-lapsed"] > 0 {
+		add("%d runs ended without a result", n["run-vanished"]+n["task-lapsed"])
+	}
+	if n["owner"] > 0 {
+		add("the owner changed %d times meanwhile", n["owner"])
+	}
+	if n["job-completed"]+n["job-failed"]+n["job-cancelled"] > 1 {
+		add("contradiction: more than one final state, %d completed, %d failed, %d cancelled", n["job-completed"], n["job-failed"], n["job-cancelled"])
+	}
+	if n["job-completed"]+n["job-failed"] > 0 && n["job-recorded"] == 0 {
+		add("its final state was not recorded in the store by these logs")
+	}
+	return out
+}
+
+// Write prints the timeline, with times since its first line.
+func (t *Timeline) Write(w io.Writer) error {
+	if _, err := fmt.Fprintf(w, "job %s\n", t.Job); err != nil {
+		return err
+	}
+	for _, l := range t.Lines {
+		var fields []string
+		for _, f := range l.Fields {
+			fields = append(fields, f.Name+"="+f.Value)
+		}
+		since := l.Time.Sub(t.Lines[0].Time)
+		if _, err := fmt.Fprintf(w, "%10.3f s  %-14s %-18s %s\n", since.Seconds(), l.Source, l.Event, strings.Join(fields, " ")); err != nil {
+			return err
+		}
+	}
+	for _, f := range t.Findings {
+		if _, err := fmt.Fprintf(w, "-> %s\n", f); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/jobs/explain/explain_test.go
@@ -0,0 +1,65 @@
+package explain
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const accepting = `
+2 d1 {"level":"info","ts":"2030-01-01T00:00:01.000Z","msg":"job-accepted","job":"00000000000000aa","queue":"orders","configuration":7}
+2 d1 {"level":"info","ts":"2030-01-01T00:00:01.100Z","msg":"job-accepted","job":"00000000000000bb","queue":"orders","configuration":7}
+not a line of ours
+{"level":"broken
+`
+
+const owning = `
+{"level":"info","ts":"2030-01-01T00:00:01.010Z","msg":"job-known","job":"00000000000000aa","why":"desk"}
+{"level":"info","ts":"2030-01-01T00:00:01.020Z","msg":"job-waits","job":"00000000000000aa","why":"no room: step 0 needs 2000 thousandths of a core and 100 MB, 3 workers are usable"}
+{"level":"info","ts":"2030-01-01T00:00:02.500Z","msg":"job-started","job":"00000000000000aa","task":"00000000000000aa.0.0.0","worker":"w1","run":1000001}
+{"level":"info","ts":"2030-01-01T00:00:03.000Z","msg":"owner","term":2}
+{"level":"info","ts":"2030-01-01T00:00:03.500Z","msg":"task-failed","job":"00000000000000aa","task":"00000000000000aa.0.0.0","worker":"w1","run":1000001}
+{"level":"info","ts":"2030-01-01T00:00:04.000Z","msg":"job-completed","job":"00000000000000aa"}
+{"level":"info","ts":"2030-01-01T00:00:04.010Z","msg":"job-recorded","job":"00000000000000aa","why":"completed"}
+`
+
+func readBoth(t *testing.T) []Line {
+	a, bad, err := Read("d1", strings.NewReader(accepting))
+	require.NoError(t, err)
+	assert.Equal(t, 1, bad)
+	b, _, err := Read("d2", strings.NewReader(owning))
+	require.NoError(t, err)
+	return append(b, a...)
+}
+
+func TestTimelineOfALateJob(t *testing.T) {
+	tl := Explain("00000000000000aa", readBoth(t))
+	var events []string
+	for _, l := range tl.Lines {
+		events = append(events, l.Event)
+	}
+	assert.Equal(t, []string{"job-accepted", "job-known", "job-waits", "job-started", "owner", "task-failed", "job-completed", "job-recorded"}, events)
+	assert.Equal(t, []string{
+		"it had to wait: no room: step 0 needs 2000 thousandths of a core and 100 MB, 3 workers are usable",
+		"1 attempts failed, the first on worker w1",
+		"the owner changed 1 times meanwhile",
+	}, tl.Findings)
+	var out bytes.Buffer
+	require.NoError(t, tl.Write(&out))
+	assert.Contains(t, out.String(), "     1.500 s  d2             job-started        run=1000001 task=00000000000000aa.0.0.0 worker=w1")
+}
+
+func TestJobThatNoOwnerKnew(t *testing.T) {
+	tl := Explain("00000000000000bb", readBoth(t))
+	assert.Equal(t, []string{"accepted, but no owner says that it knows the job"}, tl.Findings)
+}
+
+func TestUnknownJob(t *testing.T) {
+	tl := Explain("00000000000000cc", readBoth(t))
+	assert.Empty(t, tl.Lines)
+	require.Len(t, tl.Findings, 1)
+	assert.Contains(t, tl.Findings[0], "no line names this job")
+}
--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -166,7 +166,7 @@
 	if err := g.jobs.Accept(ctx, j); err != nil {
 		return refusal(err)
 	}
-	g.log.Debug("job-accepted", zap.String("job", string(id)), zap.String("queue", queue.Name), zap.Int64("config", catalog.Version))
+	g.log.Info("job-accepted", zap.String("job", string(id)), zap.String("queue", queue.Name), zap.Int64("configuration", catalog.Version))
 	return reply{status: http.StatusOK, body: struct{}{}}
 }
 
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"sort"
 	"time"
 
@@ -190,9 +191,11 @@
 		}
 		i := placement.Choose(room.views, req)
 		if i < 0 {
-			if room.possible(&req) {
+			possible := room.possible(&req)
+			if possible {
 				pool.wait(s, countWaiting(s, now))
 			}
+			c.noteWaiting(s, room, possible)
 			return
 		}
 		placement.Take(&room.views[i], &req)
@@ -200,6 +203,22 @@
 	}
 }
 
+// noteWaiting says once for each job why a task of it was not placed.
+func (c *Core) noteWaiting(s *stepState, room *roomView, possible bool) {
+	j := s.job
+	if j.waitNoted {
+		return
+	}
+	j.waitNoted = true
+	why := "no room"
+	if !possible {
+		why = "no worker can ever take it"
+	}
+	need := s.spec.Occupies()
+	c.note(Decision{Event: "job-waits", Job: j.spec.ID, Reason: fmt.Sprintf("%s: step %d needs %d thousandths of a core and %d MB, %d workers are usable",
+		why, s.index, need.CPUMilli, need.MemMB, len(room.workers))})
+}
+
 func countWaiting(s *stepState, now time.Time) int {
 	n := 0
 	for _, t := range s.tasks {
@@ -238,7 +257,11 @@
 	r := &run{task: t, number: number, worker: w, phase: starting, throttle: 100}
 	t.runs = append(t.runs, r)
 	w.runs[t.id()] = r
-	t.step.job.begun = true
+	if j := t.step.job; !j.begun {
+		j.begun = true
+		c.note(Decision{Event: "job-started", Job: j.spec.ID, Task: t.id().String(), Worker: w.Worker, Run: number,
+			Reason: "accepted " + now.Sub(j.spec.AcceptedAt).Round(time.Millisecond).String() + " ago"})
+	}
 	c.counts.Starts++
 	c.sendStart(r, now)
 }
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -114,6 +114,7 @@
 	nextOcc   int          // first occurrence that has not begun
 	state     job.State
 	begun     bool // a task was started
+	waitNoted bool // the log says why a task of it was not placed at once
 	endedAt   time.Time
 	inherited bool   // accepted before this term
 	version   uint64 // rises with each change that has to be kept
--- /dev/null
+++ b/telemetry/async.go
@@ -0,0 +1,85 @@
+package telemetry
+
+import (
+	"fmt"
+	"io"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+)
+
+// Bounds of a log.
+const (
+	// asyncLines is how many lines wait for a slow reader of the log; more are
+	// dropped and counted. At 200 bytes a line that is under a megabyte.
+	asyncLines = 4096
+	// sampleTick, sampleFirst and sampleEach bound the volume: of one event in a
+	// second the first lines are written, then one in so many.
+	sampleTick  = time.Second
+	sampleFirst = 60
+	sampleEach  = 50
+)
+
+// AsyncWriter writes lines from a goroutine of its own. A full buffer drops
+// lines; writers never wait.
+type AsyncWriter struct {
+	lines   chan []byte
+	dropped atomic.Int64
+	out     io.Writer
+	done    chan struct{}
+}
+
+// NewAsyncWriter returns a writer of lines to out.
+func NewAsyncWriter(out io.Writer) *AsyncWriter {
+	w := &AsyncWriter{lines: make(chan []byte, asyncLines), out: out, done: make(chan struct{})}
+	go w.run()
+	return w
+}
+
+// Write implements io.Writer for one whole line.
+func (w *AsyncWriter) Write(line []byte) (int, error) {
+	select {
+	case w.lines <- append([]byte(nil), line...):
+	default:
+		w.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Dropped returns how many lines were dropped so far.
+func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
+
+// Close writes what waits and ends the goroutine. Nothing may be written after.
+func (w *AsyncWriter) Close() error {
+	close(w.lines)
+	<-w.done
+	return nil
+}
+
+func (w *AsyncWriter) run() {
+	defer close(w.done)
+	said := int64(0)
+	for line := range w.lines {
+		// A log that cannot be written has nowhere to say so.
+		_, _ = w.out.Write(line)
+		if n := w.dropped.Load(); n > said && len(w.lines) == 0 {
+			_, _ = fmt.Fprintf(w.out, `{"level":"warn","msg":"log-lines-dropped","count":%d}`+"\n", n-said)
+			said = n
+		}
+	}
+}
+
+// Bounded limits how often one event is written. onDrop is called for each line
+// that is left out.
+func Bounded(log *zap.Logger, onDrop func()) *zap.Logger {
+	return log.WithOptions(zap.WrapCore(func(c zapcore.Core) zapcore.Core {
+		return zapcore.NewSamplerWithOptions(c, sampleTick, sampleFirst, sampleEach,
+			zapcore.SamplerHook(func(_ zapcore.Entry, d zapcore.SamplingDecision) {
+				if d&zapcore.LogDropped != 0 {
+					onDrop()
+				}
+			}))
+	}))
+}
--- /dev/null
+++ b/telemetry/async_test.go
@@ -0,0 +1,51 @@
+package telemetry
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// stuckWriter blocks until it is let go.
+type stuckWriter struct {
+	free chan struct{}
+	got  bytes.Buffer
+}
+
+func (w *stuckWriter) Write(p []byte) (int, error) {
+	<-w.free
+	return w.got.Write(p)
+}
+
+func TestAsyncWriterNeverWaits(t *testing.T) {
+	out := &stuckWriter{free: make(chan struct{})}
+	w := NewAsyncWriter(out)
+	for range 3 * asyncLines {
+		n, err := w.Write([]byte("line\n"))
+		require.NoError(t, err)
+		require.Equal(t, 5, n)
+	}
+	assert.GreaterOrEqual(t, w.Dropped(), int64(2*asyncLines-2))
+	close(out.free)
+	require.NoError(t, w.Close())
+	assert.Contains(t, out.got.String(), "log-lines-dropped")
+}
+
+func TestBoundedLog(t *testing.T) {
+	var out bytes.Buffer
+	log, err := NewLogger("info", "json", &out)
+	require.NoError(t, err)
+	left := 0
+	log = Bounded(log, func() { left++ })
+	for range 1000 {
+		log.Info("same event")
+	}
+	log.Info("another event")
+	lines := strings.Count(out.String(), "\n")
+	assert.Equal(t, 1001, lines+left)
+	assert.Less(t, lines, 200)
+	assert.Contains(t, out.String(), "another event")
+}
