--- /dev/null
+++ b/jobs/capacity/capacity_test.go
@@ -0,0 +1,90 @@
+package capacity
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+// pool has n instances of 10 cores, the first idle ones of which idle for d.
+func pool(name string, n, idle int, d time.Duration) Pool {
+	p := Pool{Name: name, Cores: 10}
+	for i := range n {
+		in := Instance{ID: fmt.Sprintf("%s%d", name, i)}
+		if i < idle {
+			in.Movable, in.IdleFor = true, d
+		}
+		p.Instances = append(p.Instances, in)
+	}
+	return p
+}
+
+func spare(n int) Pool {
+	p := pool("spare", n, n, 0)
+	p.Cores = 0
+	return p
+}
+
+func TestSpareInstancesGoWhereTasksWait(t *testing.T) {
+	a := pool("a", 2, 0, 0)
+	a.Busy, a.Waiting = 20, 15
+	moves := Plan(DefaultWeights, []Pool{a, pool("b", 2, 0, 0)}, spare(8))
+	assert.Len(t, moves, 3, "26 cores of work in hand and 15 that wait fill 5 instances")
+	for _, m := range moves {
+		assert.Equal(t, "spare", m.From)
+		assert.Equal(t, "a", m.To)
+	}
+}
+
+func TestInstancesOnTheirWayCount(t *testing.T) {
+	a := pool("a", 2, 0, 0)
+	a.Busy, a.Waiting, a.Arriving = 20, 15, 3
+	assert.Empty(t, Plan(DefaultWeights, []Pool{a}, spare(8)))
+}
+
+func TestIdleInstancesOfOthersHelp(t *testing.T) {
+	a := pool("a", 1, 0, 0)
+	a.Busy, a.Waiting = 10, 10
+	b := pool("b", 4, 4, time.Second)
+	moves := Plan(DefaultWeights, []Pool{b, a}, spare(0))
+	assert.Len(t, moves, 2)
+	assert.Equal(t, "b", moves[0].From)
+}
+
+func TestNothingIsTakenFromAPoolWithAQueue(t *testing.T) {
+	a := pool("a", 1, 0, 0)
+	a.Busy, a.Waiting = 10, 20
+	b := pool("b", 4, 2, time.Second)
+	b.Busy, b.Waiting = 20, 1
+	assert.Empty(t, Plan(DefaultWeights, []Pool{a, b}, spare(0)))
+}
+
+func TestIdleInstancesAreGivenBack(t *testing.T) {
+	idle := pool("a", 5, 5, time.Minute)
+	moves := Plan(DefaultWeights, []Pool{idle}, spare(1))
+	assert.Len(t, moves, perPlan)
+	assert.Equal(t, "spare", moves[0].To)
+	assert.Empty(t, Plan(DefaultWeights, []Pool{pool("a", 5, 5, time.Second)}, spare(1)), "not before a move away and back has paid")
+	assert.Empty(t, Plan(DefaultWeights, []Pool{pool("a", 1, 1, time.Minute)}, spare(1)), "the reserve stays")
+}
+
+// TestWeightsChangeThePlan: what holds instances is a matter of their price.
+func TestWeightsChangeThePlan(t *testing.T) {
+	idle := []Pool{pool("a", 5, 5, 4*time.Second)}
+	cheapMoves := Weights{InstanceSecond: 0.1, Move: 0.01}
+	dearMoves := Weights{InstanceSecond: 0.01, Move: 0.1}
+	assert.NotEmpty(t, Plan(cheapMoves, idle, spare(1)))
+	assert.Empty(t, Plan(dearMoves, idle, spare(1)))
+}
+
+// TestStuckTasksGetAnInstance: tasks that wait though there are cores enough
+// need another worker, as those of a step with one task a worker do.
+func TestStuckTasksGetAnInstance(t *testing.T) {
+	a := pool("a", 3, 0, 0)
+	a.Busy, a.Waiting, a.WaitsFor = 3, 1, time.Second
+	assert.Len(t, Plan(DefaultWeights, []Pool{a}, spare(2)), 1)
+	a.WaitsFor = 100 * time.Millisecond
+	assert.Empty(t, Plan(DefaultWeights, []Pool{a}, spare(2)))
+}
--- /dev/null
+++ b/jobs/placement/placement_test.go
@@ -0,0 +1,75 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+func cores(n int) job.Resources { return job.Resources{CPUMilli: 1000 * n, MemMB: 1000 * n} }
+
+// workers have 8 cores each, so many of them free.
+func workers(free ...int) []Worker {
+	var out []Worker
+	for _, f := range free {
+		out = append(out, Worker{Room: cores(8), Free: cores(f)})
+	}
+	return out
+}
+
+func TestChoose(t *testing.T) {
+	racks := workers(8, 8)
+	racks[1].Rack = "r1"
+	labels := workers(8, 8)
+	labels[1].Labels = []string{"fast"}
+	suspect := workers(2, 8)
+	suspect[0].Suspect = true
+	full := workers(8, 8)
+	full[0].Mine = 1
+	shared := workers(8, 8)
+	shared[0].Serving = 1
+	for _, c := range []struct {
+		name    string
+		workers []Worker
+		request Request
+		want    int
+	}{
+		{"the fullest one with room", workers(8, 3, 1), Request{Need: cores(2)}, 1},
+		{"none has room", workers(1, 1), Request{Need: cores(2)}, -1},
+		{"no memory", workers(4), Request{Need: job.Resources{CPUMilli: 100, MemMB: 5000}}, -1},
+		{"the rack of the data", racks, Request{Need: cores(1), PreferredRack: "r1"}, 1},
+		{"the label", labels, Request{Need: cores(1), RequiredLabel: "fast"}, 1},
+		{"no such label", labels, Request{Need: cores(1), RequiredLabel: "gpu"}, -1},
+		{"a suspect one last", suspect, Request{Need: cores(1)}, 1},
+		{"a suspect one rather than none", suspect[:1], Request{Need: cores(1)}, 0},
+		{"at most so many of a step", full, Request{Need: cores(1), MaxPerWorker: 1}, 1},
+		{"long-running ones spread for maintenance", full, Request{Need: cores(1), Lasting: true, Spread: 1}, 1},
+		{"fillers away from serving ones", shared, Request{Filler: true}, 1},
+	} {
+		assert.Equal(t, c.want, Choose(c.workers, c.request), c.name)
+	}
+}
+
+func TestLongRunningTasksOfDifferentStepsShareWorkers(t *testing.T) {
+	w := workers(8, 6)
+	w[1].Lasting = 1
+	assert.Equal(t, 1, Choose(w, Request{Need: cores(1), Lasting: true, Spread: 1}))
+}
+
+func TestChooseGang(t *testing.T) {
+	w := workers(4, 4, 2)
+	w[0].Rack, w[1].Rack, w[2].Rack = "a", "b", "b"
+	assert.Nil(t, ChooseGang(w, Request{Need: cores(4)}, 3, false), "all or none")
+	assert.Len(t, ChooseGang(w, Request{Need: cores(2)}, 5, false), 5)
+	assert.ElementsMatch(t, []int{1, 1, 2}, ChooseGang(w, Request{Need: cores(2)}, 3, true), "on one rack")
+	assert.Len(t, ChooseGang(w, Request{Need: cores(2)}, 4, true), 4, "on several rather than not at all")
+	assert.Equal(t, cores(4), w[0].Free, "the workers are not changed")
+}
+
+func TestPossible(t *testing.T) {
+	w := workers(0)
+	assert.True(t, Possible(&w[0], &Request{Need: cores(8)}))
+	assert.False(t, Possible(&w[0], &Request{Need: cores(9)}))
+}
