Tickets of the advisor; copies of speculative tasks that lag

Cause: a queue with advice would never have run a task (starts without a ticket are refused), and a speculative task on a silent worker waited for its lease although a copy may run at once. Ruled out: nothing, both were missing. Tests of both.

--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -47,6 +47,7 @@
 	Store   ledger.Store
 	Workers owner.Workers
 	Manager owner.InstanceManager
+	Advisor owner.Advisor // nil if no queue needs advice
 	Peers   Peers
 	Dialect Dialect
 }
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -242,6 +243,12 @@
 			return func(c *owner.Core, now time.Time) { c.OnHeld(o.Worker, h, now) }
 		})
 	}
+	for _, q := range e.Questions {
+		go t.order(owner.AdviceTimeout, func(ctx context.Context) event {
+			a := t.advise(ctx, q)
+			return func(c *owner.Core, now time.Time) { c.OnAdvice(q, a, now) }
+		})
+	}
 	for _, o := range e.Instances {
 		go t.order(2*instanceOrderTimeout, func(ctx context.Context) event { return t.orderInstance(ctx, o) })
 	}
@@ -250,6 +257,13 @@
 	}
 }
 
+func (t *termRun) advise(ctx context.Context, q owner.Question) owner.Advice {
+	if t.n.platform.Advisor == nil {
+		return owner.Advice{Err: errors.New("a queue needs advice, and the settings name no advisor")}
+	}
+	return t.n.platform.Advisor.Advise(ctx, q)
+}
+
 func (t *termRun) order(timeout time.Duration, call func(context.Context) event) {
 	ctx, cancel := context.WithTimeout(t.ctx, timeout)
 	defer cancel()
--- a/jobs/owner/core_test.go
+++ b/jobs/owner/core_test.go
@@ -69,6 +69,7 @@
 	r.out.Holds = append(r.out.Holds, e.Holds...)
 	r.out.Instances = append(r.out.Instances, e.Instances...)
 	r.out.Waves = append(r.out.Waves, e.Waves...)
+	r.out.Questions = append(r.out.Questions, e.Questions...)
 }
 
 func (r *rig) clock() int64 {
@@ -299,3 +300,57 @@
 	r.submit(1, 1)
 	assert.Len(t, r.started(), 1, "the worker takes tasks again")
 }
+
+func TestTicketsOfTheAdvisor(t *testing.T) {
+	r := newRig(t, 1)
+	r.core.catalog.Queues[0].Advice = &job.Advice{Validity: 3 * time.Second}
+	a, b := r.worker("a"), r.worker("b")
+	r.held(a, nil)
+	r.held(b, nil)
+	j := r.submit(1, 2)
+	require.Len(t, r.out.Questions, 1)
+	q := r.out.Questions[0]
+	assert.Equal(t, string(j.ID)+".0.0", q.Step.String())
+	assert.ElementsMatch(t, []WorkerID{a, b}, q.Workers)
+	assert.Empty(t, r.out.Starts, "nothing starts without a ticket")
+	r.core.OnAdvice(q, Advice{Permits: []Permit{{Worker: b, Ticket: "t-b"}}}, r.now)
+	r.core.React(r.now)
+	r.take()
+	starts := r.started()
+	require.Len(t, starts, 2)
+	for _, s := range starts {
+		assert.Equal(t, b, s.Worker)
+		assert.Equal(t, "t-b", s.Ticket)
+	}
+	r.tick(4 * time.Second)
+	r.held(b, nil, End{Number: 1, Task: starts[0].Task, Run: starts[0].Run, Kind: EndFailed})
+	r.tick(100 * time.Millisecond)
+	require.Len(t, r.out.Questions, 2, "the ticket has run out")
+	assert.Equal(t, []WorkerID{b}, r.out.Questions[1].Workers, "a may not run it, which does not change")
+}
+
+func TestCopyOfASpeculativeTask(t *testing.T) {
+	r := newRig(t, 1)
+	a, b := r.worker("a"), r.worker("b")
+	r.held(a, nil)
+	r.held(b, nil)
+	j := simpleJob(1, 1)
+	j.Steps[0].Speculative = true
+	r.core.Submit(j, r.now)
+	r.core.React(r.now)
+	r.take()
+	first := r.started()[0]
+	other := a
+	if first.Worker == a {
+		other = b
+	}
+	r.unheard(first.Worker)
+	r.tick(100 * time.Millisecond)
+	r.held(other, nil)
+	copies := r.started()
+	require.Len(t, copies, 1, "a copy starts at once when the worker is silent")
+	assert.Equal(t, other, copies[0].Worker)
+	r.held(other, nil, End{Number: 1, Task: copies[0].Task, Run: copies[0].Run, Kind: EndDone})
+	require.NotEmpty(t, r.out.Stops, "the other run is stopped")
+	assert.Equal(t, first.Run, r.out.Stops[0].Run)
+}
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -26,6 +26,7 @@
 		Payload:    r.task.step.job.spec.Payload,
 		Until:      c.renewal(r.worker, now),
 		Checkpoint: r.task.checkpoint,
+		Ticket:     r.task.step.ticketFor(r.worker),
 	})
 }
 
@@ -67,6 +68,8 @@
 	switch a.Outcome {
 	case NoRoom:
 		w.avoidUntil = later(w.avoidUntil, now.Add(noRoomPause))
+	case BadTicket:
+		r.task.step.dropTicket(w)
 	case Unhealthy:
 		w.avoidUntil = later(w.avoidUntil, now.Add(unhealthyPause))
 	case Invalid:
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		for _, t := range s.tasks {
-			if t.waits(now) {
+			if t.waits(now) || t.wantsCopy(now) {
 				return true
 			}
 		}
@@ -107,6 +107,59 @@
 	return !t.done && len(t.runs) == 0 && !now.Before(t.notBefore)
 }
 
+// Figures of copies of speculative tasks.
+const (
+	// copyAfter is how many times its estimate a task may take, and copySlack how
+	// much more, before a copy is started: estimates are off by half and more.
+	copyAfter = 2.5
+	copySlack = 400 * time.Millisecond
+	// maxCopies of one task run at the same time.
+	maxCopies = 2
+)
+
+// wantsCopy reports whether a speculative task lags so that a copy may be
+// sooner: its worker is silent, or it takes much longer than estimated.
+func (t *task) wantsCopy(now time.Time) bool {
+	spec := t.step.spec
+	if t.done || !spec.Speculative || spec.LongRunning || len(t.runs) == 0 || len(t.runs) >= maxCopies {
+		return false
+	}
+	r := t.runs[0]
+	if r.phase == stopping || r.worker.silent() {
+		return true
+	}
+	late := time.Duration(copyAfter*float64(spec.Estimate)) + copySlack
+	return r.phase == running && now.Sub(r.ackedAt) > late
+}
+
+// placeCopies starts copies of lagging tasks where there is room that no other
+// task of the step waits for.
+func (c *Core) placeCopies(s *stepState, req placement.Request, room *roomView, now time.Time) {
+	for _, t := range s.tasks {
+		if !t.wantsCopy(now) {
+			continue
+		}
+		i := placement.Choose(room.without(t.runs[0].worker), req)
+		if i < 0 {
+			continue
+		}
+		placement.Take(&room.views[i], &req)
+		c.note(Decision{Event: "copy-started", Job: s.job.spec.ID, Task: t.id().String(), Worker: room.workers[i].Worker, Reason: "its run on " + string(t.runs[0].worker.Worker) + " lags"})
+		c.start(t, room.workers[i], c.nextRun(), now)
+	}
+}
+
+// without returns the views with one worker barred.
+func (v *roomView) without(w *worker) []placement.Worker {
+	out := append([]placement.Worker(nil), v.views...)
+	for i, o := range v.workers {
+		if o == w {
+			out[i].Barred = true
+		}
+	}
+	return out
+}
+
 // roomView is the workers of a service as placement sees them.
 type roomView struct {
 	workers []*worker
@@ -153,10 +206,12 @@
 	return len(v.views) == 0
 }
 
-// countOf sets how many tasks of the step run on each worker.
-func (v *roomView) countOf(s *stepState) {
+// countOf sets how many tasks of the step run on each worker, and bars those
+// that it may not run on.
+func (v *roomView) countOf(s *stepState, now time.Time) {
 	for i, w := range v.workers {
 		v.views[i].Mine = 0
+		v.views[i].Barred = s.needsPermits() && !s.permitted(w, now)
 		for _, r := range w.runs {
 			if r.task.step == s {
 				v.views[i].Mine++
@@ -180,11 +235,14 @@
 
 func (c *Core) placeStep(s *stepState, room *roomView, pool *poolState, now time.Time) {
 	req := requestOf(s)
-	room.countOf(s)
+	room.countOf(s, now)
 	if s.spec.Gang {
 		c.placeGang(s, req, room, pool, now)
 		return
 	}
+	if s.spec.Speculative {
+		defer c.placeCopies(s, req, room, now)
+	}
 	for _, t := range s.tasks {
 		if !t.waits(now) {
 			continue
@@ -196,6 +254,9 @@
 				pool.wait(s, countWaiting(s, now))
 			}
 			c.noteWaiting(s, room, possible)
+			if s.needsPermits() {
+				c.ask(s, room, now)
+			}
 			return
 		}
 		placement.Take(&room.views[i], &req)
@@ -239,6 +300,9 @@
 	chosen := placement.ChooseGang(room.views, req, len(s.tasks), s.spec.SameRack)
 	if chosen == nil {
 		pool.wait(s, len(s.tasks))
+		if s.needsPermits() {
+			c.ask(s, room, now)
+		}
 		return
 	}
 	number := c.nextRun()
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -101,6 +101,7 @@
 	left       int // tasks that are not done
 	blocked    int // earlier steps that are not done
 	gangFails  int
+	permits    *permits // nil: the advisor was not asked
 }
 
 func (s *stepState) ready() bool { return s.blocked == 0 && s.left > 0 }
@@ -210,6 +211,7 @@
 	moves     map[InstanceID]*moveState
 	misfits   map[misfit]bool
 	nextSize  time.Time
+	questions int // to the advisor, without an answer so far
 	dirty     map[job.ID]*jobState
 	changed   map[string]bool // services with something to place
 	out       Effects
--- a/jobs/owner/types.go
+++ b/jobs/owner/types.go
@@ -233,9 +233,10 @@
 	Holds     []Hold
 	Instances []MoveOrder
 	Waves     []WaveStatus
+	Questions []Question
 }
 
 // Empty reports whether there is nothing to carry out.
 func (e *Effects) Empty() bool {
-	return len(e.Starts)+len(e.Stops)+len(e.Throttles)+len(e.Holds)+len(e.Instances)+len(e.Waves) == 0
+	return len(e.Starts)+len(e.Stops)+len(e.Throttles)+len(e.Holds)+len(e.Instances)+len(e.Waves)+len(e.Questions) == 0
 }
--- a/jobs/placement/placement.go
+++ b/jobs/placement/placement.go
@@ -19,6 +19,7 @@
 	Fillers int  // tasks on it that use what others leave
 	Serving int  // long-running tasks on it that have a latency target
 	Lasting int  // long-running tasks on it
+	Barred  bool // it may not take the request, for reasons of the caller's
 }
 
 // Request is what a task needs.
@@ -65,7 +66,7 @@
 
 // fits reports whether the worker can take the request now.
 func fits(w *Worker, r *Request) bool {
-	if !w.Free.Fits(r.Need) || !hasLabel(w, r) {
+	if w.Barred || !w.Free.Fits(r.Need) || !hasLabel(w, r) {
 		return false
 	}
 	return r.MaxPerWorker == 0 || w.Mine < r.MaxPerWorker
