Failed attempts of a gang are counted over a change of owner

Ruled out: the record (it holds the attempts of each task). Change: the count is the sum of the recorded ones. The new test fails without.

--- a/jobs/owner/core_test.go
+++ b/jobs/owner/core_test.go
@@ -226,7 +226,17 @@
 }
 
 func TestAttemptsAreCountedOverTerms(t *testing.T) {
-	j := simpleJob(1, 1)
+	testAttemptsOverTerms(t, simpleJob(1, 1))
+}
+
+func TestAttemptsOfAGangAreCountedOverTerms(t *testing.T) {
+	j := simpleJob(1, 2)
+	j.Steps[0].Gang = true
+	testAttemptsOverTerms(t, j)
+}
+
+// testAttemptsOverTerms lets a task fail a second time under a new owner.
+func testAttemptsOverTerms(t *testing.T, j *job.Job) {
 	p := &job.Progress{State: job.Running, Steps: []job.StepProgress{{Failed: map[int]int{0: 1}}}}
 	r := newRig(t, 2, Loaded{Job: j, Progress: p})
 	a := r.worker("a")
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -27,6 +27,7 @@
 		}
 		for _, t := range s.tasks {
 			t.attempts = sp.Failed[t.index]
+			s.gangFails += t.attempts
 			t.checkpoint = sp.Checkpoint[t.index]
 			if sp.Done.Has(t.index) {
 				c.complete(t)
