--- a/cmd/postmount-lab/demo.go
+++ b/cmd/postmount-lab/demo.go
@@ -4,11 +4,14 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"os"
+	"sync"
 
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/postmount/postmount/lab"
+	"github.com/postmount/postmount/lab/jobsdemo"
 )
 
 // errBroken says that the demo saw a broken promise.
@@ -23,6 +26,7 @@
 	cmd.Flag("for", "How long the load lasts.").Default("24s").DurationVar(&o.For)
 	cmd.Flag("entries", "Number of entry daemons.").Default("6").IntVar(&o.Entries)
 	logs := cmd.Flag("logs", "Print the daemons' logs.").Bool()
+	only := cmd.Flag("only", "Which part to run: callers' requests to backend servers, jobs, or both at the same time.").Default("all").Enum("all", "requests", "jobs")
 	output := cmd.Flag("output", "How results are printed.").Default("table").Enum("table", "json")
 	runners[cmd.FullCommand()] = func(ctx context.Context) error {
 		t, err := lab.TopologyByName(*fleet)
@@ -33,18 +37,61 @@
 		if *logs {
 			o.Logs = os.Stderr
 		}
-		r, err := lab.Demo(ctx, o)
-		if err != nil {
+		return runDemo(ctx, o, *only, *output)
+	}
+}
+
+// demoReport holds the reports of the parts that ran.
+type demoReport struct {
+	Requests *lab.Report      `json:"requests,omitempty"`
+	Jobs     *jobsdemo.Report `json:"jobs,omitempty"`
+}
+
+func runDemo(ctx context.Context, o lab.DemoOptions, only, output string) error {
+	var rep demoReport
+	var wg sync.WaitGroup
+	if only != "requests" {
+		wg.Go(func() {
+			r := jobsdemo.Run(ctx, o.Progress)
+			rep.Jobs = &r
+		})
+	}
+	var err error
+	if only != "jobs" {
+		rep.Requests, err = lab.Demo(ctx, o)
+	}
+	wg.Wait()
+	if err != nil {
+		return err
+	}
+	return rep.print(output)
+}
+
+// print writes the reports and returns errBroken if a promise was broken.
+func (r *demoReport) print(output string) error {
+	if output == "json" {
+		if err := json.NewEncoder(os.Stdout).Encode(r); err != nil {
 			return err
 		}
-		if *output == "json" {
-			_ = json.NewEncoder(os.Stdout).Encode(r)
-		} else {
-			r.Print(os.Stdout)
+	}
+	broken := false
+	if r.Requests != nil {
+		if output == "table" {
+			r.Requests.Print(os.Stdout)
 		}
-		if len(r.Broken) > 0 {
-			return errBroken
+		broken = len(r.Requests.Broken) > 0
+	}
+	if r.Jobs != nil {
+		if output == "table" {
+			r.Jobs.Print(os.Stdout)
+			for _, b := range r.Jobs.Broken {
+				fmt.Fprintln(os.Stdout, "BROKEN", b)
+			}
 		}
-		return nil
+		broken = broken || len(r.Jobs.Broken) > 0
+	}
+	if broken {
+		return errBroken
 	}
+	return nil
 }
