New jobs are taken only under a certain lease; right after a change they wait

Ruled out: a worker that was not held (both were), the leases' arithmetic (runs began 0.13 s apart).

Change: a daemon whose lease in the store may have ended takes no new jobs; a new owner treats jobs that come within 1 s of its term as inherited. TestJobsRightAfterAChangeOfOwner fails without.

--- a/jobs/node/handler.go
+++ b/jobs/node/handler.go
@@ -27,9 +27,10 @@
 	}
 }
 
-// Submitted implements peer.Handler.
+// Submitted implements peer.Handler. A daemon whose lease may have ended takes no
+// new jobs: another one may be the owner, and start them too.
 func (h peerHandler) Submitted(r peer.SubmitRequest) {
-	if t := h.n.term.Load(); t != nil {
+	if t := h.n.term.Load(); t != nil && h.n.leaseHeld() {
 		t.submitted(&r.Job)
 	}
 }
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -377,6 +377,7 @@
 			t.n.log.Error("job-unreadable", zap.String("key", e.Key), zap.Error(err))
 			return
 		}
+		t.awaitLease()
 		t.do(func(c *owner.Core, now time.Time) {
 			if ch.Submitted != nil {
 				c.Submit(ch.Submitted, now)
@@ -389,6 +390,13 @@
 	t.n.follow(t.ctx, ledger.PrefixJobs, func() {}, apply)
 }
 
+// awaitLease waits until this daemon's lease is held for certain, or the term is
+// over: new jobs are taken only while no other daemon can be the owner.
+func (t *termRun) awaitLease() {
+	for !t.n.leaseHeld() && pause(t.ctx, retryPause) {
+	}
+}
+
 func (t *termRun) pollRegistrations() {
 	for t.ctx.Err() == nil {
 		items, _, err := t.n.readAll(t.ctx, t.n.platform.Dialect.WorkerPrefix)
--- a/jobs/owner/core_test.go
+++ b/jobs/owner/core_test.go
@@ -171,11 +171,24 @@
 	r.tick(time.Second)
 	assert.Empty(t, r.out.Starts, "the task may run on a")
 	r.submit(2, 1)
-	assert.Len(t, r.started(), 1, "a job of this term cannot")
+	assert.Len(t, r.started(), 1, "a job that came later cannot")
 	r.tick(rigLease)
 	assert.Len(t, r.started(), 1, "every lease of the earlier owner has ended")
 }
 
+// TestJobsRightAfterAChangeOfOwner: callers' daemons may still have told the
+// earlier owner of them.
+func TestJobsRightAfterAChangeOfOwner(t *testing.T) {
+	r := newRig(t, 2)
+	a, b := r.worker("a"), r.worker("b")
+	r.held(b, nil)
+	j := r.submit(1, 1)
+	assert.Empty(t, r.out.Starts, "the earlier owner may have started it on a")
+	r.held(a, []ActiveRun{{Task: job.TaskID{Job: j.ID}, Run: 1_000_001}})
+	r.tick(100 * time.Millisecond)
+	assert.Empty(t, r.out.Starts, "it has")
+}
+
 func TestUnansweredStart(t *testing.T) {
 	r := newRig(t, 1)
 	a := r.worker("a")
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -44,12 +44,19 @@
 	}
 }
 
+// handoverTime is how long after a change of owner jobs may still reach the
+// earlier one. It holds each worker twice a second, and ends at the first that
+// has seen the new fencing token.
+const handoverTime = time.Second
+
 // Submit adds a job that was accepted.
 func (c *Core) Submit(spec *job.Job, now time.Time) {
 	if c.jobs[spec.ID] != nil {
 		return
 	}
 	j := c.add(spec, now)
+	// An earlier owner that does not know yet that it is none may have started it.
+	j.inherited = c.opt.Term > 1 && now.Sub(c.startedAt) < handoverTime
 	c.note(Decision{Event: "job-known", Job: spec.ID, Reason: j.service})
 	c.resolveStrangers(j, now)
 	if _, cancelled := c.early[spec.ID]; cancelled {
