Files of the owner and the daemon by concern; import rule for jobs

The import rule knows the pure packages of jobs, that only postmountd imports platform/, and looks for the platform's words elsewhere.

--- a/internal/importrule/rule_test.go
+++ b/internal/importrule/rule_test.go
@@ -5,6 +5,7 @@
 	"go/parser"
 	"go/token"
 	"io/fs"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -34,6 +35,11 @@
 	"once":       {"fleet", "rendezvous"},
 	"slots":      {"fleet", "rendezvous"},
 	"directory":  {"fleet", "route"},
+
+	"jobs/job":       {},
+	"jobs/placement": {"jobs/job"},
+	"jobs/capacity":  {},
+	"jobs/owner":     {"jobs/job", "jobs/placement", "jobs/capacity"},
 }
 
 // impure are packages that decisions must not use.
@@ -41,7 +47,7 @@
 
 // shells may not import adapters or stand-ins: they reach the outside through
 // ports.
-var shells = []string{"cluster", "control", "entry", "mirror", "record", "command", "port"}
+var shells = []string{"cluster", "control", "entry", "mirror", "record", "command", "port", "jobs/ledger", "jobs/peer", "jobs/gateway", "jobs/node"}
 
 func TestImports(t *testing.T) {
 	imports := readImports(t)
@@ -61,6 +67,40 @@
 			assert.False(t, strings.HasPrefix(own, "adapter/") || strings.HasPrefix(own, "standin/"), "package %s imports %s", pkg, own)
 		}
 	}
+	testPlatformStaysAtTheEdge(t, imports)
+}
+
+// testPlatformStaysAtTheEdge checks that only the command knows the users'
+// platform.
+func testPlatformStaysAtTheEdge(t *testing.T, imports map[string][]string) {
+	for pkg, paths := range imports {
+		if pkg != "cmd/postmountd" {
+			assert.NotContains(t, paths, module+"platform", pkg)
+		}
+	}
+}
+
+// platformWords are names of the users' platform that mean nothing outside of
+// its folder.
+var platformWords = []string{"/-/", "enforcesCapacity", "savesProgress", "untilMs", "op/config", "servers/"}
+
+// TestPlatformsWordsStayInItsFolder looks for them in the code.
+func TestPlatformsWordsStayInItsFolder(t *testing.T) {
+	root := filepath.Join("..", "..")
+	err := filepath.WalkDir(root, func(path string, d fs.DirEntry, err error) error {
+		if err != nil || d.IsDir() || !strings.HasSuffix(path, ".go") || strings.HasSuffix(path, "_test.go") {
+			return err
+		}
+		if strings.HasPrefix(path, filepath.Join(root, "platform")) {
+			return nil
+		}
+		raw, err := os.ReadFile(path)
+		for _, w := range platformWords {
+			assert.NotContains(t, string(raw), w, path)
+		}
+		return err
+	})
+	require.NoError(t, err)
 }
 
 // TestNoProxyLibraryAndNoChildProcess checks what the brief rules out.
--- /dev/null
+++ b/jobs/node/termcommit.go
@@ -0,0 +1,80 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/jobs/ledger"
+	"github.com/postmount/postmount/jobs/owner"
+	"github.com/postmount/postmount/verdict"
+)
+
+// commit starts the next transaction if one is due.
+func (t *termRun) commit(now time.Time) {
+	if t.committing || now.Sub(t.lastCommit) < commitEvery {
+		return
+	}
+	puts := lastOfEachKey(t.extra)
+	var deletes []string
+	if len(puts) > ledger.MaxRecords {
+		puts = puts[:ledger.MaxRecords]
+	}
+	records := t.core.Uncommitted(ledger.MaxRecords - len(puts))
+	if len(records)+len(puts) == 0 {
+		if now.Sub(t.lastExpire) < expireEvery {
+			return
+		}
+		t.lastExpire = now
+		for _, id := range t.core.Expired(ledger.MaxRecords/3, now) {
+			deletes = append(deletes, ledger.JobKeys(id)...)
+		}
+		if len(deletes) == 0 {
+			return
+		}
+	}
+	taken := len(t.extra)
+	for _, r := range records {
+		puts = append(puts, ledger.RecordPut(r))
+	}
+	t.committing = true
+	t.lastCommit = now
+	go t.write(puts, deletes, records, taken)
+}
+
+// lastOfEachKey keeps the newest put of each key.
+func lastOfEachKey(puts []ledger.Put) []ledger.Put {
+	var out []ledger.Put
+	seen := map[string]bool{}
+	for i := len(puts) - 1; i >= 0; i-- {
+		if !seen[puts[i].Key] {
+			seen[puts[i].Key] = true
+			out = append(out, puts[i])
+		}
+	}
+	return out
+}
+
+func (t *termRun) write(puts []ledger.Put, deletes []string, records []owner.Record, taken int) {
+	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
+	defer cancel()
+	began := time.Now()
+	err := t.term.Write(ctx, puts, deletes)
+	t.n.metrics.commit(err, time.Since(began))
+	if verdict.CodeOf(err) == ledger.CodeDeposed {
+		t.depose(err.Error())
+		return
+	}
+	if err != nil {
+		t.n.log.Warn("progress-not-written", zap.Error(err))
+		pause(t.ctx, retryPause)
+	}
+	t.do(func(c *owner.Core, now time.Time) {
+		t.committing = false
+		if err == nil {
+			t.extra = t.extra[taken:]
+			c.Committed(records, now)
+		}
+	})
+}
--- /dev/null
+++ b/jobs/node/termorders.go
@@ -0,0 +1,96 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"github.com/postmount/postmount/jobs/ledger"
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// dispatch carries out effects. Each call has a goroutine of its own, and its
+// outcome comes back as an event.
+func (t *termRun) dispatch(e owner.Effects) {
+	for _, o := range e.Starts {
+		go t.order(owner.OrderTimeout, func(ctx context.Context) event {
+			a := t.n.platform.Workers.Start(ctx, o)
+			t.n.metrics.order("start", a.Outcome)
+			return func(c *owner.Core, now time.Time) { c.OnStarted(o, a, now) }
+		})
+	}
+	for _, o := range e.Stops {
+		go t.order(owner.OrderTimeout, func(ctx context.Context) event {
+			a := t.n.platform.Workers.Stop(ctx, o)
+			t.n.metrics.order("stop", a.Outcome)
+			return func(c *owner.Core, now time.Time) { c.OnStopped(o, a, now) }
+		})
+	}
+	for _, o := range e.Throttles {
+		go t.order(owner.OrderTimeout, func(ctx context.Context) event {
+			a := t.n.platform.Workers.Throttle(ctx, o)
+			t.n.metrics.order("throttle", a.Outcome)
+			return func(c *owner.Core, now time.Time) { c.OnThrottled(o, a, now) }
+		})
+	}
+	for _, o := range e.Holds {
+		go t.order(o.Wait+holdReserve, func(ctx context.Context) event {
+			h := t.n.platform.Workers.Hold(ctx, o)
+			t.n.metrics.order("hold", h.Outcome)
+			return func(c *owner.Core, now time.Time) { c.OnHeld(o.Worker, h, now) }
+		})
+	}
+	for _, q := range e.Questions {
+		go t.order(owner.AdviceTimeout, func(ctx context.Context) event {
+			a := t.advise(ctx, q)
+			return func(c *owner.Core, now time.Time) { c.OnAdvice(q, a, now) }
+		})
+	}
+	for _, o := range e.Instances {
+		go t.order(2*instanceOrderTimeout, func(ctx context.Context) event { return t.orderInstance(ctx, o) })
+	}
+	for _, s := range e.Waves {
+		t.putWave(s)
+	}
+}
+
+func (t *termRun) advise(ctx context.Context, q owner.Question) owner.Advice {
+	if t.n.platform.Advisor == nil {
+		return owner.Advice{Err: errors.New("a queue needs advice, and the settings name no advisor")}
+	}
+	return t.n.platform.Advisor.Advise(ctx, q)
+}
+
+func (t *termRun) order(timeout time.Duration, call func(context.Context) event) {
+	ctx, cancel := context.WithTimeout(t.ctx, timeout)
+	defer cancel()
+	t.do(call(ctx))
+}
+
+// orderInstance moves or maintains an instance. The lease is looked at right
+// before the call: another daemon may do the duty once it has ended.
+func (t *termRun) orderInstance(ctx context.Context, o owner.MoveOrder) event {
+	outcome := owner.DutyRefused
+	if t.n.leaseHeld() {
+		duty := owner.Duty{Holder: t.n.set.Node, Token: t.term.Number}
+		if o.Wave != 0 {
+			outcome = t.n.platform.Manager.Maintain(ctx, duty, o.Instance, o.Wave)
+		} else {
+			outcome = t.n.platform.Manager.Move(ctx, duty, o.Instance, o.Pool)
+		}
+	}
+	switch outcome {
+	case owner.DutyUnanswered:
+		pause(t.ctx, retryPause)
+	case owner.DutyDone:
+		t.listInstances() // it shows whose life is over
+	}
+	return func(c *owner.Core, now time.Time) { c.OnInstanceOrder(o, outcome, now) }
+}
+
+// putWave adds the status of a wave to the next transaction.
+func (t *termRun) putWave(s owner.WaveStatus) {
+	key, value := t.n.platform.Dialect.WaveStatus(s.Wave, s.Done)
+	progress := ledger.WaveProgress{Begun: t.core.Begun(s.Wave), Done: s.Done}
+	t.extra = append(t.extra, ledger.Put{Key: key, Value: value}, ledger.WavePut(s.Wave, progress))
+}
--- /dev/null
+++ b/jobs/node/termsources.go
@@ -0,0 +1,104 @@
+package node
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/jobs/ledger"
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// followJobs hands submissions and cancellations to the core.
+func (t *termRun) followJobs(revision int64) {
+	apply := func(e ledger.Event) {
+		if e.Deleted {
+			return
+		}
+		ch, ok, err := ledger.DecodeChange(e.Item)
+		if err != nil || !ok {
+			t.n.log.Error("job-unreadable", zap.String("key", e.Key), zap.Error(err))
+			return
+		}
+		t.awaitLease()
+		t.do(func(c *owner.Core, now time.Time) {
+			if ch.Submitted != nil {
+				c.Submit(ch.Submitted, now)
+				return
+			}
+			c.Cancel(ch.Cancelled, now)
+		})
+	}
+	t.n.followFrom(t.ctx, ledger.PrefixJobs, revision, apply)
+	t.n.follow(t.ctx, ledger.PrefixJobs, func() {}, apply)
+}
+
+// awaitLease waits until this daemon's lease is held for certain, or the term is
+// over: new jobs are taken only while no other daemon can be the owner.
+func (t *termRun) awaitLease() {
+	for !t.n.leaseHeld() && pause(t.ctx, retryPause) {
+	}
+}
+
+func (t *termRun) pollRegistrations() {
+	for t.ctx.Err() == nil {
+		items, _, err := t.n.readAll(t.ctx, t.n.platform.Dialect.WorkerPrefix)
+		if err == nil {
+			list := t.decodeRegistrations(items)
+			t.do(func(c *owner.Core, now time.Time) {
+				c.Register(list, now)
+				t.expecting.Store(c.Expecting())
+			})
+		}
+		every := registrationsEvery
+		if t.expecting.Load() {
+			every = expectingEvery
+		}
+		if !pause(t.ctx, every) {
+			return
+		}
+	}
+}
+
+func (t *termRun) decodeRegistrations(items []ledger.Item) []owner.Registration {
+	var list []owner.Registration
+	for _, i := range items {
+		r, err := t.n.platform.Dialect.DecodeWorker(i.Key, i.Value)
+		if err != nil {
+			t.n.log.Error("registration-unreadable", zap.Error(err))
+			continue
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
+func (t *termRun) pollInstances() {
+	for t.ctx.Err() == nil {
+		t.listInstances()
+		if !pause(t.ctx, instancesEvery) {
+			return
+		}
+	}
+}
+
+// listInstances reads the list once. One reading at a time keeps their order.
+func (t *termRun) listInstances() {
+	select {
+	case t.listing <- struct{}{}:
+		defer func() { <-t.listing }()
+	case <-t.ctx.Done():
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.ctx, instanceOrderTimeout)
+	defer cancel()
+	list, err := t.n.platform.Manager.Instances(ctx)
+	if err != nil {
+		if t.ctx.Err() == nil {
+			t.n.log.Warn("instance-list-failed", zap.Error(err))
+		}
+		return
+	}
+	t.do(func(c *owner.Core, now time.Time) { c.OnInstances(list, now) })
+}
--- /dev/null
+++ b/jobs/owner/budget.go
@@ -0,0 +1,83 @@
+package owner
+
+import "time"
+
+// lastingOn counts the long-running tasks on a worker by their step.
+func lastingOn(w *worker) map[*stepState]int {
+	here := map[*stepState]int{}
+	for _, r := range w.runs {
+		if s := r.task.step; s.spec.LongRunning && !s.job.state.Final() {
+			here[s]++
+		}
+	}
+	return here
+}
+
+// awayBeside counts the tasks of a step that are away beside those on w. A task
+// on a worker that was ordered away is.
+func awayBeside(s *stepState, w *worker) int {
+	away := 0
+	for _, t := range s.tasks {
+		if !t.on(w) && !t.atWork() {
+			away++
+		}
+	}
+	return away
+}
+
+// mayTake reports whether the budgets of the long-running tasks on the worker
+// allow to take it away now: of each step at most MayMiss tasks are away.
+func mayTake(w *worker) bool {
+	for s, n := range lastingOn(w) {
+		if awayBeside(s, w)+n > s.spec.MayMiss {
+			return false
+		}
+	}
+	return true
+}
+
+// mayThin reports whether tasks can be moved away from the worker one by one,
+// because it has more of a step than may be away at once.
+func mayThin(w *worker) bool {
+	for s, n := range lastingOn(w) {
+		if s.spec.MayMiss == 0 || n <= s.spec.MayMiss && awayBeside(s, w)+n > s.spec.MayMiss {
+			return false
+		}
+	}
+	return true
+}
+
+// thin stops one task of each step of which a reserved worker has more than
+// may be away at once; it comes back on another worker.
+func (c *Core) thin(w *worker, now time.Time) {
+	for s, n := range lastingOn(w) {
+		if n <= s.spec.MayMiss || awayBeside(s, w) > 0 || stoppingOn(s, w) {
+			continue
+		}
+		for _, r := range w.runs {
+			if r.task.step == s && r.phase == running {
+				c.stop(r, "its worker is due for maintenance", now)
+				break
+			}
+		}
+	}
+}
+
+func stoppingOn(s *stepState, w *worker) bool {
+	for _, r := range w.runs {
+		if r.task.step == s && (r.phase != running || r.percent < 100) {
+			return true
+		}
+	}
+	return false
+}
+
+// on reports whether the task runs on w.
+func (t *task) on(w *worker) bool {
+	for _, r := range t.runs {
+		if r.worker == w {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/jobs/owner/ends.go
@@ -0,0 +1,149 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// advanceAck moves the number up to which ends may be forgotten.
+func (w *worker) advanceAck(now time.Time) {
+	n := 0
+	for _, u := range w.unacked {
+		if u.job != nil && u.job.written < u.version {
+			break
+		}
+		if _, waits := w.waiting[u.number]; waits {
+			break
+		}
+		w.acked = u.number
+		n++
+	}
+	if n == 0 {
+		return
+	}
+	w.unacked = w.unacked[n:]
+	if len(w.unacked) == 0 && w.nextHold.After(now) {
+		w.nextHold = now
+	}
+}
+
+// onEnd handles one end that a worker lists.
+func (c *Core) onEnd(w *worker, e End, now time.Time) {
+	j := c.jobs[e.Task.Job]
+	if j == nil {
+		w.waiting[e.Number] = waitingEnd{e, now}
+		w.unacked = append(w.unacked, unackedEnd{number: e.Number})
+		return
+	}
+	c.applyEnd(w, j, e, now)
+	w.unacked = append(w.unacked, unackedEnd{e.Number, j, j.version})
+}
+
+func (c *Core) applyEnd(w *worker, j *jobState, e End, now time.Time) {
+	delete(w.strangers, e.Task)
+	c.begin(j, e.Task.Occurrence)
+	s := j.step(e.Task.Occurrence, e.Task.Step)
+	if s == nil || e.Task.Index >= len(s.tasks) {
+		c.note(Decision{Event: "end-of-unknown-task", Task: e.Task.String(), Worker: w.Worker})
+		return
+	}
+	t := s.tasks[e.Task.Index]
+	r := t.findRun(e.Run, w)
+	j.begun = true
+	if r != nil {
+		c.release(r)
+	}
+	if j.state.Final() {
+		return
+	}
+	w.ends.add(e.Kind, now)
+	switch e.Kind {
+	case EndDone:
+		c.counts.Done++
+		c.onDone(t, now)
+	case EndFailed:
+		c.counts.Failed++
+		c.onFailed(w, t, e, now)
+	case EndStopped:
+		c.counts.Stopped++
+		c.keepCheckpoint(t, e.Checkpoint)
+	default:
+		c.counts.Lapsed++
+		c.keepCheckpoint(t, e.Checkpoint)
+		c.note(Decision{Event: "task-" + e.Kind.String(), Job: j.spec.ID, Task: e.Task.String(), Worker: w.Worker, Run: e.Run})
+	}
+	c.changed[j.service] = true
+}
+
+func (c *Core) onDone(t *task, now time.Time) {
+	s := t.step
+	if s.spec.LongRunning {
+		c.changed[s.job.service] = true
+		return
+	}
+	members := []*task{t}
+	if s.spec.Gang {
+		members = s.tasks
+	}
+	for _, m := range members {
+		c.complete(m)
+		for _, r := range m.runs {
+			c.stop(r, "the task is done", now)
+		}
+	}
+	c.touch(s.job)
+	c.finishIfDone(s.job, now)
+}
+
+// failureBackoff keeps a task that failed from using up its attempts at once
+// on one bad worker.
+const failureBackoff = 20 * time.Millisecond
+
+func (c *Core) onFailed(w *worker, t *task, e End, now time.Time) {
+	s := t.step
+	j := s.job
+	c.keepCheckpoint(t, e.Checkpoint)
+	c.note(Decision{Event: "task-failed", Job: j.spec.ID, Task: e.Task.String(), Worker: w.Worker, Run: e.Run})
+	c.judge(w, now)
+	if s.spec.LongRunning {
+		return
+	}
+	t.attempts++
+	t.notBefore = now.Add(failureBackoff)
+	attempts := t.attempts
+	if s.spec.Gang {
+		s.gangFails++
+		attempts = s.gangFails
+	}
+	c.touch(j)
+	if j.queue.MaxAttempts > 0 && attempts >= j.queue.MaxAttempts {
+		c.finish(j, job.Failed, now)
+	}
+}
+
+func (c *Core) keepCheckpoint(t *task, checkpoint string) {
+	if checkpoint == "" || checkpoint == t.checkpoint || t.done {
+		return
+	}
+	t.checkpoint = checkpoint
+	if t.step.spec.Gang {
+		for _, m := range t.step.tasks {
+			m.checkpoint = checkpoint
+		}
+	}
+	c.touch(t.step.job)
+}
+
+// release frees the room of a run that is over.
+func (c *Core) release(r *run) {
+	delete(r.worker.runs, r.task.id())
+	for i, o := range r.task.runs {
+		if o == r {
+			r.task.runs = append(r.task.runs[:i:i], r.task.runs[i+1:]...)
+			break
+		}
+	}
+	c.changed[r.worker.Service] = true
+	c.changed[r.task.step.job.service] = true
+}
--- a/jobs/owner/health.go
+++ b/jobs/owner/health.go
@@ -1,8 +1,6 @@
 package owner
 
-import (
-	"time"
-)
+import "time"
 
 // Figures of the search for bad workers. They come from the faults that the
 // platform names: a worker that fails all it starts, and one whose tasks
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -1,8 +1,6 @@
 package owner
 
-import (
-	"time"
-)
+import "time"
 
 // Retries of orders.
 const (
--- /dev/null
+++ b/jobs/owner/takeover.go
@@ -0,0 +1,104 @@
+package owner
+
+import "time"
+
+// adopt takes over a run that an earlier owner started, or stops it.
+func (c *Core) adopt(w *worker, j *jobState, a ActiveRun, now time.Time) {
+	delete(w.strangers, a.Task)
+	c.begin(j, a.Task.Occurrence)
+	s := j.step(a.Task.Occurrence, a.Task.Step)
+	if s == nil || a.Task.Index >= len(s.tasks) {
+		return
+	}
+	if a.Run > c.opt.Term*termRuns {
+		// Ours, but given up for certain. It must not go on.
+		c.note(Decision{Event: "run-unexpected", Job: j.spec.ID, Task: a.Task.String(), Worker: w.Worker, Run: a.Run})
+		c.out.Stops = append(c.out.Stops, Stop{Target: c.target(w), Task: a.Task, Run: a.Run})
+		return
+	}
+	t := s.tasks[a.Task.Index]
+	r := &run{task: t, number: a.Run, worker: w, phase: running, sentAt: now, ackedAt: now, movedAt: now, percent: a.Percent, throttle: 100}
+	other := t.live()
+	t.runs = append(t.runs, r)
+	w.runs[a.Task] = r
+	j.begun = true
+	switch {
+	case j.state.Final() || t.done:
+		c.stop(r, "its task is over", now)
+	case other != nil:
+		c.stop(r, "its task runs elsewhere", now)
+	default:
+		c.note(Decision{Event: "run-adopted", Job: j.spec.ID, Task: a.Task.String(), Worker: w.Worker, Run: a.Run})
+	}
+}
+
+// resolveStrangers handles what workers said of a job before it was known.
+func (c *Core) resolveStrangers(j *jobState, now time.Time) {
+	for _, w := range c.workers {
+		for n, we := range w.waiting {
+			if we.end.Task.Job != j.spec.ID {
+				continue
+			}
+			delete(w.waiting, n)
+			c.applyEnd(w, j, we.end, now)
+			for i := range w.unacked {
+				if w.unacked[i].number == n {
+					w.unacked[i].job, w.unacked[i].version = j, j.version
+				}
+			}
+		}
+		w.advanceAck(now)
+	}
+}
+
+// expireStrangers gives up on jobs that stay unknown: their runs are stopped
+// and their ends forgotten.
+func (c *Core) expireStrangers(now time.Time) {
+	for _, w := range c.workers {
+		for n, we := range w.waiting {
+			if now.Sub(we.since) > strangerWait {
+				delete(w.waiting, n)
+				c.note(Decision{Event: "end-of-unknown-job", Task: we.end.Task.String(), Worker: w.Worker})
+				w.advanceAck(now)
+			}
+		}
+		for id, s := range w.strangers {
+			if now.Sub(s.since) > strangerWait {
+				w.strangers[id] = stranger{s.run, now}
+				c.note(Decision{Event: "run-of-unknown-job", Task: id.String(), Worker: w.Worker, Run: s.run})
+				c.out.Stops = append(c.out.Stops, Stop{Target: c.target(w), Task: id, Run: s.run})
+			}
+		}
+	}
+}
+
+// certain reports whether every run that an earlier owner may have started for
+// the service is known: each instance up in its pool answered our token, or
+// all its leases have run out.
+func (c *Core) certain(service string, now time.Time) bool {
+	if c.opt.Term == 1 {
+		return true
+	}
+	bound := time.Duration(float64(c.opt.TaskLease)/(1-workerClockSlow)) + leaseSlack
+	if now.Sub(c.startedAt) > bound {
+		return true
+	}
+	if c.instAt.IsZero() {
+		return false
+	}
+	for _, i := range c.instances {
+		if i.Pool != service || i.State != InstanceUp || i.Worker == "" {
+			continue
+		}
+		w := c.workers[i.Worker]
+		if w == nil || !w.held && !w.gone {
+			return false
+		}
+	}
+	for _, w := range c.workers {
+		if w.Service == service && !w.held && !w.gone {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/jobs/owner/wave.go
@@ -0,0 +1,326 @@
+package owner
+
+import (
+	"slices"
+	"sort"
+	"time"
+)
+
+// waveState is a wave and how far it is.
+type waveState struct {
+	WaveRequest
+	since     time.Time
+	begun     map[InstanceID]bool      // maintenance was accepted by the platform
+	down      map[InstanceID]downSince // ordered and not back yet
+	announced bool                     // its status was written
+	completed bool
+}
+
+// downSince is an instance under maintenance.
+type downSince struct {
+	at   time.Time
+	life WorkerID // before its maintenance; "" for a spare instance, which has none
+	seen bool     // the instance list has shown it under maintenance
+
+	accepted time.Time // when the platform accepted the order; zero: not yet
+}
+
+// Figures of maintenance.
+const (
+	// drainPatience is how long a wave waits for the tasks on an instance to
+	// end by themselves: most are shorter, and the rest is stopped.
+	drainPatience = 2500 * time.Millisecond
+	// orderRetry is the pause before an order for an instance is sent again.
+	orderRetry = 500 * time.Millisecond
+	// dutyMargin is added to the pause after a change of owner, for the time
+	// that an order of the old one may have been on its way.
+	dutyMargin = 300 * time.Millisecond
+	// instanceListAge is how old the instance list may be for an order.
+	instanceListAge = 3 * time.Second
+)
+
+// observe takes what the instance list says of an instance of the wave.
+func (ws *waveState) observe(i Instance) {
+	if !slices.Contains(ws.Instances, i.ID) {
+		return
+	}
+	d, down := ws.down[i.ID]
+	switch {
+	case i.State == InstanceMaintained:
+		ws.begun[i.ID] = true
+		d.seen = true
+		ws.down[i.ID] = d
+	case down && i.State == InstanceUp && (d.seen || i.Worker != d.life):
+		delete(ws.down, i.ID)
+	}
+}
+
+// OnWave takes an operators' request for a wave. begun are instances whose
+// maintenance an earlier owner has recorded.
+func (c *Core) OnWave(req WaveRequest, begun []InstanceID, completed bool, now time.Time) {
+	if c.waves[req.Wave] != nil {
+		return
+	}
+	ws := &waveState{WaveRequest: req, since: now, begun: map[InstanceID]bool{}, down: map[InstanceID]downSince{}, completed: completed, announced: completed}
+	for _, id := range begun {
+		ws.begun[id] = true
+	}
+	c.waves[req.Wave] = ws
+	c.note(Decision{Event: "wave-known", Reason: req.Within.String()})
+}
+
+// Begun returns the instances of a wave whose maintenance has begun.
+func (c *Core) Begun(wave int) []InstanceID {
+	ws := c.waves[wave]
+	if ws == nil {
+		return nil
+	}
+	var out []InstanceID
+	for id := range ws.begun {
+		out = append(out, id)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a] < out[b] })
+	return out
+}
+
+// maintain advances the waves.
+func (c *Core) maintain(now time.Time) {
+	for _, ws := range c.sortedWaves() {
+		if ws.completed {
+			continue
+		}
+		if !ws.announced {
+			ws.announced = true
+			c.out.Waves = append(c.out.Waves, WaveStatus{Wave: ws.Wave})
+		}
+		if c.waveDone(ws) {
+			ws.completed = true
+			c.note(Decision{Event: "wave-completed", Reason: now.Sub(ws.since).String()})
+			c.out.Waves = append(c.out.Waves, WaveStatus{Wave: ws.Wave, Done: true})
+			continue
+		}
+		c.advanceWave(ws, now)
+	}
+}
+
+func (c *Core) sortedWaves() []*waveState {
+	var out []*waveState
+	for _, ws := range c.waves {
+		out = append(out, ws)
+	}
+	sort.Slice(out, func(a, b int) bool { return out[a].Wave < out[b].Wave })
+	return out
+}
+
+// waveDone reports whether every instance of the wave that still is there has
+// begun its maintenance.
+func (c *Core) waveDone(ws *waveState) bool {
+	if c.instAt.IsZero() {
+		return false
+	}
+	for _, id := range ws.Instances {
+		if !ws.begun[id] && c.instances[id] != nil {
+			return false
+		}
+	}
+	return true
+}
+
+// candidate is an instance that waits for its maintenance.
+type candidate struct {
+	id   InstanceID
+	w    *worker // nil: nothing runs on it
+	cost float64 // core-seconds that are left on it
+}
+
+// doneBefore is how long after the platform accepted an order the instance list
+// must still show a spare instance as up to prove that its maintenance was
+// over already. It is half of what maintenance takes, and more than the list's
+// lag.
+const doneBefore = 1200 * time.Millisecond
+
+// stillUp forgets instances that were not taken down by the order, because
+// their maintenance was over before.
+func (c *Core) stillUp(ws *waveState, now time.Time) {
+	for id, d := range ws.down {
+		if d.accepted.IsZero() || d.seen {
+			continue
+		}
+		w := c.workers[d.life]
+		alive := w != nil && !w.gone && w.answered.After(d.accepted)
+		if w == nil && d.life == "" {
+			i := c.instances[id]
+			alive = i != nil && i.State == InstanceUp && c.instAt.Sub(d.accepted) > doneBefore
+		}
+		if !alive {
+			continue
+		}
+		delete(ws.down, id)
+		if w != nil {
+			w.unreserve()
+		}
+		c.note(Decision{Event: "maintained-before", Worker: d.life, Reason: string(id)})
+	}
+}
+
+// advanceWave reserves instances, so that their tasks end, and maintains those
+// that are ready.
+func (c *Core) advanceWave(ws *waveState, now time.Time) {
+	if !c.mayDoDuty(now) {
+		return
+	}
+	c.stillUp(ws, now)
+	for _, cand := range c.reservedFor(ws) {
+		if len(ws.down) >= ws.MaxDown {
+			break
+		}
+		if c.readyToGo(cand.w, now) {
+			c.orderMaintenance(ws, cand, now)
+			continue
+		}
+		c.thin(cand.w, now)
+	}
+	free := ws.MaxDown - len(ws.down) - len(c.reservedFor(ws))
+	for _, cand := range c.nextForWave(ws, now) {
+		if free <= 0 {
+			return
+		}
+		if cand.w == nil || len(cand.w.runs) == 0 {
+			if len(ws.down) < ws.MaxDown {
+				c.orderMaintenance(ws, cand, now)
+				free--
+			}
+			continue
+		}
+		if !mayTake(cand.w) && !mayThin(cand.w) {
+			continue // one that was reserved a moment ago has tasks of the same step
+		}
+		cand.w.reserved = "maintenance"
+		cand.w.reservedAt = now
+		free--
+		c.note(Decision{Event: "worker-reserved", Worker: cand.w.Worker, Reason: "maintenance"})
+	}
+}
+
+func (c *Core) reservedFor(ws *waveState) []candidate {
+	var out []candidate
+	for _, id := range ws.Instances {
+		w := c.workerOf(id)
+		_, down := ws.down[id]
+		if w != nil && w.reserved == "maintenance" && !w.gone && !down && !ws.begun[id] {
+			out = append(out, candidate{id: id, w: w})
+		}
+	}
+	return out
+}
+
+// nextForWave returns the instances that may be reserved, cheapest first.
+func (c *Core) nextForWave(ws *waveState, now time.Time) []candidate {
+	var out []candidate
+	for _, id := range ws.Instances {
+		i := c.instances[id]
+		_, down := ws.down[id]
+		if i == nil || i.State != InstanceUp || ws.begun[id] || down {
+			continue
+		}
+		w := c.workerOf(id)
+		if w == nil && i.Worker != "" || c.moves[id] != nil {
+			continue // on its way to a pool: what runs there is not known yet
+		}
+		if w != nil && (w.gone || w.Draining || w.reserved != "") {
+			continue
+		}
+		cand := candidate{id: id, w: w}
+		if w != nil {
+			if !mayTake(w) && !mayThin(w) {
+				continue
+			}
+			cand.cost = w.load()
+		}
+		out = append(out, cand)
+	}
+	sort.SliceStable(out, func(a, b int) bool { return out[a].cost < out[b].cost })
+	return out
+}
+
+// load returns the core-seconds that are left of what runs on the worker.
+func (w *worker) load() float64 {
+	sum := 0.0
+	for _, r := range w.runs {
+		spec := r.task.step.spec
+		if spec.LongRunning {
+			sum += float64(spec.Need.CPUMilli) / 1000
+			continue
+		}
+		left := spec.Estimate.Seconds() * float64(100-r.percent) / 100
+		sum += left * float64(spec.Need.CPUMilli) / 1000
+	}
+	return sum
+}
+
+// readyToGo reports whether a reserved worker may be taken away now.
+func (c *Core) readyToGo(w *worker, now time.Time) bool {
+	if !mayTake(w) {
+		return false
+	}
+	for _, r := range w.runs {
+		if !r.task.step.spec.LongRunning && now.Sub(w.reservedAt) < drainPatience {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) orderMaintenance(ws *waveState, cand candidate, now time.Time) {
+	d := downSince{at: now, life: c.instances[cand.id].Worker}
+	ws.down[cand.id] = d
+	if cand.w != nil {
+		cand.w.departing = true
+	}
+	c.note(Decision{Event: "maintenance-ordered", Worker: d.life, Reason: string(cand.id)})
+	c.out.Instances = append(c.out.Instances, MoveOrder{Instance: cand.id, Wave: ws.Wave})
+}
+
+// OnInstanceOrder takes the platform's answer to an order for an instance.
+func (c *Core) OnInstanceOrder(o MoveOrder, outcome DutyOutcome, now time.Time) {
+	if o.Wave == 0 {
+		c.onMove(o, outcome, now)
+		return
+	}
+	ws := c.waves[o.Wave]
+	if ws == nil {
+		return
+	}
+	w := c.workerOf(o.Instance)
+	switch outcome {
+	case DutyDone:
+		// The platform says so too if an earlier owner had it done. Then the worker
+		// lives on, which its next answer shows; otherwise the instance list shows
+		// that its life is over.
+		ws.begun[o.Instance] = true
+		if d, down := ws.down[o.Instance]; down {
+			d.accepted = now
+			ws.down[o.Instance] = d
+		}
+		c.out.Waves = append(c.out.Waves, WaveStatus{Wave: o.Wave, Done: ws.completed})
+	case DutyUnanswered:
+		// It may have begun: it stays among those that are down and is asked for
+		// again until the platform answers.
+		c.out.Instances = append(c.out.Instances, o)
+	case DutyFenced:
+		c.fenced = true
+	default:
+		delete(ws.down, o.Instance)
+		if w != nil {
+			w.unreserve()
+			w.avoidUntil = later(w.avoidUntil, now.Add(orderRetry))
+		}
+	}
+	c.note(Decision{Event: "maintenance-answer", Reason: string(o.Instance) + " " + outcome.String()})
+}
+
+// unreserve lets a worker have new tasks again.
+func (w *worker) unreserve() {
+	w.reserved = ""
+	w.departing = false
+}
