A failure that is listed to a second owner counts once

Ruled out: a lost record, the worker (one run failed).

Change: the record holds the newest run whose failure was counted; runs only rise. TestAFailureThatIsListedAgainCountsOnce fails without.

--- a/jobs/job/progress.go
+++ b/jobs/job/progress.go
@@ -15,11 +15,27 @@
 
 // StepProgress counts the ends of the tasks of a step in one occurrence.
 type StepProgress struct {
-	Occurrence int            `json:"O,omitempty"`
-	Step       int            `json:"S,omitempty"`
-	Done       Bitset         `json:"D,omitempty"`
-	Failed     map[int]int    `json:"F,omitempty"` // attempts that failed, by index
-	Checkpoint map[int]string `json:"C,omitempty"` // newest one, by index
+	Occurrence int              `json:"O,omitempty"`
+	Step       int              `json:"S,omitempty"`
+	Done       Bitset           `json:"D,omitempty"`
+	Failed     map[int]Failures `json:"F,omitempty"` // by index
+	Checkpoint map[int]string   `json:"C,omitempty"` // newest one, by index
+}
+
+// Failures counts the attempts of a task that failed. An end that is listed
+// again, to the next owner, must not count twice: runs only rise, and Run is the
+// newest that was counted.
+type Failures struct {
+	Count int    `json:"N"`
+	Run   uint64 `json:"R"`
+}
+
+// With returns the failures with that of a run counted.
+func (f Failures) With(run uint64) Failures {
+	if run <= f.Run {
+		return f
+	}
+	return Failures{Count: f.Count + 1, Run: run}
 }
 
 // Bitset is a set of small numbers.
--- a/jobs/owner/core_test.go
+++ b/jobs/owner/core_test.go
@@ -262,7 +262,7 @@
 
 // testAttemptsOverTerms lets a task fail a second time under a new owner.
 func testAttemptsOverTerms(t *testing.T, j *job.Job) {
-	p := &job.Progress{State: job.Running, Steps: []job.StepProgress{{Failed: map[int]int{0: 1}}}}
+	p := &job.Progress{State: job.Running, Steps: []job.StepProgress{{Failed: map[int]job.Failures{0: {Count: 1, Run: 1_000_007}}}}}
 	r := newRig(t, 2, Loaded{Job: j, Progress: p})
 	a := r.worker("a")
 	r.held(a, nil)
@@ -275,7 +275,19 @@
 	assert.Equal(t, job.Failed, state)
 }
 
-// orders returns the maintenance that was ordered so far.
+// TestAFailureThatIsListedAgainCountsOnce: the earlier owner recorded it, and
+// did not come to acknowledge it.
+func TestAFailureThatIsListedAgainCountsOnce(t *testing.T) {
+	j := simpleJob(1, 1)
+	p := &job.Progress{State: job.Running, Steps: []job.StepProgress{{Failed: map[int]job.Failures{0: {Count: 1, Run: 1_000_007}}}}}
+	r := newRig(t, 2, Loaded{Job: j, Progress: p})
+	a := r.worker("a")
+	r.held(a, nil, End{Number: 1, Task: job.TaskID{Job: j.ID}, Run: 1_000_007, Kind: EndFailed})
+	r.tick(100 * time.Millisecond)
+	assert.Len(t, r.started(), 1, "one of two attempts has failed")
+}
+
+// maintenances returns the maintenance that was ordered so far.
 func (r *rig) maintenances() []MoveOrder {
 	var out []MoveOrder
 	for _, o := range r.out.Instances {
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -109,12 +109,12 @@
 	if s.spec.LongRunning {
 		return
 	}
-	t.attempts++
+	t.failures = t.failures.With(e.Run)
 	t.notBefore = now.Add(failureBackoff)
-	attempts := t.attempts
+	attempts := t.failures.Count
 	if s.spec.Gang {
-		s.gangFails++
-		attempts = s.gangFails
+		s.failures = s.failures.With(e.Run)
+		attempts = s.failures.Count
 	}
 	c.touch(j)
 	if j.queue.MaxAttempts > 0 && attempts >= j.queue.MaxAttempts {
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -26,8 +26,8 @@
 			continue
 		}
 		for _, t := range s.tasks {
-			t.attempts = sp.Failed[t.index]
-			s.gangFails += t.attempts
+			t.failures = sp.Failed[t.index]
+			s.restoreGang(t.failures)
 			t.checkpoint = sp.Checkpoint[t.index]
 			if sp.Done.Has(t.index) {
 				c.complete(t)
@@ -49,6 +49,19 @@
 // has seen the new fencing token.
 const handoverTime = time.Second
 
+// restoreGang takes a member's recorded failures into those of its gang. Members
+// that failed in one run count once, as far as the record tells them apart.
+func (s *stepState) restoreGang(f job.Failures) {
+	if f.Count == 0 {
+		return
+	}
+	s.failures.Count += f.Count
+	if f.Run == s.failures.Run {
+		s.failures.Count--
+	}
+	s.failures.Run = max(s.failures.Run, f.Run)
+}
+
 // Submit adds a job that was accepted.
 func (c *Core) Submit(spec *job.Job, now time.Time) {
 	if c.jobs[spec.ID] != nil {
@@ -312,8 +325,8 @@
 				sp.Done = sp.Done.With(t.index)
 				known = true
 			}
-			if t.attempts > 0 {
-				sp.Failed = put(sp.Failed, t.index, t.attempts)
+			if t.failures.Count > 0 {
+				sp.Failed = put(sp.Failed, t.index, t.failures)
 				known = true
 			}
 			if t.checkpoint != "" {
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -52,7 +52,7 @@
 	step       *stepState
 	index      int
 	done       bool
-	attempts   int // that failed
+	failures   job.Failures
 	checkpoint string
 	runs       []*run
 	notBefore  time.Time // backoff after a failure
@@ -98,10 +98,10 @@
 	occurrence int
 	index      int
 	tasks      []*task
-	left       int // tasks that are not done
-	blocked    int // earlier steps that are not done
-	gangFails  int
-	permits    *permits // nil: the advisor was not asked
+	left       int          // tasks that are not done
+	blocked    int          // earlier steps that are not done
+	failures   job.Failures // of the whole gang
+	permits    *permits     // nil: the advisor was not asked
 }
 
 func (s *stepState) ready() bool { return s.blocked == 0 && s.left > 0 }
