The election is woken by the lease and by the configuration

Ruled out: the old lock (its daemon replaces it at once). Change: the grant of the lease and a new configuration wake it.

--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -46,6 +46,7 @@
 	n.renewed.Store(asked)
 	n.lease.Store(int64(id))
 	n.log.Info("lease-granted", zap.Int64("lease", int64(id)))
+	n.wakeElection()
 }
 
 func (n *Node) renewLease(ctx context.Context) {
@@ -167,6 +168,7 @@
 		return
 	}
 	n.catalog.Store(c)
+	n.wakeElection()
 	n.log.Info("configuration-applied", zap.Int64("version", c.Version), zap.Int("queues", len(c.Queues)))
 	if t := n.term.Load(); t != nil {
 		t.do(func(core *owner.Core, _ time.Time) { core.Configure(c) })
@@ -189,14 +191,7 @@
 
 // elect follows who the owner is, and becomes it when nobody is.
 func (n *Node) elect(ctx context.Context) {
-	wake := make(chan struct{}, 1)
-	signal := func() {
-		select {
-		case wake <- struct{}{}:
-		default:
-		}
-	}
-	go n.follow(ctx, ledger.PrefixOwner, func() { n.setLock(ledger.Lock{}, false, 0); signal() }, func(e ledger.Event) {
+	go n.follow(ctx, ledger.PrefixOwner, func() { n.setLock(ledger.Lock{}, false, 0); n.wakeElection() }, func(e ledger.Event) {
 		l, held, ok, err := ledger.LockOf(e)
 		if err != nil {
 			n.log.Error("lock-unreadable", zap.Error(err))
@@ -204,20 +199,28 @@
 		}
 		if ok {
 			n.setLock(l, held, e.Revision)
-			signal()
+			n.wakeElection()
 		}
 	})
 	for {
 		select {
 		case <-ctx.Done():
 			return
-		case <-wake:
+		case <-n.electNow:
 		case <-time.After(renewEvery):
 		}
 		n.considerTerm(ctx)
 	}
 }
 
+// wakeElection makes the election look again: what it waits for may have come.
+func (n *Node) wakeElection() {
+	select {
+	case n.electNow <- struct{}{}:
+	default:
+	}
+}
+
 // setLock takes who the owner is, and ends this daemon's term if it is another.
 func (n *Node) setLock(l ledger.Lock, held bool, revision int64) {
 	if !held {
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -68,8 +68,9 @@
 	term     atomic.Pointer[termRun]     // nil: this daemon is not the owner
 	members  atomic.Pointer[[]ledger.Member]
 	relayNo  atomic.Uint64
-	lease    atomic.Int64 // ledger.LeaseID; 0: none
-	renewed  atomic.Int64 // when the lease was last renewed, in ns since start
+	lease    atomic.Int64  // ledger.LeaseID; 0: none
+	renewed  atomic.Int64  // when the lease was last renewed, in ns since start
+	electNow chan struct{} // wakes the election
 	started  time.Time
 	stopping atomic.Bool
 
@@ -82,7 +83,7 @@
 	n := &Node{
 		set: set, platform: p, log: log, metrics: m,
 		peers: p.Peers, started: time.Now(),
-		waves: map[int]owner.WaveRequest{},
+		waves: map[int]owner.WaveRequest{}, electNow: make(chan struct{}, 1),
 	}
 	n.store = ledger.NewFailover(p.Store, n, time.Now, n.storeFailed)
 	n.accept = ledger.NewAcceptor(n.store)
