No pause of the duty after an earlier life of the same daemon

Cause: after all daemons are killed no instance moves for 3.3 s, the time that two holders of the duty have to keep apart, although the daemon that replaces its own old lock was the holder itself. Ruled out: the instance list (read at once).

--- a/jobs/ledger/term.go
+++ b/jobs/ledger/term.go
@@ -17,7 +17,10 @@
 // Term is this daemon's ownership: the right to write progress. All its
 // transactions hold on the lock's revision and run one after another.
 type Term struct {
-	Number   uint64
+	Number uint64
+	// Successor says that the owner before was an earlier life of this daemon.
+	Successor bool
+
 	store    Store
 	lock     Condition
 	sequence int64 // revision of keySequence that the next transaction holds on
@@ -61,7 +64,12 @@
 	if !res.Committed {
 		return nil, nil
 	}
-	return resume(ctx, s, number, res.Revision)
+	won, err := resume(ctx, s, number, res.Revision)
+	if err != nil {
+		return nil, err
+	}
+	won.Successor = replaced != 0
+	return won, nil
 }
 
 // Resume returns the term that lock, which names this daemon, gives it. That
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -63,7 +63,7 @@
 	t.core = owner.New(owner.Options{
 		Node: n.set.Node, Term: term.Number,
 		TaskLease: min(taskLease, n.set.MaxTaskLease), HoldWait: holdWait,
-		DutyHandover: n.set.DutyHandover, KeepStatus: n.set.KeepStatus, HarmLimit: n.set.HarmLimit,
+		DutyHandover: n.dutyHandover(term), KeepStatus: n.set.KeepStatus, HarmLimit: n.set.HarmLimit,
 		Weights: capacity.DefaultWeights,
 	}, n.catalog.Load(), snap.Jobs, time.Now())
 	n.log.Info("jobs-loaded", zap.Int("jobs", len(snap.Jobs)), zap.Int64("revision", snap.Revision), zap.Duration("took", time.Since(began)))
@@ -78,6 +78,15 @@
 	n.log.Info("no-longer-owner", zap.Uint64("term", term.Number))
 }
 
+// dutyHandover is how long this daemon has to leave instances alone: not at all
+// if the holder before was an earlier life of its own.
+func (n *Node) dutyHandover(term *ledger.Term) time.Duration {
+	if term.Successor {
+		return 0
+	}
+	return n.set.DutyHandover
+}
+
 func (t *termRun) startWaves(snap ledger.Snapshot) {
 	t.n.wavesMu.Lock()
 	defer t.n.wavesMu.Unlock()
