--- a/jobs/node/metrics.go
+++ b/jobs/node/metrics.go
@@ -51,3 +51,18 @@
 func (m *Metrics) storeFailure(err error) {
 	m.scope.Tagged(map[string]string{"code": string(verdict.CodeOf(err)), "verdict": verdict.Of(err).String()}).Counter("store_failures").Inc(1)
 }
+
+// owner takes the figures of the owner. Those of a daemon that is the owner no
+// more stay as they were; the newest term is the right one.
+func (m *Metrics) owner(s owner.Stats) {
+	for name, v := range map[string]float64{
+		"owner_open_jobs": float64(s.OpenJobs), "owner_unrecorded_jobs": float64(s.Unrecorded),
+		"owner_workers": float64(s.Workers), "owner_workers_usable": float64(s.Usable), "owner_workers_silent": float64(s.Silent),
+		"owner_tasks": float64(s.Running), "owner_instances_moving": float64(s.Moving), "owner_cores_waiting": s.WaitingCore,
+		"owner_starts": float64(s.Starts), "owner_starts_refused": float64(s.Refused), "owner_tasks_done": float64(s.Done),
+		"owner_tasks_failed": float64(s.Failed), "owner_tasks_stopped": float64(s.Stopped), "owner_tasks_lapsed": float64(s.Lapsed),
+		"owner_tasks_lost": float64(s.Lost), "owner_commits": float64(s.Commits),
+	} {
+		m.scope.Gauge(name).Update(v)
+	}
+}
--- /dev/null
+++ b/jobs/node/metrics_test.go
@@ -0,0 +1,43 @@
+package node
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/owner"
+	"github.com/postmount/postmount/telemetry"
+)
+
+// TestMetricsAreServedAsText scrapes the metrics of a daemon.
+func TestMetricsAreServedAsText(t *testing.T) {
+	m := telemetry.NewMetrics()
+	n := NewMetrics(m.Scope, m.Handler)
+	n.Answered("POST", 200, 3*time.Millisecond)
+	n.order("start", owner.NoRoom)
+	n.commit(nil, 5*time.Millisecond)
+	n.owner(owner.Stats{OpenJobs: 7, Counts: owner.Counts{Starts: 42}})
+	require.NoError(t, m.Close()) // reports what was counted
+	srv := httptest.NewServer(n.Handler())
+	defer srv.Close()
+	resp, err := http.Get(srv.URL)
+	require.NoError(t, err)
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	require.NoError(t, err)
+	for _, line := range []string{
+		`postmount_answers{method="POST",status="200"} 1`,
+		`postmount_orders{order="start",outcome="no_room"} 1`,
+		`postmount_commits{outcome="written"} 1`,
+		`postmount_owner_open_jobs 7`,
+		`postmount_owner_starts 42`,
+	} {
+		assert.Contains(t, string(text), line)
+	}
+	assert.Contains(t, string(text), "postmount_answer_time_bucket")
+}
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -169,7 +169,8 @@
 	}
 }
 
-// Bounds of callers' connections until the configuration says.
+// Bounds of callers' connections. They are wider than those of the operators'
+// configuration, which comes only after the listeners are open.
 const (
 	defaultHeaderTimeout = 5 * time.Second
 	defaultIdleTimeout   = 60 * time.Second
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -24,14 +24,11 @@
 	AdvisorAddr string // "" if no queue needs advice
 	MemoryMB    int    // limit of the process
 
-	MaxTaskLease    time.Duration // longest lease that workers give
-	StopGrace       time.Duration // between SIGTERM and SIGKILL
-	TaskStopTimeout time.Duration
-	DutyHandover    time.Duration // between orders of two holders of the duty
-	MinStoreLease   time.Duration
-	Heartbeat       time.Duration // of the workers' registrations
-	KeepStatus      time.Duration // of ended jobs
-	HarmLimit       time.Duration // of a serving task over its target
+	MaxTaskLease  time.Duration // longest lease that workers give
+	StopGrace     time.Duration // between SIGTERM and SIGKILL
+	DutyHandover  time.Duration // between orders of two holders of the duty
+	MinStoreLease time.Duration
+	KeepStatus    time.Duration // of ended jobs
 }
 
 // Validate returns all mistakes in the settings.
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -42,6 +42,7 @@
 	expecting  atomic.Bool // workers are about to register
 	committing bool
 	lastCommit time.Time
+	lastReport time.Time
 	lastExpire time.Time
 	extra      []ledger.Put // puts beside the records
 }
@@ -61,9 +62,9 @@
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	defer t.cancel()
 	t.core = owner.New(owner.Options{
-		Node: n.set.Node, Term: term.Number,
+		Term:      term.Number,
 		TaskLease: min(taskLease, n.set.MaxTaskLease), HoldWait: holdWait,
-		DutyHandover: n.dutyHandover(term), KeepStatus: n.set.KeepStatus, HarmLimit: n.set.HarmLimit,
+		DutyHandover: n.dutyHandover(term), KeepStatus: n.set.KeepStatus,
 		Weights: capacity.DefaultWeights,
 	}, n.catalog.Load(), snap.Jobs, time.Now())
 	n.log.Info("jobs-loaded", zap.Int("jobs", len(snap.Jobs)), zap.Int64("revision", snap.Revision), zap.Duration("took", time.Since(began)))
@@ -142,6 +143,7 @@
 			now := time.Now()
 			t.core.SetStoreLease(t.n.leaseHeld(), now)
 			t.core.Tick(now)
+			t.report(now)
 		case <-leaving:
 			leaving = nil
 		}
@@ -161,6 +163,17 @@
 	}
 }
 
+// reportEvery is how often the owner's figures are handed to the metrics.
+const reportEvery = time.Second
+
+func (t *termRun) report(now time.Time) {
+	if now.Sub(t.lastReport) < reportEvery {
+		return
+	}
+	t.lastReport = now
+	t.n.metrics.owner(t.core.Stats(now))
+}
+
 // drain applies the events that wait, so that their effects are computed once.
 func (t *termRun) drain(now time.Time) {
 	for range eventQueue {
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -273,16 +273,6 @@
 	return out
 }
 
-// Urgent reports whether a record waits whose writing lets a caller go on.
-func (c *Core) Urgent() bool {
-	for _, j := range c.dirty {
-		if j.state.Final() {
-			return true
-		}
-	}
-	return false
-}
-
 // Dirty returns how many jobs have to be written.
 func (c *Core) Dirty() int { return len(c.dirty) }
 
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -9,13 +9,11 @@
 
 // Options are the figures that the core works with.
 type Options struct {
-	Node         string
 	Term         uint64        // number of this ownership; rises with each owner
 	TaskLease    time.Duration // how long a worker's tasks live without renewal
 	HoldWait     time.Duration // how long a hold waits for an end
 	DutyHandover time.Duration // no duty is done so long after a change of owner
 	KeepStatus   time.Duration // how long ended jobs are kept
-	HarmLimit    time.Duration // a serving task must not be over its target so long
 	Weights      capacity.Weights
 }
 
--- a/jobs/owner/types.go
+++ b/jobs/owner/types.go
@@ -235,8 +235,3 @@
 	Waves     []WaveStatus
 	Questions []Question
 }
-
-// Empty reports whether there is nothing to carry out.
-func (e *Effects) Empty() bool {
-	return len(e.Starts)+len(e.Stops)+len(e.Throttles)+len(e.Holds)+len(e.Instances)+len(e.Waves)+len(e.Questions) == 0
-}
--- a/standin/jobfleet/installation.go
+++ b/standin/jobfleet/installation.go
@@ -93,7 +93,7 @@
 	d := &Daemon{Name: name, Gate: &Gate{}, done: make(chan struct{})}
 	set := node.Settings{
 		Node: name, IP: name, PeerPort: 1, MaxTaskLease: 10 * time.Second, StopGrace: 6 * time.Second,
-		DutyHandover: dutyHandover, MinStoreLease: time.Second, KeepStatus: 2 * time.Minute, HarmLimit: 4 * time.Second,
+		DutyHandover: dutyHandover, MinStoreLease: time.Second, KeepStatus: 2 * time.Minute,
 	}
 	d.Node = node.New(set, node.Platform{
 		Store:   in.Store.Client(name, d.Gate, in.ask),
