Failed runs are kept, not their number: ends of several workers come in any order

Change: the record holds the runs that failed; the gang's are their union. TestFailuresOfSeveralWorkersComeInAnyOrder fails without.

--- a/jobs/job/progress.go
+++ b/jobs/job/progress.go
@@ -1,6 +1,9 @@
 package job
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // Progress is what is kept of a job beside its submission. Only the owner
 // writes it.
@@ -22,20 +25,17 @@
 	Checkpoint map[int]string   `json:"C,omitempty"` // newest one, by index
 }
 
-// Failures counts the attempts of a task that failed. An end that is listed
-// again, to the next owner, must not count twice: runs only rise, and Run is the
-// newest that was counted.
-type Failures struct {
-	Count int    `json:"N"`
-	Run   uint64 `json:"R"`
-}
+// Failures are the runs of a task that failed. An end that is listed again, to
+// the next owner, must not count twice, and ends of several workers come in any
+// order: so the runs are kept, not their number. A queue allows few attempts.
+type Failures []uint64
 
-// With returns the failures with that of a run counted.
+// With returns the failures with a run added.
 func (f Failures) With(run uint64) Failures {
-	if run <= f.Run {
+	if slices.Contains(f, run) {
 		return f
 	}
-	return Failures{Count: f.Count + 1, Run: run}
+	return append(f, run)
 }
 
 // Bitset is a set of small numbers.
--- a/jobs/owner/core_test.go
+++ b/jobs/owner/core_test.go
@@ -262,7 +262,7 @@
 
 // testAttemptsOverTerms lets a task fail a second time under a new owner.
 func testAttemptsOverTerms(t *testing.T, j *job.Job) {
-	p := &job.Progress{State: job.Running, Steps: []job.StepProgress{{Failed: map[int]job.Failures{0: {Count: 1, Run: 1_000_007}}}}}
+	p := &job.Progress{State: job.Running, Steps: []job.StepProgress{{Failed: map[int]job.Failures{0: {1_000_007}}}}}
 	r := newRig(t, 2, Loaded{Job: j, Progress: p})
 	a := r.worker("a")
 	r.held(a, nil)
@@ -279,7 +279,7 @@
 // did not come to acknowledge it.
 func TestAFailureThatIsListedAgainCountsOnce(t *testing.T) {
 	j := simpleJob(1, 1)
-	p := &job.Progress{State: job.Running, Steps: []job.StepProgress{{Failed: map[int]job.Failures{0: {Count: 1, Run: 1_000_007}}}}}
+	p := &job.Progress{State: job.Running, Steps: []job.StepProgress{{Failed: map[int]job.Failures{0: {1_000_007}}}}}
 	r := newRig(t, 2, Loaded{Job: j, Progress: p})
 	a := r.worker("a")
 	r.held(a, nil, End{Number: 1, Task: job.TaskID{Job: j.ID}, Run: 1_000_007, Kind: EndFailed})
@@ -287,6 +287,18 @@
 	assert.Len(t, r.started(), 1, "one of two attempts has failed")
 }
 
+// TestFailuresOfSeveralWorkersComeInAnyOrder: an older run's failure is heard of
+// after a newer one's.
+func TestFailuresOfSeveralWorkersComeInAnyOrder(t *testing.T) {
+	j := simpleJob(1, 1)
+	r := newRig(t, 2, Loaded{Job: j})
+	a, b := r.worker("a"), r.worker("b")
+	r.held(a, nil, End{Number: 1, Task: job.TaskID{Job: j.ID}, Run: 1_000_009, Kind: EndFailed})
+	r.held(b, nil, End{Number: 1, Task: job.TaskID{Job: j.ID}, Run: 1_000_008, Kind: EndFailed})
+	r.tick(time.Second)
+	assert.Empty(t, r.out.Starts, "both of two attempts have failed")
+}
+
 // maintenances returns the maintenance that was ordered so far.
 func (r *rig) maintenances() []MoveOrder {
 	var out []MoveOrder
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -111,10 +111,10 @@
 	}
 	t.failures = t.failures.With(e.Run)
 	t.notBefore = now.Add(failureBackoff)
-	attempts := t.failures.Count
+	attempts := len(t.failures)
 	if s.spec.Gang {
 		s.failures = s.failures.With(e.Run)
-		attempts = s.failures.Count
+		attempts = len(s.failures)
 	}
 	c.touch(j)
 	if j.queue.MaxAttempts > 0 && attempts >= j.queue.MaxAttempts {
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -27,7 +27,9 @@
 		}
 		for _, t := range s.tasks {
 			t.failures = sp.Failed[t.index]
-			s.restoreGang(t.failures)
+			for _, run := range t.failures {
+				s.failures = s.failures.With(run)
+			}
 			t.checkpoint = sp.Checkpoint[t.index]
 			if sp.Done.Has(t.index) {
 				c.complete(t)
@@ -49,19 +51,6 @@
 // has seen the new fencing token.
 const handoverTime = time.Second
 
-// restoreGang takes a member's recorded failures into those of its gang. Members
-// that failed in one run count once, as far as the record tells them apart.
-func (s *stepState) restoreGang(f job.Failures) {
-	if f.Count == 0 {
-		return
-	}
-	s.failures.Count += f.Count
-	if f.Run == s.failures.Run {
-		s.failures.Count--
-	}
-	s.failures.Run = max(s.failures.Run, f.Run)
-}
-
 // Submit adds a job that was accepted.
 func (c *Core) Submit(spec *job.Job, now time.Time) {
 	if c.jobs[spec.ID] != nil {
@@ -315,7 +304,7 @@
 				sp.Done = sp.Done.With(t.index)
 				known = true
 			}
-			if t.failures.Count > 0 {
+			if len(t.failures) > 0 {
 				sp.Failed = put(sp.Failed, t.index, t.failures)
 				known = true
 			}
