The strongest daemon is the owner where daemons differ

Ruled out: the store (4 ms an answer). Change: a daemon's entry holds its share of a processor; in an election a weaker one leaves the first 250 ms to stronger ones, and an owner without open jobs yields to one. Equal shares: no difference. TestTheStrongestDaemonIsTheOwner.

--- a/internal/jobmatrix/day_test.go
+++ b/internal/jobmatrix/day_test.go
@@ -201,3 +201,22 @@
 		assert.Empty(t, d.in.Judge.Broken())
 	})
 }
+
+// TestTheStrongestDaemonIsTheOwner: at the start, and after the owner is gone.
+func TestTheStrongestDaemonIsTheOwner(t *testing.T) {
+	play(t, func(d *day) {
+		d.in.StartWith("strong1", 0.8)
+		d.in.StartWith("strong2", 0.8)
+		time.Sleep(6 * time.Second) // some lists of the live daemons
+		first := d.in.Owner()
+		require.NotNil(t, first)
+		assert.Contains(t, []string{"strong1", "strong2"}, first.Name, "an idle owner yields to a stronger daemon")
+		d.submitSome(0, 4)
+		d.in.Kill(first.Name)
+		d.submitSome(4, 4)
+		d.finish(20 * time.Second)
+		second := d.in.Owner()
+		require.NotNil(t, second)
+		assert.Contains(t, []string{"strong1", "strong2"}, second.Name)
+	})
+}
--- a/jobs/ledger/keys.go
+++ b/jobs/ledger/keys.go
@@ -38,8 +38,9 @@
 
 // Member is a live daemon. It is under the daemon's lease.
 type Member struct {
-	Node string
-	Addr string // of its peer listener
+	Node  string
+	Addr  string  // of its peer listener
+	Cores float64 // its share of the processor
 }
 
 func encode(v any) []byte {
--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -92,6 +92,10 @@
 		list = append(list, m)
 	}
 	n.members.Store(&list)
+	if t := n.term.Load(); t != nil && t.idle.Load() && n.strongerPeer() {
+		n.log.Info("yield", zap.Uint64("term", t.term.Number), zap.String("why", "no job is open, and a stronger daemon is there"))
+		t.handOver()
+	}
 }
 
 // follow reads all keys of a prefix and hands them to apply, then every change.
@@ -225,6 +229,7 @@
 func (n *Node) setLock(l ledger.Lock, held bool, revision int64) {
 	if !held {
 		n.lock.Store(nil)
+		n.lockGone.Store(n.sinceStart())
 	} else {
 		n.lock.Store(&l)
 	}
@@ -246,7 +251,12 @@
 		return
 	}
 	lease := ledger.LeaseID(n.lease.Load())
-	if l := n.lock.Load(); l != nil && l.Lease != lease && l.Node != n.set.Node {
+	l := n.lock.Load()
+	if l != nil && l.Lease != lease && l.Node != n.set.Node {
+		return
+	}
+	if left := strongerFirst - time.Duration(n.sinceStart()-n.lockGone.Load()); l == nil && left > 0 && n.strongerPeer() {
+		time.AfterFunc(left, n.wakeElection)
 		return
 	}
 	term, err := n.tryElect(ctx, lease)
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -71,6 +72,7 @@
 	lease    atomic.Int64  // ledger.LeaseID; 0: none
 	renewed  atomic.Int64  // when the lease was last renewed, in ns since start
 	electNow chan struct{} // wakes the election
+	lockGone atomic.Int64  // when the lock was last seen to be gone, in ns since start
 	started  time.Time
 	stopping atomic.Bool
 
@@ -264,7 +266,21 @@
 }
 
 // self is this daemon's entry in the store.
-func (n *Node) self() ledger.Member { return ledger.Member{Node: n.set.Node, Addr: n.set.peerAddr()} }
+func (n *Node) self() ledger.Member {
+	return ledger.Member{Node: n.set.Node, Addr: n.set.peerAddr(), Cores: n.set.Cores}
+}
+
+// strongerPeer reports whether another live daemon has clearly more of a
+// processor: scheduling all jobs is the heaviest work there is.
+func (n *Node) strongerPeer() bool {
+	list := n.members.Load()
+	if list == nil {
+		return false
+	}
+	return slices.ContainsFunc(*list, func(m ledger.Member) bool {
+		return m.Node != n.set.Node && m.Cores > strongerBy*n.set.Cores
+	})
+}
 
 // Catalog implements gateway.Jobs.
 func (n *Node) Catalog() *job.Catalog { return n.catalog.Load() }
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -21,8 +21,9 @@
 	MetricsPort int
 	StoreAddr   string
 	ManagerAddr string
-	AdvisorAddr string // "" if no queue needs advice
-	MemoryMB    int    // limit of the process
+	AdvisorAddr string  // "" if no queue needs advice
+	MemoryMB    int     // limit of the process
+	Cores       float64 // share of the processor that the process has
 
 	MaxTaskLease  time.Duration // longest lease that workers give
 	StopGrace     time.Duration // between SIGTERM and SIGKILL
@@ -74,6 +75,11 @@
 	watchReserve = 700 * time.Millisecond
 	// retryPause follows a failed call.
 	retryPause = 100 * time.Millisecond
+	// strongerBy is by how much more of a processor another daemon has to have to
+	// go before this one in an election, and strongerFirst how long it is left to
+	// it: a stronger one tries within some milliseconds.
+	strongerBy    = 1.25
+	strongerFirst = 250 * time.Millisecond
 	// membersEvery is how often the list of live daemons is read, stale.
 	membersEvery = 2 * time.Second
 	// registrationsEvery is how often the owner reads the workers' entries. It
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -40,6 +40,7 @@
 	listing chan struct{} // holds one token while the instance list is read
 
 	expecting  atomic.Bool // workers are about to register
+	idle       atomic.Bool // no job is open
 	committing bool
 	lastCommit time.Time
 	lastReport time.Time
@@ -171,7 +172,9 @@
 		return
 	}
 	t.lastReport = now
-	t.n.metrics.owner(t.core.Stats(now))
+	stats := t.core.Stats(now)
+	t.idle.Store(stats.OpenJobs == 0 && stats.Unrecorded == 0)
+	t.n.metrics.owner(stats)
 }
 
 // drain applies the events that wait, so that their effects are computed once.
--- a/standin/jobfleet/installation.go
+++ b/standin/jobfleet/installation.go
@@ -88,11 +88,17 @@
 	return h(daemon, op)
 }
 
+// usualCores is a daemon's share of the processor.
+const usualCores = 0.4
+
 // Start starts a daemon.
-func (in *Installation) Start(name string) *Daemon {
+func (in *Installation) Start(name string) *Daemon { return in.StartWith(name, usualCores) }
+
+// StartWith starts a daemon that has a share of the processor.
+func (in *Installation) StartWith(name string, cores float64) *Daemon {
 	d := &Daemon{Name: name, Gate: &Gate{}, done: make(chan struct{})}
 	set := node.Settings{
-		Node: name, IP: name, PeerPort: 1, MaxTaskLease: 10 * time.Second, StopGrace: 6 * time.Second,
+		Node: name, IP: name, PeerPort: 1, Cores: cores, MaxTaskLease: 10 * time.Second, StopGrace: 6 * time.Second,
 		DutyHandover: dutyHandover, MinStoreLease: time.Second, KeepStatus: 2 * time.Minute,
 	}
 	d.Node = node.New(set, node.Platform{
