--- a/jobs/owner/core_test.go
+++ b/jobs/owner/core_test.go
@@ -70,6 +70,7 @@
 	r.out.Instances = append(r.out.Instances, e.Instances...)
 	r.out.Waves = append(r.out.Waves, e.Waves...)
 	r.out.Questions = append(r.out.Questions, e.Questions...)
+	r.out.Throttles = append(r.out.Throttles, e.Throttles...)
 }
 
 func (r *rig) clock() int64 {
@@ -413,3 +414,98 @@
 	require.NotEmpty(t, r.out.Stops, "the other run is stopped")
 	assert.Equal(t, first.Run, r.out.Stops[0].Run)
 }
+
+func TestPaceOfFillers(t *testing.T) {
+	for _, c := range []struct {
+		worst   float64
+		current int
+		want    int
+	}{
+		{1.2, 100, 50}, {1.2, 50, 25}, {1.2, 10, 0}, {0.8, 40, 40}, {0.5, 40, 60}, {0.5, 90, 100}, {0.5, 100, 100}, {1.2, unknownThrottle, 50},
+	} {
+		assert.Equal(t, c.want, paceFor(c.worst, c.current), "tail %.1f times the target at %d%%", c.worst, c.current)
+	}
+}
+
+// TestFillersBesideASlowServingTask: they are slowed down, and get their speed
+// back when the tail is well below its target.
+func TestFillersBesideASlowServingTask(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	j := simpleJob(1, 1)
+	j.Steps[0].LongRunning, j.Steps[0].LatencyTarget = true, 100*time.Millisecond
+	j.Steps = append(j.Steps, job.Step{Count: 1, Need: job.Resources{CPUMilli: 1000, MemMB: 100}, LongRunning: true, Filler: true})
+	r.core.Submit(j, r.now)
+	r.core.React(r.now)
+	r.take()
+	starts := r.started()
+	require.Len(t, starts, 2)
+	look := func(tail int) {
+		var active []ActiveRun
+		for _, s := range starts {
+			active = append(active, ActiveRun{Task: s.Task, Run: s.Run, Percent: 100, Usage: tail})
+		}
+		r.tick(500 * time.Millisecond)
+		r.held(a, active)
+		r.tick(25 * time.Millisecond)
+	}
+	look(200)
+	look(200)
+	require.NotEmpty(t, r.out.Throttles)
+	assert.Equal(t, 1, r.out.Throttles[0].Task.Step, "the filler, not the serving task")
+	assert.Equal(t, 50, r.out.Throttles[0].Percent)
+	r.out.Throttles = nil
+	for range 6 {
+		look(20)
+	}
+	require.NotEmpty(t, r.out.Throttles)
+	assert.Equal(t, 100, r.out.Throttles[len(r.out.Throttles)-1].Percent)
+}
+
+func TestOccurrencesBeginWhenDue(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	j := simpleJob(1, 1)
+	j.Repeat, j.StartAt, j.Interval = 2, r.now.Add(time.Second), 2*time.Second
+	r.core.Submit(j, r.now)
+	r.tick(900 * time.Millisecond)
+	assert.Empty(t, r.out.Starts)
+	r.held(a, nil)
+	r.tick(200 * time.Millisecond)
+	first := r.started()
+	require.Len(t, first, 1)
+	assert.Zero(t, first[0].Task.Occurrence)
+	r.held(a, nil, End{Number: 1, Task: first[0].Task, Run: first[0].Run, Kind: EndDone})
+	r.tick(500 * time.Millisecond)
+	assert.Empty(t, r.out.Starts)
+	for range 4 {
+		r.tick(400 * time.Millisecond)
+		r.held(a, nil)
+	}
+	second := r.started()
+	require.Len(t, second, 1)
+	assert.Equal(t, 1, second[0].Task.Occurrence)
+}
+
+// TestALateFailureOfADoneTask: a copy of a speculative task fails after the
+// other was done.
+func TestALateFailureOfADoneTask(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	j := simpleJob(1, 2)
+	r.core.Submit(j, r.now)
+	r.core.React(r.now)
+	r.take()
+	s := r.started()
+	done := s[0]
+	r.held(a, nil,
+		End{Number: 1, Task: done.Task, Run: done.Run, Kind: EndDone},
+		End{Number: 2, Task: done.Task, Run: done.Run + 100, Kind: EndFailed},
+		End{Number: 3, Task: done.Task, Run: done.Run + 101, Kind: EndFailed})
+	r.core.Committed(r.core.Uncommitted(10), r.now)
+	state, _ := r.core.State(j.ID)
+	assert.Equal(t, job.Running, state, "the task is done, whatever its copies come to")
+}
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -106,8 +106,8 @@
 	c.keepCheckpoint(t, e.Checkpoint)
 	c.note(Decision{Event: "task-failed", Job: j.spec.ID, Task: e.Task.String(), Worker: w.Worker, Run: e.Run})
 	c.judge(w, now)
-	if s.spec.LongRunning {
-		return
+	if s.spec.LongRunning || t.done {
+		return // it has no limit of attempts, or a copy of it was done
 	}
 	t.failures = t.failures.With(e.Run)
 	t.notBefore = now.Add(failureBackoff)
