Root folders by what they carry: requests/, operators/ beside jobs/

Cause: 41 folders at the root; a newcomer looks for about a dozen, and could not see which packages serve requests on the product's own stand-ins and which serve jobs on the users' platform. Ruled out: deleting the request path. No line of logic changes.

--- a/adapter/backendhttp/client.go
+++ b/adapter/backendhttp/client.go
@@ -13,8 +13,8 @@
 	"sync"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/port"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/adapter/backendhttp/client_test.go
+++ b/adapter/backendhttp/client_test.go
@@ -13,7 +13,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/requests/port"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/adapter/etcdkv/messages.go
+++ b/adapter/etcdkv/messages.go
@@ -1,8 +1,8 @@
 package etcdkv
 
 import (
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/port"
 )
 
 // The types below are the JSON forms of the etcd v3 API messages that postmount
--- a/adapter/peerrpc/client.go
+++ b/adapter/peerrpc/client.go
@@ -10,10 +10,10 @@
 	"sync/atomic"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/once"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/slots"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/once"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/slots"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/adapter/workerhttp/client.go
+++ b/adapter/workerhttp/client.go
@@ -11,8 +11,8 @@
 	"net/http"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/port"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/cmd/postmount-lab/main.go
+++ b/cmd/postmount-lab/main.go
@@ -14,7 +14,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/postmount/postmount/daemon"
+	"github.com/postmount/postmount/requests/daemon"
 )
 
 // exitUsage is the exit status of a command line that is not understood.
--- a/cmd/postmount/exec.go
+++ b/cmd/postmount/exec.go
@@ -9,8 +9,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/postmount/postmount/api"
-	"github.com/postmount/postmount/query"
+	"github.com/postmount/postmount/operators/api"
+	"github.com/postmount/postmount/operators/query"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/cmd/postmount/main.go
+++ b/cmd/postmount/main.go
@@ -10,8 +10,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/postmount/postmount/client"
-	"github.com/postmount/postmount/daemon"
+	"github.com/postmount/postmount/operators/client"
+	"github.com/postmount/postmount/requests/daemon"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/cmd/postmount/report.go
+++ b/cmd/postmount/report.go
@@ -10,7 +10,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/postmount/postmount/api"
+	"github.com/postmount/postmount/operators/api"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/cmd/postmount/wait.go
+++ b/cmd/postmount/wait.go
@@ -9,7 +9,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/postmount/postmount/client"
+	"github.com/postmount/postmount/operators/client"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/cmd/postmountd/main.go
+++ b/cmd/postmountd/main.go
@@ -12,8 +12,8 @@
 
 	"github.com/alecthomas/kingpin/v2"
 
-	"github.com/postmount/postmount/daemon"
-	"github.com/postmount/postmount/settings"
+	"github.com/postmount/postmount/requests/daemon"
+	"github.com/postmount/postmount/requests/settings"
 )
 
 // Exit statuses.
--- a/internal/importrule/rule_test.go
+++ b/internal/importrule/rule_test.go
@@ -20,21 +20,21 @@
 // pure lists the domain and decision packages and what of postmount each may
 // import. None of them may do I/O or start goroutines.
 var pure = map[string][]string{
-	"verdict":    {},
-	"fleet":      {},
-	"rendezvous": {},
-	"slo":        {"fleet"},
-	"route":      {"fleet"},
-	"admit":      {"fleet"},
-	"retry":      {"verdict"},
-	"health":     {"fleet"},
-	"budget":     {"fleet"},
-	"wave":       {"fleet", "budget"},
-	"place":      {"fleet"},
-	"member":     {"fleet"},
-	"once":       {"fleet", "rendezvous"},
-	"slots":      {"fleet", "rendezvous"},
-	"directory":  {"fleet", "route"},
+	"verdict":             {},
+	"requests/fleet":      {},
+	"requests/rendezvous": {},
+	"requests/slo":        {"requests/fleet"},
+	"requests/route":      {"requests/fleet"},
+	"requests/admit":      {"requests/fleet"},
+	"requests/retry":      {"verdict"},
+	"requests/health":     {"requests/fleet"},
+	"requests/budget":     {"requests/fleet"},
+	"requests/wave":       {"requests/fleet", "requests/budget"},
+	"requests/place":      {"requests/fleet"},
+	"requests/member":     {"requests/fleet"},
+	"requests/once":       {"requests/fleet", "requests/rendezvous"},
+	"requests/slots":      {"requests/fleet", "requests/rendezvous"},
+	"requests/directory":  {"requests/fleet", "requests/route"},
 
 	"jobs/job":       {},
 	"jobs/placement": {"jobs/job"},
@@ -47,7 +47,7 @@
 
 // shells may not import adapters or stand-ins: they reach the outside through
 // ports.
-var shells = []string{"cluster", "control", "entry", "mirror", "record", "command", "port", "jobs/ledger", "jobs/peer", "jobs/gateway", "jobs/node"}
+var shells = []string{"requests/cluster", "requests/control", "requests/entry", "requests/mirror", "requests/record", "operators/command", "requests/port", "jobs/ledger", "jobs/peer", "jobs/gateway", "jobs/node"}
 
 func TestImports(t *testing.T) {
 	imports := readImports(t)
--- a/internal/matrix/control_test.go
+++ b/internal/matrix/control_test.go
@@ -9,9 +9,9 @@
 
 	"pgregory.net/rapid"
 
-	"github.com/postmount/postmount/budget"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/wave"
+	"github.com/postmount/postmount/requests/budget"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/wave"
 )
 
 // versioned is one record of the model store.
--- a/internal/matrix/session_test.go
+++ b/internal/matrix/session_test.go
@@ -12,8 +12,8 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 
-	"github.com/postmount/postmount/directory"
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/directory"
+	"github.com/postmount/postmount/requests/fleet"
 	"github.com/postmount/postmount/standin/store"
 )
 
--- a/internal/slopes/slopes_test.go
+++ b/internal/slopes/slopes_test.go
@@ -11,15 +11,15 @@
 	"testing"
 	"time"
 
-	"github.com/postmount/postmount/directory"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/member"
-	"github.com/postmount/postmount/mirror"
-	"github.com/postmount/postmount/once"
-	"github.com/postmount/postmount/place"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/record"
-	"github.com/postmount/postmount/wave"
+	"github.com/postmount/postmount/requests/directory"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/member"
+	"github.com/postmount/postmount/requests/mirror"
+	"github.com/postmount/postmount/requests/once"
+	"github.com/postmount/postmount/requests/place"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/record"
+	"github.com/postmount/postmount/requests/wave"
 )
 
 // sizes are fleets in workers; a pool has 33 of them, as in letter 1 (13,000
--- a/lab/control.go
+++ b/lab/control.go
@@ -7,8 +7,8 @@
 	"syscall"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/settings"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/settings"
 	"github.com/postmount/postmount/standin/platform"
 )
 
--- a/lab/demo.go
+++ b/lab/demo.go
@@ -9,7 +9,7 @@
 	"sync"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 	"github.com/postmount/postmount/standin/store"
 	"github.com/postmount/postmount/standin/worker"
 	"github.com/postmount/postmount/verdict"
--- a/lab/fixture.go
+++ b/lab/fixture.go
@@ -10,9 +10,9 @@
 	"sync"
 	"time"
 
-	"github.com/postmount/postmount/client"
-	"github.com/postmount/postmount/daemon"
-	"github.com/postmount/postmount/settings"
+	"github.com/postmount/postmount/operators/client"
+	"github.com/postmount/postmount/requests/daemon"
+	"github.com/postmount/postmount/requests/settings"
 	"github.com/postmount/postmount/standin/platform"
 	"github.com/postmount/postmount/standin/store"
 	"github.com/postmount/postmount/standin/worker"
--- a/lab/load.go
+++ b/lab/load.go
@@ -19,7 +19,7 @@
 	"github.com/HdrHistogram/hdrhistogram-go"
 	"github.com/google/uuid"
 
-	"github.com/postmount/postmount/entry"
+	"github.com/postmount/postmount/requests/entry"
 	"github.com/postmount/postmount/standin/worker"
 	"github.com/postmount/postmount/verdict"
 )
--- a/lab/measure.go
+++ b/lab/measure.go
@@ -7,7 +7,7 @@
 	"strings"
 	"time"
 
-	"github.com/postmount/postmount/settings"
+	"github.com/postmount/postmount/requests/settings"
 	"github.com/postmount/postmount/standin/worker"
 )
 
--- a/lab/path_bench_test.go
+++ b/lab/path_bench_test.go
@@ -10,7 +10,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/postmount/postmount/entry"
+	"github.com/postmount/postmount/requests/entry"
 )
 
 // benchPath measures requests of no service time against addr.
--- a/lab/report.go
+++ b/lab/report.go
@@ -8,7 +8,7 @@
 	"text/tabwriter"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 	"github.com/postmount/postmount/standin/platform"
 )
 
--- a/api/exec.go
+++ b/operators/api/exec.go
@@ -5,13 +5,13 @@
 	"fmt"
 	"time"
 
-	"github.com/postmount/postmount/command"
-	"github.com/postmount/postmount/control"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/mirror"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/query"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/operators/command"
+	"github.com/postmount/postmount/operators/query"
+	"github.com/postmount/postmount/requests/control"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/mirror"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/record"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/api/messages.go
+++ b/operators/api/messages.go
@@ -6,7 +6,7 @@
 import (
 	"time"
 
-	"github.com/postmount/postmount/command"
+	"github.com/postmount/postmount/operators/command"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/api/server.go
+++ b/operators/api/server.go
@@ -7,8 +7,8 @@
 
 	"github.com/go-chi/chi/v5"
 
-	"github.com/postmount/postmount/command"
-	"github.com/postmount/postmount/query"
+	"github.com/postmount/postmount/operators/command"
+	"github.com/postmount/postmount/operators/query"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/client/client.go
+++ b/operators/client/client.go
@@ -14,7 +14,7 @@
 
 	"github.com/google/uuid"
 
-	"github.com/postmount/postmount/api"
+	"github.com/postmount/postmount/operators/api"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/command/command_test.go
+++ b/operators/command/command_test.go
@@ -10,15 +10,15 @@
 	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/require"
 
-	"github.com/postmount/postmount/control"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/mirror"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/query"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/operators/query"
+	"github.com/postmount/postmount/requests/control"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/mirror"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/record"
+	"github.com/postmount/postmount/requests/wave"
 	"github.com/postmount/postmount/standin/store"
 	"github.com/postmount/postmount/verdict"
-	"github.com/postmount/postmount/wave"
 )
 
 // session is an operator at a terminal: statements go in, and what is answered
--- a/command/config.go
+++ b/operators/command/config.go
@@ -4,10 +4,10 @@
 	"strings"
 	"time"
 
-	"github.com/postmount/postmount/budget"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/query"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/operators/query"
+	"github.com/postmount/postmount/requests/budget"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/record"
 )
 
 func (p *planner) create(s *query.Create) (Plan, error) {
--- a/command/instance.go
+++ b/operators/command/instance.go
@@ -1,9 +1,9 @@
 package command
 
 import (
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/query"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/operators/query"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/record"
 )
 
 // drain records that an operator wants an instance out of service. The
--- a/command/job.go
+++ b/operators/command/job.go
@@ -4,9 +4,9 @@
 	"fmt"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/query"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/operators/query"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/record"
 )
 
 // maxJobs bounds the jobs of one pool, so that their record stays below the
--- a/command/show.go
+++ b/operators/command/show.go
@@ -7,10 +7,10 @@
 	"strings"
 	"time"
 
-	"github.com/postmount/postmount/budget"
-	"github.com/postmount/postmount/control"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/query"
+	"github.com/postmount/postmount/operators/query"
+	"github.com/postmount/postmount/requests/budget"
+	"github.com/postmount/postmount/requests/control"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // show lists things. Its plan is never written.
--- a/command/wave.go
+++ b/operators/command/wave.go
@@ -3,10 +3,10 @@
 import (
 	"time"
 
-	"github.com/postmount/postmount/control"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/query"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/operators/query"
+	"github.com/postmount/postmount/requests/control"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/record"
 )
 
 func (p *planner) startWave(s *query.StartWave) (Plan, error) {
--- a/command/why.go
+++ b/operators/command/why.go
@@ -4,10 +4,10 @@
 	"fmt"
 	"slices"
 
-	"github.com/postmount/postmount/budget"
-	"github.com/postmount/postmount/control"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/query"
+	"github.com/postmount/postmount/operators/query"
+	"github.com/postmount/postmount/requests/budget"
+	"github.com/postmount/postmount/requests/control"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // why gives the chain of facts and rules behind what is seen.
--- a/admit/admit.go
+++ b/requests/admit/admit.go
@@ -10,7 +10,7 @@
 	"container/heap"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // ID identifies a waiting request within its core.
--- a/budget/budget.go
+++ b/requests/budget/budget.go
@@ -7,7 +7,7 @@
 	"slices"
 	"strings"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // Account is the state of one pool's budget.
--- a/cluster/beat.go
+++ b/requests/cluster/beat.go
@@ -6,11 +6,11 @@
 
 	"go.uber.org/zap"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/member"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/record"
-	"github.com/postmount/postmount/slots"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/member"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/record"
+	"github.com/postmount/postmount/requests/slots"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/cluster/claims.go
+++ b/requests/cluster/claims.go
@@ -8,9 +8,9 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
-	"github.com/postmount/postmount/fleet"
 	"github.com/postmount/postmount/internal/sleep"
-	"github.com/postmount/postmount/once"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/once"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/cluster/node.go
+++ b/requests/cluster/node.go
@@ -14,12 +14,12 @@
 
 	"go.uber.org/zap"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/member"
-	"github.com/postmount/postmount/mirror"
-	"github.com/postmount/postmount/once"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/member"
+	"github.com/postmount/postmount/requests/mirror"
+	"github.com/postmount/postmount/requests/once"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/record"
 )
 
 // Options of a node.
--- a/cluster/register.go
+++ b/requests/cluster/register.go
@@ -7,9 +7,9 @@
 
 	"go.uber.org/zap"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/record"
 )
 
 // registerLoop keeps the daemon's registration in the store under a lease. A
--- a/control/controller.go
+++ b/requests/control/controller.go
@@ -16,14 +16,14 @@
 	"github.com/google/uuid"
 	"go.uber.org/zap"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/mirror"
-	"github.com/postmount/postmount/place"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/record"
-	"github.com/postmount/postmount/rendezvous"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/mirror"
+	"github.com/postmount/postmount/requests/place"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/record"
+	"github.com/postmount/postmount/requests/rendezvous"
+	"github.com/postmount/postmount/requests/wave"
 	"github.com/postmount/postmount/verdict"
-	"github.com/postmount/postmount/wave"
 )
 
 // Options of a controller.
--- a/control/history.go
+++ b/requests/control/history.go
@@ -5,8 +5,8 @@
 	"sync"
 	"time"
 
-	"github.com/postmount/postmount/budget"
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/budget"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // Sample is the state of a pool's availability budget from a time on.
--- a/control/history_test.go
+++ b/requests/control/history_test.go
@@ -9,10 +9,10 @@
 	"github.com/stretchr/testify/assert"
 	"go.uber.org/zap"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/mirror"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/mirror"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/record"
 )
 
 func event(key string, rev fleet.Revision, value any) port.Event {
--- a/control/jobs.go
+++ b/requests/control/jobs.go
@@ -4,10 +4,10 @@
 	"context"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/place"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/place"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/record"
 )
 
 // taskBoard is what the control goroutine knows of tasks on workers.
--- a/control/reconcile.go
+++ b/requests/control/reconcile.go
@@ -8,10 +8,10 @@
 
 	"go.uber.org/zap"
 
-	"github.com/postmount/postmount/budget"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/record"
-	"github.com/postmount/postmount/wave"
+	"github.com/postmount/postmount/requests/budget"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/record"
+	"github.com/postmount/postmount/requests/wave"
 )
 
 // roundState is one round of the control goroutine.
--- a/daemon/reports.go
+++ b/requests/daemon/reports.go
@@ -6,11 +6,11 @@
 	"slices"
 	"time"
 
-	"github.com/postmount/postmount/api"
-	"github.com/postmount/postmount/control"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/slo"
+	"github.com/postmount/postmount/operators/api"
+	"github.com/postmount/postmount/requests/control"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/slo"
 )
 
 // Status returns the daemon's own account of itself.
--- a/directory/directory.go
+++ b/requests/directory/directory.go
@@ -7,8 +7,8 @@
 	"cmp"
 	"slices"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/route"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/route"
 )
 
 // Worker is one backend server that may get new requests.
--- a/entry/dispatch.go
+++ b/requests/entry/dispatch.go
@@ -6,13 +6,13 @@
 	"sync"
 	"time"
 
-	"github.com/postmount/postmount/admit"
-	"github.com/postmount/postmount/directory"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/health"
-	"github.com/postmount/postmount/retry"
-	"github.com/postmount/postmount/route"
-	"github.com/postmount/postmount/slots"
+	"github.com/postmount/postmount/requests/admit"
+	"github.com/postmount/postmount/requests/directory"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/health"
+	"github.com/postmount/postmount/requests/retry"
+	"github.com/postmount/postmount/requests/route"
+	"github.com/postmount/postmount/requests/slots"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/entry/handler.go
+++ b/requests/entry/handler.go
@@ -15,11 +15,11 @@
 
 	"github.com/google/uuid"
 
-	"github.com/postmount/postmount/fleet"
 	"github.com/postmount/postmount/internal/sleep"
-	"github.com/postmount/postmount/member"
-	"github.com/postmount/postmount/once"
-	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/member"
+	"github.com/postmount/postmount/requests/once"
+	"github.com/postmount/postmount/requests/port"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/entry/handler_test.go
+++ b/requests/entry/handler_test.go
@@ -14,12 +14,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/postmount/postmount/directory"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/member"
-	"github.com/postmount/postmount/once"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/route"
+	"github.com/postmount/postmount/requests/directory"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/member"
+	"github.com/postmount/postmount/requests/once"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/route"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/entry/keyed.go
+++ b/requests/entry/keyed.go
@@ -6,9 +6,9 @@
 	"time"
 
 	"github.com/postmount/postmount/internal/sleep"
-	"github.com/postmount/postmount/once"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/retry"
+	"github.com/postmount/postmount/requests/once"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/retry"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/entry/loans.go
+++ b/requests/entry/loans.go
@@ -6,11 +6,11 @@
 
 	"github.com/google/uuid"
 
-	"github.com/postmount/postmount/directory"
-	"github.com/postmount/postmount/fleet"
 	"github.com/postmount/postmount/internal/sleep"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/slots"
+	"github.com/postmount/postmount/requests/directory"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/slots"
 )
 
 // Times of lending.
--- a/entry/problem.go
+++ b/requests/entry/problem.go
@@ -8,7 +8,7 @@
 	"strconv"
 	"time"
 
-	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/requests/port"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/health/health.go
+++ b/requests/health/health.go
@@ -5,7 +5,7 @@
 import (
 	"time"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // Options of the rule.
--- a/member/member.go
+++ b/requests/member/member.go
@@ -10,7 +10,7 @@
 	"slices"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // Options are the times that the safety argument depends on.
--- a/member/propose.go
+++ b/requests/member/propose.go
@@ -5,7 +5,7 @@
 	"slices"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // MaxMembers bounds a view. The connection share of each entry daemon is
--- a/mirror/feed.go
+++ b/requests/mirror/feed.go
@@ -7,8 +7,8 @@
 	"time"
 
 	"github.com/postmount/postmount/internal/sleep"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/record"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/mirror/mirror.go
+++ b/requests/mirror/mirror.go
@@ -13,9 +13,9 @@
 	"sync"
 	"sync/atomic"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/record"
 )
 
 // Mirror is safe for concurrent use: writers take turns, readers load the
--- a/mirror/mirror_test.go
+++ b/requests/mirror/mirror_test.go
@@ -7,9 +7,9 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/port"
-	"github.com/postmount/postmount/record"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/port"
+	"github.com/postmount/postmount/requests/record"
 )
 
 func pool(name string, rev fleet.Revision, max int) port.Event {
--- a/once/handover.go
+++ b/requests/once/handover.go
@@ -6,8 +6,8 @@
 	"strconv"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/rendezvous"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/rendezvous"
 )
 
 // Transfer hands one partition to its next owner.
--- a/once/key.go
+++ b/requests/once/key.go
@@ -5,8 +5,8 @@
 
 	"github.com/google/uuid"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/rendezvous"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/rendezvous"
 )
 
 // Key is a caller's Idempotency-Key: a UUIDv7, whose time tells an owner
--- a/once/once.go
+++ b/requests/once/once.go
@@ -9,7 +9,7 @@
 	"crypto/sha256"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // Fingerprint identifies a request's content, so that a key reused for another
--- a/once/once_test.go
+++ b/requests/once/once_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 var t0 = time.UnixMilli(1_800_000_000_000)
--- a/place/place.go
+++ b/requests/place/place.go
@@ -8,7 +8,7 @@
 	"slices"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // Worker is one worker of the pool as placement sees it.
--- a/port/backend.go
+++ b/requests/port/backend.go
@@ -4,7 +4,7 @@
 	"context"
 	"net/http"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/port/peers.go
+++ b/requests/port/peers.go
@@ -3,9 +3,9 @@
 import (
 	"context"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/once"
-	"github.com/postmount/postmount/slots"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/once"
+	"github.com/postmount/postmount/requests/slots"
 )
 
 // Beat is one member's heartbeat to another. It asks the receiver to confirm
--- a/port/port.go
+++ b/requests/port/port.go
@@ -7,7 +7,7 @@
 	"context"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/record/record.go
+++ b/requests/record/record.go
@@ -13,9 +13,9 @@
 
 	"github.com/google/uuid"
 
-	"github.com/postmount/postmount/fleet"
 	"github.com/postmount/postmount/internal/sleep"
-	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/port"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/record/record_test.go
+++ b/requests/record/record_test.go
@@ -10,8 +10,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/port"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/port"
 	"github.com/postmount/postmount/verdict"
 )
 
--- a/route/pick.go
+++ b/requests/route/pick.go
@@ -4,7 +4,7 @@
 	"math/rand/v2"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // Policy selects how a worker is picked.
--- a/route/route_test.go
+++ b/requests/route/route_test.go
@@ -7,7 +7,7 @@
 
 	"github.com/stretchr/testify/assert"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 func TestMatch(t *testing.T) {
--- a/route/table.go
+++ b/requests/route/table.go
@@ -8,7 +8,7 @@
 	"slices"
 	"strings"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // Table finds the route of a request. It is immutable.
--- a/settings/settings_test.go
+++ b/requests/settings/settings_test.go
@@ -35,7 +35,7 @@
 }
 
 func TestExamplesAreValid(t *testing.T) {
-	files, err := filepath.Glob("../examples/*.toml")
+	files, err := filepath.Glob("../../examples/*.toml")
 	require.NoError(t, err)
 	require.Len(t, files, 2)
 	for _, f := range files {
@@ -91,7 +91,7 @@
 
 // TestPageNamesEveryKey keeps the operators' page complete.
 func TestPageNamesEveryKey(t *testing.T) {
-	page, err := os.ReadFile("../docs/operating/settings.md")
+	page, err := os.ReadFile("../../docs/operating/settings.md")
 	require.NoError(t, err)
 	sections := reflect.TypeFor[Settings]()
 	for i := range sections.NumField() {
--- a/slo/slo.go
+++ b/requests/slo/slo.go
@@ -8,7 +8,7 @@
 	"sync"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // Windows of the burn report, in order. The pairs of a long and a short window
--- a/slots/slots.go
+++ b/requests/slots/slots.go
@@ -9,8 +9,8 @@
 	"slices"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/rendezvous"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/rendezvous"
 )
 
 // LoanID identifies one loan; the borrower chooses it.
--- a/slots/slots_test.go
+++ b/requests/slots/slots_test.go
@@ -10,7 +10,7 @@
 	"github.com/stretchr/testify/require"
 	"pgregory.net/rapid"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 var t0 = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
--- a/wave/advance.go
+++ b/requests/wave/advance.go
@@ -7,7 +7,7 @@
 	"fmt"
 	"time"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // Input is the snapshot that a pool's plan is made from.
--- a/wave/grant.go
+++ b/requests/wave/grant.go
@@ -6,8 +6,8 @@
 	"slices"
 	"time"
 
-	"github.com/postmount/postmount/budget"
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/budget"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // grant takes further instances out for the running waves, as far as the
--- a/wave/wave_test.go
+++ b/requests/wave/wave_test.go
@@ -8,7 +8,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 var t0 = time.Date(2026, 1, 1, 3, 0, 0, 0, time.UTC)
--- a/standin/platform/platform.go
+++ b/standin/platform/platform.go
@@ -17,7 +17,7 @@
 	"github.com/go-chi/chi/v5"
 
 	"github.com/postmount/postmount/adapter/platformhttp"
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 // Workers controls the workers behind the instances.
--- a/standin/worker/tasks.go
+++ b/standin/worker/tasks.go
@@ -7,7 +7,7 @@
 	"time"
 
 	"github.com/postmount/postmount/adapter/workerhttp"
-	"github.com/postmount/postmount/fleet"
+	"github.com/postmount/postmount/requests/fleet"
 )
 
 func itoa(n int) string { return strconv.Itoa(n) }
--- a/telemetry/telemetry.go
+++ b/telemetry/telemetry.go
@@ -12,9 +12,9 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 
-	"github.com/postmount/postmount/directory"
-	"github.com/postmount/postmount/fleet"
-	"github.com/postmount/postmount/slo"
+	"github.com/postmount/postmount/requests/directory"
+	"github.com/postmount/postmount/requests/fleet"
+	"github.com/postmount/postmount/requests/slo"
 	"github.com/postmount/postmount/verdict"
 )
 
