--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -88,8 +88,15 @@
 	// expectingEvery is registrationsEvery while instances are on their way to a
 	// pool: each read costs a thirtieth of a second of an instance.
 	expectingEvery = 100 * time.Millisecond
-	// instancesEvery is how often the owner reads the instance list.
+	// pausePerEntry is the least pause between two such readings for each entry
+	// that they return: one takes about 15 µs to decode, and reading shall cost
+	// 1.5% of a core at most.
+	pausePerEntry = time.Millisecond
+	// instancesEvery is how often the owner reads the instance list, and
+	// instancesLeast the least time between two readings: a tenth of the time
+	// that a move takes.
 	instancesEvery = 700 * time.Millisecond
+	instancesLeast = 150 * time.Millisecond
 	// tickEvery is the resolution of the owner's timers.
 	tickEvery = 25 * time.Millisecond
 	// commitEvery is the least time between two transactions of the owner. It
--- a/jobs/node/termorders.go
+++ b/jobs/node/termorders.go
@@ -83,7 +83,7 @@
 	case owner.DutyUnanswered:
 		pause(t.ctx, retryPause)
 	case owner.DutyDone:
-		t.listInstances() // it shows whose life is over
+		t.wantInstances()
 	}
 	return func(c *owner.Core, now time.Time) { c.OnInstanceOrder(o, outcome, now) }
 }
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -37,7 +37,7 @@
 	left     chan struct{} // closed when the lock is released
 	leaveOne sync.Once
 
-	listing chan struct{} // holds one token while the instance list is read
+	relist chan struct{} // holds one token while a reading of the instance list is wanted
 
 	expecting  atomic.Bool // workers are about to register
 	idle       atomic.Bool // no job is open
@@ -59,7 +59,7 @@
 		}
 		return
 	}
-	t := &termRun{n: n, term: term, events: make(chan event, eventQueue), leaving: make(chan struct{}), left: make(chan struct{}), listing: make(chan struct{}, 1)}
+	t := &termRun{n: n, term: term, events: make(chan event, eventQueue), leaving: make(chan struct{}), left: make(chan struct{}), relist: make(chan struct{}, 1)}
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	defer t.cancel()
 	t.core = owner.New(owner.Options{
--- a/jobs/node/termsources.go
+++ b/jobs/node/termsources.go
@@ -51,16 +51,22 @@
 				t.expecting.Store(c.Expecting())
 			})
 		}
-		every := registrationsEvery
-		if t.expecting.Load() {
-			every = expectingEvery
-		}
-		if !pause(t.ctx, every) {
+		if !pause(t.ctx, t.registrationsPause(len(items))) {
 			return
 		}
 	}
 }
 
+// registrationsPause returns the time until the next reading of the workers'
+// entries. While workers are expected it is short, but bounded by what reading a
+// large fleet costs.
+func (t *termRun) registrationsPause(entries int) time.Duration {
+	if !t.expecting.Load() {
+		return registrationsEvery
+	}
+	return min(registrationsEvery, max(expectingEvery, time.Duration(entries)*pausePerEntry))
+}
+
 func (t *termRun) decodeRegistrations(items []ledger.Item) []owner.Registration {
 	var list []owner.Registration
 	for _, i := range items {
@@ -74,23 +80,32 @@
 	return list
 }
 
+// pollInstances reads the instance list from time to time, and soon after an
+// order for an instance was accepted: the list shows whose life is over. Orders
+// that are accepted meanwhile share a reading.
 func (t *termRun) pollInstances() {
 	for t.ctx.Err() == nil {
 		t.listInstances()
-		if !pause(t.ctx, instancesEvery) {
+		if !pause(t.ctx, instancesLeast) {
 			return
 		}
+		select {
+		case <-t.ctx.Done():
+		case <-t.relist:
+		case <-time.After(instancesEvery - instancesLeast):
+		}
 	}
 }
 
-// listInstances reads the list once. One reading at a time keeps their order.
-func (t *termRun) listInstances() {
+// wantInstances asks for a reading of the instance list that begins after now.
+func (t *termRun) wantInstances() {
 	select {
-	case t.listing <- struct{}{}:
-		defer func() { <-t.listing }()
-	case <-t.ctx.Done():
-		return
+	case t.relist <- struct{}{}:
+	default: // one is asked for already and has not begun
 	}
+}
+
+func (t *termRun) listInstances() {
 	ctx, cancel := context.WithTimeout(t.ctx, instanceOrderTimeout)
 	defer cancel()
 	list, err := t.n.platform.Manager.Instances(ctx)
--- a/jobs/owner/advice.go
+++ b/jobs/owner/advice.go
@@ -138,6 +138,7 @@
 	p := s.permits
 	p.asking = false
 	c.changed[j.service] = true
+	c.pool(j.service).placedAt = time.Time{} // tickets last for a short time: place at once
 	if a.Err != nil {
 		p.retryAt = now.Add(askAgain)
 		c.note(Decision{Event: "advice-failed", Job: j.spec.ID, Reason: a.Err.Error()})
--- /dev/null
+++ b/jobs/owner/copies.go
@@ -0,0 +1,85 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/placement"
+)
+
+// Figures of copies of speculative tasks.
+const (
+	// copyAfter is how many times its estimate a task may take, and copySlack how
+	// much more, before a copy is started: estimates are off by half and more.
+	copyAfter = 2.5
+	copySlack = 400 * time.Millisecond
+	// maxCopies of one task run at the same time.
+	maxCopies = 2
+)
+
+// copyNeed says how much a task needs a second run.
+type copyNeed int
+
+const (
+	noCopy     copyNeed = iota
+	lateCopy            // it takes much longer than estimated
+	urgentCopy          // its worker is silent, or the run is to end
+)
+
+// wantsCopy reports whether a copy of a speculative task may be sooner.
+func (t *task) wantsCopy(now time.Time) copyNeed {
+	spec := t.step.spec
+	if !spec.Speculative || t.done || spec.LongRunning || len(t.runs) == 0 || len(t.runs) >= maxCopies {
+		return noCopy
+	}
+	r := t.runs[0]
+	if r.phase == stopping || r.worker.silent() {
+		return urgentCopy
+	}
+	late := time.Duration(copyAfter*float64(spec.Estimate)) + copySlack
+	if r.phase == running && now.Sub(r.ackedAt) > late {
+		return lateCopy
+	}
+	return noCopy
+}
+
+// placeLateCopies starts copies of tasks that take long. It comes after all
+// placements that left no task waiting: a copy is worth less than a first run.
+func (c *Core) placeLateCopies(claims []claim, room *roomView, now time.Time) {
+	for _, cl := range claims {
+		for _, s := range cl.job.steps {
+			if s.ready() && s.spec.Speculative {
+				c.placeCopies(s, lateCopy, room, now)
+			}
+		}
+	}
+}
+
+// placeCopies starts copies of the step's tasks that need one so much. Copies of
+// inherited tasks wait as these do.
+func (c *Core) placeCopies(s *stepState, need copyNeed, room *roomView, now time.Time) {
+	req := requestOf(s)
+	for _, t := range s.tasks {
+		if t.wantsCopy(now) != need {
+			continue
+		}
+		room.countOf(s, now)
+		i := placement.Choose(room.without(t.runs[0].worker), req)
+		if i < 0 {
+			return
+		}
+		placement.Take(&room.views[i], &req)
+		c.note(Decision{Event: "copy-started", Job: s.job.spec.ID, Task: t.id().String(), Worker: room.workers[i].Worker, Reason: "its run on " + string(t.runs[0].worker.Worker) + " lags"})
+		c.start(t, room.workers[i], c.nextRun(), now)
+	}
+}
+
+// without returns the views with one worker barred.
+func (v *roomView) without(w *worker) []placement.Worker {
+	out := append([]placement.Worker(nil), v.views...)
+	for i, o := range v.workers {
+		if o == w {
+			out[i].Barred = true
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/jobs/owner/copies_test.go
@@ -0,0 +1,66 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestCopiesGiveWayToWaitingTasks: a task that takes long gets a copy only where
+// no task waits for room.
+func TestCopiesGiveWayToWaitingTasks(t *testing.T) {
+	r := newRig(t, 1)
+	a, b := r.worker("a"), r.worker("b")
+	r.held(a, nil)
+	r.held(b, nil)
+	slow := simpleJob(1, 1)
+	slow.Steps[0].Speculative = true
+	r.core.Submit(slow, r.now)
+	r.core.React(r.now)
+	r.take()
+	first := r.started()
+	require.Len(t, first, 1)
+
+	other := b
+	if first[0].Worker == b {
+		other = a
+	}
+	filling := simpleJob(2, 15) // all the room that is left, 15 of 16 cores
+	r.core.Submit(filling, r.now)
+	r.core.React(r.now)
+	r.take()
+	running := r.started()
+	require.Len(t, running, 15)
+	waiting := simpleJob(3, 1)
+	waiting.Steps[0].Need.CPUMilli = 8000 // needs a whole worker
+	r.core.Submit(waiting, r.now)
+	r.core.React(r.now)
+	r.take()
+	require.Empty(t, r.started())
+
+	all := append(first, running...)
+	on := func(id WorkerID, without Start, percent int) (out []ActiveRun) {
+		for _, s := range all {
+			if s.Worker == id && s.Run != without.Run {
+				out = append(out, ActiveRun{Task: s.Task, Run: s.Run, Percent: percent})
+			}
+		}
+		return out
+	}
+	for i := range 50 { // 5 s: the first task lags; no task stands still
+		r.tick(100 * time.Millisecond)
+		r.held(a, on(a, Start{}, 10+i))
+		r.held(b, on(b, Start{}, 10+i))
+	}
+	var ended Start
+	for _, s := range running {
+		if s.Worker == other {
+			ended = s
+		}
+	}
+	r.held(other, on(other, ended, 90), End{Number: 1, Task: ended.Task, Run: ended.Run, Kind: EndDone})
+	r.tick(100 * time.Millisecond)
+	assert.Empty(t, r.started(), "one core is free, and a task waits for eight")
+}
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -137,7 +137,7 @@
 
 // release frees the room of a run that is over.
 func (c *Core) release(r *run) {
-	delete(r.worker.runs, r.task.id())
+	r.worker.dropRun(r)
 	for i, o := range r.task.runs {
 		if o == r {
 			r.task.runs = append(r.task.runs[:i:i], r.task.runs[i+1:]...)
--- a/jobs/owner/health.go
+++ b/jobs/owner/health.go
@@ -31,6 +31,8 @@
 	failed [endsKept]bool
 	at     [endsKept]time.Time
 	next   int
+
+	failedAt time.Time // newest failure
 }
 
 func (e *endWindow) add(kind EndKind, now time.Time) {
@@ -38,10 +40,22 @@
 		return
 	}
 	e.failed[e.next] = kind == EndFailed
+	if kind == EndFailed {
+		e.failedAt = now
+	}
 	e.at[e.next] = now
 	e.next = (e.next + 1) % endsKept
 }
 
+// failures returns how many of the newest ends were failures.
+func (e *endWindow) failures(now time.Time) int {
+	if now.Sub(e.failedAt) > endsAge {
+		return 0
+	}
+	failed, _ := e.count(now)
+	return failed
+}
+
 func (e *endWindow) count(now time.Time) (failed, all int) {
 	for i, at := range e.at {
 		if at.IsZero() || now.Sub(at) > endsAge {
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -9,8 +9,9 @@
 
 // poolState is what is known of the demand of a service.
 type poolState struct {
-	waiting float64   // cores that tasks wait for, at the last placement
-	since   time.Time // when the first of them began to; zero: none waits
+	waiting  float64   // cores that tasks wait for, at the last placement
+	since    time.Time // when the first of them began to; zero: none waits
+	placedAt time.Time // the last placement
 }
 
 // moveState is an instance on its way to another pool.
@@ -157,9 +158,7 @@
 		return out
 	}
 	v.Cores = max(v.Cores, float64(w.Room.CPUMilli)/1000)
-	for _, r := range w.runs {
-		v.Busy += float64(r.task.step.spec.Occupies().CPUMilli) / 1000
-	}
+	v.Busy += float64(w.used.CPUMilli) / 1000
 	if len(w.runs)+len(w.strangers) > 0 {
 		w.idleSince = time.Time{}
 		return out
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -49,26 +49,47 @@
 	return a.job.spec.ID < b.job.spec.ID
 }
 
+// scheduleEvery is the least time between two placements of a service in which
+// tasks wait for room: ends that come meanwhile share one. It is a hundredth of
+// what a small task takes.
+const scheduleEvery = 5 * time.Millisecond
+
 // schedule places waiting tasks of the services in which something changed.
 func (c *Core) schedule(now time.Time) {
-	if c.fenced {
+	if c.fenced || len(c.changed) == 0 {
 		return
 	}
+	claims := map[string][]claim{}
 	for service := range c.changed {
+		if c.pool(service).placedLately(now) {
+			continue
+		}
 		delete(c.changed, service)
-		c.scheduleService(service, now)
+		claims[service] = nil
+	}
+	if len(claims) == 0 {
+		return
 	}
-}
-
-func (c *Core) scheduleService(service string, now time.Time) {
-	var claims []claim
 	for _, j := range c.open {
-		if j.service == service && !j.state.Final() && waits(j, now) {
-			claims = append(claims, c.claimOf(j, now))
+		if list, due := claims[j.service]; due && !j.state.Final() && waits(j, now) {
+			claims[j.service] = append(list, c.claimOf(j, now))
 		}
 	}
+	for service, list := range claims {
+		c.scheduleService(service, list, now)
+	}
+}
+
+// placedLately reports whether the service had its turn a moment ago, and tasks
+// were left without room.
+func (p *poolState) placedLately(now time.Time) bool {
+	return p.waiting > 0 && now.Sub(p.placedAt) < scheduleEvery
+}
+
+func (c *Core) scheduleService(service string, claims []claim, now time.Time) {
 	pool := c.pool(service)
 	pool.waiting = 0
+	pool.placedAt = now
 	defer pool.settle(now)
 	if len(claims) == 0 {
 		return
@@ -86,6 +107,9 @@
 			}
 		}
 	}
+	if pool.waiting == 0 {
+		c.placeLateCopies(claims, room, now)
+	}
 }
 
 // waits reports whether the job has a task to place.
@@ -95,7 +119,7 @@
 			continue
 		}
 		for _, t := range s.tasks {
-			if t.waits(now) || t.wantsCopy(now) {
+			if t.waits(now) || t.wantsCopy(now) != noCopy {
 				return true
 			}
 		}
@@ -107,119 +131,6 @@
 	return !t.done && len(t.runs) == 0 && !now.Before(t.notBefore)
 }
 
-// Figures of copies of speculative tasks.
-const (
-	// copyAfter is how many times its estimate a task may take, and copySlack how
-	// much more, before a copy is started: estimates are off by half and more.
-	copyAfter = 2.5
-	copySlack = 400 * time.Millisecond
-	// maxCopies of one task run at the same time.
-	maxCopies = 2
-)
-
-// wantsCopy reports whether a speculative task lags so that a copy may be
-// sooner: its worker is silent, or it takes much longer than estimated.
-func (t *task) wantsCopy(now time.Time) bool {
-	spec := t.step.spec
-	if t.done || !spec.Speculative || spec.LongRunning || len(t.runs) == 0 || len(t.runs) >= maxCopies {
-		return false
-	}
-	r := t.runs[0]
-	if r.phase == stopping || r.worker.silent() {
-		return true
-	}
-	late := time.Duration(copyAfter*float64(spec.Estimate)) + copySlack
-	return r.phase == running && now.Sub(r.ackedAt) > late
-}
-
-// placeCopies starts copies of lagging tasks where there is room that no other
-// task of the step waits for.
-func (c *Core) placeCopies(s *stepState, req placement.Request, room *roomView, now time.Time) {
-	for _, t := range s.tasks {
-		if !t.wantsCopy(now) {
-			continue
-		}
-		i := placement.Choose(room.without(t.runs[0].worker), req)
-		if i < 0 {
-			continue
-		}
-		placement.Take(&room.views[i], &req)
-		c.note(Decision{Event: "copy-started", Job: s.job.spec.ID, Task: t.id().String(), Worker: room.workers[i].Worker, Reason: "its run on " + string(t.runs[0].worker.Worker) + " lags"})
-		c.start(t, room.workers[i], c.nextRun(), now)
-	}
-}
-
-// without returns the views with one worker barred.
-func (v *roomView) without(w *worker) []placement.Worker {
-	out := append([]placement.Worker(nil), v.views...)
-	for i, o := range v.workers {
-		if o == w {
-			out[i].Barred = true
-		}
-	}
-	return out
-}
-
-// roomView is the workers of a service as placement sees them.
-type roomView struct {
-	workers []*worker
-	views   []placement.Worker
-}
-
-func (c *Core) roomOf(service string, now time.Time) *roomView {
-	v := &roomView{}
-	for _, w := range c.workers {
-		if w.Service == service && w.usable(now) {
-			v.workers = append(v.workers, w)
-		}
-	}
-	sort.Slice(v.workers, func(a, b int) bool { return v.workers[a].Worker < v.workers[b].Worker })
-	for _, w := range v.workers {
-		pw := placement.Worker{Room: w.Room, Free: w.free(), Rack: w.Rack, Labels: w.Labels}
-		if failed, _ := w.ends.count(now); failed > 0 {
-			pw.Suspect = failed >= failuresToAvoid
-		}
-		for _, r := range w.runs {
-			if r.task.step.spec.Filler {
-				pw.Fillers++
-			}
-			if r.task.step.spec.LatencyTarget > 0 {
-				pw.Serving++
-			}
-			if r.task.step.spec.LongRunning {
-				pw.Lasting++
-			}
-		}
-		v.views = append(v.views, pw)
-	}
-	return v
-}
-
-// possible reports whether any worker of the service could take the request if
-// it were empty.
-func (v *roomView) possible(req *placement.Request) bool {
-	for i := range v.views {
-		if placement.Possible(&v.views[i], req) {
-			return true
-		}
-	}
-	return len(v.views) == 0
-}
-
-// countOf sets how many tasks of the step run on each worker, and bars those
-// that it may not run on.
-func (v *roomView) countOf(s *stepState, now time.Time) {
-	for i, w := range v.workers {
-		v.views[i].Mine = 0
-		v.views[i].Barred = s.needsPermits() && !s.permitted(w, now)
-		for _, r := range w.runs {
-			if r.task.step == s {
-				v.views[i].Mine++
-			}
-		}
-	}
-}
-
 func requestOf(s *stepState) placement.Request {
 	return placement.Request{
 		Need:          s.spec.Occupies(),
@@ -230,33 +141,36 @@
 		MaxPerWorker:  s.spec.MaxPerWorker,
 		Lasting:       s.spec.LongRunning,
 		Spread:        s.spec.MayMiss,
+		Permits:       s.needsPermits(),
 	}
 }
 
 func (c *Core) placeStep(s *stepState, room *roomView, pool *poolState, now time.Time) {
 	req := requestOf(s)
-	room.countOf(s, now)
 	if s.spec.Gang {
+		room.countOf(s, now)
 		c.placeGang(s, req, room, pool, now)
 		return
 	}
 	if s.spec.Speculative {
-		defer c.placeCopies(s, req, room, now)
+		defer c.placeCopies(s, urgentCopy, room, now)
 	}
+	counted := false
 	for _, t := range s.tasks {
 		if !t.waits(now) {
 			continue
 		}
+		if room.full.Covers(&req) {
+			c.noRoom(s, &req, room, pool, now)
+			return
+		}
+		if !counted {
+			room.countOf(s, now)
+			counted = true
+		}
 		i := placement.Choose(room.views, req)
 		if i < 0 {
-			possible := room.possible(&req)
-			if possible {
-				pool.wait(s, countWaiting(s, now))
-			}
-			c.noteWaiting(s, room, possible)
-			if s.needsPermits() {
-				c.ask(s, room, now)
-			}
+			c.noRoom(s, &req, room, pool, now)
 			return
 		}
 		placement.Take(&room.views[i], &req)
@@ -264,6 +178,19 @@
 	}
 }
 
+// noRoom takes note of a step of which no further task finds room.
+func (c *Core) noRoom(s *stepState, req *placement.Request, room *roomView, pool *poolState, now time.Time) {
+	possible := room.possible(req)
+	if possible {
+		pool.wait(s, countWaiting(s, now))
+		room.full.Add(req)
+	}
+	c.noteWaiting(s, room, possible)
+	if s.needsPermits() {
+		c.ask(s, room, now)
+	}
+}
+
 // noteWaiting says once for each job why a task of it was not placed.
 func (c *Core) noteWaiting(s *stepState, room *roomView, possible bool) {
 	j := s.job
@@ -320,7 +247,7 @@
 func (c *Core) start(t *task, w *worker, number uint64, now time.Time) {
 	r := &run{task: t, number: number, worker: w, phase: starting, throttle: 100}
 	t.runs = append(t.runs, r)
-	w.runs[t.id()] = r
+	w.addRun(r)
 	if j := t.step.job; !j.begun {
 		j.begun = true
 		c.note(Decision{Event: "job-started", Job: j.spec.ID, Task: t.id().String(), Worker: w.Worker, Run: number,
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -153,6 +153,10 @@
 	heardAt      time.Time // newest answer to any order
 	suspect      bool      // an order sent after heardAt went unanswered
 	runs         map[job.TaskID]*run
+	used         job.Resources           // by runs
+	fillers      int                     // of runs
+	serving      int                     // of runs, with a latency target
+	lasting      int                     // of runs, long-running
 	strangers    map[job.TaskID]stranger // runs of jobs that are not known yet
 	seen         uint64                  // highest end that was handled
 	acked        uint64                  // highest end that may be forgotten
@@ -178,15 +182,6 @@
 	since time.Time
 }
 
-// free returns the room that no run occupies, as far as is known.
-func (w *worker) free() job.Resources {
-	room := w.Room
-	for _, r := range w.runs {
-		room = room.Sub(r.task.step.spec.Occupies())
-	}
-	return room
-}
-
 // usable reports whether new tasks may be placed on the worker.
 func (w *worker) usable(now time.Time) bool {
 	return w.held && w.registered && !w.gone && !w.Draining && w.lease.known &&
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -20,7 +20,7 @@
 	r := &run{task: t, number: a.Run, worker: w, phase: running, sentAt: now, ackedAt: now, movedAt: now, percent: a.Percent, throttle: 100}
 	other := t.live()
 	t.runs = append(t.runs, r)
-	w.runs[a.Task] = r
+	w.addRun(r)
 	j.begun = true
 	switch {
 	case j.state.Final() || t.done:
--- a/jobs/placement/placement.go
+++ b/jobs/placement/placement.go
@@ -31,6 +31,7 @@
 	PreferredRack string
 	MaxPerWorker  int
 	Lasting       bool // a long-running task
+	Permits       bool // only some workers are permitted; the others are barred
 	// Spread is how many tasks of a step a worker should have at most, so that
 	// maintenance may take it away; 0: any number.
 	Spread int
@@ -106,6 +107,24 @@
 	return s
 }
 
+// Full holds requests that found no room. A request that needs as much as one of
+// them finds none either, as long as no room is freed.
+type Full struct{ needs []job.Resources }
+
+// Add notes a request that found no room. Requests with further conditions are
+// not noted: others may fit where they do not.
+func (f *Full) Add(r *Request) {
+	if r.RequiredLabel != "" || r.MaxPerWorker != 0 || r.Permits || f.Covers(r) {
+		return
+	}
+	f.needs = append(f.needs, r.Need)
+}
+
+// Covers reports whether the request certainly finds no room.
+func (f *Full) Covers(r *Request) bool {
+	return slices.ContainsFunc(f.needs, func(need job.Resources) bool { return r.Need.Fits(need) })
+}
+
 // Choose returns the index of the best worker, -1 if none fits.
 func Choose(workers []Worker, r Request) int {
 	best := -1
--- a/jobs/placement/placement_test.go
+++ b/jobs/placement/placement_test.go
@@ -73,3 +73,19 @@
 	assert.True(t, Possible(&w[0], &Request{Need: cores(8)}))
 	assert.False(t, Possible(&w[0], &Request{Need: cores(9)}))
 }
+
+func TestFullCoversWhatNeedsAsMuch(t *testing.T) {
+	need := func(cpu, mem int) *Request { return &Request{Need: job.Resources{CPUMilli: cpu, MemMB: mem}} }
+	var f Full
+	assert.False(t, f.Covers(need(1, 1)))
+	f.Add(need(4000, 100))
+	assert.True(t, f.Covers(need(4000, 100)))
+	assert.True(t, f.Covers(need(5000, 200)))
+	assert.False(t, f.Covers(need(3999, 200)), "needs less of one resource")
+	assert.False(t, f.Covers(need(5000, 99)), "needs less of another")
+
+	labelled := need(10, 10)
+	labelled.RequiredLabel = "a"
+	f.Add(labelled)
+	assert.False(t, f.Covers(need(10, 10)), "a request without the label may fit where one with it does not")
+}
