Connections that went silent are noticed and left together

A call's timeout closed only its own connection; the kept ones beside it, and those to peers, each cost one more timeout. Ruled out: shorter call timeouts alone (a slow store takes 300 ms; each silent connection would still be tried); closing all connections of all addresses (workers share nothing, and new connections are priced). Tests that fail before: TestSilentConnectionsAreLeftTogether; the fault table has 'all connections go silent' at each step (13 cells, green before, too: there no lease was lost); TestAnEndedConnectionIsReplaced.

--- a/internal/jobmatrix/faults_test.go
+++ b/internal/jobmatrix/faults_test.go
@@ -56,6 +56,22 @@
 	})
 }
 
+// silence swallows the next call of each kind from each daemon, as connections do
+// that are open and have gone silent.
+func silence(d *day) {
+	var mu sync.Mutex
+	tried := map[string]bool{}
+	d.in.SetHook(func(daemon, op string) jobfleet.Failure {
+		mu.Lock()
+		defer mu.Unlock()
+		if tried[daemon+" "+op] {
+			return jobfleet.NoFailure
+		}
+		tried[daemon+" "+op] = true
+		return jobfleet.Swallowed
+	})
+}
+
 var storeOps = map[string]bool{"get": true, "range": true, "watch": true, "commit": true, "grant": true, "keep": true, "end": true}
 
 // restart starts a daemon again a moment later, at the same address.
@@ -91,6 +107,7 @@
 	around("the store loses answers", func(d *day, _ string) { storeFor(d, jobfleet.AnswerLost, 3*time.Second) }),
 	around("the store is late", func(d *day, _ string) { storeFor(d, jobfleet.Late, 3*time.Second) }),
 	around("the store ends all leases", func(d *day, _ string) { d.in.Store.RevokeAll() }),
+	around("all connections go silent", func(d *day, _ string) { silence(d) }),
 	around("the store forgets its history", func(d *day, _ string) { d.in.Store.Forget() }),
 	around("an instance crashes", func(d *day, _ string) { go d.in.Fleet.Crash("i0", 3*time.Second) }),
 	around("a rack crashes", func(d *day, _ string) {
--- a/jobs/ledger/failover.go
+++ b/jobs/ledger/failover.go
@@ -53,14 +53,18 @@
 	return []Store{f.direct, relay}
 }
 
+// failed takes note of a failure. If both ways fail by turns, the next call
+// begins with the other one.
 func (f *Failover) failed(s Store, err error) {
-	if s != f.direct {
-		return
-	}
 	f.mu.Lock()
-	f.avoid = f.now().Add(avoidDirect)
+	f.avoid = time.Time{}
+	if s == f.direct {
+		f.avoid = f.now().Add(avoidDirect)
+	}
 	f.mu.Unlock()
-	f.onBad(err)
+	if s == f.direct {
+		f.onBad(err)
+	}
 }
 
 // read tries both ways.
--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -20,16 +20,22 @@
 		} else {
 			n.renewLease(ctx)
 		}
-		wait := renewEvery
-		if n.lease.Load() == 0 {
-			wait = retryPause
-		}
-		if !pause(ctx, wait) {
+		if !pause(ctx, n.leasePause()) {
 			return
 		}
 	}
 }
 
+// leasePause returns the time until the lease is next asked for or renewed: soon
+// if the last call failed, so that a lost answer does not cost the lease.
+func (n *Node) leasePause() time.Duration {
+	since := time.Duration(n.sinceStart() - n.renewed.Load())
+	if n.lease.Load() == 0 || since > renewEvery {
+		return retryPause
+	}
+	return renewEvery
+}
+
 func (n *Node) grantLease(ctx context.Context) {
 	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
 	defer cancel()
@@ -50,7 +56,7 @@
 }
 
 func (n *Node) renewLease(ctx context.Context) {
-	ctx, cancel := context.WithTimeout(ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(ctx, renewTimeout)
 	defer cancel()
 	id := ledger.LeaseID(n.lease.Load())
 	asked := n.sinceStart()
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -68,6 +68,9 @@
 	// storeTimeout bounds calls that can be repeated: the store answers in 4 ms,
 	// and in 300 ms in its slow hours.
 	storeTimeout = 900 * time.Millisecond
+	// renewTimeout bounds one renewal of the lease, so that a third one is
+	// answered before the lease ends. The store takes 300 ms in its slow hours.
+	renewTimeout = 600 * time.Millisecond
 	// watchWait is how long a watch waits for changes. It bounds how long a
 	// daemon hangs on a connection that a partition has cut.
 	watchWait = 1500 * time.Millisecond
--- a/jobs/peer/peer.go
+++ b/jobs/peer/peer.go
@@ -9,8 +9,10 @@
 	"net"
 	"net/rpc"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	"github.com/postmount/postmount/internal/netdial"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/verdict"
@@ -143,21 +145,45 @@
 // Client calls peers over one kept connection each.
 type Client struct {
 	mu    sync.Mutex
-	conns map[string]*rpc.Client
+	conns map[string]*clientConn
+}
+
+// clientConn is a connection to a peer.
+type clientConn struct {
+	*rpc.Client
+	ended *endNoter
+}
+
+// endNoter is a connection that remembers that reading from it has ended.
+type endNoter struct {
+	net.Conn
+	ended atomic.Bool
+}
+
+// Read implements net.Conn.
+func (e *endNoter) Read(p []byte) (int, error) {
+	n, err := e.Conn.Read(p)
+	if err != nil {
+		e.ended.Store(true)
+	}
+	return n, err
 }
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{conns: map[string]*rpc.Client{}} }
+func NewClient() *Client { return &Client{conns: map[string]*clientConn{}} }
 
-func (c *Client) conn(ctx context.Context, addr string) (*rpc.Client, error) {
+// conn returns the kept connection to addr, or a new one if it has ended.
+func (c *Client) conn(ctx context.Context, addr string) (*clientConn, error) {
 	c.mu.Lock()
-	conn := c.conns[addr]
+	kept := c.conns[addr]
 	c.mu.Unlock()
-	if conn != nil {
-		return conn, nil
+	if kept != nil {
+		if !kept.ended.ended.Load() {
+			return kept, nil
+		}
+		c.drop(addr, kept)
 	}
-	d := net.Dialer{Timeout: dialTimeout}
-	raw, err := d.DialContext(ctx, "tcp", addr)
+	raw, err := netdial.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
 	if err != nil {
 		return nil, verdict.Wrap(err, verdict.NotRun, CodePeer, "peer %s", addr)
 	}
@@ -167,13 +193,14 @@
 		raw.Close()
 		return other, nil
 	}
-	conn = rpc.NewClient(raw)
-	c.conns[addr] = conn
-	return conn, nil
+	noter := &endNoter{Conn: raw}
+	kept = &clientConn{rpc.NewClient(noter), noter}
+	c.conns[addr] = kept
+	return kept, nil
 }
 
 // drop closes a connection that failed.
-func (c *Client) drop(addr string, conn *rpc.Client) {
+func (c *Client) drop(addr string, conn *clientConn) {
 	c.mu.Lock()
 	if c.conns[addr] == conn {
 		delete(c.conns, addr)
@@ -182,8 +209,8 @@
 	conn.Close()
 }
 
-// call makes one call. A connection that is broken or does not answer in time
-// is closed.
+// call makes one call. A connection that is broken or does not answer in
+// time is closed.
 func (c *Client) call(ctx context.Context, addr, method string, req, reply any) error {
 	conn, err := c.conn(ctx, addr)
 	if err != nil {
@@ -205,18 +232,36 @@
 	return verdict.Wrap(pending.Error, verdict.MayHaveRun, CodePeer, "peer %s %s", addr, method)
 }
 
+// ask puts a question that may be repeated. A first try has half the time until
+// the deadline: its connection may have gone silent, and the second opens another.
+func ask[R any](ctx context.Context, c *Client, addr, method string, question any) (R, error) {
+	var first, second R
+	half, cancel := halfOf(ctx)
+	defer cancel()
+	if err := c.call(half, addr, method, question, &first); err == nil || ctx.Err() != nil {
+		return first, err
+	}
+	err := c.call(ctx, addr, method, question, &second)
+	return second, err
+}
+
+// halfOf returns a context with half of the time that ctx has.
+func halfOf(ctx context.Context) (context.Context, context.CancelFunc) {
+	end, bounded := ctx.Deadline()
+	if !bounded {
+		return context.WithCancel(ctx)
+	}
+	return context.WithTimeout(ctx, time.Until(end)/2)
+}
+
 // State asks the peer at addr for the state of a job.
 func (c *Client) State(ctx context.Context, addr string, id job.ID) (StateReply, error) {
-	var out StateReply
-	err := c.call(ctx, addr, "State", StateRequest{id}, &out)
-	return out, err
+	return ask[StateReply](ctx, c, addr, "State", StateRequest{id})
 }
 
 // Pending asks the peer at addr for the length of a queue.
 func (c *Client) Pending(ctx context.Context, addr, queue string) (PendingReply, error) {
-	var out PendingReply
-	err := c.call(ctx, addr, "Pending", PendingRequest{queue}, &out)
-	return out, err
+	return ask[PendingReply](ctx, c, addr, "Pending", PendingRequest{queue})
 }
 
 // Cancelled tells the peer at addr of a cancellation.
