Pools are sized by the rate of arriving work, too; no reserve; copies sooner

Change: capacity.Rate takes the core-seconds a second over the newest 5 arrivals, corrected by how long the service's tasks took against their estimates; a pool needs what that keeps busy or what is there, whichever is more. The reserve of an instance a pool is gone (one is kept). Copies of late speculative tasks after 1.8 times the estimate instead of 2.5, now that they give way to waiting tasks. Tests: TestArrivalsBringInstancesBeforeTasksWait, TestRate.

--- a/jobs/capacity/capacity.go
+++ b/jobs/capacity/capacity.go
@@ -23,14 +23,15 @@
 	// fill is the share of an instance's processors that tasks of mixed sizes
 	// fill; measured on quiet days.
 	fill = 0.9
-	// headroom is how much more work than there is a pool is sized for: a turn of
-	// traffic grows several times over in the time of a move.
+	// headroom is how much more work than there is a pool is sized for: tasks of
+	// mixed sizes leave gaps, and the next steps of running jobs come.
 	headroom = 1.3
 	// giveBackMoves is how many moves an instance's idle time must have cost
 	// before it is given back: away, and back at the pool's next turn.
 	giveBackMoves = 2
-	// reserve is how many instances a pool keeps beyond what it needs.
-	reserve = 1
+	// smallest is how many instances a pool keeps without any work: with none, the
+	// size of its instances is not known, and the next job waits for a move.
+	smallest = 1
 	// stuckAfter is how long tasks wait before a pool gets one more instance
 	// though it has cores enough: they may need other workers than those that run
 	// tasks of their step already.
@@ -54,6 +55,8 @@
 	Cores     float64       // of one instance
 	Busy      float64       // cores in use
 	Waiting   float64       // cores that tasks wait for now
+	Lasting   float64       // cores of Busy that long-running tasks use
+	Rate      float64       // core-seconds of work that arrive a second
 	WaitsFor  time.Duration // since when some task has waited without a break
 }
 
@@ -64,12 +67,15 @@
 	Reason   string
 }
 
-// need is how many instances the pool's work fills.
+// need is how many instances the pool's work fills: what there is now, or what
+// the rate of arrivals will keep busy, whichever is more.
 func (p *Pool) need() int {
 	if p.Cores <= 0 {
 		return 0
 	}
-	return int(math.Ceil((headroom*p.Busy + p.Waiting) / (p.Cores * fill)))
+	present := headroom*p.Busy + p.Waiting
+	coming := p.Lasting + p.Rate
+	return int(math.Ceil(max(present, coming) / (p.Cores * fill)))
 }
 
 // surplus is how many instances the pool can do without.
@@ -77,7 +83,7 @@
 	if p.Waiting > 0 {
 		return 0
 	}
-	return len(p.Instances) + p.Arriving - p.need() - reserve
+	return len(p.Instances) + p.Arriving - max(smallest, p.need())
 }
 
 // shortage is how many instances the pool lacks.
--- a/jobs/capacity/capacity_test.go
+++ b/jobs/capacity/capacity_test.go
@@ -38,6 +38,29 @@
 	}
 }
 
+// TestArrivalsBringInstancesBeforeTasksWait: at the start of a turn of traffic
+// the work that comes is known sooner than it queues.
+func TestArrivalsBringInstancesBeforeTasksWait(t *testing.T) {
+	a := pool("a", 2, 0, 0)
+	a.Busy, a.Lasting, a.Rate = 8, 5, 31
+	assert.Len(t, Plan(DefaultWeights, []Pool{a}, spare(8)), 2, "5 lasting cores and 31 a second fill 4 instances")
+	a.Rate = 4
+	assert.Empty(t, Plan(DefaultWeights, []Pool{a}, spare(8)))
+}
+
+func TestRate(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	var r Rate
+	assert.Zero(t, r.Cores(now))
+	for i := range rateWindow {
+		assert.Zero(t, r.Cores(now), "after %d arrivals there is too little to tell", i)
+		r.Add(10, now)
+		now = now.Add(100 * time.Millisecond)
+	}
+	assert.InDelta(t, 100, r.Cores(now), 1e-6, "10 core-seconds each 100 ms")
+	assert.InDelta(t, 50, r.Cores(now.Add(500*time.Millisecond)), 1e-6, "it falls while nothing comes")
+}
+
 func TestInstancesOnTheirWayCount(t *testing.T) {
 	a := pool("a", 2, 0, 0)
 	a.Busy, a.Waiting, a.Arriving = 20, 15, 3
--- a/jobs/owner/copies.go
+++ b/jobs/owner/copies.go
@@ -10,7 +10,7 @@
 const (
 	// copyAfter is how many times its estimate a task may take, and copySlack how
 	// much more, before a copy is started: estimates are off by half and more.
-	copyAfter = 2.5
+	copyAfter = 1.8
 	copySlack = 400 * time.Millisecond
 	// maxCopies of one task run at the same time.
 	maxCopies = 2
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -60,6 +60,9 @@
 	// An earlier owner that does not know yet that it is none may have started it.
 	j.inherited = c.opt.Term > 1 && now.Sub(c.startedAt) < handoverTime
 	c.note(Decision{Event: "job-known", Job: spec.ID, Reason: j.service})
+	if spec.Repeat == 0 && !spec.Steps[0].LongRunning {
+		c.pool(j.service).arrivals.Add(j.work, now)
+	}
 	c.resolveStrangers(j, now)
 	if _, cancelled := c.early[spec.ID]; cancelled {
 		delete(c.early, spec.ID)
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -12,6 +12,8 @@
 	waiting  float64   // cores that tasks wait for, at the last placement
 	since    time.Time // when the first of them began to; zero: none waits
 	placedAt time.Time // the last placement
+	arrivals capacity.Rate
+	trend    estimateTrend
 }
 
 // moveState is an instance on its way to another pool.
@@ -60,6 +62,29 @@
 	return now.Sub(p.since)
 }
 
+// estimateTrend compares how long tasks took with their estimates.
+type estimateTrend struct{ took, estimated float64 } // core-seconds of tasks that are done
+
+// trendKept is the share of what is known that each end leaves: the last hundred
+// or so count.
+const trendKept = 0.99
+
+// maxTrend bounds the correction by a few odd tasks, either way.
+const maxTrend = 4
+
+func (e *estimateTrend) add(took, estimated float64) {
+	e.took = e.took*trendKept + took
+	e.estimated = e.estimated*trendKept + estimated
+}
+
+// factor returns how many times its estimate a core-second of work takes.
+func (e *estimateTrend) factor() float64 {
+	if e.estimated <= 0 || e.took <= 0 {
+		return 1
+	}
+	return min(maxTrend, max(1.0/maxTrend, e.took/e.estimated))
+}
+
 // size moves instances between pools by demand.
 func (c *Core) size(now time.Time) {
 	if !c.mayDoDuty(now) || now.Before(c.nextSize) {
@@ -116,7 +141,7 @@
 	views := map[string]*capacity.Pool{}
 	for _, s := range c.catalog.Services {
 		p := c.pool(s.Name)
-		views[s.Name] = &capacity.Pool{Name: s.Name, Waiting: p.waiting, WaitsFor: p.waitsFor(now)}
+		views[s.Name] = &capacity.Pool{Name: s.Name, Waiting: p.waiting, WaitsFor: p.waitsFor(now), Rate: p.arrivals.Cores(now) * p.trend.factor()}
 	}
 	for _, i := range c.sortedInstances() {
 		v := views[i.Pool]
@@ -159,6 +184,7 @@
 	}
 	v.Cores = max(v.Cores, float64(w.Room.CPUMilli)/1000)
 	v.Busy += float64(w.used.CPUMilli) / 1000
+	v.Lasting += float64(w.lastingCPU) / 1000
 	if len(w.runs)+len(w.strangers) > 0 {
 		w.idleSince = time.Time{}
 		return out
--- a/jobs/owner/room.go
+++ b/jobs/owner/room.go
@@ -99,6 +99,7 @@
 	}
 	if spec.LongRunning {
 		w.lasting += n
+		w.lastingCPU += n * need.CPUMilli
 	}
 }
 
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -157,6 +157,7 @@
 	fillers      int                     // of runs
 	serving      int                     // of runs, with a latency target
 	lasting      int                     // of runs, long-running
+	lastingCPU   int                     // thousandths of a core that these use
 	strangers    map[job.TaskID]stranger // runs of jobs that are not known yet
 	seen         uint64                  // highest end that was handled
 	acked        uint64                  // highest end that may be forgotten
