Preemption; tests of checkpoints and of configuration in force

Ruled out: keeping room for long-running tasks (priced each second). Change: placement.Preempt chooses the worker, and the runs on it, with which the least work is lost (a fifth for runs with checkpoints), and none that is not needed. A task that waited 300 ms may take the room of tasks of lower priority, a long-running one after 700 ms that of any task that ends by itself; never that of long-running tasks or of gangs, and not for a job that is late already. The cleared worker is kept for the step until the stopped runs have ended. Tests that fail before: TestALongRunningTaskTakesRoom, TestUrgentTasksTakeTheRoomOfLessUrgentOnes. Also new, green before: checkpoints over a stop and a change of owner; a configuration in force within 2 s on every daemon after nine kinds of trouble, and never back.

--- /dev/null
+++ b/internal/jobmatrix/config_test.go
@@ -0,0 +1,95 @@
+package jobmatrix
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/postmount/postmount/standin/jobfleet"
+)
+
+// Bounds of the users' platform.
+const (
+	configureBound = 2 * time.Second
+	settledAfter   = 3 * time.Second // after a disturbance
+)
+
+// versions watches which configuration each life of a daemon has in force.
+type versions struct {
+	d    *day
+	seen map[*jobfleet.Daemon]int64
+}
+
+// look checks that no daemon went back.
+func (v *versions) look() {
+	for _, dm := range v.d.in.Daemons() {
+		c := dm.Node.Catalog()
+		if c == nil {
+			continue
+		}
+		assert.GreaterOrEqual(v.d.t, c.Version, v.seen[dm], "%s went back", dm.Name)
+		v.seen[dm] = c.Version
+	}
+}
+
+// pass lets time pass and looks.
+func (v *versions) pass(d time.Duration) {
+	for end := time.Now().Add(d); time.Now().Before(end); time.Sleep(50 * time.Millisecond) {
+		v.look()
+	}
+}
+
+// inForce checks that every daemon has the version.
+func (v *versions) inForce(version int64) {
+	for _, dm := range v.d.in.Daemons() {
+		c := dm.Node.Catalog()
+		if assert.NotNil(v.d.t, c, "%s has no configuration", dm.Name) {
+			assert.Equal(v.d.t, version, c.Version, dm.Name)
+		}
+	}
+}
+
+// TestConfigurationIsInForceInTime: within its bound on every daemon that was
+// left alone for a while, whatever came before, and never back.
+func TestConfigurationIsInForceInTime(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		disturb func(d *day)
+		lasts   time.Duration
+	}{
+		{"calm", func(*day) {}, 0},
+		{"a storm of versions", func(d *day) {
+			for v := int64(2); v < 8; v++ {
+				d.in.Configure(catalog(v))
+				time.Sleep(30 * time.Millisecond)
+			}
+		}, 0},
+		{"the owner is killed", func(d *day) { d.in.Kill(d.in.Owner().Name) }, 0},
+		{"a daemon is cut off", func(d *day) { gateOf(d, "d2").CutStore(2 * time.Second) }, 2 * time.Second},
+		{"the store turns a daemon away", func(d *day) { gateOf(d, "d2").TurnAway(2 * time.Second) }, 2 * time.Second},
+		{"the store is silent", func(d *day) { storeFor(d, jobfleet.Swallowed, 2*time.Second) }, 2 * time.Second},
+		{"the store forgets its history", func(d *day) { d.in.Store.Forget() }, 0},
+		{"all connections go silent", silence, 0},
+		{"all daemons are killed", func(d *day) {
+			for _, n := range daemonNames {
+				d.in.Kill(n)
+				restart(d, n)
+			}
+		}, time.Second},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			play(t, func(d *day) {
+				v := &versions{d, map[*jobfleet.Daemon]int64{}}
+				c.disturb(d)
+				v.pass(c.lasts + settledAfter - configureBound)
+				d.in.Configure(catalog(10))
+				v.pass(configureBound)
+				v.inForce(10)
+				d.in.Configure(catalog(9)) // an older one must change nothing
+				v.pass(time.Second)
+				v.inForce(10)
+			})
+		})
+	}
+}
--- /dev/null
+++ b/jobs/owner/checkpoint_test.go
@@ -0,0 +1,42 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestCheckpointsResume: a run that was stopped resumes from where it was, on
+// another worker and under another owner.
+func TestCheckpointsResume(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	j := simpleJob(1, 1)
+	j.Steps[0].Checkpoints = true
+	r.core.Submit(j, r.now)
+	r.core.React(r.now)
+	r.take()
+	first := r.started()
+	require.Len(t, first, 1)
+	assert.Empty(t, first[0].Checkpoint)
+
+	r.held(a, nil, End{Number: 1, Task: first[0].Task, Run: first[0].Run, Kind: EndStopped, Checkpoint: "half"})
+	r.tick(100 * time.Millisecond)
+	second := r.started()
+	require.Len(t, second, 1)
+	assert.Equal(t, "half", second[0].Checkpoint)
+
+	records := r.core.Uncommitted(10)
+	require.Len(t, records, 1)
+	next := newRig(t, 2, Loaded{Job: j, Progress: &records[0].Progress})
+	b := next.worker("b")
+	next.held(b, nil)
+	next.tick(100 * time.Millisecond)
+	third := next.started()
+	require.Len(t, third, 1)
+	assert.Equal(t, "half", third[0].Checkpoint)
+	assert.Greater(t, third[0].Run, second[0].Run)
+}
--- /dev/null
+++ b/jobs/owner/preempt.go
@@ -0,0 +1,92 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/placement"
+)
+
+// Figures of preemption.
+const (
+	// preemptAfter is how long a task waits for room before it takes that of less
+	// urgent ones: most get theirs sooner, as other tasks end.
+	preemptAfter = 300 * time.Millisecond
+	// preemptLastingAfter is the same for long-running tasks, which may take the
+	// room of any task that ends by itself: they have to be back within 3 s.
+	preemptLastingAfter = 700 * time.Millisecond
+	// preemptEvery is the time between two preemptions for a step. The stopped
+	// runs have ended by then: a worker takes up to a second to stop one.
+	preemptEvery = 1200 * time.Millisecond
+	// checkpointLoss is the share of a run's work that is lost if it can resume
+	// from a checkpoint.
+	checkpointLoss = 0.2
+)
+
+// preempt stops less urgent runs if a task of the step has waited long enough for
+// room. The worker that is cleared is kept for the step.
+func (c *Core) preempt(s *stepState, req placement.Request, room *roomView, now time.Time) {
+	if s.waitsSince.IsZero() {
+		s.waitsSince = now
+	}
+	if s.job.band == bandLate || now.Sub(s.waitsSince) < s.preemptPatience() || s.preemptedLately(now) {
+		return
+	}
+	room.countOf(s, now)
+	runs := make([][]*run, len(room.workers))
+	occupants := make([][]placement.Occupant, len(room.workers))
+	for i, w := range room.workers {
+		for _, r := range sortedRuns(w) {
+			if r.mayYieldTo(s) {
+				runs[i] = append(runs[i], r)
+				occupants[i] = append(occupants[i], placement.Occupant{Need: r.task.step.spec.Occupies(), Lost: r.lossAt(now)})
+			}
+		}
+	}
+	p, ok := placement.Preempt(room.views, occupants, req)
+	if !ok {
+		return
+	}
+	s.preemptedAt = now
+	w := room.workers[p.Worker]
+	w.clearedFor, w.clearedUntil = s, now.Add(preemptEvery)
+	for _, i := range p.Occupants {
+		c.stop(runs[p.Worker][i], "preempted by "+string(s.job.spec.ID), now)
+	}
+}
+
+// preemptedLately reports whether a worker is being cleared for the step.
+func (s *stepState) preemptedLately(now time.Time) bool {
+	return now.Sub(s.preemptedAt) < preemptEvery
+}
+
+func (s *stepState) preemptPatience() time.Duration {
+	if s.spec.LongRunning {
+		return preemptLastingAfter
+	}
+	return preemptAfter
+}
+
+// mayYieldTo reports whether the run may be stopped for a task of s. Members of
+// gangs may not: the others would end with them.
+func (r *run) mayYieldTo(s *stepState) bool {
+	own := r.task.step
+	if r.phase != running || own.spec.LongRunning || own.spec.Gang || own.job == s.job {
+		return false
+	}
+	return s.spec.LongRunning || own.job.queue.Priority > s.job.queue.Priority
+}
+
+// lossAt returns the core-seconds of work that are lost if the run is stopped.
+func (r *run) lossAt(now time.Time) float64 {
+	spec := r.task.step.spec
+	lost := float64(spec.Occupies().CPUMilli) / 1000 * now.Sub(r.ackedAt).Seconds()
+	if spec.Checkpoints {
+		lost *= checkpointLoss
+	}
+	return lost
+}
+
+// keptFromOthers reports whether the worker was cleared for another step.
+func (w *worker) keptFromOthers(s *stepState, now time.Time) bool {
+	return w.clearedFor != nil && w.clearedFor != s && now.Before(w.clearedUntil) && !w.clearedFor.job.state.Final()
+}
--- /dev/null
+++ b/jobs/owner/preempt_test.go
@@ -0,0 +1,93 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// fullWorker returns a rig with one worker of 8 cores that a job's eight tasks
+// fill, and the worker's list of them.
+func fullWorker(t *testing.T, queue string) (*rig, WorkerID, []ActiveRun) {
+	r := newRig(t, 1)
+	r.core.catalog.Queues = append(r.core.catalog.Queues,
+		job.Queue{Name: "batch", Service: "s", Priority: 2, MaxAttempts: 2, Stretch: 2, Objective: time.Second})
+	a := r.worker("a")
+	r.held(a, nil)
+	j := simpleJob(1, 8)
+	j.Queue = queue
+	r.core.Submit(j, r.now)
+	r.core.React(r.now)
+	r.take()
+	var active []ActiveRun
+	for _, s := range r.started() {
+		active = append(active, ActiveRun{Task: s.Task, Run: s.Run, Percent: 10})
+	}
+	require.Len(t, active, 8)
+	return r, a, active
+}
+
+// pass lets time pass while the worker answers, and its tasks go on.
+func (r *rig) pass(d time.Duration, id WorkerID, active []ActiveRun) {
+	for end := r.now.Add(d); r.now.Before(end); {
+		r.tick(100 * time.Millisecond)
+		for i := range active {
+			active[i].Percent = min(99, active[i].Percent+1)
+		}
+		r.held(id, active)
+	}
+}
+
+func without(active []ActiveRun, task job.TaskID) []ActiveRun {
+	var out []ActiveRun
+	for _, x := range active {
+		if x.Task != task {
+			out = append(out, x)
+		}
+	}
+	return out
+}
+
+// TestALongRunningTaskTakesRoom: on a full worker it gets the room of one task
+// that ends by itself, and no other waiting task takes that room meanwhile.
+func TestALongRunningTaskTakesRoom(t *testing.T) {
+	r, a, active := fullWorker(t, "q")
+	lasting := simpleJob(2, 1)
+	lasting.Steps[0].LongRunning = true
+	r.core.Submit(lasting, r.now)
+	r.core.Submit(simpleJob(3, 1), r.now)
+	r.pass(preemptLastingAfter/2, a, active)
+	require.Empty(t, r.out.Stops, "most get room sooner by themselves")
+	r.pass(preemptLastingAfter, a, active)
+	require.Len(t, r.out.Stops, 1, "one task is in the way")
+	stop := r.out.Stops[0]
+	r.core.OnStopped(stop, Answer{Outcome: Taken, Clock: r.clock()}, r.now)
+	r.held(a, without(active, stop.Task), End{Number: 1, Task: stop.Task, Run: stop.Run, Kind: EndStopped})
+	r.tick(scheduleEvery)
+	starts := r.started()
+	require.Len(t, starts, 1)
+	assert.Equal(t, lasting.ID, starts[0].Task.Job)
+}
+
+func TestUrgentTasksTakeTheRoomOfLessUrgentOnes(t *testing.T) {
+	r, a, active := fullWorker(t, "batch")
+	urgent := simpleJob(2, 1)
+	urgent.Steps[0].Need.CPUMilli = 2000
+	urgent.AcceptedAt = r.now
+	r.core.Submit(urgent, r.now)
+	r.pass(2*preemptAfter, a, active)
+	require.Len(t, r.out.Stops, 2, "two tasks of a core each make room for two cores")
+}
+
+func TestEqualOnesAreLeftAlone(t *testing.T) {
+	r, a, active := fullWorker(t, "q")
+	equal := simpleJob(2, 1)
+	equal.AcceptedAt = r.now
+	r.core.Submit(equal, r.now)
+	r.pass(5*preemptAfter, a, active)
+	assert.Empty(t, r.out.Stops)
+}
--- a/jobs/owner/room.go
+++ b/jobs/owner/room.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"cmp"
+	"maps"
 	"slices"
 	"strings"
 	"time"
@@ -55,7 +57,7 @@
 	needsPermits := s.needsPermits()
 	for i, w := range v.workers {
 		v.views[i].Mine = 0
-		v.views[i].Barred = needsPermits && !s.permitted(w, now)
+		v.views[i].Barred = needsPermits && !s.permitted(w, now) || w.keptFromOthers(s, now)
 	}
 	for _, t := range s.tasks {
 		for _, r := range t.runs {
@@ -66,6 +68,13 @@
 	}
 }
 
+// sortedRuns returns the runs on the worker in the order of their starts.
+func sortedRuns(w *worker) []*run {
+	out := slices.Collect(maps.Values(w.runs))
+	slices.SortFunc(out, func(a, b *run) int { return cmp.Compare(a.number, b.number) })
+	return out
+}
+
 // addRun accounts for a run on the worker.
 func (w *worker) addRun(r *run) {
 	id := r.task.id()
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -33,6 +33,7 @@
 	case now.Add(j.remainingChain()).After(j.deadline()):
 		cl.band = bandLate
 	}
+	j.band = cl.band
 	return cl
 }
 
@@ -160,7 +161,7 @@
 		if !t.waits(now) {
 			continue
 		}
-		if room.full.Covers(&req) {
+		if room.full.Covers(&req) && !s.preemptedLately(now) {
 			c.noRoom(s, &req, room, pool, now)
 			return
 		}
@@ -175,6 +176,7 @@
 		}
 		placement.Take(&room.views[i], &req)
 		c.start(t, room.workers[i], c.nextRun(), now)
+		s.waitsSince = time.Time{}
 	}
 }
 
@@ -184,6 +186,7 @@
 	if possible {
 		pool.wait(s, countWaiting(s, now))
 		room.full.Add(req)
+		c.preempt(s, *req, room, now)
 	}
 	c.noteWaiting(s, room, possible)
 	if s.needsPermits() {
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -100,6 +100,9 @@
 	blocked    int          // earlier steps that are not done
 	failures   job.Failures // of the whole gang
 	permits    *permits     // nil: the advisor was not asked
+
+	waitsSince  time.Time // a task of it has found no room since; zero: none waits
+	preemptedAt time.Time // last time that runs were stopped for it
 }
 
 func (s *stepState) ready() bool { return s.blocked == 0 && s.left > 0 }
@@ -112,6 +115,7 @@
 	steps     []*stepState // in the order occurrence, step
 	nextOcc   int          // first occurrence that has not begun
 	state     job.State
+	band      band // at the last placement
 	begun     bool // a task was started
 	waitNoted bool // the log says why a task of it was not placed at once
 	endedAt   time.Time
@@ -171,6 +175,9 @@
 	departing    bool      // an order that ends this life was sent
 	idleSince    time.Time // nothing runs on it since; zero: something does
 	reserved     string    // why it gets no new tasks: a wave or a move
+
+	clearedFor   *stepState // runs were stopped for it; nil: for none
+	clearedUntil time.Time  // until then it alone gets the room
 }
 
 type stranger struct {
--- /dev/null
+++ b/jobs/placement/preempt_test.go
@@ -0,0 +1,56 @@
+package placement
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+func TestPreempt(t *testing.T) {
+	whole := cores(8)
+	for _, c := range []struct {
+		name      string
+		workers   []Worker
+		occupants [][]Occupant
+		need      job.Resources
+		want      Preemption
+		ok        bool
+	}{
+		{
+			name:      "the worker on which least is lost",
+			workers:   []Worker{{Room: whole}, {Room: whole}},
+			occupants: [][]Occupant{{{cores(4), 9}}, {{cores(4), 2}}},
+			need:      cores(4),
+			want:      Preemption{1, []int{0}}, ok: true,
+		},
+		{
+			name:      "no more than is needed",
+			workers:   []Worker{{Room: whole, Free: cores(1)}},
+			occupants: [][]Occupant{{{cores(1), 0.1}, {cores(4), 4}, {cores(2), 3}}},
+			need:      cores(5),
+			want:      Preemption{0, []int{1}}, ok: true,
+		},
+		{
+			name:      "none fits even then",
+			workers:   []Worker{{Room: whole, Free: cores(1)}},
+			occupants: [][]Occupant{{{cores(2), 1}}},
+			need:      cores(4),
+		},
+		{
+			name:      "a barred worker is left alone",
+			workers:   []Worker{{Room: whole, Barred: true}},
+			occupants: [][]Occupant{{{cores(8), 1}}},
+			need:      cores(4),
+		},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			got, ok := Preempt(c.workers, c.occupants, Request{Need: c.need})
+			assert.Equal(t, c.ok, ok)
+			if ok {
+				assert.Equal(t, c.want, got)
+			}
+		})
+	}
+}
