--- a/internal/importrule/rule_test.go
+++ b/internal/importrule/rule_test.go
@@ -71,12 +71,14 @@
 }
 
 // testPlatformStaysAtTheEdge checks that only the command knows the users'
-// platform.
+// platform, beside the folder's own stand-in, which nothing but tests uses.
 func testPlatformStaysAtTheEdge(t *testing.T, imports map[string][]string) {
+	const standIn = "platform/platformtest"
 	for pkg, paths := range imports {
-		if pkg != "cmd/postmountd" {
+		if pkg != "cmd/postmountd" && pkg != standIn {
 			assert.NotContains(t, paths, module+"platform", pkg)
 		}
+		assert.NotContains(t, paths, module+standIn, pkg)
 	}
 }
 
--- a/standin/jobfleet/installation.go
+++ b/standin/jobfleet/installation.go
@@ -20,15 +20,6 @@
 	"github.com/postmount/postmount/jobs/owner"
 )
 
-// Keys that the operator and the workers write in the stand-in's store.
-const (
-	keyCatalog    = "operator/catalog"
-	prefixWave    = "operator/wave/"
-	prefixWorker  = "worker/"
-	prefixWaves   = "report/wave/"
-	operatorsKeys = "operator/"
-)
-
 // Installation is daemons on stand-ins.
 type Installation struct {
 	Store   *Store
@@ -36,6 +27,7 @@
 	Network *Network
 	Judge   *Judge
 
+	lang Language
 	log  *zap.Logger
 	mu   sync.Mutex
 	hook Hook
@@ -54,26 +46,23 @@
 
 // NewInstallation returns an installation without daemons and instances.
 func NewInstallation(ctx context.Context, log *zap.Logger) *Installation {
-	in := &Installation{Store: NewStore(), Network: NewNetwork(), Judge: NewJudge(), log: log, all: map[string]*Daemon{}, ctx: ctx}
+	return NewInstallationIn(ctx, log, Plain)
+}
+
+// NewInstallationIn returns an installation whose store speaks a language.
+func NewInstallationIn(ctx context.Context, log *zap.Logger, lang Language) *Installation {
+	in := &Installation{Store: NewStore(), Network: NewNetwork(), Judge: NewJudge(), lang: lang, log: log, all: map[string]*Daemon{}, ctx: ctx}
 	in.hook = func(string, string) Failure { return NoFailure }
 	in.Fleet = NewFleet(in.Judge, func(key string, r *owner.Registration) {
 		if r == nil {
-			in.Store.Remove(prefixWorker + key)
+			in.Store.Remove(lang.WorkerPrefix + key)
 			return
 		}
-		in.Store.Put(prefixWorker+key, encode(r))
+		in.Store.Put(lang.WorkerPrefix+key, lang.EncodeWorker(r))
 	})
 	return in
 }
 
-func encode(v any) []byte {
-	raw, err := json.Marshal(v)
-	if err != nil {
-		panic(err) // the stand-in's own types always can be encoded
-	}
-	return raw
-}
-
 // SetHook sets what is asked about each call.
 func (in *Installation) SetHook(h Hook) {
 	in.mu.Lock()
@@ -106,7 +95,7 @@
 		Workers: in.Fleet.Client(name, d.Gate, in.ask),
 		Manager: in.Fleet.Client(name, d.Gate, in.ask),
 		Peers:   in.Network.Client(d.Gate),
-		Dialect: dialect(),
+		Dialect: in.lang.Dialect,
 	}, in.log.Named(name), node.NewMetrics(tally.NoopScope, nil))
 	in.Network.Join(name+":1", d.Node.PeerHandler(), d.Gate)
 	ctx, cancel := context.WithCancel(in.ctx)
@@ -170,69 +159,49 @@
 }
 
 // Configure writes a configuration as the operator does.
-func (in *Installation) Configure(c *job.Catalog) { in.Store.Put(keyCatalog, encode(c)) }
+func (in *Installation) Configure(c *job.Catalog) {
+	in.Store.Put(in.lang.ConfigKey, in.lang.EncodeCatalog(c))
+}
 
 // RequestWave asks for maintenance as the operator does.
 func (in *Installation) RequestWave(w owner.WaveRequest) {
 	in.Judge.Wave(w.Wave, w.MaxDown)
-	in.Store.Put(fmt.Sprintf("%s%d", prefixWave, w.Wave), encode(w))
+	in.Store.Put(fmt.Sprintf("%s%d", in.lang.WavePrefix, w.Wave), in.lang.EncodeWave(w))
 }
 
 // WaveDone reports whether a wave is said to be completed.
 func (in *Installation) WaveDone(wave int) bool {
-	return string(in.Store.Value(fmt.Sprintf("%s%d", prefixWaves, wave))) == "completed"
-}
-
-func dialect() node.Dialect {
-	return node.Dialect{
-		ConfigKey:    keyCatalog,
-		OperatorKeys: operatorsKeys,
-		WavePrefix:   prefixWave,
-		WorkerPrefix: prefixWorker,
-		DecodeJob: func(raw []byte) (*job.Job, error) {
-			j, err := unmarshal[job.Job](raw)
-			return &j, err
-		},
-		DecodeCatalog: func(raw []byte) (*job.Catalog, error) {
-			c, err := unmarshal[job.Catalog](raw)
-			return &c, err
-		},
-		DecodeWorker: func(_ string, raw []byte) (owner.Registration, error) { return unmarshal[owner.Registration](raw) },
-		DecodeWave:   unmarshal[owner.WaveRequest],
-		WaveStatus: func(wave int, done bool) (string, []byte) {
-			state := "running"
-			if done {
-				state = "completed"
-			}
-			return fmt.Sprintf("%s%d", prefixWaves, wave), []byte(state)
-		},
-	}
-}
-
-func unmarshal[T any](raw []byte) (T, error) {
-	var v T
-	err := json.Unmarshal(raw, &v)
-	return v, err
+	key, done := in.lang.WaveStatus(wave, true)
+	return string(in.Store.Value(key)) == string(done)
 }
 
 // Caller sends requests to daemons by turns, as the balancer does.
 type Caller struct {
 	in   *Installation
-	next int
+	send Send
 }
 
-// Caller returns a new caller.
-func (in *Installation) Caller() *Caller { return &Caller{in: in} }
+// Send makes one request to some daemon; status 0 means no answer.
+type Send func(method, path string, body []byte) (status int, answer string)
 
-// send makes one request to the next daemon; status 0 means no answer.
-func (c *Caller) send(method, path string, body []byte) (int, string) {
-	daemons := c.in.Daemons()
-	if len(daemons) == 0 {
-		return 0, ""
-	}
-	c.next++
-	d := daemons[c.next%len(daemons)]
-	ctx, cancel := context.WithTimeout(c.in.ctx, callerPatience)
+// Caller returns a new caller of the installation's daemons.
+func (in *Installation) Caller() *Caller {
+	next := 0
+	return in.CallerBy(func(method, path string, body []byte) (int, string) {
+		daemons := in.Daemons()
+		if len(daemons) == 0 {
+			return 0, ""
+		}
+		next++
+		return in.sendTo(daemons[next%len(daemons)], method, path, body)
+	})
+}
+
+// CallerBy returns a caller that sends its own way.
+func (in *Installation) CallerBy(send Send) *Caller { return &Caller{in, send} }
+
+func (in *Installation) sendTo(d *Daemon, method, path string, body []byte) (int, string) {
+	ctx, cancel := context.WithTimeout(in.ctx, callerPatience)
 	defer cancel()
 	r := httptest.NewRequestWithContext(ctx, method, path, strings.NewReader(string(body)))
 	r.Host = "jobs.example"
@@ -252,7 +221,7 @@
 func (c *Caller) Submit(prefix string, j *job.Job) (accepted, refused bool) {
 	c.in.Fleet.Know(j)
 	c.in.Judge.Submitted(j)
-	status, _ := c.send(http.MethodPost, prefix+string(j.ID), encode(j))
+	status, _ := c.send(http.MethodPost, prefix+string(j.ID), c.in.lang.EncodeJob(j))
 	accepted = status == http.StatusOK
 	refused = status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 	c.in.Judge.Answered(j.ID, accepted, refused)
--- /dev/null
+++ b/standin/jobfleet/language.go
@@ -0,0 +1,73 @@
+package jobfleet
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/node"
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// Language is how the operator, the workers and callers spell what they write.
+type Language struct {
+	node.Dialect
+	EncodeCatalog func(*job.Catalog) []byte
+	EncodeWorker  func(*owner.Registration) []byte
+	EncodeWave    func(owner.WaveRequest) []byte
+	EncodeJob     func(*job.Job) []byte
+}
+
+// Keys of the stand-in's own language.
+const (
+	keyCatalog   = "operator/catalog"
+	prefixWave   = "operator/wave/"
+	prefixWorker = "worker/"
+	prefixWaves  = "report/wave/"
+)
+
+// Plain is the stand-in's own language: the types as JSON.
+var Plain = Language{
+	Dialect: node.Dialect{
+		ConfigKey:    keyCatalog,
+		OperatorKeys: "operator/",
+		WavePrefix:   prefixWave,
+		WorkerPrefix: prefixWorker,
+		DecodeJob: func(raw []byte) (*job.Job, error) {
+			j, err := unmarshal[job.Job](raw)
+			return &j, err
+		},
+		DecodeCatalog: func(raw []byte) (*job.Catalog, error) {
+			c, err := unmarshal[job.Catalog](raw)
+			return &c, err
+		},
+		DecodeWorker: func(_ string, raw []byte) (owner.Registration, error) { return unmarshal[owner.Registration](raw) },
+		DecodeWave:   unmarshal[owner.WaveRequest],
+		WaveStatus: func(wave int, done bool) (string, []byte) {
+			state := "running"
+			if done {
+				state = "completed"
+			}
+			return fmt.Sprintf("%s%d", prefixWaves, wave), []byte(state)
+		},
+	},
+	EncodeCatalog: func(c *job.Catalog) []byte { return Encode(c) },
+	EncodeWorker:  func(r *owner.Registration) []byte { return Encode(r) },
+	EncodeWave:    func(w owner.WaveRequest) []byte { return Encode(w) },
+	EncodeJob:     func(j *job.Job) []byte { return Encode(j) },
+}
+
+// Encode returns a value as JSON.
+func Encode(v any) []byte {
+	raw, err := json.Marshal(v)
+	if err != nil {
+		panic(err) // the stand-ins' own types always can be encoded
+	}
+	return raw
+}
+
+func unmarshal[T any](raw []byte) (T, error) {
+	var v T
+	err := json.Unmarshal(raw, &v)
+	return v, err
+}
