Policies of the scheduler are settings, with baselines to compare with

Cause: the weights of pools were constants, and no other policy could be chosen, so that nothing showed what the present ones are worth. Change: deploy/policy.toml (--policy FILE) names the order of jobs (worth, first in first out, shortest, slack), the sizing of pools (demand, threshold, fixed) and the two prices.

--- a/cmd/postmountd/main.go
+++ b/cmd/postmountd/main.go
@@ -28,13 +28,14 @@
 	app.HelpFlag.Short('h')
 	file := app.Flag("settings", "File with the settings (TOML).").String()
 	onPlatform := app.Flag("platform", "Serve jobs on the users' platform, with its settings file.").Bool()
+	policies := app.Flag("policy", "File with the scheduler's policies (TOML), for --platform.").String()
 	check := app.Flag("check", "Check the settings and exit.").Bool()
 	if _, err := app.Parse(os.Args[1:]); err != nil {
 		fmt.Fprintf(os.Stderr, "postmountd: %v, try --help\n", err)
 		os.Exit(exitSettings)
 	}
 	if *onPlatform {
-		os.Exit(runOnPlatform(*check))
+		os.Exit(runOnPlatform(*policies, *check))
 	}
 	if *file == "" {
 		fmt.Fprintln(os.Stderr, "postmountd: --settings FILE or --platform is needed, try --help")
--- a/cmd/postmountd/platform.go
+++ b/cmd/postmountd/platform.go
@@ -8,9 +8,11 @@
 	"runtime/debug"
 	"syscall"
 
+	"github.com/pelletier/go-toml/v2"
 	"go.uber.org/zap"
 
 	"github.com/postmount/postmount/jobs/node"
+	"github.com/postmount/postmount/jobs/policy"
 	"github.com/postmount/postmount/platform"
 	"github.com/postmount/postmount/telemetry"
 )
@@ -24,16 +26,32 @@
 	gcPercent = 300
 )
 
+// loadAll reads the platform's settings and the policies. A check without the
+// platform's file looks at the policies alone.
+func loadAll(policies string, checkOnly bool) (set node.Settings, err error) {
+	chosen := policy.Default()
+	if policies != "" {
+		if chosen, err = policy.Load(policies); err != nil {
+			return set, err
+		}
+	}
+	if checkOnly && !platform.HasSettings() {
+		return node.Settings{Policy: chosen}, nil
+	}
+	set, err = platform.LoadSettings()
+	set.Policy = chosen
+	return set, err
+}
+
 // runOnPlatform serves jobs on the users' platform.
-func runOnPlatform(checkOnly bool) int {
-	set, err := platform.LoadSettings()
+func runOnPlatform(policies string, checkOnly bool) int {
+	set, err := loadAll(policies, checkOnly)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitSettings
 	}
 	if checkOnly {
-		fmt.Println("the settings are valid")
-		return 0
+		return printSettings(set)
 	}
 	debug.SetGCPercent(gcPercent)
 	if set.MemoryMB > 0 {
@@ -61,6 +79,15 @@
 	return 0
 }
 
+// printSettings prints what holds, defaults included.
+func printSettings(set node.Settings) int {
+	if err := toml.NewEncoder(os.Stdout).Encode(set.Policy); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitFailed
+	}
+	return 0
+}
+
 // logReloads notes each SIGHUP: what the settings hold of a running daemon does
 // not change, and the operators' configuration comes from the store.
 func logReloads(log *zap.Logger) {
--- a/jobs/capacity/capacity.go
+++ b/jobs/capacity/capacity.go
@@ -95,6 +95,16 @@
 	return short
 }
 
+// Policy says how pools are sized.
+type Policy string
+
+// The policies. All but Demand are baselines that measurements compare with.
+const (
+	Demand    Policy = "demand"    // by present work and the rate of arrivals
+	Threshold Policy = "threshold" // one more while tasks wait, one less while one idles
+	Fixed     Policy = "fixed"     // pools stay as they are
+)
+
 // planner is a plan in the making.
 type planner struct {
 	w     Weights
@@ -102,12 +112,17 @@
 	spare Pool
 	moves []Move
 	taken map[string]bool
+
+	threshold bool // the baseline that looks at no more than queues and idleness
 }
 
 // Plan returns the moves that the pools' demand calls for. spare holds
-// instances that cost nothing; others pays for each.
-func Plan(w Weights, pools []Pool, spare Pool) []Move {
-	p := &planner{w: w, pools: append([]Pool(nil), pools...), spare: spare, taken: map[string]bool{}}
+// instances that cost nothing; the others are paid for.
+func Plan(policy Policy, w Weights, pools []Pool, spare Pool) []Move {
+	if policy == Fixed {
+		return nil
+	}
+	p := &planner{threshold: policy == Threshold, w: w, pools: append([]Pool(nil), pools...), spare: spare, taken: map[string]bool{}}
 	sort.SliceStable(p.pools, func(a, b int) bool { return p.pools[a].Waiting > p.pools[b].Waiting })
 	for i := range p.pools {
 		p.supply(&p.pools[i])
@@ -118,10 +133,30 @@
 	return p.moves
 }
 
+func (p *planner) shortage(to *Pool) int {
+	switch {
+	case !p.threshold:
+		return to.shortage()
+	case to.Waiting > 0 && to.Arriving <= 0:
+		return 1
+	}
+	return 0
+}
+
+func (p *planner) surplus(from *Pool) int {
+	switch {
+	case !p.threshold:
+		return from.surplus()
+	case from.Waiting > 0:
+		return 0
+	}
+	return len(from.Instances) + from.Arriving - smallest
+}
+
 // supply brings instances to a pool whose tasks wait: spare ones first, then
 // idle ones of pools that can do without them.
 func (p *planner) supply(to *Pool) {
-	short := to.shortage()
+	short := p.shortage(to)
 	for _, i := range p.spare.Instances {
 		if short == 0 {
 			return
@@ -136,7 +171,7 @@
 			continue
 		}
 		for _, i := range byIdleTime(donor.Instances) {
-			if short == 0 || donor.surplus() <= 0 {
+			if short == 0 || p.surplus(donor) <= 0 {
 				break
 			}
 			if p.take(donor, to, i, "tasks wait, and it idles elsewhere") {
@@ -155,7 +190,7 @@
 	patience := time.Duration(giveBackMoves * p.w.Move / p.w.InstanceSecond * float64(time.Second))
 	n := 0
 	for _, i := range byIdleTime(from.Instances) {
-		if n == perPlan || from.surplus() <= 0 || i.IdleFor < patience {
+		if n == perPlan || p.surplus(from) <= 0 || i.IdleFor < patience {
 			return
 		}
 		if p.take(from, &p.spare, i, "it idles") {
--- a/jobs/capacity/capacity_test.go
+++ b/jobs/capacity/capacity_test.go
@@ -30,7 +30,7 @@
 func TestSpareInstancesGoWhereTasksWait(t *testing.T) {
 	a := pool("a", 2, 0, 0)
 	a.Busy, a.Waiting = 20, 15
-	moves := Plan(DefaultWeights, []Pool{a, pool("b", 2, 0, 0)}, spare(8))
+	moves := Plan(Demand, DefaultWeights, []Pool{a, pool("b", 2, 0, 0)}, spare(8))
 	assert.Len(t, moves, 3, "26 cores of work in hand and 15 that wait fill 5 instances")
 	for _, m := range moves {
 		assert.Equal(t, "spare", m.From)
@@ -43,9 +43,9 @@
 func TestArrivalsBringInstancesBeforeTasksWait(t *testing.T) {
 	a := pool("a", 2, 0, 0)
 	a.Busy, a.Lasting, a.Rate = 8, 5, 31
-	assert.Len(t, Plan(DefaultWeights, []Pool{a}, spare(8)), 2, "5 lasting cores and 31 a second fill 4 instances")
+	assert.Len(t, Plan(Demand, DefaultWeights, []Pool{a}, spare(8)), 2, "5 lasting cores and 31 a second fill 4 instances")
 	a.Rate = 4
-	assert.Empty(t, Plan(DefaultWeights, []Pool{a}, spare(8)))
+	assert.Empty(t, Plan(Demand, DefaultWeights, []Pool{a}, spare(8)))
 }
 
 func TestRate(t *testing.T) {
@@ -64,14 +64,14 @@
 func TestInstancesOnTheirWayCount(t *testing.T) {
 	a := pool("a", 2, 0, 0)
 	a.Busy, a.Waiting, a.Arriving = 20, 15, 3
-	assert.Empty(t, Plan(DefaultWeights, []Pool{a}, spare(8)))
+	assert.Empty(t, Plan(Demand, DefaultWeights, []Pool{a}, spare(8)))
 }
 
 func TestIdleInstancesOfOthersHelp(t *testing.T) {
 	a := pool("a", 1, 0, 0)
 	a.Busy, a.Waiting = 10, 10
 	b := pool("b", 4, 4, time.Second)
-	moves := Plan(DefaultWeights, []Pool{b, a}, spare(0))
+	moves := Plan(Demand, DefaultWeights, []Pool{b, a}, spare(0))
 	assert.Len(t, moves, 2)
 	assert.Equal(t, "b", moves[0].From)
 }
@@ -81,16 +81,16 @@
 	a.Busy, a.Waiting = 10, 20
 	b := pool("b", 4, 2, time.Second)
 	b.Busy, b.Waiting = 20, 1
-	assert.Empty(t, Plan(DefaultWeights, []Pool{a, b}, spare(0)))
+	assert.Empty(t, Plan(Demand, DefaultWeights, []Pool{a, b}, spare(0)))
 }
 
 func TestIdleInstancesAreGivenBack(t *testing.T) {
 	idle := pool("a", 5, 5, time.Minute)
-	moves := Plan(DefaultWeights, []Pool{idle}, spare(1))
+	moves := Plan(Demand, DefaultWeights, []Pool{idle}, spare(1))
 	assert.Len(t, moves, perPlan)
 	assert.Equal(t, "spare", moves[0].To)
-	assert.Empty(t, Plan(DefaultWeights, []Pool{pool("a", 5, 5, time.Second)}, spare(1)), "not before a move away and back has paid")
-	assert.Empty(t, Plan(DefaultWeights, []Pool{pool("a", 1, 1, time.Minute)}, spare(1)), "the reserve stays")
+	assert.Empty(t, Plan(Demand, DefaultWeights, []Pool{pool("a", 5, 5, time.Second)}, spare(1)), "not before a move away and back has paid")
+	assert.Empty(t, Plan(Demand, DefaultWeights, []Pool{pool("a", 1, 1, time.Minute)}, spare(1)), "the reserve stays")
 }
 
 // TestWeightsChangeThePlan: what holds instances is a matter of their price.
@@ -98,8 +98,8 @@
 	idle := []Pool{pool("a", 5, 5, 4*time.Second)}
 	cheapMoves := Weights{InstanceSecond: 0.1, Move: 0.01}
 	dearMoves := Weights{InstanceSecond: 0.01, Move: 0.1}
-	assert.NotEmpty(t, Plan(cheapMoves, idle, spare(1)))
-	assert.Empty(t, Plan(dearMoves, idle, spare(1)))
+	assert.NotEmpty(t, Plan(Demand, cheapMoves, idle, spare(1)))
+	assert.Empty(t, Plan(Demand, dearMoves, idle, spare(1)))
 }
 
 // TestStuckTasksGetAnInstance: tasks that wait though there are cores enough
@@ -107,7 +107,18 @@
 func TestStuckTasksGetAnInstance(t *testing.T) {
 	a := pool("a", 3, 0, 0)
 	a.Busy, a.Waiting, a.WaitsFor = 3, 1, time.Second
-	assert.Len(t, Plan(DefaultWeights, []Pool{a}, spare(2)), 1)
+	assert.Len(t, Plan(Demand, DefaultWeights, []Pool{a}, spare(2)), 1)
 	a.WaitsFor = 100 * time.Millisecond
-	assert.Empty(t, Plan(DefaultWeights, []Pool{a}, spare(2)))
+	assert.Empty(t, Plan(Demand, DefaultWeights, []Pool{a}, spare(2)))
+}
+
+// TestBaselines: the policies that measurements compare with.
+func TestBaselines(t *testing.T) {
+	a := pool("a", 2, 0, 0)
+	a.Busy, a.Waiting = 20, 50
+	assert.Empty(t, Plan(Fixed, DefaultWeights, []Pool{a}, spare(8)))
+	assert.Len(t, Plan(Threshold, DefaultWeights, []Pool{a}, spare(8)), 1, "one at a time")
+	a.Arriving = 1
+	assert.Empty(t, Plan(Threshold, DefaultWeights, []Pool{a}, spare(8)))
+	assert.Len(t, Plan(Threshold, DefaultWeights, []Pool{pool("b", 5, 5, time.Minute)}, spare(1)), perPlan)
 }
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -8,6 +8,8 @@
 	"net"
 	"strconv"
 	"time"
+
+	"github.com/postmount/postmount/jobs/policy"
 )
 
 // Settings of one daemon.
@@ -30,6 +32,8 @@
 	DutyHandover  time.Duration // between orders of two holders of the duty
 	MinStoreLease time.Duration
 	KeepStatus    time.Duration // of ended jobs
+
+	Policy policy.Settings
 }
 
 // Validate returns all mistakes in the settings.
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -8,7 +8,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
@@ -66,7 +65,7 @@
 		Term:      term.Number,
 		TaskLease: min(taskLease, n.set.MaxTaskLease), HoldWait: holdWait,
 		DutyHandover: n.dutyHandover(term), KeepStatus: n.set.KeepStatus,
-		Weights: capacity.DefaultWeights,
+		Weights: n.set.Policy.Pools.Weights(), Pools: n.set.Policy.Pools.Size, Order: n.set.Policy.Jobs.Order,
 	}, n.catalog.Load(), snap.Jobs, time.Now())
 	n.log.Info("jobs-loaded", zap.Int("jobs", len(snap.Jobs)), zap.Int64("revision", snap.Revision), zap.Duration("took", time.Since(began)))
 	n.term.Store(t)
--- a/jobs/owner/bench_test.go
+++ b/jobs/owner/bench_test.go
@@ -78,7 +78,7 @@
 			l.inst = append(l.inst, Instance{ID: InstanceID("i-" + string(id)), Pool: name, State: InstanceUp, Worker: id})
 		}
 	}
-	l.core = New(Options{Term: 1, TaskLease: 4500 * time.Millisecond, HoldWait: 900 * time.Millisecond, KeepStatus: 2 * time.Minute, Weights: capacity.DefaultWeights}, catalog, nil, l.now)
+	l.core = New(Options{Term: 1, TaskLease: 4500 * time.Millisecond, HoldWait: 900 * time.Millisecond, KeepStatus: 2 * time.Minute, Weights: capacity.DefaultWeights, Pools: capacity.Demand, Order: OrderByWorth}, catalog, nil, l.now)
 	l.at(0, l.list)
 	l.at(0, l.tick)
 	l.at(time.Second, l.arrive)
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -93,7 +93,7 @@
 	c.nextSize = now.Add(sizeEvery)
 	c.settleMoves(now)
 	pools, spare := c.poolViews(now)
-	for _, m := range capacity.Plan(c.opt.Weights, pools, spare) {
+	for _, m := range capacity.Plan(c.opt.Pools, c.opt.Weights, pools, spare) {
 		c.orderMove(m, now)
 	}
 }
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -22,29 +22,54 @@
 	job      *jobState
 	band     band
 	priority int
-	work     float64 // least remaining work first
+	work     float64       // core-seconds that are left
+	slack    time.Duration // until it would be late if all went by the estimates
+	accepted time.Time
 }
 
 func (c *Core) claimOf(j *jobState, now time.Time) claim {
-	cl := claim{job: j, band: bandInTime, priority: j.queue.Priority, work: j.remainingWork()}
+	cl := claim{job: j, band: bandInTime, priority: j.queue.Priority, work: j.remainingWork(), accepted: j.spec.AcceptedAt}
+	cl.slack = j.deadline().Sub(now.Add(j.remainingChain()))
 	switch {
 	case j.spec.Steps[0].LongRunning:
 		cl.band = bandLasting
-	case now.Add(j.remainingChain()).After(j.deadline()):
+	case cl.slack < 0:
 		cl.band = bandLate
 	}
 	j.band = cl.band
 	return cl
 }
 
-func (a claim) before(b claim) bool {
-	if a.band != b.band {
+// OrderPolicy says which of the waiting jobs gets room first.
+type OrderPolicy string
+
+// The policies. All but OrderByWorth are baselines that measurements compare
+// with. Long-running jobs come first in each.
+const (
+	OrderByWorth      OrderPolicy = "worth"              // in time before late, then priority, then least work
+	OrderFirstInFirst OrderPolicy = "first-in-first-out" // by when they were accepted
+	OrderShortest     OrderPolicy = "shortest"           // least remaining work
+	OrderSlack        OrderPolicy = "slack"              // in time before late, then least time to spare
+)
+
+// before reports whether a comes before b.
+func (a claim) before(b claim, policy OrderPolicy) bool {
+	if (a.band == bandLasting) != (b.band == bandLasting) {
+		return a.band == bandLasting
+	}
+	byBand := policy != OrderFirstInFirst && policy != OrderShortest
+	if byBand && a.band != b.band {
 		return a.band < b.band
 	}
-	if a.priority != b.priority {
+	if byBand && a.priority != b.priority {
 		return a.priority < b.priority
 	}
-	if a.work != b.work {
+	switch {
+	case policy == OrderFirstInFirst && !a.accepted.Equal(b.accepted):
+		return a.accepted.Before(b.accepted)
+	case policy == OrderSlack && a.slack != b.slack:
+		return a.slack < b.slack
+	case policy != OrderFirstInFirst && a.work != b.work:
 		return a.work < b.work
 	}
 	return a.job.spec.ID < b.job.spec.ID
@@ -95,7 +120,7 @@
 	if len(claims) == 0 {
 		return
 	}
-	sort.Slice(claims, func(a, b int) bool { return claims[a].before(claims[b]) })
+	sort.Slice(claims, func(a, b int) bool { return claims[a].before(claims[b], c.opt.Order) })
 	known := c.certain(service, now)
 	room := c.roomOf(service, now)
 	for _, cl := range claims {
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -15,6 +15,8 @@
 	DutyHandover time.Duration // no duty is done so long after a change of owner
 	KeepStatus   time.Duration // how long ended jobs are kept
 	Weights      capacity.Weights
+	Pools        capacity.Policy
+	Order        OrderPolicy
 }
 
 // termRuns is how many runs an owner can start in one term.
@@ -53,7 +55,7 @@
 	failures   job.Failures
 	checkpoint string
 	runs       []*run
-	notBefore  time.Time // backoff after a failure
+	notBefore  time.Time  // backoff after a failure
 }
 
 func (t *task) id() job.TaskID {
--- /dev/null
+++ b/jobs/policy/policy_test.go
@@ -0,0 +1,45 @@
+package policy
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/internal/strictoml"
+	"github.com/postmount/postmount/jobs/capacity"
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+func write(t *testing.T, text string) string {
+	path := filepath.Join(t.TempDir(), "policy.toml")
+	require.NoError(t, os.WriteFile(path, []byte(text), 0o600))
+	return path
+}
+
+func TestTheDeployedFileIsValid(t *testing.T) {
+	s, err := Load("../../deploy/policy.toml")
+	require.NoError(t, err)
+	assert.Equal(t, owner.OrderByWorth, s.Jobs.Order)
+	assert.Equal(t, capacity.Demand, s.Pools.Size)
+}
+
+func TestDefaultsHoldWhereAFileSaysNothing(t *testing.T) {
+	s, err := Load(write(t, "[jobs]\norder = \"slack\"\n"))
+	require.NoError(t, err)
+	assert.Equal(t, owner.OrderSlack, s.Jobs.Order)
+	assert.Equal(t, capacity.DefaultWeights, s.Pools.Weights())
+}
+
+func TestEveryMistakeIsReportedAtOnce(t *testing.T) {
+	_, err := Load(write(t, "[jobs]\norder = \"best\"\n[pools]\nmove = -1.0\nsise = \"demand\"\n"))
+	var invalid *strictoml.Invalid
+	require.ErrorAs(t, err, &invalid)
+	var keys []string
+	for _, p := range invalid.Problems {
+		keys = append(keys, p.Key)
+	}
+	assert.ElementsMatch(t, []string{"jobs.order", "pools.move", "pools.sise"}, keys)
+}
--- a/requests/settings/settings.go
+++ b/requests/settings/settings.go
@@ -3,34 +3,17 @@
 package settings
 
 import (
-	"errors"
-	"fmt"
-	"net/netip"
-	"os"
-	"reflect"
-	"regexp"
-	"strings"
 	"time"
 
-	"github.com/go-playground/validator/v10"
-	"github.com/pelletier/go-toml/v2"
+	"github.com/postmount/postmount/internal/strictoml"
 )
 
-// Duration is a Go duration in text form, such as "500ms".
-type Duration time.Duration
-
-// UnmarshalText implements encoding.TextUnmarshaler.
-func (d *Duration) UnmarshalText(b []byte) error {
-	v, err := time.ParseDuration(string(b))
-	if err != nil {
-		return fmt.Errorf("%q is no duration: want for example \"500ms\" or \"10s\"", b)
-	}
-	*d = Duration(v)
-	return nil
-}
-
-// D returns d as a time.Duration.
-func (d Duration) D() time.Duration { return time.Duration(d) }
+// The types of strictly read settings.
+type (
+	Duration = strictoml.Duration
+	Problem  = strictoml.Problem
+	Invalid  = strictoml.Invalid
+)
 
 // Settings are everything that a daemon reads at its start.
 type Settings struct {
@@ -150,175 +133,15 @@
 }
 
 // Load reads and checks a file. The error lists every mistake.
-func Load(path string) (Settings, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return Settings{}, err
-	}
-	s, problems := Parse(data)
-	if len(problems) > 0 {
-		return Settings{}, &Invalid{File: path, Problems: problems}
-	}
-	return s, nil
-}
-
-// Invalid lists the mistakes in a file.
-type Invalid struct {
-	File     string
-	Problems []Problem
-}
-
-// Problem is one mistake.
-type Problem struct {
-	Line int    // from 1; 0 if the mistake has no place of its own
-	Key  string // dotted, "" if unknown
-	Text string // what is wrong and what is allowed
-}
-
-// String returns the problem on one line.
-func (p Problem) String() string {
-	var at []string
-	if p.Line > 0 {
-		at = append(at, fmt.Sprintf("line %d", p.Line))
-	}
-	if p.Key != "" {
-		at = append(at, p.Key)
-	}
-	return strings.Join(append(at, p.Text), ": ")
-}
-
-// Error implements error.
-func (e *Invalid) Error() string {
-	lines := make([]string, 0, len(e.Problems))
-	for _, p := range e.Problems {
-		lines = append(lines, e.File+": "+p.String())
-	}
-	return strings.Join(lines, "\n")
-}
+func Load(path string) (Settings, error) { return strictoml.Load(path, Default(), rules) }
 
 // Parse reads settings over the defaults and returns every mistake.
-func Parse(data []byte) (Settings, []Problem) {
-	s, problems := decode(data)
-	seen := map[string]bool{}
-	for _, p := range problems {
-		seen[p.Key] = true
-	}
-	for _, p := range check(s) {
-		if !seen[p.Key] {
-			problems = append(problems, p)
-		}
-	}
-	return s, problems
-}
-
-// typeMistake is how the decoder words a value of a wrong type.
-var typeMistake = regexp.MustCompile(`cannot decode TOML (\w+) into struct field \S+ of type (\S+)`)
-
-// decode reads the text. The decoder stops at the first value of a wrong type;
-// its line is then blanked and the text decoded again, to find the others too.
-func decode(data []byte) (Settings, []Problem) {
-	lines := strings.Split(string(data), "\n")
-	var problems []Problem
-	for {
-		s := Default()
-		dec := toml.NewDecoder(strings.NewReader(strings.Join(lines, "\n"))).DisallowUnknownFields()
-		err := dec.Decode(&s)
-		if err == nil {
-			return s, problems
-		}
-		var unknown *toml.StrictMissingError
-		if errors.As(err, &unknown) {
-			for _, e := range unknown.Errors {
-				row, _ := e.Position()
-				problems = append(problems, Problem{row, strings.Join(e.Key(), "."), "unknown key"})
-			}
-			return s, problems
-		}
-		var wrong *toml.DecodeError
-		if !errors.As(err, &wrong) {
-			return s, append(problems, Problem{Text: err.Error()})
-		}
-		row, _ := wrong.Position()
-		problems = append(problems, Problem{row, strings.Join(wrong.Key(), "."), typeMistake.ReplaceAllString(strings.TrimPrefix(wrong.Error(), "toml: "), "is of type $1: want $2")})
-		if row < 1 || row > len(lines) || lines[row-1] == "" {
-			return s, problems
-		}
-		lines[row-1] = ""
-	}
-}
+func Parse(data []byte) (Settings, []Problem) { return strictoml.Parse(data, Default(), rules) }
 
-// check applies the ranges of the validate tags.
-func check(s Settings) []Problem {
-	v := validator.New(validator.WithRequiredStructEnabled())
-	v.RegisterTagNameFunc(func(f reflect.StructField) string { return f.Tag.Get("toml") })
-	must(v.RegisterValidation("ipport", func(f validator.FieldLevel) bool {
-		_, err := netip.ParseAddrPort(f.Field().String())
-		return err == nil
-	}))
-	must(v.RegisterValidation("mindur", func(f validator.FieldLevel) bool {
-		return time.Duration(f.Field().Int()) >= mustDuration(f.Param())
-	}))
-	must(v.RegisterValidation("maxdur", func(f validator.FieldLevel) bool {
-		return time.Duration(f.Field().Int()) <= mustDuration(f.Param())
-	}))
-	must(v.RegisterValidation("name", func(f validator.FieldLevel) bool {
-		return validName(f.Field().String())
-	}))
-	var failed validator.ValidationErrors
-	var out []Problem
-	if errors.As(v.Struct(s), &failed) {
-		for _, f := range failed {
-			key := strings.TrimPrefix(f.Namespace(), "Settings.")
-			out = append(out, Problem{Key: key, Text: explain(f)})
-		}
-	}
+// rules checks what concerns two settings.
+func rules(s Settings) []Problem {
 	if s.Limits.DefaultTimeout > s.Limits.MaxTimeout {
-		out = append(out, Problem{Key: "limits.default_timeout", Text: "is longer than limits.max_timeout"})
-	}
-	return out
-}
-
-func must(err error) {
-	if err != nil {
-		panic(err)
-	}
-}
-
-// mustDuration reads the parameter of a validate tag.
-func mustDuration(s string) time.Duration {
-	d, err := time.ParseDuration(s)
-	must(err)
-	return d
-}
-
-func validName(s string) bool {
-	for _, r := range s {
-		if !strings.ContainsRune("abcdefghijklmnopqrstuvwxyzABCDEFGHIJKLMNOPQRSTUVWXYZ0123456789._-", r) {
-			return false
-		}
-	}
-	return s != ""
-}
-
-func explain(f validator.FieldError) string {
-	value := f.Value()
-	if d, ok := value.(Duration); ok {
-		value = d.D().String()
-	}
-	switch f.Tag() {
-	case "required":
-		return "is missing"
-	case "ipport":
-		return fmt.Sprintf("%q: want an IP number and port, such as \"10.0.0.1:7000\"; host names are not looked up", value)
-	case "name":
-		return fmt.Sprintf("%q: want letters, digits, '.', '_' and '-'", value)
-	case "min", "mindur":
-		return fmt.Sprintf("is %v: want at least %s", value, f.Param())
-	case "max", "maxdur":
-		return fmt.Sprintf("is %v: want at most %s", value, f.Param())
-	case "oneof":
-		return fmt.Sprintf("is %q: want one of %s", value, f.Param())
-	default:
-		return fmt.Sprintf("is %v: want %s %s", value, f.Tag(), f.Param())
+		return []Problem{{Key: "limits.default_timeout", Text: "is longer than limits.max_timeout"}}
 	}
+	return nil
 }
--- a/requests/settings/settings_test.go
+++ b/requests/settings/settings_test.go
@@ -49,17 +49,17 @@
 		name, text string
 		want       []Problem
 	}{
-		{"unknown key", valid + "[log]\nlevle = \"info\"\n", []Problem{{16, "log.levle", "unknown key"}}},
-		{"wrong type", valid + "[limits]\nmax_queue = \"many\"\n", []Problem{{16, "limits.max_queue", "is of type string: want int"}}},
+		{"unknown key", valid + "[log]\nlevle = \"info\"\n", []Problem{{Line: 16, Key: "log.levle", Text: "unknown key"}}},
+		{"wrong type", valid + "[limits]\nmax_queue = \"many\"\n", []Problem{{Line: 16, Key: "limits.max_queue", Text: "is of type string: want int"}}},
 		{"out of range", valid + "[limits]\nmax_queue = 0\ndefault_timeout = \"1h\"\n", []Problem{
-			{0, "limits.default_timeout", "is 1h0m0s: want at most 10m"},
-			{0, "limits.max_queue", "is 0: want at least 1"},
-			{0, "limits.default_timeout", "is longer than limits.max_timeout"},
+			{Line: 0, Key: "limits.default_timeout", Text: "is 1h0m0s: want at most 10m"},
+			{Line: 0, Key: "limits.max_queue", Text: "is 0: want at least 1"},
+			{Line: 0, Key: "limits.default_timeout", Text: "is longer than limits.max_timeout"},
 		}},
-		{"host name", valid + "[peers2]\n[limits]\n", []Problem{{15, "peers2", "unknown key"}}},
+		{"host name", valid + "[peers2]\n[limits]\n", []Problem{{Line: 15, Key: "peers2", Text: "unknown key"}}},
 		{"bad duration", valid + "[stop]\ntimeout = \"soon\"\n[log]\nlevel = 3\n", []Problem{
-			{16, "stop.timeout", "\"soon\" is no duration: want for example \"500ms\" or \"10s\""},
-			{18, "log.level", "is of type integer: want string"},
+			{Line: 16, Key: "stop.timeout", Text: "\"soon\" is no duration: want for example \"500ms\" or \"10s\""},
+			{Line: 18, Key: "log.level", Text: "is of type integer: want string"},
 		}},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/standin/jobfleet/installation.go
+++ b/standin/jobfleet/installation.go
@@ -18,6 +18,7 @@
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/node"
 	"github.com/postmount/postmount/jobs/owner"
+	"github.com/postmount/postmount/jobs/policy"
 )
 
 // Installation is daemons on stand-ins.
@@ -88,7 +89,7 @@
 	d := &Daemon{Name: name, Gate: &Gate{}, done: make(chan struct{})}
 	set := node.Settings{
 		Node: name, IP: name, PeerPort: 1, Cores: cores, MaxTaskLease: 10 * time.Second, StopGrace: 6 * time.Second,
-		DutyHandover: dutyHandover, MinStoreLease: time.Second, KeepStatus: 2 * time.Minute,
+		DutyHandover: dutyHandover, MinStoreLease: time.Second, KeepStatus: 2 * time.Minute, Policy: policy.Default(),
 	}
 	d.Node = node.New(set, node.Platform{
 		Store:   in.Store.Client(name, d.Gate, in.ask),
