A failed task goes to another worker

One failure does not make a worker suspect, and two of eight ends do not put it aside. Ruled out: longer backoff after a failure (the worker may stay bad for longer); putting a worker aside at its first failure (three of a hundred tasks fail by their own fault). Change: a task remembers on which workers it failed, prefers others, and waits for room there for a second before it takes one of these again; not where it needs a ticket.

--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -114,6 +114,8 @@
 		return // it has no limit of attempts, or a copy of it was done
 	}
 	t.failures = t.failures.With(e.Run)
+	t.failedOn = append(t.failedOn, w.Worker)
+	t.failedAt = now
 	t.notBefore = now.Add(failureBackoff)
 	attempts := len(t.failures)
 	if s.spec.Gang {
--- a/jobs/owner/room.go
+++ b/jobs/owner/room.go
@@ -68,6 +68,40 @@
 	}
 }
 
+// elsewherePatience is how long a task that failed waits for room on another
+// worker than those on which it did: attempts are few, and a bad worker fails all.
+// Most tasks end within it.
+const elsewherePatience = time.Second
+
+// elsewhere returns the views with the workers barred on which the task failed.
+func (v *roomView) elsewhere(t *task) []placement.Worker {
+	if len(t.failedOn) == 0 {
+		return v.views
+	}
+	out := slices.Clone(v.views)
+	for i, w := range v.workers {
+		if slices.Contains(t.failedOn, w.Worker) {
+			out[i].Barred = true
+		}
+	}
+	return out
+}
+
+// awaitsOther reports whether the task failed a moment ago, and there are workers
+// that could take it and on which it did not. Tickets last for a short time, so
+// that tasks that need one do not wait.
+func (t *task) awaitsOther(v *roomView, req *placement.Request, now time.Time) bool {
+	if len(t.failedOn) == 0 || req.Permits || now.Sub(t.failedAt) > elsewherePatience {
+		return false
+	}
+	for i, w := range v.workers {
+		if !slices.Contains(t.failedOn, w.Worker) && placement.Possible(&v.views[i], req) {
+			return true
+		}
+	}
+	return false
+}
+
 // sortedRuns returns the runs on the worker in the order of their starts.
 func sortedRuns(w *worker) []*run {
 	out := slices.Collect(maps.Values(w.runs))
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -194,7 +194,14 @@
 			room.countOf(s, now)
 			counted = true
 		}
-		i := placement.Choose(room.views, req)
+		i := placement.Choose(room.elsewhere(t), req)
+		if i < 0 && t.awaitsOther(room, &req, now) {
+			pool.wait(s, 1)
+			continue
+		}
+		if i < 0 {
+			i = placement.Choose(room.views, req)
+		}
 		if i < 0 {
 			c.noRoom(s, &req, room, pool, now)
 			return
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -56,6 +56,8 @@
 	checkpoint string
 	runs       []*run
 	notBefore  time.Time  // backoff after a failure
+	failedOn   []WorkerID // in this term; the fault may have been the worker's
+	failedAt   time.Time  // newest of these
 }
 
 func (t *task) id() job.TaskID {
