A planned stop ends cleanly: no write to a closed log, answers before the end

Goroutines that outlive the daemon's work (the one that follows the owner's key was not waited for) log a cancelled call after the log was closed. The time of the handover was not counted in the grace, and the lease was ended with what the callers had left. Ruled out: a longer grace (the platform's); not logging while stopping (the lines explain what was cut). Change: AsyncWriter drops and counts lines after its end; the election waits for its follower; a caller who gives up is no failure of the store (it was logged as one and turned the daemon away from the direct way); the stop counts from its first moment; requests that take too long get their final answer 200 ms before the end.

--- a/jobs/ledger/failover.go
+++ b/jobs/ledger/failover.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"sync"
 	"time"
 
@@ -76,11 +77,13 @@
 		if err == nil || verdict.CodeOf(err) != CodeStore {
 			return out, err
 		}
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return out, err // the caller gave up, the store is not to blame
+		}
+		f.failed(s, err)
 		if ctx.Err() != nil {
-			f.failed(s, err)
 			return out, err
 		}
-		f.failed(s, err)
 	}
 	return out, err
 }
@@ -119,6 +122,9 @@
 		if err == nil {
 			return res, nil
 		}
+		if errors.Is(ctx.Err(), context.Canceled) {
+			return res, err
+		}
 		f.failed(s, err)
 		if verdict.Of(err) != verdict.NotRun || ctx.Err() != nil {
 			return res, err
--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"strings"
+	"sync"
 	"time"
 
 	"go.uber.org/zap"
@@ -205,7 +206,23 @@
 
 // elect follows who the owner is, and becomes it when nobody is.
 func (n *Node) elect(ctx context.Context) {
-	go n.follow(ctx, ledger.PrefixOwner, 0, func() { n.setLock(ledger.Lock{}, false, 0); n.wakeElection() }, func(e ledger.Event) {
+	var following sync.WaitGroup
+	defer following.Wait()
+	following.Go(func() { n.followOwner(ctx) })
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.electNow:
+		case <-time.After(renewEvery):
+		}
+		n.considerTerm(ctx)
+	}
+}
+
+// followOwner follows who the owner is.
+func (n *Node) followOwner(ctx context.Context) {
+	n.follow(ctx, ledger.PrefixOwner, 0, func() { n.setLock(ledger.Lock{}, false, 0); n.wakeElection() }, func(e ledger.Event) {
 		l, held, ok, err := ledger.LockOf(e)
 		if err != nil {
 			n.log.Error("lock-unreadable", zap.Error(err))
@@ -216,15 +233,6 @@
 			n.wakeElection()
 		}
 	})
-	for {
-		select {
-		case <-ctx.Done():
-			return
-		case <-n.electNow:
-		case <-time.After(renewEvery):
-		}
-		n.considerTerm(ctx)
-	}
 }
 
 // wakeElection makes the election look again: what it waits for may have come.
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -122,7 +122,12 @@
 	if err != nil {
 		return err
 	}
-	callers := &http.Server{Handler: n.gateway, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout}
+	requests, endRequests := context.WithCancel(context.Background())
+	defer endRequests()
+	callers := &http.Server{
+		Handler: n.gateway, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
+		BaseContext: func(net.Listener) context.Context { return requests },
+	}
 	work, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	done := make(chan struct{})
@@ -133,7 +138,7 @@
 	go n.servePeers(listeners.peers)
 	n.log.Info("start", zap.String("node", n.set.Node), zap.String("zone", n.set.Zone), zap.String("callers", n.set.CallersAddr))
 	<-ctx.Done()
-	n.stop(callers)
+	n.stop(callers, endRequests)
 	stopWork()
 	<-done
 	n.log.Info("stop")
@@ -178,28 +183,53 @@
 	defaultIdleTimeout   = 60 * time.Second
 )
 
-// stop hands over what this daemon owns, waits until the balancer has noticed,
-// and finishes what is in flight.
-func (n *Node) stop(callers *http.Server) {
+// stop hands over what this daemon owns, waits until the balancer has noticed, and
+// finishes what is in flight. Requests that take too long get their final answer
+// while there is time to send it.
+func (n *Node) stop(callers *http.Server, endRequests func()) {
 	n.log.Info("stopping")
+	end := time.Now().Add(n.set.StopGrace - stopReserve)
 	n.HandOver()
-	began := time.Now()
 	time.Sleep(min(balancerNotice, n.set.StopGrace/2))
-	left := n.set.StopGrace - time.Since(began) - stopReserve
-	ctx, cancel := context.WithTimeout(context.Background(), max(left, stopReserve))
-	defer cancel()
-	if err := callers.Shutdown(ctx); err != nil {
+	if err := shutdown(callers, time.Until(end)-answerReserve); err != nil {
 		n.log.Warn("callers-cut-off", zap.Error(err))
-	}
-	if id := ledger.LeaseID(n.lease.Load()); id != 0 {
-		if err := n.store.EndLease(ctx, id); err != nil {
-			n.log.Warn("lease-not-ended", zap.Error(err))
+		endRequests()
+		if err := shutdown(callers, answerReserve); err != nil {
+			n.log.Warn("callers-unanswered", zap.Error(err))
 		}
 	}
+	n.endLease()
+}
+
+// shutdown takes no new connections and waits for requests under way, for some
+// time at least.
+func shutdown(s *http.Server, d time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), max(d, answerReserve))
+	defer cancel()
+	return s.Shutdown(ctx)
+}
+
+// endLease removes this daemon's keys, so that nobody waits for their end.
+func (n *Node) endLease() {
+	id := ledger.LeaseID(n.lease.Load())
+	if id == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endLeaseTimeout)
+	defer cancel()
+	if err := n.store.EndLease(ctx, id); err != nil {
+		n.log.Warn("lease-not-ended", zap.Error(err))
+	}
 }
 
-// stopReserve of the grace is kept for the end of the process.
-const stopReserve = 500 * time.Millisecond
+const (
+	// stopReserve of the grace is kept for the lease and the end of the process.
+	stopReserve = 800 * time.Millisecond
+	// answerReserve is kept for the answers of requests that are given up.
+	answerReserve = 200 * time.Millisecond
+	// endLeaseTimeout bounds the end of the lease: it ends by itself in two seconds.
+	endLeaseTimeout = 300 * time.Millisecond
+)
 
 type listeners struct{ callers, ready, peers, metrics net.Listener }
 
--- a/telemetry/async.go
+++ b/telemetry/async.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"io"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -28,18 +29,26 @@
 	lines   chan []byte
 	dropped atomic.Int64
 	out     io.Writer
-	done    chan struct{}
+	ending  chan struct{} // closed by Close
+	done    chan struct{} // closed when what waited is written
+	end     sync.Once
 }
 
 // NewAsyncWriter returns a writer of lines to out.
 func NewAsyncWriter(out io.Writer) *AsyncWriter {
-	w := &AsyncWriter{lines: make(chan []byte, asyncLines), out: out, done: make(chan struct{})}
+	w := &AsyncWriter{lines: make(chan []byte, asyncLines), out: out, ending: make(chan struct{}), done: make(chan struct{})}
 	go w.run()
 	return w
 }
 
-// Write implements io.Writer for one whole line.
+// Write implements io.Writer for one whole line. After Close lines are dropped.
 func (w *AsyncWriter) Write(line []byte) (int, error) {
+	select {
+	case <-w.ending:
+		w.dropped.Add(1)
+		return len(line), nil
+	default:
+	}
 	select {
 	case w.lines <- append([]byte(nil), line...):
 	default:
@@ -51,9 +60,9 @@
 // Dropped returns how many lines were dropped so far.
 func (w *AsyncWriter) Dropped() int64 { return w.dropped.Load() }
 
-// Close writes what waits and ends the goroutine. Nothing may be written after.
+// Close writes what waits and ends the goroutine.
 func (w *AsyncWriter) Close() error {
-	close(w.lines)
+	w.end.Do(func() { close(w.ending) })
 	<-w.done
 	return nil
 }
@@ -61,13 +70,29 @@
 func (w *AsyncWriter) run() {
 	defer close(w.done)
 	said := int64(0)
-	for line := range w.lines {
-		// A log that cannot be written has nowhere to say so.
-		_, _ = w.out.Write(line)
-		if n := w.dropped.Load(); n > said && len(w.lines) == 0 {
-			_, _ = fmt.Fprintf(w.out, `{"level":"warn","msg":"log-lines-dropped","count":%d}`+"\n", n-said)
-			said = n
+	for {
+		select {
+		case line := <-w.lines:
+			w.put(line, &said)
+			continue
+		default:
 		}
+		select {
+		case line := <-w.lines:
+			w.put(line, &said)
+		case <-w.ending:
+			return // nothing waits
+		}
+	}
+}
+
+// put writes a line and, once the buffer is empty, how many were dropped. A log
+// that cannot be written has nowhere to say so.
+func (w *AsyncWriter) put(line []byte, said *int64) {
+	_, _ = w.out.Write(line)
+	if n := w.dropped.Load(); n > *said && len(w.lines) == 0 {
+		_, _ = fmt.Fprintf(w.out, `{"level":"warn","msg":"log-lines-dropped","count":%d}`+"\n", n-*said)
+		*said = n
 	}
 }
 
--- a/telemetry/async_test.go
+++ b/telemetry/async_test.go
@@ -34,6 +34,22 @@
 	assert.Contains(t, out.got.String(), "log-lines-dropped")
 }
 
+// TestAsyncWriterAfterItsEnd: goroutines that outlive a planned stop may still
+// write; that must not end the process.
+func TestAsyncWriterAfterItsEnd(t *testing.T) {
+	var out bytes.Buffer
+	w := NewAsyncWriter(&out)
+	_, err := w.Write([]byte("before\n"))
+	require.NoError(t, err)
+	require.NoError(t, w.Close())
+	n, err := w.Write([]byte("after\n"))
+	require.NoError(t, err)
+	assert.Equal(t, 6, n)
+	assert.Equal(t, int64(1), w.Dropped())
+	assert.Equal(t, "before\n", out.String())
+	require.NoError(t, w.Close(), "a second end does nothing")
+}
+
 func TestBoundedLog(t *testing.T) {
 	var out bytes.Buffer
 	log, err := NewLogger("info", "json", &out)
