Decisions that end tasks rest on fresh answers only

Change: only an answered hold proves a standstill; a task counts as at work only if its worker's last answered hold was sent at most 2.5 s ago. Tests that fail before: TestAHoldOnItsWayProvesNoStandstill, TestMaintenanceNeedsAFreshView.

--- a/jobs/owner/budget.go
+++ b/jobs/owner/budget.go
@@ -2,6 +2,16 @@
 
 import "time"
 
+// viewAge is how old a worker's list of runs may be for a decision that ends
+// tasks: the hold that brought it was sent two holds ago at most. An owner that was
+// frozen, or that is short of processor time, knows less than it seems.
+const viewAge = 2500 * time.Millisecond
+
+// known reports whether what runs on the worker is known well enough to count on.
+func (w *worker) known(now time.Time) bool {
+	return !w.silent() && now.Sub(w.answered) <= viewAge
+}
+
 // lastingOn counts the long-running tasks on a worker by their step.
 func lastingOn(w *worker) map[*stepState]int {
 	here := map[*stepState]int{}
@@ -15,10 +25,10 @@
 
 // awayBeside counts the tasks of a step that are away beside those on w. A task
 // on a worker that was ordered away is.
-func awayBeside(s *stepState, w *worker) int {
+func awayBeside(s *stepState, w *worker, now time.Time) int {
 	away := 0
 	for _, t := range s.tasks {
-		if !t.on(w) && !t.atWork() {
+		if !t.on(w) && !t.atWork(now) {
 			away++
 		}
 	}
@@ -27,9 +37,9 @@
 
 // mayTake reports whether the budgets of the long-running tasks on the worker
 // allow to take it away now: of each step at most MayMiss tasks are away.
-func mayTake(w *worker) bool {
+func mayTake(w *worker, now time.Time) bool {
 	for s, n := range lastingOn(w) {
-		if awayBeside(s, w)+n > s.spec.MayMiss {
+		if awayBeside(s, w, now)+n > s.spec.MayMiss {
 			return false
 		}
 	}
@@ -38,9 +48,9 @@
 
 // mayThin reports whether tasks can be moved away from the worker one by one,
 // because it has more of a step than may be away at once.
-func mayThin(w *worker) bool {
+func mayThin(w *worker, now time.Time) bool {
 	for s, n := range lastingOn(w) {
-		if s.spec.MayMiss == 0 || n <= s.spec.MayMiss && awayBeside(s, w)+n > s.spec.MayMiss {
+		if s.spec.MayMiss == 0 || n <= s.spec.MayMiss && awayBeside(s, w, now)+n > s.spec.MayMiss {
 			return false
 		}
 	}
@@ -51,7 +61,7 @@
 // may be away at once; it comes back on another worker.
 func (c *Core) thin(w *worker, now time.Time) {
 	for s, n := range lastingOn(w) {
-		if n <= s.spec.MayMiss || awayBeside(s, w) > 0 || stoppingOn(s, w) {
+		if n <= s.spec.MayMiss || awayBeside(s, w, now) > 0 || stoppingOn(s, w) {
 			continue
 		}
 		for _, r := range w.runs {
--- a/jobs/owner/health.go
+++ b/jobs/owner/health.go
@@ -129,7 +129,7 @@
 	}
 	// The hold that showed the last percentage may be old: only one that was
 	// sent since then, and answered, proves the standstill.
-	return now.Sub(r.movedAt) > limit && r.worker.holdSent.Sub(r.movedAt) > limit/2
+	return now.Sub(r.movedAt) > limit && r.worker.answered.Sub(r.movedAt) > limit/2
 }
 
 // remainingWork returns the core-seconds of a job that are not done, by its
--- /dev/null
+++ b/jobs/owner/stale_test.go
@@ -0,0 +1,67 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// TestAHoldOnItsWayProvesNoStandstill: that a task makes no progress is shown by
+// answers, not by questions.
+func TestAHoldOnItsWayProvesNoStandstill(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	r.submit(1, 1)
+	start := r.started()
+	require.Len(t, start, 1)
+	active := []ActiveRun{{Task: start[0].Task, Run: start[0].Run, Percent: 10}}
+	r.held(a, active)
+	r.tick(900 * time.Millisecond)
+	r.held(a, active) // it was sent 0.9 s ago; the next one is on its way
+	r.tick(stallTime)
+	assert.Empty(t, r.out.Stops)
+	r.held(a, active)
+	r.tick(100 * time.Millisecond)
+	assert.Len(t, r.out.Stops, 1, "an answer to a hold of 0.9 s later shows no progress")
+}
+
+// TestMaintenanceNeedsAFreshView: an owner that was frozen must not count on tasks
+// that served before.
+func TestMaintenanceNeedsAFreshView(t *testing.T) {
+	r := newRig(t, 1)
+	a, b := r.worker("a"), r.worker("b")
+	r.held(a, nil)
+	r.held(b, nil)
+	j := simpleJob(1, 2)
+	j.Steps[0].LongRunning = true
+	j.Steps[0].MaxPerWorker = 1
+	j.Steps[0].MayMiss = 1
+	r.core.Submit(j, r.now)
+	r.core.React(r.now)
+	r.take()
+	starts := r.started()
+	require.Len(t, starts, 2)
+	runs := map[WorkerID][]ActiveRun{}
+	for _, s := range starts {
+		runs[s.Worker] = []ActiveRun{{Task: s.Task, Run: s.Run, Percent: 100}}
+	}
+	r.held(a, runs[a])
+	r.held(b, runs[b])
+	r.tick(100 * time.Millisecond)
+
+	r.now = r.now.Add(4 * time.Second) // frozen
+	r.core.OnInstances(r.inst, r.now)
+	r.core.OnWave(WaveRequest{Wave: 1, Instances: []InstanceID{"i-a"}, Within: time.Minute, MaxDown: 1}, nil, false, r.now)
+	r.tick(100 * time.Millisecond)
+	assert.Empty(t, r.out.Instances, "whether b still serves is not known")
+	r.held(a, runs[a])
+	r.held(b, runs[b])
+	r.tick(100 * time.Millisecond)
+	r.held(a, runs[a])
+	r.held(b, runs[b])
+	r.tick(100 * time.Millisecond)
+	assert.Len(t, r.out.Instances, 1)
+}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -84,9 +84,9 @@
 }
 
 // atWork reports whether a long-running task serves, as far as is known.
-func (t *task) atWork() bool {
+func (t *task) atWork(now time.Time) bool {
 	for _, r := range t.runs {
-		if r.phase == running && r.percent >= 100 && !r.worker.silent() && !r.worker.departing {
+		if r.phase == running && r.percent >= 100 && r.worker.known(now) && !r.worker.departing {
 			return true
 		}
 	}
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -192,7 +192,7 @@
 			}
 			continue
 		}
-		if !mayTake(cand.w) && !mayThin(cand.w) {
+		if !mayTake(cand.w, now) && !mayThin(cand.w, now) {
 			continue // one that was reserved a moment ago has tasks of the same step
 		}
 		cand.w.reserved = "maintenance"
@@ -232,7 +232,7 @@
 		}
 		cand := candidate{id: id, w: w}
 		if w != nil {
-			if !mayTake(w) && !mayThin(w) {
+			if !mayTake(w, now) && !mayThin(w, now) {
 				continue
 			}
 			cand.cost = w.load()
@@ -260,7 +260,7 @@
 
 // readyToGo reports whether a reserved worker may be taken away now.
 func (c *Core) readyToGo(w *worker, now time.Time) bool {
-	if !mayTake(w) {
+	if !mayTake(w, now) {
 		return false
 	}
 	for _, r := range w.runs {
