An owner short of time keeps leases alive; one that may be replaced gives no counts

(2) An owner whose lease has ended is told of no new jobs, and still answered counts. Ruled out: two orders at once, preemption (never of long-running tasks); for the count: a new owner (it loads all jobs before it answers). Change: the owner notes when its own timer was over 300 ms late and for 1.5 s renews leases of silent workers, too; it gives a count only while its lease is certainly held.

--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -130,6 +130,7 @@
 	tick := time.NewTicker(tickEvery)
 	defer tick.Stop()
 	leaving := t.leaving
+	lastTick := time.Now()
 	for {
 		select {
 		case <-t.ctx.Done():
@@ -141,6 +142,8 @@
 			t.core.React(now)
 		case <-tick.C:
 			now := time.Now()
+			t.core.Delayed(now.Sub(lastTick)-tickEvery, now)
+			lastTick = now
 			t.core.SetStoreLease(t.n.leaseHeld(), now)
 			t.core.Tick(now)
 			t.report(now)
@@ -256,7 +259,12 @@
 	return r
 }
 
+// pending counts only while no other daemon can be the owner: one that has taken
+// over knows of jobs that this daemon was not told of.
 func (t *termRun) pending(queue string) peer.PendingReply {
+	if !t.n.leaseHeld() {
+		return peer.PendingReply{}
+	}
 	r, _ := ask(t, func(c *owner.Core) peer.PendingReply {
 		return peer.PendingReply{Owner: true, Count: c.Pending(queue)}
 	})
--- a/jobs/owner/stale_test.go
+++ b/jobs/owner/stale_test.go
@@ -65,3 +65,25 @@
 	r.tick(100 * time.Millisecond)
 	assert.Len(t, r.out.Instances, 1)
 }
+
+// TestADelayedOwnerDoesNotLetLeasesEnd: if its own timer was late, answers may wait
+// to be read; workers that seem silent get their leases renewed for a while.
+func TestADelayedOwnerDoesNotLetLeasesEnd(t *testing.T) {
+	for _, delayed := range []bool{false, true} {
+		r := newRig(t, 1)
+		a := r.worker("a")
+		r.held(a, nil)
+		r.submit(1, 1)
+		require.Len(t, r.started(), 1)
+		r.tick(time.Second)
+		r.out.Holds = nil
+		if delayed {
+			r.core.Delayed(time.Second, r.now)
+		}
+		r.unheard(a)
+		r.tick(holdRetry)
+		require.Len(t, r.out.Holds, 1)
+		renewed := r.out.Holds[0].Until > r.clock()+(rigLease-500*time.Millisecond).Milliseconds()
+		assert.Equal(t, delayed, renewed)
+	}
+}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -234,10 +234,13 @@
 	settleAt  time.Time // missing registrations count as gone from then on
 	instAt    time.Time // newest instance list
 	fenced    bool
-	dutyLost  time.Time            // zero: the store's lease is held
-	early     map[job.ID]time.Time // cancellations of jobs that are not known yet
-	events    []Decision
-	counts    Counts
+
+	starvedUntil time.Time // timeouts say nothing until then
+
+	dutyLost time.Time            // zero: the store's lease is held
+	early    map[job.ID]time.Time // cancellations of jobs that are not known yet
+	events   []Decision
+	counts   Counts
 }
 
 // Counts are totals since the start of the term.
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -112,12 +112,34 @@
 // renewal returns the end of the lease for an order to w. A silent worker's
 // lease is not renewed: it has to end for its tasks to start elsewhere.
 func (c *Core) renewal(w *worker, now time.Time) int64 {
-	if w.silent() {
+	if w.silent() && !now.Before(c.starvedUntil) {
 		return w.lease.granted
 	}
 	return w.lease.grant(c.opt.TaskLease, now)
 }
 
+// Figures of an owner that is short of processor time.
+const (
+	// starvedAt is the delay of the owner's own timer from which on its timeouts
+	// say nothing about workers: a third of what it waits for a hold.
+	starvedAt = 300 * time.Millisecond
+	// starvedFor is how long that is remembered: a hold, and its answer.
+	starvedFor = 1500 * time.Millisecond
+)
+
+// Delayed tells by how much the owner's timer was late. After a long delay the
+// leases of workers that seem silent are renewed all the same for a while: their
+// answers may wait to be read, and a lease that is left to end stops their tasks.
+func (c *Core) Delayed(d time.Duration, now time.Time) {
+	if d < starvedAt {
+		return
+	}
+	if !now.Before(c.starvedUntil) {
+		c.note(Decision{Event: "owner-delayed", Reason: d.Round(time.Millisecond).String()})
+	}
+	c.starvedUntil = now.Add(starvedFor)
+}
+
 // silent reports whether the newest order to w, or its newest hold, went
 // unanswered, and nothing was heard of it since.
 func (w *worker) silent() bool { return !w.silentSince.IsZero() || w.suspect }
