A new owner does not maintain a worker that it has not heard of

A worker that is registered, but has not answered the new owner's first hold, has no runs on the owner's books; the wave took it for idle, the cheapest to take away, and ended the long-running tasks that the owner before had started there. Ruled out: moves between pools (they ask for a held worker already). Change: an instance whose worker has not answered waits until it has, or until every lease of the owner before has ended. Test that fails before: TestMaintenanceWaitsForTheWorkersAnswer.

--- a/jobs/owner/stale_test.go
+++ b/jobs/owner/stale_test.go
@@ -87,3 +87,28 @@
 		assert.Equal(t, delayed, renewed)
 	}
 }
+
+// TestMaintenanceWaitsForTheWorkersAnswer: a new owner does not take a worker for
+// idle that it has not heard of yet.
+func TestMaintenanceWaitsForTheWorkersAnswer(t *testing.T) {
+	j := simpleJob(1, 1)
+	j.Steps[0].LongRunning = true
+	r := newRig(t, 2, Loaded{Job: j})
+	a, b := r.worker("a"), r.worker("b")
+	r.held(b, nil)
+	r.core.OnWave(WaveRequest{Wave: 1, Instances: []InstanceID{"i-a"}, Within: time.Minute, MaxDown: 1}, nil, false, r.now)
+	for range 50 { // 3.75 s: the duty may be done, and leases of the owner before may last
+		r.unheard(a)
+		r.tick(75 * time.Millisecond)
+		r.core.OnInstances(r.inst, r.now)
+		r.held(b, nil)
+	}
+	assert.Empty(t, r.out.Instances, "it may run a task of the owner before")
+	for range 20 {
+		r.unheard(a)
+		r.tick(75 * time.Millisecond)
+		r.core.OnInstances(r.inst, r.now)
+		r.held(b, nil)
+	}
+	assert.Len(t, r.out.Instances, 1, "every lease has ended")
+}
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -72,6 +72,11 @@
 	}
 }
 
+// leaseBound is how long after its term any lease that an owner gave can last.
+func (c *Core) leaseBound() time.Duration {
+	return time.Duration(float64(c.opt.TaskLease)/(1-workerClockSlow)) + leaseSlack
+}
+
 // certain reports whether every run that an earlier owner may have started for
 // the service is known: each instance up in its pool answered our token, or
 // all its leases have run out.
@@ -79,9 +84,8 @@
 	if c.opt.Term == 1 || c.settled[service] {
 		return true
 	}
-	bound := time.Duration(float64(c.opt.TaskLease)/(1-workerClockSlow)) + leaseSlack
 	unheard := c.unheardOf(service)
-	if unheard != "" && now.Sub(c.startedAt) <= bound {
+	if unheard != "" && now.Sub(c.startedAt) <= c.leaseBound() {
 		if !c.awaited[service] {
 			c.awaited[service] = true
 			c.note(Decision{Event: "inherited-tasks-wait", Reason: service + " for " + unheard})
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -227,7 +227,7 @@
 		if w == nil && i.Worker != "" || c.moves[id] != nil {
 			continue // on its way to a pool: what runs there is not known yet
 		}
-		if w != nil && (w.gone || w.Draining || w.reserved != "") {
+		if w != nil && (w.gone || w.Draining || w.reserved != "" || !c.runsKnown(w, now)) {
 			continue
 		}
 		cand := candidate{id: id, w: w}
@@ -243,6 +243,12 @@
 	return out
 }
 
+// runsKnown reports whether what runs on the worker is known: it has answered this
+// owner, or every lease of an earlier one has ended.
+func (c *Core) runsKnown(w *worker, now time.Time) bool {
+	return w.held || now.Sub(c.startedAt) > c.leaseBound()
+}
+
 // load returns the core-seconds that are left of what runs on the worker.
 func (w *worker) load() float64 {
 	sum := 0.0
