Metrics of pools and of calls to the store; the log forecasts late waves

Change: gauges per pool (instances, arriving, cores busy and waiting, rate of work); store_calls by call, stale and outcome, with store_time; 'wave-late' and 'wave-in-time' in the log when the forecast changes, with what it rests on.

--- a/jobs/node/metrics.go
+++ b/jobs/node/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
 	"github.com/postmount/postmount/verdict"
 )
@@ -48,6 +49,16 @@
 	m.scope.Histogram("commit_time", buckets).RecordDuration(took)
 }
 
+// storeCall counts a call to the store that this daemon made itself, for a peer
+// too.
+func (m *Metrics) storeCall(c ledger.Call) {
+	kind := map[string]string{"call": c.Kind, "stale": strconv.FormatBool(c.Stale)}
+	m.scope.Tagged(kind).Tagged(map[string]string{"outcome": c.Outcome}).Counter("store_calls").Inc(1)
+	if c.Kind != "watch" { // a watch takes as long as nothing happens
+		m.scope.Tagged(map[string]string{"call": c.Kind}).Histogram("store_time", buckets).RecordDuration(c.Took)
+	}
+}
+
 func (m *Metrics) storeFailure(err error) {
 	m.scope.Tagged(map[string]string{"code": string(verdict.CodeOf(err)), "verdict": verdict.Of(err).String()}).Counter("store_failures").Inc(1)
 }
@@ -65,4 +76,12 @@
 	} {
 		m.scope.Gauge(name).Update(v)
 	}
+	for _, p := range s.Pools {
+		pool := m.scope.Tagged(map[string]string{"pool": p.Name})
+		pool.Gauge("pool_instances").Update(float64(p.Instances))
+		pool.Gauge("pool_instances_arriving").Update(float64(p.Arriving))
+		pool.Gauge("pool_cores_busy").Update(p.Busy)
+		pool.Gauge("pool_cores_waiting").Update(p.Waiting)
+		pool.Gauge("pool_work_rate").Update(p.Rate)
+	}
 }
--- a/jobs/node/metrics_test.go
+++ b/jobs/node/metrics_test.go
@@ -10,6 +10,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
 	"github.com/postmount/postmount/telemetry"
 )
@@ -21,7 +22,11 @@
 	n.Answered("POST", 200, 3*time.Millisecond)
 	n.order("start", owner.NoRoom)
 	n.commit(nil, 5*time.Millisecond)
-	n.owner(owner.Stats{OpenJobs: 7, Counts: owner.Counts{Starts: 42}})
+	n.owner(owner.Stats{
+		OpenJobs: 7, Counts: owner.Counts{Starts: 42},
+		Pools: []owner.PoolStats{{Name: "orders", Instances: 5, Arriving: 1, Busy: 12.5, Waiting: 3, Rate: 20}},
+	})
+	n.storeCall(ledger.Call{Kind: "range", Stale: true, Outcome: "answered", Took: 4 * time.Millisecond})
 	require.NoError(t, m.Close()) // reports what was counted
 	srv := httptest.NewServer(n.Handler())
 	defer srv.Close()
@@ -36,6 +41,10 @@
 		`postmount_commits{outcome="written"} 1`,
 		`postmount_owner_open_jobs 7`,
 		`postmount_owner_starts 42`,
+		`postmount_pool_instances{pool="orders"} 5`,
+		`postmount_pool_cores_busy{pool="orders"} 12.5`,
+		`postmount_pool_work_rate{pool="orders"} 20`,
+		`postmount_store_calls{call="range",outcome="answered",stale="true"} 1`,
 	} {
 		assert.Contains(t, string(text), line)
 	}
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -87,7 +87,8 @@
 		peers: p.Peers, started: time.Now(),
 		waves: map[int]owner.WaveRequest{}, electNow: make(chan struct{}, 1),
 	}
-	n.store = ledger.NewFailover(p.Store, n, time.Now, n.storeFailed)
+	n.platform.Store = ledger.Counted(p.Store, m.storeCall)
+	n.store = ledger.NewFailover(n.platform.Store, n, time.Now, n.storeFailed)
 	n.accept = ledger.NewAcceptor(n.store)
 	n.gateway = gateway.New(n, p.Dialect.DecodeJob, m, log)
 	return n
--- a/jobs/owner/stats.go
+++ b/jobs/owner/stats.go
@@ -13,6 +13,17 @@
 	Running     int     // tasks on workers
 	Moving      int     // instances on their way to another pool
 	WaitingCore float64 // cores that tasks wait for
+	Pools       []PoolStats
+}
+
+// PoolStats are figures of one pool.
+type PoolStats struct {
+	Name      string
+	Instances int     // up, and with nothing planned for them
+	Arriving  int     // on their way to it, less those that leave
+	Busy      float64 // cores in use
+	Waiting   float64 // cores that tasks wait for
+	Rate      float64 // core-seconds of work that arrive a second
 }
 
 // Stats returns the figures at now.
@@ -36,5 +47,18 @@
 	for _, p := range c.pools {
 		s.WaitingCore += p.waiting
 	}
+	s.Pools = c.poolStats(now)
 	return s
 }
+
+func (c *Core) poolStats(now time.Time) []PoolStats {
+	if c.catalog == nil {
+		return nil
+	}
+	pools, spare := c.poolViews(now)
+	var out []PoolStats
+	for _, p := range append(pools, spare) {
+		out = append(out, PoolStats{Name: p.Name, Instances: len(p.Instances), Arriving: p.Arriving, Busy: p.Busy, Waiting: p.Waiting, Rate: p.Rate})
+	}
+	return out
+}
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"slices"
 	"sort"
 	"time"
@@ -13,6 +14,7 @@
 	begun     map[InstanceID]bool      // maintenance was accepted by the platform
 	down      map[InstanceID]downSince // ordered and not back yet
 	announced bool                     // its status was written
+	late      bool                     // it will not end in time, by the newest forecast
 	completed bool
 }
 
@@ -99,10 +101,40 @@
 			c.out.Waves = append(c.out.Waves, WaveStatus{Wave: ws.Wave, Done: true})
 			continue
 		}
+		c.forecast(ws, now)
 		c.advanceWave(ws, now)
 	}
 }
 
+// roundTime is what one round of a wave takes at most: its tasks end by themselves
+// or are stopped, the maintenance, and the list that shows its end.
+const roundTime = drainPatience + 3*time.Second
+
+// forecast says in the log when a wave is going to miss its limit, and when that
+// is over.
+func (c *Core) forecast(ws *waveState, now time.Time) {
+	left := 0
+	for _, id := range ws.Instances {
+		if !ws.begun[id] && c.instances[id] != nil {
+			left++
+		}
+	}
+	rounds := (left + ws.MaxDown - 1) / max(1, ws.MaxDown)
+	// The last round counts as in time once it has begun.
+	need := time.Duration(max(0, rounds-1)) * roundTime
+	late := now.Add(need).After(ws.since.Add(ws.Within))
+	if late == ws.late {
+		return
+	}
+	ws.late = late
+	event := "wave-in-time"
+	if late {
+		event = "wave-late"
+	}
+	c.note(Decision{Event: event, Reason: fmt.Sprintf("wave %d: %d instances are left, %d at once, which takes up to %s; %s of %s have passed",
+		ws.Wave, left, ws.MaxDown, need, now.Sub(ws.since).Round(100*time.Millisecond), ws.Within)})
+}
+
 func (c *Core) sortedWaves() []*waveState {
 	var out []*waveState
 	for _, ws := range c.waves {
