An owner that yields leaves the first try to the stronger daemon for certain

A daemon that has released its lock elects itself again if its own watch has not told it yet that the lock is gone: it takes the lock for its own and skips the pause for stronger daemons. Before, the cancelled calls of its term were noted as failures of the store, which sent its next calls the long way round; that hid the race. Ruled out: the list of live daemons (the yield was right, three times in a row). Change: releasing the lock notes that it is gone, unless the watch was sooner. A test that fails each time was tried (the owner's watch swallowed): it does not force the order of the two elections, and was dropped.

--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -263,6 +263,17 @@
 	}
 }
 
+// lockReleased takes note that this daemon has given up its lock, before the watch
+// says so: a stronger daemon is to have the first try.
+func (n *Node) lockReleased(term uint64) {
+	own := n.lock.Load()
+	if own == nil || own.Node != n.set.Node || own.Term != term {
+		return // the watch was sooner
+	}
+	n.lockGone.Store(n.sinceStart())
+	n.lock.CompareAndSwap(own, nil)
+}
+
 // considerTerm tries to become the owner if there is none.
 func (n *Node) considerTerm(ctx context.Context) {
 	if n.stopping.Load() || n.term.Load() != nil || n.lease.Load() == 0 || n.catalog.Load() == nil {
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -206,6 +206,8 @@
 	defer cancel()
 	if err := t.term.Release(ctx); err != nil {
 		t.n.log.Warn("lock-not-released", zap.Error(err))
+	} else {
+		t.n.lockReleased(t.term.Number)
 	}
 	close(t.left)
 	return true
