Revert the trial of putting slow workers aside

What was ruled out by it: that estimates are good enough to tell a slow worker from an unlucky task by three ends.

--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -58,7 +58,8 @@
 		return
 	}
 	if r != nil && e.Kind == EndDone && !r.ackedAt.IsZero() && !s.spec.LongRunning {
-		c.judgePace(w, j, s.spec, now.Sub(r.ackedAt), now)
+		cores := float64(s.spec.Occupies().CPUMilli) / 1000
+		c.pool(j.service).trend.add(cores*now.Sub(r.ackedAt).Seconds(), cores*s.spec.Estimate.Seconds())
 	}
 	w.ends.add(e.Kind, now)
 	switch e.Kind {
--- a/jobs/owner/health.go
+++ b/jobs/owner/health.go
@@ -1,10 +1,6 @@
 package owner
 
-import (
-	"time"
-
-	"github.com/postmount/postmount/jobs/job"
-)
+import "time"
 
 // Figures of the search for bad workers. They come from the faults that the
 // platform names: a worker that fails all it starts, and one whose tasks
@@ -82,36 +78,6 @@
 	c.avoid(w, "its tasks fail", now)
 }
 
-// Figures of the search for slow workers. Workers that turn slow take four times as
-// long and more; estimates are off by a half.
-const (
-	// slowFactor is how many times longer than on the service's other workers the
-	// tasks of a slow one take, against their estimates.
-	slowFactor = 2.5
-	// slowEnds is how many ends show it.
-	slowEnds = 3
-)
-
-// judgePace compares how long a task took with its estimate, for the service and
-// for the worker, and puts the worker aside if it is slow against the others.
-func (c *Core) judgePace(w *worker, j *jobState, spec *job.Step, took time.Duration, now time.Time) {
-	cores := float64(spec.Occupies().CPUMilli) / 1000
-	done, estimated := cores*took.Seconds(), cores*spec.Estimate.Seconds()
-	trend := &c.pool(j.service).trend
-	usual := trend.factor()
-	trend.add(done, estimated)
-	if spec.PreferredRack != "" || spec.SameRack {
-		return // slower by its place, not by the worker
-	}
-	w.pace.add(done, estimated)
-	w.paced++
-	if w.paced < slowEnds || w.pace.factor() < slowFactor*usual {
-		return
-	}
-	w.pace, w.paced = estimateTrend{}, 0 // judged anew after its time aside
-	c.avoid(w, "its tasks are slow", now)
-}
-
 // avoid keeps new tasks from a worker for a while, unless too many of its
 // service are put aside already.
 func (c *Core) avoid(w *worker, reason string, now time.Time) {
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -72,7 +72,7 @@
 const trendKept = 0.99
 
 // maxTrend bounds the correction by a few odd tasks, either way.
-const maxTrend = 8
+const maxTrend = 4
 
 func (e *estimateTrend) add(took, estimated float64) {
 	e.took = e.took*trendKept + took
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -177,8 +177,6 @@
 	waiting      map[uint64]waitingEnd // ends of jobs that are not known yet
 	avoidUntil   time.Time             // no new tasks until then
 	ends         endWindow             // recent ends, to find bad workers
-	pace         estimateTrend         // of the tasks that ended on it
-	paced        int                   // how many these are
 	nextPace     time.Time
 	view         *roomView // newest view of its service that it is in
 	viewAt       int       // its place there
