--- a/jobs/capacity/capacity.go
+++ b/jobs/capacity/capacity.go
@@ -25,7 +25,7 @@
 	fill = 0.9
 	// headroom is how much more work than there is a pool is sized for: tasks of
 	// mixed sizes leave gaps, and the next steps of running jobs come.
-	headroom = 1.3
+	headroom = 1.15
 	// giveBackMoves is how many moves an instance's idle time must have cost
 	// before it is given back: away, and back at the pool's next turn.
 	giveBackMoves = 2
--- a/jobs/capacity/capacity_test.go
+++ b/jobs/capacity/capacity_test.go
@@ -31,7 +31,7 @@
 	a := pool("a", 2, 0, 0)
 	a.Busy, a.Waiting = 20, 15
 	moves := Plan(Demand, DefaultWeights, []Pool{a, pool("b", 2, 0, 0)}, spare(8))
-	assert.Len(t, moves, 3, "26 cores of work in hand and 15 that wait fill 5 instances")
+	assert.Len(t, moves, 3, "23 cores of work in hand and 15 that wait fill 5 instances")
 	for _, m := range moves {
 		assert.Equal(t, "spare", m.From)
 		assert.Equal(t, "a", m.To)
