A daemon that is cut off from the store stays with peers that reach it

Every fifth call by a peer went to the other one that is cut off, and each failure of a peer sent the next call the direct way again, where no connection can be opened: 0.5 to 0.7 s each. Ruled out: the reading of submissions every 200 ms (jobs were known after 2 ms in the median); placement.

--- a/jobs/ledger/failover.go
+++ b/jobs/ledger/failover.go
@@ -14,6 +14,8 @@
 	// Relay returns the store as another daemon reaches it, nil if there is
 	// none to ask. Successive calls may name different ones.
 	Relay() Store
+	// RelayFailed says that a store that Relay returned did not serve.
+	RelayFailed(s Store)
 }
 
 // Failover is the store by the direct way, and through another daemon for a
@@ -23,16 +25,22 @@
 	direct Store
 	relays Relays
 
-	mu    sync.Mutex
-	avoid time.Time // the direct way is not tried before
-	now   func() time.Time
-	onBad func(err error)
+	mu     sync.Mutex
+	avoid  time.Time     // the direct way is not tried before
+	cutOff bool          // no connection could be opened that way
+	leave  time.Duration // how long the direct way was left last
+	now    func() time.Time
+	onBad  func(err error)
 }
 
 // avoidDirect is how long the direct way is left after a failure; a try costs
 // a timeout if the store does not answer.
 const avoidDirect = 700 * time.Millisecond
 
+// maxAvoidDirect bounds how long the direct way is left while no connection can be
+// opened: the way by a peer costs two milliseconds, so that there is no hurry.
+const maxAvoidDirect = 4 * time.Second
+
 // NewFailover returns a store with two ways. onBad is told each failure of the
 // direct one.
 func NewFailover(direct Store, relays Relays, now func() time.Time, onBad func(error)) *Failover {
@@ -54,13 +62,21 @@
 	return []Store{f.direct, relay}
 }
 
-// failed takes note of a failure. If both ways fail by turns, the next call
-// begins with the other one.
+// failed takes note of a failure. If the direct way failed on an open connection,
+// which may just have gone silent, it is tried again after a failure of the other
+// one; if no connection could be opened it is left alone.
 func (f *Failover) failed(s Store, err error) {
+	if s != f.direct {
+		f.relays.RelayFailed(s)
+	}
 	f.mu.Lock()
-	f.avoid = time.Time{}
-	if s == f.direct {
-		f.avoid = f.now().Add(avoidDirect)
+	switch {
+	case s == f.direct:
+		f.cutOff = verdict.Of(err) == verdict.NotRun
+		f.leave = f.nextLeave()
+		f.avoid = f.now().Add(f.leave)
+	case !f.cutOff:
+		f.avoid = time.Time{}
 	}
 	f.mu.Unlock()
 	if s == f.direct {
@@ -68,6 +84,25 @@
 	}
 }
 
+// nextLeave returns how long the direct way is left now: each time twice as long
+// while no connection can be opened, as each try costs its caller a timeout.
+func (f *Failover) nextLeave() time.Duration {
+	if !f.cutOff {
+		return avoidDirect
+	}
+	return min(maxAvoidDirect, max(avoidDirect, 2*f.leave))
+}
+
+// worked takes note of an answer.
+func (f *Failover) worked(s Store) {
+	if s != f.direct {
+		return
+	}
+	f.mu.Lock()
+	f.leave = 0
+	f.mu.Unlock()
+}
+
 // read tries both ways.
 func read[T any](ctx context.Context, f *Failover, call func(Store) (T, error)) (T, error) {
 	var out T
@@ -75,6 +110,7 @@
 	for _, s := range f.ways() {
 		out, err = call(s)
 		if err == nil || verdict.CodeOf(err) != CodeStore {
+			f.worked(s)
 			return out, err
 		}
 		if errors.Is(ctx.Err(), context.Canceled) {
@@ -120,6 +156,7 @@
 	for _, s := range f.ways() {
 		res, err = s.Commit(ctx, t)
 		if err == nil {
+			f.worked(s)
 			return res, nil
 		}
 		if errors.Is(ctx.Err(), context.Canceled) {
--- a/jobs/ledger/failover_test.go
+++ b/jobs/ledger/failover_test.go
@@ -16,6 +16,8 @@
 	Store
 	get   func(ctx context.Context) error
 	calls int
+
+	failures int // as the second way
 }
 
 func (s *scripted) Get(ctx context.Context, _ string, _ bool) (Item, bool, error) {
@@ -26,6 +28,8 @@
 // Relay implements Relays: the scripted store is the second way.
 func (s *scripted) Relay() Store { return s }
 
+func (s *scripted) RelayFailed(Store) { s.failures++ }
+
 func storeError(context.Context) error {
 	return verdict.New(verdict.MayHaveRun, CodeStore, "no answer")
 }
@@ -71,3 +75,41 @@
 	assert.Equal(t, 3, direct.calls, "it comes first once the other way has failed")
 	assert.Equal(t, 3, relay.calls)
 }
+
+// TestACutOffDaemonStaysWithItsPeers: if no connection to the store can be opened,
+// a peer that fails is no reason to try the direct way again at once.
+func TestACutOffDaemonStaysWithItsPeers(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	refused := func(context.Context) error { return verdict.New(verdict.NotRun, CodeStore, "no connection") }
+	direct, relay := &scripted{get: refused}, &scripted{get: storeError}
+	f := NewFailover(direct, relay, func() time.Time { return now }, func(error) {})
+	_, _, err := f.Get(context.Background(), "k", false)
+	require.Error(t, err)
+	relay.get = answers
+	_, _, err = f.Get(context.Background(), "k", false)
+	require.NoError(t, err)
+	assert.Equal(t, 1, direct.calls)
+	assert.Equal(t, 1, relay.failures, "the peer is told apart")
+}
+
+// TestADaemonThatStaysCutOffTriesLessOften: each try of the direct way costs a
+// timeout; an answer there ends the backoff.
+func TestADaemonThatStaysCutOffTriesLessOften(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	refused := func(context.Context) error { return verdict.New(verdict.NotRun, CodeStore, "no connection") }
+	direct, relay := &scripted{get: refused}, &scripted{get: answers}
+	f := NewFailover(direct, relay, func() time.Time { return now }, func(error) {})
+	during := func(d time.Duration) int {
+		before := direct.calls
+		for end := now.Add(d); now.Before(end); now = now.Add(50 * time.Millisecond) {
+			_, _, err := f.Get(context.Background(), "k", false)
+			require.NoError(t, err)
+		}
+		return direct.calls - before
+	}
+	assert.Equal(t, 4, during(8*time.Second), "after 0, 0.7, 2.1 and 4.9 s")
+	direct.get = answers
+	assert.Positive(t, during(2*maxAvoidDirect))
+	direct.get = refused
+	assert.Equal(t, 2, during(time.Second), "the backoff starts anew")
+}
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -64,17 +64,18 @@
 	accept   *ledger.Acceptor
 	gateway  *gateway.Gateway
 
-	catalog  atomic.Pointer[job.Catalog]
-	lock     atomic.Pointer[ledger.Lock] // nil: nobody is known to be the owner
-	term     atomic.Pointer[termRun]     // nil: this daemon is not the owner
-	members  atomic.Pointer[[]ledger.Member]
-	relayNo  atomic.Uint64
-	lease    atomic.Int64  // ledger.LeaseID; 0: none
-	renewed  atomic.Int64  // when the lease was last renewed, in ns since start
-	electNow chan struct{} // wakes the election
-	lockGone atomic.Int64  // when the lock was last seen to be gone, in ns since start
-	started  time.Time
-	stopping atomic.Bool
+	catalog   atomic.Pointer[job.Catalog]
+	lock      atomic.Pointer[ledger.Lock] // nil: nobody is known to be the owner
+	term      atomic.Pointer[termRun]     // nil: this daemon is not the owner
+	members   atomic.Pointer[[]ledger.Member]
+	relayNo   atomic.Uint64
+	badRelays sync.Map      // address of a peer to until when it is not asked for the store
+	lease     atomic.Int64  // ledger.LeaseID; 0: none
+	renewed   atomic.Int64  // when the lease was last renewed, in ns since start
+	electNow  chan struct{} // wakes the election
+	lockGone  atomic.Int64  // when the lock was last seen to be gone, in ns since start
+	started   time.Time
+	stopping  atomic.Bool
 
 	wavesMu sync.Mutex
 	waves   map[int]owner.WaveRequest
@@ -99,7 +100,8 @@
 	n.log.Warn("store-call-failed", zap.Error(err))
 }
 
-// Relay implements ledger.Relays: the other daemons by turns.
+// Relay implements ledger.Relays: the other daemons by turns, but for those whose
+// way to the store failed a moment ago.
 func (n *Node) Relay() ledger.Store {
 	list := n.members.Load()
 	if list == nil {
@@ -107,7 +109,7 @@
 	}
 	var others []string
 	for _, m := range *list {
-		if m.Node != n.set.Node {
+		if m.Node != n.set.Node && !n.relayBad(m.Addr) {
 			others = append(others, m.Addr)
 		}
 	}
@@ -117,6 +119,23 @@
 	return peer.StoreBy(n.peers, others[n.relayNo.Add(1)%uint64(len(others))])
 }
 
+// RelayFailed implements ledger.Relays.
+func (n *Node) RelayFailed(s ledger.Store) {
+	n.badRelays.Store(peer.AddrOf(s), time.Now().Add(relayPause))
+}
+
+func (n *Node) relayBad(addr string) bool {
+	until, known := n.badRelays.Load(addr)
+	if !known {
+		return false
+	}
+	if time.Now().Before(until.(time.Time)) {
+		return true
+	}
+	n.badRelays.Delete(addr)
+	return false
+}
+
 // Run listens and works until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	listeners, err := n.listen()
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -75,6 +75,9 @@
 	// renewTimeout bounds one renewal of the lease, so that a third one is
 	// answered before the lease ends. The store takes 300 ms in its slow hours.
 	renewTimeout = 600 * time.Millisecond
+	// relayPause is how long a peer is not asked to call the store after its way
+	// failed: some disruptions cut off several daemons for seconds.
+	relayPause = 2 * time.Second
 	// watchWait is how long a watch waits for changes. A daemon that hangs on a
 	// connection which a partition has cut must hear of a new configuration within
 	// 3 s: watchWait, watchReserve and retryPause are less.
--- a/jobs/peer/relay.go
+++ b/jobs/peer/relay.go
@@ -19,6 +19,14 @@
 // StoreBy returns the store as the peer at addr reaches it.
 func StoreBy(client Relayer, addr string) ledger.Store { return &relayed{client, addr} }
 
+// AddrOf returns the peer that a store of StoreBy goes by, "" for other stores.
+func AddrOf(s ledger.Store) string {
+	if r, ok := s.(*relayed); ok {
+		return r.addr
+	}
+	return ""
+}
+
 // relayed is the store by way of a peer.
 type relayed struct {
 	client Relayer
