No order for an instance within the pause of a change of owner, also after a revoked lease

The store had revoked the old owner's lease, which no request shows; it went on ordering while its last renewal was up to 1.3 s old, and the new owner waited 0.3 s more than the pause, counted from its own start. Ruled out: orders on their way (they arrive within milliseconds here), a new owner that counts its start too early. Change: an order is sent only if the lease was renewed in the last 900 ms, and a new owner waits 1.2 s more than the pause. The duty is done 0.9 s later after a change of owner.

--- a/internal/jobmatrix/faults_test.go
+++ b/internal/jobmatrix/faults_test.go
@@ -211,13 +211,22 @@
 
 // TestPairsOfFaults lets two faults strike at steps chosen by seed.
 // POSTMOUNT_PAIRS=FROM-TO plays other seeds, by hand.
+// failedPairs are seeds that ever failed, with the cause.
+var failedPairs = []uint64{
+	20275, 20396, 20535, // the lease was revoked, and the old owner still ordered instances
+}
+
 func TestPairsOfFaults(t *testing.T) {
 	from, to := uint64(0), uint64(pairSeeds)
 	if v := os.Getenv("POSTMOUNT_PAIRS"); v != "" {
 		_, err := fmt.Sscanf(v, "%d-%d", &from, &to)
 		require.NoError(t, err)
 	}
+	seeds := append([]uint64(nil), failedPairs...)
 	for seed := from; seed < to; seed++ {
+		seeds = append(seeds, seed)
+	}
+	for _, seed := range seeds {
 		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) { playPair(t, seed) })
 	}
 }
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -315,6 +315,12 @@
 	return n.lease.Load() != 0 && time.Duration(n.sinceStart()-n.renewed.Load()) < storeLease-dutyReserve
 }
 
+// mayDoDuty reports whether the lease was renewed so lately that an owner that has
+// taken over since, because the lease was revoked, still leaves instances alone.
+func (n *Node) mayDoDuty() bool {
+	return n.lease.Load() != 0 && time.Duration(n.sinceStart()-n.renewed.Load()) < owner.DutyLeaseAge
+}
+
 // self is this daemon's entry in the store.
 func (n *Node) self() ledger.Member {
 	return ledger.Member{Node: n.set.Node, Addr: n.set.peerAddr(), Cores: n.set.Cores}
--- a/jobs/node/termorders.go
+++ b/jobs/node/termorders.go
@@ -68,10 +68,10 @@
 }
 
 // orderInstance moves or maintains an instance. The lease is looked at right
-// before the call: another daemon may do the duty once it has ended.
+// before the call: another daemon may do the duty some time after it has ended.
 func (t *termRun) orderInstance(ctx context.Context, o owner.MoveOrder) event {
 	outcome := owner.DutyRefused
-	if t.n.leaseHeld() {
+	if t.n.mayDoDuty() {
 		duty := owner.Duty{Holder: t.n.set.Node, Token: t.term.Number}
 		if o.Wave != 0 {
 			outcome = t.n.platform.Manager.Maintain(ctx, duty, o.Instance, o.Wave)
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -144,7 +144,7 @@
 			now := time.Now()
 			t.core.Delayed(now.Sub(lastTick)-tickEvery, now)
 			lastTick = now
-			t.core.SetStoreLease(t.n.leaseHeld(), now)
+			t.core.SetStoreLease(t.n.mayDoDuty(), now)
 			t.core.Tick(now)
 			t.report(now)
 		case <-leaving:
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -34,9 +34,13 @@
 	drainPatience = 2500 * time.Millisecond
 	// orderRetry is the pause before an order for an instance is sent again.
 	orderRetry = 500 * time.Millisecond
-	// dutyMargin is added to the pause after a change of owner, for the time
-	// that an order of the old one may have been on its way.
-	dutyMargin = 300 * time.Millisecond
+	// DutyLeaseAge is how long ago the lease in the store may have been renewed for
+	// an order to be sent. It may have been revoked since, and another owner elected.
+	// A renewal each 500 ms that a slow store answers after 300 ms fits.
+	DutyLeaseAge = 900 * time.Millisecond
+	// dutyMargin is added to the pause after a change of owner: an order of the old
+	// one may be sent so late, and be on its way.
+	dutyMargin = DutyLeaseAge + 300*time.Millisecond
 	// instanceListAge is how old the instance list may be for an order.
 	instanceListAge = 3 * time.Second
 )
