--- a/jobs/owner/copies.go
+++ b/jobs/owner/copies.go
@@ -54,8 +54,8 @@
 	}
 }
 
-// placeCopies starts copies of the step's tasks that need one so much. Copies of
-// inherited tasks wait as these do.
+// placeCopies starts copies of the step's tasks that need one so much. A copy of an
+// inherited task may run beside a run that is not known yet; its step allows that.
 func (c *Core) placeCopies(s *stepState, need copyNeed, room *roomView, now time.Time) {
 	req := requestOf(s)
 	for _, t := range s.tasks {
