A test that calls to the store do not grow with workers

Cause: the issue asks that calls do not grow with daemons times workers; the counts by kind were of ten workers only. Ruled out: none needed; nothing in the code changes. Change: the same idle half minute is counted with 10 and with 50 workers.

--- a/internal/jobmatrix/calls_test.go
+++ b/internal/jobmatrix/calls_test.go
@@ -1,10 +1,14 @@
 package jobmatrix
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/owner"
 )
 
 // kindsOfCalls are the store's priced calls; a renewal costs a tenth.
@@ -63,3 +67,25 @@
 	idleCallsPerSecond = 20.0
 	callsPerJob        = 8.0
 )
+
+// TestStoreCallsDoNotGrowWithWorkers: daemons do not watch workers, and the owner
+// reads all their entries in one call.
+func TestStoreCallsDoNotGrowWithWorkers(t *testing.T) {
+	idle := func(more int) (total int) {
+		play(t, func(d *day) {
+			for i := range more {
+				d.in.Fleet.Add(owner.InstanceID(fmt.Sprintf("more%d", i)), "spare", "r8", job.Resources{CPUMilli: 8000, MemMB: 16000})
+			}
+			time.Sleep(10 * time.Second) // pools have shrunk
+			before := calls(d)
+			time.Sleep(30 * time.Second)
+			for kind, n := range calls(d) {
+				total += n - before[kind]
+			}
+		})
+		return total
+	}
+	few, many := idle(0), idle(40)
+	t.Logf("%d calls in 30 s with 10 workers, %d with 50", few, many)
+	assert.InDelta(t, few, many, 0.02*float64(few))
+}
