Where the time of late jobs goes: the owner's account of each, and postmount report late

Ruled out: working it out from the existing lines: waits of later steps, lost runs and slow tasks are in none of them, and lines of a kind are left out above 60 a second. Records of ended jobs are written before those of running ones: their callers wait for them.

--- a/cmd/postmount/explain.go
+++ b/cmd/postmount/explain.go
@@ -41,25 +41,32 @@
 }
 
 func explainFiles(id string, files []string) (explain.Timeline, error) {
-	var all []explain.Line
-	unreadable := 0
+	all, unreadable, err := readLogs(files)
+	if err != nil {
+		return explain.Timeline{}, err
+	}
+	t := explain.Explain(id, all)
+	if unreadable > 0 {
+		t.Findings = append(t.Findings, fmt.Sprintf("%d lines of the files could not be read", unreadable))
+	}
+	return t, nil
+}
+
+// readLogs returns the lines of log files, and how many could not be read.
+func readLogs(files []string) (all []explain.Line, unreadable int, err error) {
 	for _, name := range files {
 		f, err := os.Open(name)
 		if err != nil {
-			return explain.Timeline{}, err
+			return nil, 0, err
 		}
 		source := strings.TrimSuffix(filepath.Base(name), filepath.Ext(name))
 		lines, bad, err := explain.Read(source, f)
 		f.Close()
 		if err != nil {
-			return explain.Timeline{}, fmt.Errorf("%s: %w", name, err)
+			return nil, 0, fmt.Errorf("%s: %w", name, err)
 		}
 		all = append(all, lines...)
 		unreadable += bad
 	}
-	t := explain.Explain(id, all)
-	if unreadable > 0 {
-		t.Findings = append(t.Findings, fmt.Sprintf("%d lines of the files could not be read", unreadable))
-	}
-	return t, nil
+	return all, unreadable, nil
 }
--- a/cmd/postmount/report.go
+++ b/cmd/postmount/report.go
@@ -14,7 +14,7 @@
 	"github.com/postmount/postmount/verdict"
 )
 
-// reportCommand adds "report burn" and "report wave".
+// reportCommand adds "report burn", "report wave" and "report late".
 func reportCommand(app *kingpin.Application, runners map[string]runner) {
 	cmd := app.Command("report", "Print a report.")
 	burn := cmd.Command("burn", "Service-level burn of the whole fleet.")
@@ -32,6 +32,7 @@
 		return exitDone
 	}
 	reportWaveCommand(cmd, runners)
+	reportLateCommand(cmd, runners)
 }
 
 func printBurn(r api.BurnReport) {
--- /dev/null
+++ b/jobs/late/late_test.go
@@ -0,0 +1,68 @@
+package late
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/explain"
+)
+
+const logs = `
+{"ts":"2030-01-01T00:00:00Z","level":"info","msg":"start"}
+{"ts":"2030-01-01T00:00:01Z","msg":"request-refused","method":"POST","job":"a","status":503,"why":"store /-/kv-txn: status 503"}
+{"ts":"2030-01-01T00:00:02.5Z","msg":"job-accepted","job":"a","queue":"q"}
+{"ts":"2030-01-01T00:00:03Z","msg":"job-accepted","job":"b","queue":"q"}
+{"ts":"2030-01-01T00:00:03Z","msg":"job-accepted","job":"c","queue":"q"}
+{"ts":"2030-01-01T00:00:04Z","msg":"request-refused","method":"POST","job":"d","status":503,"why":"512 submissions wait for the store"}
+{"ts":"2030-01-01T00:00:04Z","msg":"request-refused","method":"GET","job":"e","status":503,"why":"the owner is changing"}
+{"ts":"2030-01-01T00:00:05Z","msg":"request-refused","method":"POST","job":"f","status":504,"why":"after 3 tries: store away"}
+{"ts":"2030-01-01T00:00:06Z","msg":"job-failed","job":"c"}
+{"ts":"2030-01-01T00:00:07Z","msg":"job-late","job":"a","why":"s","total":4000,"allowed":2500,"work":1500,"pool-short":2000,"run-failed":500}
+{"ts":"2030-01-01T00:00:07Z","msg":"job-completed","job":"b"}
+{"level":"warn","msg":"log-lines-dropped","count":7}
+`
+
+func TestReport(t *testing.T) {
+	lines, bad, err := explain.Read("d", strings.NewReader(logs))
+	require.NoError(t, err)
+	require.Zero(t, bad)
+	r := Make(lines)
+	assert.Equal(t, 3, r.Accepted)
+	assert.Equal(t, 7, r.LeftOut)
+	byID := map[string]Job{}
+	for _, j := range r.Jobs {
+		byID[j.ID] = j
+	}
+	require.Len(t, byID, 4, "b was in time, and of e only a question was refused")
+
+	a := byID["a"]
+	assert.Equal(t, Late, a.Outcome)
+	assert.Equal(t, time.Second, a.At)
+	assert.Equal(t, "pool-short", a.Worst())
+	assert.Equal(t, 5500*time.Millisecond, a.Total, "the tries that were refused count")
+	assert.Equal(t, 1500*time.Millisecond, a.Spent[NotAccepted])
+
+	assert.Equal(t, Failed, byID["c"].Outcome)
+	assert.Equal(t, JobFailed, byID["c"].Worst())
+	assert.Equal(t, Overloaded, byID["d"].Worst())
+	assert.Equal(t, StoreAway, byID["f"].Worst())
+
+	queues := r.ByQueue()
+	require.Len(t, queues, 2)
+	assert.Equal(t, "(never accepted)", queues[0].Name)
+	assert.Equal(t, 2, queues[0].Outcomes[Refused])
+	assert.Equal(t, "q", queues[1].Name)
+	assert.Equal(t, 2, queues[1].Jobs)
+	assert.Len(t, r.BySecond(2*time.Second), 3)
+}
+
+func TestNothingLate(t *testing.T) {
+	r := Make(nil)
+	all := r.All()
+	assert.Zero(t, all.Jobs)
+	assert.Empty(t, r.ByQueue())
+}
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -236,6 +236,20 @@
 	if d.Reason != "" {
 		out = append(out, zap.String("why", d.Reason))
 	}
+	if d.Account != nil {
+		out = append(out, accountFields(d.Account)...)
+	}
+	return out
+}
+
+// accountFields returns what a late job's time was spent on, in milliseconds.
+func accountFields(a *owner.Account) []zap.Field {
+	out := []zap.Field{zap.Int64("total", a.Total.Milliseconds()), zap.Int64("allowed", a.Allowed.Milliseconds())}
+	for c, d := range a.Spent {
+		if d >= time.Millisecond {
+			out = append(out, zap.Int64(owner.Cause(c).String(), d.Milliseconds()))
+		}
+	}
 	return out
 }
 
--- /dev/null
+++ b/jobs/owner/account.go
@@ -0,0 +1,187 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// Cause is what time of a job was spent on.
+type Cause int
+
+// The causes. All but CauseWork are time that the job could have done without.
+const (
+	CauseWork       Cause = iota // its tasks worked, for as long as they were estimated to
+	CauseSlow                    // a task took longer than estimated
+	CauseUnknown                 // accepted, and not known to the owner yet
+	CauseEarlier                 // before this owner's term: work, waits, and the change of owner
+	CauseTakeover                // the owner did not know yet what runs where
+	CausePoolShort               // no room, and no instance was on its way to the pool
+	CauseArriving                // no room, and instances were on their way
+	CauseMaintained              // no room, and instances of the pool were kept for a wave
+	CauseElsewhere               // there was room, but only where the task had failed
+	CauseFailed                  // a run of the task failed, and the pause after it
+	CauseStopped                 // a run was stopped: preempted, at a standstill, for a wave
+	CauseLost                    // a run ended with its worker or its lease, or was not answered
+	CauseOther                   // the rest: orders on their way, placement, an earlier term
+	causes
+)
+
+var causeNames = [causes]string{"work", "slow-task", "not-known", "earlier-term", "takeover", "pool-short", "instances-arriving",
+	"maintenance", "failed-there-before", "run-failed", "run-stopped", "run-lost", "other"}
+
+// String returns the cause's name in logs and reports.
+func (c Cause) String() string { return causeNames[c] }
+
+// CauseNames returns the names of all causes, in their order.
+func CauseNames() []string { return causeNames[:] }
+
+// Account says what a job's time was spent on, along its critical path: the step
+// that ended last, of those before it the one that ended last, and so on.
+type Account struct {
+	Total   time.Duration // from acceptance to the owner's knowledge of the end
+	Allowed time.Duration // the objective, for the work as it was measured
+	Spent   [causes]time.Duration
+}
+
+// spent sums up durations by cause.
+type spent [causes]time.Duration
+
+// note adds the time since the task was last looked at, or since it became ready,
+// to the cause for which it still waits.
+func (t *task) note(c Cause, ready, now time.Time) {
+	from := t.lookedAt
+	if from.Before(ready) {
+		from = ready
+	}
+	if now.After(from) {
+		t.spent[c] += now.Sub(from)
+	}
+	t.lookedAt = now
+}
+
+// noteWaits does so for all steps of the job that are ready.
+func (j *jobState) noteWaits(c Cause, now time.Time) {
+	for _, s := range j.steps {
+		if s.ready() {
+			s.noteWaits(c, now)
+		}
+	}
+}
+
+// noteWaits adds the time since they were last looked at to the waiting tasks of
+// the step.
+func (s *stepState) noteWaits(c Cause, now time.Time) {
+	ready := s.readySince()
+	for _, t := range s.tasks {
+		if t.waits(now) {
+			t.note(c, ready, now)
+		}
+	}
+}
+
+// readySince returns when the last of the steps before it was done, or else when
+// the job became known here.
+func (s *stepState) readySince() time.Time {
+	at := s.job.knownAt
+	for _, a := range s.spec.After {
+		if b := s.job.step(s.occurrence, a); b != nil && b.doneAt.After(at) {
+			at = b.doneAt
+		}
+	}
+	return at
+}
+
+// ended accounts for a run that ended without the task's being done.
+func (r *run) ended(c Cause, now time.Time) {
+	if r.firstSent.IsZero() || r.task.done {
+		return
+	}
+	r.task.spent[c] += now.Sub(r.firstSent)
+	r.task.lookedAt = now
+}
+
+// doneBy notes which run ended the task, and the step with it if it was the last.
+func (t *task) doneBy(r *run, now time.Time) {
+	if r != nil && !r.firstSent.IsZero() {
+		took := now.Sub(r.firstSent)
+		work := min(took, t.step.spec.Estimate)
+		t.spent[CauseWork] += work
+		t.spent[CauseSlow] += took - work
+	}
+	if t.step.left == 0 {
+		t.step.doneAt, t.step.last = now, t
+	}
+}
+
+// waitCause tells why a task of the pool finds no room now.
+func (c *Core) waitCause(service string) Cause {
+	p := c.pool(service)
+	switch {
+	case p.arriving > 0:
+		return CauseArriving
+	case p.maintained > 0:
+		return CauseMaintained
+	}
+	return CausePoolShort
+}
+
+// account returns what a completed job's time was spent on.
+func (j *jobState) account(now time.Time) Account {
+	a := Account{Total: now.Sub(j.spec.AcceptedAt)}
+	before := CauseUnknown
+	if j.loaded {
+		before = CauseEarlier
+	}
+	a.Spent[before] = max(0, j.knownAt.Sub(j.spec.AcceptedAt))
+	work := time.Duration(0)
+	for s := j.lastStep(); s != nil; s = s.lastBefore() {
+		if s.last == nil {
+			break // done in an earlier term
+		}
+		for c, d := range s.last.spent {
+			a.Spent[c] += d
+		}
+		work += s.last.spent[CauseWork] + s.last.spent[CauseSlow]
+	}
+	a.Allowed = time.Duration(j.queue.Stretch*float64(work)) + j.queue.Objective
+	rest := a.Total
+	for _, d := range a.Spent {
+		rest -= d
+	}
+	a.Spent[CauseOther] += max(0, rest)
+	return a
+}
+
+// lastStep returns the step of the newest occurrence that was done last.
+func (j *jobState) lastStep() *stepState {
+	var last *stepState
+	for _, s := range j.steps {
+		if last == nil || s.doneAt.After(last.doneAt) {
+			last = s
+		}
+	}
+	return last
+}
+
+// lastBefore returns the step that s waited for longest, nil if it waited for none.
+func (s *stepState) lastBefore() *stepState {
+	var last *stepState
+	for _, a := range s.spec.After {
+		if b := s.job.step(s.occurrence, a); b != nil && (last == nil || b.doneAt.After(last.doneAt)) {
+			last = b
+		}
+	}
+	return last
+}
+
+// noteIfLate writes a line on a completed job that took longer than it was
+// allowed to.
+func (c *Core) noteIfLate(j *jobState, now time.Time) {
+	if j.state != job.Completed || j.spec.Repeat > 0 || j.spec.Steps[0].LongRunning {
+		return
+	}
+	if a := j.account(now); a.Total > a.Allowed {
+		c.note(Decision{Event: "job-late", Job: j.spec.ID, Reason: j.service, Account: &a})
+	}
+}
--- /dev/null
+++ b/jobs/owner/account_test.go
@@ -0,0 +1,98 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// lateLines returns the accounts that the core noted.
+func (r *rig) lateLines() []Account {
+	var out []Account
+	for _, d := range r.core.TakeDecisions() {
+		if d.Account != nil {
+			out = append(out, *d.Account)
+		}
+	}
+	return out
+}
+
+// TestAccountOfALateJob: one task waits for room, fails once and then takes longer
+// than estimated; what that took is in the account, and adds up.
+func TestAccountOfALateJob(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	r.submit(1, 8) // fills the worker
+	first := r.started()
+	require.Len(t, first, 8)
+
+	j := simpleJob(2, 1)
+	j.AcceptedAt = r.now
+	r.core.Submit(j, r.now)
+	r.tick(5 * time.Second) // no room
+	ends := []End{}
+	for i, s := range first { // the worker's room comes free
+		ends = append(ends, End{Number: uint64(i + 1), Task: s.Task, Run: s.Run, Kind: EndDone})
+	}
+	r.held(a, nil, ends...)
+	r.tick(25 * time.Millisecond)
+	second := r.started()
+	require.Len(t, second, 1)
+	r.tick(500 * time.Millisecond)
+	r.held(a, nil, End{Number: 9, Task: second[0].Task, Run: second[0].Run, Kind: EndFailed})
+	r.tick(1500 * time.Millisecond) // it waits for another worker, of which there is none
+	third := r.started()
+	require.Len(t, third, 1)
+	r.tick(3 * time.Second)
+	r.core.TakeDecisions()
+	r.held(a, nil, End{Number: 10, Task: third[0].Task, Run: third[0].Run, Kind: EndDone})
+	late := r.lateLines()
+	require.Len(t, late, 1)
+	spent := late[0].Spent
+	assert.InDelta(t, 5.0, spent[CausePoolShort].Seconds(), 0.1)
+	assert.GreaterOrEqual(t, spent[CauseFailed], 500*time.Millisecond)
+	assert.InDelta(t, 1.0, spent[CauseWork].Seconds(), 0.01, "the estimate")
+	assert.GreaterOrEqual(t, spent[CauseSlow], 1900*time.Millisecond)
+	var sum time.Duration
+	for _, d := range spent {
+		sum += d
+	}
+	assert.Equal(t, late[0].Total, sum)
+}
+
+// TestNoAccountOfAJobInTime: a line is written on late jobs only.
+func TestNoAccountOfAJobInTime(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	j := simpleJob(1, 1)
+	j.AcceptedAt = r.now
+	r.core.Submit(j, r.now)
+	r.tick(0)
+	s := r.started()
+	require.Len(t, s, 1)
+	r.tick(time.Second)
+	r.held(a, nil, End{Number: 1, Task: s[0].Task, Run: s[0].Run, Kind: EndDone})
+	assert.Equal(t, job.Completed, r.core.jobs[j.ID].state)
+	assert.Empty(t, r.lateLines())
+}
+
+// TestEndedJobsAreRecordedFirst: their callers are told only then.
+func TestEndedJobsAreRecordedFirst(t *testing.T) {
+	r := newRig(t, 1)
+	for n := range 40 {
+		j := simpleJob(n, 1)
+		r.core.Submit(j, r.now)
+		r.core.touch(r.core.jobs[j.ID])
+	}
+	last := simpleJob(39, 1).ID
+	r.core.Cancel(last, r.now)
+	records := r.core.Uncommitted(3)
+	require.Len(t, records, 3)
+	assert.Equal(t, last, records[0].ID)
+}
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -52,7 +52,7 @@
 	r := t.findRun(e.Run, w)
 	j.begun = true
 	if r != nil {
-		c.release(r)
+		c.release(r, e.Kind.cause(), now)
 	}
 	if j.state.Final() {
 		return
@@ -65,7 +65,7 @@
 	switch e.Kind {
 	case EndDone:
 		c.counts.Done++
-		c.onDone(t, now)
+		c.onDone(t, r, now)
 	case EndFailed:
 		c.counts.Failed++
 		c.onFailed(w, t, e, now)
@@ -80,7 +80,7 @@
 	c.changed[j.service] = true
 }
 
-func (c *Core) onDone(t *task, now time.Time) {
+func (c *Core) onDone(t *task, by *run, now time.Time) {
 	s := t.step
 	if s.spec.LongRunning {
 		c.changed[s.job.service] = true
@@ -91,7 +91,11 @@
 		members = s.tasks
 	}
 	for _, m := range members {
+		wasDone := m.done
 		c.complete(m)
+		if !wasDone {
+			m.doneBy(by, now)
+		}
 		for _, r := range m.runs {
 			c.stop(r, "the task is done", now)
 		}
@@ -141,8 +145,26 @@
 	c.touch(t.step.job)
 }
 
-// release frees the room of a run that is over.
-func (c *Core) release(r *run) {
+// cause returns what the time of a run that ended so counts as, if it did not do
+// the task.
+func (k EndKind) cause() Cause {
+	switch k {
+	case EndDone:
+		return CauseWork
+	case EndFailed:
+		return CauseFailed
+	case EndStopped:
+		return CauseStopped
+	}
+	return CauseLost
+}
+
+// release frees the room of a run that is over. Its time counts as c, unless it did
+// the task.
+func (c *Core) release(r *run, cause Cause, now time.Time) {
+	if cause != CauseWork {
+		r.ended(cause, now)
+	}
 	r.task.dropRun(r)
 	c.changed[r.worker.Service] = true
 	c.changed[r.task.step.job.service] = true
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -1,6 +1,9 @@
 package owner
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"time"
 
 	"github.com/postmount/postmount/jobs/job"
@@ -10,6 +13,7 @@
 func (c *Core) load(l Loaded, now time.Time) {
 	j := c.add(l.Job, now)
 	j.inherited = true
+	j.loaded = true
 	if l.Progress != nil {
 		c.restore(j, l.Progress, now)
 	}
@@ -71,7 +75,7 @@
 }
 
 func (c *Core) add(spec *job.Job, now time.Time) *jobState {
-	j := &jobState{spec: spec, service: spec.Service, state: job.Queued}
+	j := &jobState{spec: spec, service: spec.Service, state: job.Queued, knownAt: now}
 	c.jobs[spec.ID] = j
 	c.open[spec.ID] = j
 	c.requeue(j)
@@ -187,6 +191,7 @@
 	j.endedAt = now
 	c.touch(j)
 	c.note(Decision{Event: "job-" + string(state), Job: j.spec.ID})
+	c.noteIfLate(j, now)
 	for _, s := range j.steps {
 		for _, t := range s.tasks {
 			for _, r := range t.runs {
@@ -258,18 +263,31 @@
 	}
 }
 
-// Uncommitted returns records that have to be written, at most n.
+// Uncommitted returns records that have to be written, at most n: those of jobs that
+// ended come first, as their callers are told only once they are written.
 func (c *Core) Uncommitted(n int) []Record {
-	var out []Record
-	for id, j := range c.dirty {
-		if len(out) == n {
-			break
+	list := slices.Collect(maps.Values(c.dirty))
+	slices.SortFunc(list, func(a, b *jobState) int {
+		if a.state.Final() != b.state.Final() {
+			return boolFirst(a.state.Final())
 		}
-		out = append(out, Record{ID: id, Progress: j.progress(), version: j.version})
+		return strings.Compare(string(a.spec.ID), string(b.spec.ID))
+	})
+	var out []Record
+	for _, j := range list[:min(n, len(list))] {
+		out = append(out, Record{ID: j.spec.ID, Progress: j.progress(), version: j.version})
 	}
 	return out
 }
 
+// boolFirst orders what holds before what does not.
+func boolFirst(holds bool) int {
+	if holds {
+		return -1
+	}
+	return 1
+}
+
 // Dirty returns how many jobs have to be written.
 func (c *Core) Dirty() int { return len(c.dirty) }
 
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -77,7 +77,7 @@
 		c.stop(r, "an earlier order for it may still arrive", now)
 		return
 	}
-	c.release(r)
+	c.release(r, CauseLost, now)
 }
 
 // afterLateAnswer handles the answer to a start whose run was freed meanwhile.
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -9,13 +9,15 @@
 
 // poolState is what is known of the demand of a service.
 type poolState struct {
-	waiting  float64   // cores that tasks wait for, at the last placement
-	since    time.Time // when the first of them began to; zero: none waits
-	placedAt time.Time // the last placement
-	jobs     int       // that waited then
-	lowest   int       // greatest number of a priority of which a task was started
-	arrivals capacity.Rate
-	trend    estimateTrend
+	waiting    float64   // cores that tasks wait for, at the last placement
+	since      time.Time // when the first of them began to; zero: none waits
+	placedAt   time.Time // the last placement
+	jobs       int       // that waited then
+	lowest     int       // greatest number of a priority of which a task was started
+	arrivals   capacity.Rate
+	arriving   int // instances on their way to it, at the last sizing
+	maintained int // its instances that are kept for a wave, likewise
+	trend      estimateTrend
 }
 
 // moveState is an instance on its way to another pool.
@@ -95,11 +97,25 @@
 	c.nextSize = now.Add(sizeEvery)
 	c.settleMoves(now)
 	pools, spare := c.poolViews(now)
+	c.noteSupply(pools)
 	for _, m := range capacity.Plan(c.opt.Pools, c.opt.Weights, pools, spare) {
 		c.orderMove(m, now)
 	}
 }
 
+// noteSupply keeps what explains why tasks of a pool wait.
+func (c *Core) noteSupply(pools []capacity.Pool) {
+	for _, p := range pools {
+		s := c.pool(p.Name)
+		s.arriving, s.maintained = max(0, p.Arriving), 0
+	}
+	for _, w := range c.workers {
+		if w.reserved == "maintenance" && !w.gone {
+			c.pool(w.Service).maintained++
+		}
+	}
+}
+
 // settleMoves forgets moves that are over.
 func (c *Core) settleMoves(now time.Time) {
 	for id, m := range c.moves {
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -132,6 +132,7 @@
 	room := c.roomOf(service, now)
 	for _, cl := range claims {
 		if cl.job.inherited && !known {
+			cl.job.noteWaits(CauseTakeover, now)
 			continue
 		}
 		for _, s := range cl.job.steps {
@@ -205,6 +206,7 @@
 		i := placement.Choose(room.elsewhere(t), req)
 		if i < 0 && t.awaitsOther(room, &req, now) {
 			pool.wait(s, 1)
+			t.note(CauseElsewhere, s.readySince(), now)
 			continue
 		}
 		if i < 0 {
@@ -229,6 +231,7 @@
 		c.preempt(s, *req, room, now)
 	}
 	c.noteWaiting(s, room, possible)
+	s.noteWaits(c.waitCause(s.job.service), now)
 	if s.needsPermits() {
 		c.ask(s, room, now)
 	}
@@ -270,6 +273,7 @@
 	chosen := placement.ChooseGang(room.views, req, len(s.tasks), s.spec.SameRack)
 	if chosen == nil {
 		pool.wait(s, len(s.tasks))
+		s.noteWaits(c.waitCause(s.job.service), now)
 		if s.needsPermits() {
 			c.ask(s, room, now)
 		}
@@ -288,7 +292,7 @@
 }
 
 func (c *Core) start(t *task, w *worker, number uint64, now time.Time) {
-	r := &run{task: t, number: number, worker: w, phase: starting, throttle: 100}
+	r := &run{task: t, number: number, worker: w, phase: starting, throttle: 100, firstSent: now}
 	t.addRun(r)
 	if j := t.step.job; !j.begun {
 		j.begun = true
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -24,19 +24,20 @@
 
 // run is one attempt of a task on a worker.
 type run struct {
-	task     *task
-	number   uint64
-	worker   *worker
-	phase    phase
-	sentAt   time.Time // last order for it
-	tries    int       // orders sent without an answer
-	ackedAt  time.Time // when the worker confirmed the start, or the stop
-	percent  int
-	movedAt  time.Time // when percent last changed
-	usage    int
-	throttle int  // percent of its speed that was ordered; 100 at the start
-	lost     bool // an order for it went unanswered; it may arrive late
-	reason   string
+	task      *task
+	number    uint64
+	worker    *worker
+	phase     phase
+	sentAt    time.Time // last order for it
+	firstSent time.Time // first order for it; zero: an earlier owner started it
+	tries     int       // orders sent without an answer
+	ackedAt   time.Time // when the worker confirmed the start, or the stop
+	percent   int
+	movedAt   time.Time // when percent last changed
+	usage     int
+	throttle  int  // percent of its speed that was ordered; 100 at the start
+	lost      bool // an order for it went unanswered; it may arrive late
+	reason    string
 }
 
 type phase int
@@ -58,6 +59,8 @@
 	notBefore  time.Time  // backoff after a failure
 	failedOn   []WorkerID // in this term; the fault may have been the worker's
 	failedAt   time.Time  // newest of these
+	spent      spent      // what its time went to so far
+	lookedAt   time.Time  // until when that is accounted for
 }
 
 func (t *task) id() job.TaskID {
@@ -105,6 +108,8 @@
 	blocked    int          // earlier steps that are not done
 	failures   job.Failures // of the whole gang
 	permits    *permits     // nil: the advisor was not asked
+	doneAt     time.Time    // when its last task was done; zero: not yet, or in an earlier term
+	last       *task        // the task that was done last
 
 	waitsSince  time.Time // a task of it has found no room since; zero: none waits
 	preemptedAt time.Time // last time that runs were stopped for it
@@ -126,12 +131,14 @@
 	waitNoted bool // the log says why a task of it was not placed at once
 	endedAt   time.Time
 	inherited bool          // accepted before this term
+	loaded    bool          // known from the store when this term began
 	version   uint64        // rises with each change that has to be kept
 	written   uint64        // newest version in the store
 	leftWork  float64       // core-seconds that are not done, by the estimates
 	leftChain time.Duration // longest chain of steps that are not done, likewise
 	chain     time.Duration
-	work      float64 // core-seconds by the estimates, for the order of jobs
+	work      float64   // core-seconds by the estimates, for the order of jobs
+	knownAt   time.Time // when this owner learned of it
 }
 
 func (j *jobState) step(occurrence, index int) *stepState {
@@ -227,8 +234,8 @@
 	dirty     map[job.ID]*jobState
 	changed   map[string]bool // services with something to place
 	out       Effects
-	settled   map[string]bool // services of which every earlier run is known
-	awaited   map[string]bool // those of which the log says that they wait
+	settled   map[string]bool    // services of which every earlier run is known
+	awaited   map[string]awaited // what others wait for, as the log says
 	startedAt time.Time
 	listedAt  time.Time // newest list of registrations
 	settleAt  time.Time // missing registrations count as gone from then on
@@ -251,12 +258,13 @@
 // Decision is a line for the log: what was decided about a job, a worker or an
 // instance, and why.
 type Decision struct {
-	Event  string // one word for the kind of decision
-	Job    job.ID
-	Task   string
-	Worker WorkerID
-	Run    uint64
-	Reason string
+	Event   string // one word for the kind of decision
+	Job     job.ID
+	Task    string
+	Worker  WorkerID
+	Run     uint64
+	Reason  string
+	Account *Account // of a job that was late
 }
 
 func (c *Core) note(d Decision) { c.events = append(c.events, d) }
@@ -300,7 +308,7 @@
 		changed:   map[string]bool{},
 		early:     map[job.ID]time.Time{},
 		settled:   map[string]bool{},
-		awaited:   map[string]bool{},
+		awaited:   map[string]awaited{},
 		startedAt: now,
 		settleAt:  now,
 	}
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -86,10 +86,7 @@
 	}
 	unheard := c.unheardOf(service)
 	if unheard != "" && now.Sub(c.startedAt) <= c.leaseBound() {
-		if !c.awaited[service] {
-			c.awaited[service] = true
-			c.note(Decision{Event: "inherited-tasks-wait", Reason: service + " for " + unheard})
-		}
+		c.noteAwaited(service, unheard, now)
 		return false
 	}
 	c.settled[service] = true
@@ -101,6 +98,24 @@
 	return true
 }
 
+// awaitedEvery is the least time between two lines on what a service waits for.
+const awaitedEvery = 500 * time.Millisecond
+
+// awaited is what the log says that a service's inherited tasks wait for.
+type awaited struct {
+	whom string
+	at   time.Time
+}
+
+func (c *Core) noteAwaited(service, whom string, now time.Time) {
+	said := c.awaited[service]
+	if said.whom == whom || now.Sub(said.at) < awaitedEvery {
+		return
+	}
+	c.awaited[service] = awaited{whom, now}
+	c.note(Decision{Event: "inherited-tasks-wait", Reason: service + " for " + whom})
+}
+
 // unheardOf names an instance of the service that may run tasks and has not
 // answered our token yet, "" if there is none. Registrations of lives that the
 // instance list does not show are left over: these lives are over.
@@ -108,13 +123,17 @@
 	if c.instAt.IsZero() {
 		return "the instance list"
 	}
+	first := InstanceID("")
 	for _, i := range c.instances {
 		if i.Pool != service || i.State != InstanceUp || i.Worker == "" {
 			continue
 		}
-		if w := c.workers[i.Worker]; w == nil || !w.held && !w.gone {
-			return "instance " + string(i.ID)
+		if w := c.workers[i.Worker]; (w == nil || !w.held && !w.gone) && (first == "" || i.ID < first) {
+			first = i.ID
 		}
 	}
-	return ""
+	if first == "" {
+		return ""
+	}
+	return "instance " + string(first)
 }
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -243,7 +243,7 @@
 		if !confirmed {
 			continue
 		}
-		c.release(r) // its end was listed before, or it never began
+		c.release(r, CauseLost, now) // its end was listed before, or it never began
 		if r.phase == running {
 			c.counts.Lost++
 			c.note(Decision{Event: "run-vanished", Job: id.Job, Task: id.String(), Worker: w.Worker, Run: r.number})
@@ -298,7 +298,7 @@
 	c.note(Decision{Event: "worker-gone", Worker: w.Worker, Reason: proof})
 	for _, r := range w.runs {
 		c.counts.Lost++
-		c.release(r)
+		c.release(r, CauseLost, now)
 	}
 	for _, j := range c.open {
 		c.changed[j.service] = true
@@ -319,7 +319,7 @@
 			c.note(Decision{Event: "leases-over", Worker: id, Reason: "silent for " + now.Sub(w.silentSince).String()})
 			for _, r := range w.runs {
 				c.counts.Lost++
-				c.release(r)
+				c.release(r, CauseLost, now)
 			}
 		}
 		if !w.registered && len(w.runs) == 0 && !w.holding && now.Sub(w.silentSince) > c.opt.TaskLease*2 {
--- /dev/null
+++ b/lab/jobload/play.go
@@ -0,0 +1,346 @@
+package jobload
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/postmount/postmount/jobs/capacity"
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// Figures of a daemon and of callers. They are those of package node and of the
+// users' pages.
+const (
+	tickEvery          = 25 * time.Millisecond
+	commitEvery        = 40 * time.Millisecond
+	storeTime          = 5 * time.Millisecond
+	recordsPerCommit   = 28
+	registrationsEvery = 400 * time.Millisecond
+	expectingEvery     = 100 * time.Millisecond
+	instancesEvery     = 700 * time.Millisecond
+	taskLease          = 4500 * time.Millisecond
+	holdWait           = 900 * time.Millisecond
+	dutyHandover       = 3 * time.Second
+	// lockLapse is how long after an owner's end the next one is elected: its lease
+	// of 2 s, and the election.
+	lockLapse = 2100 * time.Millisecond
+	// reelection is how long after the store's return an owner is elected.
+	reelection = 180 * time.Millisecond
+	// loadPerJob is what reading a job from the store takes a new owner.
+	loadPerJob = 300 * time.Microsecond
+	// rest is how long after the arrivals open jobs may still end.
+	rest = 25 * time.Second
+
+	stretch   = 1.6
+	objective = 600 * time.Millisecond
+	sparePool = "spare"
+)
+
+// tries are when a caller tries, counted from its first try: five times within the
+// three seconds for which it waits.
+var tries = []time.Duration{0, 1070 * time.Millisecond, 1840 * time.Millisecond, 2420 * time.Millisecond, 2870 * time.Millisecond}
+
+// sim is a scenario being played.
+type sim struct {
+	scenario  Scenario
+	engine    *engine
+	rand      *rand.Rand
+	catalog   *job.Catalog
+	core      *owner.Core // nil while there is no owner
+	term      uint64
+	result    Result
+	instances map[owner.InstanceID]*instance
+	ids       []owner.InstanceID
+	workers   map[owner.WorkerID]*worker
+	paidSince map[owner.InstanceID]time.Time
+	jobs      map[job.ID]*simJob
+	stored    []*simJob // accepted, in this order
+	progress  map[job.ID]job.Progress
+	away      time.Time // until when the store is away
+	commits   bool      // one is under way
+	waves     int
+	billed    bool // the arrivals are over
+}
+
+type simJob struct {
+	spec  *job.Job
+	takes [][]time.Duration // of each task of each step
+	first time.Time         // first try
+	ended bool
+}
+
+// Play plays a scenario to its end.
+func Play(sc Scenario) Result {
+	s := newSim(sc)
+	s.begin()
+	s.engine.after(sc.Length, s.billAll)
+	for end := start.Add(sc.Length + rest); s.engine.next(end); {
+		s.settle()
+	}
+	s.finish()
+	return s.result
+}
+
+func newSim(sc Scenario) *sim {
+	if sc.Size == "" {
+		sc.Size = capacity.Demand
+	}
+	if sc.Order == "" {
+		sc.Order = owner.OrderByWorth
+	}
+	s := &sim{
+		scenario: sc, engine: newEngine(), rand: rand.New(rand.NewPCG(sc.Seed, 1)),
+		instances: map[owner.InstanceID]*instance{}, workers: map[owner.WorkerID]*worker{},
+		paidSince: map[owner.InstanceID]time.Time{}, jobs: map[job.ID]*simJob{}, progress: map[job.ID]job.Progress{},
+	}
+	s.result = Result{Causes: map[string]time.Duration{}, LateBySecond: map[int]int{}, JobsBySecond: map[int]int{}, LateByQueue: map[string]int{}}
+	s.catalog = &job.Catalog{Services: []job.Service{{Name: sparePool, Spare: true}}}
+	for _, q := range sc.Queues {
+		s.catalog.Queues = append(s.catalog.Queues, job.Queue{Name: q.Name, Service: q.Name, Priority: q.Priority, MaxAttempts: 3, Stretch: stretch, Objective: objective})
+		s.catalog.Services = append(s.catalog.Services, job.Service{Name: q.Name, EnforcesRoom: true})
+		s.addInstances(q.Name, sc.Instances)
+	}
+	s.addInstances(sparePool, sc.Spare)
+	return s
+}
+
+func (s *sim) begin() {
+	s.elect()
+	s.every(tickEvery, s.tick)
+	s.every(commitEvery, s.commit)
+	s.every(instancesEvery, s.listInstances)
+	s.register()
+	for _, q := range s.scenario.Queues {
+		s.arrive(q)
+	}
+	for _, t := range s.scenario.Troubles {
+		s.engine.after(t.At, func() { s.strike(t) })
+	}
+}
+
+func (s *sim) every(d time.Duration, do func()) {
+	s.engine.after(d, func() {
+		do()
+		s.every(d, do)
+	})
+}
+
+// tell hands an event to the core if its term still goes on.
+func (s *sim) tell(term uint64, f func(*owner.Core)) {
+	if s.core != nil && s.term == term {
+		f(s.core)
+	}
+}
+
+// elect begins a term. The new owner knows what the store holds.
+func (s *sim) elect() {
+	s.term++
+	var loaded []owner.Loaded
+	for _, j := range s.stored {
+		l := owner.Loaded{Job: j.spec}
+		if p, ok := s.progress[j.spec.ID]; ok {
+			l.Progress = &p
+		}
+		loaded = append(loaded, l)
+	}
+	s.core = owner.New(owner.Options{
+		Term: s.term, TaskLease: taskLease, HoldWait: holdWait, DutyHandover: dutyHandover, KeepStatus: 2 * time.Minute,
+		Weights: capacity.DefaultWeights, Pools: s.scenario.Size, Order: s.scenario.Order,
+	}, s.catalog, loaded, s.engine.now)
+	s.commits = false
+	s.listInstances()
+	s.listWorkers()
+}
+
+// settle carries out what the core wants done after an event.
+func (s *sim) settle() {
+	if s.core == nil {
+		return
+	}
+	s.core.React(s.engine.now)
+	e := s.core.Take()
+	term := s.term
+	for _, o := range e.Starts {
+		s.engine.after(orderTime, func() {
+			a := s.start(o)
+			s.reply(a, term, func(c *owner.Core) { c.OnStarted(o, a, s.engine.now) })
+		})
+	}
+	for _, o := range e.Stops {
+		s.engine.after(orderTime, func() {
+			a := s.stop(o)
+			s.reply(a, term, func(c *owner.Core) { c.OnStopped(o, a, s.engine.now) })
+		})
+	}
+	for _, o := range e.Holds {
+		s.beginHold(o)
+	}
+	for _, o := range e.Instances {
+		s.engine.after(orderTime, func() {
+			outcome := s.order(o)
+			s.tell(term, func(c *owner.Core) { c.OnInstanceOrder(o, outcome, s.engine.now) })
+			s.listInstances()
+		})
+	}
+	s.account()
+}
+
+// reply hands on a worker's answer; that there is none shows after a timeout.
+func (s *sim) reply(a owner.Answer, term uint64, f func(*owner.Core)) {
+	wait := time.Duration(0)
+	if a.Outcome == owner.Unanswered {
+		wait = owner.OrderTimeout
+	}
+	s.engine.after(wait, func() { s.tell(term, f) })
+}
+
+// account sums up the lines on late jobs.
+func (s *sim) account() {
+	for _, d := range s.core.TakeDecisions() {
+		if s.scenario.Observe != nil {
+			s.scenario.Observe(s.engine.now, d)
+		}
+		if d.Account == nil {
+			continue
+		}
+		for c, t := range d.Account.Spent {
+			cause := owner.Cause(c)
+			if cause == owner.CauseWork || t == 0 {
+				continue
+			}
+			s.result.Causes[cause.String()] += t
+			if cause == owner.CausePoolShort || cause == owner.CauseArriving || cause == owner.CauseMaintained {
+				s.result.Waits += t
+			}
+		}
+	}
+}
+
+func (s *sim) tick() {
+	if s.core == nil {
+		return
+	}
+	s.core.SetStoreLease(!s.storeAway(), s.engine.now)
+	s.core.Tick(s.engine.now)
+}
+
+func (s *sim) storeAway() bool { return s.engine.now.Before(s.away) }
+
+// commit records what has changed.
+func (s *sim) commit() {
+	if s.core == nil || s.commits || s.storeAway() {
+		return
+	}
+	records := s.core.Uncommitted(recordsPerCommit)
+	if len(records) == 0 {
+		return
+	}
+	s.commits = true
+	term := s.term
+	s.engine.after(storeTime, func() {
+		s.tell(term, func(c *owner.Core) {
+			s.commits = false
+			for _, r := range records {
+				s.progress[r.ID] = r.Progress
+				if r.Progress.State.Final() {
+					s.ended(s.jobs[r.ID], r.Progress.State)
+				}
+			}
+			c.Committed(records, s.engine.now)
+		})
+	})
+}
+
+func (s *sim) listInstances() {
+	if s.core != nil && !s.storeAway() {
+		inst, _ := s.list()
+		s.core.OnInstances(inst, s.engine.now)
+	}
+}
+
+func (s *sim) listWorkers() {
+	if s.core != nil && !s.storeAway() {
+		_, regs := s.list()
+		s.core.Register(regs, s.engine.now)
+	}
+}
+
+// register reads the registrations now and after a while, as the daemon does.
+func (s *sim) register() {
+	s.listWorkers()
+	pause := registrationsEvery
+	if s.core != nil && s.core.Expecting() {
+		pause = expectingEvery
+	}
+	s.engine.after(pause, s.register)
+}
+
+// strike lets a trouble begin.
+func (s *sim) strike(t Trouble) {
+	switch t.What {
+	case StoreAway:
+		s.away = s.engine.now.Add(t.For)
+	case StoreLapse:
+		s.away = s.engine.now.Add(t.For)
+		s.engine.after(t.For, func() { s.core = nil })
+		s.succeed(t.For + reelection)
+	case OwnerKilled:
+		s.core = nil
+		s.succeed(lockLapse)
+	case Wave:
+		s.requestWave(t)
+	case RackLost:
+		for _, id := range s.ids[:min(t.Some, len(s.ids))] {
+			if i := s.instances[id]; i.State == owner.InstanceUp {
+				s.fall(i, owner.InstanceDown, rackBack)
+			}
+		}
+	case Heavy:
+		for range t.Some {
+			s.submit(s.scenario.Queues[0], 4)
+		}
+	}
+}
+
+// succeed elects an owner after d, and the time that it takes to read the jobs.
+func (s *sim) succeed(d time.Duration) {
+	s.engine.after(d, func() {
+		s.engine.after(time.Duration(len(s.stored))*loadPerJob, s.elect)
+	})
+}
+
+// waveWidth is how many instances of a wave may be down at the same time.
+const waveWidth = 10
+
+func (s *sim) requestWave(t Trouble) {
+	s.waves++
+	req := owner.WaveRequest{Wave: s.waves, Within: t.For, MaxDown: waveWidth}
+	for _, q := range s.scenario.Queues {
+		for k := range min(t.Some, s.scenario.Instances) {
+			req.Instances = append(req.Instances, owner.InstanceID(fmt.Sprintf("%s-%03d", q.Name, k)))
+		}
+	}
+	if s.core != nil {
+		s.core.OnWave(req, nil, false, s.engine.now)
+	}
+}
+
+// finish counts what is still open.
+func (s *sim) finish() {
+	for _, j := range s.stored {
+		if !j.ended {
+			s.result.Open++
+			s.late(j)
+		}
+	}
+}
+
+// billAll ends the bill.
+func (s *sim) billAll() {
+	for _, id := range s.ids {
+		s.bill(s.instances[id])
+	}
+	s.billed = true
+}
--- /dev/null
+++ b/lab/jobload/report_test.go
@@ -0,0 +1,85 @@
+package jobload
+
+import (
+	"encoding/json"
+	"strconv"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/explain"
+	"github.com/postmount/postmount/jobs/late"
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// logOf plays a scenario and returns what its owners would log of it.
+func logOf(sc Scenario) []explain.Line {
+	var lines []explain.Line
+	sc.Observe = func(at time.Time, d owner.Decision) {
+		l := explain.Line{Source: "owner", Time: at, Event: d.Event, Job: string(d.Job)}
+		if d.Account != nil {
+			l.Fields = append(l.Fields,
+				explain.Field{Name: "why", Value: d.Reason},
+				explain.Field{Name: "total", Value: ms(d.Account.Total)},
+				explain.Field{Name: "allowed", Value: ms(d.Account.Allowed)})
+			for c, t := range d.Account.Spent {
+				l.Fields = append(l.Fields, explain.Field{Name: owner.Cause(c).String(), Value: ms(t)})
+			}
+		}
+		lines = append(lines, l)
+	}
+	Play(sc)
+	return lines
+}
+
+func ms(d time.Duration) string { return strconv.FormatInt(d.Milliseconds(), 10) }
+
+// TestWhereTheTimeWent tells of three days what delayed their jobs: the causes have
+// to follow from what befell the day.
+func TestWhereTheTimeWent(t *testing.T) {
+	for _, c := range []struct {
+		name    string
+		trouble Trouble
+		causes  []string // that delayed most jobs, in any order
+	}{
+		{"owner-killed", Trouble{At: 12 * time.Second, What: OwnerKilled}, []string{"earlier-term"}},
+		{"store-lapse", Trouble{At: 12 * time.Second, For: 4 * time.Second, What: StoreLapse}, []string{"earlier-term"}},
+		{"heavy", Trouble{At: 12 * time.Second, What: Heavy, Some: 40}, []string{"instances-arriving", "pool-short"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			sc := byTurns(1)
+			sc.Troubles = []Trouble{c.trouble}
+			r := late.Make(logOf(sc))
+			all := r.All()
+			require.NotEmpty(t, all.Causes)
+			assert.Contains(t, c.causes, all.Causes[0].Cause)
+			var seconds float64
+			for _, s := range all.Causes {
+				seconds += s.Seconds
+			}
+			var total time.Duration
+			for _, j := range r.Jobs {
+				total += j.Total
+			}
+			assert.InDelta(t, total.Seconds(), seconds, 0.02*total.Seconds(), "the causes do not add up to the jobs' time")
+		})
+	}
+}
+
+// TestReportOfATakeover compares the whole report with a golden file.
+func TestReportOfATakeover(t *testing.T) {
+	sc := byTurns(3)
+	sc.Length = 16 * time.Second
+	sc.Troubles = []Trouble{{At: 5 * time.Second, What: OwnerKilled}}
+	r := late.Make(logOf(sc))
+	raw, err := json.MarshalIndent(struct {
+		All      late.Group
+		ByQueue  []late.Group
+		BySecond []late.Group
+	}{r.All(), r.ByQueue(), r.BySecond(2 * time.Second)}, "", " ")
+	require.NoError(t, err)
+	goldie.New(t).Assert(t, "takeover", raw)
+}
--- /dev/null
+++ b/lab/jobload/scenario.go
@@ -0,0 +1,130 @@
+package jobload
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/capacity"
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// Scenario is a fleet and what befalls it.
+type Scenario struct {
+	Seed      uint64
+	Length    time.Duration // of the arrivals; what is open then may end in a while
+	Instances int           // of each pool at the start
+	Spare     int           // instances that are off and cost nothing
+	Room      job.Resources // of an instance
+	Queues    []Queue       // each has a pool of its own
+	Troubles  []Trouble
+
+	Size  capacity.Policy
+	Order owner.OrderPolicy
+
+	// Observe is told each decision of an owner; it may be nil.
+	Observe func(at time.Time, d owner.Decision)
+}
+
+// Queue is a kind of jobs and when they come.
+type Queue struct {
+	Name      string
+	PerSecond float64 // mean of its arrivals
+	Shape     Shape
+	Kind      Kind
+	Priority  int
+}
+
+// Shape tells how many times its mean a queue asks for at a time.
+type Shape func(at time.Duration) float64
+
+// Steady is a queue's mean at any time.
+func Steady(time.Duration) float64 { return 1 }
+
+// Kind says what the jobs of a queue are like. Sizes are spread evenly over the mean
+// and half of it, either way.
+type Kind struct {
+	Steps    int
+	Width    int // mean number of tasks of a step
+	CPUMilli int // mean of a task
+	MemMB    int
+	Task     time.Duration // mean of how long a task takes
+	EstOff   float64       // by which share estimates are off at most, either way
+}
+
+// Turns returns the shape of queue i of n that rise and fall by turns: each asks for
+// high times its mean for the length of a turn, and for low times in between.
+func Turns(i, n int, turn time.Duration, high, low float64) Shape {
+	return func(at time.Duration) float64 {
+		if int(at/turn)%n == i {
+			return high
+		}
+		return low
+	}
+}
+
+// Trouble is something that goes wrong.
+type Trouble struct {
+	At   time.Duration
+	For  time.Duration
+	What What
+	Some int // how many instances it befalls, where that applies
+}
+
+// What goes wrong.
+type What int
+
+// The troubles.
+const (
+	// StoreAway lets nothing be accepted or recorded; the owner goes on with what it
+	// knows. Callers try again until their patience ends.
+	StoreAway What = iota
+	// StoreLapse is StoreAway, after which the owner's lock is gone: another daemon,
+	// or the same, is elected.
+	StoreLapse
+	// OwnerKilled leaves the fleet without an owner; what was not recorded is lost to
+	// the next one, which reads the jobs from the store.
+	OwnerKilled
+	// Wave asks for the maintenance of some instances of each pool.
+	Wave
+	// RackLost ends some instances of the first pool at once; they come back.
+	RackLost
+	// Heavy lets jobs come at once that are four times as wide as usual, on the first
+	// queue.
+	Heavy
+)
+
+// Result is what came of a scenario.
+type Result struct {
+	Jobs    int // that callers tried to submit
+	InTime  int
+	Late    int
+	Refused int // never accepted within a caller's patience
+	Open    int // accepted, and not done at the end
+
+	Causes          map[string]time.Duration // of late jobs' time, but for their work
+	Waits           time.Duration            // of late jobs for room
+	InstanceSeconds float64                  // of instances in pools that are paid for, during the arrivals
+	Moves           int
+	Starts          int
+	Thrown          float64        // core-seconds of work that was stopped or lost
+	LateBySecond    map[int]int    // by when they were submitted
+	JobsBySecond    map[int]int    // likewise
+	LateByQueue     map[string]int // late, refused or open
+}
+
+// Share returns the share of jobs that were in time.
+func (r *Result) Share() float64 { return float64(r.InTime) / float64(max(1, r.Jobs)) }
+
+// ShareBetween returns the share in time of the jobs submitted from second a up to
+// second b.
+func (r *Result) ShareBetween(a, b int) float64 {
+	jobs, late := 0, 0
+	for s := a; s < b; s++ {
+		jobs += r.JobsBySecond[s]
+		late += r.LateBySecond[s]
+	}
+	return 1 - float64(late)/float64(max(1, jobs))
+}
+
+// MeanInstances returns how many instances were in pools, on average over d.
+func (r *Result) MeanInstances(d time.Duration) float64 { return r.InstanceSeconds / d.Seconds() }
