A new owner reads less: ended jobs without payload, parts at the same time; it knows the rate of arrivals at once

After it pools were sized without the rate of arrivals until five more jobs had come. Ruled out: dropping the submission of an ended job (a caller's repeat would be a new job); a warm copy at each daemon (its bytes cost more than the load). Change: an end is recorded in the submission's own key, without the payload, and its progress record goes in the same transaction; fields that are empty take no room; jobs, progress and waves are read at the same time; the rate is learned from the loaded jobs.

--- a/jobs/job/job.go
+++ b/jobs/job/job.go
@@ -31,9 +31,9 @@
 
 // Resources are what a task asks for, or what a worker has.
 type Resources struct {
-	CPUMilli int // thousandths of a core
-	MemMB    int
-	GPU      int
+	CPUMilli int `json:",omitempty"` // thousandths of a core
+	MemMB    int `json:",omitempty"`
+	GPU      int `json:",omitempty"`
 }
 
 // Fits reports whether need is within r.
@@ -51,24 +51,25 @@
 	return Resources{r.CPUMilli + o.CPUMilli, r.MemMB + o.MemMB, r.GPU + o.GPU}
 }
 
-// Step is a group of equal tasks of a job.
+// Step is a group of equal tasks of a job. What it leaves out takes no room in the
+// store, from which a new owner reads all jobs.
 type Step struct {
 	Count         int
 	Need          Resources
-	Estimate      time.Duration // a rough guess of one task's duration
-	After         []int         // numbers of earlier steps that must be done first
-	Checkpoints   bool          // its tasks can resume from a checkpoint
-	Gang          bool          // its tasks work only together
-	SameRack      bool          // a gang that is slower on more than one rack
-	RequiredLabel string        // label that the worker must have
-	PreferredRack string        // rack on which the task is faster
-	MaxPerWorker  int           // 0: no limit
-	Speculative   bool          // copies may run in parallel
-	LongRunning   bool          // runs until the job is cancelled
-	Image         string        // tasks of one image behave alike
-	LatencyTarget time.Duration // a serving task's tail must stay below; 0: none
-	Filler        bool          // uses only processor time that others leave
-	MayMiss       int           // how many of its tasks maintenance may take away at once
+	Estimate      time.Duration `json:",omitempty"` // a rough guess of one task's duration
+	After         []int         `json:",omitempty"` // numbers of earlier steps that must be done first
+	Checkpoints   bool          `json:",omitempty"` // its tasks can resume from a checkpoint
+	Gang          bool          `json:",omitempty"` // its tasks work only together
+	SameRack      bool          `json:",omitempty"` // a gang that is slower on more than one rack
+	RequiredLabel string        `json:",omitempty"` // label that the worker must have
+	PreferredRack string        `json:",omitempty"` // rack on which the task is faster
+	MaxPerWorker  int           `json:",omitempty"` // 0: no limit
+	Speculative   bool          `json:",omitempty"` // copies may run in parallel
+	LongRunning   bool          `json:",omitempty"` // runs until the job is cancelled
+	Image         string        `json:",omitempty"` // tasks of one image behave alike
+	LatencyTarget time.Duration `json:",omitempty"` // a serving task's tail must stay below; 0: none
+	Filler        bool          `json:",omitempty"` // uses only processor time that others leave
+	MayMiss       int           `json:",omitempty"` // how many of its tasks maintenance may take away at once
 }
 
 // Occupies returns what a task of the step takes of a worker's room.
@@ -85,11 +86,11 @@
 	ID         ID
 	Queue      string // name of the route it came by
 	Service    string // service of the queue when it was accepted
-	Payload    string // handed to the workers as it came
+	Payload    string `json:",omitempty"` // handed to the workers as it came
 	Steps      []Step
-	Repeat     int           // occurrences; 0: the job runs once, at once
-	StartAt    time.Time     // due time of the first occurrence
-	Interval   time.Duration // between due times of occurrences
+	Repeat     int           `json:",omitempty"` // occurrences; 0: the job runs once, at once
+	StartAt    time.Time     `json:",omitzero"`  // due time of the first occurrence
+	Interval   time.Duration `json:",omitempty"` // between due times of occurrences
 	AcceptedAt time.Time     // wall clock of the accepting daemon
 }
 
--- a/jobs/late/late_test.go
+++ b/jobs/late/late_test.go
@@ -1,10 +1,13 @@
 package late
 
 import (
+	"encoding/json"
+	"os"
 	"strings"
 	"testing"
 	"time"
 
+	"github.com/sebdah/goldie/v2"
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
@@ -66,3 +69,22 @@
 	assert.Zero(t, all.Jobs)
 	assert.Empty(t, r.ByQueue())
 }
+
+// TestReportOfATakeover compares the report on a day of the stand-ins, of which the
+// log is kept, with a golden file: its owner is killed in a turn of demand.
+func TestReportOfATakeover(t *testing.T) {
+	f, err := os.Open("testdata/takeover.log")
+	require.NoError(t, err)
+	defer f.Close()
+	lines, bad, err := explain.Read("owner", f)
+	require.NoError(t, err)
+	require.Zero(t, bad)
+	r := Make(lines)
+	raw, err := json.MarshalIndent(struct {
+		All      Group
+		ByQueue  []Group
+		BySecond []Group
+	}{r.All(), r.ByQueue(), r.BySecond(2 * time.Second)}, "", " ")
+	require.NoError(t, err)
+	goldie.New(t).Assert(t, "takeover", raw)
+}
--- a/jobs/ledger/accept.go
+++ b/jobs/ledger/accept.go
@@ -33,10 +33,10 @@
 // Acceptor writes submissions, several at a time.
 type Acceptor struct {
 	store Store
-	queue chan submission
+	queue chan pending
 }
 
-type submission struct {
+type pending struct {
 	key   string
 	value []byte
 	done  chan error
@@ -44,7 +44,7 @@
 
 // NewAcceptor returns an acceptor that does nothing before Run.
 func NewAcceptor(s Store) *Acceptor {
-	return &Acceptor{store: s, queue: make(chan submission, acceptQueue)}
+	return &Acceptor{store: s, queue: make(chan pending, acceptQueue)}
 }
 
 // Run starts the acceptor's goroutines, which end with ctx.
@@ -57,7 +57,7 @@
 // Accept stores a job. A nil error means that it is in the store, by this call
 // or an earlier one; otherwise the verdict says whether it may be.
 func (a *Acceptor) Accept(ctx context.Context, j *job.Job) error {
-	s := submission{key: prefixSubmitted + string(j.ID), value: encode(j), done: make(chan error, 1)}
+	s := pending{key: prefixSubmitted + string(j.ID), value: encode(j), done: make(chan error, 1)}
 	select {
 	case a.queue <- s:
 	default:
@@ -84,8 +84,8 @@
 
 // gather takes what else waits, up to a full transaction. Two submissions of
 // one job must not share it.
-func (a *Acceptor) gather(first submission) map[string][]submission {
-	batch := map[string][]submission{first.key: {first}}
+func (a *Acceptor) gather(first pending) map[string][]pending {
+	batch := map[string][]pending{first.key: {first}}
 	for len(batch) < acceptBatch {
 		select {
 		case s := <-a.queue:
@@ -99,7 +99,7 @@
 
 // storeBatch writes a batch. Jobs that are in the store already are taken out of
 // it, and the rest is sent again.
-func (a *Acceptor) storeBatch(ctx context.Context, batch map[string][]submission) {
+func (a *Acceptor) storeBatch(ctx context.Context, batch map[string][]pending) {
 	sent := false // an earlier try may still take effect
 	for try := 0; len(batch) > 0; {
 		res, err := a.commit(ctx, batch)
@@ -126,7 +126,7 @@
 	}
 }
 
-func (a *Acceptor) commit(ctx context.Context, batch map[string][]submission) (TxnResult, error) {
+func (a *Acceptor) commit(ctx context.Context, batch map[string][]pending) (TxnResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
 	var t Txn
@@ -137,7 +137,7 @@
 	return a.store.Commit(ctx, t)
 }
 
-func (a *Acceptor) dropExisting(batch map[string][]submission, res TxnResult) int {
+func (a *Acceptor) dropExisting(batch map[string][]pending, res TxnResult) int {
 	n := 0
 	for _, i := range res.Current {
 		s, ok := batch[i.Key]
@@ -146,12 +146,12 @@
 		}
 		n++
 		delete(batch, i.Key)
-		finish(map[string][]submission{i.Key: s}, nil)
+		finish(map[string][]pending{i.Key: s}, nil)
 	}
 	return n
 }
 
-func finish(batch map[string][]submission, err error) {
+func finish(batch map[string][]pending, err error) {
 	for _, ss := range batch {
 		for _, s := range ss {
 			s.done <- err
@@ -176,9 +176,17 @@
 
 // StateOf reads a job's state from the store, for when the owner is away.
 func StateOf(ctx context.Context, s Store, id job.ID) (state job.State, known bool, err error) {
-	if _, known, err = s.Get(ctx, prefixSubmitted+string(id), false); err != nil || !known {
+	item, known, err := s.Get(ctx, prefixSubmitted+string(id), false)
+	if err != nil || !known {
 		return "", known, err
 	}
+	sub, err := decode[submission](item)
+	if err != nil {
+		return "", true, err
+	}
+	if sub.Ended != nil {
+		return sub.Ended.State, true, nil
+	}
 	if item, found, err := s.Get(ctx, prefixProgress+string(id), false); err != nil {
 		return "", true, err
 	} else if found {
--- a/jobs/ledger/keys.go
+++ b/jobs/ledger/keys.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"strings"
+	"time"
 
 	"github.com/postmount/postmount/jobs/job"
 )
@@ -65,9 +66,24 @@
 // Change is what a key under PrefixJobs says.
 type Change struct {
 	Submitted *job.Job // a job was accepted
+	Ended     *Ended   // it has ended since; nil: not yet
 	Cancelled job.ID   // or a job's caller has cancelled it
 }
 
+// Ended is what is kept of a job that has ended.
+type Ended struct {
+	State job.State
+	At    time.Time
+}
+
+// submission is the value of a key under prefixSubmitted. Once its job has ended it
+// is written anew without the payload: the key has to stay, so that the caller's
+// repeated submission is not taken for a new one, and a new owner reads all of them.
+type submission struct {
+	job.Job
+	Ended *Ended `json:",omitempty"`
+}
+
 // DecodeChange decodes a key under PrefixJobs; ok is false for one of neither
 // kind.
 func DecodeChange(i Item) (ch Change, ok bool, err error) {
@@ -77,8 +93,8 @@
 	if !strings.HasPrefix(i.Key, prefixSubmitted) {
 		return Change{}, false, nil
 	}
-	j, err := decode[job.Job](i)
-	return Change{Submitted: &j}, err == nil, err
+	s, err := decode[submission](i)
+	return Change{Submitted: &s.Job, Ended: s.Ended}, err == nil, err
 }
 
 // EncodeMember is the inverse of DecodeMember.
--- a/jobs/ledger/term.go
+++ b/jobs/ledger/term.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"strconv"
+	"sync"
 	"time"
 
 	"github.com/postmount/postmount/jobs/job"
@@ -130,8 +132,8 @@
 // and the put of the sequence.
 const entriesOfTerm = 3
 
-// MaxRecords is how many records one Write takes.
-const MaxRecords = MaxTxnEntries - entriesOfTerm
+// MaxEntries is how many puts and deletes one Write takes.
+const MaxEntries = MaxTxnEntries - entriesOfTerm
 
 // Write stores puts and deletes if this daemon still is the owner. After an
 // error the caller calls again, with the same or newer values, until it gets
@@ -190,9 +192,18 @@
 	return nil
 }
 
-// RecordPut returns the put of a job's progress.
-func RecordPut(r owner.Record) Put {
-	return Put{Key: prefixProgress + string(r.ID), Value: encode(r.Progress)}
+// RecordWrites returns the writes that keep a job's progress: r.Entries() of them.
+func RecordWrites(r owner.Record) (puts []Put, deletes []string) {
+	progress := prefixProgress + string(r.Job.ID)
+	if !r.Progress.State.Final() {
+		return []Put{{Key: progress, Value: encode(r.Progress)}}, nil
+	}
+	end := submission{Job: *r.Job, Ended: &Ended{r.Progress.State, r.Progress.EndedAt}}
+	end.Payload = ""
+	if r.Kept {
+		deletes = []string{progress}
+	}
+	return []Put{{Key: prefixSubmitted + string(r.Job.ID), Value: encode(end)}}, deletes
 }
 
 // WavePut returns the put of what has begun of a wave.
@@ -227,21 +238,19 @@
 // loadTimeout bounds the reading of one snapshot: some pages of 1 MB.
 const loadTimeout = 10 * time.Second
 
-// Load reads all jobs.
+// Load reads all jobs. The parts are read at the same time: only the owner writes
+// progress and waves, and submissions that come meanwhile are seen by the watch from
+// Revision on.
 func Load(ctx context.Context, s Store) (Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	snap := Snapshot{Waves: map[int]WaveProgress{}}
-	items, revision, err := RangeAll(ctx, s, PrefixJobs, false)
-	if err != nil {
-		return snap, err
-	}
-	snap.Revision = revision
-	progress, _, err := RangeAll(ctx, s, prefixProgress, false)
-	if err != nil {
-		return snap, err
-	}
-	waves, _, err := RangeAll(ctx, s, prefixWaves, false)
+	var items, progress, waves []Item
+	err := together(
+		func() (err error) { items, snap.Revision, err = RangeAll(ctx, s, PrefixJobs, false); return err },
+		func() (err error) { progress, _, err = RangeAll(ctx, s, prefixProgress, false); return err },
+		func() (err error) { waves, _, err = RangeAll(ctx, s, prefixWaves, false); return err },
+	)
 	if err != nil {
 		return snap, err
 	}
@@ -260,6 +269,17 @@
 	return snap, nil
 }
 
+// together calls functions at the same time and returns their errors.
+func together(calls ...func() error) error {
+	errs := make([]error, len(calls))
+	var wg sync.WaitGroup
+	for i, call := range calls {
+		wg.Go(func() { errs[i] = call() })
+	}
+	wg.Wait()
+	return errors.Join(errs...)
+}
+
 func assemble(items, progress []Item) ([]owner.Loaded, error) {
 	done := map[job.ID]*job.Progress{}
 	for _, i := range progress {
@@ -283,7 +303,11 @@
 			cancelled[ch.Cancelled] = true
 			continue
 		}
-		out = append(out, owner.Loaded{Job: ch.Submitted, Progress: done[ch.Submitted.ID]})
+		l := owner.Loaded{Job: ch.Submitted, Progress: done[ch.Submitted.ID]}
+		if ch.Ended != nil {
+			l.Progress = &job.Progress{State: ch.Ended.State, EndedAt: ch.Ended.At}
+		}
+		out = append(out, l)
 	}
 	for n := range out {
 		out[n].Cancelled = cancelled[out[n].Job.ID]
--- a/jobs/node/termcommit.go
+++ b/jobs/node/termcommit.go
@@ -18,16 +18,16 @@
 	}
 	puts := lastOfEachKey(t.extra)
 	var deletes []string
-	if len(puts) > ledger.MaxRecords {
-		puts = puts[:ledger.MaxRecords]
+	if len(puts) > ledger.MaxEntries {
+		puts = puts[:ledger.MaxEntries]
 	}
-	records := t.core.Uncommitted(ledger.MaxRecords - len(puts))
+	records := t.core.Uncommitted(ledger.MaxEntries - len(puts))
 	if len(records)+len(puts) == 0 {
 		if now.Sub(t.lastExpire) < expireEvery {
 			return
 		}
 		t.lastExpire = now
-		for _, id := range t.core.Expired(ledger.MaxRecords/3, now) {
+		for _, id := range t.core.Expired(ledger.MaxEntries/3, now) {
 			deletes = append(deletes, ledger.JobKeys(id)...)
 		}
 		if len(deletes) == 0 {
@@ -36,7 +36,9 @@
 	}
 	taken := len(t.extra)
 	for _, r := range records {
-		puts = append(puts, ledger.RecordPut(r))
+		p, d := ledger.RecordWrites(r)
+		puts = append(puts, p...)
+		deletes = append(deletes, d...)
 	}
 	t.committing = true
 	t.lastCommit = now
--- a/jobs/node/termsources.go
+++ b/jobs/node/termsources.go
@@ -23,11 +23,13 @@
 		}
 		t.awaitLease()
 		t.do(func(c *owner.Core, now time.Time) {
-			if ch.Submitted != nil {
+			switch {
+			case ch.Ended != nil: // written by this owner
+			case ch.Submitted != nil:
 				c.Submit(ch.Submitted, now)
-				return
+			default:
+				c.Cancel(ch.Cancelled, now)
 			}
-			c.Cancel(ch.Cancelled, now)
 		})
 	}
 	t.n.followFrom(t.ctx, ledger.PrefixJobs, jobsEvery, revision, apply)
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -23,6 +23,7 @@
 }
 
 func (c *Core) restore(j *jobState, p *job.Progress, now time.Time) {
+	j.version, j.written = 1, 1
 	for _, sp := range p.Steps {
 		c.begin(j, sp.Occurrence)
 		s := j.step(sp.Occurrence, sp.Step)
@@ -50,6 +51,25 @@
 	}
 }
 
+// learnArrivals lets the pools know of the newest arrivals in the store, so that a new
+// owner sizes them by the rate from the first moment on.
+func (c *Core) learnArrivals(loaded []Loaded, now time.Time) {
+	list := slices.Clone(loaded)
+	slices.SortStableFunc(list, func(a, b Loaded) int { return a.Job.AcceptedAt.Compare(b.Job.AcceptedAt) })
+	for _, l := range list {
+		c.countArrival(c.jobs[l.Job.ID], l.Job.AcceptedAt, now)
+	}
+}
+
+// countArrival takes note of the work of a job that runs once and is accepted to be
+// done at once.
+func (c *Core) countArrival(j *jobState, at, now time.Time) {
+	if j.spec.Repeat > 0 || j.spec.Steps[0].LongRunning || at.After(now) {
+		return
+	}
+	c.pool(j.service).arrivals.Add(j.work, at)
+}
+
 // handoverTime is how long after a change of owner jobs may still reach the
 // earlier one. It holds each worker twice a second, and ends at the first that
 // has seen the new fencing token.
@@ -64,9 +84,7 @@
 	// An earlier owner that does not know yet that it is none may have started it.
 	j.inherited = c.opt.Term > 1 && now.Sub(c.startedAt) < handoverTime
 	c.note(Decision{Event: "job-known", Job: spec.ID, Reason: j.service})
-	if spec.Repeat == 0 && !spec.Steps[0].LongRunning {
-		c.pool(j.service).arrivals.Add(j.work, now)
-	}
+	c.countArrival(j, now, now)
 	c.resolveStrangers(j, now)
 	if _, cancelled := c.early[spec.ID]; cancelled {
 		delete(c.early, spec.ID)
@@ -263,8 +281,9 @@
 	}
 }
 
-// Uncommitted returns records that have to be written, at most n: those of jobs that
-// ended come first, as their callers are told only once they are written.
+// Uncommitted returns records that have to be written and that take at most n entries
+// of a transaction. Those of jobs that ended come first: their callers are told only
+// once they are written.
 func (c *Core) Uncommitted(n int) []Record {
 	list := slices.Collect(maps.Values(c.dirty))
 	slices.SortFunc(list, func(a, b *jobState) int {
@@ -274,8 +293,12 @@
 		return strings.Compare(string(a.spec.ID), string(b.spec.ID))
 	})
 	var out []Record
-	for _, j := range list[:min(n, len(list))] {
-		out = append(out, Record{ID: j.spec.ID, Progress: j.progress(), version: j.version})
+	for _, j := range list {
+		r := Record{Job: j.spec, Progress: j.progress(), Kept: j.written > 0, version: j.version}
+		if n -= r.Entries(); n < 0 {
+			break
+		}
+		out = append(out, r)
 	}
 	return out
 }
@@ -295,7 +318,7 @@
 func (c *Core) Committed(records []Record, now time.Time) {
 	c.counts.Commits++
 	for _, r := range records {
-		j := c.jobs[r.ID]
+		j := c.jobs[r.Job.ID]
 		if j == nil {
 			continue
 		}
@@ -303,10 +326,10 @@
 		if j.written < j.version {
 			continue
 		}
-		delete(c.dirty, r.ID)
+		delete(c.dirty, r.Job.ID)
 		if j.state.Final() {
-			delete(c.open, r.ID)
-			c.note(Decision{Event: "job-recorded", Job: r.ID, Reason: string(j.state)})
+			delete(c.open, r.Job.ID)
+			c.note(Decision{Event: "job-recorded", Job: r.Job.ID, Reason: string(j.state)})
 		}
 	}
 	for _, w := range c.everyWorker() {
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -315,6 +315,7 @@
 	for _, l := range loaded {
 		c.load(l, now)
 	}
+	c.learnArrivals(loaded, now)
 	return c
 }
 
--- a/jobs/owner/types.go
+++ b/jobs/owner/types.go
@@ -207,11 +207,20 @@
 
 // Record is a job's progress to be written to the store.
 type Record struct {
-	ID       job.ID
+	Job      *job.Job
 	Progress job.Progress
+	Kept     bool // the store holds an earlier record of it, which the end replaces
 	version  uint64
 }
 
+// Entries is how many entries of a transaction the record takes.
+func (r *Record) Entries() int {
+	if r.Progress.State.Final() && r.Kept {
+		return 2
+	}
+	return 1
+}
+
 // MoveOrder moves an instance to a pool, or maintains it for a wave.
 type MoveOrder struct {
 	Instance InstanceID
--- a/lab/jobload/play.go
+++ b/lab/jobload/play.go
@@ -243,9 +243,9 @@
 		s.tell(term, func(c *owner.Core) {
 			s.commits = false
 			for _, r := range records {
-				s.progress[r.ID] = r.Progress
+				s.progress[r.Job.ID] = r.Progress
 				if r.Progress.State.Final() {
-					s.ended(s.jobs[r.ID], r.Progress.State)
+					s.ended(s.jobs[r.Job.ID], r.Progress.State)
 				}
 			}
 			c.Committed(records, s.engine.now)
