A new owner may order most instances at once; a planned stop releases the lock also while the store is slow

Ruled out: wall clocks in the record (daemons' clocks may jump); asking the platform (it tells no orders); waiting only for instances seen moving (an order may be on its way). Change: an order for an instance is sent only after the owner's transaction has named it, with how long ago the newest one reached the platform at the latest. The next owner leaves just these alone, for what is left of the 3 s, counted from its election; waves wait as before, since how many are down has to be known. A stop writes what fits into the transaction that releases the lock, in 1.8 s at most, and ends the lease if that fails.

--- a/jobs/ledger/term.go
+++ b/jobs/ledger/term.go
@@ -22,6 +22,9 @@
 	Number uint64
 	// Successor says that the owner before was an earlier life of this daemon.
 	Successor bool
+	// OrderedBefore are the instances for which the owner before may have sent an
+	// order within the last seconds of its term.
+	OrderedBefore []owner.RecentOrder
 
 	store    Store
 	lock     Condition
@@ -30,10 +33,14 @@
 	writes   uint64
 }
 
-// sequenceValue tells a lost transaction's outcome: who wrote the key last.
+// sequenceValue tells a lost transaction's outcome: who wrote the key last. Orders are
+// the instances for which the writer may have sent an order in the last seconds; an
+// order is sent only after a transaction that names its instance, so that the next
+// owner knows of all of them.
 type sequenceValue struct {
-	Term  uint64
-	Write uint64
+	Term   uint64
+	Write  uint64
+	Orders []owner.RecentOrder `json:",omitempty"`
 }
 
 // Elect tries to become the owner. replaced is the revision of a lock that an
@@ -85,7 +92,15 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Term{Number: number, store: s, lock: Condition{keyLock, lockRevision}, sequence: seq.Revision}, nil
+	t := &Term{Number: number, store: s, lock: Condition{keyLock, lockRevision}, sequence: seq.Revision}
+	if len(seq.Value) > 0 {
+		last, err := decode[sequenceValue](seq)
+		if err != nil {
+			return nil, err
+		}
+		t.OrderedBefore = last.Orders
+	}
+	return t, nil
 }
 
 func termNumber(i Item) (uint64, error) {
@@ -135,10 +150,11 @@
 // MaxEntries is how many puts and deletes one Write takes.
 const MaxEntries = MaxTxnEntries - entriesOfTerm
 
-// Write stores puts and deletes if this daemon still is the owner. After an
+// Write stores puts and deletes if this daemon still is the owner, and orders, the
+// instances for which it may have sent an order of late or is about to. After an
 // error the caller calls again, with the same or newer values, until it gets
 // nil or CodeDeposed.
-func (t *Term) Write(ctx context.Context, puts []Put, deletes []string) error {
+func (t *Term) Write(ctx context.Context, puts []Put, deletes []string, orders []owner.RecentOrder) error {
 	if t.unsure {
 		if err := t.settle(ctx); err != nil {
 			return err
@@ -147,7 +163,7 @@
 	t.writes++
 	txn := Txn{
 		If:      []Condition{t.lock, {Key: keySequence, Revision: t.sequence}},
-		Puts:    append([]Put{{Key: keySequence, Value: encode(sequenceValue{t.Number, t.writes})}}, puts...),
+		Puts:    append([]Put{{Key: keySequence, Value: encode(sequenceValue{t.Number, t.writes, orders})}}, puts...),
 		Deletes: deletes,
 	}
 	res, err := t.store.Commit(ctx, txn)
@@ -222,9 +238,16 @@
 	return []string{prefixSubmitted + string(id), prefixCancelled + string(id), prefixProgress + string(id)}
 }
 
-// Release ends the term early, so that another daemon can take over at once.
-func (t *Term) Release(ctx context.Context) error {
-	_, err := t.store.Commit(ctx, Txn{If: []Condition{t.lock}, Deletes: []string{keyLock}})
+// Release ends the term early, so that another daemon can take over at once. It keeps
+// some last puts and orders, as Write does. An earlier write without an answer does
+// not matter: it fails once the lock is gone.
+func (t *Term) Release(ctx context.Context, puts []Put, deletes []string, orders []owner.RecentOrder) error {
+	t.writes++
+	_, err := t.store.Commit(ctx, Txn{
+		If:      []Condition{t.lock},
+		Puts:    append([]Put{{Key: keySequence, Value: encode(sequenceValue{t.Number, t.writes, orders})}}, puts...),
+		Deletes: append([]string{keyLock}, deletes...),
+	})
 	return err
 }
 
--- /dev/null
+++ b/jobs/ledger/term_test.go
@@ -0,0 +1,84 @@
+package ledger_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/ledger"
+	"github.com/postmount/postmount/jobs/owner"
+	"github.com/postmount/postmount/standin/jobfleet"
+)
+
+func noFailure(string, string) jobfleet.Failure { return jobfleet.NoFailure }
+
+// elect returns a term of a daemon on a stand-in of the store.
+func elect(t *testing.T, s ledger.Store, node string) *ledger.Term {
+	ctx := context.Background()
+	lease, err := s.GrantLease(ctx, time.Minute)
+	require.NoError(t, err)
+	term, err := ledger.Elect(ctx, s, ledger.Member{Node: node}, lease, 0)
+	require.NoError(t, err)
+	require.NotNil(t, term)
+	return term
+}
+
+// TestTheNextOwnerKnowsOfOrders: whatever an owner recorded before it sent an order is
+// known to the next one, also if it only ended.
+func TestTheNextOwnerKnowsOfOrders(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx := context.Background()
+		s := jobfleet.NewStore().Client("d", &jobfleet.Gate{}, noFailure)
+		first := elect(t, s, "d1")
+		assert.Empty(t, first.OrderedBefore)
+		sent := []owner.RecentOrder{{Instance: "i1", Age: time.Second}, {Instance: "i2", Age: -time.Second}}
+		require.NoError(t, first.Write(ctx, nil, nil, sent))
+		require.NoError(t, first.Release(ctx, nil, nil, sent[:1]))
+		second := elect(t, s, "d2")
+		assert.Equal(t, sent[:1], second.OrderedBefore)
+		require.Error(t, first.Write(ctx, nil, nil, nil), "its term is over")
+	})
+}
+
+// TestAnEndedJobIsKeptWithoutItsPayload: the next owner knows that it ended, a caller
+// that submits it again is told that it is accepted, and its state is known.
+func TestAnEndedJobIsKeptWithoutItsPayload(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := jobfleet.NewStore().Client("d", &jobfleet.Gate{}, noFailure)
+		a := ledger.NewAcceptor(s)
+		a.Run(ctx)
+		j := &job.Job{ID: "00000000000000aa", Queue: "q", Payload: "long text", AcceptedAt: time.Now(), Steps: []job.Step{{Count: 2}}}
+		require.NoError(t, a.Accept(ctx, j))
+		term := elect(t, s, "d1")
+		running := owner.Record{Job: j, Progress: job.Progress{State: job.Running}}
+		puts, deletes := ledger.RecordWrites(running)
+		assert.Len(t, puts, running.Entries())
+		require.NoError(t, term.Write(ctx, puts, deletes, nil))
+
+		ended := owner.Record{Job: j, Kept: true, Progress: job.Progress{State: job.Failed, EndedAt: time.Now()}}
+		puts, deletes = ledger.RecordWrites(ended)
+		assert.Equal(t, ended.Entries(), len(puts)+len(deletes))
+		require.NoError(t, term.Write(ctx, puts, deletes, nil))
+
+		require.NoError(t, a.Accept(ctx, j), "the caller's repeat")
+		state, known, err := ledger.StateOf(ctx, s, j.ID)
+		require.NoError(t, err)
+		assert.True(t, known)
+		assert.Equal(t, job.Failed, state)
+		snap, err := ledger.Load(ctx, s)
+		require.NoError(t, err)
+		require.Len(t, snap.Jobs, 1)
+		assert.Empty(t, snap.Jobs[0].Job.Payload)
+		assert.Len(t, snap.Jobs[0].Job.Steps, 1, "what it may still run on some worker is known")
+		require.NotNil(t, snap.Jobs[0].Progress)
+		assert.Equal(t, job.Failed, snap.Jobs[0].Progress.State)
+		assert.Equal(t, "long text", j.Payload, "the caller's job is not changed")
+	})
+}
--- /dev/null
+++ b/jobs/node/instanceorders.go
@@ -0,0 +1,90 @@
+package node
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// orderDelay is how long after it was recorded an order for an instance may reach the
+// platform at the latest: the transaction's timeout, and the call's.
+const orderDelay = storeTimeout + instanceOrderTimeout
+
+// instanceOrders holds orders for instances until the store knows that they are
+// about to be sent, and remembers for which instances there were any. Whoever is
+// the owner next finds them there, and may order all other instances at once.
+type instanceOrders struct {
+	self    string
+	pending []owner.MoveOrder
+	newest  map[owner.InstanceID]arrival // of the orders for each instance
+	keep    time.Duration
+}
+
+// arrival is when an order reached the platform at the latest, and who sent it.
+type arrival struct {
+	at     time.Time
+	holder string
+}
+
+// newInstanceOrders begins with those of the owner before.
+func newInstanceOrders(self string, handover time.Duration, before []owner.RecentOrder, electedAt time.Time) instanceOrders {
+	o := instanceOrders{self: self, newest: map[owner.InstanceID]arrival{}, keep: handover + owner.DutyMargin}
+	for _, b := range before {
+		o.newest[b.Instance] = arrival{electedAt.Add(-b.Age), b.Holder}
+	}
+	return o
+}
+
+func (o *instanceOrders) add(list []owner.MoveOrder) { o.pending = append(o.pending, list...) }
+
+func (o *instanceOrders) waiting() int { return len(o.pending) }
+
+// drop forgets orders that were not recorded: they are not sent any more.
+func (o *instanceOrders) drop() { o.pending = nil }
+
+// take returns the orders that wait, for the next transaction.
+func (o *instanceOrders) take(now time.Time) []owner.MoveOrder {
+	out := o.pending
+	o.pending = nil
+	for _, m := range out {
+		o.newest[m.Instance] = arrival{now.Add(orderDelay), o.self}
+	}
+	return out
+}
+
+// settle takes note of what came of an order: it arrived by now, or was never sent.
+func (o *instanceOrders) settle(id owner.InstanceID, sent bool, now time.Time) {
+	if !sent {
+		delete(o.newest, id)
+	} else if o.newest[id].at.After(now) {
+		o.newest[id] = arrival{now, o.self}
+	}
+}
+
+// recent returns the orders that the next owner has to know of.
+func (o *instanceOrders) recent(now time.Time) []owner.RecentOrder {
+	maps.DeleteFunc(o.newest, func(_ owner.InstanceID, a arrival) bool { return now.Sub(a.at) > o.keep })
+	var out []owner.RecentOrder
+	for _, id := range slices.Sorted(maps.Keys(o.newest)) {
+		out = append(out, owner.RecentOrder{Instance: id, Holder: o.newest[id].holder, Age: now.Sub(o.newest[id].at)})
+	}
+	return out
+}
+
+// refuse tells the core that orders were not sent.
+func (t *termRun) refuse(c *owner.Core, orders []owner.MoveOrder, now time.Time) {
+	for _, o := range orders {
+		t.orders.settle(o.Instance, false, now)
+		c.OnInstanceOrder(o, owner.DutyRefused, now)
+	}
+}
+
+// sendInstanceOrders sends orders that the store knows of.
+func (t *termRun) sendInstanceOrders(orders []owner.MoveOrder) {
+	for _, o := range orders {
+		go t.order(2*instanceOrderTimeout, func(ctx context.Context) event { return t.orderInstance(ctx, o) })
+	}
+}
--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -16,10 +16,11 @@
 // keepLease holds a lease in the store, and this daemon's entry under it.
 func (n *Node) keepLease(ctx context.Context) {
 	for ctx.Err() == nil {
-		if n.lease.Load() == 0 {
-			n.grantLease(ctx)
-		} else {
+		switch {
+		case n.lease.Load() != 0:
 			n.renewLease(ctx)
+		case !n.stopping.Load():
+			n.grantLease(ctx)
 		}
 		if !pause(ctx, n.leasePause()) {
 			return
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -191,8 +191,8 @@
 func (n *Node) HandOver() {
 	n.stopping.Store(true)
 	n.gateway.Stop()
-	if t := n.term.Load(); t != nil {
-		t.handOver()
+	if t := n.term.Load(); t != nil && !t.handOver() {
+		n.endLease() // the lock goes with it
 	}
 }
 
@@ -239,7 +239,9 @@
 	defer cancel()
 	if err := n.store.EndLease(ctx, id); err != nil {
 		n.log.Warn("lease-not-ended", zap.Error(err))
+		return
 	}
+	n.lease.Store(0)
 }
 
 const (
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -132,8 +132,12 @@
 	instanceOrderTimeout = time.Second
 	// expireEvery is how often ended jobs are removed from the store.
 	expireEvery = 5 * time.Second
-	// flushTimeout bounds the last writes of an owner that stops.
-	flushTimeout = 600 * time.Millisecond
+	// handOverTimeout bounds the release of an owner's lock when it stops: two tries.
+	// If both fail the lease is ended, and the lock with it.
+	handOverTimeout = 2 * storeTimeout
+	// lastCommitWait is how long the release waits for a transaction that is under
+	// way. The store answers in 4 ms; in its slow hours the release need not wait.
+	lastCommitWait = 100 * time.Millisecond
 	// balancerNotice is how long the balancer takes to leave out a daemon that
 	// is not ready: two questions, one a second, and the way.
 	balancerNotice = 2500 * time.Millisecond
--- a/jobs/node/termcommit.go
+++ b/jobs/node/termcommit.go
@@ -22,7 +22,7 @@
 		puts = puts[:ledger.MaxEntries]
 	}
 	records := t.core.Uncommitted(ledger.MaxEntries - len(puts))
-	if len(records)+len(puts) == 0 {
+	if len(records)+len(puts)+t.orders.waiting() == 0 {
 		if now.Sub(t.lastExpire) < expireEvery {
 			return
 		}
@@ -42,7 +42,8 @@
 	}
 	t.committing = true
 	t.lastCommit = now
-	go t.write(puts, deletes, records, taken)
+	orders := t.orders.take(now)
+	go t.write(puts, deletes, records, taken, orders, t.orders.recent(now))
 }
 
 // lastOfEachKey keeps the newest put of each key.
@@ -58,11 +59,11 @@
 	return out
 }
 
-func (t *termRun) write(puts []ledger.Put, deletes []string, records []owner.Record, taken int) {
+func (t *termRun) write(puts []ledger.Put, deletes []string, records []owner.Record, taken int, orders []owner.MoveOrder, recent []owner.RecentOrder) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	began := time.Now()
-	err := t.term.Write(ctx, puts, deletes)
+	err := t.term.Write(ctx, puts, deletes, recent)
 	t.n.metrics.commit(err, time.Since(began))
 	if verdict.CodeOf(err) == ledger.CodeDeposed {
 		t.depose(err.Error())
@@ -74,9 +75,16 @@
 	}
 	t.do(func(c *owner.Core, now time.Time) {
 		t.committing = false
-		if err == nil {
-			t.extra = t.extra[taken:]
-			c.Committed(records, now)
+		if err != nil {
+			t.refuse(c, orders, now)
+			return
+		}
+		t.extra = t.extra[taken:]
+		c.Committed(records, now)
+		if t.isLeaving() {
+			t.refuse(c, orders, now)
+			return
 		}
+		t.sendInstanceOrders(orders)
 	})
 }
--- a/jobs/node/termorders.go
+++ b/jobs/node/termorders.go
@@ -46,9 +46,7 @@
 			return func(c *owner.Core, now time.Time) { c.OnAdvice(q, a, now) }
 		})
 	}
-	for _, o := range e.Instances {
-		go t.order(2*instanceOrderTimeout, func(ctx context.Context) event { return t.orderInstance(ctx, o) })
-	}
+	t.orders.add(e.Instances)
 	for _, s := range e.Waves {
 		t.putWave(s)
 	}
@@ -71,7 +69,8 @@
 // before the call: another daemon may do the duty some time after it has ended.
 func (t *termRun) orderInstance(ctx context.Context, o owner.MoveOrder) event {
 	outcome := owner.DutyRefused
-	if t.n.mayDoDuty() {
+	sent := t.n.mayDoDuty()
+	if sent {
 		duty := owner.Duty{Holder: t.n.set.Node, Token: t.term.Number}
 		if o.Wave != 0 {
 			outcome = t.n.platform.Manager.Maintain(ctx, duty, o.Instance, o.Wave)
@@ -85,7 +84,12 @@
 	case owner.DutyDone:
 		t.wantInstances()
 	}
-	return func(c *owner.Core, now time.Time) { c.OnInstanceOrder(o, outcome, now) }
+	return func(c *owner.Core, now time.Time) {
+		if outcome != owner.DutyUnanswered {
+			t.orders.settle(o.Instance, sent, now)
+		}
+		c.OnInstanceOrder(o, outcome, now)
+	}
 }
 
 // putWave adds the status of a wave to the next transaction.
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -44,7 +45,9 @@
 	lastCommit time.Time
 	lastReport time.Time
 	lastExpire time.Time
+	leftAt     time.Time    // when a planned stop began
 	extra      []ledger.Put // puts beside the records
+	orders     instanceOrders
 }
 
 // runTerm is the owner until another daemon is, or ctx ends.
@@ -53,19 +56,21 @@
 	snap, err := ledger.Load(ctx, n.store)
 	if err != nil {
 		n.log.Error("jobs-not-loaded", zap.Error(err))
-		if err := term.Release(ctx); err != nil {
+		if err := term.Release(ctx, nil, nil, term.OrderedBefore); err != nil {
 			n.log.Warn("lock-not-released", zap.Error(err))
 		}
 		return
 	}
 	t := &termRun{n: n, term: term, events: make(chan event, eventQueue), leaving: make(chan struct{}), left: make(chan struct{}), relist: make(chan struct{}, 1)}
+	t.orders = newInstanceOrders(n.set.Node, n.set.DutyHandover, term.OrderedBefore, began)
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	defer t.cancel()
 	t.core = owner.New(owner.Options{
 		Term:      term.Number,
 		TaskLease: min(taskLease, n.set.MaxTaskLease), HoldWait: holdWait,
-		DutyHandover: n.dutyHandover(term), KeepStatus: n.set.KeepStatus,
-		Weights: n.set.Policy.Pools.Weights(), Pools: n.set.Policy.Pools.Size, Order: n.set.Policy.Jobs.Order,
+		DutyHandover: n.set.DutyHandover, OrderedBefore: n.ofOthers(term.OrderedBefore), ElectedAt: began, Successor: term.Successor,
+		KeepStatus: n.set.KeepStatus,
+		Weights:    n.set.Policy.Pools.Weights(), Pools: n.set.Policy.Pools.Size, Order: n.set.Policy.Jobs.Order,
 	}, n.catalog.Load(), snap.Jobs, time.Now())
 	n.log.Info("jobs-loaded", zap.Int("jobs", len(snap.Jobs)), zap.Int64("revision", snap.Revision), zap.Duration("took", time.Since(began)))
 	n.term.Store(t)
@@ -79,13 +84,9 @@
 	n.log.Info("no-longer-owner", zap.Uint64("term", term.Number))
 }
 
-// dutyHandover is how long this daemon has to leave instances alone: not at all
-// if the holder before was an earlier life of its own.
-func (n *Node) dutyHandover(term *ledger.Term) time.Duration {
-	if term.Successor {
-		return 0
-	}
-	return n.set.DutyHandover
+// ofOthers returns the orders that other daemons sent.
+func (n *Node) ofOthers(list []owner.RecentOrder) []owner.RecentOrder {
+	return slices.DeleteFunc(slices.Clone(list), func(o owner.RecentOrder) bool { return o.Holder == n.set.Node })
 }
 
 func (t *termRun) startWaves(snap ledger.Snapshot) {
@@ -113,16 +114,18 @@
 	})
 }
 
-// handOver writes what has to be kept and releases the lock. It returns when
-// that is done or has taken too long.
-func (t *termRun) handOver() {
+// handOver releases the lock. It returns when that is done or has taken too long; it
+// reports whether the lock is released.
+func (t *termRun) handOver() bool {
 	t.leaveOne.Do(func() { close(t.leaving) })
 	select {
 	case <-t.left:
+		return true
 	case <-t.ctx.Done():
-	case <-time.After(flushTimeout):
-		t.depose("the last writes took too long")
+	case <-time.After(handOverTimeout):
+		t.depose("the lock could not be released in time")
 	}
+	return false
 }
 
 // loop runs the core until the term ends.
@@ -191,28 +194,52 @@
 	}
 }
 
-// leave stops sending orders and writes what is left; it reports whether the
-// lock is released.
+func (t *termRun) isLeaving() bool {
+	select {
+	case <-t.leaving:
+		return true
+	default:
+		return false
+	}
+}
+
+// leave stops sending orders and releases the lock; it reports whether the term is
+// over. Some records go with the lock. The others need not be written: workers list
+// ends that were not recorded to the next owner, too.
 func (t *termRun) leave() bool {
 	t.core.Take() // nothing new is ordered
-	if t.committing {
-		return false
+	t.orders.drop()
+	now := time.Now()
+	if t.leftAt.IsZero() {
+		t.leftAt = now
 	}
-	if t.core.Dirty() > 0 || len(t.extra) > 0 {
-		t.commit(time.Now().Add(commitEvery))
+	if t.committing && now.Sub(t.leftAt) < lastCommitWait {
 		return false
 	}
-	ctx, cancel := context.WithTimeout(context.Background(), flushTimeout)
+	puts, deletes := t.lastWrites()
+	ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
 	defer cancel()
-	if err := t.term.Release(ctx); err != nil {
+	if err := t.term.Release(ctx, puts, deletes, t.orders.recent(now)); err != nil {
 		t.n.log.Warn("lock-not-released", zap.Error(err))
-	} else {
-		t.n.lockReleased(t.term.Number)
+		return false
 	}
+	t.n.lockReleased(t.term.Number)
 	close(t.left)
 	return true
 }
 
+// lastWrites returns what goes with the lock.
+func (t *termRun) lastWrites() (puts []ledger.Put, deletes []string) {
+	puts = lastOfEachKey(t.extra)
+	puts = puts[:min(len(puts), ledger.MaxEntries)]
+	for _, r := range t.core.Uncommitted(ledger.MaxEntries - len(puts)) {
+		p, d := ledger.RecordWrites(r)
+		puts = append(puts, p...)
+		deletes = append(deletes, d...)
+	}
+	return puts, deletes
+}
+
 func (t *termRun) logDecisions() {
 	for _, d := range t.core.TakeDecisions() {
 		t.n.log.Info(d.Event, decisionFields(d)...)
--- /dev/null
+++ b/jobs/owner/handover_test.go
@@ -0,0 +1,76 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/capacity"
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// spares adds instances that are off.
+func (r *rig) spares(ids ...InstanceID) {
+	for _, id := range ids {
+		r.inst = append(r.inst, Instance{ID: id, Pool: "spare", State: InstanceUp})
+	}
+}
+
+// TestANewOwnerMovesInstancesAtOnce: only those for which the owner before may have
+// sent an order a moment ago are left alone, until no two owners take turns.
+func TestANewOwnerMovesInstancesAtOnce(t *testing.T) {
+	r := newRig(t, 1)
+	opt := r.core.opt
+	opt.Term, opt.Pools, opt.Weights = 2, capacity.Demand, capacity.DefaultWeights
+	opt.OrderedBefore = []RecentOrder{{Instance: "x1", Age: -time.Second}, {Instance: "x2", Age: -time.Second}, {Instance: "x0", Age: time.Minute}}
+	r.core = New(opt, r.core.catalog, nil, r.now)
+	r.spares("x1", "x2", "y")
+	w := r.worker("a")
+	r.held(w, nil)
+	for n := range 4 { // 32 cores of work, 8 of room
+		r.submit(n+1, 8)
+	}
+	r.list()
+	r.tick(200 * time.Millisecond)
+	require.Len(t, r.out.Instances, 1)
+	assert.Equal(t, InstanceID("y"), r.out.Instances[0].Instance)
+
+	r.core.OnInstanceOrder(r.out.Instances[0], DutyDone, r.now)
+	for range 9 {
+		r.tick(400 * time.Millisecond)
+		r.list()
+	}
+	assert.Len(t, r.out.Instances, 1, "4.2 s have not passed")
+	for range 3 {
+		r.tick(400 * time.Millisecond)
+		r.list()
+	}
+	assert.Len(t, r.out.Instances, 3)
+}
+
+// TestANewOwnerKnowsTheRateOfArrivals: the jobs in the store tell it.
+func TestANewOwnerKnowsTheRateOfArrivals(t *testing.T) {
+	r := newRig(t, 1)
+	var loaded []Loaded
+	for n := range 10 {
+		j := simpleJob(n, 8) // 8 core-seconds
+		j.AcceptedAt = r.now.Add(-time.Duration(10-n) * 100 * time.Millisecond)
+		loaded = append(loaded, Loaded{Job: j, Progress: &job.Progress{State: job.Completed}})
+	}
+	c := New(r.core.opt, r.core.catalog, loaded, r.now)
+	assert.InDelta(t, 80, c.pool("s").arrivals.Cores(r.now), 10)
+}
+
+// TestAnEndedJobsRunIsStopped: what an owner knows of a job that ended before its term
+// is that it ended; a run of it that turns up is stopped each time that it is listed.
+func TestAnEndedJobsRunIsStopped(t *testing.T) {
+	j := simpleJob(1, 1)
+	j.Payload = ""
+	r := newRig(t, 2, Loaded{Job: j, Progress: &job.Progress{State: job.Cancelled}})
+	w := r.worker("a")
+	r.held(w, []ActiveRun{{Task: job.TaskID{Job: j.ID}, Run: termRuns + 5}})
+	require.Len(t, r.out.Stops, 1)
+	assert.Equal(t, uint64(termRuns+5), r.out.Stops[0].Run)
+}
--- a/jobs/owner/instances.go
+++ b/jobs/owner/instances.go
@@ -58,10 +58,23 @@
 
 // mayDoDuty reports whether orders for instances may be sent.
 func (c *Core) mayDoDuty(now time.Time) bool {
-	if !c.dutyLost.IsZero() || c.fenced || now.Sub(c.instAt) > instanceListAge {
-		return false
+	return c.dutyLost.IsZero() && !c.fenced && now.Sub(c.instAt) <= instanceListAge
+}
+
+// handedOver reports whether it is known what the orders of the owner before did: they
+// have arrived, and the instance list shows what they began.
+func (c *Core) handedOver(now time.Time) bool {
+	wait := c.opt.DutyHandover + DutyMargin
+	if c.opt.Successor {
+		wait = DutyMargin
 	}
-	return c.opt.Term == 1 || now.Sub(c.startedAt) > c.opt.DutyHandover+dutyMargin
+	return c.opt.Term == 1 || now.Sub(c.electedAt) > wait
+}
+
+// mayOrder reports whether an order for the instance may be sent. Two owners must not
+// take turns with one instance; the others need not wait for that.
+func (c *Core) mayOrder(id InstanceID, now time.Time) bool {
+	return !now.Before(c.leaveTo[id])
 }
 
 func (c *Core) workerOf(id InstanceID) *worker {
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -197,7 +197,7 @@
 	out := capacity.Instance{ID: string(i.ID)}
 	w := c.workers[i.Worker]
 	if w == nil {
-		out.Movable = i.Worker == "" && !c.underMaintenance(i.ID)
+		out.Movable = i.Worker == "" && !c.underMaintenance(i.ID) && c.mayOrder(i.ID, now)
 		return out
 	}
 	v.Cores = max(v.Cores, float64(w.Room.CPUMilli)/1000)
@@ -211,7 +211,7 @@
 		w.idleSince = now
 	}
 	out.IdleFor = now.Sub(w.idleSince)
-	out.Movable = w.held && w.registered && !w.gone && !w.Draining && w.reserved == "" && !w.silent()
+	out.Movable = w.held && w.registered && !w.gone && !w.Draining && w.reserved == "" && !w.silent() && c.mayOrder(i.ID, now)
 	return out
 }
 
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -9,14 +9,21 @@
 
 // Options are the figures that the core works with.
 type Options struct {
-	Term         uint64        // number of this ownership; rises with each owner
-	TaskLease    time.Duration // how long a worker's tasks live without renewal
-	HoldWait     time.Duration // how long a hold waits for an end
-	DutyHandover time.Duration // no duty is done so long after a change of owner
-	KeepStatus   time.Duration // how long ended jobs are kept
-	Weights      capacity.Weights
-	Pools        capacity.Policy
-	Order        OrderPolicy
+	Term      uint64        // number of this ownership; rises with each owner
+	TaskLease time.Duration // how long a worker's tasks live without renewal
+	HoldWait  time.Duration // how long a hold waits for an end
+	// DutyHandover is the least time between orders for one instance by two holders.
+	// OrderedBefore are those of other holders, as old at least as they say when this
+	// owner was elected, at ElectedAt; zero: now. Successor says that the owner before
+	// was an earlier life of this daemon.
+	DutyHandover  time.Duration
+	OrderedBefore []RecentOrder
+	ElectedAt     time.Time
+	Successor     bool
+	KeepStatus    time.Duration // how long ended jobs are kept
+	Weights       capacity.Weights
+	Pools         capacity.Policy
+	Order         OrderPolicy
 }
 
 // termRuns is how many runs an owner can start in one term.
@@ -237,9 +244,11 @@
 	settled   map[string]bool    // services of which every earlier run is known
 	awaited   map[string]awaited // what others wait for, as the log says
 	startedAt time.Time
-	listedAt  time.Time // newest list of registrations
-	settleAt  time.Time // missing registrations count as gone from then on
-	instAt    time.Time // newest instance list
+	electedAt time.Time
+	leaveTo   map[InstanceID]time.Time // until when an instance is left to an earlier owner's order
+	listedAt  time.Time                // newest list of registrations
+	settleAt  time.Time                // missing registrations count as gone from then on
+	instAt    time.Time                // newest instance list
 	fenced    bool
 
 	starvedUntil time.Time // timeouts say nothing until then
@@ -309,9 +318,18 @@
 		early:     map[job.ID]time.Time{},
 		settled:   map[string]bool{},
 		awaited:   map[string]awaited{},
+		leaveTo:   map[InstanceID]time.Time{},
 		startedAt: now,
+		electedAt: now,
 		settleAt:  now,
 	}
+	if !opt.ElectedAt.IsZero() {
+		c.electedAt = opt.ElectedAt
+	}
+	for _, o := range opt.OrderedBefore {
+		wait := min(opt.DutyHandover+DutyMargin, opt.DutyHandover+orderFlight-o.Age)
+		c.leaveTo[o.Instance] = c.electedAt.Add(wait)
+	}
 	for _, l := range loaded {
 		c.load(l, now)
 	}
--- a/jobs/owner/types.go
+++ b/jobs/owner/types.go
@@ -228,6 +228,16 @@
 	Wave     int    // if it is to be maintained
 }
 
+// RecentOrder is an instance for which an order was sent, or may have been, a moment
+// ago.
+type RecentOrder struct {
+	Instance InstanceID
+	Holder   string // who sent it
+	// Age is how long ago it reached the platform at the latest; negative while it may
+	// still be on its way.
+	Age time.Duration
+}
+
 // WaveStatus is the state of a wave for the operators.
 type WaveStatus struct {
 	Wave int
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -38,9 +38,12 @@
 	// an order to be sent. It may have been revoked since, and another owner elected.
 	// A renewal each 500 ms that a slow store answers after 300 ms fits.
 	DutyLeaseAge = 900 * time.Millisecond
-	// dutyMargin is added to the pause after a change of owner: an order of the old
+	// DutyMargin is added to the pause after a change of owner: an order of the old
 	// one may be sent so late, and be on its way.
-	dutyMargin = DutyLeaseAge + 300*time.Millisecond
+	DutyMargin = DutyLeaseAge + orderFlight
+	// orderFlight is how long an order takes to reach the platform at most, and
+	// what clocks differ in the rate at which they run.
+	orderFlight = 300 * time.Millisecond
 	// instanceListAge is how old the instance list may be for an order.
 	instanceListAge = 3 * time.Second
 )
@@ -202,8 +205,8 @@
 // advanceWave reserves instances, so that their tasks end, and maintains those
 // that are ready.
 func (c *Core) advanceWave(ws *waveState, now time.Time) {
-	if !c.mayDoDuty(now) {
-		return
+	if !c.mayDoDuty(now) || !c.handedOver(now) {
+		return // how many an earlier owner has just taken down is not known yet
 	}
 	c.stillUp(ws, now)
 	for _, cand := range c.reservedFor(ws) {
@@ -260,7 +263,7 @@
 			continue
 		}
 		w := c.workerOf(id)
-		if w == nil && i.Worker != "" || c.moves[id] != nil {
+		if w == nil && i.Worker != "" || c.moves[id] != nil || !c.mayOrder(id, now) {
 			continue // on its way to a pool: what runs there is not known yet
 		}
 		if w != nil && (w.gone || w.Draining || w.reserved != "" || !c.runsKnown(w, now)) {
--- a/lab/jobload/play.go
+++ b/lab/jobload/play.go
@@ -61,7 +61,9 @@
 	away      time.Time // until when the store is away
 	commits   bool      // one is under way
 	waves     int
-	billed    bool // the arrivals are over
+	electedAt time.Time
+	ordered   map[owner.InstanceID]time.Time // newest order for it
+	billed    bool                           // the arrivals are over
 }
 
 type simJob struct {
@@ -93,7 +95,7 @@
 	s := &sim{
 		scenario: sc, engine: newEngine(), rand: rand.New(rand.NewPCG(sc.Seed, 1)),
 		instances: map[owner.InstanceID]*instance{}, workers: map[owner.WorkerID]*worker{},
-		paidSince: map[owner.InstanceID]time.Time{}, jobs: map[job.ID]*simJob{}, progress: map[job.ID]job.Progress{},
+		paidSince: map[owner.InstanceID]time.Time{}, ordered: map[owner.InstanceID]time.Time{}, jobs: map[job.ID]*simJob{}, progress: map[job.ID]job.Progress{},
 	}
 	s.result = Result{Causes: map[string]time.Duration{}, LateBySecond: map[int]int{}, JobsBySecond: map[int]int{}, LateByQueue: map[string]int{}}
 	s.catalog = &job.Catalog{Services: []job.Service{{Name: sparePool, Spare: true}}}
@@ -146,7 +148,8 @@
 		loaded = append(loaded, l)
 	}
 	s.core = owner.New(owner.Options{
-		Term: s.term, TaskLease: taskLease, HoldWait: holdWait, DutyHandover: dutyHandover, KeepStatus: 2 * time.Minute,
+		Term: s.term, TaskLease: taskLease, HoldWait: holdWait, KeepStatus: 2 * time.Minute,
+		DutyHandover: dutyHandover, OrderedBefore: s.orderedOfLate(), ElectedAt: s.electedAt,
 		Weights: capacity.DefaultWeights, Pools: s.scenario.Size, Order: s.scenario.Order,
 	}, s.catalog, loaded, s.engine.now)
 	s.commits = false
@@ -154,6 +157,17 @@
 	s.listWorkers()
 }
 
+// orderedOfLate returns the orders that the store tells the next owner of.
+func (s *sim) orderedOfLate() []owner.RecentOrder {
+	var out []owner.RecentOrder
+	for _, id := range s.ids {
+		if at, ok := s.ordered[id]; ok && s.engine.now.Sub(at) < 2*dutyHandover {
+			out = append(out, owner.RecentOrder{Instance: id, Age: s.engine.now.Sub(at)})
+		}
+	}
+	return out
+}
+
 // settle carries out what the core wants done after an event.
 func (s *sim) settle() {
 	if s.core == nil {
@@ -178,7 +192,8 @@
 		s.beginHold(o)
 	}
 	for _, o := range e.Instances {
-		s.engine.after(orderTime, func() {
+		s.ordered[o.Instance] = s.engine.now
+		s.engine.after(storeTime+orderTime, func() {
 			outcome := s.order(o)
 			s.tell(term, func(c *owner.Core) { c.OnInstanceOrder(o, outcome, s.engine.now) })
 			s.listInstances()
@@ -307,6 +322,7 @@
 // succeed elects an owner after d, and the time that it takes to read the jobs.
 func (s *sim) succeed(d time.Duration) {
 	s.engine.after(d, func() {
+		s.electedAt = s.engine.now
 		s.engine.after(time.Duration(len(s.stored))*loadPerJob, s.elect)
 	})
 }
