While the store is away a submission is refused for certain, and its caller comes back after a pause

Cause: with the store's connections reset, each submission was sent three times within 50 ms and answered 504, as a transaction without an answer may still be carried out. Ruled out: Retry-After of 2 s (the callers' budget of 3 s bounds it); holding the submission until the store is back (what cannot be served is refused at once). Change: once two calls in a row have failed by every way the store counts as away, and nothing of a submission is sent: its 503 is true. The renewal of the daemon's lease and its watches go on and notice the return within 0.1 s or so. A transaction that is open is tried again each 60 ms for a second, instead of three times at once. The bound: callers wait for 3 s, so that of an outage of T seconds the first T - 2.9 can be served by nobody.

--- a/jobs/ledger/accept.go
+++ b/jobs/ledger/accept.go
@@ -22,17 +22,26 @@
 	// acceptTimeout bounds one try: the store answers in 4 ms, and in 300 ms in
 	// its slow hours.
 	acceptTimeout = 900 * time.Millisecond
-	// acceptTries of a transaction whose answer was lost. It may be repeated:
-	// its condition lets it happen once.
-	acceptTries = 3
+	// acceptPatience is how long a transaction whose answer was lost is tried again: its
+	// condition lets it happen once, and its callers need to know whether it did. Callers
+	// wait for 3 s, and use what is left for tries of their own.
+	acceptPatience = time.Second
+	// acceptPause is the time between two such tries.
+	acceptPause = 60 * time.Millisecond
 )
 
 // CodeBusy says that too many submissions wait.
 const CodeBusy verdict.Code = "too-many-submissions"
 
+// AcceptStore is a store that knows whether it is away.
+type AcceptStore interface {
+	Store
+	Away() bool
+}
+
 // Acceptor writes submissions, several at a time.
 type Acceptor struct {
-	store Store
+	store AcceptStore
 	queue chan pending
 }
 
@@ -43,7 +52,7 @@
 }
 
 // NewAcceptor returns an acceptor that does nothing before Run.
-func NewAcceptor(s Store) *Acceptor {
+func NewAcceptor(s AcceptStore) *Acceptor {
 	return &Acceptor{store: s, queue: make(chan pending, acceptQueue)}
 }
 
@@ -55,8 +64,13 @@
 }
 
 // Accept stores a job. A nil error means that it is in the store, by this call
-// or an earlier one; otherwise the verdict says whether it may be.
+// or an earlier one; otherwise the verdict says whether it may be. While the store is
+// away nothing is sent, so that the refusal can say for certain that it is not, and
+// callers come back after a pause instead of spending their tries at once.
 func (a *Acceptor) Accept(ctx context.Context, j *job.Job) error {
+	if a.store.Away() {
+		return errAway()
+	}
 	s := pending{key: prefixSubmitted + string(j.ID), value: encode(j), done: make(chan error, 1)}
 	select {
 	case a.queue <- s:
@@ -71,6 +85,8 @@
 	}
 }
 
+func errAway() error { return verdict.New(verdict.NotRun, CodeStore, "the store does not answer") }
+
 func (a *Acceptor) work(ctx context.Context) {
 	for {
 		select {
@@ -100,18 +116,22 @@
 // storeBatch writes a batch. Jobs that are in the store already are taken out of
 // it, and the rest is sent again.
 func (a *Acceptor) storeBatch(ctx context.Context, batch map[string][]pending) {
+	if a.store.Away() {
+		finish(batch, errAway())
+		return
+	}
+	began := time.Now()
 	sent := false // an earlier try may still take effect
-	for try := 0; len(batch) > 0; {
+	for len(batch) > 0 {
 		res, err := a.commit(ctx, batch)
 		switch {
 		case err != nil:
 			sent = sent || verdict.Of(err) != verdict.NotRun
-			try++
-			if try < acceptTries && sent {
+			if sent && time.Since(began) < acceptPatience && a.pause(ctx) {
 				continue
 			}
 			if sent {
-				err = verdict.Wrap(err, verdict.MayHaveRun, CodeStore, "after %d tries", try)
+				err = verdict.Wrap(err, verdict.MayHaveRun, CodeStore, "tried for %s", time.Since(began).Round(time.Millisecond))
 			}
 			finish(batch, err)
 			return
@@ -126,6 +146,18 @@
 	}
 }
 
+// pause waits before the next try; it reports whether there is to be one.
+func (a *Acceptor) pause(ctx context.Context) bool {
+	t := time.NewTimer(acceptPause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
+
 func (a *Acceptor) commit(ctx context.Context, batch map[string][]pending) (TxnResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
--- /dev/null
+++ b/jobs/ledger/accept_test.go
@@ -0,0 +1,93 @@
+package ledger
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/verdict"
+)
+
+// outage is a store whose connections are reset while it is away, after a
+// transaction was sent.
+type outage struct {
+	Store
+	away    bool
+	commits int
+}
+
+func (o *outage) Commit(context.Context, Txn) (TxnResult, error) {
+	o.commits++
+	if o.away {
+		return TxnResult{}, verdict.New(verdict.MayHaveRun, CodeStore, "connection reset")
+	}
+	return TxnResult{Committed: true}, nil
+}
+
+func (o *outage) KeepAlive(context.Context, LeaseID) (bool, error) {
+	if o.away {
+		return false, verdict.New(verdict.MayHaveRun, CodeStore, "connection reset")
+	}
+	return true, nil
+}
+
+func (o *outage) Relay() Store      { return nil }
+func (o *outage) RelayFailed(Store) {}
+
+// TestSubmissionsWhileTheStoreIsAway: callers try five times within three seconds. An
+// answer that leaves open whether the job was stored makes them try again at once; one
+// that says that it was not, after a pause. So all but the first few submissions of an
+// outage have to be refused for certain, nothing of them sent, and the ones whose
+// transaction is open are tried for a while before they are given up.
+func TestSubmissionsWhileTheStoreIsAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := &outage{away: true}
+		f := NewFailover(s, s, time.Now, func(error) {})
+		a := NewAcceptor(f)
+		a.Run(ctx)
+		accept := func(n int) error {
+			return a.Accept(ctx, &job.Job{ID: job.ID(fmt.Sprintf("%016x", n))})
+		}
+		began := time.Now()
+		first := accept(1)
+		require.Error(t, first)
+		assert.Equal(t, verdict.MayHaveRun, verdict.Of(first))
+		assert.GreaterOrEqual(t, time.Since(began), acceptPatience)
+		assert.Less(t, time.Since(began), acceptPatience+100*time.Millisecond)
+
+		sent := s.commits
+		for n := range 20 {
+			err := accept(2 + n)
+			assert.Equal(t, verdict.NotRun, verdict.Of(err), "%v", err)
+		}
+		assert.Equal(t, sent, s.commits, "nothing is sent of a job that is refused")
+
+		s.away = false
+		assert.Error(t, accept(40), "its return has not been noticed")
+		_, err := f.KeepAlive(ctx, 1)
+		require.NoError(t, err)
+		assert.NoError(t, accept(41))
+	})
+}
+
+// TestAnAnswerThatIsLostOnce: the transaction is repeated, and the caller hears that
+// the job is stored.
+func TestAnAnswerThatIsLostOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		s := &outage{away: true}
+		a := NewAcceptor(NewFailover(s, s, time.Now, func(error) {}))
+		a.Run(ctx)
+		time.AfterFunc(300*time.Millisecond, func() { s.away = false })
+		assert.NoError(t, a.Accept(ctx, &job.Job{ID: "00000000000000ab"}))
+	})
+}
--- a/jobs/ledger/failover.go
+++ b/jobs/ledger/failover.go
@@ -29,6 +29,7 @@
 	avoid  time.Time     // the direct way is not tried before
 	cutOff bool          // no connection could be opened that way
 	leave  time.Duration // how long the direct way was left last
+	misses int           // calls that failed by every way since one was answered
 	now    func() time.Time
 	onBad  func(err error)
 }
@@ -47,6 +48,25 @@
 	return &Failover{direct: direct, relays: relays, now: now, onBad: onBad}
 }
 
+// awayAfter is how many calls in a row have to fail by every way for the store to
+// count as away: one alone may be an answer that was lost.
+const awayAfter = 2
+
+// Away reports whether the store does not answer at present, by any way. The daemon's
+// own calls, the renewal of its lease above all, go on and notice its return.
+func (f *Failover) Away() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.misses >= awayAfter
+}
+
+// missed takes note of a call that failed by every way.
+func (f *Failover) missed() {
+	f.mu.Lock()
+	f.misses++
+	f.mu.Unlock()
+}
+
 // ways returns the stores to try in order.
 func (f *Failover) ways() []Store {
 	f.mu.Lock()
@@ -95,12 +115,12 @@
 
 // worked takes note of an answer.
 func (f *Failover) worked(s Store) {
-	if s != f.direct {
-		return
-	}
 	f.mu.Lock()
-	f.leave = 0
-	f.mu.Unlock()
+	defer f.mu.Unlock()
+	f.misses = 0
+	if s == f.direct {
+		f.leave = 0
+	}
 }
 
 // read tries both ways.
@@ -118,9 +138,10 @@
 		}
 		f.failed(s, err)
 		if ctx.Err() != nil {
-			return out, err
+			break
 		}
 	}
+	f.missed()
 	return out, err
 }
 
@@ -164,9 +185,10 @@
 		}
 		f.failed(s, err)
 		if verdict.Of(err) != verdict.NotRun || ctx.Err() != nil {
-			return res, err
+			break
 		}
 	}
+	f.missed()
 	return res, err
 }
 
--- a/jobs/ledger/term_test.go
+++ b/jobs/ledger/term_test.go
@@ -17,6 +17,12 @@
 
 func noFailure(string, string) jobfleet.Failure { return jobfleet.NoFailure }
 
+// noPeers is a daemon's peers if it has none.
+type noPeers struct{}
+
+func (noPeers) Relay() ledger.Store      { return nil }
+func (noPeers) RelayFailed(ledger.Store) {}
+
 // elect returns a term of a daemon on a stand-in of the store.
 func elect(t *testing.T, s ledger.Store, node string) *ledger.Term {
 	ctx := context.Background()
@@ -52,7 +58,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		s := jobfleet.NewStore().Client("d", &jobfleet.Gate{}, noFailure)
-		a := ledger.NewAcceptor(s)
+		a := ledger.NewAcceptor(ledger.NewFailover(s, noPeers{}, time.Now, func(error) {}))
 		a.Run(ctx)
 		j := &job.Job{ID: "00000000000000aa", Queue: "q", Payload: "long text", AcceptedAt: time.Now(), Steps: []job.Step{{Count: 2}}}
 		require.NoError(t, a.Accept(ctx, j))
--- a/jobs/node/instanceorders.go
+++ b/jobs/node/instanceorders.go
@@ -27,13 +27,14 @@
 type arrival struct {
 	at     time.Time
 	holder string
+	before *arrival // of the order before, until this one is known to be sent
 }
 
 // newInstanceOrders begins with those of the owner before.
 func newInstanceOrders(self string, handover time.Duration, before []owner.RecentOrder, electedAt time.Time) instanceOrders {
 	o := instanceOrders{self: self, newest: map[owner.InstanceID]arrival{}, keep: handover + owner.DutyMargin}
 	for _, b := range before {
-		o.newest[b.Instance] = arrival{electedAt.Add(-b.Age), b.Holder}
+		o.newest[b.Instance] = arrival{at: electedAt.Add(-b.Age), holder: b.Holder}
 	}
 	return o
 }
@@ -50,17 +51,27 @@
 	out := o.pending
 	o.pending = nil
 	for _, m := range out {
-		o.newest[m.Instance] = arrival{now.Add(orderDelay), o.self}
+		a := arrival{at: now.Add(orderDelay), holder: o.self}
+		if before, ok := o.newest[m.Instance]; ok {
+			before.before = nil
+			a.before = &before
+		}
+		o.newest[m.Instance] = a
 	}
 	return out
 }
 
 // settle takes note of what came of an order: it arrived by now, or was never sent.
 func (o *instanceOrders) settle(id owner.InstanceID, sent bool, now time.Time) {
-	if !sent {
+	a := o.newest[id]
+	switch {
+	case sent && a.at.After(now):
+		o.newest[id] = arrival{at: now, holder: o.self}
+	case sent:
+	case a.before != nil:
+		o.newest[id] = *a.before
+	default:
 		delete(o.newest, id)
-	} else if o.newest[id].at.After(now) {
-		o.newest[id] = arrival{now, o.self}
 	}
 }
 
