Busy instances of a pool that has too many are emptied for one that is short

Change: while a pool is short, instances that others can do without get no new tasks if what runs there ends within 2 s; once idle they are moved as before.

--- a/jobs/capacity/capacity.go
+++ b/jobs/capacity/capacity.go
@@ -36,6 +36,9 @@
 	// though it has cores enough: they may need other workers than those that run
 	// tasks of their step already.
 	stuckAfter = 500 * time.Millisecond
+	// emptyWithin bounds how long the tasks on an instance may still take for it to be
+	// emptied: a pool that is short by then will have got instances that idle.
+	emptyWithin = 2 * time.Second
 	// perPlan is how many instances a plan takes from pools that have too many.
 	perPlan = 2
 )
@@ -45,6 +48,10 @@
 	ID      string
 	IdleFor time.Duration // nothing ran on it; 0: something does
 	Movable bool          // nothing runs on it, and nothing else is planned for it
+	// EmptyIn is how long the tasks on it take to end, by their estimates; 0: they do
+	// not end by themselves, or something else is planned for it.
+	EmptyIn  time.Duration
+	Emptying bool // it gets no new tasks already
 }
 
 // Pool is a service's instances and their work.
@@ -65,6 +72,9 @@
 	Instance string
 	From, To string
 	Reason   string
+	// Empty says that tasks still run on the instance. It is to get no new ones, so
+	// that it can be moved by a later plan.
+	Empty bool
 }
 
 // need is how many instances the pool's work fills: what there is now, or what
@@ -179,6 +189,45 @@
 			}
 		}
 	}
+	p.empty(to, short)
+}
+
+// empty picks busy instances of pools that have too many: without new tasks they can
+// be moved soon.
+func (p *planner) empty(to *Pool, short int) {
+	if p.threshold {
+		return
+	}
+	for d := range p.pools {
+		donor := &p.pools[d]
+		if donor.Name == to.Name {
+			continue
+		}
+		for _, i := range byEmptyTime(donor.Instances) {
+			if short <= 0 || p.surplus(donor) <= 0 {
+				break
+			}
+			if i.EmptyIn <= 0 || i.EmptyIn > emptyWithin || p.taken[i.ID] {
+				continue
+			}
+			p.add(donor, to, i, "tasks wait, and its pool has too many")
+			p.moves[len(p.moves)-1].Empty = true
+			short--
+		}
+	}
+}
+
+// byEmptyTime orders instances by when they will be empty; those that get no new tasks
+// already come first.
+func byEmptyTime(list []Instance) []Instance {
+	out := append([]Instance(nil), list...)
+	sort.SliceStable(out, func(a, b int) bool {
+		if out[a].Emptying != out[b].Emptying {
+			return out[a].Emptying
+		}
+		return out[a].EmptyIn < out[b].EmptyIn
+	})
+	return out
 }
 
 // giveBack makes instances spare that have idled for longer than it costs to
@@ -209,9 +258,13 @@
 	if !i.Movable || p.taken[i.ID] {
 		return false
 	}
+	p.add(from, to, i, reason)
+	return true
+}
+
+func (p *planner) add(from, to *Pool, i Instance, reason string) {
 	p.taken[i.ID] = true
 	from.Arriving--
 	to.Arriving++
 	p.moves = append(p.moves, Move{Instance: i.ID, From: from.Name, To: to.Name, Reason: reason})
-	return true
 }
--- a/jobs/capacity/capacity_test.go
+++ b/jobs/capacity/capacity_test.go
@@ -122,3 +122,29 @@
 	assert.Empty(t, Plan(Threshold, DefaultWeights, []Pool{a}, spare(8)))
 	assert.Len(t, Plan(Threshold, DefaultWeights, []Pool{pool("b", 5, 5, time.Minute)}, spare(1)), perPlan)
 }
+
+// TestBusyInstancesAreEmptied: a pool with too many gives those that are empty soonest,
+// and none that would take long; those that get no new tasks already come first.
+func TestBusyInstancesAreEmptied(t *testing.T) {
+	short := pool("short", 1, 0, 0)
+	short.Busy, short.Waiting = 10, 12 // 23.5 cores, room for 10
+	donor := pool("donor", 5, 0, 0)
+	donor.Busy = 16 // needs 3
+	for i, in := range []time.Duration{1800, 700, 0, 900, 2500} {
+		donor.Instances[i].EmptyIn = in * time.Millisecond
+	}
+	moves := Plan(Demand, DefaultWeights, []Pool{short, donor}, spare(0))
+	assert.Equal(t, []Move{
+		{Instance: "donor1", From: "donor", To: "short", Reason: "tasks wait, and its pool has too many", Empty: true},
+		{Instance: "donor3", From: "donor", To: "short", Reason: "tasks wait, and its pool has too many", Empty: true},
+	}, moves)
+
+	donor.Instances[0].Emptying = true
+	moves = Plan(Demand, DefaultWeights, []Pool{short, donor}, spare(0))
+	assert.Equal(t, "donor0", moves[0].Instance, "the choice does not change from plan to plan")
+
+	donor.Waiting = 1
+	assert.Empty(t, Plan(Demand, DefaultWeights, []Pool{short, donor}, spare(0)), "it needs them itself")
+	short.Waiting, donor.Waiting, short.Busy = 0, 0, 5
+	assert.Empty(t, Plan(Demand, DefaultWeights, []Pool{short, donor}, spare(0)), "nobody needs them")
+}
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -98,9 +98,32 @@
 	c.settleMoves(now)
 	pools, spare := c.poolViews(now)
 	c.noteSupply(pools)
+	emptying := map[InstanceID]bool{}
 	for _, m := range capacity.Plan(c.opt.Pools, c.opt.Weights, pools, spare) {
+		if m.Empty {
+			emptying[InstanceID(m.Instance)] = true
+			continue
+		}
 		c.orderMove(m, now)
 	}
+	c.empty(emptying, now)
+}
+
+// reservedEmpty is why a worker gets no new tasks that is to be moved once it is idle.
+const reservedEmpty = "to be emptied"
+
+// empty keeps new tasks from these instances, and from no others for that reason.
+func (c *Core) empty(list map[InstanceID]bool, now time.Time) {
+	for _, w := range c.everyWorker() {
+		switch chosen := list[c.lives[w.Worker]]; {
+		case chosen && w.reserved == "":
+			w.reserved = reservedEmpty
+			w.reservedAt = now
+			c.note(Decision{Event: "worker-reserved", Worker: w.Worker, Reason: reservedEmpty})
+		case !chosen && w.reserved == reservedEmpty:
+			w.unreserve()
+		}
+	}
 }
 
 // noteSupply keeps what explains why tasks of a pool wait.
@@ -203,18 +226,41 @@
 	v.Cores = max(v.Cores, float64(w.Room.CPUMilli)/1000)
 	v.Busy += float64(w.used.CPUMilli) / 1000
 	v.Lasting += float64(w.lastingCPU) / 1000
+	free := w.held && w.registered && !w.gone && !w.Draining && !w.silent() && c.mayOrder(i.ID, now) &&
+		(w.reserved == "" || w.reserved == reservedEmpty)
+	out.Emptying = w.reserved == reservedEmpty
 	if len(w.runs)+len(w.strangers) > 0 {
 		w.idleSince = time.Time{}
+		if free {
+			out.EmptyIn = w.emptyIn()
+		}
 		return out
 	}
 	if w.idleSince.IsZero() {
 		w.idleSince = now
 	}
 	out.IdleFor = now.Sub(w.idleSince)
-	out.Movable = w.held && w.registered && !w.gone && !w.Draining && w.reserved == "" && !w.silent() && c.mayOrder(i.ID, now)
+	out.Movable = free
 	return out
 }
 
+// emptyIn returns how long the tasks on the worker take to end by their estimates, 0 if
+// some do not end by themselves or are not known.
+func (w *worker) emptyIn() time.Duration {
+	longest := time.Millisecond
+	if len(w.strangers) > 0 {
+		return 0
+	}
+	for _, r := range w.runs {
+		spec := r.task.step.spec
+		if spec.LongRunning {
+			return 0
+		}
+		longest = max(longest, spec.Estimate*time.Duration(100-r.percent)/100)
+	}
+	return longest
+}
+
 // underMaintenance reports whether a wave has the instance down.
 func (c *Core) underMaintenance(id InstanceID) bool {
 	for _, ws := range c.waves {
