A daemon that is cut off from the store is served by its peers all the time

Eleven daemons, the owner among them, were cut off from 1 to 13 s. It kept its lock through its peers, but after each 0.7 s a call tried the direct way for all of its 0.9 s, nothing was left for the other way, and each failed transaction was followed by another call that failed: ends were recorded after 0.7 s in the median and 2 to 7 s at worst, and with its lease unsure it moved no instance for 12 s (1,337 s of waiting for instances). Relays were taken by turns, a third of them cut off as well. Ruled out: handing over to a daemon that reaches the store (one that is cut off cannot tell whether it is the store); longer pauses between tries (the return is noticed late). Change: while the direct way is bad only one call at a time tries it, only such as may be repeated, and for 150 ms at most; all others go by a peer at once. A peer that serves is kept.

--- a/jobs/ledger/failover.go
+++ b/jobs/ledger/failover.go
@@ -18,29 +18,35 @@
 	RelayFailed(s Store)
 }
 
-// Failover is the store by the direct way, and through another daemon for a
-// while after the direct way failed: the store may turn one daemon away while
-// it serves the others.
+// Failover is the store by the direct way, and through another daemon while the
+// direct one does not serve: the store may turn one daemon away while it serves the
+// others, and a partition may cut a daemon off from it.
 type Failover struct {
 	direct Store
 	relays Relays
 
 	mu     sync.Mutex
-	avoid  time.Time     // the direct way is not tried before
+	bad    bool          // the direct way failed, and nothing was answered there since
 	cutOff bool          // no connection could be opened that way
-	leave  time.Duration // how long the direct way was left last
+	probe  time.Time     // when the direct way may be tried next
+	leave  time.Duration // how long it was left last
 	misses int           // calls that failed by every way since one was answered
 	now    func() time.Time
 	onBad  func(err error)
 }
 
-// avoidDirect is how long the direct way is left after a failure; a try costs
-// a timeout if the store does not answer.
-const avoidDirect = 700 * time.Millisecond
-
-// maxAvoidDirect bounds how long the direct way is left while no connection can be
-// opened: the way by a peer costs two milliseconds, so that there is no hurry.
-const maxAvoidDirect = 4 * time.Second
+// Figures of the ways.
+const (
+	// avoidDirect is how long the direct way is left after a failure; a try costs
+	// its call up to probeTimeout.
+	avoidDirect = 700 * time.Millisecond
+	// maxAvoidDirect bounds how long the direct way is left while no connection can be
+	// opened: the way by a peer costs two milliseconds, so that there is no hurry.
+	maxAvoidDirect = 4 * time.Second
+	// probeTimeout bounds the try of a direct way that is bad. The store answers in
+	// 4 ms; in its slow hours, 300 ms, the way by a peer is as slow, and serves.
+	probeTimeout = 150 * time.Millisecond
+)
 
 // NewFailover returns a store with two ways. onBad is told each failure of the
 // direct one.
@@ -67,23 +73,36 @@
 	f.mu.Unlock()
 }
 
-// ways returns the stores to try in order.
-func (f *Failover) ways() []Store {
-	f.mu.Lock()
-	skip := f.now().Before(f.avoid)
-	f.mu.Unlock()
+// way is one way of a call.
+type way struct {
+	store Store
+	limit time.Duration // of the call by this way; 0: that of the caller alone
+}
+
+// ways returns the ways to try in order. While the direct one is bad it comes last, but
+// for one call from time to time that tries it: for a short while, as what is left of
+// the call's time has to do for the other way. Only calls that may be repeated do so.
+func (f *Failover) ways(repeatable bool) []way {
 	relay := f.relays.Relay()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	direct := way{store: f.direct}
 	if relay == nil {
-		return []Store{f.direct}
+		return []way{direct}
 	}
-	if skip {
-		return []Store{relay, f.direct}
+	by := way{store: relay}
+	if !f.bad {
+		return []way{direct, by}
 	}
-	return []Store{f.direct, relay}
+	if repeatable && !f.now().Before(f.probe) {
+		f.probe = f.now().Add(avoidDirect) // one at a time
+		return []way{{f.direct, probeTimeout}, by}
+	}
+	return []way{by, direct}
 }
 
 // failed takes note of a failure. If the direct way failed on an open connection,
-// which may just have gone silent, it is tried again after a failure of the other
+// which may just have gone silent, it is tried again soon after a failure of the other
 // one; if no connection could be opened it is left alone.
 func (f *Failover) failed(s Store, err error) {
 	if s != f.direct {
@@ -92,11 +111,12 @@
 	f.mu.Lock()
 	switch {
 	case s == f.direct:
+		f.bad = true
 		f.cutOff = verdict.Of(err) == verdict.NotRun
 		f.leave = f.nextLeave()
-		f.avoid = f.now().Add(f.leave)
+		f.probe = f.now().Add(f.leave)
 	case !f.cutOff:
-		f.avoid = time.Time{}
+		f.probe = time.Time{}
 	}
 	f.mu.Unlock()
 	if s == f.direct {
@@ -119,24 +139,34 @@
 	defer f.mu.Unlock()
 	f.misses = 0
 	if s == f.direct {
-		f.leave = 0
+		f.bad, f.leave = false, 0
 	}
 }
 
-// read tries both ways.
-func read[T any](ctx context.Context, f *Failover, call func(Store) (T, error)) (T, error) {
+// read tries both ways with a call that may be repeated.
+func read[T any](ctx context.Context, f *Failover, call func(context.Context, Store) (T, error)) (T, error) {
+	return each(ctx, f, true, call)
+}
+
+// await is read for a call that takes as long as nothing happens: a short try of a way
+// tells nothing then.
+func await[T any](ctx context.Context, f *Failover, call func(context.Context, Store) (T, error)) (T, error) {
+	return each(ctx, f, false, call)
+}
+
+func each[T any](ctx context.Context, f *Failover, probes bool, call func(context.Context, Store) (T, error)) (T, error) {
 	var out T
 	var err error
-	for _, s := range f.ways() {
-		out, err = call(s)
+	for _, w := range f.ways(probes) {
+		out, err = by(ctx, w, call)
 		if err == nil || verdict.CodeOf(err) != CodeStore {
-			f.worked(s)
+			f.worked(w.store)
 			return out, err
 		}
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return out, err // the caller gave up, the store is not to blame
 		}
-		f.failed(s, err)
+		f.failed(w.store, err)
 		if ctx.Err() != nil {
 			break
 		}
@@ -145,6 +175,16 @@
 	return out, err
 }
 
+// by makes a call by one way within its limit.
+func by[T any](ctx context.Context, w way, call func(context.Context, Store) (T, error)) (T, error) {
+	if w.limit > 0 {
+		var cancel context.CancelFunc
+		ctx, cancel = context.WithTimeout(ctx, w.limit)
+		defer cancel()
+	}
+	return call(ctx, w.store)
+}
+
 type found struct {
 	item Item
 	ok   bool
@@ -152,7 +192,7 @@
 
 // Get implements Store.
 func (f *Failover) Get(ctx context.Context, key string, stale bool) (Item, bool, error) {
-	r, err := read(ctx, f, func(s Store) (found, error) {
+	r, err := read(ctx, f, func(ctx context.Context, s Store) (found, error) {
 		i, ok, err := s.Get(ctx, key, stale)
 		return found{i, ok}, err
 	})
@@ -161,12 +201,12 @@
 
 // Range implements Store.
 func (f *Failover) Range(ctx context.Context, prefix, after string, stale bool) (Page, error) {
-	return read(ctx, f, func(s Store) (Page, error) { return s.Range(ctx, prefix, after, stale) })
+	return read(ctx, f, func(ctx context.Context, s Store) (Page, error) { return s.Range(ctx, prefix, after, stale) })
 }
 
 // Watch implements Store.
 func (f *Failover) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error) {
-	return read(ctx, f, func(s Store) (Changes, error) { return s.Watch(ctx, prefix, after, wait) })
+	return await(ctx, f, func(ctx context.Context, s Store) (Changes, error) { return s.Watch(ctx, prefix, after, wait) })
 }
 
 // Commit implements Store. The second way is tried only if the first one
@@ -174,16 +214,16 @@
 func (f *Failover) Commit(ctx context.Context, t Txn) (TxnResult, error) {
 	var res TxnResult
 	var err error
-	for _, s := range f.ways() {
-		res, err = s.Commit(ctx, t)
+	for _, w := range f.ways(false) {
+		res, err = w.store.Commit(ctx, t)
 		if err == nil {
-			f.worked(s)
+			f.worked(w.store)
 			return res, nil
 		}
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return res, err
 		}
-		f.failed(s, err)
+		f.failed(w.store, err)
 		if verdict.Of(err) != verdict.NotRun || ctx.Err() != nil {
 			break
 		}
@@ -194,16 +234,16 @@
 
 // GrantLease implements Store.
 func (f *Failover) GrantLease(ctx context.Context, ttl time.Duration) (LeaseID, error) {
-	return read(ctx, f, func(s Store) (LeaseID, error) { return s.GrantLease(ctx, ttl) })
+	return read(ctx, f, func(ctx context.Context, s Store) (LeaseID, error) { return s.GrantLease(ctx, ttl) })
 }
 
 // KeepAlive implements Store.
 func (f *Failover) KeepAlive(ctx context.Context, id LeaseID) (bool, error) {
-	return read(ctx, f, func(s Store) (bool, error) { return s.KeepAlive(ctx, id) })
+	return read(ctx, f, func(ctx context.Context, s Store) (bool, error) { return s.KeepAlive(ctx, id) })
 }
 
 // EndLease implements Store.
 func (f *Failover) EndLease(ctx context.Context, id LeaseID) error {
-	_, err := read(ctx, f, func(s Store) (struct{}, error) { return struct{}{}, s.EndLease(ctx, id) })
+	_, err := read(ctx, f, func(ctx context.Context, s Store) (struct{}, error) { return struct{}{}, s.EndLease(ctx, id) })
 	return err
 }
--- a/jobs/ledger/failover_test.go
+++ b/jobs/ledger/failover_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
@@ -17,6 +18,7 @@
 	get   func(ctx context.Context) error
 	calls int
 
+	commits  int
 	failures int // as the second way
 }
 
@@ -113,3 +115,56 @@
 	direct.get = refused
 	assert.Equal(t, 2, during(time.Second), "the backoff starts anew")
 }
+
+// hangs is a way on which nothing is answered.
+func hangs(ctx context.Context) error {
+	<-ctx.Done()
+	return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, CodeStore, "no answer")
+}
+
+func (s *scripted) Commit(ctx context.Context, _ Txn) (TxnResult, error) {
+	s.commits++
+	return TxnResult{Committed: true}, s.get(ctx)
+}
+
+// TestACutOffDaemonIsServedByPeersAllTheTime: once it is known that nothing is answered
+// on the direct way, no transaction is sent there, and a call that tries it leaves
+// enough of its time for the other way.
+func TestACutOffDaemonIsServedByPeersAllTheTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const budget = 900 * time.Millisecond
+		direct, relay := &scripted{get: hangs}, &scripted{get: answers}
+		f := NewFailover(direct, relay, time.Now, func(error) {})
+		call := func(do func(ctx context.Context) error) (time.Duration, error) {
+			ctx, cancel := context.WithTimeout(context.Background(), budget)
+			defer cancel()
+			began := time.Now()
+			err := do(ctx)
+			return time.Since(began), err
+		}
+		get := func(ctx context.Context) error { _, _, err := f.Get(ctx, "k", false); return err }
+		commit := func(ctx context.Context) error { _, err := f.Commit(ctx, Txn{}); return err }
+		_, err := call(commit)
+		require.Error(t, err, "the first one finds it out")
+		require.Equal(t, 1, direct.commits)
+		for range 200 { // 20 s
+			took, err := call(get)
+			require.NoError(t, err)
+			require.LessOrEqual(t, took, probeTimeout)
+			took, err = call(commit)
+			require.NoError(t, err)
+			require.Zero(t, took)
+			time.Sleep(100 * time.Millisecond)
+		}
+		assert.Equal(t, 1, direct.commits)
+		assert.LessOrEqual(t, direct.calls, 30, "20 s, a try each 0.7 s")
+
+		direct.get = answers
+		time.Sleep(maxAvoidDirect)
+		_, err = call(get)
+		require.NoError(t, err)
+		_, err = call(commit)
+		require.NoError(t, err)
+		assert.Equal(t, 2, direct.commits, "the direct way is used again once a read was answered there")
+	})
+}
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -69,11 +69,12 @@
 	term      atomic.Pointer[termRun]     // nil: this daemon is not the owner
 	members   atomic.Pointer[[]ledger.Member]
 	relayNo   atomic.Uint64
-	badRelays sync.Map      // address of a peer to until when it is not asked for the store
-	lease     atomic.Int64  // ledger.LeaseID; 0: none
-	renewed   atomic.Int64  // when the lease was last renewed, in ns since start
-	electNow  chan struct{} // wakes the election
-	lockGone  atomic.Int64  // when the lock was last seen to be gone, in ns since start
+	lastRelay atomic.Pointer[string] // address of the peer asked last
+	badRelays sync.Map               // address of a peer to until when it is not asked for the store
+	lease     atomic.Int64           // ledger.LeaseID; 0: none
+	renewed   atomic.Int64           // when the lease was last renewed, in ns since start
+	electNow  chan struct{}          // wakes the election
+	lockGone  atomic.Int64           // when the lock was last seen to be gone, in ns since start
 	started   time.Time
 	stopping  atomic.Bool
 
@@ -100,27 +101,36 @@
 	n.log.Warn("store-call-failed", zap.Error(err))
 }
 
-// Relay implements ledger.Relays: the other daemons by turns, but for those whose
-// way to the store failed a moment ago.
+// Relay implements ledger.Relays: a daemon that served lately, or else the others by
+// turns, but for those whose way to the store failed a moment ago. A disruption often
+// cuts off a third of the daemons, so that one that serves is worth keeping.
 func (n *Node) Relay() ledger.Store {
 	list := n.members.Load()
 	if list == nil {
 		return nil
 	}
 	var others []string
+	last := n.lastRelay.Load()
 	for _, m := range *list {
-		if m.Node != n.set.Node && !n.relayBad(m.Addr) {
-			others = append(others, m.Addr)
+		if m.Node == n.set.Node || n.relayBad(m.Addr) {
+			continue
 		}
+		if last != nil && m.Addr == *last {
+			return peer.StoreBy(n.peers, m.Addr)
+		}
+		others = append(others, m.Addr)
 	}
 	if len(others) == 0 {
 		return nil
 	}
-	return peer.StoreBy(n.peers, others[n.relayNo.Add(1)%uint64(len(others))])
+	addr := others[n.relayNo.Add(1)%uint64(len(others))]
+	n.lastRelay.Store(&addr)
+	return peer.StoreBy(n.peers, addr)
 }
 
 // RelayFailed implements ledger.Relays.
 func (n *Node) RelayFailed(s ledger.Store) {
+	n.lastRelay.Store(nil)
 	n.badRelays.Store(peer.AddrOf(s), time.Now().Add(relayPause))
 }
 
--- a/lab/jobload/jobload_test.go
+++ b/lab/jobload/jobload_test.go
@@ -14,13 +14,13 @@
 // instances and pools are those of that sheet.
 func byTurns(seed uint64) Scenario {
 	const turn, high, low = 4500 * time.Millisecond, 4.0, 0.05
-	small := Kind{Steps: 2, Width: 6, CPUMilli: 880, MemMB: 910, Task: time.Second, EstOff: 0.5}
+	small := Kind{Steps: 1.6, Width: 6, CPUMilli: 880, MemMB: 910, Task: time.Second, EstOff: 0.5}
 	large := Kind{Steps: 2, Width: 8, CPUMilli: 1900, MemMB: 3500, Task: 1700 * time.Millisecond, EstOff: 0.9}
 	sc := Scenario{Seed: seed, Length: 36 * time.Second, Instances: 10, Spare: 9, Room: job.Resources{CPUMilli: 16000, MemMB: 32768}}
 	for i, q := range []Queue{
-		{Name: "a", PerSecond: 5.8, Kind: small},
+		{Name: "a", PerSecond: 7.2, Kind: small},
 		{Name: "b", PerSecond: 1.33, Kind: large, Priority: 1},
-		{Name: "c", PerSecond: 7.2, Kind: small},
+		{Name: "c", PerSecond: 9, Kind: small},
 		{Name: "d", PerSecond: 1.62, Kind: large, Priority: 1},
 	} {
 		q.Shape = Turns(i, 4, turn, high, low)
--- a/lab/jobload/jobs.go
+++ b/lab/jobload/jobs.go
@@ -31,7 +31,7 @@
 	s.result.Jobs++
 	spec := &job.Job{ID: job.ID(fmt.Sprintf("%016x", s.result.Jobs)), Queue: q.Name, Service: q.Name}
 	j := &simJob{spec: spec, first: s.engine.now}
-	for n := range q.Kind.Steps {
+	for n := range s.steps(q.Kind) {
 		mean := time.Duration(s.around(float64(q.Kind.Task)))
 		step := job.Step{
 			Count: max(1, int(s.around(float64(q.Kind.Width)))) * wide,
@@ -53,6 +53,15 @@
 	s.try(j, 0)
 }
 
+// steps returns the number of steps of a job: the mean's neighbours, by their share.
+func (s *sim) steps(k Kind) int {
+	whole := int(k.Steps)
+	if s.rand.Float64() < k.Steps-float64(whole) {
+		whole++
+	}
+	return max(1, whole)
+}
+
 // around returns a value between half of the mean and half more.
 func (s *sim) around(mean float64) float64 { return mean * (0.5 + s.rand.Float64()) }
 
--- a/lab/jobload/scenario.go
+++ b/lab/jobload/scenario.go
@@ -43,9 +43,9 @@
 // Kind says what the jobs of a queue are like. Sizes are spread evenly over the mean
 // and half of it, either way.
 type Kind struct {
-	Steps    int
-	Width    int // mean number of tasks of a step
-	CPUMilli int // mean of a task
+	Steps    float64 // mean; one more or less, one at least
+	Width    int     // mean number of tasks of a step
+	CPUMilli int     // mean of a task
 	MemMB    int
 	Task     time.Duration // mean of how long a task takes
 	EstOff   float64       // by which share estimates are off at most, either way
