--- a/lab/jobload/jobs.go
+++ b/lab/jobload/jobs.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"time"
 
 	"github.com/postmount/postmount/jobs/job"
@@ -62,8 +63,15 @@
 	return max(1, whole)
 }
 
-// around returns a value between half of the mean and half more.
-func (s *sim) around(mean float64) float64 { return mean * (0.5 + s.rand.Float64()) }
+// sizeSpread is the standard deviation of the logarithm of a size: one in ten is over
+// twice the median. The users' sheets give 0.45 to 0.6.
+const sizeSpread = 0.55
+
+// around returns a value that is spread log-normally and has that mean, four times as
+// much at most.
+func (s *sim) around(mean float64) float64 {
+	return mean * min(4, math.Exp(sizeSpread*s.rand.NormFloat64()-sizeSpread*sizeSpread/2))
+}
 
 // try is a caller's try with the given number.
 func (s *sim) try(j *simJob, n int) {
--- a/lab/jobload/scenario.go
+++ b/lab/jobload/scenario.go
@@ -40,8 +40,7 @@
 // Steady is a queue's mean at any time.
 func Steady(time.Duration) float64 { return 1 }
 
-// Kind says what the jobs of a queue are like. Sizes are spread evenly over the mean
-// and half of it, either way.
+// Kind says what the jobs of a queue are like. Sizes are spread log-normally.
 type Kind struct {
 	Steps    float64 // mean; one more or less, one at least
 	Width    int     // mean number of tasks of a step
