An owner whose process is gone is replaced at once

Change: each daemon keeps a connection to the owner; if it ends and nobody listens at the owner's address, as two other daemons find too, it ends the owner's lease. An owner that lives on loses its lock as if the lease had been revoked, which is safe. A loss of power shows no sign and still takes the lease's time.

--- a/internal/jobmatrix/day_test.go
+++ b/internal/jobmatrix/day_test.go
@@ -220,3 +220,22 @@
 		assert.Contains(t, []string{"strong1", "strong2"}, second.Name)
 	})
 }
+
+// TestAKilledOwnerIsReplacedAtOnce: its process is seen to be gone, so that nobody
+// waits for its lease to end.
+func TestAKilledOwnerIsReplacedAtOnce(t *testing.T) {
+	play(t, func(d *day) {
+		d.submitSome(0, 2)
+		time.Sleep(3 * time.Second) // a list of the live daemons
+		first := d.in.Owner()
+		require.NotNil(t, first)
+		d.in.Kill(first.Name)
+		killed := time.Now()
+		for d.in.Owner() == nil && time.Since(killed) < 5*time.Second {
+			time.Sleep(10 * time.Millisecond)
+		}
+		assert.Less(t, time.Since(killed), 300*time.Millisecond)
+		d.submitSome(2, 2)
+		d.finish(10 * time.Second)
+	})
+}
--- a/jobs/node/handler.go
+++ b/jobs/node/handler.go
@@ -1,6 +1,8 @@
 package node
 
 import (
+	"context"
+
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/peer"
 )
@@ -41,6 +43,13 @@
 	return peer.Answer(h.n.platform.Store, r)
 }
 
+// Look implements peer.Handler.
+func (h peerHandler) Look(addr string) peer.Presence {
+	ctx, cancel := context.WithTimeout(context.Background(), peerTimeout)
+	defer cancel()
+	return h.n.peers.Look(ctx, addr)
+}
+
 // ownState answers from this daemon's term, if it has one.
 func (n *Node) ownState(id job.ID) peer.StateReply {
 	t := n.term.Load()
--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -210,6 +210,7 @@
 	var following sync.WaitGroup
 	defer following.Wait()
 	following.Go(func() { n.followOwner(ctx) })
+	following.Go(func() { n.watchOwnerProcess(ctx) })
 	for {
 		select {
 		case <-ctx.Done():
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -41,6 +41,11 @@
 	Pending(ctx context.Context, addr, queue string) (peer.PendingReply, error)
 	Cancelled(ctx context.Context, addr string, id job.ID) error
 	Submitted(ctx context.Context, addr string, j *job.Job) error
+	// AwaitEnd returns when a connection to a daemon has ended.
+	AwaitEnd(ctx context.Context, addr string) error
+	// Look tells whether a process listens there, and LookBy what another daemon says.
+	Look(ctx context.Context, addr string) peer.Presence
+	LookBy(ctx context.Context, by, addr string) (peer.Presence, error)
 }
 
 // Platform is what a daemon reaches outside of itself.
--- /dev/null
+++ b/jobs/node/ownerwatch.go
@@ -0,0 +1,120 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/jobs/ledger"
+	"github.com/postmount/postmount/jobs/peer"
+)
+
+// Figures of the watch over the owner's process.
+const (
+	// lockLook is how often the watch looks whether there is another owner: the store's
+	// watch has told by then.
+	lockLook = 100 * time.Millisecond
+	// witnesses is how many other daemons have to find nobody at the owner's address,
+	// too, for its process to count as gone; one if no more can be asked. A partition
+	// that refuses connections looks the same to one daemon; others, picked at random,
+	// hardly all stand on the same side of it. Up to mostAsked are asked, as some may
+	// have ended as well.
+	witnesses = 2
+	mostAsked = 5
+	// mostStagger spreads the daemons that find the owner gone at the same moment, so
+	// that most of them see that one has ended its lease. It is some calls to the store.
+	mostStagger = 30 * time.Millisecond
+)
+
+// watchOwnerProcess ends the lease of an owner whose process is gone: the lock goes
+// with it, and the next owner is elected within some milliseconds instead of after the
+// lease's two seconds. An owner that lives on after all loses its lock as if the store
+// had revoked the lease, which is safe at any time.
+func (n *Node) watchOwnerProcess(ctx context.Context) {
+	for ctx.Err() == nil {
+		l := n.lock.Load()
+		if l == nil || l.Node == n.set.Node || n.stopping.Load() {
+			pause(ctx, lockLook)
+			continue
+		}
+		n.awaitOwnersEnd(ctx, l)
+	}
+}
+
+// awaitOwnersEnd returns when there is another owner, or the connection to this one has
+// ended and its lease if its process is gone.
+func (n *Node) awaitOwnersEnd(ctx context.Context, l *ledger.Lock) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go func() {
+		for n.lock.Load() == l && pause(ctx, lockLook) {
+		}
+		cancel()
+	}()
+	if err := n.peers.AwaitEnd(ctx, l.Addr); err == nil || ctx.Err() != nil {
+		return
+	}
+	if !n.ownerGone(ctx, l) {
+		pause(ctx, lockLook) // its connection was reset, or cannot be opened
+		return
+	}
+	pause(ctx, rand.N(mostStagger))
+	if n.lock.Load() != l {
+		return
+	}
+	n.log.Info("owner-gone", zap.String("node", l.Node), zap.Uint64("term", l.Term))
+	endCtx, end := context.WithTimeout(ctx, storeTimeout)
+	defer end()
+	if err := n.store.EndLease(endCtx, l.Lease); err != nil {
+		n.log.Warn("owners-lease-not-ended", zap.Error(err))
+		return
+	}
+	pause(ctx, storeTimeout) // until the store's watch tells
+}
+
+// ownerGone reports whether nobody listens at the owner's address, as this daemon and
+// others see it. A process listens from before its election to its end.
+func (n *Node) ownerGone(ctx context.Context, l *ledger.Lock) bool {
+	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
+	defer cancel()
+	if n.peers.Look(ctx, l.Addr) != peer.Absent {
+		return false
+	}
+	others := n.othersThan(l.Node)
+	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	confirmed := 0
+	for _, addr := range others[:min(len(others), mostAsked)] {
+		seen, err := n.peers.LookBy(ctx, addr, l.Addr)
+		if err != nil {
+			n.log.Info("witness-not-asked", zap.String("addr", addr), zap.Error(err))
+			continue
+		}
+		switch seen {
+		case peer.Present:
+			return false
+		case peer.Absent:
+			confirmed++
+		}
+		if confirmed == witnesses {
+			return true
+		}
+	}
+	return confirmed > 0 || len(others) == 0
+}
+
+// othersThan returns the addresses of all daemons but this one and the named one.
+func (n *Node) othersThan(node string) []string {
+	list := n.members.Load()
+	if list == nil {
+		return nil
+	}
+	var out []string
+	for _, m := range *list {
+		if m.Node != n.set.Node && m.Node != node {
+			out = append(out, m.Addr)
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/jobs/node/ownerwatch_test.go
@@ -0,0 +1,55 @@
+package node
+
+import (
+	"context"
+	"errors"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/jobs/ledger"
+	"github.com/postmount/postmount/jobs/peer"
+)
+
+// sights is a daemon's peers: what it sees of the owner itself, and what others say.
+type sights struct {
+	Peers
+	own    peer.Presence
+	others map[string]peer.Presence // one that is missing cannot be asked
+}
+
+func (s sights) Look(context.Context, string) peer.Presence { return s.own }
+
+func (s sights) LookBy(_ context.Context, by, _ string) (peer.Presence, error) {
+	if p, ok := s.others[by]; ok {
+		return p, nil
+	}
+	return peer.Unknown, errors.New("no answer")
+}
+
+// TestAnOwnerIsGoneOnlyIfOthersSayIt: a partition that refuses connections must not cost
+// an owner its lock that others reach.
+func TestAnOwnerIsGoneOnlyIfOthersSayIt(t *testing.T) {
+	const absent, present, unknown = peer.Absent, peer.Present, peer.Unknown
+	for _, c := range []struct {
+		name   string
+		own    peer.Presence
+		others map[string]peer.Presence
+		gone   bool
+	}{
+		{"all find nobody", absent, map[string]peer.Presence{"b": absent, "c": absent}, true},
+		{"it is only reset", present, map[string]peer.Presence{"b": absent, "c": absent}, false},
+		{"it is silent", unknown, map[string]peer.Presence{"b": absent, "c": absent}, false},
+		{"all others reach it", absent, map[string]peer.Presence{"b": present, "c": present}, false},
+		{"others are cut off", absent, map[string]peer.Presence{"b": unknown, "c": unknown}, false},
+		{"one other cannot be asked", absent, map[string]peer.Presence{"c": absent}, true},
+		{"no other can be asked", absent, nil, false},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			n := &Node{set: Settings{Node: "a"}, peers: sights{own: c.own, others: c.others}, log: zap.NewNop()}
+			n.members.Store(&[]ledger.Member{{Node: "a", Addr: "a"}, {Node: "b", Addr: "b"}, {Node: "c", Addr: "c"}, {Node: "o", Addr: "o"}})
+			assert.Equal(t, c.gone, n.ownerGone(context.Background(), &ledger.Lock{Node: "o", Addr: "o"}))
+		})
+	}
+}
--- a/jobs/peer/peer.go
+++ b/jobs/peer/peer.go
@@ -102,6 +102,7 @@
 	Cancelled(r CancelRequest)
 	Submitted(r SubmitRequest)
 	Relay(r RelayRequest) RelayReply
+	Look(addr string) Presence
 }
 
 // server adapts a Handler to net/rpc's form of methods.
--- /dev/null
+++ b/jobs/peer/presence.go
@@ -0,0 +1,90 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"syscall"
+	"time"
+
+	"github.com/postmount/postmount/internal/netdial"
+	"github.com/postmount/postmount/verdict"
+)
+
+// Presence is what a daemon can tell of another one's process.
+type Presence int
+
+// The presences. Only Absent says that the process is gone: its kernel answered that
+// nobody listens there.
+const (
+	Unknown Presence = iota
+	Present
+	Absent
+)
+
+// stayFor is how long one question to stay takes; it is put again after that.
+const stayFor = 10 * time.Second
+
+// StayRequest asks a peer to answer when Wait is over: an answer that breaks off
+// before tells at once that the connection, and perhaps the process, has ended.
+type StayRequest struct{ Wait time.Duration }
+
+// LookRequest asks a peer whether a process listens at an address.
+type LookRequest struct{ Addr string }
+
+// LookReply is what the peer found.
+type LookReply struct{ Presence Presence }
+
+func (s *server) Stay(r StayRequest, _ *Empty) error {
+	time.Sleep(min(r.Wait, stayFor))
+	return nil
+}
+
+func (s *server) Look(r LookRequest, out *LookReply) error {
+	out.Presence = s.h.Look(r.Addr)
+	return nil
+}
+
+// AwaitEnd returns when a connection to the peer at addr has ended, with nil if ctx
+// has. The connection is kept for that alone.
+func (c *Client) AwaitEnd(ctx context.Context, addr string) error {
+	own := NewClient()
+	defer own.dropAll()
+	for ctx.Err() == nil {
+		if err := own.call(ctx, addr, "Stay", StayRequest{stayFor}, &Empty{}); err != nil && ctx.Err() == nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// dropAll closes all kept connections.
+func (c *Client) dropAll() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for addr, conn := range c.conns {
+		delete(c.conns, addr)
+		conn.Close()
+	}
+}
+
+// Look reports whether a process listens at addr.
+func (c *Client) Look(ctx context.Context, addr string) Presence {
+	conn, err := netdial.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
+	switch {
+	case err == nil:
+		conn.Close()
+		return Present
+	case errors.Is(err, syscall.ECONNREFUSED):
+		return Absent
+	}
+	return Unknown
+}
+
+// LookBy asks the peer at by whether a process listens at addr.
+func (c *Client) LookBy(ctx context.Context, by, addr string) (Presence, error) {
+	var out LookReply
+	if err := c.call(ctx, by, "Look", LookRequest{addr}, &out); err != nil {
+		return Unknown, verdict.Wrap(err, verdict.NotRun, CodePeer, "look at %s", addr)
+	}
+	return out.Presence, nil
+}
--- a/standin/jobfleet/network.go
+++ b/standin/jobfleet/network.go
@@ -18,11 +18,12 @@
 	mu       sync.Mutex
 	handlers map[string]peer.Handler
 	gates    map[string]*Gate
+	left     map[string]chan struct{} // closed when the daemon there leaves
 }
 
 // NewNetwork returns a network without daemons.
 func NewNetwork() *Network {
-	return &Network{handlers: map[string]peer.Handler{}, gates: map[string]*Gate{}}
+	return &Network{handlers: map[string]peer.Handler{}, gates: map[string]*Gate{}, left: map[string]chan struct{}{}}
 }
 
 // Join makes a daemon reachable at addr.
@@ -30,12 +31,16 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.handlers[addr], n.gates[addr] = h, gate
+	n.left[addr] = make(chan struct{})
 }
 
 // Leave ends a daemon's listener.
 func (n *Network) Leave(addr string) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
+	if n.handlers[addr] != nil {
+		close(n.left[addr])
+	}
 	delete(n.handlers, addr)
 }
 
@@ -113,3 +118,44 @@
 	}
 	return out, nil
 }
+
+// AwaitEnd implements node.Peers.
+func (c *PeerClient) AwaitEnd(ctx context.Context, addr string) error {
+	if _, err := c.reach(ctx, addr); err != nil {
+		return err
+	}
+	c.network.mu.Lock()
+	left := c.network.left[addr]
+	c.network.mu.Unlock()
+	select {
+	case <-ctx.Done():
+		return nil
+	case <-left:
+		return errLost
+	}
+}
+
+// Look implements node.Peers.
+func (c *PeerClient) Look(ctx context.Context, addr string) peer.Presence {
+	c.network.mu.Lock()
+	h, gate := c.network.handlers[addr], c.network.gates[addr]
+	c.network.mu.Unlock()
+	switch {
+	case c.gate.pass(ctx, toPeers) != nil:
+		return peer.Unknown
+	case h == nil:
+		return peer.Absent
+	case gate.pass(ctx, toPeers) != nil:
+		return peer.Unknown
+	}
+	return peer.Present
+}
+
+// LookBy implements node.Peers.
+func (c *PeerClient) LookBy(ctx context.Context, by, addr string) (peer.Presence, error) {
+	h, err := c.reach(ctx, by)
+	if err != nil {
+		return peer.Unknown, err
+	}
+	return h.Look(addr), nil
+}
