An owner that stops while the store is away goes on with its work

It ordered nothing for 1.8 s, tried to release its lock each 8 ms, over a hundred calls and log lines, and then gave up its term, though nobody could take over before the store was back. Ruled out: giving the lock up sooner (that takes the store). Change: while the store is away the term goes on, with a try to release the lock each 100 ms that takes 50 ms at most; the lease is ended only if the store answers. Test: TestAnOwnerThatStopsWhileTheStoreIsAway; it failed before (no step started meanwhile, over 60 transactions).

--- a/internal/jobmatrix/day_test.go
+++ b/internal/jobmatrix/day_test.go
@@ -239,3 +239,35 @@
 		d.finish(10 * time.Second)
 	})
 }
+
+// TestAnOwnerThatStopsWhileTheStoreIsAway goes on with its work, as nobody can take
+// over, and asks the store a few times a second whether it may release its lock.
+func TestAnOwnerThatStopsWhileTheStoreIsAway(t *testing.T) {
+	play(t, func(d *day) {
+		d.submitSome(0, 1)
+		time.Sleep(time.Second)
+		long := batchJob(1)
+		long.Steps[0].Estimate = 1500 * time.Millisecond
+		d.submit(ordersPrefix, long)
+		first := d.in.Owner()
+		require.NotNil(t, first)
+		commits := 0
+		d.in.SetHook(func(daemon, op string) jobfleet.Failure {
+			if !storeOps[op] {
+				return jobfleet.NoFailure
+			}
+			if op == "commit" && daemon == first.Name {
+				commits++
+			}
+			return jobfleet.Refused
+		})
+		time.Sleep(700 * time.Millisecond) // it is noticed
+		started := d.in.Judge.Starts()
+		commits = 0
+		d.in.Stop(first.Name) // takes 1.8 s
+		assert.Less(t, commits, 60, "tries to release the lock and to write progress")
+		assert.Equal(t, started+2, d.in.Judge.Starts(), "the second step of the job is started meanwhile")
+		d.in.SetHook(func(string, string) jobfleet.Failure { return jobfleet.NoFailure })
+		d.finish(15 * time.Second)
+	})
+}
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -206,7 +206,7 @@
 func (n *Node) HandOver() {
 	n.stopping.Store(true)
 	n.gateway.Stop()
-	if t := n.term.Load(); t != nil && !t.handOver() {
+	if t := n.term.Load(); t != nil && !t.handOver() && !n.store.Away() {
 		n.endLease() // the lock goes with it
 	}
 }
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -135,6 +135,9 @@
 	// handOverTimeout bounds the release of an owner's lock when it stops: two tries.
 	// If both fail the lease is ended, and the lock with it.
 	handOverTimeout = 2 * storeTimeout
+	// releaseProbe bounds a try to release the lock while the store is away: the owner
+	// goes on with its work meanwhile.
+	releaseProbe = 50 * time.Millisecond
 	// lastCommitWait is how long the release waits for a transaction that is under
 	// way. The store answers in 4 ms; in its slow hours the release need not wait.
 	lastCommitWait = 100 * time.Millisecond
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -46,6 +46,7 @@
 	lastReport time.Time
 	lastExpire time.Time
 	leftAt     time.Time    // when a planned stop began
+	triedAt    time.Time    // when the lock was last to be released
 	extra      []ledger.Put // puts beside the records
 	orders     instanceOrders
 }
@@ -115,7 +116,9 @@
 }
 
 // handOver releases the lock. It returns when that is done or has taken too long; it
-// reports whether the lock is released.
+// reports whether the lock is released. While the store is away nobody can take over:
+// the term goes on then, and releases the lock when the store is back, if this daemon
+// is still there.
 func (t *termRun) handOver() bool {
 	t.leaveOne.Do(func() { close(t.leaving) })
 	select {
@@ -123,7 +126,9 @@
 		return true
 	case <-t.ctx.Done():
 	case <-time.After(handOverTimeout):
-		t.depose("the lock could not be released in time")
+		if !t.n.store.Away() {
+			t.depose("the lock could not be released in time")
+		}
 	}
 	return false
 }
@@ -162,7 +167,9 @@
 			if t.leave() {
 				return
 			}
-			continue
+			if !t.n.store.Away() {
+				continue // nothing new is ordered while the lock is being released
+			}
 		}
 		t.dispatch(t.core.Take())
 		t.commit(time.Now())
@@ -207,17 +214,25 @@
 // over. Some records go with the lock. The others need not be written: workers list
 // ends that were not recorded to the next owner, too.
 func (t *termRun) leave() bool {
-	t.core.Take() // nothing new is ordered
-	t.orders.drop()
 	now := time.Now()
 	if t.leftAt.IsZero() {
 		t.leftAt = now
 	}
-	if t.committing && now.Sub(t.leftAt) < lastCommitWait {
+	away := t.n.store.Away()
+	if !away {
+		t.core.Take() // nothing new is ordered
+		t.orders.drop()
+	}
+	if t.committing && now.Sub(t.leftAt) < lastCommitWait || now.Sub(t.triedAt) < retryPause {
 		return false
 	}
+	t.triedAt = now
+	timeout := storeTimeout
+	if away {
+		timeout = releaseProbe
+	}
 	puts, deletes := t.lastWrites()
-	ctx, cancel := context.WithTimeout(t.ctx, storeTimeout)
+	ctx, cancel := context.WithTimeout(t.ctx, timeout)
 	defer cancel()
 	if err := t.term.Release(ctx, puts, deletes, t.orders.recent(now)); err != nil {
 		t.n.log.Warn("lock-not-released", zap.Error(err))
