Loads of the customer's turns as tests, without a network

lab/jobload plays turns of demand with an owner killed or without power, the store away with and without lapsing leases, a wave, wide jobs and a rack lost, each at the start of a turn, and asserts the share in time that the scheduler reaches and the instances that it holds.

--- a/lab/jobload/jobload_test.go
+++ b/lab/jobload/jobload_test.go
@@ -6,12 +6,14 @@
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/job"
 )
 
 // byTurns is four queues that rise and fall by turns, as a customer's sheet states:
-// five times their mean for some seconds, a twentieth in between. Sizes of jobs,
-// instances and pools are those of that sheet.
+// each asks for several times its mean for some seconds, more than its pool holds,
+// and for a twentieth in between. Sizes of jobs, instances and pools are the sheet's;
+// a turn takes 8.6 s, as measured from when jobs arrived on that customer's days.
 func byTurns(seed uint64) Scenario {
 	const turn, high, low = 8600 * time.Millisecond, 4.0, 0.05
 	small := Kind{Steps: 1.6, Width: 6, CPUMilli: 880, MemMB: 910, Task: time.Second, EstOff: 0.5}
@@ -29,23 +31,76 @@
 	return sc
 }
 
-// TestTurns shows the figures of the turns with the usual policies.
+// turnStarts are moments at which the third and the second queue's turns have begun.
+const (
+	secondTurn = 9 * time.Second
+	thirdTurn  = 17500 * time.Millisecond
+)
+
+// TestTurns plays troubles at the start of a turn, where a pool has to grow five times
+// within two seconds. least is what the scheduler serves in time, on average over the
+// seeds, less about 0.03. A comment tells what it is without a mechanism, as played by
+// switching that off with eight seeds.
 func TestTurns(t *testing.T) {
+	const seeds = 4
 	for _, c := range []struct {
 		name     string
 		troubles []Trouble
+		least    float64 // share of all jobs in time
+		most     float64 // instances in pools, on average
 	}{
-		{"calm", nil},
-		{"owner killed", []Trouble{{At: 12 * time.Second, What: OwnerKilled}}},
-		{"store away", []Trouble{{At: 12 * time.Second, For: 4500 * time.Millisecond, What: StoreAway}}},
-		{"store lapse", []Trouble{{At: 12 * time.Second, For: 4500 * time.Millisecond, What: StoreLapse}}},
-		{"wave", []Trouble{{At: 2 * time.Second, For: 26 * time.Second, What: Wave, Some: 5}}},
+		{"calm", nil, 0.95, 46},
+		// 0.90 if the next owner has to wait for the lease to end.
+		{"owner killed", []Trouble{{At: thirdTurn, What: OwnerKilled}}, 0.93, 46},
+		// 0.72 if a new owner moves no instance for 4.2 s; the same for the next one.
+		{"owner without power", []Trouble{{At: thirdTurn, What: OwnerPowerLost}}, 0.85, 46},
+		{"store away, leases lapse", []Trouble{{At: 14 * time.Second, For: 4500 * time.Millisecond, What: StoreLapse}}, 0.84, 47},
+		{"store away", []Trouble{{At: 14 * time.Second, For: 4500 * time.Millisecond, What: StoreAway}}, 0.84, 47},
+		{"wave", []Trouble{{At: 2 * time.Second, For: 26 * time.Second, What: Wave, Some: 6}}, 0.95, 47},
+		{"wave and owner killed", []Trouble{{At: 2 * time.Second, For: 26 * time.Second, What: Wave, Some: 6}, {At: secondTurn, What: OwnerKilled}}, 0.93, 47},
+		{"wide jobs", []Trouble{{At: thirdTurn, What: Heavy, Some: 20}}, 0.93, 47},
+		{"rack lost", []Trouble{{At: thirdTurn, What: RackLost, Some: 4}}, 0.94, 46},
 	} {
+		t.Run(c.name, func(t *testing.T) {
+			share, instances := 0.0, 0.0
+			for seed := range uint64(seeds) {
+				sc := byTurns(seed + 1)
+				sc.Troubles = c.troubles
+				r := Play(sc)
+				assert.Zero(t, r.Open, "every accepted job is done")
+				share += r.Share() / seeds
+				instances += r.MeanInstances(sc.Length) / seeds
+			}
+			t.Logf("in time %.3f, instances in pools %.1f", share, instances)
+			assert.GreaterOrEqual(t, share, c.least)
+			assert.LessOrEqual(t, instances, c.most)
+		})
+	}
+}
+
+// TestOutageBound: callers wait for three seconds, so that of an outage's jobs those of
+// its last 2.8 s can be accepted, and no others.
+func TestOutageBound(t *testing.T) {
+	sc := byTurns(2)
+	const from, length = 14, 5
+	sc.Troubles = []Trouble{{At: from * time.Second, For: length * time.Second, What: StoreAway}}
+	r := Play(sc)
+	early := r.JobsBySecond[from] + r.JobsBySecond[from+1]
+	late := r.JobsBySecond[from+3] + r.JobsBySecond[from+4]
+	assert.GreaterOrEqual(t, r.Refused, early, "they cannot be stored by anyone")
+	assert.LessOrEqual(t, r.Refused, early+r.JobsBySecond[from+2], "%d come later", late)
+}
+
+// TestPoliciesApart: the model tells policies apart as measurements on the customers'
+// days do.
+func TestPoliciesApart(t *testing.T) {
+	share := func(size capacity.Policy) float64 {
 		sc := byTurns(1)
-		sc.Troubles = c.troubles
+		sc.Size = size
 		r := Play(sc)
-		t.Logf("%s: jobs %d in time %.3f late %d refused %d open %d, mean instances %.1f moves %d thrown %.0f causes %v", c.name,
-			r.Jobs, r.Share(), r.Late, r.Refused, r.Open, r.MeanInstances(sc.Length), r.Moves, r.Thrown, r.Causes)
-		assert.Zero(t, r.Open)
+		return r.Share()
 	}
+	demand := share(capacity.Demand)
+	assert.Greater(t, demand, share(capacity.Threshold)+0.1)
+	assert.Greater(t, demand, share(capacity.Fixed)+0.1)
 }
--- a/lab/jobload/play.go
+++ b/lab/jobload/play.go
@@ -24,8 +24,9 @@
 	holdWait           = 900 * time.Millisecond
 	dutyHandover       = 3 * time.Second
 	// lockLapse is how long after an owner's end the next one is elected: its lease
-	// of 2 s, and the election.
+	// of 2 s, and the election. goneSeen is the same if its process is seen to be gone.
 	lockLapse = 2100 * time.Millisecond
+	goneSeen  = 100 * time.Millisecond
 	// reelection is how long after the store's return an owner is elected.
 	reelection = 180 * time.Millisecond
 	// loadPerJob is what reading a job from the store takes a new owner.
@@ -302,6 +303,9 @@
 		s.engine.after(t.For, func() { s.core = nil })
 		s.succeed(t.For + reelection)
 	case OwnerKilled:
+		s.core = nil
+		s.succeed(goneSeen)
+	case OwnerPowerLost:
 		s.core = nil
 		s.succeed(lockLapse)
 	case Wave:
--- a/lab/jobload/report_test.go
+++ b/lab/jobload/report_test.go
@@ -43,8 +43,8 @@
 		trouble Trouble
 		causes  []string // that delayed most jobs, in any order
 	}{
-		{"owner-killed", Trouble{At: 12 * time.Second, What: OwnerKilled}, []string{"earlier-term"}},
-		{"store-lapse", Trouble{At: 12 * time.Second, For: 4 * time.Second, What: StoreLapse}, []string{"earlier-term"}},
+		{"owner-lost", Trouble{At: thirdTurn, What: OwnerPowerLost}, []string{"earlier-term"}},
+		{"store-lapse", Trouble{At: 10 * time.Second, For: 4 * time.Second, What: StoreLapse}, []string{"earlier-term"}},
 		{"heavy", Trouble{At: 12 * time.Second, What: Heavy, Some: 40}, []string{"instances-arriving", "pool-short"}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
--- a/lab/jobload/scenario.go
+++ b/lab/jobload/scenario.go
@@ -80,9 +80,11 @@
 	// StoreLapse is StoreAway, after which the owner's lock is gone: another daemon,
 	// or the same, is elected.
 	StoreLapse
-	// OwnerKilled leaves the fleet without an owner; what was not recorded is lost to
-	// the next one, which reads the jobs from the store.
+	// OwnerKilled ends the owner's process; the next one reads the jobs from the store,
+	// and what was not recorded is lost to it.
 	OwnerKilled
+	// OwnerPowerLost is OwnerKilled without a sign of it: the lease has to end.
+	OwnerPowerLost
 	// Wave asks for the maintenance of some instances of each pool.
 	Wave
 	// RackLost ends some instances of the first pool at once; they come back.
