--- a/jobs/ledger/accept.go
+++ b/jobs/ledger/accept.go
@@ -5,6 +5,7 @@
 	"strings"
 	"time"
 
+	"github.com/postmount/postmount/internal/sleep"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/verdict"
 )
@@ -127,7 +128,7 @@
 		switch {
 		case err != nil:
 			sent = sent || verdict.Of(err) != verdict.NotRun
-			if sent && time.Since(began) < acceptPatience && a.pause(ctx) {
+			if sent && time.Since(began) < acceptPatience && sleep.For(ctx, acceptPause) {
 				continue
 			}
 			if sent {
@@ -146,18 +147,6 @@
 	}
 }
 
-// pause waits before the next try; it reports whether there is to be one.
-func (a *Acceptor) pause(ctx context.Context) bool {
-	t := time.NewTimer(acceptPause)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (a *Acceptor) commit(ctx context.Context, batch map[string][]pending) (TxnResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, acceptTimeout)
 	defer cancel()
--- a/jobs/ledger/term.go
+++ b/jobs/ledger/term.go
@@ -40,7 +40,33 @@
 type sequenceValue struct {
 	Term   uint64
 	Write  uint64
-	Orders []owner.RecentOrder `json:",omitempty"`
+	Orders []orderRecord `json:",omitempty"`
+}
+
+// orderRecord is an owner.RecentOrder as it is kept: every transaction repeats some
+// hundred of them at the start of a turn of demand.
+type orderRecord struct {
+	Instance  owner.InstanceID `json:"I"`
+	Holder    string           `json:"H"`
+	AgeMillis int64            `json:"A"`
+}
+
+func (t *Term) nextSequence(orders []owner.RecentOrder) Put {
+	t.writes++
+	v := sequenceValue{Term: t.Number, Write: t.writes}
+	for _, o := range orders {
+		v.Orders = append(v.Orders, orderRecord{o.Instance, o.Holder, o.Age.Milliseconds()})
+	}
+	return Put{Key: keySequence, Value: encode(v)}
+}
+
+// orders returns the orders that a value tells of.
+func (v *sequenceValue) orders() []owner.RecentOrder {
+	var out []owner.RecentOrder
+	for _, o := range v.Orders {
+		out = append(out, owner.RecentOrder{Instance: o.Instance, Holder: o.Holder, Age: time.Duration(o.AgeMillis) * time.Millisecond})
+	}
+	return out
 }
 
 // Elect tries to become the owner. replaced is the revision of a lock that an
@@ -98,7 +124,7 @@
 		if err != nil {
 			return nil, err
 		}
-		t.OrderedBefore = last.Orders
+		t.OrderedBefore = last.orders()
 	}
 	return t, nil
 }
@@ -160,10 +186,9 @@
 			return err
 		}
 	}
-	t.writes++
 	txn := Txn{
 		If:      []Condition{t.lock, {Key: keySequence, Revision: t.sequence}},
-		Puts:    append([]Put{{Key: keySequence, Value: encode(sequenceValue{t.Number, t.writes, orders})}}, puts...),
+		Puts:    append([]Put{t.nextSequence(orders)}, puts...),
 		Deletes: deletes,
 	}
 	res, err := t.store.Commit(ctx, txn)
@@ -242,10 +267,9 @@
 // some last puts and orders, as Write does. An earlier write without an answer does
 // not matter: it fails once the lock is gone.
 func (t *Term) Release(ctx context.Context, puts []Put, deletes []string, orders []owner.RecentOrder) error {
-	t.writes++
 	_, err := t.store.Commit(ctx, Txn{
 		If:      []Condition{t.lock},
-		Puts:    append([]Put{{Key: keySequence, Value: encode(sequenceValue{t.Number, t.writes, orders})}}, puts...),
+		Puts:    append([]Put{t.nextSequence(orders)}, puts...),
 		Deletes: append([]string{keyLock}, deletes...),
 	})
 	return err
--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -8,6 +8,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/postmount/postmount/internal/sleep"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
 	"github.com/postmount/postmount/verdict"
@@ -22,7 +23,7 @@
 		case !n.stopping.Load():
 			n.grantLease(ctx)
 		}
-		if !pause(ctx, n.leasePause()) {
+		if !sleep.For(ctx, n.leasePause()) {
 			return
 		}
 	}
@@ -77,7 +78,7 @@
 func (n *Node) listMembers(ctx context.Context) {
 	for ctx.Err() == nil {
 		n.listMembersOnce(ctx)
-		if !pause(ctx, membersEvery) {
+		if !sleep.For(ctx, membersEvery) {
 			return
 		}
 	}
@@ -114,7 +115,7 @@
 	for ctx.Err() == nil {
 		items, revision, err := n.readAll(ctx, prefix)
 		if err != nil {
-			pause(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 			continue
 		}
 		reset()
@@ -141,7 +142,7 @@
 			return
 		}
 		if err != nil {
-			pause(ctx, retryPause)
+			sleep.For(ctx, retryPause)
 			continue
 		}
 		for _, e := range ch.Events {
@@ -149,7 +150,7 @@
 		}
 		revision = max(revision, ch.Revision)
 		if len(ch.Events) > 0 && every > 0 {
-			pause(ctx, every)
+			sleep.For(ctx, every)
 		}
 	}
 }
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -106,51 +106,6 @@
 	n.log.Warn("store-call-failed", zap.Error(err))
 }
 
-// Relay implements ledger.Relays: a daemon that served lately, or else the others by
-// turns, but for those whose way to the store failed a moment ago. A disruption often
-// cuts off a third of the daemons, so that one that serves is worth keeping.
-func (n *Node) Relay() ledger.Store {
-	list := n.members.Load()
-	if list == nil {
-		return nil
-	}
-	var others []string
-	last := n.lastRelay.Load()
-	for _, m := range *list {
-		if m.Node == n.set.Node || n.relayBad(m.Addr) {
-			continue
-		}
-		if last != nil && m.Addr == *last {
-			return peer.StoreBy(n.peers, m.Addr)
-		}
-		others = append(others, m.Addr)
-	}
-	if len(others) == 0 {
-		return nil
-	}
-	addr := others[n.relayNo.Add(1)%uint64(len(others))]
-	n.lastRelay.Store(&addr)
-	return peer.StoreBy(n.peers, addr)
-}
-
-// RelayFailed implements ledger.Relays.
-func (n *Node) RelayFailed(s ledger.Store) {
-	n.lastRelay.Store(nil)
-	n.badRelays.Store(peer.AddrOf(s), time.Now().Add(relayPause))
-}
-
-func (n *Node) relayBad(addr string) bool {
-	until, known := n.badRelays.Load(addr)
-	if !known {
-		return false
-	}
-	if time.Now().Before(until.(time.Time)) {
-		return true
-	}
-	n.badRelays.Delete(addr)
-	return false
-}
-
 // Run listens and works until ctx ends, then stops gracefully.
 func (n *Node) Run(ctx context.Context) error {
 	listeners, err := n.listen()
@@ -201,16 +156,6 @@
 // Owner reports whether this daemon schedules the jobs at present.
 func (n *Node) Owner() bool { return n.term.Load() != nil }
 
-// HandOver makes the daemon ready to end: it takes no new duties, and another
-// one can be the owner at once.
-func (n *Node) HandOver() {
-	n.stopping.Store(true)
-	n.gateway.Stop()
-	if t := n.term.Load(); t != nil && !t.handOver() && !n.store.Away() {
-		n.endLease() // the lock goes with it
-	}
-}
-
 // Bounds of callers' connections. They are wider than those of the operators'
 // configuration, which comes only after the listeners are open.
 const (
@@ -218,56 +163,6 @@
 	defaultIdleTimeout   = 60 * time.Second
 )
 
-// stop hands over what this daemon owns, waits until the balancer has noticed, and
-// finishes what is in flight. Requests that take too long get their final answer
-// while there is time to send it.
-func (n *Node) stop(callers *http.Server, endRequests func()) {
-	n.log.Info("stopping")
-	end := time.Now().Add(n.set.StopGrace - stopReserve)
-	n.HandOver()
-	time.Sleep(min(balancerNotice, n.set.StopGrace/2))
-	if err := shutdown(callers, time.Until(end)-answerReserve); err != nil {
-		n.log.Warn("callers-cut-off", zap.Error(err))
-		endRequests()
-		if err := shutdown(callers, answerReserve); err != nil {
-			n.log.Warn("callers-unanswered", zap.Error(err))
-		}
-	}
-	n.endLease()
-}
-
-// shutdown takes no new connections and waits for requests under way, for some
-// time at least.
-func shutdown(s *http.Server, d time.Duration) error {
-	ctx, cancel := context.WithTimeout(context.Background(), max(d, answerReserve))
-	defer cancel()
-	return s.Shutdown(ctx)
-}
-
-// endLease removes this daemon's keys, so that nobody waits for their end.
-func (n *Node) endLease() {
-	id := ledger.LeaseID(n.lease.Load())
-	if id == 0 {
-		return
-	}
-	ctx, cancel := context.WithTimeout(context.Background(), endLeaseTimeout)
-	defer cancel()
-	if err := n.store.EndLease(ctx, id); err != nil {
-		n.log.Warn("lease-not-ended", zap.Error(err))
-		return
-	}
-	n.lease.Store(0)
-}
-
-const (
-	// stopReserve of the grace is kept for the lease and the end of the process.
-	stopReserve = 800 * time.Millisecond
-	// answerReserve is kept for the answers of requests that are given up.
-	answerReserve = 200 * time.Millisecond
-	// endLeaseTimeout bounds the end of the lease: it ends by itself in two seconds.
-	endLeaseTimeout = 300 * time.Millisecond
-)
-
 type listeners struct{ callers, ready, peers, metrics net.Listener }
 
 func (n *Node) listen() (l listeners, err error) {
@@ -312,18 +207,6 @@
 	return r
 }
 
-// pause waits for d or the end of ctx; it reports whether to go on.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
-
 func (n *Node) sinceStart() int64 { return int64(time.Since(n.started)) }
 
 // leaseHeld reports whether the lease in the store is held for certain, with
--- a/jobs/node/ownerwatch.go
+++ b/jobs/node/ownerwatch.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/postmount/postmount/internal/sleep"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/peer"
 )
@@ -36,7 +37,7 @@
 	for ctx.Err() == nil {
 		l := n.lock.Load()
 		if l == nil || l.Node == n.set.Node || n.stopping.Load() {
-			pause(ctx, lockLook)
+			sleep.For(ctx, lockLook)
 			continue
 		}
 		n.awaitOwnersEnd(ctx, l)
@@ -49,7 +50,7 @@
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	go func() {
-		for n.lock.Load() == l && pause(ctx, lockLook) {
+		for n.lock.Load() == l && sleep.For(ctx, lockLook) {
 		}
 		cancel()
 	}()
@@ -57,10 +58,10 @@
 		return
 	}
 	if !n.ownerGone(ctx, l) {
-		pause(ctx, lockLook) // its connection was reset, or cannot be opened
+		sleep.For(ctx, lockLook) // its connection was reset, or cannot be opened
 		return
 	}
-	pause(ctx, rand.N(mostStagger))
+	sleep.For(ctx, rand.N(mostStagger))
 	if n.lock.Load() != l {
 		return
 	}
@@ -71,7 +72,7 @@
 		n.log.Warn("owners-lease-not-ended", zap.Error(err))
 		return
 	}
-	pause(ctx, storeTimeout) // until the store's watch tells
+	sleep.For(ctx, storeTimeout) // until the store's watch tells
 }
 
 // ownerGone reports whether nobody listens at the owner's address, as this daemon and
--- /dev/null
+++ b/jobs/node/relays.go
@@ -0,0 +1,53 @@
+package node
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/ledger"
+	"github.com/postmount/postmount/jobs/peer"
+)
+
+// Relay implements ledger.Relays: a daemon that served lately, or else the others by
+// turns, but for those whose way to the store failed a moment ago. A disruption often
+// cuts off a third of the daemons, so that one that serves is worth keeping.
+func (n *Node) Relay() ledger.Store {
+	list := n.members.Load()
+	if list == nil {
+		return nil
+	}
+	var others []string
+	last := n.lastRelay.Load()
+	for _, m := range *list {
+		if m.Node == n.set.Node || n.relayBad(m.Addr) {
+			continue
+		}
+		if last != nil && m.Addr == *last {
+			return peer.StoreBy(n.peers, m.Addr)
+		}
+		others = append(others, m.Addr)
+	}
+	if len(others) == 0 {
+		return nil
+	}
+	addr := others[n.relayNo.Add(1)%uint64(len(others))]
+	n.lastRelay.Store(&addr)
+	return peer.StoreBy(n.peers, addr)
+}
+
+// RelayFailed implements ledger.Relays.
+func (n *Node) RelayFailed(s ledger.Store) {
+	n.lastRelay.Store(nil)
+	n.badRelays.Store(peer.AddrOf(s), time.Now().Add(relayPause))
+}
+
+func (n *Node) relayBad(addr string) bool {
+	until, known := n.badRelays.Load(addr)
+	if !known {
+		return false
+	}
+	if time.Now().Before(until.(time.Time)) {
+		return true
+	}
+	n.badRelays.Delete(addr)
+	return false
+}
--- /dev/null
+++ b/jobs/node/stop.go
@@ -0,0 +1,71 @@
+package node
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/jobs/ledger"
+)
+
+// HandOver makes the daemon ready to end: it takes no new duties, and another
+// one can be the owner at once.
+func (n *Node) HandOver() {
+	n.stopping.Store(true)
+	n.gateway.Stop()
+	if t := n.term.Load(); t != nil && !t.handOver() && !n.store.Away() {
+		n.endLease() // the lock goes with it
+	}
+}
+
+// stop hands over what this daemon owns, waits until the balancer has noticed, and
+// finishes what is in flight. Requests that take too long get their final answer
+// while there is time to send it.
+func (n *Node) stop(callers *http.Server, endRequests func()) {
+	n.log.Info("stopping")
+	end := time.Now().Add(n.set.StopGrace - stopReserve)
+	n.HandOver()
+	time.Sleep(min(balancerNotice, n.set.StopGrace/2))
+	if err := shutdown(callers, time.Until(end)-answerReserve); err != nil {
+		n.log.Warn("callers-cut-off", zap.Error(err))
+		endRequests()
+		if err := shutdown(callers, answerReserve); err != nil {
+			n.log.Warn("callers-unanswered", zap.Error(err))
+		}
+	}
+	n.endLease()
+}
+
+// shutdown takes no new connections and waits for requests under way, for some
+// time at least.
+func shutdown(s *http.Server, d time.Duration) error {
+	ctx, cancel := context.WithTimeout(context.Background(), max(d, answerReserve))
+	defer cancel()
+	return s.Shutdown(ctx)
+}
+
+// endLease removes this daemon's keys, so that nobody waits for their end.
+func (n *Node) endLease() {
+	id := ledger.LeaseID(n.lease.Load())
+	if id == 0 {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), endLeaseTimeout)
+	defer cancel()
+	if err := n.store.EndLease(ctx, id); err != nil {
+		n.log.Warn("lease-not-ended", zap.Error(err))
+		return
+	}
+	n.lease.Store(0)
+}
+
+const (
+	// stopReserve of the grace is kept for the lease and the end of the process.
+	stopReserve = 800 * time.Millisecond
+	// answerReserve is kept for the answers of requests that are given up.
+	answerReserve = 200 * time.Millisecond
+	// endLeaseTimeout bounds the end of the lease: it ends by itself in two seconds.
+	endLeaseTimeout = 300 * time.Millisecond
+)
--- a/jobs/node/termcommit.go
+++ b/jobs/node/termcommit.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/postmount/postmount/internal/sleep"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
 	"github.com/postmount/postmount/verdict"
@@ -71,7 +72,7 @@
 	}
 	if err != nil {
 		t.n.log.Warn("progress-not-written", zap.Error(err))
-		pause(t.ctx, retryPause)
+		sleep.For(t.ctx, retryPause)
 	}
 	t.do(func(c *owner.Core, now time.Time) {
 		t.committing = false
--- a/jobs/node/termorders.go
+++ b/jobs/node/termorders.go
@@ -5,6 +5,7 @@
 	"errors"
 	"time"
 
+	"github.com/postmount/postmount/internal/sleep"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
 )
@@ -80,7 +81,7 @@
 	}
 	switch outcome {
 	case owner.DutyUnanswered:
-		pause(t.ctx, retryPause)
+		sleep.For(t.ctx, retryPause)
 	case owner.DutyDone:
 		t.wantInstances()
 	}
--- a/jobs/node/termsources.go
+++ b/jobs/node/termsources.go
@@ -6,6 +6,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/postmount/postmount/internal/sleep"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
 )
@@ -39,7 +40,7 @@
 // awaitLease waits until this daemon's lease is held for certain, or the term is
 // over: new jobs are taken only while no other daemon can be the owner.
 func (t *termRun) awaitLease() {
-	for !t.n.leaseHeld() && pause(t.ctx, retryPause) {
+	for !t.n.leaseHeld() && sleep.For(t.ctx, retryPause) {
 	}
 }
 
@@ -53,7 +54,7 @@
 				t.expecting.Store(c.Expecting())
 			})
 		}
-		if !pause(t.ctx, t.registrationsPause(len(items))) {
+		if !sleep.For(t.ctx, t.registrationsPause(len(items))) {
 			return
 		}
 	}
@@ -88,7 +89,7 @@
 func (t *termRun) pollInstances() {
 	for t.ctx.Err() == nil {
 		t.listInstances()
-		if !pause(t.ctx, instancesLeast) {
+		if !sleep.For(t.ctx, instancesLeast) {
 			return
 		}
 		select {
--- /dev/null
+++ b/jobs/owner/moves.go
@@ -0,0 +1,92 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/capacity"
+)
+
+// moveState is an instance on its way to another pool.
+type moveState struct {
+	to       string
+	life     WorkerID // before the move
+	at       time.Time
+	accepted bool
+}
+
+// moveTimeout is when a move that was accepted is no longer counted on.
+const moveTimeout = 6 * time.Second
+
+// settleMoves forgets moves that are over.
+func (c *Core) settleMoves(now time.Time) {
+	for id, m := range c.moves {
+		i := c.instances[id]
+		switch {
+		case i == nil:
+		case m.accepted && i.Pool == m.to && i.State == InstanceUp && i.Worker != m.life && c.joined(i):
+		case m.accepted && now.Sub(m.at) > moveTimeout:
+		default:
+			continue
+		}
+		delete(c.moves, id)
+		if w := c.workers[m.life]; w != nil && !w.gone {
+			w.unreserve()
+		}
+	}
+}
+
+// Expecting reports whether workers are about to register.
+func (c *Core) Expecting() bool {
+	for _, m := range c.moves {
+		if s := c.catalog.Service(m.to); s == nil || !s.Spare {
+			return true
+		}
+	}
+	return false
+}
+
+func (c *Core) orderMove(m capacity.Move, now time.Time) {
+	id := InstanceID(m.Instance)
+	if c.misfits[misfit{id, m.To}] {
+		return
+	}
+	ms := &moveState{to: m.To, at: now, life: c.instances[id].Worker}
+	c.moves[id] = ms
+	if w := c.workers[ms.life]; w != nil {
+		w.reserved = reservedMove
+		w.reservedAt = now
+	}
+	c.note(Decision{Event: "move-ordered", Worker: ms.life, Reason: m.Instance + " from " + m.From + " to " + m.To + ": " + m.Reason})
+	c.out.Instances = append(c.out.Instances, MoveOrder{Instance: id, Pool: m.To})
+}
+
+// misfit is an instance that a pool does not take.
+type misfit struct {
+	instance InstanceID
+	pool     string
+}
+
+func (c *Core) onMove(o MoveOrder, outcome DutyOutcome, now time.Time) {
+	m := c.moves[o.Instance]
+	if m == nil {
+		return
+	}
+	c.note(Decision{Event: "move-answer", Reason: string(o.Instance) + " " + outcome.String()})
+	switch outcome {
+	case DutyDone:
+		m.accepted = true
+		return
+	case DutyUnanswered:
+		c.out.Instances = append(c.out.Instances, o) // it may have been done
+		return
+	case DutyFenced:
+		c.fenced = true
+		return
+	case DutyInvalid:
+		c.misfits[misfit{o.Instance, o.Pool}] = true
+	}
+	delete(c.moves, o.Instance)
+	if w := c.workers[m.life]; w != nil && !w.gone {
+		w.unreserve()
+	}
+}
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -20,21 +20,8 @@
 	trend      estimateTrend
 }
 
-// moveState is an instance on its way to another pool.
-type moveState struct {
-	to       string
-	life     WorkerID // before the move
-	at       time.Time
-	accepted bool
-}
-
-// Figures of the moves between pools.
-const (
-	// sizeEvery is how often pools are sized: short against the time of a move.
-	sizeEvery = 100 * time.Millisecond
-	// moveTimeout is when a move that was accepted is no longer counted on.
-	moveTimeout = 6 * time.Second
-)
+// sizeEvery is how often pools are sized: short against the time of a move.
+const sizeEvery = 100 * time.Millisecond
 
 func (c *Core) pool(service string) *poolState {
 	p := c.pools[service]
@@ -109,9 +96,6 @@
 	c.empty(emptying, now)
 }
 
-// reservedEmpty is why a worker gets no new tasks that is to be moved once it is idle.
-const reservedEmpty = "to be emptied"
-
 // empty keeps new tasks from these instances, and from no others for that reason.
 func (c *Core) empty(list map[InstanceID]bool, now time.Time) {
 	for _, w := range c.everyWorker() {
@@ -119,7 +103,7 @@
 		case chosen && w.reserved == "":
 			w.reserved = reservedEmpty
 			w.reservedAt = now
-			c.note(Decision{Event: "worker-reserved", Worker: w.Worker, Reason: reservedEmpty})
+			c.note(Decision{Event: "worker-reserved", Worker: w.Worker, Reason: string(reservedEmpty)})
 		case !chosen && w.reserved == reservedEmpty:
 			w.unreserve()
 		}
@@ -133,40 +117,12 @@
 		s.arriving, s.maintained = max(0, p.Arriving), 0
 	}
 	for _, w := range c.workers {
-		if w.reserved == "maintenance" && !w.gone {
+		if w.reserved == reservedMaintenance && !w.gone {
 			c.pool(w.Service).maintained++
 		}
 	}
 }
 
-// settleMoves forgets moves that are over.
-func (c *Core) settleMoves(now time.Time) {
-	for id, m := range c.moves {
-		i := c.instances[id]
-		switch {
-		case i == nil:
-		case m.accepted && i.Pool == m.to && i.State == InstanceUp && i.Worker != m.life && c.joined(i):
-		case m.accepted && now.Sub(m.at) > moveTimeout:
-		default:
-			continue
-		}
-		delete(c.moves, id)
-		if w := c.workers[m.life]; w != nil && !w.gone {
-			w.unreserve()
-		}
-	}
-}
-
-// Expecting reports whether workers are about to register.
-func (c *Core) Expecting() bool {
-	for _, m := range c.moves {
-		if s := c.catalog.Service(m.to); s == nil || !s.Spare {
-			return true
-		}
-	}
-	return false
-}
-
 // joined reports whether the instance's worker takes tasks; one of a spare
 // pool has none.
 func (c *Core) joined(i *Instance) bool {
@@ -270,49 +226,3 @@
 	}
 	return false
 }
-
-func (c *Core) orderMove(m capacity.Move, now time.Time) {
-	id := InstanceID(m.Instance)
-	if c.misfits[misfit{id, m.To}] {
-		return
-	}
-	ms := &moveState{to: m.To, at: now, life: c.instances[id].Worker}
-	c.moves[id] = ms
-	if w := c.workers[ms.life]; w != nil {
-		w.reserved = "move"
-		w.reservedAt = now
-	}
-	c.note(Decision{Event: "move-ordered", Worker: ms.life, Reason: m.Instance + " from " + m.From + " to " + m.To + ": " + m.Reason})
-	c.out.Instances = append(c.out.Instances, MoveOrder{Instance: id, Pool: m.To})
-}
-
-// misfit is an instance that a pool does not take.
-type misfit struct {
-	instance InstanceID
-	pool     string
-}
-
-func (c *Core) onMove(o MoveOrder, outcome DutyOutcome, now time.Time) {
-	m := c.moves[o.Instance]
-	if m == nil {
-		return
-	}
-	c.note(Decision{Event: "move-answer", Reason: string(o.Instance) + " " + outcome.String()})
-	switch outcome {
-	case DutyDone:
-		m.accepted = true
-		return
-	case DutyUnanswered:
-		c.out.Instances = append(c.out.Instances, o) // it may have been done
-		return
-	case DutyFenced:
-		c.fenced = true
-		return
-	case DutyInvalid:
-		c.misfits[misfit{o.Instance, o.Pool}] = true
-	}
-	delete(c.moves, o.Instance)
-	if w := c.workers[m.life]; w != nil && !w.gone {
-		w.unreserve()
-	}
-}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -198,12 +198,22 @@
 	reservedAt   time.Time
 	departing    bool      // an order that ends this life was sent
 	idleSince    time.Time // nothing runs on it since; zero: something does
-	reserved     string    // why it gets no new tasks: a wave or a move
+	reserved     reservation
 
 	clearedFor   *stepState // runs were stopped for it; nil: for none
 	clearedUntil time.Time  // until then it alone gets the room
 }
 
+// reservation is why a worker gets no new tasks; empty: it gets them.
+type reservation string
+
+// The reservations.
+const (
+	reservedMaintenance reservation = "maintenance"
+	reservedMove        reservation = "move"
+	reservedEmpty       reservation = "to be emptied" // moved once it is idle
+)
+
 type stranger struct {
 	run   uint64
 	since time.Time
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -234,10 +234,10 @@
 		if !mayTake(cand.w, now) && !mayThin(cand.w, now) {
 			continue // one that was reserved a moment ago has tasks of the same step
 		}
-		cand.w.reserved = "maintenance"
+		cand.w.reserved = reservedMaintenance
 		cand.w.reservedAt = now
 		free--
-		c.note(Decision{Event: "worker-reserved", Worker: cand.w.Worker, Reason: "maintenance"})
+		c.note(Decision{Event: "worker-reserved", Worker: cand.w.Worker, Reason: string(reservedMaintenance)})
 	}
 }
 
@@ -246,7 +246,7 @@
 	for _, id := range ws.Instances {
 		w := c.workerOf(id)
 		_, down := ws.down[id]
-		if w != nil && w.reserved == "maintenance" && !w.gone && !down && !ws.begun[id] {
+		if w != nil && w.reserved == reservedMaintenance && !w.gone && !down && !ws.begun[id] {
 			out = append(out, candidate{id: id, w: w})
 		}
 	}
