Late work yields to what can still be in time where all pools are short; emptying busy instances goes

Cause: a pool with a queue gave nothing away, also if every task that waited was of a job that is late already. Change: pools are first supplied for what can be in time, with late work counted a quarter on both sides, then for all work with what is spare or idle.

Removed: emptying busy instances.

--- a/jobs/capacity/capacity.go
+++ b/jobs/capacity/capacity.go
@@ -36,9 +36,10 @@
 	// though it has cores enough: they may need other workers than those that run
 	// tasks of their step already.
 	stuckAfter = 500 * time.Millisecond
-	// emptyWithin bounds how long the tasks on an instance may still take for it to be
-	// emptied: a pool that is short by then will have got instances that idle.
-	emptyWithin = 2 * time.Second
+	// lateShare is how much the work of jobs that are late already counts while another
+	// pool is short of room for jobs that can still be in time: a late job is worth a
+	// fourteenth of one in time on the users' sheets, and must not wait for ever.
+	lateShare = 0.25
 	// perPlan is how many instances a plan takes from pools that have too many.
 	perPlan = 2
 )
@@ -48,23 +49,21 @@
 	ID      string
 	IdleFor time.Duration // nothing ran on it; 0: something does
 	Movable bool          // nothing runs on it, and nothing else is planned for it
-	// EmptyIn is how long the tasks on it take to end, by their estimates; 0: they do
-	// not end by themselves, or something else is planned for it.
-	EmptyIn  time.Duration
-	Emptying bool // it gets no new tasks already
 }
 
 // Pool is a service's instances and their work.
 type Pool struct {
 	Name      string
-	Instances []Instance    // those that are up
-	Arriving  int           // on their way to it
-	Cores     float64       // of one instance
-	Busy      float64       // cores in use
-	Waiting   float64       // cores that tasks wait for now
-	Lasting   float64       // cores of Busy that long-running tasks use
-	Rate      float64       // core-seconds of work that arrive a second
-	WaitsFor  time.Duration // since when some task has waited without a break
+	Instances []Instance // those that are up
+	Arriving  int        // on their way to it
+	Cores     float64    // of one instance
+	Busy      float64    // cores in use
+	Waiting   float64    // cores that tasks wait for now
+	// WaitingLate is the part of Waiting of jobs that are late already.
+	WaitingLate float64
+	Lasting     float64       // cores of Busy that long-running tasks use
+	Rate        float64       // core-seconds of work that arrive a second
+	WaitsFor    time.Duration // since when some task has waited without a break
 }
 
 // Move is one instance that changes its pool, and why.
@@ -72,33 +71,47 @@
 	Instance string
 	From, To string
 	Reason   string
-	// Empty says that tasks still run on the instance. It is to get no new ones, so
-	// that it can be moved by a later plan.
-	Empty bool
+}
+
+// urgency says which work counts.
+type urgency int
+
+const (
+	allWork urgency = iota
+	inTime          // work of jobs that are late already counts lateShare
+)
+
+// waiting returns the cores that tasks wait for, as far as they count.
+func (p *Pool) waiting(u urgency) float64 {
+	if u == allWork {
+		return p.Waiting
+	}
+	return p.Waiting - (1-lateShare)*p.WaitingLate
 }
 
 // need is how many instances the pool's work fills: what there is now, or what
 // the rate of arrivals will keep busy, whichever is more.
-func (p *Pool) need() int {
+func (p *Pool) need(u urgency) int {
 	if p.Cores <= 0 {
 		return 0
 	}
-	present := headroom*p.Busy + p.Waiting
+	present := headroom*p.Busy + p.waiting(u)
 	coming := p.Lasting + p.Rate
 	return int(math.Ceil(max(present, coming) / (p.Cores * fill)))
 }
 
-// surplus is how many instances the pool can do without.
-func (p *Pool) surplus() int {
-	if p.Waiting > 0 {
+// surplus is how many instances the pool can do without. A pool with tasks that count
+// in full and wait has none to spare.
+func (p *Pool) surplus(u urgency) int {
+	if u == allWork && p.Waiting > 0 || p.Waiting > p.WaitingLate {
 		return 0
 	}
-	return len(p.Instances) + p.Arriving - max(smallest, p.need())
+	return len(p.Instances) + p.Arriving - max(smallest, p.need(u))
 }
 
 // shortage is how many instances the pool lacks.
-func (p *Pool) shortage() int {
-	short := max(0, p.need()-len(p.Instances)-p.Arriving)
+func (p *Pool) shortage(u urgency) int {
+	short := max(0, p.need(u)-len(p.Instances)-p.Arriving)
 	if short == 0 && p.WaitsFor > stuckAfter && p.Arriving <= 0 {
 		return 1
 	}
@@ -133,9 +146,11 @@
 		return nil
 	}
 	p := &planner{threshold: policy == Threshold, w: w, pools: append([]Pool(nil), pools...), spare: spare, taken: map[string]bool{}}
-	sort.SliceStable(p.pools, func(a, b int) bool { return p.pools[a].Waiting > p.pools[b].Waiting })
-	for i := range p.pools {
-		p.supply(&p.pools[i])
+	for _, u := range []urgency{inTime, allWork} {
+		sort.SliceStable(p.pools, func(a, b int) bool { return p.pools[a].waiting(u) > p.pools[b].waiting(u) })
+		for i := range p.pools {
+			p.supply(&p.pools[i], u)
+		}
 	}
 	for i := range p.pools {
 		p.giveBack(&p.pools[i])
@@ -143,20 +158,20 @@
 	return p.moves
 }
 
-func (p *planner) shortage(to *Pool) int {
+func (p *planner) shortage(to *Pool, u urgency) int {
 	switch {
 	case !p.threshold:
-		return to.shortage()
+		return to.shortage(u)
 	case to.Waiting > 0 && to.Arriving <= 0:
 		return 1
 	}
 	return 0
 }
 
-func (p *planner) surplus(from *Pool) int {
+func (p *planner) surplus(from *Pool, u urgency) int {
 	switch {
 	case !p.threshold:
-		return from.surplus()
+		return from.surplus(u)
 	case from.Waiting > 0:
 		return 0
 	}
@@ -165,8 +180,8 @@
 
 // supply brings instances to a pool whose tasks wait: spare ones first, then
 // idle ones of pools that can do without them.
-func (p *planner) supply(to *Pool) {
-	short := p.shortage(to)
+func (p *planner) supply(to *Pool, u urgency) {
+	short := p.shortage(to, u)
 	for _, i := range p.spare.Instances {
 		if short == 0 {
 			return
@@ -181,7 +196,7 @@
 			continue
 		}
 		for _, i := range byIdleTime(donor.Instances) {
-			if short == 0 || p.surplus(donor) <= 0 {
+			if short == 0 || p.surplus(donor, u) <= 0 {
 				break
 			}
 			if p.take(donor, to, i, "tasks wait, and it idles elsewhere") {
@@ -189,45 +204,6 @@
 			}
 		}
 	}
-	p.empty(to, short)
-}
-
-// empty picks busy instances of pools that have too many: without new tasks they can
-// be moved soon.
-func (p *planner) empty(to *Pool, short int) {
-	if p.threshold {
-		return
-	}
-	for d := range p.pools {
-		donor := &p.pools[d]
-		if donor.Name == to.Name {
-			continue
-		}
-		for _, i := range byEmptyTime(donor.Instances) {
-			if short <= 0 || p.surplus(donor) <= 0 {
-				break
-			}
-			if i.EmptyIn <= 0 || i.EmptyIn > emptyWithin || p.taken[i.ID] {
-				continue
-			}
-			p.add(donor, to, i, "tasks wait, and its pool has too many")
-			p.moves[len(p.moves)-1].Empty = true
-			short--
-		}
-	}
-}
-
-// byEmptyTime orders instances by when they will be empty; those that get no new tasks
-// already come first.
-func byEmptyTime(list []Instance) []Instance {
-	out := append([]Instance(nil), list...)
-	sort.SliceStable(out, func(a, b int) bool {
-		if out[a].Emptying != out[b].Emptying {
-			return out[a].Emptying
-		}
-		return out[a].EmptyIn < out[b].EmptyIn
-	})
-	return out
 }
 
 // giveBack makes instances spare that have idled for longer than it costs to
@@ -239,7 +215,7 @@
 	patience := time.Duration(giveBackMoves * p.w.Move / p.w.InstanceSecond * float64(time.Second))
 	n := 0
 	for _, i := range byIdleTime(from.Instances) {
-		if n == perPlan || p.surplus(from) <= 0 || i.IdleFor < patience {
+		if n == perPlan || p.surplus(from, allWork) <= 0 || i.IdleFor < patience {
 			return
 		}
 		if p.take(from, &p.spare, i, "it idles") {
@@ -258,13 +234,9 @@
 	if !i.Movable || p.taken[i.ID] {
 		return false
 	}
-	p.add(from, to, i, reason)
-	return true
-}
-
-func (p *planner) add(from, to *Pool, i Instance, reason string) {
 	p.taken[i.ID] = true
 	from.Arriving--
 	to.Arriving++
 	p.moves = append(p.moves, Move{Instance: i.ID, From: from.Name, To: to.Name, Reason: reason})
+	return true
 }
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -10,6 +10,7 @@
 // poolState is what is known of the demand of a service.
 type poolState struct {
 	waiting    float64   // cores that tasks wait for, at the last placement
+	late       float64   // of these, for jobs that are late already
 	since      time.Time // when the first of them began to; zero: none waits
 	placedAt   time.Time // the last placement
 	jobs       int       // that waited then
@@ -34,7 +35,11 @@
 
 // wait adds n tasks of a step that found no room.
 func (p *poolState) wait(s *stepState, n int) {
-	p.waiting += float64(n) * float64(s.spec.Occupies().CPUMilli) / 1000
+	cores := float64(n) * float64(s.spec.Occupies().CPUMilli) / 1000
+	p.waiting += cores
+	if s.job.band == bandLate {
+		p.late += cores
+	}
 }
 
 // settle notes since when tasks have waited, after a placement.
@@ -85,29 +90,9 @@
 	c.settleMoves(now)
 	pools, spare := c.poolViews(now)
 	c.noteSupply(pools)
-	emptying := map[InstanceID]bool{}
 	for _, m := range capacity.Plan(c.opt.Pools, c.opt.Weights, pools, spare) {
-		if m.Empty {
-			emptying[InstanceID(m.Instance)] = true
-			continue
-		}
 		c.orderMove(m, now)
 	}
-	c.empty(emptying, now)
-}
-
-// empty keeps new tasks from these instances, and from no others for that reason.
-func (c *Core) empty(list map[InstanceID]bool, now time.Time) {
-	for _, w := range c.everyWorker() {
-		switch chosen := list[c.lives[w.Worker]]; {
-		case chosen && w.reserved == "":
-			w.reserved = reservedEmpty
-			w.reservedAt = now
-			c.note(Decision{Event: "worker-reserved", Worker: w.Worker, Reason: string(reservedEmpty)})
-		case !chosen && w.reserved == reservedEmpty:
-			w.unreserve()
-		}
-	}
 }
 
 // noteSupply keeps what explains why tasks of a pool wait.
@@ -138,7 +123,7 @@
 	views := map[string]*capacity.Pool{}
 	for _, s := range c.catalog.Services {
 		p := c.pool(s.Name)
-		views[s.Name] = &capacity.Pool{Name: s.Name, Waiting: p.waiting, WaitsFor: p.waitsFor(now), Rate: p.arrivals.Cores(now) * p.trend.factor()}
+		views[s.Name] = &capacity.Pool{Name: s.Name, Waiting: p.waiting, WaitingLate: p.late, WaitsFor: p.waitsFor(now), Rate: p.arrivals.Cores(now) * p.trend.factor()}
 	}
 	for _, i := range c.sortedInstances() {
 		v := views[i.Pool]
@@ -182,41 +167,18 @@
 	v.Cores = max(v.Cores, float64(w.Room.CPUMilli)/1000)
 	v.Busy += float64(w.used.CPUMilli) / 1000
 	v.Lasting += float64(w.lastingCPU) / 1000
-	free := w.held && w.registered && !w.gone && !w.Draining && !w.silent() && c.mayOrder(i.ID, now) &&
-		(w.reserved == "" || w.reserved == reservedEmpty)
-	out.Emptying = w.reserved == reservedEmpty
 	if len(w.runs)+len(w.strangers) > 0 {
 		w.idleSince = time.Time{}
-		if free {
-			out.EmptyIn = w.emptyIn()
-		}
 		return out
 	}
 	if w.idleSince.IsZero() {
 		w.idleSince = now
 	}
 	out.IdleFor = now.Sub(w.idleSince)
-	out.Movable = free
+	out.Movable = w.held && w.registered && !w.gone && !w.Draining && w.reserved == "" && !w.silent() && c.mayOrder(i.ID, now)
 	return out
 }
 
-// emptyIn returns how long the tasks on the worker take to end by their estimates, 0 if
-// some do not end by themselves or are not known.
-func (w *worker) emptyIn() time.Duration {
-	longest := time.Millisecond
-	if len(w.strangers) > 0 {
-		return 0
-	}
-	for _, r := range w.runs {
-		spec := r.task.step.spec
-		if spec.LongRunning {
-			return 0
-		}
-		longest = max(longest, spec.Estimate*time.Duration(100-r.percent)/100)
-	}
-	return longest
-}
-
 // underMaintenance reports whether a wave has the instance down.
 func (c *Core) underMaintenance(id InstanceID) bool {
 	for _, ws := range c.waves {
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -120,7 +120,7 @@
 
 func (c *Core) scheduleService(service string, claims []claim, now time.Time) {
 	pool := c.pool(service)
-	pool.waiting = 0
+	pool.waiting, pool.late = 0, 0
 	pool.placedAt = now
 	pool.jobs = len(claims)
 	defer pool.settle(now)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -211,7 +211,6 @@
 const (
 	reservedMaintenance reservation = "maintenance"
 	reservedMove        reservation = "move"
-	reservedEmpty       reservation = "to be emptied" // moved once it is idle
 )
 
 type stranger struct {
--- a/lab/jobload/jobload_test.go
+++ b/lab/jobload/jobload_test.go
@@ -59,6 +59,9 @@
 		{"wave", []Trouble{{At: 2 * time.Second, For: 26 * time.Second, What: Wave, Some: 6}}, 0.95, 47},
 		{"wave and owner killed", []Trouble{{At: 2 * time.Second, For: 26 * time.Second, What: Wave, Some: 6}, {At: secondTurn, What: OwnerKilled}}, 0.93, 47},
 		{"wide jobs", []Trouble{{At: thirdTurn, What: Heavy, Some: 20}}, 0.93, 47},
+		// Their pool has a backlog that is late as a whole when the next turn begins: 0.78 if
+		// late work counts as much as what can still be in time.
+		{"wide jobs at the end of a turn", []Trouble{{At: 15500 * time.Millisecond, What: Heavy, Some: 60}}, 0.80, 48},
 		{"rack lost", []Trouble{{At: thirdTurn, What: RackLost, Some: 4}}, 0.94, 46},
 	} {
 		t.Run(c.name, func(t *testing.T) {
