Every job is recorded in its turn

Change: jobs wait in the order in which they had something to record; one that changed while it was written goes to the end. TestEveryJobIsRecordedInItsTurn failed before.

--- a/jobs/owner/account_test.go
+++ b/jobs/owner/account_test.go
@@ -96,3 +96,25 @@
 	require.Len(t, records, 3)
 	assert.Equal(t, last, records[0].Job.ID)
 }
+
+// TestEveryJobIsRecordedInItsTurn: jobs whose tasks end all the time must not keep
+// others from being recorded.
+func TestEveryJobIsRecordedInItsTurn(t *testing.T) {
+	r := newRig(t, 1)
+	const jobs, room = 100, 10
+	for n := range jobs {
+		j := simpleJob(n, 1)
+		r.core.Submit(j, r.now)
+		r.core.touch(r.core.jobs[j.ID])
+	}
+	seen := map[job.ID]bool{}
+	for range jobs / room {
+		records := r.core.Uncommitted(room)
+		for _, rec := range records {
+			seen[rec.Job.ID] = true
+			r.core.touch(r.core.jobs[rec.Job.ID]) // more of it ends while it is written
+		}
+		r.core.Committed(records, r.now)
+	}
+	assert.Len(t, seen, jobs)
+}
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -1,9 +1,9 @@
 package owner
 
 import (
+	"cmp"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"github.com/postmount/postmount/jobs/job"
@@ -188,7 +188,16 @@
 // touch says that something of the job has to be kept.
 func (c *Core) touch(j *jobState) {
 	j.version++
-	c.dirty[j.spec.ID] = j
+	if c.dirty[j.spec.ID] == nil {
+		c.dirty[j.spec.ID] = j
+		c.enqueue(j)
+	}
+}
+
+// enqueue puts the job last among those that have to be written.
+func (c *Core) enqueue(j *jobState) {
+	c.lastTurn++
+	j.turn = c.lastTurn
 }
 
 // finishIfDone moves a job to completed once all its occurrences are done.
@@ -282,15 +291,15 @@
 }
 
 // Uncommitted returns records that have to be written and that take at most n entries
-// of a transaction. Those of jobs that ended come first: their callers are told only
-// once they are written.
+// of a transaction. Those of jobs that ended come first, as their callers are told only
+// once they are written; beyond that each has its turn.
 func (c *Core) Uncommitted(n int) []Record {
 	list := slices.Collect(maps.Values(c.dirty))
 	slices.SortFunc(list, func(a, b *jobState) int {
 		if a.state.Final() != b.state.Final() {
 			return boolFirst(a.state.Final())
 		}
-		return strings.Compare(string(a.spec.ID), string(b.spec.ID))
+		return cmp.Compare(a.turn, b.turn)
 	})
 	var out []Record
 	for _, j := range list {
@@ -324,6 +333,7 @@
 		}
 		j.written = max(j.written, r.version)
 		if j.written < j.version {
+			c.enqueue(j)
 			continue
 		}
 		delete(c.dirty, r.Job.ID)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -141,6 +141,7 @@
 	loaded    bool          // known from the store when this term began
 	version   uint64        // rises with each change that has to be kept
 	written   uint64        // newest version in the store
+	turn      uint64        // place among the jobs that have to be written
 	leftWork  float64       // core-seconds that are not done, by the estimates
 	leftChain time.Duration // longest chain of steps that are not done, likewise
 	chain     time.Duration
@@ -248,6 +249,7 @@
 	nextSize  time.Time
 	questions int // to the advisor, without an answer so far
 	dirty     map[job.ID]*jobState
+	lastTurn  uint64          // newest place in it
 	changed   map[string]bool // services with something to place
 	out       Effects
 	settled   map[string]bool    // services of which every earlier run is known
