--- a/cmd/postmount/report_late.go
+++ b/cmd/postmount/report_late.go
@@ -13,6 +13,7 @@
 
 	"github.com/alecthomas/kingpin/v2"
 	"github.com/wcharczuk/go-chart/v2"
+	"github.com/wcharczuk/go-chart/v2/drawing"
 
 	"github.com/postmount/postmount/jobs/late"
 )
@@ -42,7 +43,7 @@
 	}
 	r := late.Make(lines)
 	if plot != "" {
-		if err := plotLate(plot, r.BySecond(slice)); err != nil {
+		if err := plotLate(plot, r.BySecond(slice), slice); err != nil {
 			return err
 		}
 	}
@@ -93,26 +94,28 @@
 	return out
 }
 
-// barWidth is the width of a bar of the plot in pixels.
-const barWidth = 24
+// causeColors tell the causes of a plot apart.
+var causeColors = []string{"1f77b4", "ff7f0e", "2ca02c", "d62728", "9467bd", "8c564b", "e377c2", "7f7f7f", "bcbd22", "17becf", "393b79", "637939"}
 
-// plotLate draws, for each slice of time, how many jobs each cause delayed most.
-func plotLate(file string, groups []late.Group) error {
+// plotLate draws, for each slice of time, how many jobs each cause delayed most, one
+// above the other.
+func plotLate(file string, groups []late.Group, slice time.Duration) error {
 	if len(groups) == 0 {
 		return fmt.Errorf("there is nothing to plot: every job was in time")
 	}
-	graph := chart.StackedBarChart{
-		Title: "Jobs not in time, by what delayed them most", Width: plotWidth, Height: plotHeight, BarSpacing: barWidth / 2,
-		Background: chart.Style{Padding: chart.Box{Top: 60, Left: 20, Right: 20, Bottom: 20}},
+	graph := chart.Chart{
+		Width: plotWidth, Height: plotHeight,
+		Background:     chart.Style{Padding: chart.Box{Top: 60, Left: 20, Right: 20, Bottom: 20}},
+		XAxis:          chart.XAxis{Name: "seconds since the first line; jobs not in time, by what delayed them most"},
+		YAxisSecondary: chart.HideYAxis(),
 	}
-	names := causesOf(groups)
-	for _, g := range groups {
-		bar := chart.StackedBar{Name: strings.TrimSpace(g.Name) + ": " + strconv.Itoa(g.Jobs), Width: barWidth}
-		for i, name := range names {
-			bar.Values = append(bar.Values, chart.Value{Label: name, Value: jobsOf(g, name), Style: chart.Style{FillColor: chart.GetDefaultColor(i)}})
-		}
-		graph.Bars = append(graph.Bars, bar)
+	// The series of the highest sums comes first, so that the others cover it.
+	causes := causesOf(groups)
+	for n := len(causes); n > 0; n-- {
+		graph.Series = append(graph.Series, sumSeries(groups, causes[:n], slice))
 	}
+	graph.YAxis.Range = &chart.ContinuousRange{Min: 0, Max: mostJobs(groups) + 1}
+	graph.Elements = []chart.Renderable{chart.LegendThin(&graph)}
 	var out bytes.Buffer
 	if err := graph.Render(chart.SVG, &out); err != nil {
 		return fmt.Errorf("plot of late jobs: %w", err)
@@ -120,6 +123,40 @@
 	return os.WriteFile(file, out.Bytes(), plotMode)
 }
 
+// sumSeries is the number of jobs of these causes over time, in steps, named after the
+// last of them.
+func sumSeries(groups []late.Group, causes []string, slice time.Duration) chart.ContinuousSeries {
+	color := drawing.ColorFromHex(causeColors[(len(causes)-1)%len(causeColors)])
+	s := chart.ContinuousSeries{Name: causes[len(causes)-1], Style: chart.Style{StrokeColor: color, FillColor: color}}
+	add := func(at time.Duration, jobs float64) {
+		s.XValues = append(s.XValues, at.Seconds())
+		s.YValues = append(s.YValues, jobs)
+	}
+	end := groups[0].From
+	for _, g := range groups {
+		if g.From > end {
+			add(end, 0)
+			add(g.From, 0)
+		}
+		sum := 0.0
+		for _, c := range causes {
+			sum += jobsOf(g, c)
+		}
+		end = g.From + slice
+		add(g.From, sum)
+		add(end, sum)
+	}
+	return s
+}
+
+func mostJobs(groups []late.Group) float64 {
+	most := 0
+	for _, g := range groups {
+		most = max(most, g.Jobs)
+	}
+	return float64(most)
+}
+
 func causesOf(groups []late.Group) []string {
 	var out []string
 	for _, g := range groups {
--- a/jobs/late/late.go
+++ b/jobs/late/late.go
@@ -217,9 +217,12 @@
 // Group is some of the jobs of a report.
 type Group struct {
 	Name     string
+	From     time.Duration // of a slice of time: when it begins
 	Jobs     int
 	Outcomes map[Outcome]int
 	Causes   []Sum // those that cost most first
+
+	at time.Duration // of its first job
 }
 
 // All sums up the whole report.
@@ -237,7 +240,11 @@
 
 // BySecond sums up slices of the time, by when callers first tried.
 func (r *Report) BySecond(width time.Duration) []Group {
-	return r.by(func(j *Job) string { return sliceName(j.At, width) })
+	out := r.by(func(j *Job) string { return sliceName(j.At, width) })
+	for i := range out {
+		out[i].From = out[i].at / width * width
+	}
+	return out
 }
 
 // sliceName is such that names sort as their times do.
@@ -263,6 +270,9 @@
 
 func group(name string, jobs []Job) Group {
 	g := Group{Name: name, Jobs: len(jobs), Outcomes: map[Outcome]int{}}
+	if len(jobs) > 0 {
+		g.at = jobs[0].At
+	}
 	sums := map[string]*Sum{}
 	sum := func(c string) *Sum {
 		if sums[c] == nil {
