Peers that relay are chosen by chance and weight

Since peers that serve are kept, and every daemon began with the second of the list, all fifteen watched the store through the same one, whose link of 10 Mbit/s then carried nothing else: its own configuration was 4 s old. Change: a daemon draws its peer by chance, seeded by its own name, as likely as the square of the peer's processor share: links differ twenty times where processors do four times.

--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -73,7 +73,7 @@
 	lock      atomic.Pointer[ledger.Lock] // nil: nobody is known to be the owner
 	term      atomic.Pointer[termRun]     // nil: this daemon is not the owner
 	members   atomic.Pointer[[]ledger.Member]
-	relayNo   atomic.Uint64
+	chance    *chance
 	lastRelay atomic.Pointer[string] // address of the peer asked last
 	badRelays sync.Map               // address of a peer to until when it is not asked for the store
 	lease     atomic.Int64           // ledger.LeaseID; 0: none
@@ -91,7 +91,7 @@
 func New(set Settings, p Platform, log *zap.Logger, m *Metrics) *Node {
 	n := &Node{
 		set: set, platform: p, log: log, metrics: m,
-		peers: p.Peers, started: time.Now(),
+		peers: p.Peers, started: time.Now(), chance: newChance(set.Node),
 		waves: map[int]owner.WaveRequest{}, electNow: make(chan struct{}, 1),
 	}
 	n.platform.Store = ledger.Counted(p.Store, m.storeCall)
--- a/jobs/node/ownerwatch.go
+++ b/jobs/node/ownerwatch.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"math/rand/v2"
 	"time"
 
 	"go.uber.org/zap"
@@ -61,7 +60,7 @@
 		sleep.For(ctx, lockLook) // its connection was reset, or cannot be opened
 		return
 	}
-	sleep.For(ctx, rand.N(mostStagger))
+	sleep.For(ctx, n.chance.upTo(mostStagger))
 	if n.lock.Load() != l {
 		return
 	}
@@ -84,7 +83,7 @@
 		return false
 	}
 	others := n.othersThan(l.Node)
-	rand.Shuffle(len(others), func(a, b int) { others[a], others[b] = others[b], others[a] })
+	n.chance.shuffle(others)
 	confirmed := 0
 	for _, addr := range others[:min(len(others), mostAsked)] {
 		seen, err := n.peers.LookBy(ctx, addr, l.Addr)
--- a/jobs/node/ownerwatch_test.go
+++ b/jobs/node/ownerwatch_test.go
@@ -47,7 +47,7 @@
 		{"no other can be asked", absent, nil, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			n := &Node{set: Settings{Node: "a"}, peers: sights{own: c.own, others: c.others}, log: zap.NewNop()}
+			n := &Node{set: Settings{Node: "a"}, peers: sights{own: c.own, others: c.others}, log: zap.NewNop(), chance: newChance("a")}
 			n.members.Store(&[]ledger.Member{{Node: "a", Addr: "a"}, {Node: "b", Addr: "b"}, {Node: "c", Addr: "c"}, {Node: "o", Addr: "o"}})
 			assert.Equal(t, c.gone, n.ownerGone(context.Background(), &ledger.Lock{Node: "o", Addr: "o"}))
 		})
--- a/jobs/node/relays.go
+++ b/jobs/node/relays.go
@@ -7,15 +7,17 @@
 	"github.com/postmount/postmount/jobs/peer"
 )
 
-// Relay implements ledger.Relays: a daemon that served lately, or else the others by
-// turns, but for those whose way to the store failed a moment ago. A disruption often
-// cuts off a third of the daemons, so that one that serves is worth keeping.
+// Relay implements ledger.Relays: a daemon that served lately, or else one by chance,
+// but for those whose way to the store failed a moment ago. A disruption often cuts off
+// a third of the daemons, so that one that serves is worth keeping; and they must not
+// all choose the same one, whose link would carry every watch of theirs. Stronger
+// daemons, which have wider links, are chosen more often.
 func (n *Node) Relay() ledger.Store {
 	list := n.members.Load()
 	if list == nil {
 		return nil
 	}
-	var others []string
+	var others []ledger.Member
 	last := n.lastRelay.Load()
 	for _, m := range *list {
 		if m.Node == n.set.Node || n.relayBad(m.Addr) {
@@ -24,12 +26,12 @@
 		if last != nil && m.Addr == *last {
 			return peer.StoreBy(n.peers, m.Addr)
 		}
-		others = append(others, m.Addr)
+		others = append(others, m)
 	}
 	if len(others) == 0 {
 		return nil
 	}
-	addr := others[n.relayNo.Add(1)%uint64(len(others))]
+	addr := n.chance.byWeight(others).Addr
 	n.lastRelay.Store(&addr)
 	return peer.StoreBy(n.peers, addr)
 }
