Only a daemon about as strong as the owner replaces it at once

A weak daemon (0.19 of a core, 10 Mbit/s) found the owner gone and was the next one 0.3 s later, before the strong ones were back; it read 2,107 jobs for 1.9 s, kept its lock over the closing loss of power, and could not carry the fleet. Ruled out: waiting longer for stronger daemons in every election (each takeover would). Change: a daemon ends the lease of an owner that is gone only if it is about as strong; a weak one leaves the lease to end, by when killed processes are back. Test: TestAWeakDaemonDoesNotReplaceAStrongOwner.

--- a/jobs/node/ownerwatch.go
+++ b/jobs/node/ownerwatch.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -56,7 +57,7 @@
 	if err := n.peers.AwaitEnd(ctx, l.Addr); err == nil || ctx.Err() != nil {
 		return
 	}
-	if !n.ownerGone(ctx, l) {
+	if !n.mayReplace(l.Node) || !n.ownerGone(ctx, l) {
 		sleep.For(ctx, lockLook) // its connection was reset, or cannot be opened
 		return
 	}
@@ -104,6 +105,19 @@
 	return confirmed > 0 || len(others) == 0
 }
 
+// mayReplace reports whether this daemon is about as strong as the named one. Where
+// many processes are killed at once the strong ones are back within a second, before the
+// lease ends; a weak one that takes over at once cannot carry what the owner did.
+func (n *Node) mayReplace(node string) bool {
+	list := n.members.Load()
+	if list == nil {
+		return true
+	}
+	return !slices.ContainsFunc(*list, func(m ledger.Member) bool {
+		return m.Node == node && m.Cores > strongerBy*n.set.Cores
+	})
+}
+
 // othersThan returns the addresses of all daemons but this one and the named one.
 func (n *Node) othersThan(node string) []string {
 	list := n.members.Load()
--- a/jobs/node/ownerwatch_test.go
+++ b/jobs/node/ownerwatch_test.go
@@ -53,3 +53,23 @@
 		})
 	}
 }
+
+// TestAWeakDaemonDoesNotReplaceAStrongOwner: it leaves the lease to end by itself.
+func TestAWeakDaemonDoesNotReplaceAStrongOwner(t *testing.T) {
+	list := []ledger.Member{{Node: "strong", Cores: 0.8}, {Node: "alike", Cores: 0.7}, {Node: "weak", Cores: 0.2}}
+	for _, c := range []struct {
+		self  string
+		cores float64
+		owner string
+		may   bool
+	}{
+		{"alike", 0.7, "strong", true},
+		{"weak", 0.2, "strong", false},
+		{"strong", 0.8, "weak", true},
+		{"weak", 0.2, "unknown", true},
+	} {
+		n := &Node{set: Settings{Node: c.self, Cores: c.cores}}
+		n.members.Store(&list)
+		assert.Equal(t, c.may, n.mayReplace(c.owner), "%s for %s", c.self, c.owner)
+	}
+}
