--- a/jobs/late/late_test.go
+++ b/jobs/late/late_test.go
@@ -16,7 +16,7 @@
 
 const logs = `
 {"ts":"2030-01-01T00:00:00Z","level":"info","msg":"start"}
-{"ts":"2030-01-01T00:00:01Z","msg":"request-refused","method":"POST","job":"a","status":503,"why":"store /-/kv-txn: status 503"}
+{"ts":"2030-01-01T00:00:01Z","msg":"request-refused","method":"POST","job":"a","status":503,"why":"store: status 503"}
 {"ts":"2030-01-01T00:00:02.5Z","msg":"job-accepted","job":"a","queue":"q"}
 {"ts":"2030-01-01T00:00:03Z","msg":"job-accepted","job":"b","queue":"q"}
 {"ts":"2030-01-01T00:00:03Z","msg":"job-accepted","job":"c","queue":"q"}
