Sight: leases that end under long-running tasks, and jobs looked at for placement, as metrics

The record of the incident could not tell whether long-running tasks were stopped or their leases ended, nor what a new owner's processor time went to. Two counts of the owner say so. No change of what is decided.

--- a/jobs/node/metrics_test.go
+++ b/jobs/node/metrics_test.go
@@ -23,7 +23,7 @@
 	n.order("start", owner.NoRoom)
 	n.commit(nil, 5*time.Millisecond)
 	n.owner(owner.Stats{
-		OpenJobs: 7, Counts: owner.Counts{Starts: 42},
+		OpenJobs: 7, Counts: owner.Counts{Starts: 42, LastingLapsed: 5, Considered: 1400},
 		Pools: []owner.PoolStats{{Name: "orders", Instances: 5, Arriving: 1, Busy: 12.5, Waiting: 3, Rate: 20}},
 	})
 	n.storeCall(ledger.Call{Kind: "range", Stale: true, Outcome: "answered", Took: 4 * time.Millisecond})
@@ -41,6 +41,8 @@
 		`postmount_commits{outcome="written"} 1`,
 		`postmount_owner_open_jobs 7`,
 		`postmount_owner_starts 42`,
+		`postmount_owner_lasting_tasks_lapsed 5`,
+		`postmount_owner_jobs_considered 1400`,
 		`postmount_pool_instances{pool="orders"} 5`,
 		`postmount_pool_cores_busy{pool="orders"} 12.5`,
 		`postmount_pool_work_rate{pool="orders"} 20`,
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -74,6 +74,9 @@
 		c.keepCheckpoint(t, e.Checkpoint)
 	default:
 		c.counts.Lapsed++
+		if s.spec.LongRunning {
+			c.counts.LastingLapsed++
+		}
 		c.keepCheckpoint(t, e.Checkpoint)
 		c.note(Decision{Event: "task-" + e.Kind.String(), Job: j.spec.ID, Task: e.Task.String(), Worker: w.Worker, Run: e.Run})
 	}
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -102,6 +102,7 @@
 	if len(claims) == 0 {
 		return
 	}
+	c.counts.Considered += int64(len(c.open))
 	for _, j := range c.open {
 		if list, due := claims[j.service]; due && !j.state.Final() && waits(j, now) {
 			claims[j.service] = append(list, c.claimOf(j, now))
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -273,6 +273,8 @@
 // Counts are totals since the start of the term.
 type Counts struct {
 	Starts, Refused, Failed, Lapsed, Lost, Stopped, Done, Commits int64
+	LastingLapsed                                                 int64 // of those that lapsed, long-running tasks
+	Considered                                                    int64 // open jobs that were looked at for placement
 }
 
 // Decision is a line for the log: what was decided about a job, a worker or an
