Calls to workers wait for slots, starts apart from all others

All starts that became possible were sent at once, with a timeout that their turns at the owner's processor used up. Ruled out: longer timeouts alone; a worker that is gone would be noticed later, and the owner's own events still wait behind thousands of calls. Orders for instances do not wait: until when they may arrive is recorded.

--- a/jobs/node/instanceorders.go
+++ b/jobs/node/instanceorders.go
@@ -93,9 +93,10 @@
 	}
 }
 
-// sendInstanceOrders sends orders that the store knows of.
+// sendInstanceOrders sends orders that the store knows of. They do not wait for slots:
+// until when they may arrive is recorded.
 func (t *termRun) sendInstanceOrders(orders []owner.MoveOrder) {
 	for _, o := range orders {
-		go t.order(2*instanceOrderTimeout, func(ctx context.Context) event { return t.orderInstance(ctx, o) })
+		go t.call(2*instanceOrderTimeout, func(ctx context.Context) event { return t.orderInstance(ctx, o) })
 	}
 }
--- a/jobs/node/termorders.go
+++ b/jobs/node/termorders.go
@@ -11,38 +11,39 @@
 )
 
 // dispatch carries out effects. Each call has a goroutine of its own, and its
-// outcome comes back as an event.
+// outcome comes back as an event. Starts wait for each other, and so do all other
+// calls: leases are renewed and runs stopped also while many tasks are started.
 func (t *termRun) dispatch(e owner.Effects) {
 	for _, o := range e.Starts {
-		go t.order(owner.OrderTimeout, func(ctx context.Context) event {
+		go t.order(t.starts, owner.OrderTimeout, func(ctx context.Context) event {
 			a := t.n.platform.Workers.Start(ctx, o)
 			t.n.metrics.order("start", a.Outcome)
 			return func(c *owner.Core, now time.Time) { c.OnStarted(o, a, now) }
 		})
 	}
 	for _, o := range e.Stops {
-		go t.order(owner.OrderTimeout, func(ctx context.Context) event {
+		go t.order(t.calls, owner.OrderTimeout, func(ctx context.Context) event {
 			a := t.n.platform.Workers.Stop(ctx, o)
 			t.n.metrics.order("stop", a.Outcome)
 			return func(c *owner.Core, now time.Time) { c.OnStopped(o, a, now) }
 		})
 	}
 	for _, o := range e.Throttles {
-		go t.order(owner.OrderTimeout, func(ctx context.Context) event {
+		go t.order(t.calls, owner.OrderTimeout, func(ctx context.Context) event {
 			a := t.n.platform.Workers.Throttle(ctx, o)
 			t.n.metrics.order("throttle", a.Outcome)
 			return func(c *owner.Core, now time.Time) { c.OnThrottled(o, a, now) }
 		})
 	}
 	for _, o := range e.Holds {
-		go t.order(o.Wait+holdReserve, func(ctx context.Context) event {
+		go t.order(t.calls, o.Wait+holdReserve, func(ctx context.Context) event {
 			h := t.n.platform.Workers.Hold(ctx, o)
 			t.n.metrics.order("hold", h.Outcome)
 			return func(c *owner.Core, now time.Time) { c.OnHeld(o.Worker, h, now) }
 		})
 	}
 	for _, q := range e.Questions {
-		go t.order(owner.AdviceTimeout, func(ctx context.Context) event {
+		go t.call(owner.AdviceTimeout, func(ctx context.Context) event {
 			a := t.advise(ctx, q)
 			return func(c *owner.Core, now time.Time) { c.OnAdvice(q, a, now) }
 		})
@@ -60,7 +61,20 @@
 	return t.n.platform.Advisor.Advise(ctx, q)
 }
 
-func (t *termRun) order(timeout time.Duration, call func(context.Context) event) {
+// order makes a call to a worker once it has a slot; its timeout begins then.
+func (t *termRun) order(f fanout, timeout time.Duration, call func(context.Context) event) {
+	leave, ok := f.enter(t.ctx)
+	if !ok {
+		return // the term is over
+	}
+	t.call(timeout, func(ctx context.Context) event {
+		defer leave()
+		return call(ctx)
+	})
+}
+
+// call makes a call at once, and hands its outcome to the core.
+func (t *termRun) call(timeout time.Duration, call func(context.Context) event) {
 	ctx, cancel := context.WithTimeout(t.ctx, timeout)
 	defer cancel()
 	t.do(call(ctx))
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -49,6 +49,8 @@
 	triedAt    time.Time    // when the lock was last to be released
 	extra      []ledger.Put // puts beside the records
 	orders     instanceOrders
+	starts     fanout // of tasks
+	calls      fanout // all other calls to workers
 }
 
 // runTerm is the owner until another daemon is, or ctx ends.
@@ -62,7 +64,7 @@
 		}
 		return
 	}
-	t := &termRun{n: n, term: term, events: make(chan event, eventQueue), leaving: make(chan struct{}), left: make(chan struct{}), relist: make(chan struct{}, 1)}
+	t := &termRun{n: n, term: term, events: make(chan event, eventQueue), leaving: make(chan struct{}), left: make(chan struct{}), relist: make(chan struct{}, 1), starts: newFanout(), calls: newFanout()}
 	t.orders = newInstanceOrders(n.set.Node, n.set.DutyHandover, term.OrderedBefore, began)
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	defer t.cancel()
