Failing test: a planned stop waits for every accepted request

The fault's goroutine and the accepted request are both ready in the same virtual instant; if the goroutine runs first, it reads Handler.InFlight as 0 and calls Node.Leave, whose precondition is that nothing is in flight. Change: a test that holds the request up after each step at which the stop begins.

--- a/internal/matrix/request_test.go
+++ b/internal/matrix/request_test.go
@@ -55,16 +55,7 @@
 			c.in.setCut(c.owner, true)
 			heal(c, func() { c.in.setCut(c.owner, false) })
 		}},
-		{name: "owner leaves", hit: func(c *cell) {
-			c.in.later(0, func() {
-				ctx, cancel := context.WithTimeout(context.Background(), faultLength)
-				defer cancel()
-				// A planned stop finishes what is in flight before it leaves.
-				for c.owner.handler.InFlight() > 0 && pause(ctx) {
-				}
-				_ = c.owner.node.Leave(ctx)
-			})
-		}},
+		ownerLeaves(),
 		{name: "a daemon joins", hit: func(c *cell) { c.in.start() }},
 		{name: "store down", hit: func(c *cell) {
 			c.setStores(store.Faults{Down: true})
@@ -83,6 +74,20 @@
 	}
 }
 
+// ownerLeaves is a planned stop of the key's owner.
+func ownerLeaves() fault {
+	return fault{name: "owner leaves", hit: func(c *cell) {
+		c.in.later(0, func() {
+			ctx, cancel := context.WithTimeout(context.Background(), faultLength)
+			defer cancel()
+			// A planned stop finishes what is in flight before it leaves.
+			for c.owner.handler.InFlight() > 0 && pause(ctx) {
+			}
+			_ = c.owner.node.Leave(ctx)
+		})
+	}}
+}
+
 func pause(ctx context.Context) bool {
 	time.Sleep(10 * time.Millisecond)
 	return ctx.Err() == nil
@@ -267,6 +272,39 @@
 	compareTable(t, "request", requestMatrix(t).text)
 }
 
+// TestAPlannedStopWaitsForEveryAcceptedRequest holds a request for a while
+// between the step at which the stop begins and its next one. A daemon that stops
+// finishes what it has accepted before it leaves, however slowly that goes on.
+//
+// Seen: one cell of the table, the receiver owns the key and leaves at accept, was
+// DMD or NDD instead of DDD: on GOMAXPROCS 1, 2 and 8 in 0, 1 and 6 of 10,000 plays,
+// with random yields in the code in 3 and 7 of 20; of the other 339 cells none
+// differed. How: the request was accepted, the stop found nothing in flight and left
+// the view under it. Cause: the stop of this package waits for Handler.InFlight, which
+// counts from the handler on; the real daemon's http.Server.Shutdown waits for its
+// connections. Proof: a request held up there meets it every time.
+func TestAPlannedStopWaitsForEveryAcceptedRequest(t *testing.T) {
+	for _, self := range []bool{false, true} {
+		for _, s := range steps {
+			for _, held := range []time.Duration{oneWay, resendAfter / 2, 2 * resendAfter} {
+				r := run(t, 0, self, strike{fault: heldUp(ownerLeaves(), held), at: s}, nil)
+				assert.Empty(t, r.broken, "held for %s at %s, self %v", held, s, self)
+				if r.hit {
+					assert.Equal(t, "DDD", r.marks(), "held for %s at %s, self %v", held, s, self)
+				}
+			}
+		}
+	}
+}
+
+// heldUp is f, with the request held up at its step after f has struck.
+func heldUp(f fault, held time.Duration) fault {
+	return fault{name: f.name, hit: func(c *cell) {
+		f.hit(c)
+		time.Sleep(held)
+	}}
+}
+
 // The random search gives the same verdict on every run.
 func init() {
 	_ = flag.Set("rapid.seed", "1")
