The fault table's planned stop waits for every accepted request

Cause: the harness's planned stop waited for Handler.InFlight, which counts from the handler on. The product's stop waits in http.Server.Shutdown for its connections, which are active before the handler is called; its Node.Leave comes after that. The table struck between acceptance and handler and so played a stop that the product does not have, if the stop's goroutine ran first. Ruled out: a fault of the product. The table's text was right, DDD, and stays as it is. Change: the harness counts a request from its acceptance on; its stop is in one place, in the order of Daemon.stop (finish what was accepted, refuse what is new, leave).

--- a/internal/matrix/installation_test.go
+++ b/internal/matrix/installation_test.go
@@ -11,6 +11,7 @@
 	"net/http/httptest"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing/synctest"
 	"time"
 
@@ -62,6 +63,10 @@
 	handler    *entry.Handler
 	cancel     context.CancelFunc
 
+	// accepted counts the requests that Daemon.stop's http.Server.Shutdown would
+	// wait for: from the accepted connection on, which is before the handler's count.
+	accepted atomic.Int64
+
 	mu     sync.Mutex
 	dead   bool
 	frozen chan struct{} // not nil while frozen; closed to go on
@@ -207,6 +212,15 @@
 	})
 }
 
+// stop is the daemon's planned stop, in the order of Daemon.stop: it finishes what
+// it has accepted, refuses what is new and leaves.
+func (d *daemon) stop(ctx context.Context) {
+	for d.accepted.Load() > 0 && pause(ctx) {
+	}
+	d.handler.Stop()
+	_ = d.node.Leave(ctx)
+}
+
 func (in *installation) later(after time.Duration, fn func()) {
 	in.wg.Add(1)
 	go func() {
@@ -501,6 +515,8 @@
 // request sends a keyed request through daemon d and waits for the reply.
 func (d *daemon) request(ctx context.Context, send, key string) reply {
 	started := time.Now()
+	d.accepted.Add(1)
+	defer d.accepted.Add(-1)
 	if d.isDead() {
 		return reply{send: send, lost: true}
 	}
--- a/internal/matrix/request_test.go
+++ b/internal/matrix/request_test.go
@@ -80,10 +80,7 @@
 		c.in.later(0, func() {
 			ctx, cancel := context.WithTimeout(context.Background(), faultLength)
 			defer cancel()
-			// A planned stop finishes what is in flight before it leaves.
-			for c.owner.handler.InFlight() > 0 && pause(ctx) {
-			}
-			_ = c.owner.node.Leave(ctx)
+			c.owner.stop(ctx)
 		})
 	}}
 }
