Failing tests: a job counts as begun when a start of it is sent

Cause: Core.start sets jobState.begun as it orders a run. Until a worker takes the start, and also after it has refused it, not answered it or ended its life, Core.Pending leaves the job out and Core.State says that it runs. Around a change of owner jobs wait for up to 4.7 s until every worker has answered; then starts of all of them are sent at the same moment, and the count drops to 0 while none of their tasks has begun.

Shown by: TestAJobWaitsUntilATaskIsKnownToHaveStarted, all 13 fates of a start and a gang give 0 and "running".

--- a/standin/jobfleet/installation.go
+++ b/standin/jobfleet/installation.go
@@ -204,6 +204,13 @@
 	})
 }
 
+// CallerAt returns a caller that asks one daemon.
+func (in *Installation) CallerAt(d *Daemon) *Caller {
+	return in.CallerBy(func(method, path string, body []byte) (int, string) {
+		return in.sendTo(d, method, path, body)
+	})
+}
+
 // CallerBy returns a caller that sends its own way.
 func (in *Installation) CallerBy(send Send) *Caller { return &Caller{in, send} }
 
