A job has begun once a worker says so, not when a start of it is sent

Cause: as the failing tests before this commit show, a job was left out of its queue's count, and shown as running, from the moment at which a start was ordered.

Change: jobState.begun is set where a worker says that a task started: it takes the start, lists the run, or lists its end. A gang has begun once all its members are there, as its tasks work only then; an end of a member that may have waited alone shows nothing. The state shown follows the same sign. job-started is logged then, too.

Cost: one look at a flag for each answer to a start and each listed run; Pending and State are as before.

--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -50,7 +50,7 @@
 	}
 	t := s.tasks[e.Task.Index]
 	r := t.findRun(e.Run, w)
-	j.begun = true
+	j.begun = j.begun || s.showsBegun(e.Kind)
 	if r != nil {
 		c.release(r, e.Kind.cause(), now)
 	}
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -271,7 +271,7 @@
 	return job.Queued, true
 }
 
-// Pending counts the jobs of a queue of which no task has started.
+// Pending counts the jobs of a queue of which no task is known to have started.
 func (c *Core) Pending(queue string) int {
 	n := 0
 	for _, j := range c.open {
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -47,6 +47,7 @@
 			r.ackedAt = now
 			r.movedAt = now
 		}
+		c.noteBegun(r, now)
 		return
 	case Fenced:
 		c.fence(w)
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -306,11 +306,6 @@
 func (c *Core) start(t *task, w *worker, number uint64, now time.Time) {
 	r := &run{task: t, number: number, worker: w, phase: starting, throttle: 100, firstSent: now}
 	t.addRun(r)
-	if j := t.step.job; !j.begun {
-		j.begun = true
-		c.note(Decision{Event: "job-started", Job: j.spec.ID, Task: t.id().String(), Worker: w.Worker, Run: number,
-			Reason: "accepted " + now.Sub(j.spec.AcceptedAt).Round(time.Millisecond).String() + " ago"})
-	}
 	c.pool(t.step.job.service).began(t.step.job)
 	c.counts.Starts++
 	c.sendStart(r, now)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -134,7 +134,7 @@
 	nextOcc   int          // first occurrence that has not begun
 	state     job.State
 	band      band // at the last placement
-	begun     bool // a task was started
+	begun     bool // a worker has said that a task of it started
 	waitNoted bool // the log says why a task of it was not placed at once
 	endedAt   time.Time
 	inherited bool          // accepted before this term
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -21,7 +21,7 @@
 	other := t.live()
 	t.addRun(r)
 	c.pool(j.service).began(j)
-	j.begun = true
+	c.noteBegun(r, now)
 	switch {
 	case j.state.Final() || t.done:
 		c.stop(r, "its task is over", now)
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -281,6 +281,7 @@
 		r.ackedAt = now
 		r.movedAt = now
 	}
+	c.noteBegun(r, now)
 	if a.Percent != r.percent {
 		r.percent = a.Percent
 		r.movedAt = now
