Failing test: a start without an answer ends a task at work

Cause: an owner that is short of processor time gives up the answer to a start after 400 ms, twice, and then stops the run, though the worker began it with the first order. For a task that lasts that is a stop of a task at work while others of its step are away.

--- /dev/null
+++ b/jobs/owner/unanswered_test.go
@@ -0,0 +1,92 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// Seen: tasks that last are at work, and their owner stops them half a second later,
+// many of one step at once. How: both orders to start such a task were carried out, their
+// answers waited for the owner's own processor beyond its timeout, and the owner gave
+// the run up by stopping it. Cause: an order without an answer was taken for one that
+// had no effect. Proved by the owner's log beside the workers': start-unanswered twice,
+// run-stopped "its start was not answered", and the worker had begun the run before.
+
+// unansweredTwice lets both orders to start a task go unanswered.
+func (r *rig) unansweredTwice(s Start) {
+	for range startTries {
+		r.core.OnStarted(s, Answer{Outcome: Unanswered}, r.now)
+		r.core.React(r.now)
+		r.take()
+	}
+	r.out.Starts = nil
+}
+
+// lastingStart submits a job with one task that lasts and returns the order for it.
+func (r *rig) lastingStart() Start {
+	j := simpleJob(1, 1)
+	j.Steps[0].LongRunning = true
+	r.core.Submit(j, r.now)
+	r.core.React(r.now)
+	r.take()
+	require.Len(r.t, r.out.Starts, 1)
+	s := r.out.Starts[0]
+	r.out.Starts = nil
+	return s
+}
+
+// TestAStartWithoutAnAnswer: whether the run began is told by the worker's next list.
+func TestAStartWithoutAnAnswer(t *testing.T) {
+	begin := func(t *testing.T) (*rig, WorkerID, Start) {
+		r := newRig(t, 1)
+		a := r.worker("a")
+		r.held(a, nil)
+		s := r.lastingStart()
+		r.unansweredTwice(s)
+		assert.Empty(t, r.stopsOf(s.Task), "whether it runs is not known")
+		return r, a, s
+	}
+	t.Run("ends no task at work", func(t *testing.T) {
+		r, a, s := begin(t)
+		active := []ActiveRun{{Task: s.Task, Run: s.Run, Percent: 100}}
+		for range 4 {
+			r.held(a, active)
+			r.tick(500 * time.Millisecond)
+		}
+		assert.Empty(t, r.stopsOf(s.Task), "it is at work")
+		assert.Empty(t, r.out.Starts)
+	})
+	t.Run("is fenced off if it did not arrive", func(t *testing.T) {
+		r, a, s := begin(t)
+		r.held(a, nil) // asked for before, so that it shows nothing
+		assert.Empty(t, r.stopsOf(s.Task))
+		r.tick(25 * time.Millisecond)
+		r.held(a, nil)
+		stops := r.stopsOf(s.Task)
+		require.Len(t, stops, 1, "the order may arrive yet")
+		assert.Empty(t, r.out.Starts, "the task waits for the stop")
+		r.core.OnStopped(stops[0], Answer{Outcome: Taken, Clock: r.clock()}, r.now)
+		r.held(a, nil)
+		r.tick(25 * time.Millisecond)
+		r.held(a, nil)
+		r.tick(200 * time.Millisecond)
+		require.Len(t, r.out.Starts, 1)
+		assert.Greater(t, r.out.Starts[0].Run, s.Run)
+	})
+	t.Run("ends with its worker's lease", func(t *testing.T) {
+		r, a, s := begin(t)
+		b := r.worker("b")
+		r.held(b, nil)
+		for range 60 {
+			r.unheard(a)
+			r.tick(100 * time.Millisecond)
+			r.held(b, nil)
+		}
+		require.Len(t, r.out.Starts, 1, "it cannot run there any more")
+		assert.Equal(t, b, r.out.Starts[0].Worker)
+		assert.Greater(t, r.out.Starts[0].Run, s.Run)
+	})
+}
