Failing test lets the timeouts of the two orders pass

The rig answered all at one moment, so that a hold which was sent before an order was given up could not be told from one sent after it.

--- a/jobs/owner/unanswered_test.go
+++ b/jobs/owner/unanswered_test.go
@@ -18,6 +18,7 @@
 // unansweredTwice lets both orders to start a task go unanswered.
 func (r *rig) unansweredTwice(s Start) {
 	for range startTries {
+		r.tick(OrderTimeout)
 		r.core.OnStarted(s, Answer{Outcome: Unanswered}, r.now)
 		r.core.React(r.now)
 		r.take()
@@ -69,7 +70,8 @@
 		require.Len(t, stops, 1, "the order may arrive yet")
 		assert.Empty(t, r.out.Starts, "the task waits for the stop")
 		r.core.OnStopped(stops[0], Answer{Outcome: Taken, Clock: r.clock()}, r.now)
-		r.held(a, nil)
+		r.tick(25 * time.Millisecond)
+		r.held(a, nil) // asked for before the stop was answered
 		r.tick(25 * time.Millisecond)
 		r.held(a, nil)
 		r.tick(200 * time.Millisecond)
