A start without an answer is settled by the worker's list, not by a stop

Change: after the last try the worker's list is waited for. It shows the run: it goes on. A list that was asked for after the order was given up does not: the run is fenced off by a stop as before. No list: it ends with the lease. It applies to every task, as most of the stopped runs were short ones at work.

Not changed: a hold that waits for an end delays the proof that a start did not arrive by up to its wait, twice.

--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -4,8 +4,8 @@
 
 // Retries of orders.
 const (
-	// startTries is how often a start is sent before its run is given up and
-	// fenced off by a stop: an unanswered order takes the shell's timeout each.
+	// startTries is how often a start is sent before the worker's list is waited for:
+	// an unanswered order takes the shell's timeout each.
 	startTries = 2
 	// stopRetry is the pause before an unanswered stop is sent again.
 	stopRetry = 100 * time.Millisecond
@@ -97,11 +97,22 @@
 	r.worker.unheard(r.sentAt)
 	id := r.task.id()
 	c.note(Decision{Event: "start-unanswered", Job: id.Job, Task: id.String(), Worker: r.worker.Worker, Run: r.number, Reason: reasonOf(a)})
-	if r.tries < startTries && !r.task.done {
+	switch {
+	case r.task.done:
+		c.stop(r, "the task is done", now)
+	case r.tries < startTries:
 		c.sendStart(r, now)
-		return
+	default:
+		// The worker may have begun it, and a stop would end a task at work. Its next
+		// list tells.
+		r.givenUp = now
 	}
-	c.stop(r, "its start was not answered", now)
+}
+
+// neverBegan reports whether a list that the worker was asked for at asked, and that
+// does not show the run, tells that no order to start it has arrived so far.
+func (r *run) neverBegan(asked time.Time) bool {
+	return r.phase == starting && !r.givenUp.IsZero() && !asked.Before(r.givenUp)
 }
 
 // stop ends a run. Its room is free once its end is listed.
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -42,8 +42,9 @@
 	percent   int
 	movedAt   time.Time // when percent last changed
 	usage     int
-	throttle  int  // percent of its speed that was ordered; 100 at the start
-	lost      bool // an order for it went unanswered; it may arrive late
+	throttle  int       // percent of its speed that was ordered; 100 at the start
+	lost      bool      // an order for it went unanswered; it may arrive late
+	givenUp   time.Time // no further order to start it is sent since; zero: one may be
 	reason    string
 }
 
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -241,6 +241,10 @@
 		if listed[id] {
 			continue
 		}
+		if r.neverBegan(w.holdSent) {
+			c.stop(r, "its start was not answered, and it does not run", now)
+			continue
+		}
 		confirmed := r.phase != starting && !r.ackedAt.IsZero() && w.holdSent.After(r.ackedAt)
 		if !confirmed {
 			continue
