Failing test: an answer is given a time before it was received

The end of a worker's lease is reckoned from that time, with a slack of 150 ms: it can count as over before it is.

--- /dev/null
+++ b/jobs/node/termrun_test.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// TestAnEventIsNotOlderThanItself: an event is not given a time at which it had not come
+// yet. Seen: an owner with a fifth of a core gave a worker's answer a time 235 ms before
+// it was received. How: events that wait share the time at which the first of them was
+// taken, and others come while these are worked off. Cause: the end of a worker's lease
+// is reckoned from that time, so that the lease counts as over sooner than it is, by more
+// than the slack of 150 ms; its tasks may start elsewhere while they run. Proved by a log
+// of each answer with the times at which it was received and which it was given.
+func TestAnEventIsNotOlderThanItself(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		run := &termRun{events: make(chan event, eventQueue), ctx: t.Context()}
+		given := make(chan time.Time, 1)
+		var came time.Time
+		slow := func(*owner.Core, time.Time) { time.Sleep(time.Second) } // waits for the processor
+		run.do(slow)
+		run.do(slow)
+		go func() {
+			time.Sleep(500 * time.Millisecond)
+			came = time.Now()
+			run.do(func(_ *owner.Core, now time.Time) { given <- now })
+		}()
+		run.drain(time.Now())
+		assert.False(t, (<-given).Before(came))
+	})
+}
