Each event of the owner has a time of its own

Cause: events that waited were given the time at which the first of them was taken, while others came that were worked off with them; see the test.

Change: the time is read for each event, and once more for the reaction. It costs a clock reading an event.

After: the test passes; the bound holds by construction.

--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -146,10 +146,9 @@
 		case <-t.ctx.Done():
 			return
 		case e := <-t.events:
-			now := time.Now()
-			e(t.core, now)
-			t.drain(now)
-			t.core.React(now)
+			e(t.core, time.Now())
+			t.drain()
+			t.core.React(time.Now())
 		case <-tick.C:
 			now := time.Now()
 			t.core.Delayed(now.Sub(lastTick)-tickEvery, now)
@@ -191,12 +190,14 @@
 	t.n.metrics.owner(stats)
 }
 
-// drain applies the events that wait, so that their effects are computed once.
-func (t *termRun) drain(now time.Time) {
+// drain applies the events that wait, so that their effects are computed once. Each has
+// a time of its own: more come meanwhile, and a lease whose end is reckoned from a time
+// before its worker's answer counts as over too soon.
+func (t *termRun) drain() {
 	for range eventQueue {
 		select {
 		case e := <-t.events:
-			e(t.core, now)
+			e(t.core, time.Now())
 		default:
 			return
 		}
--- a/jobs/node/termrun_test.go
+++ b/jobs/node/termrun_test.go
@@ -30,7 +30,7 @@
 			came = time.Now()
 			run.do(func(_ *owner.Core, now time.Time) { given <- now })
 		}()
-		run.drain(time.Now())
+		run.drain()
 		assert.False(t, (<-given).Before(came))
 	})
 }
