Failing tests: a deaf owner that stalls, and one that has just taken over

The tests of the owner that hears no worker are parts of one now. Two more: its own stall must not end leases at the first tick after it, and a new owner must not start what it inherits while it hears hardly any worker.

--- a/jobs/owner/deaf_test.go
+++ b/jobs/owner/deaf_test.go
@@ -61,10 +61,16 @@
 	return out
 }
 
-// TestADeafOwnerKeepsLeases: if most workers seem silent at once, the owner is short of
+func TestADeafOwner(t *testing.T) {
+	t.Run("keeps leases", deafOwnerKeepsLeases)
+	t.Run("does not know what it inherits", deafOwnerInherits)
+	t.Run("may hear again", deafOwnerHearsAgain)
+}
+
+// deafOwnerKeepsLeases: if most workers seem silent at once, the owner is short of
 // hearing, not they of life. What runs there is held on to: leases are renewed, and
 // nothing starts a second time.
-func TestADeafOwnerKeepsLeases(t *testing.T) {
+func deafOwnerKeepsLeases(t *testing.T) {
 	const workers = 20
 	r, all := deafRig(t, workers)
 	r.unheardBut(8*time.Second, all, 1)
@@ -76,11 +82,31 @@
 		}
 	}
 	assert.Len(t, renewed, 1+workers, "each hold that arrives keeps the tasks at work")
+
+	r.now = r.now.Add(2 * rigLease) // it waits for its processor
+	r.tick(0)
+	assert.Empty(t, r.out.Starts, "that time has passed tells nothing new")
+}
+
+// deafOwnerInherits: a new owner that hears hardly any worker does not
+// start their tasks when the leases of the owner before have ended: what was done there is
+// in answers that it has not read.
+func deafOwnerInherits(t *testing.T) {
+	r := newRig(t, 2, Loaded{Job: simpleJob(1, 1)})
+	var all []WorkerID
+	for i := range 20 {
+		all = append(all, r.worker(fmt.Sprint("w", i)))
+	}
+	r.unheardBut(2*rigLease, all, 1)
+	assert.Empty(t, r.out.Starts)
+	r.unheardBut(time.Second, all, len(all))
+	r.tick(time.Second)
+	assert.Len(t, r.out.Starts, 1, "once they are heard it goes on")
 }
 
-// TestAHearingOwnerJudgesSilence: once it hears most of them again, those that stay silent
+// deafOwnerHearsAgain: once it hears most of them again, those that stay silent
 // are given up; and a minority that falls silent is given up as ever.
-func TestAHearingOwnerJudgesSilence(t *testing.T) {
+func deafOwnerHearsAgain(t *testing.T) {
 	const workers, silent = 20, 4
 	for name, deaf := range map[string]time.Duration{"deaf before": 8 * time.Second, "heard all the time": 0} {
 		t.Run(name, func(t *testing.T) {
