An owner that hears hardly any worker judges none of them

Cause: silence was judged worker by worker. An owner that cannot keep up loses the answers of nearly all of them to its own timeouts; it let their leases end and started again what they had done, and at a takeover what the owner before had left. Its timer, which guarded against that, is late by 0.3 to 0.6 s only.

Change: more than half of the workers silent at once, five at least, count as the owner's own lack of hearing (owner-deaf in the log), as a late timer does. While that is so the leases of silent workers are renewed, none counts as over, and a service does not start what it inherits because time has passed. It needs the store's lease: a daemon that may be replaced renews nothing more.

The installations' own cuts and crashes strike a quarter at most.

Not changed: how holds are sent and given up, which is why such an owner hears nothing.

--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -79,13 +79,14 @@
 
 // certain reports whether every run that an earlier owner may have started for
 // the service is known: each instance up in its pool answered our token, or
-// all its leases have run out.
+// all its leases have run out. An owner that is short of processor time waits for the
+// instances: what was done there may be in answers that it has not read.
 func (c *Core) certain(service string, now time.Time) bool {
 	if c.opt.Term == 1 || c.settled[service] {
 		return true
 	}
 	unheard := c.unheardOf(service)
-	if unheard != "" && now.Sub(c.startedAt) <= c.leaseBound() {
+	if unheard != "" && (now.Sub(c.startedAt) <= c.leaseBound() || c.isStarved(now)) {
 		c.noteAwaited(service, unheard, now)
 		return false
 	}
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"time"
 
 	"github.com/postmount/postmount/jobs/job"
@@ -114,7 +115,7 @@
 // renewal returns the end of the lease for an order to w. A silent worker's
 // lease is not renewed: it has to end for its tasks to start elsewhere.
 func (c *Core) renewal(w *worker, now time.Time) int64 {
-	if w.silent() && !now.Before(c.starvedUntil) {
+	if w.silent() && !c.isStarved(now) {
 		return w.lease.granted
 	}
 	return w.lease.grant(c.opt.TaskLease, now)
@@ -127,21 +128,51 @@
 	starvedAt = 300 * time.Millisecond
 	// starvedFor is how long that is remembered: a hold, and its answer.
 	starvedFor = 1500 * time.Millisecond
+	// deafShare of the workers do not fall silent at once: cuts and crashes strike
+	// a quarter of them at most, while an owner that cannot keep up hears 3 to 40 of
+	// 100. deafLeast of them may, being a rack.
+	deafShare = 0.5
+	deafLeast = 5
 )
 
-// Delayed tells by how much the owner's timer was late. After a long delay the
-// leases of workers that seem silent are renewed all the same for a while: their
-// answers may wait to be read, and a lease that is left to end stops their tasks.
+// Delayed tells by how much the owner's timer was late.
 func (c *Core) Delayed(d time.Duration, now time.Time) {
-	if d < starvedAt {
-		return
+	if d >= starvedAt {
+		c.starved("owner-delayed", d.Round(time.Millisecond).String(), now)
 	}
-	if !now.Before(c.starvedUntil) {
-		c.note(Decision{Event: "owner-delayed", Reason: d.Round(time.Millisecond).String()})
+}
+
+// listen judges whether silence tells of the workers or of the owner: if most of them
+// seem silent at once, it is the owner, whose timer need not be late for that. It may
+// hold on to what runs only while no other daemon can be the owner.
+func (c *Core) listen(now time.Time) {
+	all, silent := 0, 0
+	for _, w := range c.everyWorker() {
+		if w.gone || !w.registered || w.departing || w.reserved == reservedMove {
+			continue // its life ends by an order
+		}
+		all++
+		if !w.silentSince.IsZero() {
+			silent++
+		}
+	}
+	if silent >= deafLeast && float64(silent) > deafShare*float64(all) && c.dutyLost.IsZero() {
+		c.starved("owner-deaf", fmt.Sprintf("%d of %d workers seem silent", silent, all), now)
+	}
+}
+
+// starved takes note that the owner is short of processor time. The leases of workers
+// that seem silent are renewed all the same for a while: their answers may wait to be
+// read, and a lease that is left to end stops their tasks.
+func (c *Core) starved(event, why string, now time.Time) {
+	if !c.isStarved(now) {
+		c.note(Decision{Event: event, Reason: why})
 	}
 	c.starvedUntil = now.Add(starvedFor)
 }
 
+func (c *Core) isStarved(now time.Time) bool { return now.Before(c.starvedUntil) }
+
 // silent reports whether the newest order to w, or its newest hold, went
 // unanswered, and nothing was heard of it since.
 func (w *worker) silent() bool { return !w.silentSince.IsZero() || w.suspect }
@@ -313,7 +344,8 @@
 }
 
 // expireLeases frees the runs of workers that are silent for longer than
-// every lease that they were given.
+// every lease that they were given. An owner that is short of processor time frees
+// none: what was done there may be in answers that it has not read.
 func (c *Core) expireLeases(now time.Time) {
 	for id, w := range c.workers {
 		if w.gone || w.silentSince.IsZero() {
@@ -322,7 +354,7 @@
 			}
 			continue
 		}
-		if len(w.runs) > 0 && w.lease.over(now) {
+		if len(w.runs) > 0 && w.lease.over(now) && !c.isStarved(now) {
 			c.note(Decision{Event: "leases-over", Worker: id, Reason: "silent for " + now.Sub(w.silentSince).String()})
 			for _, r := range w.runs {
 				c.counts.Lost++
