Failing test: leases of sound workers end as owners short of processor time change

Cause: a new owner holds all workers at one moment. With 300 workers and a fifth of a core the calls' 300 ms go by while their answers wait for its own processor; each is given up and made again on a new connection. The leases from the owner before end meanwhile, and with them tasks of one step beyond its budget, in the same millisecond.

The fault soak did not show it: eight workers, a processor without a limit, stops one at a time, no step that lasts, no check of such a step's budget. The judge checks that no stop, move, maintenance or lapsed lease (the last only where nothing harms the workers) takes a task from its work while as many others are away as may, and the soak that a daemon that is left alone counts at least half of the jobs that have waited for long.

Ruled out: the load as such.

--- /dev/null
+++ b/standin/jobfleet/away.go
@@ -0,0 +1,83 @@
+package jobfleet
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// awayNotice is how long a task that lasts may be absent from its work before it counts
+// as away whatever the cause.
+const awayNotice = 4500 * time.Millisecond
+
+// Calm says that from now on nothing harms the workers, the store and the ways between:
+// a lease that is left to end is the daemons' doing, as a stop is.
+func (j *Judge) Calm() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.calm = true
+}
+
+// atWork reports whether a task that lasts has started up, and runs.
+func (r *taskRecord) atWork() bool {
+	return len(r.running) > 0 && time.Since(r.began) >= startupTime
+}
+
+// away reports whether a task of a step counts against its budget: an order ended it, or
+// it has not been at work for long.
+func (j *Judge) away(t job.TaskID) bool {
+	r := j.record(t)
+	return !r.atWork() && (r.ordered || time.Since(later(r.left, j.jobs[t.Job].submitted)) > awayNotice)
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
+// taken judges the end of a task by an order, or by its lease: as many others of its step
+// may be away as its budget says, less this one. It is called before ended. sound says
+// that nothing is wrong with the worker.
+func (j *Judge) taken(t job.TaskID, w owner.WorkerID, how string, sound bool) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	rec := j.jobs[t.Job]
+	byLease := how == owner.EndLapsed.String()
+	if rec == nil || byLease && !j.calm {
+		return
+	}
+	r, step := j.record(t), &rec.spec.Steps[t.Step]
+	atWork := r.atWork()
+	r.ordered = true
+	if _, draining := j.drained[w]; draining || !sound || !atWork || !step.LongRunning || step.MayMiss == 0 || !rec.cancelled.IsZero() {
+		return
+	}
+	others := 0
+	for i := range step.Count {
+		o := t
+		o.Index = i
+		if o != t && j.away(o) {
+			others++
+		}
+	}
+	if others >= step.MayMiss {
+		j.fail("task %s on %s is ended (%s) while %d others of its step are away, %d may be", t, w, how, others, step.MayMiss)
+	}
+}
+
+// Waiting returns how many of the jobs for which of holds were accepted before a moment
+// and have not begun.
+func (j *Judge) Waiting(before time.Time, of func(job.ID) bool) int {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	n := 0
+	for id, r := range j.jobs {
+		if r.accepted && r.acceptedAt.Before(before) && !r.started && r.cancelled.IsZero() && of(id) {
+			n++
+		}
+	}
+	return n
+}
--- a/standin/jobfleet/judge.go
+++ b/standin/jobfleet/judge.go
@@ -21,6 +21,7 @@
 	waves   map[int]*waveRecord
 	starts  int
 	duties  map[owner.InstanceID]dutyRecord
+	calm    bool // see Calm
 }
 
 // dutyRecord is the newest order for an instance.
@@ -33,6 +34,9 @@
 	running map[owner.WorkerID]uint64
 	done    bool
 	acked   bool
+	began   time.Time // its newest start
+	left    time.Time // when it was last at work
+	ordered bool      // an order has ended it, and it has not been at work since
 }
 
 type jobRecord struct {
@@ -43,6 +47,8 @@
 	open      int  // requests without an answer so far
 	started   bool // a task was
 	cancelled time.Time
+
+	submitted, acceptedAt time.Time // for the first time
 }
 
 type waveRecord struct {
@@ -90,7 +96,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	if j.jobs[spec.ID] == nil {
-		j.jobs[spec.ID] = &jobRecord{spec: spec}
+		j.jobs[spec.ID] = &jobRecord{spec: spec, submitted: time.Now()}
 	}
 	j.jobs[spec.ID].open++
 }
@@ -101,6 +107,9 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	r := j.jobs[id]
+	if accepted && !r.accepted {
+		r.acceptedAt = time.Now()
+	}
 	r.accepted = r.accepted || accepted
 	r.unclear = r.unclear || !accepted && !refused
 	r.refused = refused && !r.accepted && !r.unclear
@@ -190,6 +199,7 @@
 		j.fail("task %s starts on %s after its end was acknowledged", t, w)
 	}
 	r.running[w] = run
+	r.began = time.Now()
 	j.judgeJob(t)
 	if at, ok := j.drained[w]; ok && time.Since(at) > drainBound {
 		j.fail("task %s starts on %s, draining for %s", t, w, time.Since(at))
@@ -229,6 +239,10 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	r := j.record(t)
+	if r.atWork() {
+		r.left = time.Now()
+		r.ordered = how == takenAway || how == owner.EndStopped.String() || how == owner.EndLapsed.String() && j.calm
+	}
 	if r.running[w] == run {
 		delete(r.running, w)
 	}
--- a/standin/jobfleet/workers.go
+++ b/standin/jobfleet/workers.go
@@ -116,13 +116,26 @@
 		return
 	}
 	w.dead = true
+	how := "gone"
+	if state != owner.InstanceDown {
+		how = takenAway
+	}
 	for _, e := range w.active {
 		e.timer.Stop()
-		f.judge.ended(e.task, e.run, w.reg.Worker, "gone")
+		if how == takenAway {
+			f.judge.taken(e.task, w.reg.Worker, how, w.sound())
+		}
+		f.judge.ended(e.task, e.run, w.reg.Worker, how)
 	}
 	f.publish(string(w.reg.Worker), nil)
 }
 
+// sound reports whether nothing is wrong with the worker.
+func (w *worker) sound() bool { return !w.cut && !w.fails && !w.hangs }
+
+// takenAway is how the tasks of an instance end that is moved or maintained.
+const takenAway = "taken away"
+
 // Crash ends a worker without notice; it comes back after d.
 func (f *Fleet) Crash(id owner.InstanceID, d time.Duration) {
 	f.mu.Lock()
@@ -209,6 +222,9 @@
 	w.latest[e.task] = max(w.latest[e.task], e.run)
 	w.number++
 	w.ended = append(w.ended, owner.End{Number: w.number, Task: e.task, Run: e.run, Kind: kind})
+	if kind == owner.EndStopped || kind == owner.EndLapsed {
+		f.judge.taken(e.task, w.reg.Worker, kind.String(), w.sound())
+	}
 	f.judge.ended(e.task, e.run, w.reg.Worker, kind.String())
 	close(w.ping)
 	w.ping = make(chan struct{})
