Failing test: one late answer of a peer fails every other call to it

Cause: all calls to a peer share one connection, and a call that is not answered in time closes it. An owner short of processor time answers some question late; the jobs that it is being told, the questions and the store calls that are under way fail with it, and most are made again. It has done their work, and does it again: load that grows as it falls behind, as with the holds.

Ruled out: that the closing is needed for the others. A connection that a partition has made silent ends by itself after 500 ms without an acknowledgement (internal/netdial).

--- /dev/null
+++ b/jobs/peer/late_test.go
@@ -0,0 +1,52 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// gated answers when it is let.
+type gated struct {
+	Handler
+	asked   chan struct{} // one token for each job told
+	release chan struct{}
+}
+
+func (g gated) Submitted(SubmitRequest) { g.asked <- struct{}{}; <-g.release }
+
+func (g gated) State(StateRequest) StateReply { <-g.release; return StateReply{Owner: true} }
+
+// TestALateAnswerEndsNoOtherCall: with an owner short of processor time one question that
+// was answered late closed the one connection to it, and with it failed every other call
+// that was under way there: jobs told to the owner, questions, calls to the store by way
+// of it, all of which were then made again on a new connection. The owner had done their
+// work already, and did it twice. Each of them must get its answer all the same.
+func TestALateAnswerEndsNoOtherCall(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	h := gated{asked: make(chan struct{}, 1), release: make(chan struct{})}
+	go func() { _ = Serve(l, h) }()
+	t.Cleanup(func() { l.Close() })
+	addr := l.Addr().String()
+	c := NewClient()
+
+	told := make(chan error, 1)
+	go func() { told <- c.Submitted(context.Background(), addr, &job.Job{ID: "a"}) }()
+	<-h.asked
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	_, err = c.State(ctx, addr, "b")
+	require.Error(t, err)
+	close(h.release)
+	assert.NoError(t, <-told)
+
+	_, err = c.State(context.Background(), addr, "b")
+	assert.NoError(t, err, "the next call goes by another connection")
+}
