A late answer of a peer takes its connection out of use, not the calls on it

A call to a peer that was not answered in time closed the connection that all calls to this peer share; those under way failed, and were made again.

Change: the connection is left.

Ruled out: keeping it for new calls, too, if something was read from it of late: an owner answers all questions from one goroutine, so that all of them are late together.

--- a/jobs/peer/peer.go
+++ b/jobs/peer/peer.go
@@ -153,6 +153,9 @@
 type clientConn struct {
 	*rpc.Client
 	ended *endNoter
+
+	underway int  // calls; under the client's mu
+	left     bool // it is for the calls under way alone; likewise
 }
 
 // endNoter is a connection that remembers that reading from it has ended.
@@ -173,16 +176,16 @@
 // NewClient returns a client without connections.
 func NewClient() *Client { return &Client{conns: map[string]*clientConn{}} }
 
-// conn returns the kept connection to addr, or a new one if it has ended.
+// conn returns the kept connection to addr, or a new one if it has ended, for a call
+// that ends with release.
 func (c *Client) conn(ctx context.Context, addr string) (*clientConn, error) {
-	c.mu.Lock()
-	kept := c.conns[addr]
-	c.mu.Unlock()
+	kept := c.take(addr)
 	if kept != nil {
 		if !kept.ended.ended.Load() {
 			return kept, nil
 		}
 		c.drop(addr, kept)
+		c.release(kept)
 	}
 	raw, err := netdial.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -192,14 +195,49 @@
 	defer c.mu.Unlock()
 	if other := c.conns[addr]; other != nil {
 		raw.Close()
+		other.underway++
 		return other, nil
 	}
 	noter := &endNoter{Conn: raw}
-	kept = &clientConn{rpc.NewClient(noter), noter}
+	kept = &clientConn{Client: rpc.NewClient(noter), ended: noter, underway: 1}
 	c.conns[addr] = kept
 	return kept, nil
 }
 
+// take returns the kept connection to addr for a call, nil if there is none.
+func (c *Client) take(addr string) *clientConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	kept := c.conns[addr]
+	if kept != nil {
+		kept.underway++
+	}
+	return kept
+}
+
+// release ends a call. The last one closes a connection that was left.
+func (c *Client) release(conn *clientConn) {
+	c.mu.Lock()
+	conn.underway--
+	over := conn.left && conn.underway == 0
+	c.mu.Unlock()
+	if over {
+		conn.Close()
+	}
+}
+
+// leave takes a connection on which an answer is late out of use: it may have gone
+// silent. Calls under way keep it, as the peer may be slow with that one answer alone;
+// a slow peer would else do the work of all of them twice.
+func (c *Client) leave(addr string, conn *clientConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.left = true
+	if c.conns[addr] == conn {
+		delete(c.conns, addr)
+	}
+}
+
 // drop closes a connection that failed.
 func (c *Client) drop(addr string, conn *clientConn) {
 	c.mu.Lock()
@@ -210,18 +248,19 @@
 	conn.Close()
 }
 
-// call makes one call. A connection that is broken or does not answer in
-// time is closed.
+// call makes one call. A connection that is broken is closed, and one that does not
+// answer in time is left.
 func (c *Client) call(ctx context.Context, addr, method string, req, reply any) error {
 	conn, err := c.conn(ctx, addr)
 	if err != nil {
 		return err
 	}
+	defer c.release(conn)
 	pending := conn.Go(serviceName+"."+method, req, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.drop(addr, conn)
+			c.leave(addr, conn)
 		}
 		return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, CodePeer, "peer %s %s", addr, method)
 	case <-pending.Done:
