Failing test: one late answer of a peer fails the claims that it is about to grant

Cause: the same as in jobs/peer: all calls to a peer share one connection, and a call that is not answered in time closes it. Claims that are under way fail as ones that may have run.

Ruled out: that answers behind the late one would be late, too, as the code said. The peer answers each call from a goroutine of its own.

--- a/adapter/peerrpc/peerrpc_test.go
+++ b/adapter/peerrpc/peerrpc_test.go
@@ -73,6 +73,54 @@
 	close(e.release)
 }
 
+// TestALateAnswerEndsNoClaim: all calls to a peer share a connection, and one that was
+// answered late closed it. The others that were under way failed with it, as ones that may
+// have run: a claim that the peer was about to grant, say, so that its request was given up.
+func TestALateAnswerEndsNoClaim(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	e := &slowEcho{echo: &echo{release: make(chan struct{})}, claimed: make(chan struct{}, 1)}
+	s := NewServer(token, e, &Bytes{})
+	go s.Serve(l)
+	t.Cleanup(func() {
+		l.Close()
+		s.Close()
+	})
+	addr := l.Addr().String()
+	c := NewClient(token, time.Second, 10*time.Second)
+	defer c.Close()
+	claimed := make(chan error, 1)
+	go func() {
+		_, err := c.Claim(context.Background(), addr, once.Request{})
+		claimed <- err
+	}()
+	<-e.claimed
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	defer cancel()
+	_, err = c.Beat(ctx, addr, port.Beat{})
+	require.Error(t, err)
+	close(e.release)
+	assert.NoError(t, <-claimed)
+	_, err = c.Beat(context.Background(), addr, port.Beat{})
+	assert.NoError(t, err, "the next call goes by another connection")
+}
+
+// slowEcho tells of claims, and blocks heartbeats as well.
+type slowEcho struct {
+	*echo
+	claimed chan struct{}
+}
+
+func (e *slowEcho) OnClaim(r once.Request) once.Reply {
+	e.claimed <- struct{}{}
+	return e.echo.OnClaim(r)
+}
+
+func (e *slowEcho) OnBeat(b port.Beat) port.BeatReply {
+	<-e.release
+	return e.echo.OnBeat(b)
+}
+
 func TestNobodyThereDidNotRun(t *testing.T) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	require.NoError(t, err)
