A late answer of a peer ends no claim that is under way on its connection

Change: as in jobs/peer, a connection on which an answer is late is left: new calls open another one, calls under way keep theirs, and the last of them closes it.

Ruled out: a connection to a peer that reads nothing; its writes have a deadline, which ends it, as before.

--- a/adapter/peerrpc/client.go
+++ b/adapter/peerrpc/client.go
@@ -27,7 +27,7 @@
 	callTimeout    time.Duration
 
 	mu    sync.Mutex
-	conns map[string]*rpc.Client
+	conns map[string]*peerConn
 	// Bytes counts what was sent and received, also as a server if the server
 	// was given this client's counter.
 	Bytes Bytes
@@ -36,6 +36,13 @@
 	Cut func(addr string) bool
 }
 
+// peerConn is the connection to a peer.
+type peerConn struct {
+	*rpc.Client
+	underway int  // calls; under the client's mu
+	left     bool // it is for the calls under way alone; likewise
+}
+
 // Bytes counts the traffic between daemons.
 type Bytes struct{ In, Out atomic.Int64 }
 
@@ -47,7 +54,7 @@
 		token:          token,
 		connectTimeout: connectTimeout,
 		callTimeout:    callTimeout,
-		conns:          map[string]*rpc.Client{},
+		conns:          map[string]*peerConn{},
 	}
 }
 
@@ -61,11 +68,9 @@
 	}
 }
 
-func (c *Client) connect(ctx context.Context, addr string) (*rpc.Client, error) {
-	c.mu.Lock()
-	conn := c.conns[addr]
-	c.mu.Unlock()
-	if conn != nil {
+// connect returns the connection to addr for a call that ends with release.
+func (c *Client) connect(ctx context.Context, addr string) (*peerConn, error) {
+	if conn := c.take(addr); conn != nil {
 		return conn, nil
 	}
 	dialer := net.Dialer{Timeout: c.connectTimeout}
@@ -83,18 +88,53 @@
 }
 
 // keep stores a new connection, or drops it if another call was faster.
-func (c *Client) keep(addr string, conn *rpc.Client) *rpc.Client {
+func (c *Client) keep(addr string, raw *rpc.Client) *peerConn {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if old := c.conns[addr]; old != nil {
-		conn.Close()
+		raw.Close()
+		old.underway++
 		return old
 	}
+	conn := &peerConn{Client: raw, underway: 1}
 	c.conns[addr] = conn
 	return conn
 }
 
-func (c *Client) drop(addr string, conn *rpc.Client) {
+// take returns the kept connection to addr for a call, nil if there is none.
+func (c *Client) take(addr string) *peerConn {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn := c.conns[addr]
+	if conn != nil {
+		conn.underway++
+	}
+	return conn
+}
+
+// release ends a call. The last one closes a connection that was left.
+func (c *Client) release(conn *peerConn) {
+	c.mu.Lock()
+	conn.underway--
+	over := conn.left && conn.underway == 0
+	c.mu.Unlock()
+	if over {
+		conn.Close()
+	}
+}
+
+// leave takes a connection on which an answer is late out of use: it may have gone
+// silent. Calls under way keep it, as the peer may be slow with that one answer alone.
+func (c *Client) leave(addr string, conn *peerConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	conn.left = true
+	if c.conns[addr] == conn {
+		delete(c.conns, addr)
+	}
+}
+
+func (c *Client) drop(addr string, conn *peerConn) {
 	c.mu.Lock()
 	if c.conns[addr] == conn {
 		delete(c.conns, addr)
@@ -103,9 +143,8 @@
 	conn.Close()
 }
 
-// call makes one call within the shorter of ctx and the call timeout. A call
-// that times out takes its connection with it: answers behind it would only
-// come later still.
+// call makes one call within the shorter of ctx and the call timeout. A call that
+// times out takes its connection out of use.
 //
 // The reply is read only after the call has ended well: net/rpc may still be
 // writing to the reply of a call that was given up.
@@ -120,6 +159,7 @@
 	if err != nil {
 		return none, verdict.Wrap(err, verdict.NotRun, CodePeer, "peer %s", addr)
 	}
+	defer c.release(conn)
 	reply := new(R)
 	call := conn.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
 	select {
@@ -130,13 +170,13 @@
 		return *reply, nil
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.drop(addr, conn)
+			c.leave(addr, conn)
 		}
 		return none, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, CodePeer, "peer %s", addr)
 	}
 }
 
-func (c *Client) finished(addr string, conn *rpc.Client, err error) error {
+func (c *Client) finished(addr string, conn *peerConn, err error) error {
 	if err == nil {
 		return nil
 	}
