One pool of connections between daemons, for jobs and for requests

Cause: the keeping of a shared net/rpc connection (take, release, leave, drop) stood twice, in jobs/peer and adapter/peerrpc, with the same repair made in both. Change: internal/rpcconn holds it. Requests' peers get what jobs' had: a connection that has ended is replaced before the next call instead of failing it. Ruled out: a change of verdicts; a call on a connection that could not be opened did not run, any other failure may have. The test of the ended connection asks the pool instead of the client, and asserts what it did.

--- a/adapter/peerrpc/client.go
+++ b/adapter/peerrpc/client.go
@@ -6,10 +6,10 @@
 	"fmt"
 	"net"
 	"net/rpc"
-	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/postmount/postmount/internal/rpcconn"
 	"github.com/postmount/postmount/requests/fleet"
 	"github.com/postmount/postmount/requests/once"
 	"github.com/postmount/postmount/requests/port"
@@ -26,8 +26,7 @@
 	connectTimeout time.Duration
 	callTimeout    time.Duration
 
-	mu    sync.Mutex
-	conns map[string]*peerConn
+	conns rpcconn.Pool
 	// Bytes counts what was sent and received, also as a server if the server
 	// was given this client's counter.
 	Bytes Bytes
@@ -36,13 +35,6 @@
 	Cut func(addr string) bool
 }
 
-// peerConn is the connection to a peer.
-type peerConn struct {
-	*rpc.Client
-	underway int  // calls; under the client's mu
-	left     bool // it is for the calls under way alone; likewise
-}
-
 // Bytes counts the traffic between daemons.
 type Bytes struct{ In, Out atomic.Int64 }
 
@@ -54,25 +46,14 @@
 		token:          token,
 		connectTimeout: connectTimeout,
 		callTimeout:    callTimeout,
-		conns:          map[string]*peerConn{},
 	}
 }
 
 // Close ends every connection.
-func (c *Client) Close() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for addr, conn := range c.conns {
-		conn.Close()
-		delete(c.conns, addr)
-	}
-}
+func (c *Client) Close() { c.conns.Close() }
 
-// connect returns the connection to addr for a call that ends with release.
-func (c *Client) connect(ctx context.Context, addr string) (*peerConn, error) {
-	if conn := c.take(addr); conn != nil {
-		return conn, nil
-	}
+// dial opens a connection to addr and says who calls.
+func (c *Client) dial(ctx context.Context, addr string) (net.Conn, error) {
 	dialer := net.Dialer{Timeout: c.connectTimeout}
 	tcp, err := dialer.DialContext(ctx, "tcp", addr)
 	if err != nil {
@@ -84,63 +65,7 @@
 		return nil, err
 	}
 	_ = tcp.SetWriteDeadline(time.Time{})
-	return c.keep(addr, rpc.NewClient(&writeDeadlineConn{tcp, c.callTimeout, &c.Bytes})), nil
-}
-
-// keep stores a new connection, or drops it if another call was faster.
-func (c *Client) keep(addr string, raw *rpc.Client) *peerConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if old := c.conns[addr]; old != nil {
-		raw.Close()
-		old.underway++
-		return old
-	}
-	conn := &peerConn{Client: raw, underway: 1}
-	c.conns[addr] = conn
-	return conn
-}
-
-// take returns the kept connection to addr for a call, nil if there is none.
-func (c *Client) take(addr string) *peerConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	conn := c.conns[addr]
-	if conn != nil {
-		conn.underway++
-	}
-	return conn
-}
-
-// release ends a call. The last one closes a connection that was left.
-func (c *Client) release(conn *peerConn) {
-	c.mu.Lock()
-	conn.underway--
-	over := conn.left && conn.underway == 0
-	c.mu.Unlock()
-	if over {
-		conn.Close()
-	}
-}
-
-// leave takes a connection on which an answer is late out of use: it may have gone
-// silent. Calls under way keep it, as the peer may be slow with that one answer alone.
-func (c *Client) leave(addr string, conn *peerConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	conn.left = true
-	if c.conns[addr] == conn {
-		delete(c.conns, addr)
-	}
-}
-
-func (c *Client) drop(addr string, conn *peerConn) {
-	c.mu.Lock()
-	if c.conns[addr] == conn {
-		delete(c.conns, addr)
-	}
-	c.mu.Unlock()
-	conn.Close()
+	return &writeDeadlineConn{tcp, c.callTimeout, &c.Bytes}, nil
 }
 
 // call makes one call within the shorter of ctx and the call timeout. A call that
@@ -155,11 +80,11 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, c.callTimeout)
 	defer cancel()
-	conn, err := c.connect(ctx, addr)
+	conn, err := c.conns.Get(addr, func() (net.Conn, error) { return c.dial(ctx, addr) })
 	if err != nil {
 		return none, verdict.Wrap(err, verdict.NotRun, CodePeer, "peer %s", addr)
 	}
-	defer c.release(conn)
+	defer c.conns.Release(conn)
 	reply := new(R)
 	call := conn.Go(serviceName+"."+method, args, reply, make(chan *rpc.Call, 1))
 	select {
@@ -170,19 +95,19 @@
 		return *reply, nil
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.leave(addr, conn)
+			c.conns.Leave(conn)
 		}
 		return none, verdict.Wrap(ctx.Err(), verdict.MayHaveRun, CodePeer, "peer %s", addr)
 	}
 }
 
-func (c *Client) finished(addr string, conn *peerConn, err error) error {
+func (c *Client) finished(addr string, conn *rpcconn.Conn, err error) error {
 	if err == nil {
 		return nil
 	}
 	var answered rpc.ServerError
 	if !errors.As(err, &answered) {
-		c.drop(addr, conn)
+		c.conns.Drop(conn)
 	}
 	return verdict.Wrap(err, verdict.MayHaveRun, CodePeer, "peer %s", addr)
 }
--- /dev/null
+++ b/internal/rpcconn/rpcconn.go
@@ -0,0 +1,135 @@
+// Package rpcconn keeps one net/rpc connection to each peer, which all calls to it share.
+package rpcconn
+
+import (
+	"net"
+	"net/rpc"
+	"sync"
+	"sync/atomic"
+)
+
+// Pool keeps connections by address. Its zero value is ready to use.
+type Pool struct {
+	mu    sync.Mutex
+	conns map[string]*Conn
+}
+
+// Conn is a connection to a peer, held for one call.
+type Conn struct {
+	*rpc.Client
+	addr  string
+	ended *endNoter
+
+	underway int  // calls; under the pool's mu
+	left     bool // it is for the calls under way alone; likewise
+}
+
+// endNoter is a connection that remembers that reading from it has ended.
+type endNoter struct {
+	net.Conn
+	ended atomic.Bool
+}
+
+// Read implements net.Conn.
+func (e *endNoter) Read(p []byte) (int, error) {
+	n, err := e.Conn.Read(p)
+	if err != nil {
+		e.ended.Store(true)
+	}
+	return n, err
+}
+
+// Ended reports whether the other side, or the network, has ended the connection.
+func (c *Conn) Ended() bool { return c.ended.ended.Load() }
+
+// Get returns the kept connection to addr, or one that dial opens if there is none or it
+// has ended. The call that it is for ends with Release.
+func (p *Pool) Get(addr string, dial func() (net.Conn, error)) (*Conn, error) {
+	if kept := p.take(addr); kept != nil {
+		if !kept.Ended() {
+			return kept, nil
+		}
+		p.Drop(kept)
+		p.Release(kept)
+	}
+	raw, err := dial()
+	if err != nil {
+		return nil, err
+	}
+	return p.keep(addr, raw), nil
+}
+
+// take returns the kept connection to addr for a call, nil if there is none.
+func (p *Pool) take(addr string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	kept := p.conns[addr]
+	if kept != nil {
+		kept.underway++
+	}
+	return kept
+}
+
+// keep stores a new connection, or closes it if another call was faster.
+func (p *Pool) keep(addr string, raw net.Conn) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if other := p.conns[addr]; other != nil {
+		_ = raw.Close() // nothing was sent on it
+		other.underway++
+		return other
+	}
+	if p.conns == nil {
+		p.conns = map[string]*Conn{}
+	}
+	noter := &endNoter{Conn: raw}
+	c := &Conn{Client: rpc.NewClient(noter), addr: addr, ended: noter, underway: 1}
+	p.conns[addr] = c
+	return c
+}
+
+// Release ends a call. The last one closes a connection that was left.
+func (p *Pool) Release(c *Conn) {
+	p.mu.Lock()
+	c.underway--
+	over := c.left && c.underway == 0
+	p.mu.Unlock()
+	if over {
+		_ = c.Close() // it may have ended by itself
+	}
+}
+
+// Leave takes a connection on which an answer is late out of use: it may have gone
+// silent. Calls under way keep it, as the peer may be slow with that one answer alone;
+// a slow peer would else do the work of all of them twice.
+func (p *Pool) Leave(c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c.left = true
+	p.forget(c)
+}
+
+// Drop closes a connection that failed.
+func (p *Pool) Drop(c *Conn) {
+	p.mu.Lock()
+	p.forget(c)
+	p.mu.Unlock()
+	_ = c.Close() // it may have ended by itself
+}
+
+// forget takes a connection out of those that are kept.
+func (p *Pool) forget(c *Conn) {
+	if p.conns[c.addr] == c {
+		delete(p.conns, c.addr)
+	}
+}
+
+// Close closes all connections that are kept.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		_ = c.Close() // it may have ended by itself
+	}
+	clear(p.conns)
+}
--- a/jobs/peer/peer.go
+++ b/jobs/peer/peer.go
@@ -8,11 +8,10 @@
 	"errors"
 	"net"
 	"net/rpc"
-	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/postmount/postmount/internal/netdial"
+	"github.com/postmount/postmount/internal/rpcconn"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/verdict"
@@ -144,123 +143,24 @@
 }
 
 // Client calls peers over one kept connection each.
-type Client struct {
-	mu    sync.Mutex
-	conns map[string]*clientConn
-}
-
-// clientConn is a connection to a peer.
-type clientConn struct {
-	*rpc.Client
-	ended *endNoter
-
-	underway int  // calls; under the client's mu
-	left     bool // it is for the calls under way alone; likewise
-}
-
-// endNoter is a connection that remembers that reading from it has ended.
-type endNoter struct {
-	net.Conn
-	ended atomic.Bool
-}
-
-// Read implements net.Conn.
-func (e *endNoter) Read(p []byte) (int, error) {
-	n, err := e.Conn.Read(p)
-	if err != nil {
-		e.ended.Store(true)
-	}
-	return n, err
-}
+type Client struct{ conns rpcconn.Pool }
 
 // NewClient returns a client without connections.
-func NewClient() *Client { return &Client{conns: map[string]*clientConn{}} }
-
-// conn returns the kept connection to addr, or a new one if it has ended, for a call
-// that ends with release.
-func (c *Client) conn(ctx context.Context, addr string) (*clientConn, error) {
-	kept := c.take(addr)
-	if kept != nil {
-		if !kept.ended.ended.Load() {
-			return kept, nil
-		}
-		c.drop(addr, kept)
-		c.release(kept)
-	}
-	raw, err := netdial.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
-	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, CodePeer, "peer %s", addr)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if other := c.conns[addr]; other != nil {
-		raw.Close()
-		other.underway++
-		return other, nil
-	}
-	noter := &endNoter{Conn: raw}
-	kept = &clientConn{Client: rpc.NewClient(noter), ended: noter, underway: 1}
-	c.conns[addr] = kept
-	return kept, nil
-}
-
-// take returns the kept connection to addr for a call, nil if there is none.
-func (c *Client) take(addr string) *clientConn {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	kept := c.conns[addr]
-	if kept != nil {
-		kept.underway++
-	}
-	return kept
-}
-
-// release ends a call. The last one closes a connection that was left.
-func (c *Client) release(conn *clientConn) {
-	c.mu.Lock()
-	conn.underway--
-	over := conn.left && conn.underway == 0
-	c.mu.Unlock()
-	if over {
-		conn.Close()
-	}
-}
-
-// leave takes a connection on which an answer is late out of use: it may have gone
-// silent. Calls under way keep it, as the peer may be slow with that one answer alone;
-// a slow peer would else do the work of all of them twice.
-func (c *Client) leave(addr string, conn *clientConn) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	conn.left = true
-	if c.conns[addr] == conn {
-		delete(c.conns, addr)
-	}
-}
-
-// drop closes a connection that failed.
-func (c *Client) drop(addr string, conn *clientConn) {
-	c.mu.Lock()
-	if c.conns[addr] == conn {
-		delete(c.conns, addr)
-	}
-	c.mu.Unlock()
-	conn.Close()
-}
+func NewClient() *Client { return &Client{} }
 
 // call makes one call. A connection that is broken is closed, and one that does not
 // answer in time is left.
 func (c *Client) call(ctx context.Context, addr, method string, req, reply any) error {
-	conn, err := c.conn(ctx, addr)
+	conn, err := c.conns.Get(addr, func() (net.Conn, error) { return netdial.Dialer(dialTimeout).DialContext(ctx, "tcp", addr) })
 	if err != nil {
-		return err
+		return verdict.Wrap(err, verdict.NotRun, CodePeer, "peer %s", addr)
 	}
-	defer c.release(conn)
+	defer c.conns.Release(conn)
 	pending := conn.Go(serviceName+"."+method, req, reply, make(chan *rpc.Call, 1))
 	select {
 	case <-ctx.Done():
 		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
-			c.leave(addr, conn)
+			c.conns.Leave(conn)
 		}
 		return verdict.Wrap(ctx.Err(), verdict.MayHaveRun, CodePeer, "peer %s %s", addr, method)
 	case <-pending.Done:
@@ -268,7 +168,7 @@
 	if pending.Error == nil {
 		return nil
 	}
-	c.drop(addr, conn)
+	c.conns.Drop(conn)
 	return verdict.Wrap(pending.Error, verdict.MayHaveRun, CodePeer, "peer %s %s", addr, method)
 }
 
--- a/jobs/peer/peer_test.go
+++ b/jobs/peer/peer_test.go
@@ -28,10 +28,10 @@
 	_, err = c.State(context.Background(), addr, "a")
 	require.NoError(t, err)
 
-	first, err := c.conn(context.Background(), addr)
+	first, err := c.conns.Get(addr, nil)
 	require.NoError(t, err)
 	(<-accepted).Close()
-	for !first.ended.ended.Load() {
+	for !first.Ended() {
 		runtime.Gosched()
 	}
 	reply, err := c.State(context.Background(), addr, "a")
--- a/jobs/peer/presence.go
+++ b/jobs/peer/presence.go
@@ -48,7 +48,7 @@
 // has. The connection is kept for that alone.
 func (c *Client) AwaitEnd(ctx context.Context, addr string) error {
 	own := NewClient()
-	defer own.dropAll()
+	defer own.conns.Close()
 	for ctx.Err() == nil {
 		if err := own.call(ctx, addr, "Stay", StayRequest{stayFor}, &Empty{}); err != nil && ctx.Err() == nil {
 			return err
@@ -57,16 +57,6 @@
 	return nil
 }
 
-// dropAll closes all kept connections.
-func (c *Client) dropAll() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	for addr, conn := range c.conns {
-		delete(c.conns, addr)
-		conn.Close()
-	}
-}
-
 // Look reports whether a process listens at addr.
 func (c *Client) Look(ctx context.Context, addr string) Presence {
 	conn, err := netdial.Dialer(dialTimeout).DialContext(ctx, "tcp", addr)
