Failing test: lives that are over count among silent workers

In an instrumented play of untouched code half of the holds of a new owner go unanswered for 5 s after each takeover (29 s: 585 of 1,046; 31 s: 1,107 of 2,124, no start of 1,154), and it sends 2,000 of them a second instead of some 600: entries of lives that were moved or maintained last for some seconds, and each is asked again 150 ms after it failed.

--- a/jobs/owner/deaf_test.go
+++ b/jobs/owner/deaf_test.go
@@ -142,3 +142,27 @@
 	}
 	assert.Greater(t, sent, 20)
 }
+
+// TestLeftOverRegistrationsAreNotSilentWorkers. Seen: an owner with hardly anything to do
+// took itself for deaf a quarter of a second after its takeover, 177 of 336 workers being
+// silent. How: workers that were moved or maintained stay registered for some seconds, and
+// a new owner asks them, too. Cause: they were counted. Proved by the holds of that second:
+// half went unanswered, each by an address at which nobody listens, and no start did.
+func TestLeftOverRegistrationsAreNotSilentWorkers(t *testing.T) {
+	const workers, leftOver = 8, 20
+	r, all := deafRig(t, workers)
+	for i := range leftOver {
+		r.regs = append(r.regs, Registration{Worker: WorkerID(fmt.Sprint("over", i)), Service: "s", Addr: "over"})
+		all = append(all, r.regs[len(r.regs)-1].Worker)
+	}
+	r.list()
+	r.unheardBut(7*time.Second, all, workers) // the free one and all but one
+	gone := 0
+	for _, d := range r.core.TakeDecisions() {
+		assert.NotEqual(t, "owner-deaf", d.Event)
+		if d.Event == "leases-over" {
+			gone++
+		}
+	}
+	assert.Equal(t, 1, gone)
+}
