Lives that are over do not count among silent workers

Change: only workers that the instance list shows as a life are counted. Until the list is read the owner judges nothing by silence.

--- a/jobs/owner/instances.go
+++ b/jobs/owner/instances.go
@@ -77,6 +77,13 @@
 	return !now.Before(c.leaveTo[id])
 }
 
+// listed reports whether the instance list shows the worker as a life. The store keeps the
+// registrations of lives that are over for some seconds.
+func (c *Core) listed(w *worker) bool {
+	i := c.instances[c.lives[w.Worker]]
+	return i != nil && i.Worker == w.Worker
+}
+
 func (c *Core) workerOf(id InstanceID) *worker {
 	i := c.instances[id]
 	if i == nil || i.Worker == "" {
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -148,8 +148,8 @@
 func (c *Core) listen(now time.Time) {
 	all, silent := 0, 0
 	for _, w := range c.everyWorker() {
-		if w.gone || !w.registered || w.departing || w.reserved == reservedMove {
-			continue // its life ends by an order
+		if w.gone || !w.registered || w.departing || w.reserved == reservedMove || !c.listed(w) {
+			continue // its life is over, or ends by an order
 		}
 		all++
 		if !w.silentSince.IsZero() {
