--- a/standin/jobfleet/installation.go
+++ b/standin/jobfleet/installation.go
@@ -186,6 +186,7 @@
 type Caller struct {
 	in   *Installation
 	send Send
+	name string // of the daemon that it asks; "" if there are several
 }
 
 // Send makes one request to some daemon; status 0 means no answer.
@@ -206,13 +207,15 @@
 
 // CallerAt returns a caller that asks one daemon.
 func (in *Installation) CallerAt(d *Daemon) *Caller {
-	return in.CallerBy(func(method, path string, body []byte) (int, string) {
+	c := in.CallerBy(func(method, path string, body []byte) (int, string) {
 		return in.sendTo(d, method, path, body)
 	})
+	c.name = d.Name
+	return c
 }
 
 // CallerBy returns a caller that sends its own way.
-func (in *Installation) CallerBy(send Send) *Caller { return &Caller{in, send} }
+func (in *Installation) CallerBy(send Send) *Caller { return &Caller{in: in, send: send} }
 
 func (in *Installation) sendTo(d *Daemon, method, path string, body []byte) (int, string) {
 	ctx, cancel := context.WithTimeout(in.ctx, callerPatience)
@@ -239,6 +242,9 @@
 	accepted = status == http.StatusOK
 	refused = status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests
 	c.in.Judge.Answered(j.ID, accepted, refused)
+	if accepted {
+		c.in.Judge.Accepted(j.ID, prefix)
+	}
 	return accepted, refused
 }
 
@@ -269,10 +275,12 @@
 
 // Pending asks how many jobs of a queue wait; -1 means no answer.
 func (c *Caller) Pending(prefix string) int {
+	asked := time.Now()
 	status, body := c.send(http.MethodGet, prefix, nil)
 	var out struct{ Pending int }
 	if status != http.StatusOK || json.Unmarshal([]byte(body), &out) != nil {
 		return -1
 	}
+	c.in.Judge.Counted(prefix, asked, out.Pending, c.name)
 	return out.Pending
 }
--- a/standin/jobfleet/judge.go
+++ b/standin/jobfleet/judge.go
@@ -44,8 +44,10 @@
 	refused   bool // every answer to its submission so far said that it never runs
 	unclear   bool // an answer did not come, or said that it may run
 	accepted  bool
-	open      int  // requests without an answer so far
-	started   bool // a task was
+	confirmed time.Time // when its acceptance first was
+	queue     string    // prefix of its queue
+	open      int       // requests without an answer so far
+	started   bool      // a task was
 	cancelled time.Time
 
 	submitted, acceptedAt time.Time // for the first time
@@ -61,6 +63,7 @@
 	drainBound   = 2 * time.Second
 	cancelBound  = 3 * time.Second
 	dutyHandover = 3 * time.Second
+	countBound   = 5 * time.Second // a job shows in its queue's count after it
 )
 
 // NewJudge returns a judge that has seen nothing.
@@ -152,6 +155,38 @@
 	}
 }
 
+// Accepted says that a caller was told that its job was accepted by a queue.
+func (j *Judge) Accepted(id job.ID, queue string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	r := j.jobs[id]
+	r.queue = queue
+	if r.confirmed.IsZero() {
+		r.confirmed = time.Now()
+	}
+}
+
+// Counted checks how many jobs of a queue were said to wait, asked for at asked.
+func (j *Judge) Counted(queue string, asked time.Time, n int, by string) {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	waiting := 0
+	for _, r := range j.jobs {
+		if r.queue == queue && r.waitedSince(asked) {
+			waiting++
+		}
+	}
+	if 2*n < waiting {
+		j.fail("%s says that %d jobs of %s wait, %d do for more than %s", by, n, queue, waiting, countBound)
+	}
+}
+
+// waitedSince reports whether no task of the job has started although it was accepted
+// long enough before asked.
+func (r *jobRecord) waitedSince(asked time.Time) bool {
+	return r.accepted && !r.started && r.cancelled.IsZero() && r.spec.Repeat == 0 && asked.Sub(r.confirmed) > countBound
+}
+
 func (j *Judge) allDone(spec *job.Job) bool {
 	for k := range spec.Occurrences() {
 		for s := range spec.Steps {
