Failing test: an owner that stops as the store goes away forgets its workers

Cause, of the same class as the count of waiting jobs, a state that follows from an order and not from its effect: while an owner releases its lock, termRun.leave takes the core's effects and drops them, and the core believes that they were sent. If the store goes away before the lock is released the owner goes on with its work, but the holds that were dropped are never sent again: the ends of those workers' tasks are not heard of, and their leases run out.

--- a/internal/jobmatrix/day_test.go
+++ b/internal/jobmatrix/day_test.go
@@ -271,3 +271,43 @@
 		d.finish(15 * time.Second)
 	})
 }
+
+// TestAnOwnerThatStopsAsTheStoreGoesAway.
+//
+// Seen in the code, not on a day. An owner that stops orders nothing while it tries to
+// release its lock, and goes on with its work once the store is away. Cause: what it had
+// decided to order in between was thrown away, while its state said that it was sent: a
+// worker whose hold is thought to be under way is never asked again, so that its ends are
+// not heard of and its leases run out. Proof: the step after a task that ends does not
+// start.
+func TestAnOwnerThatStopsAsTheStoreGoesAway(t *testing.T) {
+	play(t, func(d *day) {
+		d.submitSome(0, 1)
+		time.Sleep(time.Second)
+		long := batchJob(1)
+		long.Steps[0].Estimate = 1900 * time.Millisecond // ends 1.2 s after the stop
+		d.submit(ordersPrefix, long)
+		first := d.in.Owner()
+		require.NotNil(t, first)
+		time.Sleep(700 * time.Millisecond)
+		started := d.in.Judge.Starts()
+		stopped := time.Now()
+		const partly = 950 * time.Millisecond // each hold ends in it; the store is not away yet
+		d.in.SetHook(func(_, op string) jobfleet.Failure {
+			if op == "commit" || storeOps[op] && time.Since(stopped) > partly {
+				return jobfleet.Refused
+			}
+			return jobfleet.NoFailure
+		})
+		go func() { // it sees that the store answers
+			for time.Since(stopped) < partly {
+				_, _, _ = first.Node.State(context.Background(), "ffffffffffffffff")
+				time.Sleep(20 * time.Millisecond)
+			}
+		}()
+		d.in.Stop(first.Name) // takes 1.8 s
+		assert.Equal(t, started+2, d.in.Judge.Starts(), "the second step of the job is started meanwhile")
+		d.in.SetHook(func(string, string) jobfleet.Failure { return jobfleet.NoFailure })
+		d.finish(15 * time.Second)
+	})
+}
