An owner that stops keeps the orders that it holds back

Cause: as the failing test before this commit shows, effects that the core had handed out were dropped while the lock was being released, and the owner went on without them once the store was away.

Change: they stay in the core, and pending orders for instances with the term, until the lock is released or the store is away and the owner goes on. An order for an instance is still sent only after a transaction that names it, which fails once the lock is gone.

Ruled out: orders of an owner whose release was carried out and not answered. It could send orders before this change as well while the store is away; inherited tasks wait until each worker has seen the new token.

--- a/jobs/node/instanceorders.go
+++ b/jobs/node/instanceorders.go
@@ -43,9 +43,6 @@
 
 func (o *instanceOrders) waiting() int { return len(o.pending) }
 
-// drop forgets orders that were not recorded: they are not sent any more.
-func (o *instanceOrders) drop() { o.pending = nil }
-
 // take returns the orders that wait, for the next transaction.
 func (o *instanceOrders) take(now time.Time) []owner.MoveOrder {
 	out := o.pending
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -170,7 +170,9 @@
 				return
 			}
 			if !t.n.store.Away() {
-				continue // nothing new is ordered while the lock is being released
+				// Nothing new is ordered while the lock is being released. It is kept, as
+				// the core counts on its being sent if the store goes away meanwhile.
+				continue
 			}
 		}
 		t.dispatch(t.core.Take())
@@ -224,10 +226,6 @@
 		t.leftAt = now
 	}
 	away := t.n.store.Away()
-	if !away {
-		t.core.Take() // nothing new is ordered
-		t.orders.drop()
-	}
 	if t.committing && now.Sub(t.leftAt) < lastCommitWait || now.Sub(t.triedAt) < retryPause {
 		return false
 	}
