A count is given only under the term's own lease, before and after the question

Change: a term knows the lease of its lock. Counts are given, and new jobs taken, only while that one is held; a count is given up if it ran out while the question waited. A renewal that says that the lease has ended ends its term at once, and so does the start of a term whose lease ended while the jobs were read, of which the watch told nobody.

Ruled out: the other ways in which a daemon could answer without knowing all jobs. A watch begins at the revision of the first page that was read; new jobs are applied in the order of the store while the lease is held; a full queue of events holds up the question as well; a question that waits for over 500 ms is not answered; queues are counted by the name of their route, under which the job was accepted, whatever the configuration says by now.

--- a/jobs/node/handler.go
+++ b/jobs/node/handler.go
@@ -32,7 +32,7 @@
 // Submitted implements peer.Handler. A daemon whose lease may have ended takes no
 // new jobs: another one may be the owner, and start them too.
 func (h peerHandler) Submitted(r peer.SubmitRequest) {
-	if t := h.n.term.Load(); t != nil && h.n.leaseHeld() {
+	if t := h.n.term.Load(); t != nil && t.leaseHeld() {
 		t.submitted(&r.Job)
 	}
 }
--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -71,6 +71,15 @@
 	default:
 		n.log.Warn("lease-ended", zap.Int64("lease", int64(id)))
 		n.lease.Store(0)
+		n.endTermOf(id)
+	}
+}
+
+// endTermOf ends the term under a lease that has ended: the lock went with it, whether
+// or not the watch of the lock has told so.
+func (n *Node) endTermOf(id ledger.LeaseID) {
+	if t := n.term.Load(); t != nil && t.lease == id {
+		t.depose("its lease has ended")
 	}
 }
 
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -80,6 +80,10 @@
 	n.log.Info("jobs-loaded", zap.Int("jobs", len(snap.Jobs)), zap.Int64("revision", snap.Revision), zap.Duration("took", time.Since(began)))
 	n.term.Store(t)
 	defer n.term.Store(nil)
+	if ledger.LeaseID(n.lease.Load()) != lease {
+		t.depose("its lease has ended")
+		return
+	}
 	t.startWaves(snap)
 	t.core.Configure(n.catalog.Load())
 	go t.followJobs(snap.Revision)
@@ -321,15 +325,25 @@
 	return r
 }
 
+// leaseHeld reports whether the lease of the lock is held for certain: no other daemon
+// can be the owner. The daemon may have been granted another one since.
+func (t *termRun) leaseHeld() bool {
+	return t.n.leaseHeld() && ledger.LeaseID(t.n.lease.Load()) == t.lease
+}
+
 // pending counts only while no other daemon can be the owner: one that has taken
-// over knows of jobs that this daemon was not told of.
+// over knows of jobs that this daemon was not told of. The lease may run out while the
+// question waits for the core, above all in a process that was frozen.
 func (t *termRun) pending(queue string) peer.PendingReply {
-	if !t.n.leaseHeld() {
+	if !t.leaseHeld() {
 		return peer.PendingReply{}
 	}
 	r, _ := ask(t, func(c *owner.Core) peer.PendingReply {
 		return peer.PendingReply{Owner: true, Count: c.Pending(queue)}
 	})
+	if !t.leaseHeld() {
+		return peer.PendingReply{}
+	}
 	return r
 }
 
--- a/jobs/node/termsources.go
+++ b/jobs/node/termsources.go
@@ -40,7 +40,7 @@
 // awaitLease waits until this daemon's lease is held for certain, or the term is
 // over: new jobs are taken only while no other daemon can be the owner.
 func (t *termRun) awaitLease() {
-	for !t.n.leaseHeld() && sleep.For(t.ctx, retryPause) {
+	for !t.leaseHeld() && sleep.For(t.ctx, retryPause) {
 	}
 }
 
