Slots for calls to workers by the daemon's share of a core, holds apart

Cause: see the test. 96 slots of 50 ms let 1,920 calls a second begin, which an owner with a fifth of a core cannot make; and holds waited in one line with stops. Change: starts, holds and all other calls have slots of their own, 40, 40 and 20 for a whole core, held for 50 ms at most, holds for 20 ms: at most what the daemon can make.

--- a/jobs/node/fanout.go
+++ b/jobs/node/fanout.go
@@ -6,26 +6,40 @@
 	"time"
 )
 
-// Figures of the calls to workers that are under way.
+// Figures of the calls to workers that are under way, each for a whole core; a daemon has
+// its share of them. A call takes 0.3 ms of a core, so that it can make 3,300 a second. No
+// more than that may begin, also if no worker answers in time: 800 starts, 2,000 holds and
+// 400 others.
 const (
-	// orderSlots bounds them for each kind of call, so that a call's turns at this
-	// daemon's processor do not use up its timeout: 96 calls of 0.3 ms at 0.8 of a core,
-	// or 1.3 ms at 0.19, take 30 or 125 ms.
-	orderSlots = 96
+	startsPerCore = 40
+	holdsPerCore  = 40
+	othersPerCore = 20
+	// leastSlots lets a daemon with hardly any processor go on.
+	leastSlots = 4
 	// slotTime is when a call that has no answer yet gives its slot to the next one: it
 	// waits for the worker and needs no processor. A worker answers in 4 ms.
 	slotTime = 50 * time.Millisecond
+	// holdSlotTime is the same for holds, which mostly wait for an end.
+	holdSlotTime = 20 * time.Millisecond
 )
 
-// fanout bounds how many calls are on their way at the same time. Without it thousands
-// of starts that become possible at one moment are sent at once, over half of them are
-// given up before their answers are read, and the work is done again.
-type fanout struct{ slots chan struct{} }
+// fanout bounds how many calls are on their way at the same time, so that a call's turns
+// at this daemon's processor do not use up its timeout. Without it thousands of starts
+// that become possible at one moment are sent at once, over half of them are given up
+// before their answers are read, and the work is done again; the answers of holds are
+// read too late as well, so that leases end.
+type fanout struct {
+	slots chan struct{}
+	lasts time.Duration // a slot, at most
+}
 
-func newFanout() fanout { return fanout{make(chan struct{}, orderSlots)} }
+// newFanout returns the slots of a daemon with a share of a core.
+func newFanout(perCore, cores float64, lasts time.Duration) fanout {
+	return fanout{make(chan struct{}, max(leastSlots, int(perCore*cores))), lasts}
+}
 
-// enter waits for a slot. leave gives it back, as slotTime does; ok is false if ctx
-// ended before.
+// enter waits for a slot. leave gives it back, as time does; ok is false if ctx ended
+// before.
 func (f fanout) enter(ctx context.Context) (leave func(), ok bool) {
 	select {
 	case f.slots <- struct{}{}:
@@ -33,7 +47,7 @@
 		return nil, false
 	}
 	free := sync.OnceFunc(func() { <-f.slots })
-	expiry := time.AfterFunc(slotTime, free)
+	expiry := time.AfterFunc(f.lasts, free)
 	return func() {
 		expiry.Stop()
 		free()
--- a/jobs/node/termorders.go
+++ b/jobs/node/termorders.go
@@ -11,8 +11,8 @@
 )
 
 // dispatch carries out effects. Each call has a goroutine of its own, and its
-// outcome comes back as an event. Starts wait for each other, and so do all other
-// calls: leases are renewed and runs stopped also while many tasks are started.
+// outcome comes back as an event. Starts wait for each other, and so do holds, and all
+// other calls: leases are renewed also while many tasks are started or stopped.
 func (t *termRun) dispatch(e owner.Effects) {
 	for _, o := range e.Starts {
 		go t.order(t.starts, owner.OrderTimeout, func(ctx context.Context) event {
@@ -22,21 +22,21 @@
 		})
 	}
 	for _, o := range e.Stops {
-		go t.order(t.calls, owner.OrderTimeout, func(ctx context.Context) event {
+		go t.order(t.others, owner.OrderTimeout, func(ctx context.Context) event {
 			a := t.n.platform.Workers.Stop(ctx, o)
 			t.n.metrics.order("stop", a.Outcome)
 			return func(c *owner.Core, now time.Time) { c.OnStopped(o, a, now) }
 		})
 	}
 	for _, o := range e.Throttles {
-		go t.order(t.calls, owner.OrderTimeout, func(ctx context.Context) event {
+		go t.order(t.others, owner.OrderTimeout, func(ctx context.Context) event {
 			a := t.n.platform.Workers.Throttle(ctx, o)
 			t.n.metrics.order("throttle", a.Outcome)
 			return func(c *owner.Core, now time.Time) { c.OnThrottled(o, a, now) }
 		})
 	}
 	for _, o := range e.Holds {
-		go t.order(t.calls, o.Wait+holdReserve, func(ctx context.Context) event {
+		go t.order(t.holds, o.Wait+holdReserve, func(ctx context.Context) event {
 			h := t.n.platform.Workers.Hold(ctx, o)
 			t.n.metrics.order("hold", h.Outcome)
 			return func(c *owner.Core, now time.Time) { c.OnHeld(o.Worker, h, now) }
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -51,8 +51,9 @@
 	triedAt    time.Time    // when the lock was last to be released
 	extra      []ledger.Put // puts beside the records
 	orders     instanceOrders
-	starts     fanout // of tasks
-	calls      fanout // all other calls to workers
+	starts     fanout // calls to workers that start tasks
+	holds      fanout
+	others     fanout // all other calls to workers
 }
 
 // runTerm is the owner until another daemon is, or ctx ends.
@@ -66,7 +67,10 @@
 		}
 		return
 	}
-	t := &termRun{n: n, term: term, lease: lease, events: make(chan event, eventQueue), leaving: make(chan struct{}), left: make(chan struct{}), relist: make(chan struct{}, 1), starts: newFanout(), calls: newFanout()}
+	t := &termRun{n: n, term: term, lease: lease, events: make(chan event, eventQueue), leaving: make(chan struct{}), left: make(chan struct{}), relist: make(chan struct{}, 1)}
+	t.starts = newFanout(startsPerCore, n.set.Cores, slotTime)
+	t.holds = newFanout(holdsPerCore, n.set.Cores, holdSlotTime)
+	t.others = newFanout(othersPerCore, n.set.Cores, slotTime)
 	t.orders = newInstanceOrders(n.set.Node, n.set.DutyHandover, term.OrderedBefore, began)
 	t.ctx, t.cancel = context.WithCancel(ctx)
 	defer t.cancel()
