A stop that waits for its slot is not sent twice

The core asks for a stop again half a second after it was decided on, and that time includes the owner's own line of calls, which the repetition makes longer. Ruled out: a longer pause in the core; a lost stop would be sent later, and its tests ask for the repetition. Change: the shell keeps the set of stops that are under way, and passes over one that is.

--- a/jobs/node/termorders.go
+++ b/jobs/node/termorders.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/postmount/postmount/internal/sleep"
+	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
 )
@@ -22,10 +23,16 @@
 		})
 	}
 	for _, o := range e.Stops {
+		if !t.stops.begin(o) {
+			continue
+		}
 		go t.order(t.others, owner.OrderTimeout, func(ctx context.Context) event {
 			a := t.n.platform.Workers.Stop(ctx, o)
 			t.n.metrics.order("stop", a.Outcome)
-			return func(c *owner.Core, now time.Time) { c.OnStopped(o, a, now) }
+			return func(c *owner.Core, now time.Time) {
+				t.stops.end(o)
+				c.OnStopped(o, a, now)
+			}
 		})
 	}
 	for _, o := range e.Throttles {
@@ -113,3 +120,27 @@
 	progress := ledger.WaveProgress{Begun: t.core.Begun(s.Wave), Done: s.Done}
 	t.extra = append(t.extra, ledger.Put{Key: key, Value: value}, ledger.WavePut(s.Wave, progress))
 }
+
+// stopSet holds the stops that are under way. The core asks for an unanswered stop again
+// after a while; one that still waits for its slot is not sent twice, which would only
+// lengthen the line it waits in. It is used on the core's goroutine alone.
+type stopSet map[stopKey]bool
+
+type stopKey struct {
+	worker owner.WorkerID
+	task   job.TaskID
+	run    uint64
+}
+
+func keyOf(o owner.Stop) stopKey { return stopKey{o.Worker, o.Task, o.Run} }
+
+// begin reports whether the stop is to be sent.
+func (s stopSet) begin(o owner.Stop) bool {
+	if s[keyOf(o)] {
+		return false
+	}
+	s[keyOf(o)] = true
+	return true
+}
+
+func (s stopSet) end(o owner.Stop) { delete(s, keyOf(o)) }
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -54,6 +54,7 @@
 	starts     fanout // calls to workers that start tasks
 	holds      fanout
 	others     fanout // all other calls to workers
+	stops      stopSet
 }
 
 // runTerm is the owner until another daemon is, or ctx ends.
@@ -67,7 +68,7 @@
 		}
 		return
 	}
-	t := &termRun{n: n, term: term, lease: lease, events: make(chan event, eventQueue), leaving: make(chan struct{}), left: make(chan struct{}), relist: make(chan struct{}, 1)}
+	t := &termRun{n: n, term: term, lease: lease, events: make(chan event, eventQueue), leaving: make(chan struct{}), left: make(chan struct{}), relist: make(chan struct{}, 1), stops: stopSet{}}
 	t.starts = newFanout(startsPerCore, n.set.Cores, slotTime)
 	t.holds = newFanout(holdsPerCore, n.set.Cores, holdSlotTime)
 	t.others = newFanout(othersPerCore, n.set.Cores, slotTime)
