An owner that hears hardly any worker holds on for 20 s, not for ever

The judgement that silence is the owner's own had no end, so that what ran on workers that are really cut off never started elsewhere. Ruled out: asking whether those that answer do so at once; an owner short of time answers some at once, too, and the model cannot tell the two apart. Change: after 20 s of most workers' silence each is judged by itself again; a cut of five counts as deafness as the comment said it does not: now it takes more than four.

--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -130,9 +130,12 @@
 	starvedFor = 1500 * time.Millisecond
 	// deafShare of the workers do not fall silent at once: cuts and crashes strike
 	// a quarter of them at most, while an owner that cannot keep up hears 3 to 40 of
-	// 100. deafLeast of them may, being a rack.
+	// 100. deafMost of them may, being a small rack.
 	deafShare = 0.5
-	deafLeast = 5
+	deafMost  = 4
+	// deafFor is how long most workers may stay silent before they count as cut off
+	// after all: four leases, in which an owner that can be relieved has been.
+	deafFor = 20 * time.Second
 )
 
 // Delayed tells by how much the owner's timer was late.
@@ -144,7 +147,8 @@
 
 // listen judges whether silence tells of the workers or of the owner: if most of them
 // seem silent at once, it is the owner, whose timer need not be late for that. It may
-// hold on to what runs only while no other daemon can be the owner.
+// hold on to what runs only while no other daemon can be the owner, and not for ever:
+// what ran on workers that are cut off has to start elsewhere.
 func (c *Core) listen(now time.Time) {
 	all, silent := 0, 0
 	for _, w := range c.everyWorker() {
@@ -156,7 +160,14 @@
 			silent++
 		}
 	}
-	if silent >= deafLeast && float64(silent) > deafShare*float64(all) && c.dutyLost.IsZero() {
+	if silent <= deafMost || float64(silent) <= deafShare*float64(all) {
+		c.deafSince = time.Time{}
+		return
+	}
+	if c.deafSince.IsZero() {
+		c.deafSince = now
+	}
+	if now.Sub(c.deafSince) <= deafFor && c.dutyLost.IsZero() {
 		c.starved("owner-deaf", fmt.Sprintf("%d of %d workers seem silent", silent, all), now)
 	}
 }
