--- a/jobs/node/termorders.go
+++ b/jobs/node/termorders.go
@@ -16,11 +16,7 @@
 // other calls: leases are renewed also while many tasks are started or stopped.
 func (t *termRun) dispatch(e owner.Effects) {
 	for _, o := range e.Starts {
-		go t.order(t.starts, owner.OrderTimeout, func(ctx context.Context) event {
-			a := t.n.platform.Workers.Start(ctx, o)
-			t.n.metrics.order("start", a.Outcome)
-			return func(c *owner.Core, now time.Time) { c.OnStarted(o, a, now) }
-		})
+		go t.start(o, time.Now())
 	}
 	for _, o := range e.Stops {
 		if !t.stops.begin(o) {
@@ -68,6 +64,18 @@
 	return t.n.platform.Advisor.Advise(ctx, q)
 }
 
+// start sends an order to start a task, unless it has waited for its slot for too long.
+func (t *termRun) start(o owner.Start, decided time.Time) {
+	t.order(t.starts, owner.OrderTimeout, func(ctx context.Context) event {
+		a := owner.Answer{Outcome: owner.NotSent}
+		if time.Since(decided) <= orderAge {
+			a = t.n.platform.Workers.Start(ctx, o)
+		}
+		t.n.metrics.order("start", a.Outcome)
+		return func(c *owner.Core, now time.Time) { c.OnStarted(o, a, now) }
+	})
+}
+
 // order makes a call to a worker once it has a slot; its timeout begins then.
 func (t *termRun) order(f fanout, timeout time.Duration, call func(context.Context) event) {
 	leave, ok := f.enter(t.ctx)
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -58,6 +58,9 @@
 	case Unanswered:
 		c.startUnanswered(r, a, now)
 		return
+	case NotSent:
+		c.startNotSent(r, now)
+		return
 	}
 	c.counts.Refused++
 	c.note(Decision{Event: "start-refused", Job: o.Task.Job, Task: o.Task.String(), Worker: w.Worker, Run: o.Run, Reason: reasonOf(a)})
@@ -89,6 +92,18 @@
 	}
 }
 
+// startNotSent handles a start that waited for too long in the line of calls: its task is
+// placed anew by what is known now, unless an earlier order for it may have arrived.
+func (c *Core) startNotSent(r *run, now time.Time) {
+	switch {
+	case r.phase != starting:
+	case r.lost:
+		r.givenUp = now
+	default:
+		c.release(r, CauseLost, now)
+	}
+}
+
 func (c *Core) startUnanswered(r *run, a Answer, now time.Time) {
 	if r.phase != starting {
 		return
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -199,7 +199,7 @@
 
 // heard takes note of an answer.
 func (w *worker) heard(a Answer, now time.Time) {
-	if a.Outcome == Unanswered {
+	if a.Outcome == Unanswered || a.Outcome == NotSent {
 		return
 	}
 	w.lease.heard(a.Clock, now)
