A question to the core is not answered after its asker has gone

Change: one timeout covers the wait for the queue, for the core and the answer; the core passes over a question whose time is up.

--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -308,16 +308,26 @@
 	return out
 }
 
-// ask runs a question on the core's goroutine.
+// ask runs a question on the core's goroutine, unless its turn comes after the asker has
+// given up.
 func ask[T any](t *termRun, question func(c *owner.Core) T) (answer T, ok bool) {
+	ctx, cancel := context.WithTimeout(t.ctx, peerTimeout)
+	defer cancel()
 	out := make(chan T, 1)
-	t.do(func(c *owner.Core, _ time.Time) { out <- question(c) })
+	asked := func(c *owner.Core, _ time.Time) {
+		if ctx.Err() == nil {
+			out <- question(c)
+		}
+	}
+	select {
+	case t.events <- asked:
+	case <-ctx.Done():
+		return answer, false
+	}
 	select {
 	case answer = <-out:
 		return answer, true
-	case <-t.ctx.Done():
-		return answer, false
-	case <-time.After(peerTimeout):
+	case <-ctx.Done():
 		return answer, false
 	}
 }
