Whether a lost start began is asked at once

Change: a hold does not wait for an end while a start without an answer is in doubt. Ruled out: one hold instead of two; the first was sent before the order was given up, and proves nothing.

--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -98,7 +98,7 @@
 			continue
 		}
 		wait := c.opt.HoldWait
-		if !w.held || !w.silentSince.IsZero() || len(w.unacked) > 0 {
+		if !w.held || !w.silentSince.IsZero() || len(w.unacked) > 0 || w.inDoubt() {
 			wait = 0
 		}
 		w.holding = true
@@ -112,6 +112,17 @@
 	}
 }
 
+// inDoubt reports whether the worker's list has to tell if a start without an answer
+// began: the task stands still until it does.
+func (w *worker) inDoubt() bool {
+	for _, r := range w.runs {
+		if r.phase == starting && !r.givenUp.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
 // renewal returns the end of the lease for an order to w. A silent worker's
 // lease is not renewed: it has to end for its tasks to start elsewhere.
 func (c *Core) renewal(w *worker, now time.Time) int64 {
