An owner that stops renews leases until its lock is released

Change: holds are sent while the lock is being released, and nothing else. Ruled out: harm by holds after the release; they carry the older token, and a worker that has seen the newer one refuses them.

--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -181,7 +181,9 @@
 			}
 			if !t.n.store.Away() {
 				// Nothing new is ordered while the lock is being released. It is kept, as
-				// the core counts on its being sent if the store goes away meanwhile.
+				// the core counts on its being sent if the store goes away meanwhile. Leases
+				// are renewed, as they have to outlast the next owner's takeover.
+				t.dispatch(owner.Effects{Holds: t.core.TakeHolds()})
 				continue
 			}
 		}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -308,6 +308,13 @@
 	return out
 }
 
+// TakeHolds returns the holds alone since the last call, and leaves the other effects.
+func (c *Core) TakeHolds() []Hold {
+	out := c.out.Holds
+	c.out.Holds = nil
+	return out
+}
+
 // Fenced reports whether a worker has seen a higher fencing token: another
 // daemon is the owner.
 func (c *Core) Fenced() bool { return c.fenced }
