Test of the judge that keeps the budgets of steps that last

Change: eleven cases: stops, moves, crashes, drains and lapsed leases that take a second task while one may be away, or not. Ruled out: none. Conclusion: the check notices what it is for.

--- /dev/null
+++ b/standin/jobfleet/away_test.go
@@ -0,0 +1,96 @@
+package jobfleet
+
+import (
+	"context"
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// TestTheJudgeKeepsTheBudgetOfAStepThatLasts: of three tasks one may be away. What takes
+// the second one from its work breaks the budget, whatever took the first, unless it is no
+// order, or the first one is back.
+func TestTheJudgeKeepsTheBudgetOfAStepThatLasts(t *testing.T) {
+	const lease = 5 * time.Second
+	for _, c := range []struct {
+		name   string
+		take   func(r *lastingRun)
+		broken int
+	}{
+		{"one stop", func(r *lastingRun) { r.stop(0) }, 0},
+		{"two stops", func(r *lastingRun) { r.stop(0); r.stop(1) }, 1},
+		{"a stop and a move", func(r *lastingRun) { r.stop(0); r.move(1) }, 1},
+		{"a stop and a crash", func(r *lastingRun) { r.stop(0); r.fleet.Crash("i1", time.Hour) }, 0},
+		{"a crash and at once a stop", func(r *lastingRun) { r.fleet.Crash("i0", time.Hour); r.stop(1) }, 0},
+		{"a crash and later a stop", func(r *lastingRun) { r.fleet.Crash("i0", time.Hour); r.wait(awayNotice); r.stop(1) }, 1},
+		{"a stop while the first is back", func(r *lastingRun) { r.stop(0); r.start(0, 2); r.wait(time.Second); r.stop(1) }, 0},
+		{"a stop while the first starts up", func(r *lastingRun) { r.stop(0); r.start(0, 2); r.stop(1) }, 1},
+		{"a stop on a worker that drains", func(r *lastingRun) { r.stop(0); r.fleet.Drain("i1"); r.stop(1) }, 0},
+		{"leases that end where something is wrong", func(r *lastingRun) { r.wait(lease) }, 0},
+		{"leases that end in calm", func(r *lastingRun) { r.judge.Calm(); r.wait(lease) }, 2},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				r := newLastingRun(t, lease)
+				c.take(r)
+				assert.Len(t, r.judge.Broken(), c.broken, "%v", r.judge.Broken())
+			})
+		})
+	}
+}
+
+// lastingRun is a job of three tasks that last, at work on three workers.
+type lastingRun struct {
+	t      *testing.T
+	judge  *Judge
+	fleet  *Fleet
+	client *FleetClient
+	lease  time.Duration
+}
+
+func newLastingRun(t *testing.T, lease time.Duration) *lastingRun {
+	r := &lastingRun{t: t, judge: NewJudge(), lease: lease}
+	r.fleet = NewFleet(r.judge, func(string, *owner.Registration) {})
+	r.client = r.fleet.Client("d", &Gate{}, func(string, string) Failure { return NoFailure })
+	j := &job.Job{ID: "0000000000000001", Steps: []job.Step{{Count: 3, LongRunning: true, MayMiss: 1}}}
+	r.fleet.Know(j)
+	r.judge.Submitted(j)
+	r.judge.Answered(j.ID, true, false)
+	for i := range 3 {
+		r.fleet.Add(owner.InstanceID(fmt.Sprintf("i%d", i)), "a", "r", job.Resources{CPUMilli: 1000})
+		r.start(i, 1)
+	}
+	r.wait(startupTime)
+	return r
+}
+
+func (r *lastingRun) wait(d time.Duration) { time.Sleep(d); synctest.Wait() }
+
+func (r *lastingRun) order(i int) (owner.Target, job.TaskID) {
+	return owner.Target{Worker: owner.WorkerID(fmt.Sprintf("w-%03d", i+1))}, job.TaskID{Job: "0000000000000001", Index: i}
+}
+
+func (r *lastingRun) start(i int, run uint64) {
+	to, task := r.order(i)
+	until := r.fleet.clock() + r.lease.Milliseconds()
+	a := r.client.Start(context.Background(), owner.Start{Target: to, Task: task, Run: run, Until: until})
+	require.Equal(r.t, owner.Taken, a.Outcome)
+}
+
+func (r *lastingRun) stop(i int) {
+	to, task := r.order(i)
+	a := r.client.Stop(context.Background(), owner.Stop{Target: to, Task: task, Run: 1})
+	require.Equal(r.t, owner.Taken, a.Outcome)
+}
+
+func (r *lastingRun) move(i int) {
+	o := r.client.Move(context.Background(), owner.Duty{Holder: "d", Token: 1}, owner.InstanceID(fmt.Sprintf("i%d", i)), "b")
+	require.Equal(r.t, owner.DutyDone, o)
+}
