Failing test: lives that are over are asked for holds without a pause

Cause: see the test. A new owner asks each registered worker; the store keeps entries of moved and maintained lives for some seconds. Ruled out: leaving them out until the list shows them; a worker that has just risen registers before the list shows it, and would be used up to 0.7 s later. Change: the test.

--- a/jobs/owner/takeover_test.go
+++ b/jobs/owner/takeover_test.go
@@ -262,3 +262,27 @@
 		f.play(time.Second)
 	}
 }
+
+// TestLivesThatAreOverAreAskedNowAndThen. Seen: half of the holds of a new owner went
+// unanswered for five seconds after each takeover, 1,000 a second. How: registrations of
+// lives that were moved or maintained last for some seconds, and each was asked again 150 ms
+// after it had failed, on a new connection that is refused. Cause: a failed hold was tried
+// again as soon, whether or not the instance list shows the life. What proved it: the
+// failed holds' workers are those that the list does not show.
+func TestLivesThatAreOverAreAskedNowAndThen(t *testing.T) {
+	r := newRig(t, 2)
+	r.worker("a")
+	r.regs = append(r.regs, Registration{Worker: "over", Service: "s", Addr: "over"})
+	r.list()
+	asked := map[WorkerID]int{}
+	for range 3 * time.Second / (25 * time.Millisecond) {
+		for _, h := range r.out.Holds {
+			asked[h.Worker]++
+			r.unheard(h.Worker)
+		}
+		r.out.Holds = nil
+		r.tick(25 * time.Millisecond)
+	}
+	assert.LessOrEqual(t, asked["over"], 5)
+	assert.GreaterOrEqual(t, asked["a"], 12, "a worker that is listed is asked again at once")
+}
