An owner that misses most answers is called overloaded

Cause: deaf was a picture of our own; a newcomer looks for overload. Change: names, the log's event owner-overloaded, and the file's and tests' names. The tests of the overloaded owner assert what they did. Ruled out: a change of behaviour.

--- a/internal/jobmatrix/deaf_test.go
+++ b/internal/jobmatrix/overload_test.go
@@ -10,13 +10,13 @@
 	"github.com/postmount/postmount/standin/jobfleet"
 )
 
-// TestADeafOwnerYields: an owner that goes on hearing hardly any worker gives way to a
+// TestAnOverloadedOwnerYields: an owner that goes on hearing hardly any worker gives way to a
 // daemon that is clearly stronger. Seen: an owner with a fifth of a core kept the lock for
 // 24 s beside six daemons of four fifths, and served under a quarter of the requests. How:
 // it was the first to be up after a loss of power, and only an owner without work gave way.
 // Cause: nothing measured whether an owner can keep up. Proved by its log: four workers in
 // a hundred heard, no inherited task let go, until it lost its lease.
-func TestADeafOwnerYields(t *testing.T) {
+func TestAnOverloadedOwnerYields(t *testing.T) {
 	play(t, func(d *day) {
 		j := lastingJob(0) // an owner with work does not yield for strength alone
 		d.submit(ordersPrefix, j)
--- a/jobs/owner/hearing.go
+++ b/jobs/owner/overload.go
@@ -12,14 +12,14 @@
 	starvedAt = 300 * time.Millisecond
 	// starvedFor is how long that is remembered: a hold, and its answer.
 	starvedFor = 1500 * time.Millisecond
-	// deafShare of the workers do not fall silent at once: cuts and crashes strike
+	// maxSilentShare of the workers do not fall silent at once: cuts and crashes strike
 	// a quarter of them at most, while an owner that cannot keep up hears 3 to 40 of
-	// 100. deafMost of them may, being a small rack.
-	deafShare = 0.5
-	deafMost  = 4
-	// deafFor is how long most workers may stay silent before they count as cut off
+	// 100. maxSilent of them may, being a small rack.
+	maxSilentShare = 0.5
+	maxSilent      = 4
+	// overloadedFor is how long most workers may stay silent before they count as cut off
 	// after all: four leases, in which an owner that can be relieved has been.
-	deafFor = 20 * time.Second
+	overloadedFor = 20 * time.Second
 )
 
 // Delayed tells by how much the owner's timer was late.
@@ -29,11 +29,11 @@
 	}
 }
 
-// listen judges whether silence tells of the workers or of the owner: if most of them
+// judgeSilence tells whether silence is the workers' or the owner's own doing: if most of them
 // seem silent at once, it is the owner, whose timer need not be late for that. It may
 // hold on to what runs only while no other daemon can be the owner, and not for ever:
 // what ran on workers that are cut off has to start elsewhere.
-func (c *Core) listen(now time.Time) {
+func (c *Core) judgeSilence(now time.Time) {
 	all, silent := 0, 0
 	for _, w := range c.everyWorker() {
 		if w.gone || !w.registered || w.departing || w.reserved == reservedMove || !c.listed(w) {
@@ -44,15 +44,15 @@
 			silent++
 		}
 	}
-	if silent <= deafMost || float64(silent) <= deafShare*float64(all) {
-		c.deafSince = time.Time{}
+	if silent <= maxSilent || float64(silent) <= maxSilentShare*float64(all) {
+		c.mostSilentSince = time.Time{}
 		return
 	}
-	if c.deafSince.IsZero() {
-		c.deafSince = now
+	if c.mostSilentSince.IsZero() {
+		c.mostSilentSince = now
 	}
-	if now.Sub(c.deafSince) <= deafFor && c.dutyLost.IsZero() {
-		c.starved("owner-deaf", fmt.Sprintf("%d of %d workers seem silent", silent, all), now)
+	if now.Sub(c.mostSilentSince) <= overloadedFor && c.dutyLost.IsZero() {
+		c.starved("owner-overloaded", fmt.Sprintf("%d of %d workers seem silent", silent, all), now)
 	}
 }
 
--- a/jobs/owner/deaf_test.go
+++ b/jobs/owner/overload_test.go
@@ -19,8 +19,8 @@
 // before a start of a task that its worker had done a second earlier) beside the
 // workers' list of runs.
 
-// deafRig has n workers that are full, and before them one that is free.
-func deafRig(t *testing.T, n int) (*rig, []WorkerID) {
+// overloadedRig has n workers that are full, and before them one that is free.
+func overloadedRig(t *testing.T, n int) (*rig, []WorkerID) {
 	r := newRig(t, 1)
 	var all []WorkerID
 	for i := range n {
@@ -61,18 +61,18 @@
 	return out
 }
 
-func TestADeafOwner(t *testing.T) {
-	t.Run("keeps leases", deafOwnerKeepsLeases)
-	t.Run("does not know what it inherits", deafOwnerInherits)
-	t.Run("may hear again", deafOwnerHearsAgain)
+func TestAnOverloadedOwner(t *testing.T) {
+	t.Run("keeps leases", overloadedOwnerKeepsLeases)
+	t.Run("does not know what it inherits", overloadedOwnerInherits)
+	t.Run("may hear again", overloadedOwnerHearsAgain)
 }
 
-// deafOwnerKeepsLeases: if most workers seem silent at once, the owner is short of
-// hearing, not they of life. What runs there is held on to: leases are renewed, and
-// nothing starts a second time.
-func deafOwnerKeepsLeases(t *testing.T) {
+// overloadedOwnerKeepsLeases: if most workers seem silent at once, the owner does not get
+// to their answers. What runs there is held on to: leases are renewed, and nothing starts a
+// second time.
+func overloadedOwnerKeepsLeases(t *testing.T) {
 	const workers = 20
-	r, all := deafRig(t, workers)
+	r, all := overloadedRig(t, workers)
 	r.unheardBut(8*time.Second, all, 1)
 	assert.Empty(t, r.out.Starts, "what may run is not started again")
 	renewed := map[WorkerID]bool{}
@@ -88,10 +88,10 @@
 	assert.Empty(t, r.out.Starts, "that time has passed tells nothing new")
 }
 
-// deafOwnerInherits: a new owner that hears hardly any worker does not
+// overloadedOwnerInherits: a new owner that hears hardly any worker does not
 // start their tasks when the leases of the owner before have ended: what was done there is
 // in answers that it has not read.
-func deafOwnerInherits(t *testing.T) {
+func overloadedOwnerInherits(t *testing.T) {
 	r := newRig(t, 2, Loaded{Job: simpleJob(1, 1)})
 	var all []WorkerID
 	for i := range 20 {
@@ -104,14 +104,14 @@
 	assert.Len(t, r.out.Starts, 1, "once they are heard it goes on")
 }
 
-// deafOwnerHearsAgain: once it hears most of them again, those that stay silent
+// overloadedOwnerHearsAgain: once it hears most of them again, those that stay silent
 // are given up; and a minority that falls silent is given up as ever.
-func deafOwnerHearsAgain(t *testing.T) {
+func overloadedOwnerHearsAgain(t *testing.T) {
 	const workers, silent = 20, 4
-	for name, deaf := range map[string]time.Duration{"deaf before": 8 * time.Second, "heard all the time": 0} {
+	for name, before := range map[string]time.Duration{"overloaded before": 8 * time.Second, "heard all the time": 0} {
 		t.Run(name, func(t *testing.T) {
-			r, all := deafRig(t, workers)
-			r.unheardBut(deaf, all, 1)
+			r, all := overloadedRig(t, workers)
+			r.unheardBut(before, all, 1)
 			r.unheardBut(7*time.Second, all, 1+workers-silent)
 			gone := 0
 			for _, d := range r.core.TakeDecisions() {
@@ -124,10 +124,10 @@
 	}
 }
 
-// TestADeafOwnerThatMayBeReplaced: a daemon that does not hold its lease in the store for
+// TestAnOverloadedOwnerThatMayBeReplaced: a daemon that does not hold its lease in the store for
 // certain may have a successor, which waits for the leases given so far and no others.
-func TestADeafOwnerThatMayBeReplaced(t *testing.T) {
-	r, all := deafRig(t, 20)
+func TestAnOverloadedOwnerThatMayBeReplaced(t *testing.T) {
+	r, all := overloadedRig(t, 20)
 	r.core.SetStoreLease(false, r.now)
 	given := r.clock() + (rigLease + time.Second).Milliseconds()
 	r.unheardBut(time.Second, all, 1)
@@ -144,13 +144,13 @@
 }
 
 // TestLeftOverRegistrationsAreNotSilentWorkers. Seen: an owner with hardly anything to do
-// took itself for deaf a quarter of a second after its takeover, 177 of 336 workers being
+// took itself for overloaded a quarter of a second after its takeover, 177 of 336 workers being
 // silent. How: workers that were moved or maintained stay registered for some seconds, and
 // a new owner asks them, too. Cause: they were counted. Proved by the holds of that second:
 // half went unanswered, each by an address at which nobody listens, and no start did.
 func TestLeftOverRegistrationsAreNotSilentWorkers(t *testing.T) {
 	const workers, leftOver = 8, 20
-	r, all := deafRig(t, workers)
+	r, all := overloadedRig(t, workers)
 	for i := range leftOver {
 		r.regs = append(r.regs, Registration{Worker: WorkerID(fmt.Sprint("over", i)), Service: "s", Addr: "over"})
 		all = append(all, r.regs[len(r.regs)-1].Worker)
@@ -159,7 +159,7 @@
 	r.unheardBut(7*time.Second, all, workers) // the free one and all but one
 	gone := 0
 	for _, d := range r.core.TakeDecisions() {
-		assert.NotEqual(t, "owner-deaf", d.Event)
+		assert.NotEqual(t, "owner-overloaded", d.Event)
 		if d.Event == "leases-over" {
 			gone++
 		}
--- a/jobs/owner/rack_test.go
+++ b/jobs/owner/rack_test.go
@@ -12,7 +12,7 @@
 // Seen: five of eight workers are cut off for good and stay registered; their tasks are never
 // started elsewhere, though the other three answer each hold at once and are idle. With four
 // of seven they are, after 4.3 s. A new owner likewise never starts what it inherits. How: as
-// over half of the workers, and five, are silent, the owner takes itself for deaf at each
+// over half of the workers, and five, are silent, the owner takes itself for overloaded at each
 // tick, without an end; while it does no lease counts as over, each hold that is sent into the
 // cut extends the lease that has to end, and the takeover of a service with an unheard
 // instance waits. Cause: the judgement has no limit in time and does not ask whether the owner
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -314,7 +314,7 @@
 // Tick does what is due by now: it ends leases, sends holds and retries,
 // begins occurrences, and places tasks.
 func (c *Core) Tick(now time.Time) {
-	c.listen(now)
+	c.judgeSilence(now)
 	c.expireLeases(now)
 	c.expireStrangers(now)
 	c.expireEarly(now)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -263,9 +263,9 @@
 	instAt    time.Time                // newest instance list
 	fenced    bool
 
-	starvedSince time.Time // when the newest time began in which timeouts say nothing
-	starvedUntil time.Time // and its end
-	deafSince    time.Time // since when most workers seem silent; zero: they do not
+	starvedSince    time.Time // when the newest time began in which timeouts say nothing
+	starvedUntil    time.Time // and its end
+	mostSilentSince time.Time // since when most workers seem silent; zero: they do not
 
 	dutyLost time.Time            // zero: the store's lease is held
 	early    map[job.ID]time.Time // cancellations of jobs that are not known yet
