Failing test: a much weaker owner stays beside stronger daemons

Cause: see the test. Ruled out: a takeover that waits (every worker had answered after 1.5 s), overload by its own signs (none until 60 s). Change: the test. Conclusion: listed until the repair.

--- a/internal/jobmatrix/overload_test.go
+++ b/internal/jobmatrix/overload_test.go
@@ -1,12 +1,18 @@
 package jobmatrix
 
 import (
+	"context"
+	"fmt"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+	"go.uber.org/zap"
 
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/owner"
 	"github.com/postmount/postmount/standin/jobfleet"
 )
 
@@ -42,3 +48,40 @@
 		assert.Empty(t, d.in.Judge.Broken())
 	})
 }
+
+// TestAMuchWeakerOwnerYields. Seen: after a loss of power of all daemons one with a fifth of a
+// core was up first and stayed the owner beside eight of four fifths; under a quarter of the
+// requests were served, and 900 times a task stood still beside free room. How: no list of
+// daemons was there when it was elected, and an owner with work yielded only once its timer or
+// most workers' silence showed overload; with few calls under way neither did. Cause: being
+// answered was taken for keeping up. What proved it: of eight plays of that day the one with
+// the weak owner broke its rules, with all workers heard within 1.5 s.
+func TestAMuchWeakerOwnerYields(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		d := &day{t: t, in: jobfleet.NewInstallation(ctx, zap.NewNop()), queue: map[job.ID]string{}, ok: map[job.ID]bool{}}
+		d.caller = d.in.Caller()
+		for i := range 4 {
+			d.in.Fleet.Add(owner.InstanceID(fmt.Sprintf("i%d", i)), "orders", "r0", job.Resources{CPUMilli: 8000, MemMB: 16000})
+		}
+		d.in.Configure(catalog(1))
+		d.in.StartWith("weak", 0.19)
+		time.Sleep(3 * time.Second)
+		j := lastingJob(0)
+		d.submit(ordersPrefix, j)
+		time.Sleep(2 * time.Second)
+		require.Equal(t, "weak", d.in.Owner().Name)
+		d.in.StartWith("strong", 0.8)
+		time.Sleep(4 * time.Second)
+		next := d.in.Owner()
+		require.NotNil(t, next)
+		assert.Equal(t, "strong", next.Name)
+		d.lastingServes(j)
+		assert.Empty(t, d.in.Judge.Broken())
+		cancel()
+		for _, dm := range d.in.Daemons() {
+			d.in.Kill(dm.Name)
+		}
+		time.Sleep(20 * time.Second) // calls and timers of the stand-ins end
+	})
+}
