Two stand-ins of tests are safe for several goroutines

Both are the tests' own; no race in the product was reported. Change: a mutex, an atomic flag. What the tests assert is as it was. Test files alone.

--- a/jobs/ledger/accept_test.go
+++ b/jobs/ledger/accept_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -18,20 +19,20 @@
 // transaction was sent.
 type outage struct {
 	Store
-	away    bool
+	away    atomic.Bool
 	commits int
 }
 
 func (o *outage) Commit(context.Context, Txn) (TxnResult, error) {
 	o.commits++
-	if o.away {
+	if o.away.Load() {
 		return TxnResult{}, verdict.New(verdict.MayHaveRun, CodeStore, "connection reset")
 	}
 	return TxnResult{Committed: true}, nil
 }
 
 func (o *outage) KeepAlive(context.Context, LeaseID) (bool, error) {
-	if o.away {
+	if o.away.Load() {
 		return false, verdict.New(verdict.MayHaveRun, CodeStore, "connection reset")
 	}
 	return true, nil
@@ -49,7 +50,8 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		s := &outage{away: true}
+		s := &outage{}
+		s.away.Store(true)
 		f := NewFailover(s, s, time.Now, func(error) {})
 		a := NewAcceptor(f)
 		a.Run(ctx)
@@ -70,7 +72,7 @@
 		}
 		assert.Equal(t, sent, s.commits, "nothing is sent of a job that is refused")
 
-		s.away = false
+		s.away.Store(false)
 		assert.Error(t, accept(40), "its return has not been noticed")
 		_, err := f.KeepAlive(ctx, 1)
 		require.NoError(t, err)
@@ -84,10 +86,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
-		s := &outage{away: true}
+		s := &outage{}
+		s.away.Store(true)
 		a := NewAcceptor(NewFailover(s, s, time.Now, func(error) {}))
 		a.Run(ctx)
-		time.AfterFunc(300*time.Millisecond, func() { s.away = false })
+		time.AfterFunc(300*time.Millisecond, func() { s.away.Store(false) })
 		assert.NoError(t, a.Accept(ctx, &job.Job{ID: "00000000000000ab"}))
 	})
 }
--- a/jobs/node/fanout_test.go
+++ b/jobs/node/fanout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -15,11 +16,14 @@
 // slowStarts is a way to workers on which every start takes its whole timeout.
 type slowStarts struct {
 	owner.Workers
+	mu   sync.Mutex
 	sent []time.Time
 }
 
 func (s *slowStarts) Start(ctx context.Context, _ owner.Start) owner.Answer {
+	s.mu.Lock()
 	s.sent = append(s.sent, time.Now())
+	s.mu.Unlock()
 	<-ctx.Done()
 	return owner.Answer{Outcome: owner.Unanswered, Err: ctx.Err()}
 }
