The load without a network measures decisions by kind of event, and holds them fast

Cause: what an owner's decisions cost by the size of its fleet was not measured, and nothing would have shown a faster core that decides otherwise. Change: BenchmarkFleetSize (350, 1,100, 3,000, 13,000 instances, as much work for each), the stand-ins left out; TestSameDecisions, sums of all starts, stops and orders of nine plays, recorded from the code as it stands.

--- a/lab/jobload/bench_test.go
+++ b/lab/jobload/bench_test.go
@@ -1,6 +1,7 @@
 package jobload
 
 import (
+	"strconv"
 	"testing"
 	"time"
 
@@ -30,3 +31,35 @@
 		b.ReportMetric(float64(r.Starts)/sc.Length.Seconds(), "tasks/fleet-second")
 	}
 }
+
+// fleetOf is grownFleet with another number of instances, and as much work for each.
+func fleetOf(instances int) Scenario {
+	sc := grownFleet()
+	grown := sc.Instances * len(sc.Queues)
+	sc.Instances = instances / len(sc.Queues)
+	sc.Length = 6 * time.Second
+	for i := range sc.Queues {
+		sc.Queues[i].PerSecond *= float64(instances) / float64(grown)
+	}
+	return sc
+}
+
+// BenchmarkFleetSize reports what the owner's decisions cost by the size of the fleet, the
+// stand-ins left out: an event, its reaction and its share of the timer included, and each
+// kind by itself.
+func BenchmarkFleetSize(b *testing.B) {
+	for _, instances := range []int{350, 1100, 3000, 13000} {
+		b.Run(strconv.Itoa(instances), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				r := Play(fleetOf(instances))
+				m := r.Meter
+				b.ReportMetric(float64(m.Total().Microseconds())/float64(m.Told()), "us/event")
+				for k, d := range m.Spent {
+					b.ReportMetric(float64(d.Nanoseconds())/float64(max(1, m.Events[k])), "ns/"+EventKind(k).String())
+				}
+				b.ReportMetric(r.Share(), "in-time")
+			}
+		})
+	}
+}
--- a/lab/jobload/fleet.go
+++ b/lab/jobload/fleet.go
@@ -151,7 +151,7 @@
 	term := s.term
 	if w == nil || w.dead {
 		s.engine.after(o.Wait+owner.OrderTimeout, func() {
-			s.tell(term, func(c *owner.Core) {
+			s.tell(HoldAnswered, term, func(c *owner.Core) {
 				c.OnHeld(o.Worker, owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered}}, s.engine.now)
 			})
 		})
@@ -174,7 +174,7 @@
 	}
 	w.hold = nil
 	if w.dead {
-		s.tell(h.term, func(c *owner.Core) {
+		s.tell(HoldAnswered, h.term, func(c *owner.Core) {
 			c.OnHeld(w.reg.Worker, owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered}}, s.engine.now)
 		})
 		return
@@ -186,7 +186,7 @@
 		held.Active = append(held.Active, owner.ActiveRun{Task: t, Run: e.run, Percent: percent})
 	}
 	s.engine.after(orderTime, func() {
-		s.tell(h.term, func(c *owner.Core) { c.OnHeld(w.reg.Worker, held, s.engine.now) })
+		s.tell(HoldAnswered, h.term, func(c *owner.Core) { c.OnHeld(w.reg.Worker, held, s.engine.now) })
 	})
 }
 
--- a/lab/jobload/jobs.go
+++ b/lab/jobload/jobs.go
@@ -78,7 +78,7 @@
 	if !s.storeAway() {
 		j.spec.AcceptedAt = s.engine.now
 		s.stored = append(s.stored, j)
-		s.tell(s.term, func(c *owner.Core) { c.Submit(j.spec, s.engine.now) })
+		s.tell(Submission, s.term, func(c *owner.Core) { c.Submit(j.spec, s.engine.now) })
 		return
 	}
 	if n+1 == len(tries) {
--- a/lab/jobload/play.go
+++ b/lab/jobload/play.go
@@ -62,6 +62,7 @@
 	away      time.Time // until when the store is away
 	commits   bool      // one is under way
 	waves     int
+	meter     Meter
 	electedAt time.Time
 	ordered   map[owner.InstanceID]time.Time // newest order for it
 	billed    bool                           // the arrivals are over
@@ -83,6 +84,7 @@
 		s.settle()
 	}
 	s.finish()
+	s.result.Meter = s.meter
 	return s.result
 }
 
@@ -131,10 +133,11 @@
 }
 
 // tell hands an event to the core if its term still goes on.
-func (s *sim) tell(term uint64, f func(*owner.Core)) {
-	if s.core != nil && s.term == term {
-		f(s.core)
+func (s *sim) tell(kind EventKind, term uint64, f func(*owner.Core)) {
+	if s.core == nil || s.term != term {
+		return
 	}
+	s.meter.measure(kind, func() { f(s.core) })
 }
 
 // elect begins a term. The new owner knows what the store holds.
@@ -174,19 +177,22 @@
 	if s.core == nil {
 		return
 	}
-	s.core.React(s.engine.now)
+	s.meter.measure(Reaction, func() { s.core.React(s.engine.now) })
 	e := s.core.Take()
+	if s.scenario.Ordered != nil {
+		s.scenario.Ordered(s.engine.now, e)
+	}
 	term := s.term
 	for _, o := range e.Starts {
 		s.engine.after(orderTime, func() {
 			a := s.start(o)
-			s.reply(a, term, func(c *owner.Core) { c.OnStarted(o, a, s.engine.now) })
+			s.reply(StartAnswered, a, term, func(c *owner.Core) { c.OnStarted(o, a, s.engine.now) })
 		})
 	}
 	for _, o := range e.Stops {
 		s.engine.after(orderTime, func() {
 			a := s.stop(o)
-			s.reply(a, term, func(c *owner.Core) { c.OnStopped(o, a, s.engine.now) })
+			s.reply(StopAnswered, a, term, func(c *owner.Core) { c.OnStopped(o, a, s.engine.now) })
 		})
 	}
 	for _, o := range e.Holds {
@@ -196,7 +202,7 @@
 		s.ordered[o.Instance] = s.engine.now
 		s.engine.after(storeTime+orderTime, func() {
 			outcome := s.order(o)
-			s.tell(term, func(c *owner.Core) { c.OnInstanceOrder(o, outcome, s.engine.now) })
+			s.tell(ListRead, term, func(c *owner.Core) { c.OnInstanceOrder(o, outcome, s.engine.now) })
 			s.listInstances()
 		})
 	}
@@ -204,12 +210,12 @@
 }
 
 // reply hands on a worker's answer; that there is none shows after a timeout.
-func (s *sim) reply(a owner.Answer, term uint64, f func(*owner.Core)) {
+func (s *sim) reply(kind EventKind, a owner.Answer, term uint64, f func(*owner.Core)) {
 	wait := time.Duration(0)
 	if a.Outcome == owner.Unanswered {
 		wait = owner.OrderTimeout
 	}
-	s.engine.after(wait, func() { s.tell(term, f) })
+	s.engine.after(wait, func() { s.tell(kind, term, f) })
 }
 
 // account sums up the lines on late jobs.
@@ -239,7 +245,7 @@
 		return
 	}
 	s.core.SetStoreLease(!s.storeAway(), s.engine.now)
-	s.core.Tick(s.engine.now)
+	s.meter.measure(Timer, func() { s.core.Tick(s.engine.now) })
 }
 
 func (s *sim) storeAway() bool { return s.engine.now.Before(s.away) }
@@ -249,14 +255,15 @@
 	if s.core == nil || s.commits || s.storeAway() {
 		return
 	}
-	records := s.core.Uncommitted(recordsPerCommit)
+	var records []owner.Record
+	s.meter.measure(Recorded, func() { records = s.core.Uncommitted(recordsPerCommit) })
 	if len(records) == 0 {
 		return
 	}
 	s.commits = true
 	term := s.term
 	s.engine.after(storeTime, func() {
-		s.tell(term, func(c *owner.Core) {
+		s.tell(Recorded, term, func(c *owner.Core) {
 			s.commits = false
 			for _, r := range records {
 				s.progress[r.Job.ID] = r.Progress
@@ -272,14 +279,14 @@
 func (s *sim) listInstances() {
 	if s.core != nil && !s.storeAway() {
 		inst, _ := s.list()
-		s.core.OnInstances(inst, s.engine.now)
+		s.meter.measure(ListRead, func() { s.core.OnInstances(inst, s.engine.now) })
 	}
 }
 
 func (s *sim) listWorkers() {
 	if s.core != nil && !s.storeAway() {
 		_, regs := s.list()
-		s.core.Register(regs, s.engine.now)
+		s.meter.measure(ListRead, func() { s.core.Register(regs, s.engine.now) })
 	}
 }
 
--- /dev/null
+++ b/lab/jobload/same_test.go
@@ -0,0 +1,73 @@
+package jobload
+
+import (
+	"fmt"
+	"hash/fnv"
+	"slices"
+	"testing"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+	"github.com/stretchr/testify/assert"
+
+	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// digest sums up all starts, stops and orders for instances of a play, with their times.
+// The order among those of one moment does not count.
+func digest(sc Scenario) (sum string, r Result) {
+	h := fnv.New64a()
+	sc.Ordered = func(at time.Time, e owner.Effects) {
+		var lines []string
+		for _, o := range e.Starts {
+			lines = append(lines, fmt.Sprintf("start %s %s", o.Task, o.Worker))
+		}
+		for _, o := range e.Stops {
+			lines = append(lines, fmt.Sprintf("stop %s %s", o.Task, o.Worker))
+		}
+		for _, o := range e.Instances {
+			lines = append(lines, fmt.Sprintf("order %s %s %d", o.Instance, o.Pool, o.Wave))
+		}
+		slices.Sort(lines)
+		for _, l := range lines {
+			fmt.Fprintln(h, at.UnixNano(), l)
+		}
+	}
+	r = Play(sc)
+	return fmt.Sprintf("%016x starts %d moves %d in time %d", h.Sum64(), r.Starts, r.Moves, r.InTime), r
+}
+
+// crowded is a fleet that has less room than its work needs, with tasks of many sizes.
+func crowded(seed uint64) Scenario {
+	sc := Scenario{Seed: seed, Length: 12 * time.Second, Instances: 12, Spare: 4, Room: job.Resources{CPUMilli: 16000, MemMB: 32768}}
+	for i, q := range []Queue{
+		{Name: "a", PerSecond: 14, Kind: Kind{Steps: 1.6, Width: 8, CPUMilli: 2300, MemMB: 5000, Task: 800 * time.Millisecond, EstOff: 0.5}},
+		{Name: "b", PerSecond: 6, Kind: Kind{Steps: 2, Width: 8, CPUMilli: 3900, MemMB: 2000, Task: 1700 * time.Millisecond, EstOff: 0.9}, Priority: 1},
+	} {
+		q.Shape = Turns(i, 2, 4*time.Second, 1.7, 0.3)
+		sc.Queues = append(sc.Queues, q)
+	}
+	return sc
+}
+
+// TestSameDecisions: the owner decides the same at the same moments as when these sums
+// were recorded. A change that is meant to decide otherwise records them anew with
+// -update; one that is meant to decide faster does not.
+func TestSameDecisions(t *testing.T) {
+	var out string
+	for seed := range uint64(3) {
+		calm, harmed, late := byTurns(seed+1), byTurns(seed+10), crowded(seed+20)
+		harmed.Troubles = []Trouble{
+			{At: 2 * time.Second, For: 26 * time.Second, What: Wave, Some: 6},
+			{At: secondTurn, What: OwnerKilled},
+			{At: thirdTurn, What: RackLost, Some: 4},
+		}
+		for _, sc := range []Scenario{calm, harmed, late} {
+			sum, r := digest(sc)
+			assert.Zero(t, r.Open, "every accepted job is done")
+			out += sum + "\n"
+		}
+	}
+	goldie.New(t).Assert(t, "same-decisions", []byte(out))
+}
--- a/lab/jobload/scenario.go
+++ b/lab/jobload/scenario.go
@@ -23,6 +23,8 @@
 
 	// Observe is told each decision of an owner; it may be nil.
 	Observe func(at time.Time, d owner.Decision)
+	// Ordered is told what an owner wants done after each event; it may be nil.
+	Ordered func(at time.Time, e owner.Effects)
 }
 
 // Queue is a kind of jobs and when they come.
@@ -111,6 +113,7 @@
 	LateBySecond    map[int]int    // by when they were submitted
 	JobsBySecond    map[int]int    // likewise
 	LateByQueue     map[string]int // late, refused or open
+	Meter           Meter          // real time that the owner's decisions took
 }
 
 // Share returns the share of jobs that were in time.
