--- a/jobs/job/job.go
+++ b/jobs/job/job.go
@@ -115,24 +115,31 @@
 
 // String returns the task's name, JOB.OCCURRENCE.STEP.INDEX.
 func (t TaskID) String() string {
-	return fmt.Sprintf("%s.%d.%d.%d", t.Job, t.Occurrence, t.Step, t.Index)
+	b := make([]byte, 0, idLength+len(".0.0.00")+8)
+	b = append(b, t.Job...)
+	for _, n := range [...]int{t.Occurrence, t.Step, t.Index} {
+		b = strconv.AppendInt(append(b, '.'), int64(n), 10)
+	}
+	return string(b)
 }
 
 // ParseTaskID is the inverse of String.
 func ParseTaskID(s string) (TaskID, error) {
-	parts := strings.Split(s, ".")
-	if len(parts) != 4 {
-		return TaskID{}, fmt.Errorf("task name %q has %d parts, want 4", s, len(parts))
+	if dots := strings.Count(s, "."); dots != 3 {
+		return TaskID{}, fmt.Errorf("task name %q has %d parts, want 4", s, dots+1)
 	}
+	id, rest, _ := strings.Cut(s, ".")
 	var n [3]int
 	for i := range n {
-		v, err := strconv.Atoi(parts[i+1])
+		var part string
+		part, rest, _ = strings.Cut(rest, ".")
+		v, err := strconv.Atoi(part)
 		if err != nil {
 			return TaskID{}, fmt.Errorf("task name %q: %w", s, err)
 		}
 		n[i] = v
 	}
-	return TaskID{ID(parts[0]), n[0], n[1], n[2]}, nil
+	return TaskID{ID(id), n[0], n[1], n[2]}, nil
 }
 
 // State is a job's state as its caller sees it.
--- a/jobs/owner/pace.go
+++ b/jobs/owner/pace.go
@@ -88,7 +88,7 @@
 		c.fence(w)
 		return
 	}
-	if r := w.runs[o.Task]; r != nil && r.number == o.Run && a.Outcome == Unanswered {
+	if r := w.runs[o.Task]; r != nil && r.number == o.Run && (a.Outcome == Unanswered || a.Outcome == NotSent) {
 		r.throttle = unknownThrottle
 	}
 }
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -211,6 +211,9 @@
 	case OtherBoot:
 		c.lifeOver(w, "another life answers at its address", now)
 		return
+	case NotSent:
+		c.holdAt(w, now.Add(holdRetry)) // which says nothing of the worker
+		return
 	default:
 		if w.silentSince.IsZero() {
 			w.silentSince = now
