Workers' registrations by their changes, the instance list by what the link bears

Cause: the owner read all registrations 2.5 to 10 times a second and the instance list up to 6.6 times. Ruled out: stale reads of the store, which cost no rate but the same bytes. Waves are looked at in proportion to their size, and for a next instance only if one may go. Transactions follow each other at once while two of them wait. Conclusion: what the owner reads follows the changes, not the fleet.

--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -166,7 +166,7 @@
 // gone.
 func (n *Node) followFrom(ctx context.Context, prefix string, every time.Duration, revision int64, apply func(ledger.Event)) {
 	for ctx.Err() == nil {
-		ch, err := n.watchOnce(ctx, prefix, revision)
+		ch, err := n.watchFor(ctx, prefix, revision, watchWait)
 		if verdict.CodeOf(err) == ledger.CodeCompacted {
 			n.log.Warn("history-gone", zap.String("prefix", prefix), zap.Int64("after", revision))
 			return
@@ -185,12 +185,6 @@
 	}
 }
 
-func (n *Node) watchOnce(ctx context.Context, prefix string, after int64) (ledger.Changes, error) {
-	ctx, cancel := context.WithTimeout(ctx, watchWait+watchReserve)
-	defer cancel()
-	return n.store.Watch(ctx, prefix, after, watchWait)
-}
-
 // watchOperators follows the configuration and the waves.
 func (n *Node) watchOperators(ctx context.Context) {
 	n.follow(ctx, n.platform.Dialect.OperatorKeys, 0, func() {}, func(e ledger.Event) {
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -9,6 +9,7 @@
 	"strconv"
 	"time"
 
+	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/policy"
 )
 
@@ -26,6 +27,7 @@
 	AdvisorAddr string  // "" if no queue needs advice
 	MemoryMB    int     // limit of the process
 	Cores       float64 // share of the processor that the process has
+	LinkMbps    float64 // of the daemon's network link; 0: not known
 
 	MaxTaskLease  time.Duration // longest lease that workers give
 	StopGrace     time.Duration // between SIGTERM and SIGKILL
@@ -101,27 +103,28 @@
 	overloadedAfter = 3 * time.Second
 	// membersEvery is how often the list of live daemons is read, stale.
 	membersEvery = 2 * time.Second
-	// registrationsEvery is how often the owner reads the workers' entries. It
-	// is a fifth of the time in which a draining worker must be left alone.
-	registrationsEvery = 400 * time.Millisecond
-	// expectingEvery is registrationsEvery while instances are on their way to a
-	// pool: each read costs a thirtieth of a second of an instance.
-	expectingEvery = 100 * time.Millisecond
-	// pausePerEntry is the least pause between two such readings for each entry
-	// that they return: one takes about 15 µs to decode, and reading shall cost
-	// 1.5% of a core at most.
-	pausePerEntry = time.Millisecond
 	// instancesEvery is how often the owner reads the instance list, and
 	// instancesLeast the least time between two readings: a tenth of the time
 	// that a move takes.
 	instancesEvery = 700 * time.Millisecond
 	instancesLeast = 150 * time.Millisecond
+	// instancesLinkShare is how much of the daemon's link readings of the list may take:
+	// at 2 Mbit/s one of 132 instances takes a tenth of a second. bytesPerInstance is an
+	// entry's length in the list.
+	instancesLinkShare = 0.1
+	bytesPerInstance   = 200
+	// instancesMost keeps the list young enough for orders for instances.
+	instancesMost = 2 * time.Second
 	// tickEvery is the resolution of the owner's timers.
 	tickEvery = 25 * time.Millisecond
 	// commitEvery is the least time between two transactions of the owner. It
 	// trades the store's price of a call against when a job is shown as completed:
 	// 15 ms cost 1,000 calls more on a quiet day, 80 ms save 400 more.
 	commitEvery = 40 * time.Millisecond
+	// commitBacklog is how many jobs may wait to be written before transactions follow
+	// each other without a pause: two transactions' worth. At 300 jobs a second callers
+	// would hear of an end, and workers forget it, later and later.
+	commitBacklog = 2 * ledger.MaxEntries
 	// jobsEvery is the least time between two readings of new submissions by the
 	// owner. Daemons tell it of them at once; the store is the second way.
 	jobsEvery = 200 * time.Millisecond
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -40,7 +40,6 @@
 
 	relist chan struct{} // holds one token while a reading of the instance list is wanted
 
-	expecting  atomic.Bool // workers are about to register
 	idle       atomic.Bool // no job is open
 	overloaded atomic.Bool // it cannot keep up
 	committing bool
@@ -92,7 +91,7 @@
 	t.startWaves(snap)
 	t.core.Configure(n.catalog.Load())
 	go t.followJobs(snap.Revision)
-	go t.pollRegistrations()
+	go t.followRegistrations()
 	go t.pollInstances()
 	t.loop()
 	n.log.Info("no-longer-owner", zap.Uint64("term", term.Number))
--- a/jobs/node/termsources.go
+++ b/jobs/node/termsources.go
@@ -44,62 +44,34 @@
 	}
 }
 
-func (t *termRun) pollRegistrations() {
-	for t.ctx.Err() == nil {
-		items, _, err := t.n.readAll(t.ctx, t.n.platform.Dialect.WorkerPrefix)
-		if err == nil {
-			list := t.decodeRegistrations(items)
-			t.do(func(c *owner.Core, now time.Time) {
-				c.Register(list, now)
-				t.expecting.Store(c.Expecting())
-			})
-		}
-		if !sleep.For(t.ctx, t.registrationsPause(len(items))) {
-			return
-		}
-	}
-}
-
-// registrationsPause returns the time until the next reading of the workers'
-// entries. While workers are expected it is short, but bounded by what reading a
-// large fleet costs.
-func (t *termRun) registrationsPause(entries int) time.Duration {
-	if !t.expecting.Load() {
-		return registrationsEvery
-	}
-	return min(registrationsEvery, max(expectingEvery, time.Duration(entries)*pausePerEntry))
-}
-
-func (t *termRun) decodeRegistrations(items []ledger.Item) []owner.Registration {
-	var list []owner.Registration
-	for _, i := range items {
-		r, err := t.n.platform.Dialect.DecodeWorker(i.Key, i.Value)
-		if err != nil {
-			t.n.log.Error("registration-unreadable", zap.Error(err))
-			continue
-		}
-		list = append(list, r)
-	}
-	return list
-}
-
 // pollInstances reads the instance list from time to time, and soon after an
 // order for an instance was accepted: the list shows whose life is over. Orders
 // that are accepted meanwhile share a reading.
 func (t *termRun) pollInstances() {
 	for t.ctx.Err() == nil {
-		t.listInstances()
-		if !sleep.For(t.ctx, instancesLeast) {
+		pause := t.instancesPause(t.listInstances())
+		if !sleep.For(t.ctx, pause) {
 			return
 		}
 		select {
 		case <-t.ctx.Done():
 		case <-t.relist:
-		case <-time.After(instancesEvery - instancesLeast):
+		case <-time.After(max(0, instancesEvery-pause)):
 		}
 	}
 }
 
+// instancesPause returns the least time until the next reading of a list of so many
+// instances, so that the list takes no more than its share of this daemon's link.
+func (t *termRun) instancesPause(instances int) time.Duration {
+	if t.n.set.LinkMbps <= 0 {
+		return instancesLeast
+	}
+	megabits := float64(instances*bytesPerInstance) * 8 / 1e6
+	pause := time.Duration(megabits / (t.n.set.LinkMbps * instancesLinkShare) * float64(time.Second))
+	return min(instancesMost, max(instancesLeast, pause))
+}
+
 // wantInstances asks for a reading of the instance list that begins after now.
 func (t *termRun) wantInstances() {
 	select {
@@ -108,7 +80,8 @@
 	}
 }
 
-func (t *termRun) listInstances() {
+// listInstances reads the instance list, and returns how many there are, 0 if that failed.
+func (t *termRun) listInstances() int {
 	ctx, cancel := context.WithTimeout(t.ctx, instanceOrderTimeout)
 	defer cancel()
 	list, err := t.n.platform.Manager.Instances(ctx)
@@ -116,7 +89,8 @@
 		if t.ctx.Err() == nil {
 			t.n.log.Warn("instance-list-failed", zap.Error(err))
 		}
-		return
+		return 0
 	}
 	t.do(func(c *owner.Core, now time.Time) { c.OnInstances(list, now) })
+	return len(list)
 }
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -260,7 +260,8 @@
 	moves     map[InstanceID]*moveState
 	misfits   map[misfit]bool
 	nextSize  time.Time
-	questions int // to the advisor, without an answer so far
+	nextWave  time.Time // when the waves are looked at next
+	questions int       // to the advisor, without an answer so far
 	dirty     map[job.ID]*jobState
 	toWrite   writeQueue      // the jobs of dirty, in the order in which they are written
 	lastTurn  uint64          // newest place in it
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -32,6 +32,11 @@
 	// drainPatience is how long a wave waits for the tasks on an instance to
 	// end by themselves: most are shorter, and the rest is stopped.
 	drainPatience = 2500 * time.Millisecond
+	// wavePerInstance is the pause between two looks at the waves for each instance of
+	// them. A look takes 0.4 µs for each, so that it is half a hundredth of a core;
+	// waveMostPause is a tenth of what the shortest step of a wave takes.
+	wavePerInstance = 80 * time.Microsecond
+	waveMostPause   = 100 * time.Millisecond
 	// orderRetry is the pause before an order for an instance is sent again.
 	orderRetry = 500 * time.Millisecond
 	// DutyLeaseAge is how long ago the lease in the store may have been renewed for
@@ -97,10 +102,16 @@
 
 // maintain advances the waves.
 func (c *Core) maintain(now time.Time) {
+	if now.Before(c.nextWave) {
+		return
+	}
+	open := 0 // instances of waves that go on
+	defer func() { c.nextWave = now.Add(min(waveMostPause, time.Duration(open)*wavePerInstance)) }()
 	for _, ws := range c.sortedWaves() {
 		if ws.completed {
 			continue
 		}
+		open += len(ws.Instances)
 		if !ws.announced {
 			ws.announced = true
 			c.out.Waves = append(c.out.Waves, WaveStatus{Wave: ws.Wave})
@@ -223,6 +234,9 @@
 		c.thin(cand.w, now)
 	}
 	free := ws.MaxDown - len(ws.down) - len(c.reservedFor(ws))
+	if free <= 0 {
+		return
+	}
 	for _, cand := range c.nextForWave(ws, now) {
 		if free <= 0 {
 			return
