An owner whose answers take long does not take workers for gone

Ruled out: a lower share of silent workers (maxSilentShare): cuts and lost racks strike up to a quarter, and would go unnoticed. Change: the mean time of answers to starts; above 150 ms the owner counts as short of what it needs to hear, as it does when most workers seem silent, for 20 s at most.

--- a/jobs/owner/overload.go
+++ b/jobs/owner/overload.go
@@ -17,6 +17,11 @@
 	// 100. maxSilent of them may, being a small rack.
 	maxSilentShare = 0.5
 	maxSilent      = 4
+	// slowAnswer is the mean time of answers from which on the owner's own way to the
+	// workers is full: orders take 4 ms, and are given up after OrderTimeout. answersKept
+	// is the share that each answer leaves of the mean: the last twenty or so count.
+	slowAnswer  = 150 * time.Millisecond
+	answersKept = 0.95
 	// overloadedFor is how long most workers may stay silent before they count as cut off
 	// after all: four leases, in which an owner that can be relieved has been.
 	overloadedFor = 20 * time.Second
@@ -60,6 +65,26 @@
 	}
 }
 
+// judgeAnswer tells by how long answers take whether the owner's link is full. Workers
+// that seem silent meanwhile may have answered; it holds on to what runs there as long as
+// judgeSilence does.
+func (c *Core) judgeAnswer(took time.Duration, now time.Time) {
+	if took == 0 {
+		return
+	}
+	c.answerTime = time.Duration(answersKept*float64(c.answerTime) + (1-answersKept)*float64(took))
+	if c.answerTime < slowAnswer {
+		c.slowSince = time.Time{}
+		return
+	}
+	if c.slowSince.IsZero() {
+		c.slowSince = now
+	}
+	if now.Sub(c.slowSince) <= overloadedFor && c.dutyLost.IsZero() {
+		c.starved("owner-link-full", "answers take "+c.answerTime.Round(time.Millisecond).String(), now)
+	}
+}
+
 // starved takes note that the owner is short of processor time. The leases of workers
 // that seem silent are renewed all the same for a while: their answers may wait to be
 // read, and a lease that is left to end stops their tasks.
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -287,8 +287,11 @@
 
 	touchedWorkers []*worker // that have to be indexed anew
 
-	starvedSince    time.Time // when the newest time began in which timeouts say nothing
-	starvedUntil    time.Time // and its end
+	starvedSince time.Time     // when the newest time began in which timeouts say nothing
+	starvedUntil time.Time     // and its end
+	answerTime   time.Duration // mean of the newest answers
+	slowSince    time.Time     // since when it is too long; zero: it is not
+
 	mostSilentSince time.Time // since when most workers seem silent; zero: they do not
 
 	dutyLost time.Time            // zero: the store's lease is held
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -182,6 +182,7 @@
 	w.lease.heard(a.Clock, now)
 	w.heardAt = now
 	w.suspect = false
+	c.judgeAnswer(a.Took, now)
 }
 
 // unheard takes note of an order, sent at sent, that went unanswered.
