The owner orders what it can send, long-running tasks of all services first

Ruled out: classes of urgency in the line of calls: what is decided late is decided on what is known by then, and nothing has to be taken back out of the line. Change: at most four starts for each slot of the line are without an answer; a service whose tasks could start but for that is placed again once half of them are answered. Placement goes over the long-running jobs of all services before the others.

--- a/jobs/node/fanout.go
+++ b/jobs/node/fanout.go
@@ -16,6 +16,10 @@
 	othersPerCore = 20
 	// leastSlots lets a daemon with hardly any processor go on.
 	leastSlots = 4
+	// startsInLine is how many starts are ordered for each slot: those under way, and what
+	// keeps the slots busy until the next are decided. More would wait for over a tenth of a
+	// second for their turn, in an order that was decided so long ago.
+	startsInLine = 4
 	// slotTime is when a call that has no answer yet gives its slot to the next one: it
 	// waits for the worker and needs no processor. A worker answers in 4 ms.
 	slotTime = 50 * time.Millisecond
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -78,8 +78,9 @@
 		Term:      term.Number,
 		TaskLease: min(taskLease, n.set.MaxTaskLease), HoldWait: holdWait,
 		DutyHandover: n.set.DutyHandover, OrderedBefore: n.ofOthers(term.OrderedBefore), ElectedAt: began, Successor: term.Successor,
-		KeepStatus: n.set.KeepStatus,
-		Weights:    n.set.Policy.Pools.Weights(), Pools: n.set.Policy.Pools.Size, Order: n.set.Policy.Jobs.Order,
+		KeepStatus:   n.set.KeepStatus,
+		StartsAtOnce: startsInLine * cap(t.starts.slots),
+		Weights:      n.set.Policy.Pools.Weights(), Pools: n.set.Policy.Pools.Size, Order: n.set.Policy.Jobs.Order,
 	}, n.catalog.Load(), snap.Jobs, time.Now())
 	n.log.Info("jobs-loaded", zap.Int("jobs", len(snap.Jobs)), zap.Int64("revision", snap.Revision), zap.Duration("took", time.Since(began)))
 	n.term.Store(t)
--- a/jobs/owner/copies.go
+++ b/jobs/owner/copies.go
@@ -58,6 +58,9 @@
 		if t.wantsCopy(p.now) != need {
 			continue
 		}
+		if p.holdBack() {
+			return
+		}
 		if choice == nil {
 			choice = p.choiceFor(s)
 		}
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -17,6 +17,7 @@
 func (c *Core) sendStart(r *run, now time.Time) {
 	r.sentAt = now
 	r.tries++
+	c.unanswered++
 	c.out.Starts = append(c.out.Starts, Start{
 		Target:     c.target(r.worker),
 		Task:       r.task.id(),
@@ -30,6 +31,7 @@
 
 // OnStarted takes a worker's answer to a start.
 func (c *Core) OnStarted(o Start, a Answer, now time.Time) {
+	c.unanswered--
 	w := c.workers[o.Worker]
 	if w == nil {
 		return
--- a/jobs/owner/placing.go
+++ b/jobs/owner/placing.go
@@ -14,12 +14,59 @@
 	service string
 	pool    *poolState
 	now     time.Time
+	claims  []claim // in the order in which they get room
 	full    placement.Full
 
+	placed  int        // claims that are placed
 	view    *roomView  // all usable workers; nil: they were not needed so far
 	counted *stepState // the step of which view has the counts
 }
 
+// placeLasting places long-running tasks, which come first in the order.
+func (p *placing) placeLasting() {
+	n := 0
+	for n < len(p.claims) && p.claims[n].band == bandLasting {
+		n++
+	}
+	p.place(p.claims[:n])
+	p.placed = n
+}
+
+// placeOthers places all that placeLasting left.
+func (p *placing) placeOthers() {
+	p.place(p.claims[p.placed:])
+	if p.pool.waiting == 0 && !p.heldBack() {
+		p.placeLateCopies(p.claims)
+	}
+	p.pool.settle(p.now)
+}
+
+func (p *placing) place(claims []claim) {
+	for _, cl := range claims {
+		for _, s := range cl.job.steps {
+			if s.ready() {
+				p.placeStep(s)
+			}
+			if p.heldBack() {
+				return
+			}
+		}
+	}
+}
+
+// heldBack reports whether no more starts are ordered until answers have come.
+func (p *placing) heldBack() bool { return p.core.heldBack[p.service] }
+
+// holdBack reports whether no further start may be ordered, and takes note of it.
+func (p *placing) holdBack() bool {
+	if p.core.mayOrderStart() {
+		return false
+	}
+	p.core.heldBack[p.service] = true
+	p.core.changed[p.service] = true
+	return true
+}
+
 // room returns all usable workers, with what runs there of the step.
 func (p *placing) room(s *stepState) *roomView {
 	if p.view == nil {
@@ -74,6 +121,9 @@
 		if !t.waits(p.now) {
 			continue
 		}
+		if p.holdBack() {
+			return
+		}
 		if choice == nil {
 			choice = p.choiceFor(s)
 		}
@@ -152,6 +202,9 @@
 			return
 		}
 	}
+	if p.holdBack() {
+		return
+	}
 	req := requestOf(s)
 	room := p.room(s)
 	chosen := placement.ChooseGang(room.views, req, len(s.tasks), s.spec.SameRack)
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -88,40 +88,48 @@
 		return
 	}
 	c.refresh(now)
+	var due []*placing
 	for service := range c.changed {
 		pool := c.pool(service)
-		if pool.placedLately(now) {
+		if pool.placedLately(now) || c.heldBack[service] && !c.lineIsShort() {
 			continue
 		}
 		delete(c.changed, service)
-		c.scheduleService(service, pool, now)
+		delete(c.heldBack, service)
+		due = append(due, c.newPlacing(service, pool, now))
+	}
+	for _, p := range due {
+		p.placeLasting()
+	}
+	for _, p := range due {
+		p.placeOthers()
 	}
 }
 
+// mayOrderStart reports whether another start may be ordered. What is ordered waits for
+// its turn behind what was ordered before, whatever is more urgent meanwhile.
+func (c *Core) mayOrderStart() bool {
+	return c.opt.StartsAtOnce == 0 || c.unanswered < c.opt.StartsAtOnce
+}
+
+// lineIsShort reports whether it is worth while to look again at services that were held
+// back: for each start alone a look would cost more than the start.
+func (c *Core) lineIsShort() bool { return c.unanswered <= c.opt.StartsAtOnce/2 }
+
 // placedLately reports whether the service had its turn a moment ago, and tasks
 // were left without room.
 func (p *poolState) placedLately(now time.Time) bool {
 	return p.waiting > 0 && now.Sub(p.placedAt) < scheduleEvery+time.Duration(p.jobs)*schedulePerJob
 }
 
-func (c *Core) scheduleService(service string, pool *poolState, now time.Time) {
+// newPlacing returns a placement of the service's waiting tasks that has not begun.
+func (c *Core) newPlacing(service string, pool *poolState, now time.Time) *placing {
 	claims := c.claimsOf(service, pool, now)
 	pool.waiting, pool.late = 0, 0
 	pool.placedAt = now
 	pool.jobs = len(claims)
-	defer pool.settle(now)
 	slices.SortFunc(claims, func(a, b claim) int { return a.compare(b, c.opt.Order) })
-	p := &placing{core: c, service: service, pool: pool, now: now}
-	for _, cl := range claims {
-		for _, s := range cl.job.steps {
-			if s.ready() {
-				p.placeStep(s)
-			}
-		}
-	}
-	if pool.waiting == 0 {
-		p.placeLateCopies(claims)
-	}
+	return &placing{core: c, service: service, pool: pool, now: now, claims: claims}
 }
 
 // wants puts the job among those of its service that may have tasks to place.
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -299,6 +299,9 @@
 	early    map[job.ID]time.Time // cancellations of jobs that are not known yet
 	events   []Decision
 	counts   Counts
+
+	unanswered int             // starts without an outcome so far
+	heldBack   map[string]bool // services with tasks that could start, but for these
 }
 
 // Counts are totals since the start of the term.
@@ -376,6 +379,7 @@
 		settled:   map[string]bool{},
 		awaited:   map[string]awaited{},
 		awaitedOf: map[string]InstanceID{},
+		heldBack:  map[string]bool{},
 		leaveTo:   map[InstanceID]time.Time{},
 		startedAt: now,
 		electedAt: now,
