--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -21,6 +21,7 @@
 	ElectedAt     time.Time
 	Successor     bool
 	KeepStatus    time.Duration // how long ended jobs are kept
+	StartsAtOnce  int           // starts that may be without an answer at the same time; 0: any number
 	Weights       capacity.Weights
 	Pools         capacity.Policy
 	Order         OrderPolicy
@@ -287,14 +288,20 @@
 
 	touchedWorkers []*worker // that have to be indexed anew
 
-	starvedSince    time.Time // when the newest time began in which timeouts say nothing
-	starvedUntil    time.Time // and its end
+	starvedSince time.Time     // when the newest time began in which timeouts say nothing
+	starvedUntil time.Time     // and its end
+	answerTime   time.Duration // mean of the newest answers
+	slowSince    time.Time     // since when it is too long; zero: it is not
+
 	mostSilentSince time.Time // since when most workers seem silent; zero: they do not
 
 	dutyLost time.Time            // zero: the store's lease is held
 	early    map[job.ID]time.Time // cancellations of jobs that are not known yet
 	events   []Decision
 	counts   Counts
+
+	unanswered int             // starts without an outcome so far
+	heldBack   map[string]bool // services with tasks that could start, but for these
 }
 
 // Counts are totals since the start of the term.
@@ -372,6 +379,7 @@
 		settled:   map[string]bool{},
 		awaited:   map[string]awaited{},
 		awaitedOf: map[string]InstanceID{},
+		heldBack:  map[string]bool{},
 		leaveTo:   map[InstanceID]time.Time{},
 		startedAt: now,
 		electedAt: now,
