What the owner could only do late is refused at once

Nobody but the owner knows how long new work waits. Ruled out: refusing by the number of open jobs; refusing while a pool lacks room, which it has a second and a half later. Change: the owner tells with each job that it is told of how long a task that becomes ready waits until it gets to it: what is held back by the line of starts and would still be in time, by the rate of answers. A daemon refuses a job that has less time to spare than that, unless it is long-running or timed, or in the store already; Retry-After is by how much it would be late. Where the owner keeps up nothing is refused.

--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -6,7 +6,9 @@
 	"context"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
+	"math"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -76,8 +78,17 @@
 type reply struct {
 	status  int
 	body    any
-	problem string // why a request was refused
-	retry   bool
+	problem string        // why a request was refused
+	retry   time.Duration // when to come back; 0: it is not said
+}
+
+// Overloaded says that a job was refused because it could not be done in time, and after
+// which time it could.
+type Overloaded struct{ After time.Duration }
+
+// Error implements error.
+func (e *Overloaded) Error() string {
+	return fmt.Sprintf("it would be late by %s", e.After.Round(time.Millisecond))
 }
 
 type stateBody struct {
@@ -119,7 +130,7 @@
 func (g *Gateway) route(ctx context.Context, r *http.Request) (reply, string) {
 	catalog := g.jobs.Catalog()
 	if catalog == nil {
-		return reply{status: http.StatusServiceUnavailable, problem: "no configuration yet", retry: true}, ""
+		return reply{status: http.StatusServiceUnavailable, problem: "no configuration yet", retry: retryAfter}, ""
 	}
 	queue, rest := catalog.Match(r.Host, r.URL.Path)
 	if queue == nil {
@@ -205,9 +216,18 @@
 // request has not run, 504 that it may have.
 func refusal(err error) reply {
 	if verdict.Of(err) == verdict.NotRun {
-		return reply{status: http.StatusServiceUnavailable, problem: err.Error(), retry: true}
+		return reply{status: http.StatusServiceUnavailable, problem: err.Error(), retry: retryOf(err)}
+	}
+	return reply{status: http.StatusGatewayTimeout, problem: err.Error(), retry: retryAfter}
+}
+
+// retryOf returns when a caller should come back whose request has not run.
+func retryOf(err error) time.Duration {
+	var overloaded *Overloaded
+	if errors.As(err, &overloaded) {
+		return max(retryAfter, overloaded.After)
 	}
-	return reply{status: http.StatusGatewayTimeout, problem: err.Error(), retry: true}
+	return retryAfter
 }
 
 func (g *Gateway) write(w http.ResponseWriter, rep reply) {
@@ -216,8 +236,8 @@
 	if g.stopping.Load() {
 		h.Set("Connection", "close")
 	}
-	if rep.retry {
-		h.Set("Retry-After", strconv.Itoa(int(retryAfter.Seconds())))
+	if rep.retry > 0 {
+		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(rep.retry.Seconds()))))
 	}
 	body := rep.body
 	if rep.problem != "" {
--- a/jobs/gateway/gateway_test.go
+++ b/jobs/gateway/gateway_test.go
@@ -128,3 +128,24 @@
 	assert.Equal(t, http.StatusOK, w.Code)
 	assert.Equal(t, "close", w.Header().Get("Connection"))
 }
+
+// TestWhenToComeBack: a caller whose job would be late is told when it would not be, in
+// whole seconds as HTTP has it.
+func TestWhenToComeBack(t *testing.T) {
+	for _, c := range []struct {
+		err  error
+		want string
+	}{
+		{notRun, "1"},
+		{mayHave, "1"},
+		{verdict.Wrap(&Overloaded{After: 2300 * time.Millisecond}, verdict.NotRun, "overloaded", "job"), "3"},
+		{verdict.Wrap(&Overloaded{After: time.Millisecond}, verdict.NotRun, "overloaded", "job"), "1"},
+	} {
+		g := New(&fakeJobs{catalog: catalog(), err: c.err}, decode, noObserver{}, zap.NewNop())
+		r := httptest.NewRequest(http.MethodPost, "http://h.example/a/"+id, strings.NewReader("good"))
+		w := httptest.NewRecorder()
+		g.ServeHTTP(w, r)
+		assert.Equal(t, c.want, w.Header().Get("Retry-After"), "%v", c.err)
+		assert.Equal(t, verdict.Of(c.err).String(), w.Header().Get(verdict.Header))
+	}
+}
--- a/jobs/ledger/accept.go
+++ b/jobs/ledger/accept.go
@@ -180,10 +180,16 @@
 	}
 }
 
+// Known reports whether the job is in the store: accepted, or ended a while ago.
+func Known(ctx context.Context, s Store, id job.ID) (bool, error) {
+	_, known, err := s.Get(ctx, prefixSubmitted+string(id), false)
+	return known, err
+}
+
 // Cancel records a caller's wish to cancel a job. known is false if there is
 // no such job.
 func Cancel(ctx context.Context, s Store, id job.ID) (known bool, err error) {
-	_, known, err = s.Get(ctx, prefixSubmitted+string(id), false)
+	known, err = Known(ctx, s, id)
 	if err != nil || !known {
 		return known, err
 	}
--- a/jobs/node/handler.go
+++ b/jobs/node/handler.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/peer"
@@ -31,10 +32,13 @@
 
 // Submitted implements peer.Handler. A daemon whose lease may have ended takes no
 // new jobs: another one may be the owner, and start them too.
-func (h peerHandler) Submitted(r peer.SubmitRequest) {
-	if t := h.n.term.Load(); t != nil && t.leaseHeld() {
-		t.submitted(&r.Job)
+func (h peerHandler) Submitted(r peer.SubmitRequest) peer.SubmitReply {
+	t := h.n.term.Load()
+	if t == nil || !t.leaseHeld() {
+		return peer.SubmitReply{}
 	}
+	t.submitted(&r.Job)
+	return peer.SubmitReply{Wait: time.Duration(t.lineWait.Load())}
 }
 
 // Relay implements peer.Handler. It goes the direct way only, so that calls do
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -40,7 +40,7 @@
 	State(ctx context.Context, addr string, id job.ID) (peer.StateReply, error)
 	Pending(ctx context.Context, addr, queue string) (peer.PendingReply, error)
 	Cancelled(ctx context.Context, addr string, id job.ID) error
-	Submitted(ctx context.Context, addr string, j *job.Job) error
+	Submitted(ctx context.Context, addr string, j *job.Job) (peer.SubmitReply, error)
 	// AwaitEnd returns when a connection to a daemon has ended.
 	AwaitEnd(ctx context.Context, addr string) error
 	// Look tells whether a process listens there, and LookBy what another daemon says.
@@ -74,6 +74,7 @@
 	term      atomic.Pointer[termRun]     // nil: this daemon is not the owner
 	members   atomic.Pointer[[]ledger.Member]
 	chance    *chance
+	admission admission
 	lastRelay atomic.Pointer[string] // address of the peer asked last
 	badRelays sync.Map               // address of a peer to until when it is not asked for the store
 	lease     atomic.Int64           // ledger.LeaseID; 0: none
@@ -243,10 +244,19 @@
 
 // Accept implements gateway.Jobs.
 func (n *Node) Accept(ctx context.Context, j *job.Job) error {
+	if err := n.refuse(ctx, j); err != nil {
+		return err
+	}
 	if err := n.accept.Accept(ctx, j); err != nil {
 		return err
 	}
-	go n.tellOwner(j.ID, func(ctx context.Context, addr string) error { return n.peers.Submitted(ctx, addr, j) })
+	go n.tellOwner(j.ID, func(ctx context.Context, addr string) error {
+		out, err := n.peers.Submitted(ctx, addr, j)
+		if err == nil {
+			n.admission.learn(out.Wait, time.Now())
+		}
+		return err
+	})
 	return nil
 }
 
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -40,8 +40,9 @@
 
 	relist chan struct{} // holds one token while a reading of the instance list is wanted
 
-	idle       atomic.Bool // no job is open
-	overloaded atomic.Bool // it cannot keep up
+	idle       atomic.Bool  // no job is open
+	overloaded atomic.Bool  // it cannot keep up
+	lineWait   atomic.Int64 // ns until it gets to a task that becomes ready now
 	committing bool
 	lastCommit time.Time
 	lastReport time.Time
@@ -202,6 +203,7 @@
 	t.lastReport = now
 	stats := t.core.Stats(now)
 	t.idle.Store(stats.OpenJobs == 0 && stats.Unrecorded == 0)
+	t.lineWait.Store(int64(t.core.LineWait(now)))
 	t.overloaded.Store(t.core.StarvedFor(now) > overloadedAfter)
 	t.n.metrics.owner(stats)
 }
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -118,6 +118,12 @@
 	c.wants(j)
 }
 
+// Chain returns the longest chain of the job's steps by their estimates.
+func Chain(spec *job.Job) time.Duration {
+	chain, _ := chainAndWork(spec)
+	return chain
+}
+
 // chainAndWork returns the longest chain of steps by the estimates, and the
 // core-seconds of one occurrence.
 func chainAndWork(spec *job.Job) (chain time.Duration, work float64) {
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -17,7 +17,7 @@
 func (c *Core) sendStart(r *run, now time.Time) {
 	r.sentAt = now
 	r.tries++
-	c.unanswered++
+	c.line.open++
 	c.out.Starts = append(c.out.Starts, Start{
 		Target:     c.target(r.worker),
 		Task:       r.task.id(),
@@ -31,7 +31,7 @@
 
 // OnStarted takes a worker's answer to a start.
 func (c *Core) OnStarted(o Start, a Answer, now time.Time) {
-	c.unanswered--
+	c.line.answered(now)
 	w := c.workers[o.Worker]
 	if w == nil {
 		return
--- a/jobs/owner/placing.go
+++ b/jobs/owner/placing.go
@@ -55,14 +55,16 @@
 }
 
 // heldBack reports whether no more starts are ordered until answers have come.
-func (p *placing) heldBack() bool { return p.core.heldBack[p.service] }
+func (p *placing) heldBack() bool { return p.core.line.held[p.service] }
 
 // holdBack reports whether no further start may be ordered, and takes note of it.
 func (p *placing) holdBack() bool {
 	if p.core.mayOrderStart() {
 		return false
 	}
-	p.core.heldBack[p.service] = true
+	if !p.heldBack() {
+		p.core.line.hold(p.service, readyTasks(p.claims))
+	}
 	p.core.changed[p.service] = true
 	return true
 }
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -91,11 +91,11 @@
 	var due []*placing
 	for service := range c.changed {
 		pool := c.pool(service)
-		if pool.placedLately(now) || c.heldBack[service] && !c.lineIsShort() {
+		if pool.placedLately(now) || c.line.held[service] && !c.lineIsShort() {
 			continue
 		}
 		delete(c.changed, service)
-		delete(c.heldBack, service)
+		c.line.letGo(service)
 		due = append(due, c.newPlacing(service, pool, now))
 	}
 	for _, p := range due {
@@ -106,16 +106,6 @@
 	}
 }
 
-// mayOrderStart reports whether another start may be ordered. What is ordered waits for
-// its turn behind what was ordered before, whatever is more urgent meanwhile.
-func (c *Core) mayOrderStart() bool {
-	return c.opt.StartsAtOnce == 0 || c.unanswered < c.opt.StartsAtOnce
-}
-
-// lineIsShort reports whether it is worth while to look again at services that were held
-// back: for each start alone a look would cost more than the start.
-func (c *Core) lineIsShort() bool { return c.unanswered <= c.opt.StartsAtOnce/2 }
-
 // placedLately reports whether the service had its turn a moment ago, and tasks
 // were left without room.
 func (p *poolState) placedLately(now time.Time) bool {
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -300,8 +300,7 @@
 	events   []Decision
 	counts   Counts
 
-	unanswered int             // starts without an outcome so far
-	heldBack   map[string]bool // services with tasks that could start, but for these
+	line line
 }
 
 // Counts are totals since the start of the term.
@@ -379,7 +378,7 @@
 		settled:   map[string]bool{},
 		awaited:   map[string]awaited{},
 		awaitedOf: map[string]InstanceID{},
-		heldBack:  map[string]bool{},
+		line:      newLine(),
 		leaveTo:   map[InstanceID]time.Time{},
 		startedAt: now,
 		electedAt: now,
--- a/jobs/owner/window_test.go
+++ b/jobs/owner/window_test.go
@@ -90,3 +90,43 @@
 	}
 	assert.Len(t, began, jobs*width)
 }
+
+// TestTheOwnerKnowsWhenItGetsToNewWork: with 160 tasks to start and 40 answers a second it
+// takes four seconds; once they are started new work goes at once.
+func TestTheOwnerKnowsWhenItGetsToNewWork(t *testing.T) {
+	const window, jobs, width = 4, 20, 8
+	r := newRig(t, 1)
+	r.core.opt.StartsAtOnce = window
+	for i := range 40 {
+		r.held(r.worker(fmt.Sprintf("w%02d", i)), nil)
+	}
+	assert.Zero(t, r.core.LineWait(r.now))
+	for n := range jobs {
+		j := simpleJob(1+n, width)
+		j.AcceptedAt = r.now
+		j.Steps[0].Estimate = 10 * time.Second
+		r.core.Submit(j, r.now)
+	}
+	r.core.React(r.now)
+	r.take()
+	answer := func() {
+		out := r.out.Starts
+		r.out.Starts = nil
+		for _, s := range out[:min(1, len(out))] { // one each 25 ms
+			r.core.OnStarted(s, Answer{Outcome: Taken, Clock: r.clock()}, r.now)
+		}
+		r.out.Starts = append(r.out.Starts, out[min(1, len(out)):]...)
+		r.core.React(r.now)
+		r.take()
+		r.tick(25 * time.Millisecond)
+	}
+	for range 60 {
+		answer()
+	}
+	left := float64(jobs*width-60) / 40
+	assert.InDelta(t, left, r.core.LineWait(r.now).Seconds(), 0.4*left)
+	for range jobs * width {
+		answer()
+	}
+	assert.Zero(t, r.core.LineWait(r.now))
+}
--- a/jobs/peer/late_test.go
+++ b/jobs/peer/late_test.go
@@ -19,7 +19,11 @@
 	release chan struct{}
 }
 
-func (g gated) Submitted(SubmitRequest) { g.asked <- struct{}{}; <-g.release }
+func (g gated) Submitted(SubmitRequest) SubmitReply {
+	g.asked <- struct{}{}
+	<-g.release
+	return SubmitReply{}
+}
 
 func (g gated) State(StateRequest) StateReply { <-g.release; return StateReply{Owner: true} }
 
@@ -38,7 +42,10 @@
 	c := NewClient()
 
 	told := make(chan error, 1)
-	go func() { told <- c.Submitted(context.Background(), addr, &job.Job{ID: "a"}) }()
+	go func() {
+		_, err := c.Submitted(context.Background(), addr, &job.Job{ID: "a"})
+		told <- err
+	}()
 	<-h.asked
 	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
 	defer cancel()
--- a/jobs/peer/peer.go
+++ b/jobs/peer/peer.go
@@ -52,6 +52,10 @@
 // SubmitRequest tells the owner of a job that is in the store.
 type SubmitRequest struct{ Job job.Job }
 
+// SubmitReply says how long a task of the job that becomes ready waits until the owner
+// gets to it; 0 if it keeps up.
+type SubmitReply struct{ Wait time.Duration }
+
 // Empty is a reply without content.
 type Empty struct{ Ignored bool }
 
@@ -99,7 +103,7 @@
 	State(r StateRequest) StateReply
 	Pending(r PendingRequest) PendingReply
 	Cancelled(r CancelRequest)
-	Submitted(r SubmitRequest)
+	Submitted(r SubmitRequest) SubmitReply
 	Relay(r RelayRequest) RelayReply
 	Look(addr string) Presence
 }
@@ -122,8 +126,8 @@
 	return nil
 }
 
-func (s *server) Submitted(r SubmitRequest, _ *Empty) error {
-	s.h.Submitted(r)
+func (s *server) Submitted(r SubmitRequest, out *SubmitReply) error {
+	*out = s.h.Submitted(r)
 	return nil
 }
 
@@ -210,8 +214,10 @@
 }
 
 // Submitted tells the peer at addr of a job.
-func (c *Client) Submitted(ctx context.Context, addr string, j *job.Job) error {
-	return c.call(ctx, addr, "Submitted", SubmitRequest{*j}, &Empty{})
+func (c *Client) Submitted(ctx context.Context, addr string, j *job.Job) (SubmitReply, error) {
+	var out SubmitReply
+	err := c.call(ctx, addr, "Submitted", SubmitRequest{*j}, &out)
+	return out, err
 }
 
 // Relay makes a call to the store by way of the peer at addr.
--- a/standin/jobfleet/network.go
+++ b/standin/jobfleet/network.go
@@ -97,13 +97,12 @@
 }
 
 // Submitted implements node.Peers.
-func (c *PeerClient) Submitted(ctx context.Context, addr string, j *job.Job) error {
+func (c *PeerClient) Submitted(ctx context.Context, addr string, j *job.Job) (peer.SubmitReply, error) {
 	h, err := c.reach(ctx, addr)
 	if err != nil {
-		return err
+		return peer.SubmitReply{}, err
 	}
-	h.Submitted(peer.SubmitRequest{Job: *j})
-	return nil
+	return h.Submitted(peer.SubmitRequest{Job: *j}), nil
 }
 
 // Relay implements peer.Relayer.
