Loads of a weak owner without a network: processor and link charged

Cause: the module that needs no network left out what an owner's work takes, which is what binds on large fleets and on weak daemons. Ruled out: charging the modelled daemon what the decisions take on the machine at hand: plays would not repeat. Change: a scenario may name a daemon. Calls, events and ticks take its processor, orders, answers and lists its link, starts wait in its line, and workers' leases end. Baselines read whole lists or order any number of starts.

--- /dev/null
+++ b/lab/jobload/daemon_test.go
@@ -0,0 +1,55 @@
+package jobload
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// narrow is a small fleet whose daemons are all weak: 132 instances in four pools and a
+// spare one, by turns, on a daemon with an eighth of a core and a link of 2 Mbit/s. Each
+// turn asks for more tasks than the link carries: 380 a second of 1.3 KB each.
+func narrow(seed uint64, d Daemon) Scenario {
+	small := Kind{Steps: 1.6, Width: 8, CPUMilli: 4500, MemMB: 16000, Task: 800 * time.Millisecond, EstOff: 0.5}
+	large := Kind{Steps: 2, Width: 8, CPUMilli: 9700, MemMB: 20000, Task: 1700 * time.Millisecond, EstOff: 0.5}
+	sc := Scenario{Seed: seed, Length: 34 * time.Second, Instances: 27, Spare: 24, Room: job.Resources{CPUMilli: 32000, MemMB: 131072}, Daemon: &d}
+	for i, q := range []Queue{
+		{Name: "a", PerSecond: 6.3, Kind: small},
+		{Name: "b", PerSecond: 1.24, Kind: large, Priority: 1},
+		{Name: "c", PerSecond: 7.8, Kind: small},
+		{Name: "d", PerSecond: 1.5, Kind: large, Priority: 1},
+	} {
+		q.Shape = Turns(i, 4, 5*time.Second, 4, 0.05)
+		sc.Queues = append(sc.Queues, q)
+	}
+	return sc
+}
+
+// TestAWeakOwner plays that fleet. What the owner must not do however late it is: let leases
+// end, or start what may run or is done. The baselines show what the mechanisms buy.
+func TestAWeakOwner(t *testing.T) {
+	for _, c := range []struct {
+		name   string
+		daemon Daemon
+		least  float64 // share of jobs in time
+		most   float64
+	}{
+		{"as built", Daemon{Cores: 0.12, LinkMbps: 2}, 0.6, 1},
+		{"whole lists", Daemon{Cores: 0.12, LinkMbps: 2, WholeLists: true}, 0, 0.3},
+		{"any number of starts", Daemon{Cores: 0.12, LinkMbps: 2, AnyNumber: true}, 0, 0.3},
+		{"a wider link", Daemon{Cores: 0.12, LinkMbps: 20}, 0.85, 1},
+		{"a large daemon", Daemon{Cores: 0.8, LinkMbps: 200}, 0.9, 1},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r := Play(narrow(1, c.daemon))
+			t.Logf("jobs %d, in time %.3f, late %d, open %d, starts %d, twice %d, lapsed %d", r.Jobs, r.Share(), r.Late, r.Open, r.Starts, r.Twice, r.Lapsed)
+			assert.GreaterOrEqual(t, r.Share(), c.least)
+			assert.LessOrEqual(t, r.Share(), c.most)
+			assert.Zero(t, r.Lapsed)
+			assert.Zero(t, r.Twice)
+		})
+	}
+}
--- a/lab/jobload/fleet.go
+++ b/lab/jobload/fleet.go
@@ -39,10 +39,11 @@
 	latest map[job.TaskID]uint64
 	dead   bool
 	hold   *pendingHold
+	lease  int64 // end of what runs here, on its clock in ms
 }
 
 // pendingHold is a hold that waits for an end.
-type pendingHold struct{ term uint64 }
+type pendingHold struct{ answer func(owner.Held) }
 
 type execution struct {
 	run     uint64
@@ -76,8 +77,9 @@
 	if w := i.up; w != nil {
 		w.dead = true
 		i.up = nil
-		for _, e := range w.active {
+		for t, e := range w.active {
 			s.throw(e)
+			s.running[t]--
 		}
 	}
 	s.engine.after(back, func() { s.rise(i) })
@@ -101,11 +103,21 @@
 	case o.Token < w.token:
 		a.Outcome = owner.Fenced
 		return a
+	case w.active[o.Task] != nil && w.active[o.Task].run == o.Run:
+		return a // it is there already
 	case w.active[o.Task] != nil || o.Run <= w.latest[o.Task]:
 		a.Outcome = owner.RunTooOld
 		return a
+	case o.Until != 0 && o.Until < s.clock():
+		a.Outcome = owner.LeaseOver
+		return a
 	}
 	w.token = o.Token
+	s.renew(w, o.Until)
+	if s.done[o.Task] || s.running[o.Task] > 0 {
+		s.result.Twice++
+	}
+	s.running[o.Task]++
 	step := &s.jobs[o.Task.Job].spec.Steps[o.Task.Step]
 	e := &execution{run: o.Run, began: s.engine.now, takes: s.takes(o.Task), cores: float64(step.Need.CPUMilli) / 1000}
 	w.active[o.Task] = e
@@ -122,6 +134,8 @@
 // end lists an end, and answers a hold that waits for one.
 func (s *sim) end(w *worker, t job.TaskID, e *execution, kind owner.EndKind) {
 	e.stopped = true
+	s.running[t]--
+	s.done[t] = s.done[t] || kind == owner.EndDone
 	delete(w.active, t)
 	w.order = slices.DeleteFunc(w.order, func(o job.TaskID) bool { return o == t })
 	w.latest[t] = max(w.latest[t], e.run)
@@ -145,21 +159,36 @@
 	return owner.Answer{Outcome: owner.Taken, Clock: s.clock()}
 }
 
-// beginHold applies a hold, and answers it at an end or when its time is over.
+// beginHold carries out a hold whose way takes no time to speak of.
 func (s *sim) beginHold(o owner.Hold) {
-	w := s.workers[o.Worker]
 	term := s.term
+	tell := func(held owner.Held) {
+		s.tell(HoldAnswered, term, func(c *owner.Core) { c.OnHeld(o.Worker, held, s.engine.now) })
+	}
+	if w := s.workers[o.Worker]; w == nil || w.dead {
+		s.engine.after(o.Wait+owner.OrderTimeout, func() { tell(owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered}}) })
+		return
+	}
+	s.receiveHold(o, func(held owner.Held) {
+		if held.Outcome == owner.Unanswered {
+			tell(held)
+			return
+		}
+		s.engine.after(orderTime, func() { tell(held) })
+	})
+}
+
+// receiveHold lets a worker have a hold, which it answers at an end or when its wait is
+// over. A worker that is gone does not answer.
+func (s *sim) receiveHold(o owner.Hold, answer func(owner.Held)) {
+	w := s.workers[o.Worker]
 	if w == nil || w.dead {
-		s.engine.after(o.Wait+owner.OrderTimeout, func() {
-			s.tell(HoldAnswered, term, func(c *owner.Core) {
-				c.OnHeld(o.Worker, owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered}}, s.engine.now)
-			})
-		})
 		return
 	}
 	w.token = max(w.token, o.Token)
+	s.renew(w, o.Until)
 	w.ends = slices.DeleteFunc(w.ends, func(e owner.End) bool { return e.Number <= o.Acknowledge })
-	h := &pendingHold{term: term}
+	h := &pendingHold{answer: answer}
 	w.hold = h
 	wait := o.Wait
 	if len(w.ends) > 0 {
@@ -174,9 +203,7 @@
 	}
 	w.hold = nil
 	if w.dead {
-		s.tell(HoldAnswered, h.term, func(c *owner.Core) {
-			c.OnHeld(w.reg.Worker, owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered}}, s.engine.now)
-		})
+		h.answer(owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered}})
 		return
 	}
 	held := owner.Held{Answer: owner.Answer{Outcome: owner.Taken, Clock: s.clock()}, Ends: slices.Clone(w.ends)}
@@ -185,8 +212,25 @@
 		percent := min(99, int(100*s.engine.now.Sub(e.began)/e.takes))
 		held.Active = append(held.Active, owner.ActiveRun{Task: t, Run: e.run, Percent: percent})
 	}
-	s.engine.after(orderTime, func() {
-		s.tell(HoldAnswered, h.term, func(c *owner.Core) { c.OnHeld(w.reg.Worker, held, s.engine.now) })
+	h.answer(held)
+}
+
+// renew lets what runs on the worker live until a time on its clock, never for less than
+// before. Leases end only if the owner's work takes time: otherwise none can.
+func (s *sim) renew(w *worker, until int64) {
+	if s.shell == nil || until <= w.lease {
+		return
+	}
+	w.lease = until
+	s.engine.after(time.Duration(until-s.clock())*time.Millisecond, func() {
+		if w.lease > until || w.dead {
+			return
+		}
+		for _, t := range slices.Clone(w.order) {
+			s.result.Lapsed++
+			s.throw(w.active[t])
+			s.end(w, t, w.active[t], owner.EndLapsed)
+		}
 	})
 }
 
@@ -225,8 +269,8 @@
 	}
 }
 
-// list returns the instances and the registrations in the order of their ids.
-func (s *sim) list() (inst []owner.Instance, regs []owner.Registration) {
+// lists returns the instances and the registrations in the order of their ids.
+func (s *sim) lists() (inst []owner.Instance, regs []owner.Registration) {
 	for _, id := range s.ids {
 		i := s.instances[id]
 		inst = append(inst, i.Instance)
--- a/lab/jobload/play.go
+++ b/lab/jobload/play.go
@@ -66,6 +66,9 @@
 	electedAt time.Time
 	ordered   map[owner.InstanceID]time.Time // newest order for it
 	billed    bool                           // the arrivals are over
+	shell     *shell                         // nil: the owner's work takes no time
+	running   map[job.TaskID]int             // runs at work
+	done      map[job.TaskID]bool
 }
 
 type simJob struct {
@@ -98,6 +101,7 @@
 	s := &sim{
 		scenario: sc, engine: newEngine(), rand: rand.New(rand.NewPCG(sc.Seed, 1)),
 		instances: map[owner.InstanceID]*instance{}, workers: map[owner.WorkerID]*worker{},
+		running: map[job.TaskID]int{}, done: map[job.TaskID]bool{},
 		paidSince: map[owner.InstanceID]time.Time{}, ordered: map[owner.InstanceID]time.Time{}, jobs: map[job.ID]*simJob{}, progress: map[job.ID]job.Progress{},
 	}
 	s.result = Result{Causes: map[string]time.Duration{}, LateBySecond: map[int]int{}, JobsBySecond: map[int]int{}, LateByQueue: map[string]int{}}
@@ -108,6 +112,9 @@
 		s.addInstances(q.Name, sc.Instances)
 	}
 	s.addInstances(sparePool, sc.Spare)
+	if sc.Daemon != nil {
+		s.shell = &shell{s: s, daemon: *sc.Daemon}
+	}
 	return s
 }
 
@@ -115,7 +122,7 @@
 	s.elect()
 	s.every(tickEvery, s.tick)
 	s.every(commitEvery, s.commit)
-	s.every(instancesEvery, s.listInstances)
+	s.list()
 	s.register()
 	for _, q := range s.scenario.Queues {
 		s.arrive(q)
@@ -151,8 +158,13 @@
 		}
 		loaded = append(loaded, l)
 	}
+	startsAtOnce := 0
+	if s.shell != nil {
+		startsAtOnce = s.shell.startsAtOnce()
+	}
 	s.core = owner.New(owner.Options{
-		Term: s.term, TaskLease: taskLease, HoldWait: holdWait, KeepStatus: 2 * time.Minute,
+		StartsAtOnce: startsAtOnce,
+		Term:         s.term, TaskLease: taskLease, HoldWait: holdWait, KeepStatus: 2 * time.Minute,
 		DutyHandover: dutyHandover, OrderedBefore: s.orderedOfLate(), ElectedAt: s.electedAt,
 		Weights: capacity.DefaultWeights, Pools: s.scenario.Size, Order: s.scenario.Order,
 	}, s.catalog, loaded, s.engine.now)
@@ -182,6 +194,10 @@
 	if s.scenario.Ordered != nil {
 		s.scenario.Ordered(s.engine.now, e)
 	}
+	if s.shell != nil {
+		s.charge(e)
+		return
+	}
 	term := s.term
 	for _, o := range e.Starts {
 		s.engine.after(orderTime, func() {
@@ -198,15 +214,60 @@
 	for _, o := range e.Holds {
 		s.beginHold(o)
 	}
-	for _, o := range e.Instances {
+	s.sendInstanceOrders(e.Instances)
+	s.account()
+}
+
+// charge carries out effects on the owner's daemon.
+func (s *sim) charge(e owner.Effects) {
+	for _, o := range e.Starts {
+		s.shell.start(o)
+	}
+	for _, o := range e.Stops {
+		s.shell.stop(o)
+	}
+	for _, o := range e.Holds {
+		s.shell.hold(o)
+	}
+	s.sendInstanceOrders(e.Instances)
+	s.account()
+}
+
+func (s *sim) sendInstanceOrders(orders []owner.MoveOrder) {
+	term := s.term
+	for _, o := range orders {
 		s.ordered[o.Instance] = s.engine.now
 		s.engine.after(storeTime+orderTime, func() {
 			outcome := s.order(o)
 			s.tell(ListRead, term, func(c *owner.Core) { c.OnInstanceOrder(o, outcome, s.engine.now) })
+			if s.shell == nil {
+				s.listInstances()
+			}
+		})
+	}
+}
+
+// list reads the instance list from time to time.
+func (s *sim) list() {
+	pause := instancesEvery
+	if s.shell != nil {
+		pause = s.shell.instancesEvery(len(s.ids))
+	}
+	s.engine.after(pause, func() {
+		s.read(listedBytes, func() {
 			s.listInstances()
+			s.list()
 		})
+	})
+}
+
+// read calls got once the owner has read a list of the fleet with entries of that length.
+func (s *sim) read(entry int, got func()) {
+	if s.shell == nil {
+		got()
+		return
 	}
-	s.account()
+	s.shell.carry(&s.shell.down, entry*len(s.ids), got)
 }
 
 // reply hands on a worker's answer; that there is none shows after a timeout.
@@ -245,6 +306,17 @@
 		return
 	}
 	s.core.SetStoreLease(!s.storeAway(), s.engine.now)
+	if s.shell != nil {
+		s.shell.compute(tickCost, s.coreTick)
+		return
+	}
+	s.coreTick()
+}
+
+func (s *sim) coreTick() {
+	if s.core == nil {
+		return
+	}
 	s.meter.measure(Timer, func() { s.core.Tick(s.engine.now) })
 }
 
@@ -278,20 +350,28 @@
 
 func (s *sim) listInstances() {
 	if s.core != nil && !s.storeAway() {
-		inst, _ := s.list()
+		inst, _ := s.lists()
 		s.meter.measure(ListRead, func() { s.core.OnInstances(inst, s.engine.now) })
 	}
 }
 
 func (s *sim) listWorkers() {
 	if s.core != nil && !s.storeAway() {
-		_, regs := s.list()
+		_, regs := s.lists()
 		s.meter.measure(ListRead, func() { s.core.Register(regs, s.engine.now) })
 	}
 }
 
-// register reads the registrations now and after a while, as the daemon does.
+// register learns of the registrations now and after a while, as the daemon does.
 func (s *sim) register() {
+	if s.shell != nil && s.shell.daemon.WholeLists {
+		s.read(entryBytes, s.registered)
+		return
+	}
+	s.registered()
+}
+
+func (s *sim) registered() {
 	s.listWorkers()
 	pause := registrationsEvery
 	if s.core != nil && s.core.Expecting() {
--- a/lab/jobload/scenario.go
+++ b/lab/jobload/scenario.go
@@ -17,6 +17,7 @@
 	Room      job.Resources // of an instance
 	Queues    []Queue       // each has a pool of its own
 	Troubles  []Trouble
+	Daemon    *Daemon // the owner's; nil: its work takes no time
 
 	Size  capacity.Policy
 	Order owner.OrderPolicy
@@ -109,6 +110,8 @@
 	InstanceSeconds float64                  // of instances in pools that are paid for, during the arrivals
 	Moves           int
 	Starts          int
+	Twice           int            // starts of a task that was done, or ran elsewhere
+	Lapsed          int            // tasks that ended with their worker's lease
 	Thrown          float64        // core-seconds of work that was stopped or lost
 	LateBySecond    map[int]int    // by when they were submitted
 	JobsBySecond    map[int]int    // likewise
