How many starts may be under way follows the time that answers take

What a daemon's way bears is not known from its share of a core. Ruled out: a bound from the link's rate: payloads differ tenfold, and the link carries other things. Single late answers as a sign: with one slow worker in a hundred the line would stay short. Change: additive increase, and a cut to 0.7 while the mean answer takes over 120 ms.

--- a/jobs/owner/line.go
+++ b/jobs/owner/line.go
@@ -6,6 +6,9 @@
 // What is ordered waits for its turn behind what was ordered before, whatever is more
 // urgent by then: so no more is ordered than can be sent at once.
 type line struct {
+	most  int             // starts that may be without an outcome; 0: any number
+	limit float64         // how many may be now, by the time that answers take
+	cutAt time.Time       // when the limit was last lowered
 	open  int             // starts without an outcome
 	held  map[string]bool // services with tasks that could start but for these
 	ready map[string]int  // tasks of each that can still be in time, at its last placement
@@ -25,7 +28,23 @@
 	rateForgotten = 4 * rateEvery
 )
 
-func newLine() line { return line{held: map[string]bool{}, ready: map[string]int{}} }
+// Figures of the limit: additive increase, multiplicative decrease, as in TCP. How many
+// orders a daemon's processor and its link bear is not known beforehand.
+const (
+	// slowOrder is the mean time of answers that shows that orders wait on their way: thirty
+	// times what one takes, and a third of its timeout. Single workers may be slow.
+	slowOrder = 120 * time.Millisecond
+	// limitCut is the share that is left of the limit then, and limitPause the time until it
+	// is lowered again: what was ordered before is answered by then.
+	limitCut   = 0.7
+	limitPause = 200 * time.Millisecond
+	// leastLimit keeps some starts under way.
+	leastLimit = 8
+)
+
+func newLine(most int) line {
+	return line{most: most, limit: float64(most), held: map[string]bool{}, ready: map[string]int{}}
+}
 
 // answered takes note of the outcome of a start.
 func (l *line) answered(now time.Time) {
@@ -47,6 +66,24 @@
 	l.counted, l.since = 0, now
 }
 
+// adapt sets the limit by the mean time of answers, after each of them.
+func (l *line) adapt(mean time.Duration, now time.Time) {
+	switch {
+	case mean <= slowOrder:
+		l.limit = min(float64(l.most), l.limit+1/l.limit)
+	case now.Sub(l.cutAt) > limitPause:
+		l.limit = max(min(leastLimit, float64(l.most)), limitCut*l.limit)
+		l.cutAt = now
+	}
+}
+
+// isFull reports whether no further start may be ordered.
+func (l *line) isFull() bool { return l.most > 0 && l.open >= int(l.limit) }
+
+// isShort reports whether it is worth while to look again at services that were held
+// back: for each start alone a look would cost more than the start.
+func (l *line) isShort() bool { return l.open <= int(l.limit)/2 }
+
 // hold takes note that tasks of the service wait for the line.
 func (l *line) hold(service string, ready int) {
 	l.held[service] = true
@@ -79,15 +116,6 @@
 	return c.line.wait()
 }
 
-// mayOrderStart reports whether another start may be ordered.
-func (c *Core) mayOrderStart() bool {
-	return c.opt.StartsAtOnce == 0 || c.line.open < c.opt.StartsAtOnce
-}
-
-// lineIsShort reports whether it is worth while to look again at services that were held
-// back: for each start alone a look would cost more than the start.
-func (c *Core) lineIsShort() bool { return c.line.open <= c.opt.StartsAtOnce/2 }
-
 // readyTasks counts the tasks of claims that can start and would be in time.
 func readyTasks(claims []claim) int {
 	n := 0
--- a/jobs/owner/placing.go
+++ b/jobs/owner/placing.go
@@ -59,7 +59,7 @@
 
 // holdBack reports whether no further start may be ordered, and takes note of it.
 func (p *placing) holdBack() bool {
-	if p.core.mayOrderStart() {
+	if !p.core.line.isFull() {
 		return false
 	}
 	if !p.heldBack() {
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -91,7 +91,7 @@
 	var due []*placing
 	for service := range c.changed {
 		pool := c.pool(service)
-		if pool.placedLately(now) || c.line.held[service] && !c.lineIsShort() {
+		if pool.placedLately(now) || c.line.held[service] && !c.line.isShort() {
 			continue
 		}
 		delete(c.changed, service)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -382,7 +382,7 @@
 		settled:     map[string]bool{},
 		awaited:     map[string]awaited{},
 		awaitedOf:   map[string]InstanceID{},
-		line:        newLine(),
+		line:        newLine(opt.StartsAtOnce),
 		leaveTo:     map[InstanceID]time.Time{},
 		startedAt:   now,
 		electedAt:   now,
--- a/jobs/owner/window_test.go
+++ b/jobs/owner/window_test.go
@@ -24,7 +24,7 @@
 func TestUrgentWorkDoesNotWaitInLine(t *testing.T) {
 	const window, workers, rounds = 16, 40, 3
 	r := newRig(t, 1)
-	r.core.opt.StartsAtOnce = window
+	r.core.line = newLine(window)
 	for i := range workers {
 		r.held(r.worker(fmt.Sprintf("w%02d", i)), nil)
 	}
@@ -51,7 +51,7 @@
 func TestAllWorkIsStarted(t *testing.T) {
 	const window, jobs, width = 4, 12, 8
 	r := newRig(t, 1)
-	r.core.opt.StartsAtOnce = window
+	r.core.line = newLine(window)
 	var all []WorkerID
 	for i := range 20 {
 		w := r.worker(fmt.Sprintf("w%02d", i))
@@ -96,7 +96,7 @@
 func TestTheOwnerKnowsWhenItGetsToNewWork(t *testing.T) {
 	const window, jobs, width = 4, 20, 8
 	r := newRig(t, 1)
-	r.core.opt.StartsAtOnce = window
+	r.core.line = newLine(window)
 	for i := range 40 {
 		r.held(r.worker(fmt.Sprintf("w%02d", i)), nil)
 	}
