Idle workers are asked less often, and jobs that are over take no room

Cause: of 3,000 workers three quarters idle at a time, and each is held 1.1 times a second all the same: 3,300 calls a second, a fifth of a core. The owner's memory reaches the runtime's limit (310 of 321 MB): the tasks of all jobs of the last four minutes are kept, which the collector goes over again and again. Ruled out: longer holds where something runs: standstills and budgets go by lists that are 2.5 s old at most. Change: a hold of a worker on which nothing runs waits for 1.8 s; of a job that is over and recorded, and of which nothing runs, its state is left. A late run of it is stopped.

--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -135,6 +135,10 @@
 	// holdWait is how long a worker waits for an end before it answers; it is
 	// also how old its tasks' progress may be.
 	holdWait = 900 * time.Millisecond
+	// idleHoldWait is the same for workers on which nothing runs, of which nothing is to be
+	// seen: most of a fleet, the queues of which rise and fall by turns. A worker waits for
+	// 2 s at most.
+	idleHoldWait = 1800 * time.Millisecond
 	// holdReserve is added to holdWait for the answer.
 	holdReserve = 300 * time.Millisecond
 	// peerTimeout bounds a question to the owner.
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -78,7 +78,7 @@
 	defer t.cancel()
 	t.core = owner.New(owner.Options{
 		Term:      term.Number,
-		TaskLease: min(taskLease, n.set.MaxTaskLease), HoldWait: holdWait,
+		TaskLease: min(taskLease, n.set.MaxTaskLease), HoldWait: holdWait, IdleHoldWait: idleHoldWait,
 		DutyHandover: n.set.DutyHandover, OrderedBefore: n.ofOthers(term.OrderedBefore), ElectedAt: began, Successor: term.Successor,
 		KeepStatus:   n.set.KeepStatus,
 		StartsAtOnce: startsInLine * cap(t.starts.slots),
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -181,4 +181,5 @@
 	c.touchWorker(r.worker)
 	c.changed[r.worker.Service] = true
 	c.wants(r.task.step.job)
+	c.forgetSteps(r.task.step.job)
 }
--- /dev/null
+++ b/jobs/owner/forget_test.go
@@ -0,0 +1,75 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// doneJob is a job of one task that is done and recorded, and the start of it.
+func doneJob(t *testing.T, r *rig, w WorkerID) (*job.Job, Start) {
+	r.held(w, nil)
+	j := r.submit(1, 1)
+	starts := r.started()
+	require.Len(t, starts, 1)
+	r.held(w, nil, End{Number: 1, Task: starts[0].Task, Run: starts[0].Run, Kind: EndDone})
+	r.core.Committed(r.core.Uncommitted(10), r.now)
+	return j, starts[0]
+}
+
+// TestAJobThatIsOverTakesNoRoom: of a recorded job its state is left.
+func TestAJobThatIsOverTakesNoRoom(t *testing.T) {
+	r := newRig(t, 1)
+	j, _ := doneJob(t, r, r.worker("a"))
+	state, known := r.core.State(j.ID)
+	assert.True(t, known)
+	assert.Equal(t, job.Completed, state)
+	assert.Nil(t, r.core.jobs[j.ID].steps)
+	r.core.Submit(j, r.now)
+	r.tick(100 * time.Millisecond)
+	assert.Empty(t, r.out.Starts, "a caller's repeated submission does not run it again")
+}
+
+// TestARunOfAJobThatIsOver: an order that was carried out late must not go on, also when
+// nothing is known of its task any more; its end is acknowledged.
+func TestARunOfAJobThatIsOver(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	_, s := doneJob(t, r, a)
+	r.tick(100 * time.Millisecond)
+	r.out = Effects{}
+	r.held(a, []ActiveRun{{Task: s.Task, Run: s.Run + 1}})
+	require.Len(t, r.out.Stops, 1)
+	assert.Equal(t, s.Run+1, r.out.Stops[0].Run)
+	r.held(a, nil, End{Number: 2, Task: s.Task, Run: s.Run + 1, Kind: EndStopped})
+	r.tick(100 * time.Millisecond)
+	assert.EqualValues(t, 2, r.core.workers[a].acked)
+}
+
+// TestAStoppedRunIsHeldOnTo: the steps of a job that was cancelled are kept until its runs
+// have ended: their room is not free before.
+func TestAStoppedRunIsHeldOnTo(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.held(a, nil)
+	j := r.submit(1, 8)
+	starts := r.started()
+	require.Len(t, starts, 8)
+	r.core.Cancel(j.ID, r.now)
+	r.core.Committed(r.core.Uncommitted(10), r.now)
+	require.NotNil(t, r.core.jobs[j.ID].steps)
+	r.submit(2, 1)
+	assert.Empty(t, r.out.Starts, "its room is taken")
+	var ends []End
+	for i, s := range starts {
+		ends = append(ends, End{Number: uint64(i + 1), Task: s.Task, Run: s.Run, Kind: EndStopped})
+	}
+	r.held(a, nil, ends...)
+	assert.Nil(t, r.core.jobs[j.ID].steps)
+	r.tick(100 * time.Millisecond)
+	assert.Len(t, r.out.Starts, 1)
+}
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -367,10 +367,23 @@
 	for _, r := range records {
 		if j := c.jobs[r.Job.ID]; j != nil {
 			c.acknowledge(j, now)
+			c.forgetSteps(j)
 		}
 	}
 }
 
+// forgetSteps frees what was known of the tasks of a job that is over, once its end is
+// recorded and nothing of it runs. Its state is asked for long after: of 5,400 jobs in half
+// a minute all but the open ones are kept for that alone.
+func (c *Core) forgetSteps(j *jobState) {
+	if j.forgotten || !j.state.Final() || j.written < j.version || c.occupied(j) {
+		return
+	}
+	j.forgotten = true
+	j.steps = nil
+	j.spec = &job.Job{ID: j.spec.ID, Queue: j.spec.Queue, Service: j.spec.Service}
+}
+
 // acknowledge lets workers forget the ends that waited for a record of the job.
 func (c *Core) acknowledge(j *jobState, now time.Time) {
 	waited := j.ackers
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -9,9 +9,10 @@
 
 // Options are the figures that the core works with.
 type Options struct {
-	Term      uint64        // number of this ownership; rises with each owner
-	TaskLease time.Duration // how long a worker's tasks live without renewal
-	HoldWait  time.Duration // how long a hold waits for an end
+	Term         uint64        // number of this ownership; rises with each owner
+	TaskLease    time.Duration // how long a worker's tasks live without renewal
+	HoldWait     time.Duration // how long a hold waits for an end
+	IdleHoldWait time.Duration // the same if nothing runs there; 0: as long as HoldWait
 	// DutyHandover is the least time between orders for one instance by two holders.
 	// OrderedBefore are those of other holders, as old at least as they say when this
 	// owner was elected, at ElectedAt; zero: now. Successor says that the owner before
@@ -142,6 +143,7 @@
 	begun     bool // a worker has said that a task of it started
 	waitNoted bool // the log says why a task of it was not placed at once
 	endedAt   time.Time
+	forgotten bool          // its steps are: it is over, recorded, and nothing of it runs
 	inherited bool          // accepted before this term
 	loaded    bool          // known from the store when this term began
 	version   uint64        // rises with each change that has to be kept
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -11,9 +11,7 @@
 		return
 	}
 	if a.Run > c.opt.Term*termRuns {
-		// Ours, but given up for certain. It must not go on.
-		c.note(Decision{Event: "run-unexpected", Job: j.spec.ID, Task: a.Task.String(), Worker: w.Worker, Run: a.Run})
-		c.out.Stops = append(c.out.Stops, Stop{Target: c.target(w), Task: a.Task, Run: a.Run})
+		c.stopUnexpected(w, a, "it was given up for certain")
 		return
 	}
 	t := s.tasks[a.Task.Index]
@@ -34,6 +32,12 @@
 	}
 }
 
+// stopUnexpected stops a run that must not go on, and of which nothing more is known.
+func (c *Core) stopUnexpected(w *worker, a ActiveRun, why string) {
+	c.note(Decision{Event: "run-unexpected", Job: a.Task.Job, Task: a.Task.String(), Worker: w.Worker, Run: a.Run, Reason: why})
+	c.out.Stops = append(c.out.Stops, Stop{Target: c.target(w), Task: a.Task, Run: a.Run})
+}
+
 // resolveStrangers handles what workers said of a job before it was known.
 func (c *Core) resolveStrangers(j *jobState, now time.Time) {
 	for _, w := range c.puzzling.sorted() {
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -162,6 +162,9 @@
 			continue
 		}
 		wait := c.opt.HoldWait
+		if len(w.runs) == 0 {
+			wait = max(wait, c.opt.IdleHoldWait)
+		}
 		if !w.held || !w.silentSince.IsZero() || len(w.unacked) > 0 || w.inDoubt() {
 			wait = 0
 		}
@@ -347,6 +350,10 @@
 		}
 		return
 	}
+	if j.forgotten {
+		c.stopUnexpected(w, a, "its job is over")
+		return
+	}
 	c.adopt(w, j, a, now)
 }
 
