--- /dev/null
+++ b/jobs/owner/records.go
@@ -0,0 +1,170 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// touch says that something of the job has to be kept.
+func (c *Core) touch(j *jobState) {
+	j.version++
+	if c.dirty[j.spec.ID] == nil {
+		c.dirty[j.spec.ID] = j
+		c.enqueue(j)
+	}
+}
+
+// enqueue puts the job last among those that have to be written.
+func (c *Core) enqueue(j *jobState) {
+	c.lastTurn++
+	j.turn = c.lastTurn
+	c.toWrite.add(j)
+}
+
+// Uncommitted returns records that have to be written and that take at most n entries
+// of a transaction. Those of jobs that ended come first, as their callers are told only
+// once they are written; beyond that each has its turn.
+func (c *Core) Uncommitted(n int) []Record {
+	var out []Record
+	for j := range c.toWrite.all(c.dirty) {
+		r := Record{Job: j.spec, Progress: j.progress(), Kept: j.written > 0, version: j.version}
+		if n -= r.Entries(); n < 0 {
+			break
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// boolFirst orders what holds before what does not.
+func boolFirst(holds bool) int {
+	if holds {
+		return -1
+	}
+	return 1
+}
+
+// Dirty returns how many jobs have to be written.
+func (c *Core) Dirty() int { return len(c.dirty) }
+
+// Committed says that records are in the store.
+func (c *Core) Committed(records []Record, now time.Time) {
+	c.counts.Commits++
+	for _, r := range records {
+		j := c.jobs[r.Job.ID]
+		if j == nil {
+			continue
+		}
+		j.written = max(j.written, r.version)
+		if j.written < j.version {
+			c.enqueue(j)
+			continue
+		}
+		delete(c.dirty, r.Job.ID)
+		if j.state.Final() {
+			delete(c.open, r.Job.ID)
+			c.note(Decision{Event: "job-recorded", Job: r.Job.ID, Reason: string(j.state)})
+		}
+	}
+	for _, r := range records {
+		if j := c.jobs[r.Job.ID]; j != nil {
+			c.acknowledge(j, now)
+			c.forgetSteps(j)
+		}
+	}
+}
+
+// forgetSteps frees what was known of the tasks of a job that is over, once its end is
+// recorded and nothing of it runs. Its state is asked for long after: of 5,400 jobs in half
+// a minute all but the open ones are kept for that alone.
+func (c *Core) forgetSteps(j *jobState) {
+	if j.forgotten || !j.state.Final() || j.written < j.version || c.occupied(j) {
+		return
+	}
+	j.forgotten = true
+	j.steps = nil
+	j.spec = &job.Job{ID: j.spec.ID, Queue: j.spec.Queue, Service: j.spec.Service}
+}
+
+// acknowledge lets workers forget the ends that waited for a record of the job.
+func (c *Core) acknowledge(j *jobState, now time.Time) {
+	waited := j.ackers
+	j.ackers = nil
+	for _, w := range waited {
+		if c.workers[w.Worker] == w {
+			c.advanceAck(w, now)
+		}
+	}
+}
+
+// progress returns the record of the job. A final state needs no details.
+func (j *jobState) progress() job.Progress {
+	p := job.Progress{State: j.state}
+	if j.state.Final() {
+		p.EndedAt = j.endedAt
+		return p
+	}
+	p.State = job.Running
+	for _, s := range j.steps {
+		sp := job.StepProgress{Occurrence: s.occurrence, Step: s.index}
+		known := false
+		for _, t := range s.tasks {
+			if t.done {
+				sp.Done = sp.Done.With(t.index)
+				known = true
+			}
+			if len(t.failures) > 0 {
+				sp.Failed = put(sp.Failed, t.index, t.failures)
+				known = true
+			}
+			if t.checkpoint != "" {
+				sp.Checkpoint = put(sp.Checkpoint, t.index, t.checkpoint)
+				known = true
+			}
+		}
+		if known {
+			p.Steps = append(p.Steps, sp)
+		}
+	}
+	return p
+}
+
+func put[V any](m map[int]V, k int, v V) map[int]V {
+	if m == nil {
+		m = map[int]V{}
+	}
+	m[k] = v
+	return m
+}
+
+// Expired removes jobs that ended long ago from the core and returns their
+// ids, at most n, for removal from the store.
+func (c *Core) Expired(n int, now time.Time) []job.ID {
+	var out []job.ID
+	for id, j := range c.jobs {
+		if len(out) == n {
+			break
+		}
+		if !j.state.Final() || j.written < j.version || now.Sub(j.endedAt) < 2*c.opt.KeepStatus {
+			continue
+		}
+		if c.occupied(j) {
+			continue
+		}
+		delete(c.jobs, id)
+		out = append(out, id)
+	}
+	return out
+}
+
+func (c *Core) occupied(j *jobState) bool {
+	for _, s := range j.steps {
+		for _, t := range s.tasks {
+			if len(t.runs) > 0 {
+				return true
+			}
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/jobs/owner/registrations.go
@@ -0,0 +1,119 @@
+package owner
+
+import (
+	"slices"
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// Register takes the whole list of registrations.
+func (c *Core) Register(list []Registration, now time.Time) {
+	present := make(map[WorkerID]bool, len(list))
+	for _, r := range list {
+		present[r.Worker] = true
+	}
+	var gone []WorkerID
+	for id := range c.workers {
+		if !present[id] {
+			gone = append(gone, id)
+		}
+	}
+	c.RegisterChanges(list, gone, now)
+}
+
+// RegisterChanges takes what has changed among the registrations, if anything; what is
+// known of the others is current.
+func (c *Core) RegisterChanges(changed []Registration, gone []WorkerID, now time.Time) {
+	if !c.listedAt.IsZero() && now.Sub(c.listedAt) > outage {
+		c.settleAt = now.Add(settleTime)
+		c.note(Decision{Event: "registrations-back", Reason: now.Sub(c.listedAt).String()})
+	}
+	c.listedAt = now
+	for _, r := range changed {
+		c.registerOne(r, now)
+	}
+	for _, id := range gone {
+		if w := c.workers[id]; w != nil {
+			c.missing(w, now)
+		}
+	}
+	if !now.Before(c.settleAt) {
+		c.unregisterMissing()
+	}
+	for service := range c.pools {
+		c.changed[service] = true
+	}
+}
+
+// missing takes note that the worker is not among the registrations.
+func (c *Core) missing(w *worker, now time.Time) {
+	if w.missingSince.IsZero() {
+		w.missingSince = now
+	}
+	c.unlisted.put(w, w.registered)
+}
+
+// unregisterMissing counts workers that are missing as not registered: the store is not
+// about to have them back.
+func (c *Core) unregisterMissing() {
+	for _, w := range c.unlisted.sorted() {
+		w.registered = false
+		c.unlisted.put(w, false)
+		c.touchWorker(w)
+		c.note(Decision{Event: "worker-unregistered", Worker: w.Worker})
+	}
+}
+
+func (c *Core) registerOne(r Registration, now time.Time) {
+	w := c.workers[r.Worker]
+	if w == nil {
+		w = &worker{
+			runs:      map[job.TaskID]*run{},
+			strangers: map[job.TaskID]stranger{},
+			waiting:   map[uint64]waitingEnd{},
+		}
+		c.workers[r.Worker] = w
+		c.holdsDue.add(now, w)
+		c.note(Decision{Event: "worker-new", Worker: r.Worker, Reason: r.Service})
+	}
+	if r.Draining && !w.Draining {
+		c.note(Decision{Event: "worker-draining", Worker: r.Worker})
+	}
+	known := w.registered && w.sameAs(&r)
+	w.missingSince = time.Time{}
+	c.unlisted.put(w, false)
+	if known {
+		return
+	}
+	if w.Service != "" { // not of a worker that is new
+		c.roster.remove(w)
+		c.changed[w.Service] = true
+	}
+	w.Registration = r
+	w.registered = true
+	c.roster.add(w)
+	c.touchWorker(w)
+	c.changed[r.Service] = true
+}
+
+// sameAs reports whether the registration says the same.
+func (r *Registration) sameAs(o *Registration) bool {
+	return r.Worker == o.Worker && r.Service == o.Service && r.Addr == o.Addr && r.Zone == o.Zone && r.Rack == o.Rack &&
+		r.Room == o.Room && r.Draining == o.Draining && slices.Equal(r.Labels, o.Labels)
+}
+
+// forget removes a worker of which nothing is left to know.
+func (c *Core) forget(id WorkerID) {
+	w := c.workers[id]
+	delete(c.workers, id)
+	delete(c.silent, id)
+	delete(c.over, id)
+	delete(c.puzzling, id)
+	delete(c.sharing, id)
+	delete(c.unlisted, id)
+	delete(c.maintaining, id)
+	c.roster.remove(w)
+	w.unindex()
+	c.countOfWorker(w)
+}
