The owner is asked about each job while it cannot keep up

What waits goes by its worth: a small job is not late for what large ones wait for. Change: a daemon that heard that the owner is behind asks it about the next job before it is accepted; the owner counts the tasks that go before this job's own. The wait that daemons remembered is gone. Conclusion: callers whose jobs would be late hear it at once, and nobody else is turned away.

--- a/jobs/node/handler.go
+++ b/jobs/node/handler.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"time"
 
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/peer"
@@ -38,7 +37,16 @@
 		return peer.SubmitReply{}
 	}
 	t.submitted(&r.Job)
-	return peer.SubmitReply{Wait: time.Duration(t.lineWait.Load())}
+	return peer.SubmitReply{Behind: t.behind.Load()}
+}
+
+// Admit implements peer.Handler.
+func (h peerHandler) Admit(r peer.AdmitRequest) peer.AdmitReply {
+	t := h.n.term.Load()
+	if t == nil {
+		return peer.AdmitReply{}
+	}
+	return t.admit(&r.Job)
 }
 
 // Relay implements peer.Handler. It goes the direct way only, so that calls do
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -41,6 +41,7 @@
 	Pending(ctx context.Context, addr, queue string) (peer.PendingReply, error)
 	Cancelled(ctx context.Context, addr string, id job.ID) error
 	Submitted(ctx context.Context, addr string, j *job.Job) (peer.SubmitReply, error)
+	Admit(ctx context.Context, addr string, j *job.Job) (peer.AdmitReply, error)
 	// AwaitEnd returns when a connection to a daemon has ended.
 	AwaitEnd(ctx context.Context, addr string) error
 	// Look tells whether a process listens there, and LookBy what another daemon says.
@@ -69,20 +70,20 @@
 	accept   *ledger.Acceptor
 	gateway  *gateway.Gateway
 
-	catalog   atomic.Pointer[job.Catalog]
-	lock      atomic.Pointer[ledger.Lock] // nil: nobody is known to be the owner
-	term      atomic.Pointer[termRun]     // nil: this daemon is not the owner
-	members   atomic.Pointer[[]ledger.Member]
-	chance    *chance
-	admission admission
-	lastRelay atomic.Pointer[string] // address of the peer asked last
-	badRelays sync.Map               // address of a peer to until when it is not asked for the store
-	lease     atomic.Int64           // ledger.LeaseID; 0: none
-	renewed   atomic.Int64           // when the lease was last renewed, in ns since start
-	electNow  chan struct{}          // wakes the election
-	lockGone  atomic.Int64           // when the lock was last seen to be gone, in ns since start
-	started   time.Time
-	stopping  atomic.Bool
+	catalog     atomic.Pointer[job.Catalog]
+	lock        atomic.Pointer[ledger.Lock] // nil: nobody is known to be the owner
+	term        atomic.Pointer[termRun]     // nil: this daemon is not the owner
+	members     atomic.Pointer[[]ledger.Member]
+	chance      *chance
+	ownerBehind atomic.Bool            // it has said so with the newest job that it was told of
+	lastRelay   atomic.Pointer[string] // address of the peer asked last
+	badRelays   sync.Map               // address of a peer to until when it is not asked for the store
+	lease       atomic.Int64           // ledger.LeaseID; 0: none
+	renewed     atomic.Int64           // when the lease was last renewed, in ns since start
+	electNow    chan struct{}          // wakes the election
+	lockGone    atomic.Int64           // when the lock was last seen to be gone, in ns since start
+	started     time.Time
+	stopping    atomic.Bool
 
 	wavesMu sync.Mutex
 	waves   map[int]owner.WaveRequest
@@ -253,7 +254,7 @@
 	go n.tellOwner(j.ID, func(ctx context.Context, addr string) error {
 		out, err := n.peers.Submitted(ctx, addr, j)
 		if err == nil {
-			n.admission.learn(out.Wait, time.Now())
+			n.ownerBehind.Store(out.Behind)
 		}
 		return err
 	})
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -40,10 +40,10 @@
 
 	relist chan struct{} // holds one token while a reading of the instance list is wanted
 
-	expecting  atomic.Bool  // workers are about to register
-	idle       atomic.Bool  // no job is open
-	overloaded atomic.Bool  // it cannot keep up
-	lineWait   atomic.Int64 // ns until it gets to a task that becomes ready now
+	expecting  atomic.Bool // workers are about to register
+	idle       atomic.Bool // no job is open
+	overloaded atomic.Bool // it cannot keep up
+	behind     atomic.Bool // work waits for its orders to be sent
 	committing bool
 	lastCommit time.Time
 	lastReport time.Time
@@ -204,7 +204,7 @@
 	t.lastReport = now
 	stats := t.core.Stats(now)
 	t.idle.Store(stats.OpenJobs == 0 && stats.Unrecorded == 0)
-	t.lineWait.Store(int64(t.core.LineWait(now)))
+	t.behind.Store(t.core.IsBehind(now))
 	t.overloaded.Store(t.core.StarvedFor(now) > overloadedAfter)
 	t.n.metrics.owner(stats)
 }
@@ -367,6 +367,14 @@
 	return r
 }
 
+// admit tells by how much a job would be late if it was accepted now.
+func (t *termRun) admit(j *job.Job) peer.AdmitReply {
+	r, _ := ask(t, func(c *owner.Core) peer.AdmitReply {
+		return peer.AdmitReply{Owner: true, LateBy: c.LateBy(j, time.Now())}
+	})
+	return r
+}
+
 func (t *termRun) cancelled(id job.ID) {
 	t.do(func(c *owner.Core, now time.Time) { c.Cancel(id, now) })
 }
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -108,20 +108,20 @@
 	if c.catalog == nil {
 		return
 	}
-	if q := c.catalog.Queue(j.spec.Queue); q != nil {
-		j.queue = *q
-		if j.service != q.Service {
-			j.service = q.Service
-			j.queued = false // it leaves the queue of the service before
-		}
+	before := j.service
+	j.takeQueue(c.catalog)
+	if j.service != before {
+		j.queued = false // it leaves the queue of the service before
 	}
 	c.wants(j)
 }
 
-// Chain returns the longest chain of the job's steps by their estimates.
-func Chain(spec *job.Job) time.Duration {
-	chain, _ := chainAndWork(spec)
-	return chain
+// takeQueue takes the settings of the job's queue.
+func (j *jobState) takeQueue(catalog *job.Catalog) {
+	if q := catalog.Queue(j.spec.Queue); q != nil {
+		j.queue = *q
+		j.service = q.Service
+	}
 }
 
 // chainAndWork returns the longest chain of steps by the estimates, and the
--- a/jobs/owner/line.go
+++ b/jobs/owner/line.go
@@ -1,6 +1,10 @@
 package owner
 
-import "time"
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
 
 // line is the starts that are ordered and without an outcome, and how fast outcomes come.
 // What is ordered waits for its turn behind what was ordered before, whatever is more
@@ -11,7 +15,6 @@
 	cutAt time.Time       // when the limit was last lowered
 	open  int             // starts without an outcome
 	held  map[string]bool // services with tasks that could start but for these
-	ready map[string]int  // tasks of each that can still be in time, at its last placement
 
 	rate    float64 // outcomes a second, of late
 	counted int     // outcomes since
@@ -43,7 +46,7 @@
 )
 
 func newLine(most int) line {
-	return line{most: most, limit: float64(most), held: map[string]bool{}, ready: map[string]int{}}
+	return line{most: most, limit: float64(most), held: map[string]bool{}}
 }
 
 // answered takes note of the outcome of a start.
@@ -84,46 +87,44 @@
 // back: for each start alone a look would cost more than the start.
 func (l *line) isShort() bool { return l.open <= int(l.limit)/2 }
 
-// hold takes note that tasks of the service wait for the line.
-func (l *line) hold(service string, ready int) {
-	l.held[service] = true
-	l.ready[service] = ready
+// isBehind reports whether tasks wait for the line, and outcomes come by which it can be
+// told for how long.
+func (l *line) isBehind(now time.Time) bool {
+	return len(l.held) > 0 && l.rate > 0 && now.Sub(l.since) <= rateForgotten
 }
 
-func (l *line) letGo(service string) {
-	delete(l.held, service)
-	delete(l.ready, service)
-}
+// IsBehind reports whether work waits for its orders to be sent.
+func (c *Core) IsBehind(now time.Time) bool { return c.line.isBehind(now) }
 
-// wait returns how long it takes to start what is ready now.
-func (l *line) wait() time.Duration {
-	if len(l.held) == 0 || l.rate <= 0 {
+// LateBy returns by how much a job that was accepted now would be late, because starts that
+// go before its own wait to be sent; 0 if it would not be, or does not run now.
+func (c *Core) LateBy(spec *job.Job, now time.Time) time.Duration {
+	if !c.line.isBehind(now) || spec.Repeat > 0 || spec.Steps[0].LongRunning {
 		return 0
 	}
-	tasks := l.open
-	for _, n := range l.ready {
-		tasks += n
-	}
-	return time.Duration(float64(tasks) / l.rate * float64(time.Second))
-}
-
-// LineWait returns how long a task that becomes ready now waits until the owner has sent
-// what comes before it; 0 if the owner keeps up.
-func (c *Core) LineWait(now time.Time) time.Duration {
-	if now.Sub(c.line.since) > rateForgotten {
+	fresh := *spec
+	fresh.AcceptedAt = now
+	j := &jobState{spec: &fresh}
+	j.takeQueue(c.catalog)
+	if !c.line.held[j.service] {
 		return 0
 	}
-	return c.line.wait()
+	j.chain, j.leftWork = chainAndWork(spec)
+	j.leftChain = j.chain
+	ahead := c.line.open + readyBefore(c.pool(j.service).claims, c.claimOf(j, now), c.opt.Order)
+	wait := time.Duration(float64(ahead) / c.line.rate * float64(time.Second))
+	return max(0, wait-j.deadline().Sub(now.Add(j.chain)))
 }
 
-// readyTasks counts the tasks of claims that can start and would be in time.
-func readyTasks(claims []claim) int {
+// readyBefore counts the tasks that can start and go before those of a claim, of jobs that
+// wait in this order.
+func readyBefore(waiting []claim, cl claim, policy OrderPolicy) int {
 	n := 0
-	for _, cl := range claims {
-		if cl.band == bandLate {
-			continue
+	for _, w := range waiting {
+		if w.compare(cl, policy) > 0 {
+			break
 		}
-		for _, s := range cl.job.steps {
+		for _, s := range w.job.steps {
 			if s.ready() {
 				n += s.idle
 			}
--- a/jobs/owner/placing.go
+++ b/jobs/owner/placing.go
@@ -62,9 +62,7 @@
 	if !p.core.line.isFull() {
 		return false
 	}
-	if !p.heldBack() {
-		p.core.line.hold(p.service, readyTasks(p.claims))
-	}
+	p.core.line.held[p.service] = true
 	p.core.changed[p.service] = true
 	return true
 }
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -95,7 +95,7 @@
 			continue
 		}
 		delete(c.changed, service)
-		c.line.letGo(service)
+		delete(c.line.held, service)
 		due = append(due, c.newPlacing(service, pool, now))
 	}
 	for _, p := range due {
--- a/jobs/owner/window_test.go
+++ b/jobs/owner/window_test.go
@@ -91,16 +91,19 @@
 	assert.Len(t, began, jobs*width)
 }
 
-// TestTheOwnerKnowsWhenItGetsToNewWork: with 160 tasks to start and 40 answers a second it
-// takes four seconds; once they are started new work goes at once.
-func TestTheOwnerKnowsWhenItGetsToNewWork(t *testing.T) {
-	const window, jobs, width = 4, 20, 8
+// TestTheOwnerKnowsWhatWouldBeLate: with 160 tasks to start and 40 answers a second it gets
+// to a job like the others in four seconds, to one with less work at once. A job that has
+// time to spare, is due later or runs until it is cancelled is never late for that.
+func TestTheOwnerKnowsWhatWouldBeLate(t *testing.T) {
+	const window, jobs, width, estimate = 4, 20, 8, time.Second
 	r := newRig(t, 1)
 	r.core.line = newLine(window)
 	for i := range 40 {
 		r.held(r.worker(fmt.Sprintf("w%02d", i)), nil)
 	}
-	assert.Zero(t, r.core.LineWait(r.now))
+	like := simpleJob(900, width)
+	like.Steps[0].Estimate = estimate
+	assert.Zero(t, r.core.LateBy(like, r.now), "nothing waits")
 	for n := range jobs {
 		j := simpleJob(1+n, width)
 		j.AcceptedAt = r.now
@@ -123,10 +126,26 @@
 	for range 60 {
 		answer()
 	}
-	left := float64(jobs*width-60) / 40
-	assert.InDelta(t, left, r.core.LineWait(r.now).Seconds(), 0.4*left)
+	r.out.Holds = nil
+	assert.True(t, r.core.IsBehind(r.now))
+	assert.Zero(t, r.core.LateBy(like, r.now), "its work is less than the others'")
+
+	more := simpleJob(901, width)
+	more.Steps[0].Estimate = 10 * estimate
+	more.Steps[0].Count = 2 * width
+	wait := float64(jobs*width-60) / 40
+	spare := 2*10.0 + 1 - 10 // stretch and objective of the queue, less the chain
+	assert.Zero(t, r.core.LateBy(more, r.now), "%.1f s to spare for a wait of %.1f s", spare, wait)
+
+	r.core.catalog.Queues[0].Stretch = 1
+	assert.InDelta(t, wait-1, r.core.LateBy(more, r.now).Seconds(), 0.3*wait)
+	lasting, timed := *more, *more
+	lasting.Steps = []job.Step{{Count: 8, LongRunning: true}}
+	timed.Repeat, timed.StartAt = 1, r.now.Add(time.Hour)
+	assert.Zero(t, r.core.LateBy(&lasting, r.now))
+	assert.Zero(t, r.core.LateBy(&timed, r.now))
 	for range jobs * width {
 		answer()
 	}
-	assert.Zero(t, r.core.LineWait(r.now))
+	assert.Zero(t, r.core.LateBy(more, r.now), "all are started")
 }
--- a/jobs/peer/peer.go
+++ b/jobs/peer/peer.go
@@ -52,9 +52,18 @@
 // SubmitRequest tells the owner of a job that is in the store.
 type SubmitRequest struct{ Job job.Job }
 
-// SubmitReply says how long a task of the job that becomes ready waits until the owner
-// gets to it; 0 if it keeps up.
-type SubmitReply struct{ Wait time.Duration }
+// SubmitReply says whether the owner cannot keep up: it is to be asked before the next job
+// is accepted.
+type SubmitReply struct{ Behind bool }
+
+// AdmitRequest asks whether a job that was not accepted yet would be done in time.
+type AdmitRequest struct{ Job job.Job }
+
+// AdmitReply is the owner's answer: by how much the job would be late, 0 if it would not.
+type AdmitReply struct {
+	Owner  bool
+	LateBy time.Duration
+}
 
 // Empty is a reply without content.
 type Empty struct{ Ignored bool }
@@ -104,6 +113,7 @@
 	Pending(r PendingRequest) PendingReply
 	Cancelled(r CancelRequest)
 	Submitted(r SubmitRequest) SubmitReply
+	Admit(r AdmitRequest) AdmitReply
 	Relay(r RelayRequest) RelayReply
 	Look(addr string) Presence
 }
@@ -131,6 +141,11 @@
 	return nil
 }
 
+func (s *server) Admit(r AdmitRequest, out *AdmitReply) error {
+	*out = s.h.Admit(r)
+	return nil
+}
+
 func (s *server) Relay(r RelayRequest, out *RelayReply) error {
 	*out = s.h.Relay(r)
 	return nil
@@ -220,6 +235,11 @@
 	return out, err
 }
 
+// Admit asks the peer at addr whether a job would be done in time.
+func (c *Client) Admit(ctx context.Context, addr string, j *job.Job) (AdmitReply, error) {
+	return ask[AdmitReply](ctx, c, addr, "Admit", AdmitRequest{*j})
+}
+
 // Relay makes a call to the store by way of the peer at addr.
 func (c *Client) Relay(ctx context.Context, addr string, r RelayRequest) (RelayReply, error) {
 	var out RelayReply
--- a/standin/jobfleet/network.go
+++ b/standin/jobfleet/network.go
@@ -105,6 +105,15 @@
 	return h.Submitted(peer.SubmitRequest{Job: *j}), nil
 }
 
+// Admit implements node.Peers.
+func (c *PeerClient) Admit(ctx context.Context, addr string, j *job.Job) (peer.AdmitReply, error) {
+	h, err := c.reach(ctx, addr)
+	if err != nil {
+		return peer.AdmitReply{}, err
+	}
+	return h.Admit(peer.AdmitRequest{Job: *j}), nil
+}
+
 // Relay implements peer.Relayer.
 func (c *PeerClient) Relay(ctx context.Context, addr string, r peer.RelayRequest) (peer.RelayReply, error) {
 	h, err := c.reach(ctx, addr)
