--- a/jobs/owner/placing.go
+++ b/jobs/owner/placing.go
@@ -41,6 +41,7 @@
 	p.pool.settle(p.now)
 }
 
+// place places the tasks of claims in their order, until no more starts may be ordered.
 func (p *placing) place(claims []claim) {
 	for _, cl := range claims {
 		for _, s := range cl.job.steps {
@@ -94,6 +95,7 @@
 	}
 }
 
+// requestOf returns what a task of the step needs.
 func requestOf(s *stepState) placement.Request {
 	return placement.Request{
 		Need:          s.spec.Occupies(),
@@ -108,6 +110,7 @@
 	}
 }
 
+// placeStep starts the step's waiting tasks one by one, as long as there is room.
 func (p *placing) placeStep(s *stepState) {
 	if s.spec.Gang {
 		p.placeGang(s)
@@ -185,6 +188,7 @@
 		why, s.index, need.CPUMilli, need.MemMB, p.pool.free.size())})
 }
 
+// countWaiting returns how many tasks of the step could start now.
 func countWaiting(s *stepState, now time.Time) int {
 	n := 0
 	for _, t := range s.tasks {
@@ -228,6 +232,7 @@
 	mine map[*worker]int // tasks of the step by worker; kept if only so many may be on one
 }
 
+// choiceFor returns the choice for the step's tasks, of which some may run already.
 func (p *placing) choiceFor(s *stepState) *stepChoice {
 	ch := &stepChoice{p: p, step: s, req: requestOf(s)}
 	if ch.req.MaxPerWorker > 0 {
