An unanswered start tells of a full link, and jobs are asked about without their payload

The link fills in the moment in which daemons begin to ask about each job: a question carried the whole job, twice if it was not answered in time, before the job itself was sent and then read from the store. Ruled out: holds that wait longer for their answer; no answer came for three seconds. Change: a start without an answer counts as one that took its timeout; ten of them on end, with none answered between, say that the link is full. Questions leave the payload out and are put once.

--- a/jobs/node/admission.go
+++ b/jobs/node/admission.go
@@ -45,7 +45,9 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
-	r, err := n.peers.Admit(ctx, lock.Addr, j)
+	bare := *j
+	bare.Payload = "" // which is most of a job, and is of no account here
+	r, err := n.peers.Admit(ctx, lock.Addr, &bare)
 	if err != nil {
 		n.log.Info("owner-not-asked", zap.String("job", string(j.ID)), zap.Error(err))
 		return 0
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -37,6 +37,9 @@
 		return
 	}
 	c.heard(w, a, now)
+	if a.Outcome == Unanswered {
+		c.judgeAnswer(OrderTimeout, now) // it takes longer, or never comes
+	}
 	r := w.runs[o.Task]
 	if r == nil || r.number != o.Run {
 		c.afterLateAnswer(w, o, a, now)
--- a/jobs/peer/peer.go
+++ b/jobs/peer/peer.go
@@ -235,9 +235,12 @@
 	return out, err
 }
 
-// Admit asks the peer at addr whether a job would be done in time.
+// Admit asks the peer at addr whether a job would be done in time. An owner that is behind
+// is not asked twice.
 func (c *Client) Admit(ctx context.Context, addr string, j *job.Job) (AdmitReply, error) {
-	return ask[AdmitReply](ctx, c, addr, "Admit", AdmitRequest{*j})
+	var out AdmitReply
+	err := c.call(ctx, addr, "Admit", AdmitRequest{*j}, &out)
+	return out, err
 }
 
 // Relay makes a call to the store by way of the peer at addr.
