Work without room counts as such while the line is full

Cause: as the failing test tells. Ruled out: a share of the line for long-running tasks: they come first in it. Change: whether there is room is found out before whether a start may be ordered; the steps of long-running jobs are all looked at.

--- a/jobs/owner/placing.go
+++ b/jobs/owner/placing.go
@@ -28,29 +28,31 @@
 	for n < len(p.claims) && p.claims[n].band == bandLasting {
 		n++
 	}
-	p.place(p.claims[:n])
+	for _, cl := range p.claims[:n] {
+		p.placeJob(cl.job)
+	}
 	p.placed = n
 }
 
 // placeOthers places all that placeLasting left.
 func (p *placing) placeOthers() {
-	p.place(p.claims[p.placed:])
+	for _, cl := range p.claims[p.placed:] {
+		if p.heldBack() {
+			break
+		}
+		p.placeJob(cl.job)
+	}
 	if p.pool.waiting == 0 && !p.heldBack() {
 		p.placeLateCopies(p.claims)
 	}
 	p.pool.settle(p.now)
 }
 
-// place places the tasks of claims in their order, until no more starts may be ordered.
-func (p *placing) place(claims []claim) {
-	for _, cl := range claims {
-		for _, s := range cl.job.steps {
-			if s.ready() {
-				p.placeStep(s)
-			}
-			if p.heldBack() {
-				return
-			}
+// placeJob places the tasks of a job that can start.
+func (p *placing) placeJob(j *jobState) {
+	for _, s := range j.steps {
+		if s.ready() {
+			p.placeStep(s)
 		}
 	}
 }
@@ -110,7 +112,8 @@
 	}
 }
 
-// placeStep starts the step's waiting tasks one by one, as long as there is room.
+// placeStep starts the step's waiting tasks one by one, as long as there is room and starts
+// may be ordered. Tasks without room are counted as such also if none may.
 func (p *placing) placeStep(s *stepState) {
 	if s.spec.Gang {
 		p.placeGang(s)
@@ -124,9 +127,6 @@
 		if !t.waits(p.now) {
 			continue
 		}
-		if p.holdBack() {
-			return
-		}
 		if choice == nil {
 			choice = p.choiceFor(s)
 		}
@@ -147,6 +147,9 @@
 			p.noRoom(s, &choice.req)
 			return
 		}
+		if p.holdBack() {
+			return
+		}
 		choice.start(t, w)
 		s.waitsSince = time.Time{}
 	}
@@ -206,9 +209,6 @@
 			return
 		}
 	}
-	if p.holdBack() {
-		return
-	}
 	req := requestOf(s)
 	room := p.room(s)
 	chosen := placement.ChooseGang(room.views, req, len(s.tasks), s.spec.SameRack)
@@ -218,6 +218,9 @@
 		p.ask(s)
 		return
 	}
+	if p.holdBack() {
+		return
+	}
 	number := p.core.nextRun()
 	for n, i := range chosen {
 		p.start(s.tasks[n], room.workers[i], &req, number)
