--- a/jobs/owner/workerset.go
+++ b/jobs/owner/workerset.go
@@ -48,7 +48,3 @@
 		r[w.Service] = slices.Delete(r[w.Service], at, at+1)
 	}
 }
-
-// everyWorker returns all workers in the order of their ids. It costs the size of the
-// fleet: nothing that happens often may use it.
-func (c *Core) everyWorker() []*worker { return workerSet(c.workers).sorted() }
