Failing test: silence of the other workers rules a crash out

Built in its place from the code: a worker crashes while the way to all others is cut for 1.1 s. The verdict comes 0.4 s after the end of its life; the others are silent then, are taken for lost with it, and the crash is held against nobody. In the soak all workers are behind one proxy, so that one mute way does this at each crash.

--- a/jobs/owner/crash_test.go
+++ b/jobs/owner/crash_test.go
@@ -238,3 +238,33 @@
 	assert.Equal(t, job.Failed, next.core.jobs[j.ID].state)
 	assert.Empty(t, next.started())
 }
+
+// TestSilenceIsNoFailureOfARack: a worker crashes while the way to all others is cut for a
+// while. They answer again, so that their rack has not failed, and the crash counts.
+func TestSilenceIsNoFailureOfARack(t *testing.T) {
+	r := newRig(t, 1)
+	others := []WorkerID{"w1", "w2", "w3", "w4", "w5"}
+	r.workers("w0", "w1", "w2", "w3", "w4", "w5")
+	for n := range r.regs {
+		r.regs[n].Rack = []string{"r0", "r0", "r1", "r1", "r2", "r2"}[n]
+	}
+	r.list()
+	j := r.submit(1, 1)
+	first := r.started()
+	require.Len(t, first, 1)
+	require.Equal(t, WorkerID("w0"), first[0].Worker)
+	for _, w := range append([]WorkerID{"w0"}, others...) {
+		r.loseContact(w)
+	}
+	r.tick(300 * time.Millisecond)
+	r.reborn("w0", "w0 again")
+	for range 8 {
+		r.tick(100 * time.Millisecond)
+		for _, w := range others {
+			r.loseContact(w)
+		}
+	}
+	r.keep(time.Second, nil)
+	crashes := r.core.jobs[j.ID].steps[0].tasks[0].crashes
+	assert.Equal(t, 1, crashes.Certain(), "%+v", crashes)
+}
