The verdict on a crash waits for workers that are only silent; a lost order is no crash

Cause: 0.4 s after the end of a worker's life it was decided whether its rack or zone had failed, and workers that were silent at that moment, without any proof that they had ended, counted as failed with it. While the way to all workers is cut for seconds each crash of a task is thus put down to the rack, and its next start costs one more worker. Beside it each order without an answer counted as a lost contact, and what had just started as a possible crash. Change: most of a rack gone for certain rules a crash out, most of it silent waits for up to 6 s; an order that times out leaves the judgement to the hold that is under way.

--- a/jobs/owner/crash.go
+++ b/jobs/owner/crash.go
@@ -29,8 +29,9 @@
 	// unknownPatience is how long a new owner waits for the lists to show a worker that an
 	// earlier one lost contact to.
 	unknownPatience = 2500 * time.Millisecond
-	// lostKept is how long the end of a life is remembered for these decisions.
-	lostKept = 5 * time.Second
+	// lostKept is how long the end of a life is remembered for these decisions: the longest
+	// wait for one, and some seconds.
+	lostKept = verdictPatience + 2*time.Second
 	// lastingProof is how long a long-running task has to be at work to be cleared.
 	lastingProof = 10 * time.Second
 )
@@ -112,19 +113,30 @@
 // decideCrashes decides on the lives that ended a moment ago.
 func (c *Core) decideCrashes(now time.Time) {
 	for _, w := range c.verdicts.due(now) {
-		switch {
-		case w.endsByOrder():
-			c.clearCrashes(w.Worker, "it ended as planned")
-		case c.failedTogether(w):
-			c.clearCrashes(w.Worker, "its rack or zone failed")
-		default:
-			c.confirmCrashes(w.Worker, now)
-		}
+		c.decideCrash(w, now)
 	}
 	c.decideOnUnknown(now)
 	c.lostLately = slices.DeleteFunc(c.lostLately, func(w *worker) bool { return now.Sub(w.contact.lostAt) > lostKept })
 }
 
+// decideCrash decides on a life that ended. Silence of the others of its rack is waited out:
+// on a way that is cut for seconds each crash of a task would be put down to the rack.
+func (c *Core) decideCrash(w *worker, now time.Time) {
+	if w.endsByOrder() {
+		c.clearCrashes(w.Worker, "it ended as planned")
+		return
+	}
+	with := c.lostWith(w)
+	switch {
+	case with == perhapsTogether && now.Sub(w.contact.lostAt) < verdictPatience:
+		c.verdicts.add(now.Add(verdictAfter), w)
+	case with == lostAlone:
+		c.confirmCrashes(w.Worker, now)
+	default:
+		c.clearCrashes(w.Worker, "its rack or zone failed")
+	}
+}
+
 // decideOnUnknown decides on workers to which an earlier owner lost contact, and which have
 // not answered this one: if the instance list does not show such a life it is over.
 func (c *Core) decideOnUnknown(now time.Time) {
--- a/jobs/owner/crash_test.go
+++ b/jobs/owner/crash_test.go
@@ -268,3 +268,17 @@
 	crashes := r.core.jobs[j.ID].steps[0].tasks[0].crashes
 	assert.Equal(t, 1, crashes.Certain(), "%+v", crashes)
 }
+
+// TestALostOrderIsNoCrash: an order that gets no answer in time says nothing against its task
+// as long as the worker's hold is under way; one the connection of which is refused does.
+func TestALostOrderIsNoCrash(t *testing.T) {
+	for broken, open := range map[bool]int{false: 0, true: 1} {
+		r := newRig(t, 1)
+		r.workers("w0", "w1")
+		j := r.submit(1, 1)
+		sent := r.out.Starts
+		require.Len(t, sent, 1)
+		r.core.OnStarted(sent[0], Answer{Outcome: Unanswered, Err: errors.New("lost"), Broken: broken}, r.now)
+		assert.Len(t, r.core.jobs[j.ID].steps[0].tasks[0].crashes, open, "broken %t", broken)
+	}
+}
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -33,7 +33,7 @@
 	if w == nil {
 		return
 	}
-	c.heard(w, a, now)
+	c.heardOrder(w, a, now)
 	if a.Outcome == Unanswered {
 		c.judgeAnswer(OrderTimeout, now) // it takes longer, or never comes
 	}
@@ -168,7 +168,7 @@
 	if w == nil {
 		return
 	}
-	c.heard(w, a, now)
+	c.heardOrder(w, a, now)
 	switch a.Outcome {
 	case Fenced:
 		c.fence(w)
--- a/jobs/owner/pace.go
+++ b/jobs/owner/pace.go
@@ -83,7 +83,7 @@
 	if w == nil {
 		return
 	}
-	c.heard(w, a, now)
+	c.heardOrder(w, a, now)
 	if a.Outcome == Fenced {
 		c.fence(w)
 		return
--- a/jobs/owner/together.go
+++ b/jobs/owner/together.go
@@ -9,8 +9,19 @@
 	leastOfZone = 3
 )
 
-// failedTogether reports whether most workers of the worker's rack or zone were lost with it.
-func (c *Core) failedTogether(w *worker) bool {
+// togetherness says whether a worker was lost with the others of its rack or zone.
+type togetherness int
+
+const (
+	lostAlone       togetherness = iota
+	perhapsTogether              // so many others are silent that it depends on whether they come back
+	lostTogether
+)
+
+// lostWith tells whether most workers of the worker's rack or zone were lost with it. Those
+// that are silent, but not known to have ended, may be behind a way that is cut for a moment:
+// while they decide, nothing is certain.
+func (c *Core) lostWith(w *worker) togetherness {
 	rack, zone := lossCount{least: leastOfRack}, lossCount{least: leastOfZone}
 	count := func(o *worker) {
 		if o.endsByOrder() || !o.held || o.since.After(w.contact.lostAt) {
@@ -21,10 +32,10 @@
 			return // it was over before
 		}
 		if w.Rack != "" && o.Rack == w.Rack {
-			rack.add(lost)
+			rack.add(lost, o.gone)
 		}
 		if w.Zone != "" && o.Zone == w.Zone {
-			zone.add(lost)
+			zone.add(lost, o.gone)
 		}
 	}
 	for _, o := range c.workers {
@@ -35,7 +46,7 @@
 	for _, o := range c.lostLately {
 		count(o)
 	}
-	return rack.isMost() || zone.isMost()
+	return max(rack.judge(), zone.judge())
 }
 
 // overlaps reports whether both losses may have happened at the same moment: each between the
@@ -49,13 +60,31 @@
 }
 
 // lossCount counts the workers of a rack or zone.
-type lossCount struct{ least, lost, all int }
+type lossCount struct {
+	least     int
+	all       int
+	lost      int // silent or gone
+	lostKnown int // gone for certain
+}
 
-func (t *lossCount) add(lost bool) {
+func (t *lossCount) add(lost, gone bool) {
 	t.all++
 	if lost {
 		t.lost++
 	}
+	if lost && gone {
+		t.lostKnown++
+	}
+}
+
+func (t *lossCount) judge() togetherness {
+	switch {
+	case t.isMost(t.lostKnown):
+		return lostTogether
+	case t.isMost(t.lost):
+		return perhapsTogether
+	}
+	return lostAlone
 }
 
-func (t *lossCount) isMost() bool { return t.lost >= t.least && 2*t.lost > t.all }
+func (t *lossCount) isMost(n int) bool { return n >= t.least && 2*n > t.all }
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -93,6 +93,17 @@
 // unanswered, and nothing was heard of it since.
 func (w *worker) silent() bool { return !w.silentSince.IsZero() || w.suspect }
 
+// heardOrder takes note of the answer to an order, or that there is none. An order that is
+// lost on its way says nothing of the worker: the hold that is under way tells whether it is
+// there. Where a fifth of the orders are lost, each would else count as a possible crash.
+func (c *Core) heardOrder(w *worker, a Answer, now time.Time) {
+	if a.Outcome == Unanswered && !a.Broken {
+		c.touchWorker(w)
+		return
+	}
+	c.heard(w, a, now)
+}
+
 // heard takes note of an answer, or that there is none.
 func (c *Core) heard(w *worker, a Answer, now time.Time) {
 	c.touchWorker(w)
