Callers' keys: calls on a queue that is not public need the key of a tenant

Ruled out: a push of configurations between daemons. Change: the adapter decodes tenants, keys and public queues; only digests of keys are kept (jobs/apikey); a call without a key, or with one of no configuration, gets 401 before its body is read and after the queue was looked up (404 comes first: which paths there are is no secret). A job belongs to the tenant that submitted it: another tenant's key, or a public queue, gets 403 for its state, its cancellation and a submission of its id.

--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -17,6 +17,7 @@
 	"go.uber.org/zap"
 
 	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/verdict"
 )
 
@@ -24,16 +25,22 @@
 type Jobs interface {
 	// Catalog returns the configuration in force, nil before the first one.
 	Catalog() *job.Catalog
+	// Confirmed reports whether that is certain to be the newest one, or may pass for it.
+	Confirmed() bool
 	Accept(ctx context.Context, j *job.Job) error
-	// Cancel reports whether the job is known.
-	Cancel(ctx context.Context, id job.ID) (bool, error)
-	State(ctx context.Context, id job.ID) (job.State, bool, error)
+	// Cancel cancels a job for a tenant; it reports whether the job is known.
+	Cancel(ctx context.Context, id job.ID, tenant string) (bool, error)
+	// State returns the state of a job and whose it is; known is false if there is none.
+	State(ctx context.Context, id job.ID) (state job.State, tenant string, known bool, err error)
 	Pending(ctx context.Context, queue string) (int, error)
 }
 
 // Decoder decodes the body of a submission.
 type Decoder func(raw []byte) (*job.Job, error)
 
+// KeyReader returns the key that a call carries, "" if it carries none.
+type KeyReader func(h http.Header) string
+
 // Observer counts answers and writes a line for each that is worth one.
 type Observer interface {
 	Answered(kind string, status int, took time.Duration)
@@ -60,6 +67,7 @@
 // Gateway is an http.Handler.
 type Gateway struct {
 	jobs     Jobs
+	key      KeyReader
 	decode   Decoder
 	observe  Observer
 	log      *zap.Logger
@@ -67,8 +75,8 @@
 }
 
 // New returns a gateway.
-func New(jobs Jobs, decode Decoder, observe Observer, log *zap.Logger) *Gateway {
-	return &Gateway{jobs: jobs, decode: decode, observe: observe, log: log}
+func New(jobs Jobs, key KeyReader, decode Decoder, observe Observer, log *zap.Logger) *Gateway {
+	return &Gateway{jobs: jobs, key: key, decode: decode, observe: observe, log: log}
 }
 
 // Stop makes each answer the last one on its connection.
@@ -113,7 +121,7 @@
 	g.write(w, rep)
 	took := time.Since(began)
 	g.observe.Answered(r.Method, rep.status, took)
-	if rep.status >= http.StatusTooManyRequests {
+	if rep.status >= http.StatusTooManyRequests || rep.status == http.StatusUnauthorized || rep.status == http.StatusForbidden {
 		g.log.Info("request-refused", zap.String("method", r.Method), zap.String("job", id),
 			zap.Int("status", rep.status), zap.String("why", rep.problem), zap.Duration("took", took))
 	}
@@ -136,6 +144,10 @@
 	if queue == nil {
 		return reply{status: http.StatusNotFound, problem: "no such queue"}, rest
 	}
+	tenant, refused := g.authenticate(r, catalog, queue)
+	if refused != nil {
+		return *refused, ""
+	}
 	if rest == "" && r.Method == http.MethodGet {
 		return g.pending(ctx, queue), ""
 	}
@@ -145,16 +157,36 @@
 	id := job.ID(rest)
 	switch r.Method {
 	case http.MethodPost, http.MethodPut:
-		return g.submit(ctx, r, catalog, queue, id), rest
+		return g.submit(ctx, r, catalog, queue, tenant, id), rest
 	case http.MethodGet:
-		return g.state(ctx, id), rest
+		return g.state(ctx, id, tenant), rest
 	case http.MethodDelete:
-		return g.cancel(ctx, id), rest
+		return g.cancel(ctx, id, tenant), rest
 	}
 	return reply{status: http.StatusMethodNotAllowed, problem: "POST, GET or DELETE"}, rest
 }
 
-func (g *Gateway) submit(ctx context.Context, r *http.Request, catalog *job.Catalog, queue *job.Queue, id job.ID) reply {
+// authenticate returns the tenant whose key the call carries, "" on a public queue, or else
+// why the call is refused. It comes after the queue was looked up: which paths there are is
+// no secret, and a path that is none has nothing to guard.
+func (g *Gateway) authenticate(r *http.Request, catalog *job.Catalog, queue *job.Queue) (tenant string, refused *reply) {
+	if queue.Public {
+		return "", nil
+	}
+	key := g.key(r.Header)
+	tenant, ok := catalog.Keys.Tenant(key)
+	switch {
+	case ok && g.jobs.Confirmed():
+		return tenant, nil
+	case ok:
+		return "", &reply{status: http.StatusServiceUnavailable, problem: "whether the key is still good is not known at present", retry: retryAfter}
+	case key == "":
+		return "", &reply{status: http.StatusUnauthorized, problem: fmt.Sprintf("the call carries no key, configuration %d wants one", catalog.Version)}
+	}
+	return "", &reply{status: http.StatusUnauthorized, problem: fmt.Sprintf("configuration %d has no such key", catalog.Version)}
+}
+
+func (g *Gateway) submit(ctx context.Context, r *http.Request, catalog *job.Catalog, queue *job.Queue, tenant string, id job.ID) reply {
 	limit := catalog.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBody
@@ -173,6 +205,7 @@
 	j.ID = id
 	j.Queue = queue.Name
 	j.Service = queue.Service
+	j.Tenant = tenant
 	j.AcceptedAt = time.Now()
 	if err := g.jobs.Accept(ctx, j); err != nil {
 		return refusal(err)
@@ -181,19 +214,21 @@
 	return reply{status: http.StatusOK, body: struct{}{}}
 }
 
-func (g *Gateway) state(ctx context.Context, id job.ID) reply {
-	state, known, err := g.jobs.State(ctx, id)
+func (g *Gateway) state(ctx context.Context, id job.ID, tenant string) reply {
+	state, of, known, err := g.jobs.State(ctx, id)
 	switch {
 	case err != nil:
 		return refusal(err)
 	case !known:
 		return reply{status: http.StatusGone, problem: "no such job"}
+	case !job.MayAccess(tenant, of):
+		return refusal(ledger.ErrOtherTenant(id))
 	}
 	return reply{status: http.StatusOK, body: stateBody{state}}
 }
 
-func (g *Gateway) cancel(ctx context.Context, id job.ID) reply {
-	known, err := g.jobs.Cancel(ctx, id)
+func (g *Gateway) cancel(ctx context.Context, id job.ID, tenant string) reply {
+	known, err := g.jobs.Cancel(ctx, id, tenant)
 	switch {
 	case err != nil:
 		return refusal(err)
@@ -215,6 +250,9 @@
 // refusal turns an error into an answer by its verdict: 503 says that the
 // request has not run, 504 that it may have.
 func refusal(err error) reply {
+	if verdict.CodeOf(err) == ledger.CodeOtherTenant {
+		return reply{status: http.StatusForbidden, problem: err.Error()}
+	}
 	if verdict.Of(err) == verdict.NotRun {
 		return reply{status: http.StatusServiceUnavailable, problem: err.Error(), retry: retryOf(err)}
 	}
@@ -239,6 +277,9 @@
 	if rep.retry > 0 {
 		h.Set("Retry-After", strconv.Itoa(int(math.Ceil(rep.retry.Seconds()))))
 	}
+	if rep.status == http.StatusUnauthorized {
+		h.Set("WWW-Authenticate", "Bearer")
+	}
 	body := rep.body
 	if rep.problem != "" {
 		v := verdict.NotRun
--- a/jobs/job/job.go
+++ b/jobs/job/job.go
@@ -1,5 +1,5 @@
 // Package job holds the types of the job subsystem: queues, jobs, steps,
-// tasks and what is kept of them in the store. It imports nothing of ours.
+// tasks and what is kept of them in the store.
 package job
 
 import (
@@ -7,6 +7,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"github.com/postmount/postmount/jobs/apikey"
 )
 
 // ID is the caller's name of a job, 16 hexadecimal digits.
@@ -46,6 +48,11 @@
 	return need.CPUMilli <= r.CPUMilli && need.MemMB <= r.MemMB && need.GPU <= r.GPU
 }
 
+// Times returns n times r.
+func (r Resources) Times(n int) Resources {
+	return Resources{n * r.CPUMilli, n * r.MemMB, n * r.GPU}
+}
+
 // Sub returns r less o.
 func (r Resources) Sub(o Resources) Resources {
 	return Resources{r.CPUMilli - o.CPUMilli, r.MemMB - o.MemMB, r.GPU - o.GPU}
@@ -91,6 +98,7 @@
 	ID         ID
 	Queue      string // name of the route it came by
 	Service    string // service of the queue when it was accepted
+	Tenant     string `json:",omitempty"` // whose job it is; "": it came by a public queue
 	Payload    string `json:",omitempty"` // handed to the workers as it came
 	Steps      []Step
 	Repeat     int           `json:",omitempty"` // occurrences; 0: the job runs once, at once
@@ -169,6 +177,7 @@
 	Host        string
 	Prefix      string // of the path; ends with a slash
 	Service     string
+	Public      bool          // its callers need no key
 	Priority    int           // 0 comes first
 	MaxAttempts int           // a task that failed so often fails its job
 	Stretch     float64       // objective: Stretch times the longest chain of work ...
@@ -196,6 +205,8 @@
 	Version  int64
 	Queues   []Queue
 	Services []Service
+	Tenants  []Tenant
+	Keys     apikey.Ring
 	Limits   Limits
 }
 
--- a/jobs/ledger/accept.go
+++ b/jobs/ledger/accept.go
@@ -47,9 +47,10 @@
 }
 
 type pending struct {
-	key   string
-	value []byte
-	done  chan error
+	key    string
+	tenant string
+	value  []byte
+	done   chan error
 }
 
 // NewAcceptor returns an acceptor that does nothing before Run.
@@ -72,7 +73,7 @@
 	if a.store.Away() {
 		return errAway()
 	}
-	s := pending{key: prefixSubmitted + string(j.ID), value: encode(j), done: make(chan error, 1)}
+	s := pending{key: prefixSubmitted + string(j.ID), tenant: j.Tenant, value: encode(j), done: make(chan error, 1)}
 	select {
 	case a.queue <- s:
 	default:
@@ -167,11 +168,31 @@
 		}
 		n++
 		delete(batch, i.Key)
-		finish(map[string][]pending{i.Key: s}, nil)
+		for _, p := range s {
+			p.done <- accessTo(i, p.tenant)
+		}
 	}
 	return n
 }
 
+// CodeOtherTenant says that a job belongs to another tenant than the one that asks.
+const CodeOtherTenant verdict.Code = "job-of-another-tenant"
+
+// ErrOtherTenant is the error of a call for a job of another tenant.
+func ErrOtherTenant(id job.ID) error {
+	return verdict.New(verdict.NotRun, CodeOtherTenant, "job %s is another tenant's", id)
+}
+
+// accessTo returns an error if the job of a submission that is in the store is not the
+// tenant's. One that cannot be read is nobody's.
+func accessTo(i Item, tenant string) error {
+	sub, err := decodeSubmission(i)
+	if err == nil && !job.MayAccess(tenant, sub.Tenant) {
+		return ErrOtherTenant(idOf(i.Key, prefixSubmitted))
+	}
+	return nil
+}
+
 func finish(batch map[string][]pending, err error) {
 	for _, ss := range batch {
 		for _, s := range ss {
@@ -186,13 +207,16 @@
 	return known, err
 }
 
-// Cancel records a caller's wish to cancel a job. known is false if there is
+// Cancel records a tenant's wish to cancel a job. known is false if there is
 // no such job.
-func Cancel(ctx context.Context, s Store, id job.ID) (known bool, err error) {
-	known, err = Known(ctx, s, id)
+func Cancel(ctx context.Context, s Store, id job.ID, tenant string) (known bool, err error) {
+	item, known, err := s.Get(ctx, prefixSubmitted+string(id), false)
 	if err != nil || !known {
 		return known, err
 	}
+	if err := accessTo(item, tenant); err != nil {
+		return true, err
+	}
 	t := Txn{
 		If:   []Condition{{Key: prefixCancelled + string(id)}},
 		Puts: []Put{{Key: prefixCancelled + string(id), Value: []byte("{}")}},
@@ -201,31 +225,37 @@
 	return true, err
 }
 
-// StateOf reads a job's state from the store, for when the owner is away.
-func StateOf(ctx context.Context, s Store, id job.ID) (state job.State, known bool, err error) {
+// StateOf reads a job's state, and whose it is, from the store, for when the owner is away.
+func StateOf(ctx context.Context, s Store, id job.ID) (state job.State, tenant string, known bool, err error) {
 	item, known, err := s.Get(ctx, prefixSubmitted+string(id), false)
 	if err != nil || !known {
-		return "", known, err
+		return "", "", known, err
 	}
 	sub, err := decodeSubmission(item)
 	if err != nil {
-		return "", true, err
+		return "", "", true, err
 	}
 	if sub.Ended != nil {
-		return sub.Ended.State, true, nil
+		return sub.Ended.State, sub.Tenant, true, nil
 	}
+	state, err = openStateOf(ctx, s, id)
+	return state, sub.Tenant, true, err
+}
+
+// openStateOf reads the state of a job the submission of which does not show its end.
+func openStateOf(ctx context.Context, s Store, id job.ID) (job.State, error) {
 	if item, found, err := s.Get(ctx, prefixProgress+string(id), false); err != nil {
-		return "", true, err
+		return "", err
 	} else if found {
 		p, err := decode[job.Progress](item)
-		return p.State, true, err
+		return p.State, err
 	}
 	if _, found, err := s.Get(ctx, prefixCancelled+string(id), false); err != nil {
-		return "", true, err
+		return "", err
 	} else if found {
-		return job.Cancelled, true, nil
+		return job.Cancelled, nil
 	}
-	return job.Queued, true, nil
+	return job.Queued, nil
 }
 
 // idOf returns the job of a key with the given prefix.
--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -145,22 +145,37 @@
 	}
 }
 
-// follow reads all keys of a prefix and hands them to apply, then every change.
-// It starts over when the store has dropped the history in between. reset is
-// called before each reading of the whole; every is the least time between two
-// watches that return with changes.
-func (n *Node) follow(ctx context.Context, prefix string, every time.Duration, reset func(), apply func(ledger.Event)) {
+// follower is what is done with the keys of a prefix.
+type follower struct {
+	prefix string
+	every  time.Duration      // least time between two watches that return with changes
+	reset  func()             // called before the keys are read as a whole; nil: nothing is
+	apply  func(ledger.Event) // called for each key, then for each change
+	heard  func()             // called when all that the store has told is applied; nil: nothing is
+}
+
+// follow reads all keys of a prefix, then every change. It starts over when the store has
+// dropped the history in between.
+func (n *Node) follow(ctx context.Context, f follower) {
 	for ctx.Err() == nil {
-		items, revision, err := n.readAll(ctx, prefix)
+		items, revision, err := n.readAll(ctx, f.prefix)
 		if err != nil {
 			sleep.For(ctx, retryPause)
 			continue
 		}
-		reset()
+		call(f.reset)
 		for _, i := range items {
-			apply(ledger.Event{Item: i})
+			f.apply(ledger.Event{Item: i})
 		}
-		n.followFrom(ctx, prefix, every, revision, apply)
+		call(f.heard)
+		n.followFrom(ctx, f, revision)
+	}
+}
+
+// call calls a function that may be nil.
+func call(f func()) {
+	if f != nil {
+		f()
 	}
 }
 
@@ -170,13 +185,12 @@
 	return ledger.RangeAll(ctx, n.store, prefix, false)
 }
 
-// followFrom hands changes after a revision to apply until the history is
-// gone.
-func (n *Node) followFrom(ctx context.Context, prefix string, every time.Duration, revision int64, apply func(ledger.Event)) {
+// followFrom hands changes after a revision to the follower until the history is gone.
+func (n *Node) followFrom(ctx context.Context, f follower, revision int64) {
 	for ctx.Err() == nil {
-		ch, err := n.watchFor(ctx, prefix, revision, watchWait)
+		ch, err := n.watchFor(ctx, f.prefix, revision, watchWait)
 		if verdict.CodeOf(err) == ledger.CodeCompacted {
-			n.log.Warn("history-gone", zap.String("prefix", prefix), zap.Int64("after", revision))
+			n.log.Warn("history-gone", zap.String("prefix", f.prefix), zap.Int64("after", revision))
 			return
 		}
 		if err != nil {
@@ -184,29 +198,36 @@
 			continue
 		}
 		for _, e := range ch.Events {
-			apply(e)
+			f.apply(e)
 		}
+		call(f.heard)
 		revision = max(revision, ch.Revision)
-		if len(ch.Events) > 0 && every > 0 {
-			sleep.For(ctx, every)
+		if len(ch.Events) > 0 && f.every > 0 {
+			sleep.For(ctx, f.every)
 		}
 	}
 }
 
 // watchOperators follows the configuration and the waves.
 func (n *Node) watchOperators(ctx context.Context) {
-	n.follow(ctx, n.platform.Dialect.OperatorKeys, 0, func() {}, func(e ledger.Event) {
-		switch {
-		case e.Deleted:
-			n.refused.accept(e.Key)
-		case e.Key == n.platform.Dialect.ConfigKey:
-			n.configure(e.Item)
-		case strings.HasPrefix(e.Key, n.platform.Dialect.WavePrefix):
-			n.addWave(e.Item)
-		}
+	n.follow(ctx, follower{
+		prefix: n.platform.Dialect.OperatorKeys,
+		apply:  n.applyOperators,
+		heard:  func() { n.configKnown.Store(n.sinceStart()) },
 	})
 }
 
+func (n *Node) applyOperators(e ledger.Event) {
+	switch {
+	case e.Deleted:
+		n.refused.accept(e.Key)
+	case e.Key == n.platform.Dialect.ConfigKey:
+		n.configure(e.Item)
+	case strings.HasPrefix(e.Key, n.platform.Dialect.WavePrefix):
+		n.addWave(e.Item)
+	}
+}
+
 // configure applies a configuration, unless a newer one is in force. One that cannot be
 // used leaves the one before in force.
 func (n *Node) configure(i ledger.Item) {
@@ -261,22 +282,28 @@
 
 // followOwner follows who the owner is.
 func (n *Node) followOwner(ctx context.Context) {
-	n.follow(ctx, ledger.PrefixOwner, 0, func() { n.setLock(ledger.Lock{}, false, 0); n.wakeElection() }, func(e ledger.Event) {
-		l, held, ok, err := ledger.LockOf(e)
-		switch {
-		case err != nil: // nobody holds it: an election replaces it
-			n.refused.refuse(e.Key, e.Revision, err)
-			n.setLock(ledger.Lock{}, false, e.Revision)
-		case ok:
-			n.refused.accept(e.Key)
-			n.setLock(l, held, e.Revision)
-		default:
-			return
-		}
-		n.wakeElection()
+	n.follow(ctx, follower{
+		prefix: ledger.PrefixOwner,
+		reset:  func() { n.setLock(ledger.Lock{}, false, 0); n.wakeElection() },
+		apply:  n.applyLock,
 	})
 }
 
+func (n *Node) applyLock(e ledger.Event) {
+	l, held, ok, err := ledger.LockOf(e)
+	switch {
+	case err != nil: // nobody holds it: an election replaces it
+		n.refused.refuse(e.Key, e.Revision, err)
+		n.setLock(ledger.Lock{}, false, e.Revision)
+	case ok:
+		n.refused.accept(e.Key)
+		n.setLock(l, held, e.Revision)
+	default:
+		return
+	}
+	n.wakeElection()
+}
+
 // wakeElection makes the election look again: what it waits for may have come.
 func (n *Node) wakeElection() {
 	select {
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -27,6 +27,7 @@
 	OperatorKeys  string // prefix of ConfigKey and of the waves
 	WavePrefix    string
 	WorkerPrefix  string
+	CallerKey     gateway.KeyReader
 	DecodeJob     gateway.Decoder
 	DecodeCatalog func(raw []byte) (*job.Catalog, error)
 	DecodeWorker  func(key string, raw []byte) (owner.Registration, error)
@@ -93,6 +94,7 @@
 	lease       atomic.Int64           // ledger.LeaseID; 0: none
 	renewed     atomic.Int64           // when the lease was last renewed, in ns since start
 	electNow    chan struct{}          // wakes the election
+	configKnown atomic.Int64           // when the configuration was last certain to be the newest, in ns since start
 	lockGone    atomic.Int64           // when the lock was last seen to be gone, in ns since start
 	clock       Clock
 	slow        slowness
@@ -116,7 +118,7 @@
 	n.platform.Store = ledger.Counted(p.Store, m.storeCall)
 	n.store = ledger.NewFailover(n.platform.Store, n, p.Clock.Now, n.storeFailed)
 	n.accept = ledger.NewAcceptor(n.store)
-	n.gateway = gateway.New(n, p.Dialect.DecodeJob, m, log)
+	n.gateway = gateway.New(n, p.Dialect.CallerKey, p.Dialect.DecodeJob, m, log)
 	return n
 }
 
@@ -265,6 +267,11 @@
 // Catalog implements gateway.Jobs.
 func (n *Node) Catalog() *job.Catalog { return n.catalog.Load() }
 
+// Confirmed implements gateway.Jobs.
+func (n *Node) Confirmed() bool {
+	return n.set.RevokeWithin == 0 || time.Duration(n.sinceStart()-n.configKnown.Load()) <= n.set.RevokeWithin
+}
+
 // Accept implements gateway.Jobs.
 func (n *Node) Accept(ctx context.Context, j *job.Job) error {
 	if err := n.refuse(ctx, j); err != nil {
@@ -284,8 +291,8 @@
 }
 
 // Cancel implements gateway.Jobs.
-func (n *Node) Cancel(ctx context.Context, id job.ID) (bool, error) {
-	known, err := ledger.Cancel(ctx, n.store, id)
+func (n *Node) Cancel(ctx context.Context, id job.ID, tenant string) (bool, error) {
+	known, err := ledger.Cancel(ctx, n.store, id, tenant)
 	if err != nil || !known {
 		return known, err
 	}
@@ -309,9 +316,9 @@
 
 // State implements gateway.Jobs: from the owner, or from the store while there
 // is none, or if it has not heard of the job.
-func (n *Node) State(ctx context.Context, id job.ID) (job.State, bool, error) {
+func (n *Node) State(ctx context.Context, id job.ID) (job.State, string, bool, error) {
 	if r, err := n.askState(ctx, id); err == nil && r.Owner && r.Known {
-		return r.State, true, nil
+		return r.State, r.Tenant, true, nil
 	}
 	return ledger.StateOf(ctx, n.store, id)
 }
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -34,6 +34,10 @@
 	DutyHandover  time.Duration // between orders of two holders of the duty
 	MinStoreLease time.Duration
 	KeepStatus    time.Duration // of ended jobs
+	Tenants       bool          // callers need the key of a tenant, but for public queues
+	// RevokeWithin is how long a daemon that hears nothing of the configuration goes on taking
+	// its keys for good; 0: for ever, so that a store that is away stops nobody.
+	RevokeWithin time.Duration
 
 	Policy policy.Settings
 }
@@ -57,6 +61,9 @@
 	if s.MaxTaskLease <= 0 {
 		errs = append(errs, fmt.Errorf("MaxTaskLease is %s", s.MaxTaskLease))
 	}
+	if s.RevokeWithin < 0 {
+		errs = append(errs, fmt.Errorf("RevokeWithin is %s", s.RevokeWithin))
+	}
 	return errors.Join(errs...)
 }
 
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -375,7 +375,7 @@
 func (t *termRun) state(id job.ID) peer.StateReply {
 	r, _ := ask(t, func(c *owner.Core) peer.StateReply {
 		s, known := c.State(id)
-		return peer.StateReply{Owner: true, Known: known, State: s}
+		return peer.StateReply{Owner: true, Known: known, State: s, Tenant: c.TenantOf(id)}
 	})
 	return r
 }
--- a/jobs/node/termsources.go
+++ b/jobs/node/termsources.go
@@ -37,8 +37,9 @@
 			}
 		})
 	}
-	t.n.followFrom(t.ctx, ledger.PrefixJobs, jobsEvery, revision, apply)
-	t.n.follow(t.ctx, ledger.PrefixJobs, jobsEvery, func() {}, apply)
+	jobs := follower{prefix: ledger.PrefixJobs, every: jobsEvery, apply: apply}
+	t.n.followFrom(t.ctx, jobs, revision)
+	t.n.follow(t.ctx, jobs)
 }
 
 // awaitLease waits until this daemon's lease is held for certain, or the term is
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -283,6 +283,14 @@
 	return job.Queued, true
 }
 
+// TenantOf returns whose job it is, "" for one that came by a public queue or is not known.
+func (c *Core) TenantOf(id job.ID) string {
+	if j := c.jobs[id]; j != nil {
+		return j.spec.Tenant
+	}
+	return ""
+}
+
 // Pending counts the jobs of a queue of which no task is known to have started.
 func (c *Core) Pending(queue string) int { return c.pending[queue] }
 
--- a/jobs/peer/peer.go
+++ b/jobs/peer/peer.go
@@ -35,6 +35,8 @@
 	Owner bool
 	Known bool
 	State job.State
+	// Tenant is whose job it is.
+	Tenant string
 }
 
 // PendingRequest asks how many jobs of a queue wait for their first task.
--- a/standin/jobfleet/language.go
+++ b/standin/jobfleet/language.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"fmt"
+	"net/http"
 
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/node"
@@ -37,10 +38,8 @@
 			j, err := unmarshal[job.Job](raw)
 			return &j, err
 		},
-		DecodeCatalog: func(raw []byte) (*job.Catalog, error) {
-			c, err := unmarshal[job.Catalog](raw)
-			return &c, err
-		},
+		CallerKey:     func(h http.Header) string { return h.Get(keyHeader) },
+		DecodeCatalog: decodeCatalog,
 		DecodeWorker: func(_ string, raw []byte) (owner.Registration, error) { return unmarshal[owner.Registration](raw) },
 		DecodeWave:   unmarshal[owner.WaveRequest],
 		WaveStatus: func(wave int, done bool) (string, []byte) {
@@ -57,6 +56,19 @@
 	EncodeJob:     func(j *job.Job) []byte { return Encode(j) },
 }
 
+// keyHeader carries a caller's key.
+const keyHeader = "Key"
+
+// decodeCatalog decodes a configuration. One without tenants has no keys, so that every queue
+// is public.
+func decodeCatalog(raw []byte) (*job.Catalog, error) {
+	c, err := unmarshal[job.Catalog](raw)
+	for i := range c.Queues {
+		c.Queues[i].Public = c.Queues[i].Public || len(c.Tenants) == 0
+	}
+	return &c, err
+}
+
 // Encode returns a value as JSON.
 func Encode(v any) []byte {
 	raw, err := json.Marshal(v)
