Quotas: what a tenant has running stays within its limit over all workers

Ruled out: counting by service, or by job: what is being stopped, copies, starts without an answer and runs on lost workers would be missed. Waiting for the whole takeover before any start of a tenant with a limit: one that is far below it would wait for nothing. Change: jobs/quota, a pure ledger. A run counts from its order until it is over for certain, by the same proofs as for a second run of its task. After a change of owner all that an inherited job may have running counts until every worker has answered or its leases are over. A limit that is lowered lets nothing start, one that is raised is used at once. What waits for the limit sizes no pool and preempts nothing. A single task larger than the limit runs alone; a gang that is larger is refused at once (429), as it never could run. Before: no limit held. After: TestATenantsLimit*, TestNeverOverAndNeverStuck (rapid).

--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -207,6 +207,9 @@
 	j.Service = queue.Service
 	j.Tenant = tenant
 	j.AcceptedAt = time.Now()
+	if err := catalog.TooLarge(j); err != nil {
+		return reply{status: http.StatusTooManyRequests, problem: err.Error()}
+	}
 	if err := g.jobs.Accept(ctx, j); err != nil {
 		return refusal(err)
 	}
--- a/jobs/job/job.go
+++ b/jobs/job/job.go
@@ -48,6 +48,12 @@
 	return need.CPUMilli <= r.CPUMilli && need.MemMB <= r.MemMB && need.GPU <= r.GPU
 }
 
+// Within reports whether r keeps to a limit, of which 0 means that there is none.
+func (r Resources) Within(limit Resources) bool {
+	keeps := func(n, limit int) bool { return limit == 0 || n <= limit }
+	return keeps(r.CPUMilli, limit.CPUMilli) && keeps(r.MemMB, limit.MemMB) && keeps(r.GPU, limit.GPU)
+}
+
 // Times returns n times r.
 func (r Resources) Times(n int) Resources {
 	return Resources{n * r.CPUMilli, n * r.MemMB, n * r.GPU}
--- a/jobs/job/tenant.go
+++ b/jobs/job/tenant.go
@@ -41,6 +41,22 @@
 	return nil
 }
 
+// TooLarge returns why the tenant's limit never lets the job run, nil if it may. Only the tasks
+// of a gang need room at the same time; a single task larger than the limit runs alone.
+func (c *Catalog) TooLarge(j *Job) error {
+	for _, t := range c.Tenants {
+		if t.Name != j.Tenant {
+			continue
+		}
+		for n, s := range j.Steps {
+			if all := s.Need.Times(s.Count); s.Gang && s.Count > 1 && !all.Within(t.Limit) {
+				return fmt.Errorf("the gang of step %d needs %s at once, its tenant may have %s running", n, all, t.Limit)
+			}
+		}
+	}
+	return nil
+}
+
 // MayAccess reports whether a call with a key of one tenant, "" if it came by a public queue,
 // may see and cancel a job of another. A job that came by a public queue is anybody's.
 func MayAccess(caller, of string) bool { return of == "" || of == caller }
--- a/jobs/owner/account.go
+++ b/jobs/owner/account.go
@@ -11,24 +11,25 @@
 
 // The causes. All but CauseWork are time that the job could have done without.
 const (
-	CauseWork       Cause = iota // its tasks worked, for as long as they were estimated to
-	CauseSlow                    // a task took longer than estimated
-	CauseUnknown                 // accepted, and not known to the owner yet
-	CauseEarlier                 // before this owner's term: work, waits, and the change of owner
-	CauseTakeover                // the owner did not know yet what runs where
-	CausePoolShort               // no room, and no instance was on its way to the pool
-	CauseArriving                // no room, and instances were on their way
-	CauseMaintained              // no room, and instances of the pool were kept for a wave
-	CauseElsewhere               // there was room, but only where the task had failed
-	CauseFailed                  // a run of the task failed, and the pause after it
-	CauseStopped                 // a run was stopped: preempted, at a standstill, for a wave
-	CauseLost                    // a run ended with its worker or its lease, or was not answered
-	CauseOther                   // the rest: orders on their way, placement, an earlier term
+	CauseWork        Cause = iota // its tasks worked, for as long as they were estimated to
+	CauseSlow                     // a task took longer than estimated
+	CauseUnknown                  // accepted, and not known to the owner yet
+	CauseEarlier                  // before this owner's term: work, waits, and the change of owner
+	CauseTakeover                 // the owner did not know yet what runs where
+	CausePoolShort                // no room, and no instance was on its way to the pool
+	CauseArriving                 // no room, and instances were on their way
+	CauseMaintained               // no room, and instances of the pool were kept for a wave
+	CauseTenantLimit              // its tenant had as much running as it may
+	CauseElsewhere                // there was room, but only where the task had failed
+	CauseFailed                   // a run of the task failed, and the pause after it
+	CauseStopped                  // a run was stopped: preempted, at a standstill, for a wave
+	CauseLost                     // a run ended with its worker or its lease, or was not answered
+	CauseOther                    // the rest: orders on their way, placement, an earlier term
 	causes
 )
 
 var causeNames = [causes]string{"work", "slow-task", "not-known", "earlier-term", "takeover", "pool-short", "instances-arriving",
-	"maintenance", "failed-there-before", "run-failed", "run-stopped", "run-lost", "other"}
+	"maintenance", "tenant-limit", "failed-there-before", "run-failed", "run-stopped", "run-lost", "other"}
 
 // String returns the cause's name in logs and reports.
 func (c Cause) String() string { return causeNames[c] }
--- a/jobs/owner/copies.go
+++ b/jobs/owner/copies.go
@@ -65,7 +65,7 @@
 		if t.wantsCopy(p.now) != need {
 			continue
 		}
-		if p.holdBack() {
+		if p.holdBack() || !p.core.mayStart(s.job.spec, s.spec, 1, p.now) {
 			return
 		}
 		if choice == nil {
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -182,7 +182,7 @@
 	if cause != CauseWork {
 		r.ended(cause, now)
 	}
-	r.task.dropRun(r)
+	c.dropRun(r)
 	if r.worker.contact.lostAt.IsZero() {
 		r.task.forgetCrash(r.number) // its worker is there
 	}
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -68,6 +68,9 @@
 	if len(j.spec.Steps) == 0 || j.spec.Repeat > 0 || j.spec.Steps[0].LongRunning || at.After(now) {
 		return
 	}
+	if !c.mayStart(j.spec, &j.spec.Steps[0], 1, now) {
+		return // what its tenant may not run is no demand
+	}
 	c.pool(j.service).arrivals.Add(j.work, at)
 }
 
@@ -309,6 +312,7 @@
 // Configure takes a newer configuration.
 func (c *Core) Configure(catalog *job.Catalog) {
 	c.catalog = catalog
+	c.quotas.SetLimits(catalog.Tenants)
 	for _, j := range c.open {
 		c.requeue(j)
 	}
--- a/jobs/owner/placing.go
+++ b/jobs/owner/placing.go
@@ -128,6 +128,9 @@
 		if !t.waits(p.now) || t.awaitsVerdict(p.core, p.now) {
 			continue
 		}
+		if !p.withinLimit(s, 1) {
+			return
+		}
 		if choice == nil {
 			choice = p.choiceFor(s)
 		}
@@ -217,6 +220,9 @@
 			return
 		}
 	}
+	if !p.withinLimit(s, len(s.tasks)) {
+		return
+	}
 	req := requestOf(s)
 	room := p.room(s)
 	views := room.views
--- a/jobs/owner/room.go
+++ b/jobs/owner/room.go
@@ -94,16 +94,17 @@
 }
 
 // dropRun is the inverse of addRun; a run that was dropped before is left alone.
-func (t *task) dropRun(r *run) {
+func (t *task) dropRun(r *run) (dropped bool) {
 	r.worker.dropRun(r)
 	i := slices.Index(t.runs, r)
 	if i < 0 {
-		return
+		return false
 	}
 	t.runs = slices.Delete(t.runs, i, i+1)
 	if len(t.runs) == 0 && !t.done {
 		t.step.idle++
 	}
+	return true
 }
 
 // addRun accounts for a run on the worker.
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -205,7 +205,7 @@
 
 func (c *Core) start(t *task, w *worker, number uint64, now time.Time) {
 	r := &run{task: t, number: number, worker: w, phase: starting, throttle: 100, firstSent: now}
-	t.addRun(r)
+	c.addRun(r)
 	c.beginTrial(r, now)
 	c.touchWorker(w)
 	c.pool(t.step.job.service).began(t.step.job)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -5,6 +5,7 @@
 
 	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/job"
+	"github.com/postmount/postmount/jobs/quota"
 )
 
 // Options are the figures that the core works with.
@@ -291,6 +292,8 @@
 	pending     map[string]int       // jobs of each queue of which no task is known to have started
 	changed     map[string]bool      // services with something to place
 	out         Effects
+	quotas      *quota.Ledger         // what each tenant has running
+	inherited   presumed              // what may run of it without being known
 	settled     map[string]bool       // services of which every earlier run is known
 	awaited     map[string]awaited    // what others wait for, as the log says
 	awaitedOf   map[string]InstanceID // an instance of each service that had not answered when last looked for
@@ -407,6 +410,7 @@
 		crashesNew:  map[job.ID]*jobState{},
 		changed:     map[string]bool{},
 		early:       map[job.ID]time.Time{},
+		quotas:      quota.New(),
 		settled:     map[string]bool{},
 		awaited:     map[string]awaited{},
 		awaitedOf:   map[string]InstanceID{},
@@ -423,6 +427,9 @@
 		wait := min(opt.DutyHandover+DutyMargin, opt.DutyHandover+orderFlight-o.Age)
 		c.leaveTo[o.Instance] = c.electedAt.Add(wait)
 	}
+	if catalog != nil {
+		c.quotas.SetLimits(catalog.Tenants)
+	}
 	for _, l := range loaded {
 		c.load(l, now)
 	}
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -17,7 +17,7 @@
 	t := s.tasks[a.Task.Index]
 	r := &run{task: t, number: a.Run, worker: w, phase: running, sentAt: now, ackedAt: now, movedAt: now, percent: a.Percent, throttle: 100}
 	other := t.live()
-	t.addRun(r)
+	c.addRun(r)
 	c.touchWorker(w)
 	c.watchStall(r)
 	c.pool(j.service).began(j)
--- /dev/null
+++ b/jobs/owner/tenants.go
@@ -0,0 +1,106 @@
+package owner
+
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// What a tenant has running is counted from the order of a start until its run is over for
+// certain: answered or not, while it is being stopped, and while its worker is lost. A new
+// owner does not know at first what runs; until it does, all that an earlier one may have
+// started counts as well.
+
+// presumed is what may run of each tenant beside the runs that are known.
+type presumed struct {
+	of map[string]job.Resources
+	at time.Time // when it was summed up
+}
+
+// presumedFor is how long a sum serves: each goes over all open jobs. What becomes known
+// meanwhile counts twice, which is on the safe side.
+const presumedFor = 50 * time.Millisecond
+
+// addRun accounts for a run that was ordered, or that a worker lists.
+func (c *Core) addRun(r *run) {
+	r.task.addRun(r)
+	c.quotas.Add(r.task.step.job.spec.Tenant, r.task.step.spec.Need)
+}
+
+// dropRun is its inverse. Work that waited for the tenant's limit may go on.
+func (c *Core) dropRun(r *run) {
+	if !r.task.dropRun(r) {
+		return
+	}
+	for _, service := range c.quotas.Remove(r.task.step.job.spec.Tenant, r.task.step.spec.Need) {
+		c.changed[service] = true
+	}
+}
+
+// mayStart reports whether the tenant of a job may start n tasks of a step more.
+func (c *Core) mayStart(spec *job.Job, s *job.Step, n int, now time.Time) bool {
+	if !c.quotas.Limited(spec.Tenant) {
+		return true
+	}
+	return c.quotas.Allows(spec.Tenant, s.Need, n, c.perhapsRunning(spec.Tenant, now))
+}
+
+// perhapsRunning returns what an earlier owner may have started for the tenant and is not known
+// yet: of its inherited jobs every task that is not done and has no known run.
+func (c *Core) perhapsRunning(tenant string, now time.Time) job.Resources {
+	if c.allCertain(now) {
+		return job.Resources{}
+	}
+	if c.inherited.of == nil || now.Sub(c.inherited.at) >= presumedFor {
+		c.inherited = presumed{c.sumInherited(), now}
+	}
+	return c.inherited.of[tenant]
+}
+
+// allCertain reports whether all that an earlier owner started is known, for every service.
+func (c *Core) allCertain(now time.Time) bool {
+	for _, s := range c.catalog.Services {
+		if !s.Spare && !c.certain(s.Name, now) {
+			return false
+		}
+	}
+	return true
+}
+
+func (c *Core) sumInherited() map[string]job.Resources {
+	out := map[string]job.Resources{}
+	for _, j := range c.open {
+		if !j.inherited || !c.quotas.Limited(j.spec.Tenant) {
+			continue
+		}
+		for _, s := range j.steps {
+			out[j.spec.Tenant] = out[j.spec.Tenant].Add(s.spec.Need.Times(s.idle))
+		}
+	}
+	return out
+}
+
+// withinLimit reports whether n tasks more of the step may start, and takes note if not. What
+// its tenant may not run asks for no instances, and pushes nothing aside.
+func (p *placing) withinLimit(s *stepState, n int) bool {
+	spec := s.job.spec
+	if p.core.mayStart(spec, s.spec, n, p.now) {
+		return true
+	}
+	p.core.quotas.Wait(spec.Tenant, p.service)
+	s.noteWaits(CauseTenantLimit, p.now)
+	p.core.noteLimit(s)
+	return false
+}
+
+// noteLimit says once for each job that a task of it waits for its tenant's limit.
+func (c *Core) noteLimit(s *stepState) {
+	j := s.job
+	if j.waitNoted {
+		return
+	}
+	j.waitNoted = true
+	used, limit := c.quotas.Used(j.spec.Tenant)
+	c.note(Decision{Event: "job-waits", Job: j.spec.ID,
+		Reason: "tenant " + j.spec.Tenant + " has " + used.String() + " running, its limit is " + limit.String()})
+}
--- /dev/null
+++ b/jobs/owner/tenants_test.go
@@ -0,0 +1,105 @@
+package owner
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// limit gives tenant t a limit of so many cores.
+func (r *rig) limit(cores int) {
+	c := *r.core.catalog
+	c.Tenants = []job.Tenant{{Name: "t", Limit: job.Resources{CPUMilli: 1000 * cores}}}
+	c.Services = append([]job.Service{{Name: "s"}, {Name: "other"}}, c.Services[1:]...)
+	c.Queues = append([]job.Queue{{Name: "o", Service: "other", MaxAttempts: 2}}, c.Queues...)
+	r.core.Configure(&c)
+}
+
+// of returns a job of tenant t with so many tasks of a core.
+func of(n, count int, queue string) *job.Job {
+	j := simpleJob(n, count)
+	j.Tenant, j.Queue = "t", queue
+	return j
+}
+
+func (r *rig) submitAll(list ...*job.Job) {
+	for _, j := range list {
+		r.core.Submit(j, r.now)
+	}
+	r.core.React(r.now)
+	r.take()
+}
+
+// TestATenantsLimit: it holds over all services, for starts without an answer, for copies, and
+// for runs that are being stopped; what ends lets the next one go at once, elsewhere too; and
+// others do not wait behind it.
+func TestATenantsLimit(t *testing.T) {
+	r := newRig(t, 1)
+	r.limit(3)
+	r.workers("w0", "w1")
+	r.regs = append(r.regs, Registration{Worker: "o0", Service: "other", Addr: "o0", Room: job.Resources{CPUMilli: 8000, MemMB: 8000}})
+	r.inst = append(r.inst, Instance{ID: "i-o0", Pool: "other", State: InstanceUp, Worker: "o0"})
+	r.list()
+	r.held("o0", nil)
+	one, two := of(1, 2, "q"), of(2, 2, "o")
+	r.submitAll(one, two, simpleJob(3, 4))
+	starts := r.out.Starts
+	require.Len(t, byJob(starts, two), 2)
+	require.Len(t, byJob(starts, one), 1, "no start is answered yet, all count")
+	assert.Len(t, starts, 3+4, "others run")
+	assert.Zero(t, r.core.pool("s").waiting, "what its tenant may not run asks for no instances")
+	r.started()
+
+	r.core.Cancel(two.ID, r.now)
+	r.tick(50 * time.Millisecond)
+	assert.Empty(t, r.started(), "what is being stopped counts")
+	ended := byJob(starts, two)[0]
+	r.held(ended.Worker, nil, End{Number: 1, Task: ended.Task, Run: ended.Run, Kind: EndStopped})
+	assert.Len(t, byJob(r.started(), one), 1, "in the other service")
+}
+
+// TestATenantsLimitOverLostWorkers: what ran on a worker that is silent counts until its lease
+// is over.
+func TestATenantsLimitOverLostWorkers(t *testing.T) {
+	r := newRig(t, 1)
+	r.limit(2)
+	r.workers("w0", "w1", "w2", "w3", "w4", "w5")
+	r.submitAll(of(1, 2, "q"), of(2, 2, "q"))
+	first := r.started()
+	require.Len(t, first, 2)
+	require.Equal(t, first[0].Worker, first[1].Worker)
+	lost := first[0].Worker
+	r.loseContact(lost)
+	for waited := time.Duration(0); waited < rigLease-200*time.Millisecond; waited += 100 * time.Millisecond {
+		r.keep(100*time.Millisecond, nil, lost)
+		r.loseContact(lost)
+		require.Empty(t, r.started(), "after %s", waited)
+	}
+	again := r.await(2*time.Second, lost)
+	assert.Len(t, again, 2)
+}
+
+// TestATenantsLimitAfterATakeover: until it is known what an earlier owner started, all that
+// it may have counts. A tenant far below its limit does not wait for that.
+func TestATenantsLimitAfterATakeover(t *testing.T) {
+	for cores, starts := range map[int]int{3: 1, 2: 0} {
+		old := of(1, 2, "q")
+		r := newRig(t, 2, Loaded{Job: old})
+		r.limit(cores)
+		r.worker("w0")
+		r.workers("w1")
+		r.tick(handoverTime + 100*time.Millisecond) // from then on jobs are not inherited
+		r.submitAll(of(2, 1, "q"))
+		running := r.started()
+		require.Len(t, running, starts, "limit %d", cores)
+		r.held("w0", []ActiveRun{{Task: job.TaskID{Job: old.ID}, Run: 7}, {Task: job.TaskID{Job: old.ID, Index: 1}, Run: 8}})
+		r.keep(300*time.Millisecond, running, "w0")
+		assert.Empty(t, r.started(), "both run, limit %d", cores)
+		used, _ := r.core.quotas.Used("t")
+		assert.Equal(t, 1000*(2+starts), used.CPUMilli)
+	}
+}
--- /dev/null
+++ b/jobs/quota/quota_test.go
@@ -0,0 +1,74 @@
+package quota
+
+import (
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"pgregory.net/rapid"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+func cores(n int) job.Resources { return job.Resources{CPUMilli: 1000 * n} }
+
+func TestLimits(t *testing.T) {
+	l := New()
+	none := job.Resources{}
+	l.SetLimits([]job.Tenant{{Name: "t", Limit: job.Resources{CPUMilli: 4000, MemMB: 100}}, {Name: "free"}})
+	assert.True(t, l.Allows("t", cores(9), 1, none), "a task larger than the limit runs alone")
+	assert.False(t, l.Allows("t", cores(9), 1, cores(1)), "but not if something may run")
+	l.Add("t", cores(3))
+	assert.True(t, l.Allows("t", cores(1), 1, none))
+	assert.False(t, l.Allows("t", cores(1), 2, none), "all tasks of a gang count")
+	assert.False(t, l.Allows("t", cores(1), 1, cores(1)))
+	assert.False(t, l.Allows("t", job.Resources{MemMB: 101}, 1, none))
+	for _, tenant := range []string{"free", "unknown", ""} {
+		assert.True(t, l.Allows(tenant, cores(1000), 9, cores(9)), tenant)
+	}
+
+	l.Wait("t", "s1")
+	assert.Equal(t, []string{"s1"}, l.Remove("t", cores(3)))
+	l.Add("t", none)
+	assert.Empty(t, l.Remove("t", none), "each service is woken once")
+
+	l.SetLimits([]job.Tenant{{Name: "other"}})
+	l.Add("t", cores(4))
+	assert.False(t, l.Allows("t", cores(1), 1, none), "a tenant that is not named keeps its limit")
+	l.SetLimits([]job.Tenant{{Name: "t", Limit: cores(8)}})
+	assert.True(t, l.Allows("t", cores(4), 1, none), "a raised limit is used at once")
+	l.SetLimits([]job.Tenant{{Name: "t", Limit: cores(2)}})
+	assert.False(t, l.Allows("t", cores(1), 1, none), "a lowered one lets nothing start")
+}
+
+// TestNeverOverAndNeverStuck: whatever starts and ends in whichever order, a tenant is never
+// over its limit but by one task that runs alone, and under half of it what needs no more than
+// the other half may always start.
+func TestNeverOverAndNeverStuck(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		l := New()
+		limit := rapid.IntRange(1, 40).Draw(t, "limit")
+		l.SetLimits([]job.Tenant{{Name: "t", Limit: cores(limit)}})
+		var runs []int
+		for range rapid.IntRange(1, 60).Draw(t, "events") {
+			if len(runs) > 0 && rapid.Bool().Draw(t, "end") {
+				i := rapid.IntRange(0, len(runs)-1).Draw(t, "which")
+				l.Remove("t", cores(runs[i]))
+				runs = append(runs[:i], runs[i+1:]...)
+				continue
+			}
+			need := rapid.IntRange(1, 12).Draw(t, "need")
+			sum := need
+			for _, r := range runs {
+				sum += r
+			}
+			allowed := l.Allows("t", cores(need), 1, job.Resources{})
+			if allowed != (sum <= limit || len(runs) == 0) {
+				t.Fatalf("%d beside %v of %d: allowed %t", need, runs, limit, allowed)
+			}
+			if allowed {
+				l.Add("t", cores(need))
+				runs = append(runs, need)
+			}
+		}
+	})
+}
