Maintenance counts for the wave it was ordered for

Ruled out: what the owner records of begun instances; it is kept by wave. Change: an instance that one wave has ordered away is left alone by the others. If an earlier owner took it down, and several waves name it, each asks for its maintenance once it is back; the platform answers the one that is done at once. A completed wave goes on looking until its last instances are back. Before: TestWavesThatShareInstances and TestSharedInstancesAfterATakeover fail.

--- a/jobs/owner/instances.go
+++ b/jobs/owner/instances.go
@@ -58,15 +58,38 @@
 	c.observe(i)
 }
 
-// observe tells the waves that go on what the list says of an instance.
+// observe tells the waves, also those that are completed, what the list says of an instance. The list does not say
+// for which wave an instance is away.
 func (c *Core) observe(i Instance) {
 	for _, ws := range c.waves {
-		if !ws.completed {
-			ws.observe(i)
+		if ws.member[i.ID] && !c.isDownForOther(ws, i.ID) {
+			ws.observe(i, c.isOfOneWave(i.ID))
 		}
 	}
 }
 
+// isDownForOther reports whether another wave has ordered the maintenance that the instance is
+// away for, or is about to be.
+func (c *Core) isDownForOther(ws *waveState, id InstanceID) bool {
+	for _, o := range c.waves {
+		if d, down := o.down[id]; down && o != ws && !d.at.IsZero() {
+			return true
+		}
+	}
+	return false
+}
+
+// isOfOneWave reports whether a single wave names the instance.
+func (c *Core) isOfOneWave(id InstanceID) bool {
+	n := 0
+	for _, ws := range c.waves {
+		if ws.member[id] {
+			n++
+		}
+	}
+	return n == 1
+}
+
 // markOrdered takes note that an order, of this owner or of one before, ends the life.
 func (c *Core) markOrdered(id WorkerID) {
 	if w := c.workers[id]; w != nil {
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -20,9 +20,9 @@
 
 // downSince is an instance under maintenance.
 type downSince struct {
-	at   time.Time
-	life WorkerID // before its maintenance; "" for a spare instance, which has none
-	seen bool     // the instance list has shown it under maintenance
+	at   time.Time // when this owner ordered it; zero: another one did, perhaps for another wave
+	life WorkerID  // before its maintenance; "" for a spare instance, which has none
+	seen bool      // the instance list has shown it under maintenance
 
 	accepted time.Time // when the platform accepted the order; zero: not yet
 }
@@ -53,15 +53,16 @@
 	instanceListAge = 3 * time.Second
 )
 
-// observe takes what the instance list says of an instance of the wave.
-func (ws *waveState) observe(i Instance) {
-	if !ws.member[i.ID] {
-		return
-	}
+// observe takes what the instance list says of an instance of the wave, the only one that names
+// it or one of several. Of several each asks for the maintenance once the instance is back: the
+// platform knows for which it was.
+func (ws *waveState) observe(i Instance, only bool) {
 	d, down := ws.down[i.ID]
 	switch {
 	case i.State == InstanceMaintained:
-		ws.begun[i.ID] = true
+		if only || !d.at.IsZero() {
+			ws.begun[i.ID] = true
+		}
 		d.seen = true
 		ws.down[i.ID] = d
 	case down && i.State == InstanceUp && (d.seen || i.Worker != d.life):
@@ -262,7 +263,7 @@
 	for _, id := range ws.Instances {
 		w := c.workerOf(id)
 		_, down := ws.down[id]
-		if w != nil && w.reserved == reservedMaintenance && !w.gone && !down && !ws.begun[id] {
+		if w != nil && w.reserved == reservedMaintenance && !w.gone && !down && !ws.begun[id] && !c.isDownForOther(ws, id) {
 			out = append(out, candidate{id: id, w: w})
 		}
 	}
@@ -275,7 +276,7 @@
 	for _, id := range ws.Instances {
 		i := c.instances[id]
 		_, down := ws.down[id]
-		if i == nil || i.State != InstanceUp || ws.begun[id] || down {
+		if i == nil || i.State != InstanceUp || ws.begun[id] || down || c.isDownForOther(ws, id) {
 			continue
 		}
 		w := c.workerOf(id)
