Calls that are lost one by one are told from a full link, and repeated soon

Cause: starts and holds that get no answer and arrive seconds later (applied_late). Each order was waited for 400 ms, each hold 1.2 s, as on a full link; lost orders, counted as slow answers, also made the owner take its link for full. Ruled out: the owner's processor (0.2 of 0.8 of a core), room (instances arrive while tasks wait for lost answers). Change: jobs/calls, a pure judge of outcomes; a hold that alone is lost is no possible crash. Conclusion: adaptive kept, the others stay as settings for measurements.

--- a/internal/importrule/rule_test.go
+++ b/internal/importrule/rule_test.go
@@ -39,9 +39,10 @@
 	"jobs/apikey":    {},
 	"jobs/job":       {"jobs/apikey"},
 	"jobs/quota":     {"jobs/job"},
+	"jobs/calls":     {},
 	"jobs/placement": {"jobs/job"},
 	"jobs/capacity":  {},
-	"jobs/owner":     {"jobs/job", "jobs/quota", "jobs/placement", "jobs/capacity"},
+	"jobs/owner":     {"jobs/job", "jobs/quota", "jobs/calls", "jobs/placement", "jobs/capacity"},
 }
 
 // impure are packages that decisions must not use.
--- a/jobs/node/fanout.go
+++ b/jobs/node/fanout.go
@@ -15,6 +15,9 @@
 	startsPerCore = 120
 	holdsPerCore  = 120
 	othersPerCore = 60
+	// lossyHoldsPerCore is how many holds a second are made while calls are lost, when each is
+	// to be short: a tenth of what a daemon can make.
+	lossyHoldsPerCore = 1000
 	// leastSlots lets a daemon with hardly any processor go on.
 	leastSlots = 4
 	// startsInLine is how many starts are ordered for each slot: those under way, and what
--- a/jobs/node/fanout_test.go
+++ b/jobs/node/fanout_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"testing"
 	"testing/synctest"
@@ -40,7 +41,7 @@
 		r.starts = newFanout(startsPerCore, 0, slotTime)
 		r.events = make(chan event, starts)
 		began := time.Now()
-		r.dispatch(owner.Effects{Starts: make([]owner.Start, starts)})
+		r.dispatch(owner.Effects{Starts: slices.Repeat([]owner.Start{{Timeout: owner.OrderTimeout}}, starts)})
 		time.Sleep(10 * time.Second)
 		synctest.Wait()
 		assert.Len(t, r.events, starts, "each has an outcome")
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -146,8 +146,6 @@
 	// seen: most of a fleet, the queues of which rise and fall by turns. A worker waits for
 	// 2 s at most.
 	idleHoldWait = 1800 * time.Millisecond
-	// holdReserve is added to holdWait for the answer.
-	holdReserve = 300 * time.Millisecond
 	// peerTimeout bounds a question to the owner.
 	peerTimeout = 500 * time.Millisecond
 	// instanceOrderTimeout bounds an order for an instance.
--- a/jobs/node/suspend_test.go
+++ b/jobs/node/suspend_test.go
@@ -65,10 +65,10 @@
 		r.starts = newFanout(startsPerCore, 1, slotTime)
 		r.events = make(chan event, 2)
 		decided := n.sinceStart()
-		r.start(owner.Start{}, decided)
+		r.start(owner.Start{Timeout: owner.OrderTimeout}, decided)
 		require.Equal(t, 1, w.starts)
 		n.clock.(*steadyClock).suspended = orderAge + time.Millisecond
-		r.start(owner.Start{}, decided)
+		r.start(owner.Start{Timeout: owner.OrderTimeout}, decided)
 		assert.Equal(t, 1, w.starts)
 		assert.Len(t, r.events, 2, "the core hears of both")
 	})
--- a/jobs/node/termorders.go
+++ b/jobs/node/termorders.go
@@ -22,7 +22,7 @@
 		if !t.stops.begin(o) {
 			continue
 		}
-		go t.order(t.others, owner.OrderTimeout, func(ctx context.Context) event {
+		go t.order(t.others, o.Timeout, func(ctx context.Context) event {
 			a := t.n.platform.Workers.Stop(ctx, o)
 			t.n.metrics.order("stop", a.Outcome)
 			return func(c *owner.Core, now time.Time) {
@@ -39,7 +39,7 @@
 		})
 	}
 	for _, o := range e.Holds {
-		go t.order(t.holds, o.Wait+holdReserve, func(ctx context.Context) event {
+		go t.order(t.holds, o.Wait+o.Timeout, func(ctx context.Context) event {
 			h := t.n.platform.Workers.Hold(ctx, o)
 			t.n.metrics.order("hold", h.Outcome)
 			return func(c *owner.Core, now time.Time) { c.OnHeld(o.Worker, h, now) }
@@ -67,7 +67,7 @@
 // start sends an order to start a task, unless it has waited for its slot for too long, or
 // the instance was suspended meanwhile. decided is when it was decided, in ns since start.
 func (t *termRun) start(o owner.Start, decided int64) {
-	t.order(t.starts, owner.OrderTimeout, func(ctx context.Context) event {
+	t.order(t.starts, o.Timeout, func(ctx context.Context) event {
 		a := owner.Answer{Outcome: owner.NotSent}
 		if time.Duration(t.n.sinceStart()-decided) <= orderAge {
 			sent := t.n.clock.Now()
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -82,10 +82,11 @@
 	t.core = owner.New(owner.Options{
 		Term:      term.Number,
 		TaskLease: min(taskLease, n.set.MaxTaskLease), HoldWait: holdWait, IdleHoldWait: idleHoldWait,
+		HoldsPerSec:  lossyHoldsPerCore * n.set.Cores,
 		DutyHandover: n.set.DutyHandover, OrderedBefore: n.ofOthers(term.OrderedBefore), ElectedAt: began, OrdersUnknown: term.OrdersUnknown, Successor: term.Successor,
 		KeepStatus:   n.set.KeepStatus,
 		StartsAtOnce: startsInLine * cap(t.starts.slots),
-		Weights:      n.set.Policy.Pools.Weights(), Pools: n.set.Policy.Pools.Size, Order: n.set.Policy.Jobs.Order,
+		Weights:      n.set.Policy.Pools.Weights(), Pools: n.set.Policy.Pools.Size, Order: n.set.Policy.Jobs.Order, Calls: n.set.Policy.Workers.Calls,
 	}, n.catalog.Load(), snap.Jobs, n.clock.Now())
 	for _, e := range snap.Refused {
 		n.refused.refuse(e.Key, e.Revision, e.Err)
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -23,6 +23,7 @@
 		Until:      c.renewal(r.worker, now),
 		Checkpoint: r.task.checkpoint,
 		Ticket:     r.task.step.ticketFor(r.worker),
+		Timeout:    c.calls.Timeout(OrderTimeout),
 	})
 }
 
@@ -34,7 +35,7 @@
 		return
 	}
 	c.heardOrder(w, a, now)
-	if a.Outcome == Unanswered {
+	if a.Outcome == Unanswered && !c.calls.Lossy() {
 		c.judgeAnswer(OrderTimeout, now) // it takes longer, or never comes
 	}
 	r := w.runs[o.Task]
@@ -129,7 +130,7 @@
 	switch {
 	case r.task.done:
 		c.stop(r, "the task is done", now)
-	case r.tries < startTries:
+	case r.tries < c.calls.Attempts(startTries):
 		c.sendStart(r, now)
 	default:
 		// The worker may have begun it, and a stop would end a task at work. Its next
@@ -159,7 +160,7 @@
 func (c *Core) sendStop(r *run, now time.Time) {
 	r.sentAt = now
 	c.stopsDue.add(now.Add(c.stopPause()), r)
-	c.out.Stops = append(c.out.Stops, Stop{Target: c.target(r.worker), Task: r.task.id(), Run: r.number})
+	c.out.Stops = append(c.out.Stops, Stop{Target: c.target(r.worker), Task: r.task.id(), Run: r.number, Timeout: c.calls.Timeout(OrderTimeout)})
 }
 
 // OnStopped takes a worker's answer to a stop.
@@ -210,7 +211,7 @@
 
 // stopPause is longer than the shell waits for an answer, so that one stop at
 // a time is under way.
-func (c *Core) stopPause() time.Duration { return OrderTimeout + stopRetry }
+func (c *Core) stopPause() time.Duration { return c.calls.Timeout(OrderTimeout) + stopRetry }
 
 // OrderTimeout is how long the shell waits for the answer to a start or stop:
 // some hundred round trips, and short against the time of a small task.
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/postmount/postmount/jobs/calls"
 	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/quota"
@@ -14,6 +15,8 @@
 	TaskLease    time.Duration // how long a worker's tasks live without renewal
 	HoldWait     time.Duration // how long a hold waits for an end
 	IdleHoldWait time.Duration // the same if nothing runs there; 0: as long as HoldWait
+	Calls        calls.Policy  // how long answers are waited for; "": adaptive
+	HoldsPerSec  float64       // holds that this daemon's processor bears; 0: any number
 	// DutyHandover is the least time between orders for one instance by two holders.
 	// OrderedBefore are those of other holders, as old at least as they say when this
 	// owner was elected, at ElectedAt; zero: now. Successor says that the owner before
@@ -197,6 +200,7 @@
 	silentSince  time.Time // no hold was answered since; zero: answered
 	heardAt      time.Time // newest answer to any order
 	suspect      bool      // an order sent after heardAt went unanswered
+	lossTold     bool      // a call went unanswered, and none was answered since
 	contact      contact   // with it, since it was lost
 	runs         map[job.TaskID]*run
 	used         job.Resources           // by runs
@@ -315,6 +319,7 @@
 
 	touchedWorkers []*worker // that have to be indexed anew
 
+	calls        calls.Outcomes
 	starvedSince time.Time     // when the newest time began in which timeouts say nothing
 	starvedUntil time.Time     // and its end
 	answerTime   time.Duration // mean of the newest answers
@@ -420,6 +425,7 @@
 		electedAt:   now,
 		settleAt:    now,
 	}
+	c.calls.Policy = opt.Calls
 	if !opt.ElectedAt.IsZero() {
 		c.electedAt = opt.ElectedAt
 	}
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -35,7 +35,7 @@
 // stopUnexpected stops a run that must not go on, and of which nothing more is known.
 func (c *Core) stopUnexpected(w *worker, a ActiveRun, why string) {
 	c.note(Decision{Event: "run-unexpected", Job: a.Task.Job, Task: a.Task.String(), Worker: w.Worker, Run: a.Run, Reason: why})
-	c.out.Stops = append(c.out.Stops, Stop{Target: c.target(w), Task: a.Task, Run: a.Run})
+	c.out.Stops = append(c.out.Stops, Stop{Target: c.target(w), Task: a.Task, Run: a.Run, Timeout: OrderTimeout})
 }
 
 // resolveStrangers handles what workers said of a job before it was known.
@@ -73,7 +73,7 @@
 			if now.Sub(s.since) > strangerWait {
 				w.strangers[id] = stranger{s.run, now}
 				c.note(Decision{Event: "run-of-unknown-job", Task: id.String(), Worker: w.Worker, Run: s.run})
-				c.out.Stops = append(c.out.Stops, Stop{Target: c.target(w), Task: id, Run: s.run})
+				c.out.Stops = append(c.out.Stops, Stop{Target: c.target(w), Task: id, Run: s.run, Timeout: OrderTimeout})
 			}
 		}
 	}
--- a/jobs/owner/types.go
+++ b/jobs/owner/types.go
@@ -88,13 +88,15 @@
 	Until      int64 // end of the worker's lease, on the worker's clock, in ms
 	Checkpoint string
 	Ticket     string
+	Timeout    time.Duration // of its answer
 }
 
 // Stop orders a worker to end a run, or never to begin it.
 type Stop struct {
 	Target
-	Task job.TaskID
-	Run  uint64
+	Task    job.TaskID
+	Run     uint64
+	Timeout time.Duration // of its answer
 }
 
 // Throttle lets a run work at a share of its speed.
@@ -111,6 +113,7 @@
 	Until       int64  // as in Start; 0: do not renew
 	Acknowledge uint64 // ends up to this number are recorded and may be forgotten
 	Wait        time.Duration
+	Timeout     time.Duration // of its answer, beyond Wait
 }
 
 // Outcome is how a worker met an order.
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -51,24 +51,53 @@
 		if w.holding || w.gone || now.Before(w.nextHold) || c.workers[w.Worker] != w {
 			continue
 		}
-		wait := c.opt.HoldWait
-		if len(w.runs) == 0 {
-			wait = max(wait, c.opt.IdleHoldWait)
-		}
-		if !w.held || !w.silentSince.IsZero() || len(w.unacked) > 0 || w.inDoubt() {
-			wait = 0
-		}
 		w.holding = true
 		w.holdSent = now
 		c.out.Holds = append(c.out.Holds, Hold{
 			Target:      c.target(w),
 			Until:       c.renewal(w, now),
 			Acknowledge: w.acked,
-			Wait:        wait,
+			Wait:        c.holdWait(w),
+			Timeout:     c.calls.Timeout(holdTimeout),
 		})
 	}
 }
 
+// Figures of holds.
+const (
+	// holdTimeout is how long the answer to a hold may take beyond what the worker waits.
+	holdTimeout = 300 * time.Millisecond
+	// lossyHoldWait is how long a worker with tasks waits for an end while calls are lost: an
+	// end is known so much later if the answer is, in place of a second and more.
+	lossyHoldWait = 120 * time.Millisecond
+)
+
+// holdWait returns how long the worker is to wait for an end before it answers.
+func (c *Core) holdWait(w *worker) time.Duration {
+	switch {
+	case !w.held || !w.silentSince.IsZero() || len(w.unacked) > 0 || w.inDoubt():
+		return 0
+	case len(w.runs) == 0:
+		return max(c.opt.HoldWait, c.opt.IdleHoldWait)
+	case c.calls.Lossy():
+		return min(c.opt.HoldWait, max(lossyHoldWait, c.holdPace()))
+	}
+	return c.opt.HoldWait
+}
+
+// holdPace returns how long each worker with tasks has to wait for the daemon to bear the
+// holds of all of them.
+func (c *Core) holdPace() time.Duration {
+	if c.opt.HoldsPerSec <= 0 {
+		return 0
+	}
+	atWork := 0
+	for _, p := range c.pools {
+		atWork += p.supply.instances - len(p.supply.idle)
+	}
+	return time.Duration(float64(atWork) / c.opt.HoldsPerSec * float64(time.Second))
+}
+
 // inDoubt reports whether the worker's list has to tell if a start without an answer
 // began: the task stands still until it does.
 func (w *worker) inDoubt() bool {
@@ -97,6 +126,7 @@
 // lost on its way says nothing of the worker: the hold that is under way tells whether it is
 // there. Where a fifth of the orders are lost, each would else count as a possible crash.
 func (c *Core) heardOrder(w *worker, a Answer, now time.Time) {
+	c.tallyCall(w, a)
 	if a.Outcome == Unanswered && !a.Broken {
 		c.touchWorker(w)
 		return
@@ -104,6 +134,28 @@
 	c.heard(w, a, now)
 }
 
+// isDoubtful reports whether a hold may have no answer because it alone was lost: the next one
+// tells. Else what had just started on the worker would be a suspect of its crash.
+func (c *Core) isDoubtful(w *worker, a Answer) bool {
+	return a.Outcome == Unanswered && !a.Broken && w.silentSince.IsZero() && c.calls.Lossy()
+}
+
+// tallyCall takes note of whether a call was answered, for how long to wait for others.
+func (c *Core) tallyCall(w *worker, a Answer) {
+	switch {
+	case a.Outcome == NotSent:
+	case a.Outcome != Unanswered:
+		c.calls.Answered()
+		w.lossTold = false
+	case a.Broken:
+	case w.lossTold:
+		c.calls.LostAgain()
+	default:
+		c.calls.Lost()
+		w.lossTold = true
+	}
+}
+
 // heard takes note of an answer, or that there is none.
 func (c *Core) heard(w *worker, a Answer, now time.Time) {
 	c.touchWorker(w)
@@ -143,7 +195,10 @@
 	if w.gone {
 		return // sent before the end of its life, and nothing of it runs any more
 	}
-	c.heard(w, h.Answer, now)
+	c.tallyCall(w, h.Answer)
+	if !c.isDoubtful(w, h.Answer) {
+		c.heard(w, h.Answer, now)
+	}
 	switch h.Outcome {
 	case Taken:
 	case Fenced:
@@ -161,7 +216,7 @@
 			c.silent.put(w, true)
 			c.note(Decision{Event: "worker-silent", Worker: id, Reason: reasonOf(h.Answer)})
 		}
-		c.holdAt(w, now.Add(c.retryPause(w)))
+		c.holdAt(w, now.Add(c.retryPause(w, now)))
 		return
 	}
 	if !w.silentSince.IsZero() {
@@ -193,7 +248,10 @@
 }
 
 // retryPause returns how long after a hold without an answer the next one is sent.
-func (c *Core) retryPause(w *worker) time.Duration {
+func (c *Core) retryPause(w *worker, now time.Time) time.Duration {
+	if c.calls.Lossy() && w.silentSince.Equal(now) {
+		return 0 // this one alone may be lost
+	}
 	if !c.instAt.IsZero() && !c.listed(w) {
 		return unlistedRetry
 	}
--- a/jobs/policy/policy.go
+++ b/jobs/policy/policy.go
@@ -4,14 +4,21 @@
 
 import (
 	"github.com/postmount/postmount/internal/strictoml"
+	"github.com/postmount/postmount/jobs/calls"
 	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/owner"
 )
 
 // Settings say how the owner decides.
 type Settings struct {
-	Jobs  Jobs  `toml:"jobs"`
-	Pools Pools `toml:"pools"`
+	Jobs    Jobs    `toml:"jobs"`
+	Pools   Pools   `toml:"pools"`
+	Workers Workers `toml:"workers"`
+}
+
+// Workers is about calls to workers.
+type Workers struct {
+	Calls calls.Policy `toml:"calls" validate:"oneof=adaptive patient short"`
 }
 
 // Jobs is about which job gets room first.
@@ -32,7 +39,8 @@
 // Default returns the settings that hold where a file says nothing.
 func Default() Settings {
 	return Settings{
-		Jobs: Jobs{Order: owner.OrderByWorth},
+		Jobs:    Jobs{Order: owner.OrderByWorth},
+		Workers: Workers{Calls: calls.Adaptive},
 		Pools: Pools{
 			Size:           capacity.Demand,
 			InstanceSecond: capacity.DefaultWeights.InstanceSecond,
--- a/lab/jobload/fleet.go
+++ b/lab/jobload/fleet.go
@@ -169,6 +169,14 @@
 		s.engine.after(o.Wait+owner.OrderTimeout, func() { tell(owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered}}) })
 		return
 	}
+	if s.loses() {
+		s.engine.after(o.Wait+o.Timeout, func() { tell(owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered}}) })
+		return
+	}
+	if s.loses() {
+		s.engine.after(o.Wait+o.Timeout, func() { tell(owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered}}) })
+		return
+	}
 	s.receiveHold(o, func(held owner.Held) {
 		if held.Outcome == owner.Unanswered {
 			tell(held)
@@ -294,3 +302,21 @@
 }
 
 func (s *sim) clock() int64 { return 1000 + s.engine.elapsed().Milliseconds() }
+
+// Calls that are lost are carried out between lateFrom and lateFrom+lateSpread afterwards.
+const (
+	lateFrom   = 2 * time.Second
+	lateSpread = 10 * time.Second
+)
+
+// loses draws whether a call to a worker goes without an answer.
+func (s *sim) loses() bool { return s.lost > 0 && s.rand.Float64() < s.lost }
+
+// unlessLost carries an order out, or lets it be carried out late and unheard.
+func (s *sim) unlessLost(do func() owner.Answer) owner.Answer {
+	if !s.loses() {
+		return do()
+	}
+	s.engine.after(lateFrom+time.Duration(s.rand.Int64N(int64(lateSpread))), func() { do() })
+	return owner.Answer{Outcome: owner.Unanswered}
+}
--- a/lab/jobload/play.go
+++ b/lab/jobload/play.go
@@ -65,6 +65,7 @@
 	meter     Meter
 	electedAt time.Time
 	ordered   map[owner.InstanceID]time.Time // newest order for it
+	lost      float64                        // share of the calls to workers that get no answer
 	billed    bool                           // the arrivals are over
 	shell     *shell                         // nil: the owner's work takes no time
 	running   map[job.TaskID]int             // runs at work
@@ -166,7 +167,7 @@
 		StartsAtOnce: startsAtOnce,
 		Term:         s.term, TaskLease: taskLease, HoldWait: holdWait, KeepStatus: 2 * time.Minute,
 		DutyHandover: dutyHandover, OrderedBefore: s.orderedOfLate(), ElectedAt: s.electedAt,
-		Weights: capacity.DefaultWeights, Pools: s.scenario.Size, Order: s.scenario.Order,
+		Weights: capacity.DefaultWeights, Pools: s.scenario.Size, Order: s.scenario.Order, Calls: s.scenario.Calls,
 	}, s.catalog, loaded, s.engine.now)
 	s.commits = false
 	s.listInstances()
@@ -201,14 +202,14 @@
 	term := s.term
 	for _, o := range e.Starts {
 		s.engine.after(orderTime, func() {
-			a := s.start(o)
-			s.reply(StartAnswered, a, term, func(c *owner.Core) { c.OnStarted(o, a, s.engine.now) })
+			a := s.unlessLost(func() owner.Answer { return s.start(o) })
+			s.reply(StartAnswered, a, o.Timeout, term, func(c *owner.Core) { c.OnStarted(o, a, s.engine.now) })
 		})
 	}
 	for _, o := range e.Stops {
 		s.engine.after(orderTime, func() {
-			a := s.stop(o)
-			s.reply(StopAnswered, a, term, func(c *owner.Core) { c.OnStopped(o, a, s.engine.now) })
+			a := s.unlessLost(func() owner.Answer { return s.stop(o) })
+			s.reply(StopAnswered, a, o.Timeout, term, func(c *owner.Core) { c.OnStopped(o, a, s.engine.now) })
 		})
 	}
 	for _, o := range e.Holds {
@@ -271,10 +272,10 @@
 }
 
 // reply hands on a worker's answer; that there is none shows after a timeout.
-func (s *sim) reply(kind EventKind, a owner.Answer, term uint64, f func(*owner.Core)) {
+func (s *sim) reply(kind EventKind, a owner.Answer, timeout time.Duration, term uint64, f func(*owner.Core)) {
 	wait := time.Duration(0)
 	if a.Outcome == owner.Unanswered {
-		wait = owner.OrderTimeout
+		wait = timeout
 	}
 	s.engine.after(wait, func() { s.tell(kind, term, f) })
 }
@@ -403,6 +404,9 @@
 				s.fall(i, owner.InstanceDown, rackBack)
 			}
 		}
+	case CallsLost:
+		s.lost = t.Share
+		s.engine.after(t.For, func() { s.lost = 0 })
 	case Heavy:
 		for range t.Some {
 			s.submit(s.scenario.Queues[0], 4)
--- a/lab/jobload/scenario.go
+++ b/lab/jobload/scenario.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/postmount/postmount/jobs/calls"
 	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/owner"
@@ -21,6 +22,7 @@
 
 	Size  capacity.Policy
 	Order owner.OrderPolicy
+	Calls calls.Policy
 
 	// Observe is told each decision of an owner; it may be nil.
 	Observe func(at time.Time, d owner.Decision)
@@ -66,10 +68,11 @@
 
 // Trouble is something that goes wrong.
 type Trouble struct {
-	At   time.Duration
-	For  time.Duration
-	What What
-	Some int // how many instances it befalls, where that applies
+	At    time.Duration
+	For   time.Duration
+	What  What
+	Some  int     // how many instances it befalls, where that applies
+	Share float64 // of what it befalls, likewise
 }
 
 // What goes wrong.
@@ -95,6 +98,9 @@
 	// Heavy lets jobs come at once that are four times as wide as usual, on the first
 	// queue.
 	Heavy
+	// CallsLost lets a share of the calls to workers go without an answer; they are carried out
+	// seconds later.
+	CallsLost
 )
 
 // Result is what came of a scenario.
