--- a/jobs/owner/overload_test.go
+++ b/jobs/owner/overload_test.go
@@ -166,3 +166,28 @@
 	}
 	assert.Equal(t, 1, gone)
 }
+
+// Seen: on a fleet of 3,000 workers four long-running tasks did not run for 9 to 16 s after a
+// change of owner (LOST); the new owner was short of processor time all the while. How: what is
+// inherited waits until each worker has answered, or its leases are over; a starved owner goes
+// on waiting, since what was done there may be in answers that it has not read. A long-running
+// task is never done, so that the end of its lease is enough.
+//
+// TestLongRunningTasksOfAStarvedOwner: they start once the leases are over; others wait.
+func TestLongRunningTasksOfAStarvedOwner(t *testing.T) {
+	lasting, other := simpleJob(1, 1), simpleJob(2, 1)
+	lasting.Steps[0].LongRunning = true
+	r := newRig(t, 2, Loaded{Job: lasting}, Loaded{Job: other})
+	r.worker("unheard")
+	r.held(r.worker("a"), nil)
+	for r.now.Sub(r.core.startedAt) <= r.core.leaseBound() {
+		require.Empty(t, r.started(), "after %s", r.now.Sub(r.core.startedAt))
+		r.core.Delayed(time.Second, r.now)
+		r.keep(100*time.Millisecond, nil, "unheard")
+	}
+	r.core.Delayed(time.Second, r.now)
+	r.tick(100 * time.Millisecond)
+	starts := r.started()
+	require.Len(t, starts, 1)
+	assert.Equal(t, lasting.ID, starts[0].Task.Job)
+}
