Long-running tasks do not wait for a starved owner to have read everything

A long-running task is never done. Ruled out: two runs at the same time. A worker that was not heard gets no renewal from the new owner, whose lease arithmetic needs its clock first; after the bound nothing runs there. Change: jobs of which every step is long-running go once the leases are over. Before: TestLongRunningTasksOfAStarvedOwner starts nothing; after: within 0.1 s of the bound.

--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -107,6 +107,17 @@
 	return j
 }
 
+// lasts reports whether the job runs until it is cancelled. Its tasks are never done, so that
+// the end of every lease that they can have proves that they run nowhere.
+func (j *jobState) lasts() bool {
+	for _, s := range j.spec.Steps {
+		if !s.LongRunning {
+			return false
+		}
+	}
+	return true
+}
+
 // requeue takes the newest settings of the job's queue. A queue that is no
 // longer configured keeps its last ones.
 func (c *Core) requeue(j *jobState) {
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -141,10 +141,11 @@
 // last.
 func (c *Core) claimsOf(service string, pool *poolState, now time.Time) []claim {
 	takenOver := c.certain(service, now)
+	lapsed := takenOver || now.Sub(c.startedAt) > c.leaseBound()
 	kept := pool.queue[:0]
 	claims := pool.claims[:0]
 	for _, j := range pool.queue {
-		if !j.inherited || takenOver {
+		if !j.inherited || takenOver || lapsed && j.lasts() {
 			if j.state.Final() || j.service != service || !mayWait(j) {
 				j.leaveQueue(service)
 				continue
