What a tenant sends beyond its share comes after what is within

Cause: the order of jobs knew no tenant; a burst of some tenants made the jobs of all others late. Jobs beyond their share count as late ones do for the size of pools, and preempt nothing. Where no weights are configured nothing changes.

--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -58,6 +58,7 @@
 	list := slices.Clone(loaded)
 	slices.SortStableFunc(list, func(a, b Loaded) int { return a.Job.AcceptedAt.Compare(b.Job.AcceptedAt) })
 	for _, l := range list {
+		c.takeShare(c.jobs[l.Job.ID])
 		c.countArrival(c.jobs[l.Job.ID], l.Job.AcceptedAt, now)
 	}
 }
@@ -88,6 +89,7 @@
 	// An earlier owner that does not know yet that it is none may have started it.
 	j.inherited = c.opt.Term > 1 && now.Sub(c.startedAt) < handoverTime
 	c.note(Decision{Event: "job-known", Job: spec.ID, Reason: j.service})
+	c.takeShare(j)
 	c.countArrival(j, now, now)
 	c.resolveStrangers(j, now)
 	if _, cancelled := c.early[spec.ID]; cancelled {
@@ -323,7 +325,7 @@
 // Configure takes a newer configuration.
 func (c *Core) Configure(catalog *job.Catalog) {
 	c.catalog = catalog
-	c.quotas.SetLimits(catalog.Tenants)
+	c.setTenants(catalog.Tenants)
 	for _, j := range c.open {
 		c.requeue(j)
 	}
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -41,7 +41,7 @@
 func (p *poolState) wait(s *stepState, n int) {
 	cores := float64(n) * float64(s.spec.Occupies().CPUMilli) / 1000
 	p.waiting += cores
-	if s.job.band == bandLate {
+	if s.job.band >= bandBeyond {
 		p.late += cores
 	}
 }
--- a/jobs/owner/preempt.go
+++ b/jobs/owner/preempt.go
@@ -32,7 +32,7 @@
 	if s.waitsSince.IsZero() {
 		s.waitsSince = now
 	}
-	if s.job.band == bandLate || now.Sub(s.waitsSince) < s.preemptPatience() || s.preemptedLately(now) {
+	if s.job.band >= bandBeyond || now.Sub(s.waitsSince) < s.preemptPatience() || s.preemptedLately(now) {
 		return
 	}
 	if now.Sub(s.lookedAt) < preemptLook || !p.pool.someYieldTo(s) {
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -13,6 +13,7 @@
 const (
 	bandLasting band = iota // long-running: they serve users all the time
 	bandInTime              // can still meet their objective
+	bandBeyond              // likewise, and beyond their tenant's share
 	bandLate
 )
 
@@ -34,6 +35,8 @@
 		cl.band = bandLasting
 	case cl.slack < 0:
 		cl.band = bandLate
+	case j.beyondShare:
+		cl.band = bandBeyond
 	}
 	j.band = cl.band
 	return cl
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -142,31 +142,33 @@
 
 // jobState is a job and what became of it.
 type jobState struct {
-	spec      *job.Job
-	queue     job.Queue // newest known settings of its queue
-	service   string
-	steps     []*stepState // in the order occurrence, step
-	nextOcc   int          // first occurrence that has not begun
-	state     job.State
-	queued    bool // it is among the jobs of its service that may have tasks to place
-	counted   bool // it is among the pending jobs of its queue
-	band      band // at the last placement
-	begun     bool // a worker has said that a task of it started
-	waitNoted bool // the log says why a task of it was not placed at once
-	endedAt   time.Time
-	forgotten bool          // its steps are: it is over, recorded, and nothing of it runs
-	inherited bool          // accepted before this term
-	loaded    bool          // known from the store when this term began
-	version   uint64        // rises with each change that has to be kept
-	written   uint64        // newest version in the store
-	crashNew  bool          // a crash under a task of it is not in the store
-	turn      uint64        // place among the jobs that have to be written
-	leftWork  float64       // core-seconds that are not done, by the estimates
-	leftChain time.Duration // longest chain of steps that are not done, likewise
-	chain     time.Duration
-	work      float64   // core-seconds by the estimates, for the order of jobs
-	knownAt   time.Time // when this owner learned of it
-	ackers    []*worker // that wait for a record of it before ends may be forgotten
+	spec    *job.Job
+	queue   job.Queue // newest known settings of its queue
+	service string
+	steps   []*stepState // in the order occurrence, step
+	nextOcc int          // first occurrence that has not begun
+	state   job.State
+	queued  bool // it is among the jobs of its service that may have tasks to place
+	counted bool // it is among the pending jobs of its queue
+	band    band // at the last placement
+
+	beyondShare bool // its tenant had sent its share already
+	begun       bool // a worker has said that a task of it started
+	waitNoted   bool // the log says why a task of it was not placed at once
+	endedAt     time.Time
+	forgotten   bool          // its steps are: it is over, recorded, and nothing of it runs
+	inherited   bool          // accepted before this term
+	loaded      bool          // known from the store when this term began
+	version     uint64        // rises with each change that has to be kept
+	written     uint64        // newest version in the store
+	crashNew    bool          // a crash under a task of it is not in the store
+	turn        uint64        // place among the jobs that have to be written
+	leftWork    float64       // core-seconds that are not done, by the estimates
+	leftChain   time.Duration // longest chain of steps that are not done, likewise
+	chain       time.Duration
+	work        float64   // core-seconds by the estimates, for the order of jobs
+	knownAt     time.Time // when this owner learned of it
+	ackers      []*worker // that wait for a record of it before ends may be forgotten
 }
 
 func (j *jobState) step(occurrence, index int) *stepState {
@@ -296,6 +298,7 @@
 	pending     map[string]int       // jobs of each queue of which no task is known to have started
 	changed     map[string]bool      // services with something to place
 	out         Effects
+	shares      *quota.Shares
 	quotas      *quota.Ledger         // what each tenant has running
 	inherited   presumed              // what may run of it without being known
 	settled     map[string]bool       // services of which every earlier run is known
@@ -415,6 +418,7 @@
 		crashesNew:  map[job.ID]*jobState{},
 		changed:     map[string]bool{},
 		early:       map[job.ID]time.Time{},
+		shares:      quota.NewShares(),
 		quotas:      quota.New(),
 		settled:     map[string]bool{},
 		awaited:     map[string]awaited{},
@@ -434,7 +438,7 @@
 		c.leaveTo[o.Instance] = c.electedAt.Add(wait)
 	}
 	if catalog != nil {
-		c.quotas.SetLimits(catalog.Tenants)
+		c.setTenants(catalog.Tenants)
 	}
 	for _, l := range loaded {
 		c.load(l, now)
--- a/jobs/owner/tenants.go
+++ b/jobs/owner/tenants.go
@@ -11,6 +11,20 @@
 // owner does not know at first what runs; until it does, all that an earlier one may have
 // started counts as well.
 
+// setTenants takes the limits and the shares of a newer configuration.
+func (c *Core) setTenants(tenants []job.Tenant) {
+	c.quotas.SetLimits(tenants)
+	c.shares.SetWeights(tenants)
+}
+
+// takeShare finds out whether the job lies within its tenant's share. One that does not takes
+// no room that jobs within theirs could use in time.
+func (c *Core) takeShare(j *jobState) {
+	if !j.lasts() {
+		j.beyondShare = !c.shares.Take(j.spec.Tenant, j.spec.AcceptedAt)
+	}
+}
+
 // presumed is what may run of each tenant beside the runs that are known.
 type presumed struct {
 	of map[string]job.Resources
--- a/jobs/owner/tenants_test.go
+++ b/jobs/owner/tenants_test.go
@@ -103,3 +103,31 @@
 		assert.Equal(t, 1000*(2+starts), used.CPUMilli)
 	}
 }
+
+// TestSharesWhenAllIsFull: a tenant that sends ten times its share does not make others late:
+// what lies beyond it comes after all that is within, whoever came first, and takes no room
+// away from others.
+func TestSharesWhenAllIsFull(t *testing.T) {
+	r := newRig(t, 1)
+	c := *r.core.catalog
+	c.Tenants = []job.Tenant{{Name: "t", Weight: 2}, {Name: "modest", Weight: 2}}
+	r.core.Configure(&c)
+	greedy := func(n int) *job.Job {
+		j := of(n, 1, "q")
+		j.AcceptedAt = r.now
+		return j
+	}
+	for n := 1; n <= 20; n++ {
+		r.core.Submit(greedy(n), r.now)
+	}
+	modest := of(30, 2, "q")
+	modest.Tenant, modest.AcceptedAt = "modest", r.now.Add(100*time.Millisecond)
+	r.tick(100 * time.Millisecond)
+	r.core.Submit(modest, r.now)
+	w := r.worker("w0") // of eight cores
+	r.held(w, nil)
+	r.tick(50 * time.Millisecond)
+	starts := r.started()
+	require.Len(t, starts, 8)
+	assert.Len(t, byJob(starts[:4], modest), 2, "right after the two jobs that are the other's share")
+}
--- /dev/null
+++ b/jobs/quota/share_test.go
@@ -0,0 +1,35 @@
+package quota
+
+import (
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+func TestShares(t *testing.T) {
+	s := NewShares()
+	s.SetWeights([]job.Tenant{{Name: "t", Weight: 4}, {Name: "slow", Weight: 0.5}, {Name: "any"}})
+	at := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	within := func(tenant string, n int) int {
+		count := 0
+		for range n {
+			if s.Take(tenant, at) {
+				count++
+			}
+		}
+		return count
+	}
+	assert.Equal(t, 4, within("t", 10), "a second's share at once")
+	assert.Equal(t, 1, within("slow", 3), "one job at least")
+	assert.Equal(t, 9, within("any", 9), "no weight, no share to keep to")
+	assert.Equal(t, 9, within("", 9))
+	at = at.Add(500 * time.Millisecond)
+	assert.Equal(t, 2, within("t", 10))
+	at = at.Add(-time.Second)
+	assert.Zero(t, within("t", 1), "what comes late takes nothing back")
+	at = at.Add(time.Hour)
+	assert.Equal(t, 4, within("t", 10))
+}
