--- a/standin/jobfleet/language.go
+++ b/standin/jobfleet/language.go
@@ -40,8 +40,8 @@
 		},
 		CallerKey:     func(h http.Header) string { return h.Get(keyHeader) },
 		DecodeCatalog: decodeCatalog,
-		DecodeWorker: func(_ string, raw []byte) (owner.Registration, error) { return unmarshal[owner.Registration](raw) },
-		DecodeWave:   unmarshal[owner.WaveRequest],
+		DecodeWorker:  func(_ string, raw []byte) (owner.Registration, error) { return unmarshal[owner.Registration](raw) },
+		DecodeWave:    unmarshal[owner.WaveRequest],
 		WaveStatus: func(wave int, done bool) (string, []byte) {
 			state := "running"
 			if done {
