--- a/standin/jobfleet/installation.go
+++ b/standin/jobfleet/installation.go
@@ -170,6 +170,7 @@
 // Configure writes a configuration as the operator does.
 func (in *Installation) Configure(c *job.Catalog) {
 	in.Fleet.configure(c)
+	in.Judge.configured(c)
 	in.Store.Put(in.lang.ConfigKey, in.lang.EncodeCatalog(c))
 }
 
--- a/standin/jobfleet/judge.go
+++ b/standin/jobfleet/judge.go
@@ -24,6 +24,7 @@
 	calm    bool // see Calm
 
 	crashers map[crasher]bool
+	limits   map[string][]limitSince // of tenants
 }
 
 // dutyRecord is the newest order for an instance.
@@ -77,7 +78,7 @@
 	return &Judge{
 		began: time.Now(), tasks: map[job.TaskID]*taskRecord{}, jobs: map[job.ID]*jobRecord{},
 		drained: map[owner.WorkerID]time.Time{}, waves: map[int]*waveRecord{},
-		duties: map[owner.InstanceID]dutyRecord{}, crashers: map[crasher]bool{},
+		duties: map[owner.InstanceID]dutyRecord{}, crashers: map[crasher]bool{}, limits: map[string][]limitSince{},
 	}
 }
 
@@ -259,6 +260,7 @@
 		return
 	}
 	r.started = true
+	j.judgeLimit(t, r.spec)
 	if r.refused && r.open == 0 {
 		j.fail("task %s starts, its job was refused", t)
 	}
