A second failure on the same worker waits as long as for another one

Cause: a task that failed waits up to a second for a worker on which it has not failed, but only if its pool has one; in a pool of one worker it went back at once, three attempts in 0.6 s. Ruled out: asking for an instance more; a move takes 1.5 s, and the pool has room. Change: a second failure on one worker pauses the task for that second. Pools of the users' sheets have 7 workers and more, where this hardly occurs.

--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -135,9 +135,12 @@
 		return
 	}
 	t.failures = t.failures.With(e.Run)
+	t.notBefore = now.Add(failureBackoff)
+	if t.failedOnWorker(w) { // there was no other, and attempts are few
+		t.notBefore = now.Add(elsewherePatience)
+	}
 	t.failedOn = append(t.failedOn, w.Worker)
 	t.failedAt = now
-	t.notBefore = now.Add(failureBackoff)
 	attempts := len(t.failures)
 	if s.spec.Gang {
 		s.failures = s.failures.With(e.Run)
