--- a/jobs/owner/crash_test.go
+++ b/jobs/owner/crash_test.go
@@ -282,3 +282,26 @@
 		assert.Len(t, r.core.jobs[j.ID].steps[0].tasks[0].crashes, open, "broken %t", broken)
 	}
 }
+
+// Seen: six workers crashed under one task (soak, seed 41017). How: the task crashed a worker, was
+// started again on the only other one of its rack, and crashed that 0.15 s later; both crashes
+// were put down to the rack.
+//
+// TestATaskThatCrashesARack: workers that one task has run on, one after the other, are no sign
+// of a failure of their rack.
+func TestATaskThatCrashesARack(t *testing.T) {
+	r := newRig(t, 1)
+	r.workers("w0", "w1", "w2")
+	r.regs[0].Rack, r.regs[1].Rack, r.regs[2].Rack = "r", "r", "other"
+	r.list()
+	j := r.submit(1, 1)
+	first := r.started()
+	require.Len(t, first, 1)
+	r.crash(first[0].Worker, "again")
+	second := r.started()
+	require.Len(t, second, 1)
+	require.Equal(t, WorkerID("w1"), second[0].Worker, "its rack mate")
+	r.crash(second[0].Worker, "again too")
+	r.keep(time.Second, nil)
+	assert.Equal(t, 2, r.core.jobs[j.ID].steps[0].tasks[0].crashes.Certain())
+}
