A rack is not blamed for workers that one task has run on, one after the other

Cause: see the failing test. A task that is started again on the rack mate of the worker that it has crashed ends the rack by itself; with racks of two that is the whole of it. Change: a worker that shares a suspect with the one in question is no sign of a failure of its rack. Before: TestATaskThatCrashesARack counts 0 crashes of 2. After: 2; the other losses that no task has caused stay ruled out (TestLossesThatNoTaskHasCaused).

--- a/jobs/owner/crash.go
+++ b/jobs/owner/crash.go
@@ -104,6 +104,7 @@
 	for _, r := range sortedRuns(w) {
 		c.noteCrash(r, now)
 	}
+	w.suspects = slices.Clone(c.openCrashes[w.Worker])
 	c.lostLately = append(c.lostLately, w)
 	if len(c.openCrashes[w.Worker]) > 0 {
 		c.verdicts.add(now.Add(verdictAfter), w)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -202,6 +202,7 @@
 	silentSince  time.Time // no hold was answered since; zero: answered
 	heardAt      time.Time // newest answer to any order
 	suspect      bool      // an order sent after heardAt went unanswered
+	suspects     []*task   // of its end, once its life is over
 	lossTold     bool      // a call went unanswered, and none was answered since
 	contact      contact   // with it, since it was lost
 	runs         map[job.TaskID]*run
--- a/jobs/owner/together.go
+++ b/jobs/owner/together.go
@@ -1,5 +1,7 @@
 package owner
 
+import "slices"
+
 // Workers that were lost together: a rack, or an availability zone, is nobody's crash.
 
 // Least workers that have to be lost at the same time, beside more than half of those there
@@ -24,7 +26,7 @@
 func (c *Core) lostWith(w *worker) togetherness {
 	rack, zone := lossCount{least: leastOfRack}, lossCount{least: leastOfZone}
 	count := func(o *worker) {
-		if o.endsByOrder() || !o.held || o.since.After(w.contact.lostAt) {
+		if o.endsByOrder() || !o.held || o.since.After(w.contact.lostAt) || o != w && c.shareSuspect(o, w) {
 			return
 		}
 		lost := o.contact.overlaps(&w.contact)
@@ -49,6 +51,21 @@
 	return max(rack.judge(), zone.judge())
 }
 
+// shareSuspect reports whether one task may have crashed both workers: started again at once, it
+// can end a rack worker by worker.
+func (c *Core) shareSuspect(a, b *worker) bool {
+	others := c.suspectsOf(b)
+	return slices.ContainsFunc(c.suspectsOf(a), func(t *task) bool { return slices.Contains(others, t) })
+}
+
+// suspectsOf returns the tasks that may have crashed the worker.
+func (c *Core) suspectsOf(w *worker) []*task {
+	if w.gone {
+		return w.suspects
+	}
+	return c.openCrashes[w.Worker]
+}
+
 // overlaps reports whether both losses may have happened at the same moment: each between the
 // last sign of life and the first call without an answer.
 func (k *contact) overlaps(o *contact) bool {
