A plan gives back two instances at a time again

After: internal/jobmatrix, capacity, owner, TestSameDecisions, TestLostCalls pass. Conclusion: reverted.

--- a/jobs/capacity/capacity.go
+++ b/jobs/capacity/capacity.go
@@ -40,11 +40,8 @@
 	// pool is short of room for jobs that can still be in time: a late job is worth a
 	// fourteenth of one in time on the users' sheets, and must not wait for ever.
 	lateShare = 0.25
-	// perPlan is how many instances a plan gives back of a pool that has too many, or planShare
-	// of the pool's if that is more: with two at a time a pool of 150 takes 7 s for what a turn
-	// of 5 s has left idle. A quarter at a time takes what the next turn needs.
-	perPlan   = 2
-	planShare = 1.0 / 12
+	// perPlan is how many instances a plan takes from pools that have too many.
+	perPlan = 2
 )
 
 // Instance is one that could be moved.
@@ -224,10 +221,9 @@
 		return
 	}
 	patience := time.Duration(giveBackMoves * p.w.Move / p.w.InstanceSecond * float64(time.Second))
-	most := max(perPlan, int(planShare*float64(from.Size())))
 	n := 0
 	for _, i := range byIdleTime(from.Instances, patience) {
-		if n == most || p.surplus(from, allWork) <= 0 {
+		if n == perPlan || p.surplus(from, allWork) <= 0 {
 			return
 		}
 		if p.take(from, &p.spare, i, "it idles") {
