--- a/standin/jobfleet/fleetclient.go
+++ b/standin/jobfleet/fleetclient.go
@@ -76,7 +76,7 @@
 // Throttle implements owner.Workers.
 func (c *FleetClient) Throttle(ctx context.Context, o owner.Throttle) owner.Answer {
 	return c.order(ctx, o.Target, "throttle", func(w *worker) owner.Answer {
-		return owner.Answer{Outcome: owner.Taken, Clock: c.fleet.clock()}
+		return owner.Answer{Outcome: owner.Taken, Clock: w.clock()}
 	})
 }
 
--- a/standin/jobfleet/workers.go
+++ b/standin/jobfleet/workers.go
@@ -22,7 +22,6 @@
 // Fleet is instances and the workers that are their lives.
 type Fleet struct {
 	mu        sync.Mutex
-	began     time.Time
 	instances map[owner.InstanceID]*instance
 	workers   map[owner.WorkerID]*worker
 	jobs      map[job.ID]*job.Job // what callers submitted
@@ -38,11 +37,13 @@
 type instance struct {
 	owner.Instance
 	room job.Resources
-	fell int // how often a life of it ended
+	fell int  // how often a life of it ended
+	same bool // its next worker has the id of the last one
 }
 
 type worker struct {
 	reg     owner.Registration
+	began   time.Time // its clock starts then
 	at      *instance
 	token   uint64
 	active  map[job.TaskID]*execution
@@ -72,7 +73,7 @@
 // NewFleet returns a fleet without instances. publish is told of registrations.
 func NewFleet(j *Judge, publish func(key string, r *owner.Registration)) *Fleet {
 	return &Fleet{
-		began: time.Now(), judge: j, publish: publish,
+		judge: j, publish: publish,
 		instances: map[owner.InstanceID]*instance{},
 		workers:   map[owner.WorkerID]*worker{},
 		jobs:      map[job.ID]*job.Job{},
@@ -102,11 +103,15 @@
 func (f *Fleet) rise(i *instance) {
 	f.lives++
 	id := owner.WorkerID(fmt.Sprintf("w-%03d", f.lives))
+	if i.same {
+		id, i.same = i.Worker, false
+	}
 	i.State = owner.InstanceUp
 	i.Worker = id
 	w := &worker{
-		reg: owner.Registration{Worker: id, Service: i.Pool, Addr: string(id), Rack: i.Rack, Labels: []string{i.Rack}, Room: i.room},
-		at:  i, active: map[job.TaskID]*execution{}, latest: map[job.TaskID]uint64{}, ping: make(chan struct{}),
+		reg:   owner.Registration{Worker: id, Service: i.Pool, Addr: string(id), Rack: i.Rack, Labels: []string{i.Rack}, Room: i.room},
+		began: time.Now(),
+		at:    i, active: map[job.TaskID]*execution{}, latest: map[job.TaskID]uint64{}, ping: make(chan struct{}),
 	}
 	f.workers[id] = w
 	delete(f.down, i.ID)
@@ -138,6 +143,9 @@
 		close(w.ping) // holds that wait there end
 		return        // and its registration stays for a while
 	}
+	if i.same {
+		return
+	}
 	f.publish(string(w.reg.Worker), nil)
 }
 
@@ -156,6 +164,20 @@
 	f.riseAfter(i, d)
 }
 
+// Restart ends a worker without notice; it comes back after d, under the id that it had. Its
+// entry in the store stays meanwhile.
+func (f *Fleet) Restart(id owner.InstanceID, d time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	i := f.instances[id]
+	if w := f.workers[i.Worker]; w == nil || w.dead {
+		return
+	}
+	i.same = true
+	f.fall(i, owner.InstanceDown)
+	f.riseAfter(i, d)
+}
+
 // Cut cuts an instance off from all daemons for a while; it runs on.
 func (f *Fleet) Cut(id owner.InstanceID, d time.Duration) {
 	f.set(id, d, func(w *worker, on bool) { w.cut = on })
@@ -197,11 +219,14 @@
 	}
 }
 
-func (f *Fleet) clock() int64 { return time.Since(f.began).Milliseconds() + 1000 }
+// clockStart is what a worker's clock shows when its life begins, in ms.
+const clockStart = 1000
+
+func (w *worker) clock() int64 { return time.Since(w.began).Milliseconds() + clockStart }
 
 // extend takes the end of a lease from an order. It never shortens.
 func (f *Fleet) extend(w *worker, until int64) {
-	end := f.began.Add(time.Duration(until-1000) * time.Millisecond)
+	end := w.began.Add(time.Duration(until-clockStart) * time.Millisecond)
 	if limit := time.Now().Add(maxLease); end.After(limit) {
 		end = limit
 	}
@@ -242,13 +267,13 @@
 }
 
 func (f *Fleet) start(w *worker, o owner.Start) owner.Answer {
-	a := owner.Answer{Outcome: owner.Taken, Clock: f.clock()}
+	a := owner.Answer{Outcome: owner.Taken, Clock: w.clock()}
 	if o.Token < w.token {
 		a.Outcome = owner.Fenced
 		return a
 	}
 	w.token = o.Token
-	if o.Until <= f.clock() {
+	if o.Until <= w.clock() {
 		a.Outcome = owner.LeaseOver
 		return a
 	}
@@ -319,7 +344,7 @@
 }
 
 func (f *Fleet) stop(w *worker, o owner.Stop) owner.Answer {
-	a := owner.Answer{Outcome: owner.Taken, Clock: f.clock()}
+	a := owner.Answer{Outcome: owner.Taken, Clock: w.clock()}
 	if o.Token < w.token {
 		a.Outcome = owner.Fenced
 		return a
@@ -334,7 +359,7 @@
 
 // beginHold applies a hold; the caller waits for its end.
 func (f *Fleet) beginHold(w *worker, o owner.Hold) owner.Answer {
-	a := owner.Answer{Outcome: owner.Taken, Clock: f.clock()}
+	a := owner.Answer{Outcome: owner.Taken, Clock: w.clock()}
 	if o.Token < w.token {
 		a.Outcome = owner.Fenced
 		return a
@@ -356,7 +381,7 @@
 }
 
 func (f *Fleet) list(w *worker) owner.Held {
-	h := owner.Held{Answer: owner.Answer{Outcome: owner.Taken, Clock: f.clock()}}
+	h := owner.Held{Answer: owner.Answer{Outcome: owner.Taken, Clock: w.clock()}}
 	for _, e := range w.active {
 		h.Active = append(h.Active, owner.ActiveRun{Task: e.task, Run: e.run, Percent: e.percent()})
 	}
