A worker that starts again under its id begins another life

Cause: a worker was known by its id alone, while the users' workers may now start again under the id that they had, with ends, clock and fencing token that start anew; `born` tells the lives apart. Ruled out: the life as part of the id (the instance list, deleted entries and Expect-Instance name the id alone); which of two lives is later by comparing times (a worker's time of day may go back); ending all runs at the first sign of a new life (a start may have reached it: its first list has to tell). Change: `born` is decoded from registrations and lists, is part of each order's target and of what a crash is recorded under. Another life than the known one replaces it (jobs/owner/lives.go): what was ordered is carried over until its first list; words of former lives change nothing; ends are not acknowledged while a worker does not answer; a list of instances that lags ends no new life. Not told: the known life stays. An order that is carried out late by the stand-in now ends with the life that it has reached, as on a machine. Known gap: a life that no owner has held yet knows no fencing token, so that a deposed owner's order may reach it.

--- a/internal/jobmatrix/faults_test.go
+++ b/internal/jobmatrix/faults_test.go
@@ -129,6 +129,14 @@
 	around("the daemon's instance is slow", func(d *day, dm string) { gateOf(d, dm).Slow(5, 6*time.Second) }),
 	around("the lock is overwritten", func(d *day, _ string) { d.in.Store.Put("owner/lock", []byte("\xff")) }),
 	around("the sequence is overwritten", func(d *day, _ string) { d.in.Store.Put("sequence", []byte("\xff")) }),
+	around("a worker restarts under its id", func(d *day, _ string) { go d.in.Fleet.Restart("i1", 50*time.Millisecond) }),
+	around("workers restart under their ids, in series", func(d *day, _ string) {
+		for n := range 8 {
+			time.AfterFunc(time.Duration(n)*150*time.Millisecond, func() {
+				d.in.Fleet.Restart(owner.InstanceID(fmt.Sprintf("i%d", n)), 300*time.Millisecond)
+			})
+		}
+	}),
 	around("a registration is overwritten", func(d *day, _ string) { d.in.Store.Put("worker/w-003", []byte("null")) }),
 }
 
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -81,7 +81,7 @@
 	defer t.cancel()
 	t.core = owner.New(owner.Options{
 		Term:      term.Number,
-		TaskLease: min(taskLease, n.set.MaxTaskLease), HoldWait: holdWait, IdleHoldWait: idleHoldWait,
+		TaskLease: min(taskLease, n.set.MaxTaskLease), LongestLease: n.set.MaxTaskLease, HoldWait: holdWait, IdleHoldWait: idleHoldWait,
 		HoldsPerSec:  lossyHoldsPerCore * n.set.Cores,
 		DutyHandover: n.set.DutyHandover, OrderedBefore: n.ofOthers(term.OrderedBefore), ElectedAt: began, OrdersUnknown: term.OrdersUnknown, Successor: term.Successor,
 		KeepStatus:   n.set.KeepStatus,
--- a/jobs/owner/core_test.go
+++ b/jobs/owner/core_test.go
@@ -79,14 +79,14 @@
 
 // held answers the hold that is under way.
 func (r *rig) held(id WorkerID, active []ActiveRun, ends ...End) {
-	r.core.OnHeld(id, Held{Answer: Answer{Outcome: Taken, Clock: r.clock()}, Active: active, Ends: ends}, r.now)
+	r.core.OnHeld(Target{Worker: id}, Held{Answer: Answer{Outcome: Taken, Clock: r.clock()}, Active: active, Ends: ends}, r.now)
 	r.core.React(r.now)
 	r.take()
 }
 
 // unheard lets the hold that is under way go unanswered.
 func (r *rig) unheard(id WorkerID) {
-	r.core.OnHeld(id, Held{Answer: Answer{Outcome: Unanswered, Err: errors.New("lost")}}, r.now)
+	r.core.OnHeld(Target{Worker: id}, Held{Answer: Answer{Outcome: Unanswered, Err: errors.New("lost")}}, r.now)
 	r.core.React(r.now)
 	r.take()
 }
--- a/jobs/owner/crash.go
+++ b/jobs/owner/crash.go
@@ -63,7 +63,7 @@
 	if t.done || t.step.job.state.Final() || r.worker.endsByOrder() {
 		return
 	}
-	k := job.Crash{Run: r.number, Worker: string(r.worker.Worker), Early: r.isEarly(), Exact: r.worker.contact.broken, Alone: r.isOnlyCause()}
+	k := job.Crash{Run: r.number, Worker: r.worker.life().String(), Early: r.isEarly(), Exact: r.worker.contact.broken, Alone: r.isOnlyCause()}
 	if known := t.crashes.Find(r.number); known != nil {
 		*known = k
 	} else {
@@ -76,8 +76,8 @@
 // addCrash adds a crash that is open.
 func (c *Core) addCrash(t *task, k job.Crash) {
 	t.crashes = append(t.crashes, k)
-	id := WorkerID(k.Worker)
-	c.openCrashes[id] = append(c.openCrashes[id], t)
+	l := parseLife(k.Worker)
+	c.openCrashes[l] = append(c.openCrashes[l], t)
 }
 
 // isOnlyCause reports whether no run of another job explains the loss of the worker as well.
@@ -104,9 +104,9 @@
 	for _, r := range sortedRuns(w) {
 		c.noteCrash(r, now)
 	}
-	w.suspects = slices.Clone(c.openCrashes[w.Worker])
+	w.suspects = slices.Clone(c.openCrashes[w.life()])
 	c.lostLately = append(c.lostLately, w)
-	if len(c.openCrashes[w.Worker]) > 0 {
+	if len(c.openCrashes[w.life()]) > 0 {
 		c.verdicts.add(now.Add(verdictAfter), w)
 	}
 }
@@ -124,7 +124,7 @@
 // on a way that is cut for seconds each crash of a task would be put down to the rack.
 func (c *Core) decideCrash(w *worker, now time.Time) {
 	if w.endsByOrder() {
-		c.clearCrashes(w.Worker, "it ended as planned")
+		c.clearCrashes(w.life(), "it ended as planned")
 		return
 	}
 	with := c.lostWith(w)
@@ -132,9 +132,9 @@
 	case with == perhapsTogether && now.Sub(w.contact.lostAt) < verdictPatience:
 		c.verdicts.add(now.Add(verdictAfter), w)
 	case with == lostAlone:
-		c.confirmCrashes(w.Worker, now)
+		c.confirmCrashes(w.life(), now)
 	default:
-		c.clearCrashes(w.Worker, "its rack or zone failed")
+		c.clearCrashes(w.life(), "its rack or zone failed")
 	}
 }
 
@@ -144,24 +144,32 @@
 	if len(c.openCrashes) == 0 || now.Sub(c.startedAt) < unknownPatience || c.instAt.IsZero() || c.listedAt.IsZero() {
 		return
 	}
-	for _, id := range slices.Sorted(maps.Keys(c.openCrashes)) {
-		w := c.workers[id]
-		if (w == nil || !w.held && !w.gone) && !c.isLife(id) && !c.isLookedInto(id) {
-			c.confirmCrashes(id, now)
+	for _, l := range slices.SortedFunc(maps.Keys(c.openCrashes), compareLives) {
+		if !c.isLookedInto(l) && c.isOverUnseen(l) {
+			c.confirmCrashes(l, now)
 		}
 	}
 }
 
-// isLife reports whether the instance list shows the life.
+// isOverUnseen reports whether a life that has not answered this owner is over.
+func (c *Core) isOverUnseen(l life) bool {
+	w := c.workers[l.worker]
+	if w != nil && w.relation(l.born) != sameLife {
+		return true // another one has followed
+	}
+	return (w == nil || !w.held && !w.gone) && !c.isLife(l.worker)
+}
+
+// isLife reports whether the instance list shows the worker as present.
 func (c *Core) isLife(id WorkerID) bool {
 	i := c.instances[c.lives[id]]
 	return i != nil && i.Worker == id
 }
 
 // isLookedInto reports whether a decision on the life is due by itself.
-func (c *Core) isLookedInto(id WorkerID) bool {
+func (c *Core) isLookedInto(l life) bool {
 	for _, e := range c.verdicts.entries {
-		if e.what.Worker == id {
+		if e.what.life() == l {
 			return true
 		}
 	}
@@ -169,27 +177,27 @@
 }
 
 // confirmCrashes counts the crash of a worker under the tasks that ran there.
-func (c *Core) confirmCrashes(id WorkerID, now time.Time) {
-	tasks := c.openCrashes[id]
-	delete(c.openCrashes, id)
+func (c *Core) confirmCrashes(l life, now time.Time) {
+	tasks := c.openCrashes[l]
+	delete(c.openCrashes, l)
 	c.counts.Crashes++
-	if i := c.instances[c.lives[id]]; i != nil {
+	if i := c.instances[c.lives[l.worker]]; i != nil {
 		i.crashedAt, i.suspects = now, tasks
 	}
 	for _, t := range tasks {
-		c.confirmCrash(t, id, now)
+		c.confirmCrash(t, l, now)
 	}
 }
 
-func (c *Core) confirmCrash(t *task, id WorkerID, now time.Time) {
+func (c *Core) confirmCrash(t *task, l life, now time.Time) {
 	j := t.step.job
 	if t.done || j.state.Final() {
 		return
 	}
 	for n := range t.crashes {
-		if k := &t.crashes[n]; k.Worker == string(id) {
+		if k := &t.crashes[n]; k.Worker == l.String() {
 			k.Worker = ""
-			c.note(Decision{Event: "task-crashed-with-worker", Job: j.spec.ID, Task: t.id().String(), Worker: id, Run: k.Run, Reason: crashReason(t.crashes, k)})
+			c.note(Decision{Event: "task-crashed-with-worker", Job: j.spec.ID, Task: t.id().String(), Worker: l.worker, Run: k.Run, Reason: crashReason(t.crashes, k)})
 		}
 	}
 	c.touch(j)
@@ -261,22 +269,23 @@
 }
 
 // clearCrashes takes back what was held against tasks because contact to a worker was lost.
-func (c *Core) clearCrashes(id WorkerID, why string) {
-	for _, t := range c.openCrashes[id] {
+func (c *Core) clearCrashes(l life, why string) {
+	for _, t := range c.openCrashes[l] {
 		before := len(t.crashes)
-		t.crashes = t.crashes.Without(func(k job.Crash) bool { return k.Worker == string(id) })
+		t.crashes = t.crashes.Without(func(k job.Crash) bool { return k.Worker == l.String() })
 		if len(t.crashes) < before {
 			c.wants(t.step.job)
 		}
 	}
-	delete(c.openCrashes, id)
-	c.note(Decision{Event: "crash-ruled-out", Worker: id, Reason: why})
+	delete(c.openCrashes, l)
+	c.note(Decision{Event: "crash-ruled-out", Worker: l.worker, Reason: why})
 }
 
 // clearSurvivors takes back what was held against the tasks of a worker that answers, but
 // for those that have just started.
 func (c *Core) clearSurvivors(w *worker, now time.Time) {
-	tasks := c.openCrashes[w.Worker]
+	l := w.life()
+	tasks := c.openCrashes[l]
 	if len(tasks) == 0 {
 		return
 	}
@@ -284,17 +293,17 @@
 	for _, t := range tasks {
 		t.crashes = t.crashes.Without(func(k job.Crash) bool {
 			r := t.findRun(k.Run, w)
-			return k.Worker == string(w.Worker) && (r == nil || r.hasSettled(now))
+			return k.Worker == l.String() && (r == nil || r.hasSettled(now))
 		})
-		if t.isOpenOn(w.Worker) {
+		if t.isOpenOn(l) {
 			left = append(left, t)
 		}
 	}
 	if len(left) == 0 {
-		delete(c.openCrashes, w.Worker)
+		delete(c.openCrashes, l)
 		return
 	}
-	c.openCrashes[w.Worker] = left
+	c.openCrashes[l] = left
 }
 
 // forgetCrash takes back what was held against the task for a run.
@@ -302,9 +311,9 @@
 	t.crashes = t.crashes.Without(func(k job.Crash) bool { return k.Run == run && k.Open() })
 }
 
-func (t *task) isOpenOn(id WorkerID) bool {
+func (t *task) isOpenOn(l life) bool {
 	for _, k := range t.crashes {
-		if k.Worker == string(id) {
+		if k.Worker == l.String() {
 			return true
 		}
 	}
@@ -318,7 +327,7 @@
 		return false
 	}
 	for _, k := range t.crashes {
-		if k.Open() && c.isFateOpen(WorkerID(k.Worker), now) {
+		if k.Open() && c.isFateOpen(parseLife(k.Worker), now) {
 			return true
 		}
 	}
@@ -329,12 +338,16 @@
 const proofNeeds = 2
 
 // isFateOpen reports whether it will be known soon what became of the worker.
-func (c *Core) isFateOpen(id WorkerID, now time.Time) bool {
-	w := c.workers[id]
-	if w == nil {
-		return now.Sub(c.startedAt) < verdictPatience
+func (c *Core) isFateOpen(l life, now time.Time) bool {
+	if w := c.present(l); w != nil {
+		return now.Sub(w.contact.lostAt) < verdictPatience
+	}
+	for _, w := range c.lostLately {
+		if w.life() == l {
+			return now.Sub(w.contact.lostAt) < verdictPatience
+		}
 	}
-	return now.Sub(w.contact.lostAt) < verdictPatience
+	return now.Sub(c.startedAt) < verdictPatience
 }
 
 // clearLasting clears a long-running task that has been at work for long enough: what befell
--- a/jobs/owner/crash_test.go
+++ b/jobs/owner/crash_test.go
@@ -14,7 +14,7 @@
 
 // loseContact breaks the connections to a worker.
 func (r *rig) loseContact(id WorkerID) {
-	r.core.OnHeld(id, Held{Answer: Answer{Outcome: Unanswered, Err: errors.New("refused"), Broken: true}}, r.now)
+	r.core.OnHeld(Target{Worker: id}, Held{Answer: Answer{Outcome: Unanswered, Err: errors.New("refused"), Broken: true}}, r.now)
 	r.core.React(r.now)
 	r.take()
 }
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -186,7 +186,7 @@
 		r.ended(cause, now)
 	}
 	c.dropRun(r)
-	if r.worker.contact.lostAt.IsZero() {
+	if r.worker.contact.lostAt.IsZero() && !r.former {
 		r.task.forgetCrash(r.number) // its worker is there
 	}
 	c.touchWorker(r.worker)
--- a/jobs/owner/instances.go
+++ b/jobs/owner/instances.go
@@ -40,10 +40,14 @@
 	}
 	switch i.State {
 	case InstanceDown:
-		c.lifeOverOf(i.Worker, "the instance list shows it down", now)
+		if !c.mayMeanFormerLife(i.Worker, now) {
+			c.lifeOverOf(i.Worker, "the instance list shows it down", now)
+		}
 	case InstanceMaintained, InstanceMoving:
-		c.markOrdered(i.Worker)
-		c.lifeOverOf(i.Worker, "the instance list shows it away", now)
+		if !c.mayMeanFormerLife(i.Worker, now) {
+			c.markOrdered(i.Worker)
+			c.lifeOverOf(i.Worker, "the instance list shows it away", now)
+		}
 	}
 	if old == nil {
 		old = &instanceState{}
--- /dev/null
+++ b/jobs/owner/lives.go
@@ -0,0 +1,173 @@
+package owner
+
+import (
+	"cmp"
+	"fmt"
+	"slices"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// A worker may start again under its id. It then holds and knows nothing of before: its
+// numbers of ends, its clock and the fencing token that it has seen start anew. When it was
+// born tells one life from another. That is compared for being the same alone, never for
+// which is later: the time of day of a worker may go back between two lives. What does not
+// say when it was born says nothing of which life it is of.
+
+// life is one life of a worker.
+type life struct {
+	worker WorkerID
+	born   int64 // 0: not known
+}
+
+// String returns the life as records name it.
+func (l life) String() string {
+	if l.born == 0 {
+		return string(l.worker)
+	}
+	return string(l.worker) + "@" + strconv.FormatInt(l.born, 10)
+}
+
+// compareLives orders lives by their workers' ids.
+func compareLives(a, b life) int {
+	return cmp.Or(cmp.Compare(a.worker, b.worker), cmp.Compare(a.born, b.born))
+}
+
+// parseLife is the inverse of String.
+func parseLife(s string) life {
+	at := strings.LastIndexByte(s, '@')
+	if at < 0 {
+		return life{worker: WorkerID(s)}
+	}
+	born, err := strconv.ParseInt(s[at+1:], 10, 64)
+	if err != nil {
+		return life{worker: WorkerID(s)}
+	}
+	return life{WorkerID(s[:at]), born}
+}
+
+func (w *worker) life() life { return life{w.Worker, w.Born} }
+
+// lifeOn returns the life that the instance list shows on an instance, as far as is known.
+func (c *Core) lifeOn(i *Instance) life {
+	if w := c.workers[i.Worker]; w != nil {
+		return w.life()
+	}
+	return life{worker: i.Worker}
+}
+
+// present returns the worker if that life is its present one, nil if not.
+func (c *Core) present(l life) *worker {
+	if w := c.workers[l.worker]; w != nil && w.relation(l.born) == sameLife {
+		return w
+	}
+	return nil
+}
+
+// meant returns the worker that an order was sent to, nil if that life of it is over: what
+// became of the order says nothing of the present one.
+func (c *Core) meant(t Target) *worker { return c.present(life{t.Worker, t.Born}) }
+
+// relation is how a life that is spoken of relates to the one that is known.
+type relation int
+
+const (
+	sameLife   relation = iota
+	formerLife          // it was known to be over before
+	nextLife
+)
+
+func (w *worker) relation(born int64) relation {
+	switch {
+	case born == w.Born || born == 0 || w.Born == 0:
+		return sameLife
+	case slices.Contains(w.formerBorn, born):
+		return formerLife
+	}
+	return nextLife
+}
+
+// formerKept is how many former lives of a worker are remembered. What is late by more than
+// some of them would have to be late by more than any answer is waited for.
+const formerKept = 8
+
+// newWorker adds a worker of which nothing is known yet.
+func (c *Core) newWorker(id WorkerID, born int64, now time.Time) *worker {
+	w := &worker{
+		Registration: Registration{Worker: id, Born: born},
+		since:        now,
+		runs:         map[job.TaskID]*run{},
+		strangers:    map[job.TaskID]stranger{},
+		waiting:      map[uint64]waitingEnd{},
+	}
+	c.workers[id] = w
+	c.holdsDue.add(now, w)
+	return w
+}
+
+// beginLife ends the known life of a worker and begins another under the same id. What was
+// started on the life before ended with it, unless the order reached the new one: its first
+// list tells, so that nothing starts elsewhere until then.
+func (c *Core) beginLife(old *worker, born int64, proof string, now time.Time) *worker {
+	c.note(Decision{Event: "worker-reborn", Worker: old.Worker, Reason: fmt.Sprintf("%s, %d runs", proof, len(old.runs))})
+	if !old.gone {
+		old.gone = true
+		c.lookInto(old, now)
+	}
+	c.forget(old.Worker)
+	w := c.newWorker(old.Worker, born, now)
+	w.formerBorn = append(slices.Clone(old.formerBorn), old.Born)
+	w.formerBorn = w.formerBorn[max(0, len(w.formerBorn)-formerKept):]
+	w.Registration = old.Registration
+	w.Born, w.Draining = born, false
+	c.roster.add(w)
+	for _, r := range sortedRuns(old) {
+		old.dropRun(r)
+		r.carryOver(w, now)
+	}
+	c.touchWorker(w)
+	return w
+}
+
+// carryOver lets the next life of the run's worker tell what became of it.
+func (r *run) carryOver(w *worker, now time.Time) {
+	r.worker = w
+	r.former = true
+	w.addRun(r)
+	if r.phase == starting {
+		r.lost, r.givenUp = true, now
+	}
+}
+
+// leasesOver reports whether nothing that the worker was told to start can run any more, if it
+// does not answer. Of a life that never has, no more is known than how long any lease can be.
+func (c *Core) leasesOver(w *worker, now time.Time) bool {
+	if w.lease.known || len(w.formerBorn) == 0 {
+		return w.lease.over(now)
+	}
+	longest := time.Duration(float64(max(c.opt.LongestLease, c.opt.TaskLease))/(1-workerClockSlow)) + leaseSlack
+	return now.Sub(w.since) > longest
+}
+
+// acknowledgement returns the number up to which the worker may forget ends. While it does not
+// answer another life of it may have begun, which would forget its own.
+func (w *worker) acknowledgement() uint64 {
+	if w.Born != 0 && (!w.silentSince.IsZero() || !w.contact.lostAt.IsZero()) {
+		return 0
+	}
+	return w.acked
+}
+
+// newLifeUnlisted is for how long after a life began the instance list may still say what
+// became of the one before.
+const newLifeUnlisted = 3 * time.Second
+
+// mayMeanFormerLife reports whether the instance list may speak of an earlier life of the
+// worker, under the same id.
+func (c *Core) mayMeanFormerLife(id WorkerID, now time.Time) bool {
+	w := c.workers[id]
+	return w != nil && len(w.formerBorn) > 0 && now.Sub(w.since) < newLifeUnlisted
+}
--- a/jobs/owner/moves.go
+++ b/jobs/owner/moves.go
@@ -9,7 +9,7 @@
 // moveState is an instance on its way to another pool.
 type moveState struct {
 	to       string
-	life     WorkerID // before the move
+	life     life // before the move
 	at       time.Time
 	accepted bool
 }
@@ -23,7 +23,7 @@
 		i := c.instances[id]
 		switch {
 		case i == nil:
-		case m.accepted && i.Pool == m.to && i.State == InstanceUp && i.Worker != m.life && c.joined(&i.Instance):
+		case m.accepted && i.Pool == m.to && i.State == InstanceUp && c.lifeOn(&i.Instance) != m.life && c.joined(&i.Instance):
 		case m.accepted && now.Sub(m.at) > moveTimeout:
 		default:
 			continue
@@ -35,7 +35,7 @@
 // endMove forgets a move that is over, or was not begun.
 func (c *Core) endMove(id InstanceID, m *moveState) {
 	delete(c.moves, id)
-	if w := c.workers[m.life]; w != nil && !w.gone {
+	if w := c.present(m.life); w != nil && !w.gone {
 		c.unreserve(w)
 	}
 	if i := c.instances[id]; i != nil {
@@ -58,13 +58,13 @@
 	if c.misfits[misfit{id, m.To}] {
 		return
 	}
-	ms := &moveState{to: m.To, at: now, life: c.instances[id].Worker}
+	ms := &moveState{to: m.To, at: now, life: c.lifeOn(&c.instances[id].Instance)}
 	c.moves[id] = ms
 	c.count(c.instances[id])
-	if w := c.workers[ms.life]; w != nil {
+	if w := c.present(ms.life); w != nil {
 		c.reserve(w, reservedMove, now)
 	}
-	c.note(Decision{Event: "move-ordered", Worker: ms.life, Reason: m.Instance + " from " + m.From + " to " + m.To + ": " + m.Reason})
+	c.note(Decision{Event: "move-ordered", Worker: ms.life.worker, Reason: m.Instance + " from " + m.From + " to " + m.To + ": " + m.Reason})
 	c.out.Instances = append(c.out.Instances, MoveOrder{Instance: id, Pool: m.To})
 }
 
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -30,7 +30,7 @@
 // OnStarted takes a worker's answer to a start.
 func (c *Core) OnStarted(o Start, a Answer, now time.Time) {
 	c.line.answered(o.Number, now)
-	w := c.workers[o.Worker]
+	w := c.meant(o.Target)
 	if w == nil {
 		return
 	}
@@ -165,7 +165,7 @@
 
 // OnStopped takes a worker's answer to a stop.
 func (c *Core) OnStopped(o Stop, a Answer, now time.Time) {
-	w := c.workers[o.Worker]
+	w := c.meant(o.Target)
 	if w == nil {
 		return
 	}
--- a/jobs/owner/pace.go
+++ b/jobs/owner/pace.go
@@ -79,7 +79,7 @@
 // OnThrottled takes a worker's answer to a throttle. After one without an
 // answer the run is throttled anew.
 func (c *Core) OnThrottled(o Throttle, a Answer, now time.Time) {
-	w := c.workers[o.Worker]
+	w := c.meant(o.Target)
 	if w == nil {
 		return
 	}
--- a/jobs/owner/quarantine.go
+++ b/jobs/owner/quarantine.go
@@ -75,7 +75,7 @@
 	w.keptFor = nil
 	w.trials = append(w.trials, r)
 	c.note(Decision{Event: "task-isolated", Job: t.step.job.spec.ID, Task: t.id().String(), Worker: w.Worker, Run: r.number})
-	c.addCrash(t, job.Crash{Run: r.number, Worker: string(w.Worker), Early: true, Exact: true, Alone: true})
+	c.addCrash(t, job.Crash{Run: r.number, Worker: w.life().String(), Early: true, Exact: true, Alone: true})
 	c.touchCrash(t.step.job)
 }
 
--- a/jobs/owner/registrations.go
+++ b/jobs/owner/registrations.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"github.com/postmount/postmount/jobs/job"
 )
 
 // Register takes the whole list of registrations.
@@ -107,16 +105,21 @@
 func (c *Core) registerOne(r Registration, now time.Time) {
 	w := c.workers[r.Worker]
 	if w == nil {
-		w = &worker{
-			since:     now,
-			runs:      map[job.TaskID]*run{},
-			strangers: map[job.TaskID]stranger{},
-			waiting:   map[uint64]waitingEnd{},
-		}
-		c.workers[r.Worker] = w
-		c.holdsDue.add(now, w)
+		w = c.newWorker(r.Worker, r.Born, now)
 		c.note(Decision{Event: "worker-new", Worker: r.Worker, Reason: r.Service})
 	}
+	switch w.relation(r.Born) {
+	case formerLife:
+		return // written before its present life registered
+	case nextLife:
+		w = c.beginLife(w, r.Born, "it has registered anew", now)
+	}
+	if r.Born == 0 {
+		r.Born = w.Born // which it does not say
+	}
+	if w.Born != r.Born && len(c.openCrashes[w.life()]) > 0 {
+		c.clearCrashes(w.life(), "it has only now said which life it is")
+	}
 	if r.Draining && !w.Draining {
 		c.note(Decision{Event: "worker-draining", Worker: r.Worker})
 	}
@@ -143,14 +146,14 @@
 // sameAs reports whether the registration says the same.
 func (r *Registration) sameAs(o *Registration) bool {
 	return r.Worker == o.Worker && r.Service == o.Service && r.Addr == o.Addr && r.Zone == o.Zone && r.Rack == o.Rack &&
-		r.Room == o.Room && r.Draining == o.Draining && slices.Equal(r.Labels, o.Labels)
+		r.Room == o.Room && r.Draining == o.Draining && r.Born == o.Born && slices.Equal(r.Labels, o.Labels)
 }
 
 // forget removes a worker of which nothing is left to know.
 func (c *Core) forget(id WorkerID) {
 	w := c.workers[id]
-	if !w.gone && len(c.openCrashes[id]) > 0 {
-		c.clearCrashes(id, "nobody can tell what became of it")
+	if !w.gone && len(c.openCrashes[w.life()]) > 0 {
+		c.clearCrashes(w.life(), "nobody can tell what became of it")
 	}
 	delete(c.workers, id)
 	delete(c.silent, id)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -13,6 +13,7 @@
 type Options struct {
 	Term         uint64        // number of this ownership; rises with each owner
 	TaskLease    time.Duration // how long a worker's tasks live without renewal
+	LongestLease time.Duration // that a worker gives, whatever it is told; 0: TaskLease
 	HoldWait     time.Duration // how long a hold waits for an end
 	IdleHoldWait time.Duration // the same if nothing runs there; 0: as long as HoldWait
 	Calls        calls.Policy  // how long answers are waited for; "": adaptive
@@ -54,6 +55,7 @@
 	trial     job.Suspicion // it was started with nothing beside it, to see whether it crashes its worker
 	throttle  int           // percent of its speed that was ordered; 100 at the start
 	lost      bool          // an order for it went unanswered; it may arrive late
+	former    bool          // ordered while the life before of its worker was known, and not seen on this one
 	givenUp   time.Time     // no further order to start it is sent since; zero: one may be
 	reason    string
 }
@@ -193,6 +195,7 @@
 	held         bool      // answered a hold with our token
 	registered   bool      // in the newest list of registrations
 	since        time.Time // when it was first heard of
+	formerBorn   []int64   // when its lives before were born, the newest last
 	missingSince time.Time // when it was first missing there
 	gone         bool      // this life has ended for certain
 	holding      bool      // a hold is under way
@@ -276,13 +279,13 @@
 	workers     workerSet
 	unnamed     map[WorkerID]Registration // of services that no configuration names
 	roster      roster
-	silent      workerSet            // that did not answer their newest hold
-	over        workerSet            // the lives of which have ended
-	openCrashes map[WorkerID][]*task // tasks with a run on a worker the fate of which is open
-	puzzling    workerSet            // with runs or ends of jobs that are not known yet
-	sharing     workerSet            // with fillers beside serving tasks
-	unlisted    workerSet            // that are missing among the registrations, and still count as registered
-	maintaining workerSet            // that are kept for a wave
+	silent      workerSet        // that did not answer their newest hold
+	over        workerSet        // the lives of which have ended
+	openCrashes map[life][]*task // tasks with a run on a worker the fate of which is open
+	puzzling    workerSet        // with runs or ends of jobs that are not known yet
+	sharing     workerSet        // with fillers beside serving tasks
+	unlisted    workerSet        // that are missing among the registrations, and still count as registered
+	maintaining workerSet        // that are kept for a wave
 	instances   map[InstanceID]*instanceState
 	lives       map[WorkerID]InstanceID
 	waves       map[int]*waveState
@@ -403,7 +406,7 @@
 		roster:      roster{},
 		silent:      workerSet{},
 		over:        workerSet{},
-		openCrashes: map[WorkerID][]*task{},
+		openCrashes: map[life][]*task{},
 		puzzling:    workerSet{},
 		sharing:     workerSet{},
 		unlisted:    workerSet{},
--- a/jobs/owner/takeover_test.go
+++ b/jobs/owner/takeover_test.go
@@ -203,10 +203,10 @@
 	answered := at.Add(h.Wait)
 	f.pending = append(f.pending, busyEvent{at: answered.Add(roundTrip), deadline: deadline, do: func(now time.Time, late bool) {
 		if late {
-			f.core.OnHeld(h.Worker, Held{Answer: Answer{Outcome: Unanswered}}, now)
+			f.core.OnHeld(h.Target, Held{Answer: Answer{Outcome: Unanswered}}, now)
 			return
 		}
-		f.core.OnHeld(h.Worker, Held{Answer: Answer{Outcome: Taken, Clock: f.clock(answered)}, Active: w.runs, Ends: w.ends}, now)
+		f.core.OnHeld(h.Target, Held{Answer: Answer{Outcome: Taken, Clock: f.clock(answered)}, Active: w.runs, Ends: w.ends}, now)
 	}})
 	f.lapse(w, at)
 	until := f.begin.Add(time.Duration(h.Until-rigClock) * time.Millisecond)
@@ -247,7 +247,7 @@
 	now := f.begin
 	for n := range busyWorkers - 1 { // one does not answer
 		now = now.Add(time.Millisecond)
-		f.core.OnHeld(busyID(n), Held{Answer: Answer{Outcome: Taken, Clock: f.clock(now)}}, now)
+		f.core.OnHeld(Target{Worker: busyID(n)}, Held{Answer: Answer{Outcome: Taken, Clock: f.clock(now)}}, now)
 		f.core.React(now)
 	}
 	looks := f.core.counts.Considered / busyJobs
--- a/jobs/owner/together.go
+++ b/jobs/owner/together.go
@@ -63,7 +63,7 @@
 	if w.gone {
 		return w.suspects
 	}
-	return c.openCrashes[w.Worker]
+	return c.openCrashes[w.life()]
 }
 
 // overlaps reports whether both losses may have happened at the same moment: each between the
--- a/jobs/owner/types.go
+++ b/jobs/owner/types.go
@@ -11,7 +11,8 @@
 	"github.com/postmount/postmount/jobs/job"
 )
 
-// WorkerID names one life of a worker: a restart gives it a new one.
+// WorkerID names a worker. A restart may give it a new one or leave it the old one; when it
+// was born tells its lives apart.
 type WorkerID string
 
 // InstanceID names an instance over all lives of its worker.
@@ -27,6 +28,7 @@
 	Labels   []string
 	Room     job.Resources
 	Draining bool
+	Born     int64 // when this life began, in ms of Unix time on its own clock; 0: not told
 }
 
 // Validate returns why the registration names no worker that can be used.
@@ -36,6 +38,8 @@
 		return fmt.Errorf("it lacks a name, a service or an address: %q, %q, %q", r.Worker, r.Service, r.Addr)
 	case r.Room.CPUMilli < 0 || r.Room.MemMB < 0 || r.Room.GPU < 0:
 		return fmt.Errorf("its room is less than nothing: %s", r.Room)
+	case r.Born < 0:
+		return fmt.Errorf("it was born at %d ms", r.Born)
 	}
 	return nil
 }
@@ -76,6 +80,7 @@
 	Worker WorkerID
 	Addr   string
 	Token  uint64 // fencing token of the owner
+	Born   int64  // of the life that is meant; 0: not known
 }
 
 // Start orders a worker to run a task.
@@ -190,6 +195,7 @@
 // Held is a worker's answer to a Hold.
 type Held struct {
 	Answer
+	Born   int64 // of the life that answered; 0: not told
 	Active []ActiveRun
 	Ends   []End
 }
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -21,7 +21,7 @@
 // downSince is an instance under maintenance.
 type downSince struct {
 	at   time.Time // when this owner ordered it; zero: another one did, perhaps for another wave
-	life WorkerID  // before its maintenance; "" for a spare instance, which has none
+	life life      // before its maintenance; without a worker for a spare instance
 	seen bool      // the instance list has shown it under maintenance
 
 	accepted time.Time // when the platform accepted the order; zero: not yet
@@ -65,7 +65,7 @@
 		}
 		d.seen = true
 		ws.down[i.ID] = d
-	case down && i.State == InstanceUp && (d.seen || i.Worker != d.life):
+	case down && i.State == InstanceUp && (d.seen || i.Worker != d.life.worker):
 		delete(ws.down, i.ID)
 	}
 }
@@ -200,9 +200,9 @@
 		if d.accepted.IsZero() || d.seen {
 			continue
 		}
-		w := c.workers[d.life]
+		w := c.present(d.life)
 		alive := w != nil && !w.gone && w.answered.After(d.accepted)
-		if w == nil && d.life == "" {
+		if w == nil && d.life.worker == "" {
 			i := c.instances[id]
 			alive = i != nil && i.State == InstanceUp && c.instAt.Sub(d.accepted) > doneBefore
 		}
@@ -213,7 +213,7 @@
 		if w != nil {
 			c.unreserve(w)
 		}
-		c.note(Decision{Event: "maintained-before", Worker: d.life, Reason: string(id)})
+		c.note(Decision{Event: "maintained-before", Worker: d.life.worker, Reason: string(id)})
 	}
 }
 
@@ -334,12 +334,12 @@
 }
 
 func (c *Core) orderMaintenance(ws *waveState, cand candidate, now time.Time) {
-	d := downSince{at: now, life: c.instances[cand.id].Worker}
+	d := downSince{at: now, life: c.lifeOn(&c.instances[cand.id].Instance)}
 	ws.down[cand.id] = d
 	if cand.w != nil {
 		cand.w.departing = true
 	}
-	c.note(Decision{Event: "maintenance-ordered", Worker: d.life, Reason: string(cand.id)})
+	c.note(Decision{Event: "maintenance-ordered", Worker: d.life.worker, Reason: string(cand.id)})
 	c.out.Instances = append(c.out.Instances, MoveOrder{Instance: cand.id, Wave: ws.Wave})
 }
 
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -34,7 +34,7 @@
 
 // target returns the address of an order to w.
 func (c *Core) target(w *worker) Target {
-	return Target{Worker: w.Worker, Addr: w.Addr, Token: c.token}
+	return Target{Worker: w.Worker, Addr: w.Addr, Token: c.token, Born: w.Born}
 }
 
 // holdAt says when the worker is to be held next.
@@ -56,7 +56,7 @@
 		c.out.Holds = append(c.out.Holds, Hold{
 			Target:      c.target(w),
 			Until:       c.renewal(w, now),
-			Acknowledge: w.acked,
+			Acknowledge: w.acknowledgement(),
 			Wait:        c.holdWait(w),
 			Timeout:     c.calls.Timeout(holdTimeout),
 		})
@@ -185,13 +185,24 @@
 	}
 }
 
-// OnHeld takes a worker's answer to a hold.
-func (c *Core) OnHeld(id WorkerID, h Held, now time.Time) {
-	w := c.workers[id]
+// OnHeld takes a worker's answer to a hold of the life that is meant.
+func (c *Core) OnHeld(of Target, h Held, now time.Time) {
+	w := c.meant(of)
 	if w == nil {
 		return
 	}
 	w.holding = false
+	if h.Outcome == Taken {
+		switch w.relation(h.Born) {
+		case formerLife:
+			c.holdAt(w, now.Add(holdRetry))
+			return
+		case nextLife:
+			sent := w.holdSent
+			w = c.beginLife(w, h.Born, "its list is of another life", now)
+			w.holdSent = sent
+		}
+	}
 	if w.gone {
 		return // sent before the end of its life, and nothing of it runs any more
 	}
@@ -214,13 +225,13 @@
 		if w.silentSince.IsZero() {
 			w.silentSince = now
 			c.silent.put(w, true)
-			c.note(Decision{Event: "worker-silent", Worker: id, Reason: reasonOf(h.Answer)})
+			c.note(Decision{Event: "worker-silent", Worker: w.Worker, Reason: reasonOf(h.Answer)})
 		}
 		c.holdAt(w, now.Add(c.retryPause(w, now)))
 		return
 	}
 	if !w.silentSince.IsZero() {
-		c.note(Decision{Event: "worker-answers", Worker: id, Reason: now.Sub(w.silentSince).String()})
+		c.note(Decision{Event: "worker-answers", Worker: w.Worker, Reason: now.Sub(w.silentSince).String()})
 		w.silentSince = time.Time{}
 		c.silent.put(w, false)
 	}
@@ -242,7 +253,7 @@
 	}
 	c.holdAt(w, w.nextHold)
 	if first {
-		c.note(Decision{Event: "worker-held", Worker: id, Reason: w.Service})
+		c.note(Decision{Event: "worker-held", Worker: w.Worker, Reason: w.Service})
 	}
 	c.changed[w.Service] = true
 }
@@ -327,6 +338,10 @@
 
 func (c *Core) onProgress(r *run, a ActiveRun, now time.Time) {
 	r.lost = false
+	if r.former {
+		r.former = false
+		r.task.forgetCrash(r.number)
+	}
 	if r.phase == starting {
 		r.phase = running
 		r.ackedAt = now
@@ -376,7 +391,7 @@
 	}
 	for _, w := range c.silent.sorted() {
 		id := w.Worker
-		if len(w.runs) > 0 && w.lease.over(now) && !c.isStarved(now) {
+		if len(w.runs) > 0 && c.leasesOver(w, now) && !c.isStarved(now) {
 			c.note(Decision{Event: "leases-over", Worker: id, Reason: "silent for " + now.Sub(w.silentSince).String()})
 			for _, r := range sortedRuns(w) {
 				c.noteCrash(r, now) // what became of the worker may be known later
--- a/lab/jobload/fleet.go
+++ b/lab/jobload/fleet.go
@@ -163,7 +163,7 @@
 func (s *sim) beginHold(o owner.Hold) {
 	term := s.term
 	tell := func(held owner.Held) {
-		s.tell(HoldAnswered, term, func(c *owner.Core) { c.OnHeld(o.Worker, held, s.engine.now) })
+		s.tell(HoldAnswered, term, func(c *owner.Core) { c.OnHeld(o.Target, held, s.engine.now) })
 	}
 	if w := s.workers[o.Worker]; w == nil || w.dead {
 		s.engine.after(o.Wait+owner.OrderTimeout, func() { tell(owner.Held{Answer: owner.Answer{Outcome: owner.Unanswered}}) })
--- a/standin/jobfleet/fleetclient.go
+++ b/standin/jobfleet/fleetclient.go
@@ -27,10 +27,11 @@
 		return unheard
 	}
 	time.Sleep(workerLatency)
+	reached := c.fleet.workerOf(to.Worker)
 	apply := func() owner.Answer {
 		c.fleet.mu.Lock()
 		defer c.fleet.mu.Unlock()
-		w := c.fleet.workers[to.Worker]
+		w := reached // an order ends with the life that it has reached
 		switch {
 		case w != nil && w.refuses:
 			return owner.Answer{Outcome: owner.Unanswered, Err: errRefused, Broken: true}
@@ -63,6 +64,12 @@
 	return a
 }
 
+func (f *Fleet) workerOf(id owner.WorkerID) *worker {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.workers[id]
+}
+
 // Start implements owner.Workers.
 func (c *FleetClient) Start(ctx context.Context, o owner.Start) owner.Answer {
 	return c.order(ctx, o.Target, "start", func(w *worker) owner.Answer { return c.fleet.start(w, o) })
--- a/standin/jobfleet/workers.go
+++ b/standin/jobfleet/workers.go
@@ -109,7 +109,7 @@
 	i.State = owner.InstanceUp
 	i.Worker = id
 	w := &worker{
-		reg:   owner.Registration{Worker: id, Service: i.Pool, Addr: string(id), Rack: i.Rack, Labels: []string{i.Rack}, Room: i.room},
+		reg:   owner.Registration{Worker: id, Service: i.Pool, Addr: string(id), Rack: i.Rack, Labels: []string{i.Rack}, Room: i.room, Born: time.Now().UnixMilli()},
 		began: time.Now(),
 		at:    i, active: map[job.TaskID]*execution{}, latest: map[job.TaskID]uint64{}, ping: make(chan struct{}),
 	}
@@ -381,7 +381,7 @@
 }
 
 func (f *Fleet) list(w *worker) owner.Held {
-	h := owner.Held{Answer: owner.Answer{Outcome: owner.Taken, Clock: w.clock()}}
+	h := owner.Held{Answer: owner.Answer{Outcome: owner.Taken, Clock: w.clock()}, Born: w.reg.Born}
 	for _, e := range w.active {
 		h.Active = append(h.Active, owner.ActiveRun{Task: e.task, Run: e.run, Percent: e.percent()})
 	}
