--- /dev/null
+++ b/internal/jobmatrix/evacuation_test.go
@@ -0,0 +1,122 @@
+package jobmatrix
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/owner"
+)
+
+// inZones puts the instances with even numbers into zone z1, and the others into z2.
+func (d *day) inZones() {
+	for i := range 8 {
+		d.in.Fleet.Place(owner.InstanceID(fmt.Sprintf("i%d", i)), fmt.Sprintf("z%d", 1+i%2))
+	}
+	for i := range 2 {
+		d.in.Fleet.Place(owner.InstanceID(fmt.Sprintf("spare%d", i)), "z2")
+	}
+}
+
+// TestAnEvacuatedZoneGetsNoTasks: not while the owner that heard of it schedules, nor by the
+// next one, until it is taken back. What runs there goes on.
+func TestAnEvacuatedZoneGetsNoTasks(t *testing.T) {
+	play(t, func(d *day) {
+		d.inZones()
+		lasting := lastingJob(900)
+		d.submit(ordersPrefix, lasting)
+		d.submitSome(0, 4)
+		d.in.Evacuate("z1")
+		d.in.Evacuate("nowhere")
+		d.submitSome(4, 6)
+		assert.Less(t, d.in.Judge.LastStartInEvacuatedZone(), time.Second)
+		first := d.in.Owner()
+		require.NotNil(t, first)
+		d.in.Kill(first.Name)
+		d.submitSome(10, 6)
+		d.finish(20 * time.Second)
+		d.lastingServes(lasting)
+		assert.Less(t, d.in.Judge.LastStartInEvacuatedZone(), time.Second)
+
+		d.in.EndEvacuation("z1")
+		d.in.Evacuate("z2")
+		time.Sleep(time.Second)
+		d.submitSome(16, 6)
+		d.finish(20 * time.Second)
+		assert.Less(t, d.in.Judge.LastStartInEvacuatedZone(), time.Second)
+	})
+}
+
+// TestAllZonesEvacuated: jobs that are accepted wait, and are done once a zone is back.
+func TestAllZonesEvacuated(t *testing.T) {
+	play(t, func(d *day) {
+		d.inZones()
+		d.in.Evacuate("z1")
+		d.in.Evacuate("z2")
+		time.Sleep(time.Second)
+		starts := d.in.Judge.Starts()
+		d.submitSome(0, 4)
+		time.Sleep(5 * time.Second)
+		assert.Equal(t, starts, d.in.Judge.Starts())
+		d.in.EndEvacuation("z2")
+		d.finish(20 * time.Second)
+	})
+}
+
+// TestAnEvacuationThatIsTakenBackAtOnce, and one that is asked for twice.
+func TestAnEvacuationThatIsTakenBackAtOnce(t *testing.T) {
+	play(t, func(d *day) {
+		d.inZones()
+		for range 3 {
+			d.in.Evacuate("z1")
+			d.in.Evacuate("z1")
+			d.in.EndEvacuation("z1")
+		}
+		d.in.Store.Forget()
+		d.in.Evacuate("z2")
+		d.in.EndEvacuation("z2")
+		time.Sleep(time.Second)
+		d.submitSome(0, 6)
+		d.finish(10 * time.Second)
+	})
+}
+
+// outerStretch is by how much a store that does not serve may delay what is asked for through it.
+const outerStretch = 5 * time.Second
+
+// TestEvacuationsUnderFaults: a zone is evacuated, and taken back, while each kind of fault
+// strikes at some steps.
+func TestEvacuationsUnderFaults(t *testing.T) {
+	for _, f := range allFaults() {
+		for _, s := range []struct {
+			op string
+			n  int
+		}{{"watch", 4}, {"start", 3}, {"hold", 20}, {"commit", 8}} {
+			t.Run(fmt.Sprintf("%s at %s %d", f.name, s.op, s.n), func(t *testing.T) {
+				play(t, func(d *day) {
+					d.inZones()
+					d.in.Judge.StretchEvacuations(outerStretch)
+					lasting := lastingJob(900)
+					d.submit(ordersPrefix, lasting)
+					d.at(s.op, s.n, f)
+					d.submitSome(0, 3)
+					d.in.Evacuate("z1")
+					d.in.RequestWave(owner.WaveRequest{Wave: 1, Instances: []owner.InstanceID{"i0", "i3"}, Within: 20 * time.Second, MaxDown: 2})
+					d.submitSome(3, 3)
+					time.Sleep(12 * time.Second)
+					d.submitSome(6, 3)
+					d.in.EndEvacuation("z1")
+					d.in.Evacuate("z2")
+					time.Sleep(12 * time.Second)
+					d.submitSome(9, 3)
+					d.in.EndEvacuation("z2")
+					d.finish(30 * time.Second)
+					d.lastingServes(lasting)
+				})
+			})
+		}
+	}
+}
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -23,16 +23,17 @@
 
 // Dialect is how the platform spells what others write into its store.
 type Dialect struct {
-	ConfigKey     string
-	OperatorKeys  string // prefix of ConfigKey and of the waves
-	WavePrefix    string
-	WorkerPrefix  string
-	CallerKey     gateway.KeyReader
-	DecodeJob     gateway.Decoder
-	DecodeCatalog func(raw []byte) (*job.Catalog, error)
-	DecodeWorker  func(key string, raw []byte) (owner.Registration, error)
-	DecodeWave    func(raw []byte) (owner.WaveRequest, error)
-	WaveStatus    func(wave int, done bool) (key string, value []byte)
+	ConfigKey        string
+	OperatorKeys     string // prefix of ConfigKey and of the waves
+	WavePrefix       string
+	EvacuationPrefix string // before the name of a zone that gets no new tasks
+	WorkerPrefix     string
+	CallerKey        gateway.KeyReader
+	DecodeJob        gateway.Decoder
+	DecodeCatalog    func(raw []byte) (*job.Catalog, error)
+	DecodeWorker     func(key string, raw []byte) (owner.Registration, error)
+	DecodeWave       func(raw []byte) (owner.WaveRequest, error)
+	WaveStatus       func(wave int, done bool) (key string, value []byte)
 }
 
 // Peers reaches other daemons by the addresses of their peer listeners.
--- a/standin/jobfleet/judge.go
+++ b/standin/jobfleet/judge.go
@@ -25,6 +25,10 @@
 
 	crashers map[crasher]bool
 	limits   map[string][]limitSince // of tenants
+
+	evacuated       map[string]time.Time // zones, since when; zero: no longer
+	evacuateStretch time.Duration
+	lastInZone      time.Duration
 }
 
 // dutyRecord is the newest order for an instance.
@@ -78,7 +82,7 @@
 	return &Judge{
 		began: time.Now(), tasks: map[job.TaskID]*taskRecord{}, jobs: map[job.ID]*jobRecord{},
 		drained: map[owner.WorkerID]time.Time{}, waves: map[int]*waveRecord{},
-		duties: map[owner.InstanceID]dutyRecord{}, crashers: map[crasher]bool{}, limits: map[string][]limitSince{},
+		duties: map[owner.InstanceID]dutyRecord{}, crashers: map[crasher]bool{}, evacuated: map[string]time.Time{}, limits: map[string][]limitSince{},
 	}
 }
 
--- a/standin/jobfleet/language.go
+++ b/standin/jobfleet/language.go
@@ -23,6 +23,7 @@
 const (
 	keyCatalog   = "operator/catalog"
 	prefixWave   = "operator/wave/"
+	prefixEvac   = "operator/evacuate/"
 	prefixWorker = "worker/"
 	prefixWaves  = "report/wave/"
 )
@@ -30,10 +31,11 @@
 // Plain is the stand-in's own language: the types as JSON.
 var Plain = Language{
 	Dialect: node.Dialect{
-		ConfigKey:    keyCatalog,
-		OperatorKeys: "operator/",
-		WavePrefix:   prefixWave,
-		WorkerPrefix: prefixWorker,
+		ConfigKey:        keyCatalog,
+		OperatorKeys:     "operator/",
+		WavePrefix:       prefixWave,
+		EvacuationPrefix: prefixEvac,
+		WorkerPrefix:     prefixWorker,
 		DecodeJob: func(raw []byte) (*job.Job, error) {
 			j, err := unmarshal[job.Job](raw)
 			return &j, err
--- a/standin/jobfleet/workers.go
+++ b/standin/jobfleet/workers.go
@@ -109,7 +109,7 @@
 	i.State = owner.InstanceUp
 	i.Worker = id
 	w := &worker{
-		reg:   owner.Registration{Worker: id, Service: i.Pool, Addr: string(id), Rack: i.Rack, Labels: []string{i.Rack}, Room: i.room, Born: time.Now().UnixMilli()},
+		reg:   owner.Registration{Worker: id, Service: i.Pool, Addr: string(id), Rack: i.Rack, Zone: i.Zone, Labels: []string{i.Rack}, Room: i.room, Born: time.Now().UnixMilli()},
 		began: time.Now(),
 		at:    i, active: map[job.TaskID]*execution{}, latest: map[job.TaskID]uint64{}, ping: make(chan struct{}),
 	}
@@ -321,6 +321,7 @@
 	e := &execution{task: o.Task, run: o.Run, began: time.Now(), need: spec.Occupies()}
 	w.active[o.Task] = e
 	f.judge.started(o.Task, o.Run, w.reg.Worker, o.Token)
+	f.judge.judgeZone(o.Task, w.reg.Zone)
 	f.crashIfSo(w, e)
 	e.takes = spec.Estimate
 	kind := owner.EndDone
