Operators evacuate availability zones

Cause: a zone that operators ask to evacuate got new tasks for ever. Ruled out: ending what runs there (a task that ends by itself is done sooner than one that starts anew, a long-running one would be away for its startup, for a request that may be taken back at once); refusing jobs while no zone has room (the request may end at any time, and what was accepted is done then). Change: each daemon follows op/evacuate/ZONE with the configuration and the waves; the owner gets the whole set, at its election before the first start and at each change. Workers of these zones are not usable, instances there are no room for pools and forecasts, spare ones there are not brought to a pool. A late job's time for this counts as zone-evacuated; a gauge, lines zone-evacuated and zone-restored.

--- a/jobs/capacity/capacity.go
+++ b/jobs/capacity/capacity.go
@@ -56,6 +56,7 @@
 	Name      string
 	Instances []Instance // those that are up, but for AtWork
 	AtWork    int        // those that are up and cannot be moved, as something runs on them
+	Closed    []Instance // those on which nothing runs, nor will for now: they are no room
 	Arriving  int        // on their way to it
 	Cores     float64    // of one instance
 	Missing   float64    // cores that its instances lack, as workers have shrunk for a while
--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -208,17 +208,20 @@
 	}
 }
 
-// watchOperators follows the configuration and the waves.
+// watchOperators follows the configuration, the waves and the evacuations.
 func (n *Node) watchOperators(ctx context.Context) {
 	n.follow(ctx, follower{
 		prefix: n.platform.Dialect.OperatorKeys,
+		reset:  n.evacuations.beginList,
 		apply:  n.applyOperators,
-		heard:  func() { n.configKnown.Store(n.sinceStart()) },
+		heard:  n.operatorsListed,
 	})
 }
 
 func (n *Node) applyOperators(e ledger.Event) {
 	switch {
+	case strings.HasPrefix(e.Key, n.platform.Dialect.EvacuationPrefix):
+		n.applyEvacuation(e)
 	case e.Deleted:
 		n.refused.accept(e.Key)
 	case e.Key == n.platform.Dialect.ConfigKey:
--- a/jobs/node/metrics.go
+++ b/jobs/node/metrics.go
@@ -52,6 +52,9 @@
 // refusedEntries tells how many entries of the store cannot be used at present.
 func (m *Metrics) refusedEntries(n int) { m.scope.Gauge("entries_refused").Update(float64(n)) }
 
+// evacuatedZones tells how many zones get no new tasks, as far as this daemon has heard.
+func (m *Metrics) evacuatedZones(n int) { m.scope.Gauge("evacuated_zones").Update(float64(n)) }
+
 // slowness tells how many times slower than usual the instance is.
 func (m *Metrics) slowness(by float64) { m.scope.Gauge("instance_slower_by").Update(by) }
 
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -104,6 +104,8 @@
 
 	suspendedBefore time.Duration // when it started
 
+	evacuations evacuations
+
 	wavesMu sync.Mutex
 	waves   map[int]owner.WaveRequest
 }
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -99,6 +99,7 @@
 		return
 	}
 	t.startWaves(snap)
+	t.core.Evacuate(n.evacuations.list())
 	t.core.Configure(n.catalog.Load())
 	go t.followJobs(snap.Revision)
 	go t.followRegistrations()
@@ -121,6 +122,11 @@
 	}
 }
 
+// evacuate hands the evacuated zones of the moment at which it is applied to the core.
+func (t *termRun) evacuate() {
+	t.do(func(c *owner.Core, _ time.Time) { c.Evacuate(t.n.evacuations.list()) })
+}
+
 // do hands an event to the core's goroutine.
 func (t *termRun) do(e event) {
 	select {
--- a/jobs/owner/account.go
+++ b/jobs/owner/account.go
@@ -19,6 +19,7 @@
 	CausePoolShort                // no room, and no instance was on its way to the pool
 	CauseArriving                 // no room, and instances were on their way
 	CauseMaintained               // no room, and instances of the pool were kept for a wave
+	CauseEvacuated                // no room, and instances of the pool are in a zone that is evacuated
 	CauseTenantLimit              // its tenant had as much running as it may
 	CauseElsewhere                // there was room, but only where the task had failed
 	CauseFailed                   // a run of the task failed, and the pause after it
@@ -29,7 +30,7 @@
 )
 
 var causeNames = [causes]string{"work", "slow-task", "not-known", "earlier-term", "takeover", "pool-short", "instances-arriving",
-	"maintenance", "tenant-limit", "failed-there-before", "run-failed", "run-stopped", "run-lost", "other"}
+	"maintenance", "zone-evacuated", "tenant-limit", "failed-there-before", "run-failed", "run-stopped", "run-lost", "other"}
 
 // String returns the cause's name in logs and reports.
 func (c Cause) String() string { return causeNames[c] }
@@ -123,6 +124,8 @@
 		return CauseArriving
 	case p.maintained > 0:
 		return CauseMaintained
+	case p.supply.closed > 0:
+		return CauseEvacuated
 	}
 	return CausePoolShort
 }
--- /dev/null
+++ b/jobs/owner/evacuation.go
@@ -0,0 +1,46 @@
+package owner
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// Evacuate says which availability zones get no new tasks until they are left out again. What
+// runs there goes on: a task that ends by itself is done sooner than one that starts anew
+// elsewhere, and a long-running one would be away for its startup, for a zone that may be taken
+// back at once. Where it ends it starts elsewhere.
+func (c *Core) Evacuate(zones []string) {
+	named := map[string]bool{}
+	for _, z := range zones {
+		named[z] = true
+	}
+	if maps.Equal(named, c.evacuated) {
+		return
+	}
+	for _, z := range slices.Sorted(maps.Keys(named)) {
+		if !c.evacuated[z] {
+			c.note(Decision{Event: "zone-evacuated", Reason: z})
+		}
+	}
+	for _, z := range slices.Sorted(maps.Keys(c.evacuated)) {
+		if !named[z] {
+			c.note(Decision{Event: "zone-restored", Reason: z})
+		}
+	}
+	c.evacuated = named
+	for _, w := range c.workers {
+		c.touchWorker(w)
+	}
+	for _, i := range c.instances {
+		c.count(i)
+	}
+	for service := range c.pools {
+		c.changed[service] = true
+	}
+}
+
+// isUsable reports whether new tasks may be placed on the worker.
+func (c *Core) isUsable(w *worker, now time.Time) bool {
+	return w.isReady(now) && !c.evacuated[w.Zone]
+}
--- a/jobs/owner/freeindex.go
+++ b/jobs/owner/freeindex.go
@@ -176,7 +176,7 @@
 
 func (c *Core) reindex(w *worker, now time.Time) {
 	c.sharing.put(w, w.fillers > 0 && w.serving > 0 && !w.gone)
-	usable := c.workers[w.Worker] == w && w.usable(now)
+	usable := c.workers[w.Worker] == w && c.isUsable(w, now)
 	if usable && w.class != nil && w.indexedIn == w.Service && w.class.room == w.Room && w.indexedFree == w.free().CPUMilli {
 		return
 	}
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -133,6 +133,9 @@
 		for _, i := range c.pool(name).supply.idle {
 			v.Instances = append(v.Instances, c.idleView(i, now))
 		}
+		for _, i := range c.pool(name).supply.closedIdle {
+			v.Closed = append(v.Closed, c.idleView(i, now))
+		}
 	}
 	for _, m := range c.moves {
 		if v := views[m.to]; v != nil {
--- a/jobs/owner/room.go
+++ b/jobs/owner/room.go
@@ -22,7 +22,7 @@
 	list := c.roster[service]
 	v := &roomView{workers: make([]*worker, 0, len(list)), views: make([]placement.Worker, 0, len(list))}
 	for _, w := range list {
-		if !w.usable(now) {
+		if !c.isUsable(w, now) {
 			continue
 		}
 		w.view, w.viewAt = v, len(v.workers)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -262,8 +262,8 @@
 	since time.Time
 }
 
-// usable reports whether new tasks may be placed on the worker.
-func (w *worker) usable(now time.Time) bool {
+// isReady reports whether nothing of the worker itself keeps new tasks from it.
+func (w *worker) isReady(now time.Time) bool {
 	return w.held && w.registered && !w.gone && !w.Draining && w.lease.known &&
 		w.reserved == "" && !w.silent() && !now.Before(w.avoidUntil)
 }
@@ -292,6 +292,7 @@
 	pools       map[string]*poolState
 	moves       map[InstanceID]*moveState
 	misfits     map[misfit]bool
+	evacuated   map[string]bool // zones that get no new tasks
 	nextSize    time.Time
 	nextWave    time.Time // when the waves are looked at next
 	questions   int       // to the advisor, without an answer so far
--- a/jobs/owner/stats.go
+++ b/jobs/owner/stats.go
@@ -37,7 +37,7 @@
 		if w.held {
 			s.Workers++
 		}
-		if w.usable(now) {
+		if c.isUsable(w, now) {
 			s.Usable++
 		}
 		if w.silent() {
--- a/jobs/owner/supply.go
+++ b/jobs/owner/supply.go
@@ -28,6 +28,7 @@
 	busy    int    // of these, in use
 	lasting int    // of these, by long-running tasks
 	idle    bool   // nothing runs on it
+	closed  bool   // its zone is evacuated: it is no room for what comes
 }
 
 // poolSupply sums up the instances of a pool. It is kept as they change, so that sizing a
@@ -39,12 +40,21 @@
 	shrunk        map[InstanceID]*instanceState
 	rooms         map[int]int      // instances by what they have, likewise
 	idle          []*instanceState // in the order of their ids
+	closed        int              // instances of evacuated zones, which are not among instances
+	closedIdle    []*instanceState // of these, those on which nothing runs, likewise
 }
 
 func (s *poolSupply) add(i *instanceState, k *contribution, n int) {
-	s.instances += n
 	s.busy += n * k.busy
 	s.lasting += n * k.lasting
+	if k.closed {
+		s.closed += n
+		if k.idle {
+			s.closedIdle = withOrWithout(s.closedIdle, i, n > 0)
+		}
+		return
+	}
+	s.instances += n
 	s.missing += n * k.missing
 	s.noteShrunk(i, k.missing > 0 && n > 0)
 	if s.rooms == nil {
@@ -53,16 +63,21 @@
 	if s.rooms[k.room] += n; s.rooms[k.room] == 0 {
 		delete(s.rooms, k.room)
 	}
-	if !k.idle {
-		return
+	if k.idle {
+		s.idle = withOrWithout(s.idle, i, n > 0)
 	}
-	at, found := slices.BinarySearchFunc(s.idle, i, func(a, b *instanceState) int { return cmp.Compare(a.ID, b.ID) })
+}
+
+// withOrWithout returns a list in the order of ids with the instance in it, or without.
+func withOrWithout(list []*instanceState, i *instanceState, in bool) []*instanceState {
+	at, found := slices.BinarySearchFunc(list, i, func(a, b *instanceState) int { return cmp.Compare(a.ID, b.ID) })
 	switch {
-	case n > 0 && !found:
-		s.idle = slices.Insert(s.idle, at, i)
-	case n < 0 && found:
-		s.idle = slices.Delete(s.idle, at, at+1)
+	case in && !found:
+		return slices.Insert(list, at, i)
+	case !in && found:
+		return slices.Delete(list, at, at+1)
 	}
+	return list
 }
 
 func (s *poolSupply) noteShrunk(i *instanceState, shrunk bool) {
@@ -132,10 +147,11 @@
 		return contribution{}
 	}
 	w := i.life
+	closed := c.evacuated[i.Zone]
 	if w == nil {
-		return contribution{pool: i.Pool, idle: i.Worker == ""}
+		return contribution{pool: i.Pool, idle: i.Worker == "", closed: closed}
 	}
-	k := contribution{pool: i.Pool, busy: w.used.CPUMilli, lasting: w.lastingCPU, idle: len(w.runs)+len(w.strangers) == 0}
+	k := contribution{closed: closed, pool: i.Pool, busy: w.used.CPUMilli, lasting: w.lastingCPU, idle: len(w.runs)+len(w.strangers) == 0}
 	k.room, k.missing = i.roomOf(w)
 	if !k.idle {
 		w.idleSince = time.Time{}
