Failing test: the owner's view of the workers falls behind on a large fleet

Ruled out: a list read stale at the takeover (the revision is that of the first page), drains hidden by our moves, the replacements of a release. Change: the stand-in's store can limit what a watch returns; workers beat; the test has 40, 120 and 400 instances with as many changes for each return as the fleet. Conclusion: no pause after a return that may have been cut short.

--- a/standin/jobfleet/store.go
+++ b/standin/jobfleet/store.go
@@ -39,6 +39,7 @@
 	nextLease ledger.LeaseID
 	changed   chan struct{} // closed at the next change
 	calls     map[string]int
+	most      int // changes that a watch returns at most; 0: any number
 }
 
 type lease struct {
@@ -56,6 +57,14 @@
 	}
 }
 
+// LimitWatches lets a watch return no more than so many changes, the oldest first, unless they are
+// of one transaction.
+func (s *Store) LimitWatches(most int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.most = most
+}
+
 // Calls returns how many calls of a kind were made; "" counts all.
 func (s *Store) Calls(kind string) int {
 	s.mu.Lock()
@@ -195,9 +204,14 @@
 	}
 	out := ledger.Changes{Revision: s.rev}
 	for _, e := range s.history {
-		if e.Revision > after && strings.HasPrefix(e.Key, prefix) {
-			out.Events = append(out.Events, e)
+		if e.Revision <= after || !strings.HasPrefix(e.Key, prefix) {
+			continue
+		}
+		if n := len(out.Events); s.most > 0 && n >= s.most && e.Revision > out.Events[n-1].Revision {
+			out.Revision = out.Events[n-1].Revision
+			break
 		}
+		out.Events = append(out.Events, e)
 	}
 	return out, s.changed, nil
 }
--- a/standin/jobfleet/workers.go
+++ b/standin/jobfleet/workers.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -26,6 +28,7 @@
 	workers   map[owner.WorkerID]*worker
 	jobs      map[job.ID]*job.Job // what callers submitted
 	lives     int
+	beats     int
 	judge     *Judge
 	publish   func(key string, r *owner.Registration) // nil registration: removed
 	down      map[owner.InstanceID]int                // wave of the instances under maintenance
@@ -219,6 +222,20 @@
 	}
 }
 
+// BeatTenth lets a tenth of the workers write their entries anew, each time others, as they do at
+// each heartbeat.
+func (f *Fleet) BeatTenth() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.beats++
+	for n, id := range slices.Sorted(maps.Keys(f.instances)) {
+		w := f.workers[f.instances[id].Worker]
+		if n%10 == f.beats%10 && w != nil && !w.dead && !w.cut {
+			f.publish(string(w.reg.Worker), &w.reg)
+		}
+	}
+}
+
 // clockStart is what a worker's clock shows when its life begins, in ms.
 const clockStart = 1000
 
