The owner reads on while more has changed among the workers than it knows

Ruled out: a shorter pause (a constant that holds for one size), reading whole lists (twelve pages for each look). Change: a return is complete if it reaches every revision that the store was known to have reached when the watch was sent, and is not about as large as any before. After one that is not the next watch is sent at once, for the submissions of jobs as well. While the view has been incomplete for over a second no task starts (registrations-caught-up in the log says for how long).

--- a/jobs/ledger/failover.go
+++ b/jobs/ledger/failover.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/postmount/postmount/verdict"
@@ -33,6 +34,8 @@
 	misses int           // calls that failed by every way since one was answered
 	now    func() time.Time
 	onBad  func(err error)
+
+	newest atomic.Int64 // revision that the store is known to have reached
 }
 
 // Figures of the ways.
@@ -201,12 +204,29 @@
 
 // Range implements Store.
 func (f *Failover) Range(ctx context.Context, prefix, after string, stale bool) (Page, error) {
-	return read(ctx, f, func(ctx context.Context, s Store) (Page, error) { return s.Range(ctx, prefix, after, stale) })
+	page, err := read(ctx, f, func(ctx context.Context, s Store) (Page, error) { return s.Range(ctx, prefix, after, stale) })
+	f.reached(page.Revision)
+	return page, err
+}
+
+// Newest returns the newest revision that the store is known to have reached.
+func (f *Failover) Newest() int64 { return f.newest.Load() }
+
+// reached takes note of a revision of the store; 0: none was told.
+func (f *Failover) reached(revision int64) {
+	for {
+		known := f.newest.Load()
+		if revision <= known || f.newest.CompareAndSwap(known, revision) {
+			return
+		}
+	}
 }
 
 // Watch implements Store.
 func (f *Failover) Watch(ctx context.Context, prefix string, after int64, wait time.Duration) (Changes, error) {
-	return await(ctx, f, func(ctx context.Context, s Store) (Changes, error) { return s.Watch(ctx, prefix, after, wait) })
+	ch, err := await(ctx, f, func(ctx context.Context, s Store) (Changes, error) { return s.Watch(ctx, prefix, after, wait) })
+	f.reached(ch.Revision)
+	return ch, err
 }
 
 // Commit implements Store. The second way is tried only if the first one
@@ -218,6 +238,7 @@
 		res, err = w.store.Commit(ctx, t)
 		if err == nil {
 			f.worked(w.store)
+			f.reached(res.Revision)
 			return res, nil
 		}
 		if errors.Is(ctx.Err(), context.Canceled) {
--- a/jobs/node/loops.go
+++ b/jobs/node/loops.go
@@ -148,7 +148,7 @@
 // follower is what is done with the keys of a prefix.
 type follower struct {
 	prefix string
-	every  time.Duration      // least time between two watches that return with changes
+	every  time.Duration      // least time between two watches that return with all changes there are
 	reset  func()             // called before the keys are read as a whole; nil: nothing is
 	apply  func(ledger.Event) // called for each key, then for each change
 	heard  func()             // called when all that the store has told is applied; nil: nothing is
@@ -188,6 +188,7 @@
 // followFrom hands changes after a revision to the follower until the history is gone.
 func (n *Node) followFrom(ctx context.Context, f follower, revision int64) {
 	for ctx.Err() == nil {
+		known := n.store.Newest()
 		ch, err := n.watchFor(ctx, f.prefix, revision, watchWait)
 		if verdict.CodeOf(err) == ledger.CodeCompacted {
 			n.log.Warn("history-gone", zap.String("prefix", f.prefix), zap.Int64("after", revision))
@@ -202,7 +203,8 @@
 		}
 		call(f.heard)
 		revision = max(revision, ch.Revision)
-		if len(ch.Events) > 0 && f.every > 0 {
+		current := ch.Revision >= known // else the return was cut short, and there is more to read
+		if current && len(ch.Events) > 0 && f.every > 0 {
 			sleep.For(ctx, f.every)
 		}
 	}
--- a/jobs/node/registrations.go
+++ b/jobs/node/registrations.go
@@ -20,8 +20,8 @@
 	// the owner that what it knows is current, so that an outage of the store shows
 	// within half a second more.
 	registrationsWait = time.Second
-	// registrationsEvery is the least time between two watches that return with changes:
-	// a fifth of the time in which a draining worker must be left alone. Each worker's
+	// registrationsEvery is the least time between two watches that return with all changes
+	// there are: a fifth of the time in which a draining worker must be left alone. Each worker's
 	// heartbeat is a change. expectingEvery is the same while instances are on their way to
 	// a pool: a reading costs a thirtieth of a second of an instance.
 	registrationsEvery = 400 * time.Millisecond
@@ -48,7 +48,9 @@
 
 // watchRegistrations hands on changes after a revision until the history is gone.
 func (t *termRun) watchRegistrations(prefix string, revision int64) {
+	var returns returnSizes
 	for t.ctx.Err() == nil {
+		known := t.n.store.Newest()
 		ch, err := t.n.watchFor(t.ctx, prefix, revision, registrationsWait)
 		if verdict.CodeOf(err) == ledger.CodeCompacted {
 			t.n.log.Warn("history-gone", zap.String("prefix", prefix), zap.Int64("after", revision))
@@ -60,16 +62,33 @@
 		}
 		revision = max(revision, ch.Revision)
 		changed, gone := t.decodeRegistrations(ch.Events)
+		current := ch.Revision >= known && !returns.mayBeCut(len(ch.Events))
 		t.do(func(c *owner.Core, now time.Time) {
-			c.RegisterChanges(changed, gone, now)
+			c.RegisterChanges(changed, gone, current, now)
 			t.expecting.Store(c.Expecting())
 		})
-		if len(ch.Events) > 0 {
+		switch {
+		case current && len(ch.Events) > 0:
 			sleep.For(t.ctx, t.registrationsPause())
+		case !current && len(ch.Events) == 0:
+			sleep.For(t.ctx, expectingEvery) // it does not tell what it knows
 		}
 	}
 }
 
+// returnSizes tells from how much a watch returns whether more has changed. A store bounds a
+// return, and does not say that it did.
+type returnSizes struct{ most int }
+
+// leastCut is the fewest changes that a store may bound a return to.
+const leastCut = 64
+
+// mayBeCut reports whether a return of so many changes is about as large as any before.
+func (r *returnSizes) mayBeCut(changes int) bool {
+	r.most = max(r.most, changes)
+	return changes >= leastCut && 4*changes >= 3*r.most
+}
+
 // decodeRegistrations returns what events leave of each worker's entry. One that cannot be
 // used names no worker, as one that is gone: that is no proof of a worker's death, so that
 // what runs there runs on.
--- a/jobs/owner/crash.go
+++ b/jobs/owner/crash.go
@@ -141,7 +141,7 @@
 // decideOnUnknown decides on workers to which an earlier owner lost contact, and which have
 // not answered this one: if the instance list does not show such a life it is over.
 func (c *Core) decideOnUnknown(now time.Time) {
-	if len(c.openCrashes) == 0 || now.Sub(c.startedAt) < unknownPatience || c.instAt.IsZero() || c.listedAt.IsZero() {
+	if len(c.openCrashes) == 0 || now.Sub(c.startedAt) < unknownPatience || c.instAt.IsZero() || c.toldAt.IsZero() {
 		return
 	}
 	for _, l := range slices.SortedFunc(maps.Keys(c.openCrashes), compareLives) {
--- a/jobs/owner/overload.go
+++ b/jobs/owner/overload.go
@@ -41,8 +41,8 @@
 	if !c.instAt.IsZero() {
 		c.instAt = c.instAt.Add(-d)
 	}
-	if !c.listedAt.IsZero() {
-		c.listedAt = c.listedAt.Add(-d)
+	if !c.toldAt.IsZero() {
+		c.toldAt = c.toldAt.Add(-d)
 	}
 	for _, w := range c.workers {
 		w.answered = w.answered.Add(-d)
--- a/jobs/owner/registrations.go
+++ b/jobs/owner/registrations.go
@@ -23,17 +23,18 @@
 			delete(c.unnamed, id)
 		}
 	}
-	c.RegisterChanges(list, gone, now)
+	c.RegisterChanges(list, gone, true, now)
 }
 
-// RegisterChanges takes what has changed among the registrations, if anything; what is
-// known of the others is current.
-func (c *Core) RegisterChanges(changed []Registration, gone []WorkerID, now time.Time) {
-	if !c.listedAt.IsZero() && now.Sub(c.listedAt) > outage {
+// RegisterChanges takes what has changed among the registrations, if anything. current says
+// that what is known of the others is so, too: no more has changed.
+func (c *Core) RegisterChanges(changed []Registration, gone []WorkerID, current bool, now time.Time) {
+	if !c.toldAt.IsZero() && now.Sub(c.toldAt) > outage {
 		c.settleAt = now.Add(settleTime)
-		c.note(Decision{Event: "registrations-back", Reason: now.Sub(c.listedAt).String()})
+		c.note(Decision{Event: "registrations-back", Reason: now.Sub(c.toldAt).String()})
 	}
-	c.listedAt = now
+	c.toldAt = now
+	c.noteLag(current, now)
 	for _, r := range changed {
 		if c.isNamed(r.Service) {
 			delete(c.unnamed, r.Worker)
@@ -56,6 +57,32 @@
 	}
 }
 
+// lagBound is how old the view of the registrations may be, while the store tells of changes, for
+// tasks to be started by it: half of the shortest time after which none may start on a worker that
+// has said that it leaves.
+const lagBound = time.Second
+
+// noteLag takes note of since when more has changed among the registrations than is known.
+func (c *Core) noteLag(current bool, now time.Time) {
+	switch {
+	case current && c.isLagging(now):
+		c.note(Decision{Event: "registrations-caught-up", Reason: now.Sub(c.lagsSince).String()})
+		c.lagsSince = time.Time{}
+		for service := range c.pools {
+			c.changed[service] = true
+		}
+	case current:
+		c.lagsSince = time.Time{}
+	case c.lagsSince.IsZero():
+		c.lagsSince = now
+	}
+}
+
+// isLagging reports whether what is known of the registrations is too old for a start.
+func (c *Core) isLagging(now time.Time) bool {
+	return !c.lagsSince.IsZero() && now.Sub(c.lagsSince) > lagBound
+}
+
 // isNamed reports whether the configuration names the service.
 func (c *Core) isNamed(service string) bool {
 	return c.catalog == nil || len(c.catalog.Services) == 0 || c.catalog.Service(service) != nil
@@ -78,7 +105,7 @@
 	for id, r := range c.unnamed {
 		if c.isNamed(r.Service) {
 			delete(c.unnamed, id)
-			c.registerOne(r, c.listedAt)
+			c.registerOne(r, c.toldAt)
 		}
 	}
 }
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -88,7 +88,7 @@
 
 // schedule places waiting tasks of the services in which something changed.
 func (c *Core) schedule(now time.Time) {
-	if c.fenced || len(c.changed) == 0 {
+	if c.fenced || len(c.changed) == 0 || c.isLagging(now) {
 		return
 	}
 	c.refresh(now)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -312,7 +312,8 @@
 	startedAt   time.Time
 	electedAt   time.Time
 	leaveTo     map[InstanceID]time.Time // until when an instance is left to an earlier owner's order
-	listedAt    time.Time                // newest list of registrations
+	toldAt      time.Time                // newest word of the registrations
+	lagsSince   time.Time                // since when more has changed among them than is known; zero: it has not
 	settleAt    time.Time                // missing registrations count as gone from then on
 	instAt      time.Time                // newest instance list
 	fenced      bool
