--- a/lab/jobload/fleet.go
+++ b/lab/jobload/fleet.go
@@ -40,6 +40,7 @@
 	dead   bool
 	hold   *pendingHold
 	lease  int64 // end of what runs here, on its clock in ms
+	used   bool  // something ran here
 }
 
 // pendingHold is a hold that waits for an end.
@@ -121,6 +122,7 @@
 	step := &s.jobs[o.Task.Job].spec.Steps[o.Task.Step]
 	e := &execution{run: o.Run, began: s.engine.now, takes: s.takes(o.Task), cores: float64(step.Need.CPUMilli) / 1000}
 	w.active[o.Task] = e
+	w.used = true
 	w.order = append(w.order, o.Task)
 	s.result.Starts++
 	s.engine.after(e.takes, func() {
@@ -259,6 +261,9 @@
 		return owner.DutyDone
 	}
 	s.result.Moves++
+	if i.up != nil && i.lives > 1 && !i.up.used {
+		s.result.InVain++
+	}
 	i.Pool = o.Pool
 	s.bill(i)
 	s.fall(i, owner.InstanceMoving, moveTime)
--- a/lab/jobload/scenario.go
+++ b/lab/jobload/scenario.go
@@ -115,6 +115,7 @@
 	Waits           time.Duration            // of late jobs for room
 	InstanceSeconds float64                  // of instances in pools that are paid for, during the arrivals
 	Moves           int
+	InVain          int // moves to a pool after which nothing ran there
 	Starts          int
 	Twice           int            // starts of a task that was done, or ran elsewhere
 	Lapsed          int            // tasks that ended with their worker's lease
