--- a/cmd/postmount/report.go
+++ b/cmd/postmount/report.go
@@ -34,6 +34,7 @@
 	reportWaveCommand(cmd, runners)
 	reportLateCommand(cmd, runners)
 	reportEntriesCommand(cmd, runners)
+	reportEvacuationsCommand(cmd, runners)
 }
 
 func printBurn(r api.BurnReport) {
--- /dev/null
+++ b/jobs/explain/evacuations.go
@@ -0,0 +1,40 @@
+package explain
+
+import (
+	"slices"
+	"strings"
+	"time"
+)
+
+// Evacuation is an availability zone that an owner gave no new tasks.
+type Evacuation struct {
+	Zone  string
+	Since time.Time
+	Until time.Time // zero: it is evacuated at the end of the logs
+	By    string    // the file of the owner that said so first
+}
+
+// Evacuations returns the evacuations that owners have put into effect, by when they began. A new
+// owner says again which zones are evacuated; one that no longer says so has begun after its end.
+func Evacuations(lines []Line) []Evacuation {
+	lines = slices.Clone(lines)
+	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
+	var out []Evacuation
+	for _, l := range lines {
+		zone := l.Get("why")
+		open := slices.IndexFunc(out, func(e Evacuation) bool { return e.Zone == zone && e.Until.IsZero() })
+		switch {
+		case l.Event == "zone-evacuated" && open < 0:
+			out = append(out, Evacuation{Zone: zone, Since: l.Time, By: l.Source})
+		case l.Event == "zone-restored" && open >= 0:
+			out[open].Until = l.Time
+		}
+	}
+	slices.SortStableFunc(out, func(a, b Evacuation) int {
+		if order := a.Since.Compare(b.Since); order != 0 {
+			return order
+		}
+		return strings.Compare(a.Zone, b.Zone)
+	})
+	return out
+}
--- a/jobs/explain/explain.go
+++ b/jobs/explain/explain.go
@@ -102,6 +102,7 @@
 var surroundings = map[string]bool{
 	"owner": true, "no-longer-owner": true, "deposed": true, "jobs-loaded": true, "start": true, "stop": true,
 	"history-gone": true, "lease-ended": true, "fenced": true, "registrations-back": true,
+	"registrations-caught-up": true, "zone-evacuated": true, "zone-restored": true,
 }
 
 // Explain picks the lines of a job, and those around them that concern all jobs.
@@ -176,6 +177,9 @@
 	if n["task-given-up"] > 0 {
 		add("task %s crashes the workers that start it and is not started any more: %s", at["task-given-up"].Get("task"), at["task-given-up"].Get("why"))
 	}
+	if n["zone-evacuated"] > 0 {
+		add("zone %s was evacuated meanwhile: nothing of it starts there", at["zone-evacuated"].Get("why"))
+	}
 	if n["owner"] > 0 {
 		add("the owner changed %d times meanwhile", n["owner"])
 	}
