Comments: figures of trials go, one plain reason stays

Cause: comments of the scheduler told how a value was found, with figures of plays. Change: comments alone, in jobs/node, jobs/owner, jobs/calls and jobs/capacity. Figures: none.

--- a/jobs/calls/calls.go
+++ b/jobs/calls/calls.go
@@ -10,7 +10,7 @@
 // Figures of the judgement.
 const (
 	// kept is the share of what is known that each outcome leaves: the last sixty or so
-	// count, a tenth of a second of a fleet of 350 workers, half of one of a fleet of 50.
+	// count, at the most half a second's on the smallest fleet.
 	kept = 1 - 1.0/64
 	// keptFast is the same for the question whether anything is answered at all: the last
 	// twenty.
--- a/jobs/capacity/capacity.go
+++ b/jobs/capacity/capacity.go
@@ -21,7 +21,7 @@
 // Figures of the plan.
 const (
 	// fill is the share of an instance's processors that tasks of mixed sizes
-	// fill; measured on quiet days.
+	// fill.
 	fill = 0.9
 	// headroom is how much more work than there is a pool is sized for: tasks of
 	// mixed sizes leave gaps, and the next steps of running jobs come.
--- a/jobs/capacity/rate.go
+++ b/jobs/capacity/rate.go
@@ -12,11 +12,11 @@
 	// moved in vain; widened, they grow with the root of the pool alone, and the window is as long
 	// whatever the size of the fleet, as arrivals grow with it.
 	instancesPerArrival = 4
-	// meanOf is over how many jobs the mean of their work is taken: it changes less than how often
-	// they come, and few of them have most of the work.
-	meanOf = 64
-	// mostArrivals bounds it: an estimate from so many is off by a twentieth.
+	// mostArrivals bounds the widening: an estimate from so many is off by a twentieth.
 	mostArrivals = 1024
+	// meanOf is over how many of the newest jobs the mean of their work is taken: it changes less
+	// than how often they come, and few of them have most of the work.
+	meanOf = 64
 )
 
 // Rate estimates how much work arrives a second from the newest arrivals. The
--- a/jobs/explain/evacuations.go
+++ b/jobs/explain/evacuations.go
@@ -10,12 +10,13 @@
 type Evacuation struct {
 	Zone  string
 	Since time.Time
-	Until time.Time // zero: it is evacuated at the end of the logs
+	Until time.Time // zero: no line tells its end
 	By    string    // the file of the owner that said so first
 }
 
-// Evacuations returns the evacuations that owners have put into effect, by when they began. A new
-// owner says again which zones are evacuated; one that no longer says so has begun after its end.
+// Evacuations returns the evacuations that owners have put into effect, by when they began. One
+// that lasts over a change of owner is one; of one that ended while there was no owner the end is
+// not known.
 func Evacuations(lines []Line) []Evacuation {
 	lines = slices.Clone(lines)
 	slices.SortStableFunc(lines, func(a, b Line) int { return a.Time.Compare(b.Time) })
--- a/jobs/node/fanout.go
+++ b/jobs/node/fanout.go
@@ -7,9 +7,8 @@
 )
 
 // Figures of the calls to workers that are under way, each for a whole core; a daemon has
-// its share of them. A call, with the decisions before and after it, takes 0.1 ms of a core
-// (0.31 of a core over 48 s with 164,000 calls), so that it can make 10,000 a second. No
-// more than that may begin, also if no worker answers in time: 2,400 starts, 6,000 holds and
+// its share of them. A call, with the decisions before and after it, takes 0.1 ms of a core, so
+// that it can make 10,000 a second. No more than that may begin, also if no worker answers in time: 2,400 starts, 6,000 holds and
 // 1,200 others.
 const (
 	startsPerCore = 120
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -105,12 +105,12 @@
 	strongerBy    = 1.25
 	strongerFirst = 250 * time.Millisecond
 	// muchStrongerBy is by how much more another daemon has to have for an owner with work
-	// to yield to it at once: an owner with 0.19 of a core for 350 workers served under a
-	// quarter of the requests, one with 0.8 all of them, and the change takes 0.3 s.
+	// to yield to it at once: so weak an owner falls behind a queue for as long as it lasts, and
+	// the change takes 0.3 s.
 	muchStrongerBy = 3
 	// overloadedAfter is how long an owner is short of processor time before it gives
-	// way to a stronger daemon. A takeover on 350 workers keeps one of four fifths of a
-	// core busy for 2 s; the change itself costs as much.
+	// way to a stronger daemon: longer than a takeover keeps it busy, which a change would cost
+	// once more.
 	overloadedAfter = 3 * time.Second
 	// cutPatience is how long an owner goes on by way of its peers while its own way to the store
 	// is cut. A change of owner takes 0.3 s; by way of peers, some of which may be cut off as well,
@@ -135,8 +135,7 @@
 	// tickEvery is the resolution of the owner's timers.
 	tickEvery = 25 * time.Millisecond
 	// commitEvery is the least time between two transactions of the owner. It
-	// trades the store's price of a call against when a job is shown as completed:
-	// 15 ms cost 1,000 calls more on a quiet day, 80 ms save 400 more.
+	// trades the store's price of a call against when a job is shown as completed.
 	commitEvery = 40 * time.Millisecond
 	// commitBacklog is how many jobs may wait to be written before transactions follow
 	// each other without a pause: two transactions' worth. At 300 jobs a second callers
--- a/jobs/node/slowness.go
+++ b/jobs/node/slowness.go
@@ -35,8 +35,7 @@
 	usualLeast = 10
 	usualAfter = 30 * time.Second
 	// slowBy is how many times slower than usual an owner has to be, for slowFor on end, to
-	// hand over: at 2.5 times nothing is lost yet on fleets of 350 workers, at 5 times half of
-	// the work is late. A change of owner costs under a hundredth of a day's worth.
+	// hand over: before it falls behind its queue, as a change of owner takes a third of a second.
 	slowBy  = 2.5
 	slowFor = 100 * time.Millisecond
 	// fasterBy is how much more of a processor another daemon has to get at present, by its
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -81,8 +81,8 @@
 const (
 	// scheduleEvery is the least of them, a hundredth of what a small task takes.
 	scheduleEvery = 5 * time.Millisecond
-	// schedulePerJob is added for each job that waits. Looking at one costs about
-	// 2 µs, so that a long queue takes a thirtieth of a core for each service.
+	// schedulePerJob is added for each job that waits: thirty times what looking at one takes, so
+	// that a long queue leaves the processor to all else.
 	schedulePerJob = 60 * time.Microsecond
 )
 
@@ -139,9 +139,8 @@
 
 // claimsOf returns the jobs of the service with tasks to place, and takes those out of
 // its queue that have none any more. Inherited jobs wait until it is known what an
-// earlier owner started; they are not even looked at: with 1,400 of them and 350 workers
-// that answer one by one, looking used up a new owner's processor for longer than leases
-// last.
+// earlier owner started; they are not even looked at: with many of them, and workers that
+// answer one by one, looking would use up a new owner's processor for longer than leases last.
 func (c *Core) claimsOf(service string, pool *poolState, now time.Time) []claim {
 	takenOver := c.certain(service, now)
 	lapsed := takenOver || now.Sub(c.startedAt) > c.leaseBound()
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -19,8 +19,8 @@
 	// holdRetry is the pause after a hold without an answer.
 	holdRetry = 150 * time.Millisecond
 	// unlistedRetry is the same for a worker that the instance list does not show: most
-	// are lives that are over, whose registrations last for some seconds. Asked as often
-	// as the others they took half of a new owner's holds, 1,000 a second at 350 workers.
+	// are lives that are over, whose registrations last for some seconds; asked as often
+	// as the others they would take most of a new owner's calls.
 	unlistedRetry = 700 * time.Millisecond
 	// ackWait is how long the next hold waits for the ends of the last one to be
 	// recorded, before it looks again without acknowledging them.
