--- a/jobs/capacity/capacity.go
+++ b/jobs/capacity/capacity.go
@@ -23,7 +23,7 @@
 	// fill is the share of an instance's processors that tasks of mixed sizes
 	// fill.
 	fill = 0.9
-	// headroom is how much more work than there is a pool is sized for: tasks of
+	// headroom is how much more work than there is, or comes, a pool is sized for: tasks of
 	// mixed sizes leave gaps, and the next steps of running jobs come.
 	headroom = 1.15
 	// giveBackMoves is how many moves an instance's idle time must have cost
@@ -106,7 +106,7 @@
 		return 0
 	}
 	present := headroom*p.Busy + p.waiting(u)
-	coming := p.Lasting + p.Rate
+	coming := p.Lasting + headroom*p.Rate
 	return int(math.Ceil(max(present, coming)/(p.Cores*fill) + p.Missing/p.Cores))
 }
 
--- a/jobs/capacity/rate.go
+++ b/jobs/capacity/rate.go
@@ -11,7 +11,7 @@
 	// estimate from n arrivals is off by a share of about 1.5 over the root of n, which is instances
 	// moved in vain; widened, they grow with the root of the pool alone, and the window is as long
 	// whatever the size of the fleet, as arrivals grow with it.
-	instancesPerArrival = 4
+	instancesPerArrival = 8
 	// mostArrivals bounds the widening: an estimate from so many is off by a twentieth.
 	mostArrivals = 1024
 	// meanOf is over how many of the newest jobs the mean of their work is taken: it changes less
