--- a/standin/jobfleet/client.go
+++ b/standin/jobfleet/client.go
@@ -48,7 +48,14 @@
 		return none, noAnswerError(ctx)
 	}
 	time.Sleep(storeLatency)
-	switch c.failureFunc(c.daemon, op) {
+	failure := c.failureFunc(c.daemon, op)
+	switch {
+	case c.gate.requestDropped(StoreMember):
+		failure = RequestLost
+	case c.gate.answerDropped(StoreMember) && failure == NoFailure:
+		failure = AnswerLost
+	}
+	switch failure {
 	case Refused:
 		return none, verdict.New(verdict.NotRun, ledger.CodeStoreUnavailable, "store: refused")
 	case RequestLost:
@@ -69,6 +76,10 @@
 	if gateErr := c.gate.pass(ctx, toStore); gateErr != nil {
 		return none, noAnswerError(ctx)
 	}
+	if c.gate.answerDropped(StoreMember) { // the cut began during the call
+		<-ctx.Done()
+		return none, noAnswerError(ctx)
+	}
 	return out, err
 }
 
@@ -130,6 +141,8 @@
 // its calls wait for the end of the freeze; while it is cut off from a direction, calls there are
 // lost.
 type Gate struct {
+	name   string // of the daemon
+	cuts   *cuts  // nil: none
 	mu     sync.Mutex
 	thaw   chan struct{} // nil: not frozen
 	cut    [toPeers + 1]bool
--- a/standin/jobfleet/fleetclient.go
+++ b/standin/jobfleet/fleetclient.go
@@ -42,7 +42,11 @@
 		return do(w)
 	}
 	a := unanswered
-	switch c.failureFunc(c.daemon, op) {
+	failure := c.failureFunc(c.daemon, op)
+	if c.gate.requestDropped(c.fleet.memberOf(to.Worker)) {
+		failure = RequestLost
+	}
+	switch failure {
 	case Refused:
 		return owner.Answer{Outcome: owner.Unhealthy}
 	case RequestLost:
@@ -62,9 +66,23 @@
 	if c.gate.pass(ctx, toWorkers) != nil {
 		return unanswered
 	}
+	if c.gate.answerDropped(c.fleet.memberOf(to.Worker)) {
+		<-ctx.Done()
+		return unanswered
+	}
 	return a
 }
 
+// memberOf returns the name of the worker's instance, by which cuts select it.
+func (f *Fleet) memberOf(id owner.WorkerID) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[id]; w != nil {
+		return string(w.instance.ID)
+	}
+	return ""
+}
+
 func (f *Fleet) workerOf(id owner.WorkerID) *worker {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -99,13 +117,13 @@
 	for {
 		h, ended := c.holdAnswer(o.Worker)
 		if len(h.Ends) > 0 || h.Outcome != owner.Accepted {
-			return c.deliverHold(ctx, h)
+			return c.deliverHold(ctx, o.Worker, h)
 		}
 		select {
 		case <-ended:
 		case <-end.C:
 			h, _ = c.holdAnswer(o.Worker)
-			return c.deliverHold(ctx, h)
+			return c.deliverHold(ctx, o.Worker, h)
 		case <-ctx.Done():
 			return owner.HoldAnswer{Answer: owner.Answer{Outcome: owner.Unanswered, Err: errNoAnswer}}
 		}
@@ -113,15 +131,20 @@
 }
 
 // deliverHold returns the answer to a hold, or drops it if the daemon is cut off or killed.
-func (c *FleetClient) deliverHold(ctx context.Context, h owner.HoldAnswer) owner.HoldAnswer {
+func (c *FleetClient) deliverHold(ctx context.Context, from owner.WorkerID, h owner.HoldAnswer) owner.HoldAnswer {
 	if h.Outcome == owner.Unanswered {
 		if !h.ConnFailed {
 			<-ctx.Done()
 		}
 		return h
 	}
+	unanswered := owner.HoldAnswer{Answer: owner.Answer{Outcome: owner.Unanswered, Err: errNoAnswer}}
 	if c.gate.pass(ctx, toWorkers) != nil {
-		return owner.HoldAnswer{Answer: owner.Answer{Outcome: owner.Unanswered, Err: errNoAnswer}}
+		return unanswered
+	}
+	if c.gate.answerDropped(c.fleet.memberOf(from)) {
+		<-ctx.Done()
+		return unanswered
 	}
 	return h
 }
@@ -144,6 +167,10 @@
 	if c.gate.pass(ctx, toWorkers) != nil {
 		return nil, errNoAnswer
 	}
+	if c.gate.requestDropped(ManagerMember) || c.gate.answerDropped(ManagerMember) {
+		<-ctx.Done()
+		return nil, errNoAnswer
+	}
 	c.fleet.mu.Lock()
 	defer c.fleet.mu.Unlock()
 	var out []owner.Instance
@@ -212,7 +239,14 @@
 		defer c.fleet.mu.Unlock()
 		return do(late)
 	}
-	switch c.failureFunc(c.daemon, op) {
+	failure := c.failureFunc(c.daemon, op)
+	switch {
+	case c.gate.requestDropped(ManagerMember):
+		failure = RequestLost
+	case c.gate.answerDropped(ManagerMember) && failure == NoFailure:
+		failure = AnswerLost
+	}
+	switch failure {
 	case Refused, RequestLost:
 		return owner.DutyUnanswered
 	case AnswerLost:
--- a/standin/jobfleet/installation.go
+++ b/standin/jobfleet/installation.go
@@ -35,6 +35,7 @@
 	mu          sync.Mutex
 	failureFunc FailureFunc
 	daemons     map[string]*Daemon
+	cuts        *cuts
 	ctx         context.Context
 }
 
@@ -54,7 +55,7 @@
 
 // NewInstallationWithEncoding returns an installation whose store entries use an encoding.
 func NewInstallationWithEncoding(ctx context.Context, log *zap.Logger, enc Encoding) *Installation {
-	in := &Installation{Store: NewStore(), Network: NewNetwork(), Checker: NewChecker(), encoding: enc, log: log, daemons: map[string]*Daemon{}, ctx: ctx}
+	in := &Installation{Store: NewStore(), Network: NewNetwork(), Checker: NewChecker(), encoding: enc, log: log, daemons: map[string]*Daemon{}, cuts: &cuts{}, ctx: ctx}
 	in.failureFunc = func(string, string) Failure { return NoFailure }
 	in.Fleet = NewFleet(in.Checker, func(key string, r *owner.Registration) {
 		if r == nil {
@@ -88,7 +89,7 @@
 
 // StartWithCores starts a daemon whose CPU share is cores.
 func (in *Installation) StartWithCores(name string, cores float64) *Daemon {
-	d := &Daemon{Name: name, Gate: &Gate{}, done: make(chan struct{})}
+	d := &Daemon{Name: name, Gate: &Gate{name: name, cuts: in.cuts}, done: make(chan struct{})}
 	set := node.Settings{
 		Node: name, IP: name, PeerPort: 1, Cores: cores, MaxTaskLease: 10 * time.Second, StopGrace: 6 * time.Second,
 		DutyHandover: dutyHandover, MinStoreLease: time.Second, StatusRetention: 2 * time.Minute, Policy: policy.Default(),
--- a/standin/jobfleet/network.go
+++ b/standin/jobfleet/network.go
@@ -64,6 +64,10 @@
 	if c.gate.pass(ctx, toPeers) != nil || gate.pass(ctx, toPeers) != nil {
 		return nil, verdict.Wrap(errNoAnswer, verdict.MayHaveRun, peer.CodePeerUnreachable, "peer %s", addr)
 	}
+	if c.gate.separatedFrom(gate) {
+		<-ctx.Done()
+		return nil, verdict.Wrap(errNoAnswer, verdict.MayHaveRun, peer.CodePeerUnreachable, "peer %s", addr)
+	}
 	time.Sleep(peerLatency)
 	return h, ctx.Err()
 }
@@ -127,6 +131,11 @@
 	return out, nil
 }
 
+// separatedFrom reports whether messages between the two daemons are dropped in either direction.
+func (g *Gate) separatedFrom(other *Gate) bool {
+	return g.requestDropped(other.name) || g.answerDropped(other.name)
+}
+
 // AwaitDisconnect implements node.Peers.
 func (c *PeerClient) AwaitDisconnect(ctx context.Context, addr string) error {
 	if _, err := c.reach(ctx, addr); err != nil {
@@ -153,7 +162,7 @@
 		return peer.Unknown
 	case h == nil:
 		return peer.Absent
-	case gate.pass(ctx, toPeers) != nil:
+	case gate.pass(ctx, toPeers) != nil || c.gate.separatedFrom(gate):
 		return peer.Unknown
 	}
 	return peer.Present
