Owner: a worker's clock read right after a suspension is not moved back

Cause: the owner looks for a suspension every 5 ms at most, and then moves all readings of workers' clocks back by it. An answer that was read after the suspension and before that check was moved back too, so that the worker's clock was taken to be ahead by the suspension, and its next lease was too long by as much. A new owner's wait for leases did not cover it.

Change: a reading since the last check without a suspension is left as it is, which at worst makes a lease shorter.

--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -226,7 +226,8 @@
 // that depends on that.
 func (t *termRun) checkSuspension() {
 	now := t.n.clock.Now()
-	if now.Sub(t.suspensionCheckedAt) < suspensionCheckInterval {
+	lastChecked := t.suspensionCheckedAt
+	if now.Sub(lastChecked) < suspensionCheckInterval {
 		return
 	}
 	t.suspensionCheckedAt = now
@@ -237,7 +238,7 @@
 	t.suspensionSeen += d
 	t.n.log.Warn("suspended", zap.Duration("for", d))
 	t.core.SetStoreLease(t.n.mayOrderInstances(), now)
-	t.core.ReportSuspension(d, now)
+	t.core.ReportSuspension(d, lastChecked, now)
 }
 
 // statsInterval is how often the owner's metrics are updated.
--- a/jobs/owner/overload.go
+++ b/jobs/owner/overload.go
@@ -40,8 +40,10 @@
 
 // ReportSuspension reports that the owner's instance was suspended for d, which the times passed
 // to Core do not include. All received data is older by d than it seems, and workers that seem
-// silent may have answered.
-func (c *Core) ReportSuspension(d time.Duration, now time.Time) {
+// silent may have answered. It was not suspended before lastChecked. A worker's clock that was read
+// since then may have been read after the suspension: it is left as it is, so that no
+// lease is granted for longer than ordered.
+func (c *Core) ReportSuspension(d time.Duration, lastChecked, now time.Time) {
 	c.markStarved("owner-suspended", "suspended for "+d.Round(time.Millisecond).String(), now)
 	if !c.instanceListAt.IsZero() {
 		c.instanceListAt = c.instanceListAt.Add(-d)
@@ -51,7 +53,9 @@
 	}
 	for _, w := range c.workers {
 		w.answeredHoldSentAt = w.answeredHoldSentAt.Add(-d)
-		w.lease.clockReadAt = w.lease.clockReadAt.Add(-d)
+		if w.lease.clockReadAt.Before(lastChecked) {
+			w.lease.clockReadAt = w.lease.clockReadAt.Add(-d)
+		}
 	}
 }
 
