Owner: what it may do when its store lease may have ended

Cause: an owner that was cut off from the store together with some of the workers took the end of leases that it had granted as proof that the runs had ended, while a new owner had renewed them; and it renewed leases in its own zone without bound, while the new owner waits for one longest lease only.

Ruled out: a slow fence. Workers that the new owner reaches refuse the old one; both faults happen on workers that only one of the two reaches.

Change (docs/design/0017): the shell tells the core until when this daemon is certainly the owner (the sending of the last answered renewal + 98% of the lease; the first sending of a release that may have taken effect). No lease is granted beyond that + TaskLease; an expired lease, or the end of a worker, counts as a proof only if it lies before; later starts are limited to workers known before, to tasks that end within the leases, and to first copies. Events ownership-uncertain, ownership-certain, lapse-unproven; gauges owner_uncertain, owner_lapses_unproven.

TestSuspensionIsReportedOnce expects two decisions instead of one: a suspension of 3 s lets the store lease expire, which is logged as ownership-uncertain. It checks both.

--- a/jobs/node/metrics.go
+++ b/jobs/node/metrics.go
@@ -71,6 +71,14 @@
 	m.scope.Tagged(map[string]string{"code": string(verdict.CodeOf(err)), "verdict": verdict.Of(err).String()}).Counter("store_failures").Inc(1)
 }
 
+// boolGauge returns 1 for true and 0 for false.
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // ownerStats sets the gauges of the owner. A daemon that is no longer the owner keeps reporting
 // its last values; those of the newest term are valid.
 func (m *Metrics) ownerStats(s owner.Stats) {
@@ -82,7 +90,8 @@
 		"owner_tasks_failed": float64(s.Failed), "owner_tasks_stopped": float64(s.Stopped), "owner_tasks_lapsed": float64(s.Lapsed),
 		"owner_tasks_lost": float64(s.Lost), "owner_commits": float64(s.Commits),
 		"owner_lasting_tasks_lapsed": float64(s.LongRunningLapsed), "owner_jobs_considered": float64(s.JobsConsidered),
-		"owner_worker_crashes": float64(s.Crashes), "owner_trials": float64(s.IsolatedStarts), "owner_tasks_given_up": float64(s.GivenUp),
+		"owner_worker_crashes": float64(s.Crashes), "owner_lapses_unproven": float64(s.UnprovenLapses), "owner_uncertain": boolGauge(s.Uncertain),
+		"owner_trials": float64(s.IsolatedStarts), "owner_tasks_given_up": float64(s.GivenUp),
 	} {
 		m.scope.Gauge(name).Update(v)
 	}
--- a/jobs/node/stop.go
+++ b/jobs/node/stop.go
@@ -53,6 +53,9 @@
 	if id == 0 {
 		return
 	}
+	if t := n.term.Load(); t != nil && t.lease == id {
+		t.ownership.releaseSent(n.uptimeNanos())
+	}
 	ctx, cancel := context.WithTimeout(context.Background(), revokeLeaseTimeout)
 	defer cancel()
 	if err := n.store.EndLease(ctx, id); err != nil {
--- a/jobs/node/suspend_test.go
+++ b/jobs/node/suspend_test.go
@@ -83,8 +83,9 @@
 		time.Sleep(suspensionCheckInterval)
 		r.checkSuspension()
 		decisions := r.core.TakeDecisions()
-		require.Len(t, decisions, 1)
-		assert.Equal(t, "owner-suspended", decisions[0].Event)
-		assert.Equal(t, "suspended for 3s", decisions[0].Reason)
+		require.Len(t, decisions, 2)
+		assert.Equal(t, "ownership-uncertain", decisions[0].Event, "the store lease has expired meanwhile")
+		assert.Equal(t, "owner-suspended", decisions[1].Event)
+		assert.Equal(t, "suspended for 3s", decisions[1].Reason)
 	})
 }
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -13,6 +13,7 @@
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
 	"github.com/postmount/postmount/jobs/peer"
+	"github.com/postmount/postmount/verdict"
 )
 
 // event applies an external event to the core, on the core's goroutine.
@@ -58,6 +59,7 @@
 	holdCalls           callLimiter // holds
 	otherCalls          callLimiter // all other orders to workers
 	stopsInFlight       stopSet
+	ownership           termOwnership
 }
 
 // runTerm loads all jobs and schedules them until the term or ctx ends.
@@ -88,6 +90,7 @@
 		MaxOutstandingStarts: startsPerSlot * cap(t.startCalls.slots),
 		Weights:              n.settings.Policy.Pools.Weights(), PoolPolicy: n.settings.Policy.Pools.Size, SchedulingPolicy: n.settings.Policy.Jobs.Order, CallPolicy: n.settings.Policy.Workers.Calls,
 	}, n.catalog.Load(), snap.Jobs, n.clock.Now())
+	t.updateOwnership(n.clock.Now())
 	for _, e := range snap.Refused {
 		n.refusedEntries.add(e.Key, e.Revision, e.Err)
 	}
@@ -182,7 +185,7 @@
 			t.checkSuspension()
 			t.core.ReportTimerDelay(now.Sub(lastTick)-tickInterval, now)
 			lastTick = now
-			t.core.SetStoreLease(t.n.mayOrderInstances(), now)
+			t.updateOwnership(now)
 			t.core.Tick(now)
 			t.updateStats(now)
 			t.n.yieldIfPartitioned(t)
@@ -237,7 +240,7 @@
 	}
 	t.suspensionSeen += d
 	t.n.log.Warn("suspended", zap.Duration("for", d))
-	t.core.SetStoreLease(t.n.mayOrderInstances(), now)
+	t.updateOwnership(now)
 	t.core.ReportSuspension(d, lastChecked, now)
 }
 
@@ -300,7 +303,11 @@
 	puts, deletes := t.finalWrites()
 	ctx, cancel := context.WithTimeout(t.ctx, timeout)
 	defer cancel()
+	sentBefore := t.ownership.releaseSent(t.n.uptimeNanos())
 	if err := t.term.Release(ctx, puts, deletes, t.orders.recent(now)); err != nil {
+		if verdict.Of(err) == verdict.NotRun && !sentBefore {
+			t.ownership.releaseNotRun()
+		}
 		t.n.log.Warn("lock-release-failed", zap.Error(err))
 		return false
 	}
--- a/jobs/owner/contact.go
+++ b/jobs/owner/contact.go
@@ -34,6 +34,7 @@
 	id := r.task.id()
 	c.logDecision(Decision{Event: "run-lost", Job: id.Job, Task: id.String(), Worker: r.worker.Worker, Run: r.number,
 		Reason: proof + "; " + r.describeContact()})
+	r.task.runLostAt = now
 	c.releaseRun(r, CauseRunLost, now)
 }
 
--- a/jobs/owner/copies.go
+++ b/jobs/owner/copies.go
@@ -61,6 +61,9 @@
 // may run at the same time as a run of an earlier owner that is not known yet, which
 // speculative steps allow.
 func (p *schedulingPass) placeCopies(s *stepState, need copyNeed) {
+	if !p.core.ownership.heldAt(p.now) {
+		return // a run on a silent worker may have ended, which another owner may know
+	}
 	var sel *workerSelector
 	for _, t := range s.tasks {
 		if t.copyNeed(p.now) != need {
--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -147,14 +147,18 @@
 	}
 }
 
-// leasesExpired reports whether all leases granted to a worker that does not answer have
-// expired. For an incarnation that has never answered, the longest possible lease counts.
-func (c *Core) leasesExpired(w *worker, now time.Time) bool {
-	if w.lease.known || len(w.pastStartsMs) == 0 {
-		return w.lease.expired(now)
+// leaseExpiry returns the time by which all leases granted to a worker that does not answer have
+// expired. For an incarnation that has never answered, the longest possible lease counts. known is
+// false if nothing is known of the worker's leases.
+func (c *Core) leaseExpiry(w *worker) (at time.Time, known bool) {
+	switch {
+	case w.lease.known:
+		return w.lease.expiry(), true
+	case len(w.pastStartsMs) == 0:
+		return time.Time{}, false
 	}
 	maxLease := time.Duration(float64(max(c.opt.MaxWorkerLease, c.opt.TaskLease))/(1-maxClockSlowdown)) + leaseMargin
-	return now.Sub(w.firstSeenAt) > maxLease
+	return w.firstSeenAt.Add(maxLease), true
 }
 
 // ackThrough returns the number up to which the next hold acknowledges run ends. It is 0 while
--- a/jobs/owner/lease.go
+++ b/jobs/owner/lease.go
@@ -40,12 +40,9 @@
 	return expiresAtMs
 }
 
-// expired reports whether every lease that was sent has certainly expired.
-func (l *workerLease) expired(now time.Time) bool {
-	if !l.known {
-		return false
-	}
+// expiry returns the time by which every lease that was sent has certainly expired. The worker's
+// clock must be known.
+func (l *workerLease) expiry() time.Time {
 	left := time.Duration(l.grantedUntilMs-l.clockMs) * time.Millisecond
-	end := l.clockReadAt.Add(time.Duration(float64(left) / (1 - maxClockSlowdown))).Add(leaseMargin)
-	return now.After(end)
+	return l.clockReadAt.Add(time.Duration(float64(left) / (1 - maxClockSlowdown))).Add(leaseMargin)
 }
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -145,7 +145,7 @@
 // each worker that answers would keep a new owner's CPU busy for longer than leases last.
 func (c *Core) queueEntries(service string, pool *poolState, now time.Time) []queueEntry {
 	takenOver := c.earlierRunsKnown(service, now)
-	leasesExpired := takenOver || now.Sub(c.startedAt) > c.maxLeaseDuration()
+	leasesExpired := takenOver || c.earlierLeasesExpired(now)
 	kept := pool.placementQueue[:0]
 	entries := pool.entries[:0]
 	for _, j := range pool.placementQueue {
--- a/jobs/owner/schedulingpass.go
+++ b/jobs/owner/schedulingpass.go
@@ -53,7 +53,7 @@
 // placeJob places the waiting tasks of the job's ready steps.
 func (p *schedulingPass) placeJob(j *jobState) {
 	for _, s := range j.steps {
-		if s.ready() {
+		if s.ready() && p.core.mayStart(s, p.now) {
 			p.placeStep(s)
 		}
 	}
@@ -127,7 +127,7 @@
 	}
 	var sel *workerSelector
 	for _, t := range s.tasks {
-		if !t.needsPlacement(p.now) || t.awaitsAttribution(p.core, p.now) {
+		if !t.needsPlacement(p.now) || t.awaitsAttribution(p.core, p.now) || !p.core.lossProven(t) {
 			continue
 		}
 		if !p.withinTenantLimit(s, 1) {
@@ -220,7 +220,7 @@
 // placeGang starts all tasks of a gang under one run number, or none of them.
 func (p *schedulingPass) placeGang(s *stepState) {
 	for _, t := range s.tasks {
-		if !t.needsPlacement(p.now) || t.awaitsAttribution(p.core, p.now) {
+		if !t.needsPlacement(p.now) || t.awaitsAttribution(p.core, p.now) || !p.core.lossProven(t) {
 			return
 		}
 	}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -83,6 +83,7 @@
 	notBefore          time.Time  // end of the backoff after a failure
 	consecutiveRetries int        // consecutive failures or refusals that do not use up attempts
 	stalls             int        // runs stopped for lack of progress
+	runLostAt          time.Time  // when a run of it was last lost without a report of its end
 	failedOn           []WorkerID // workers it failed on in this term; the worker may have been at fault
 	lastFailedAt       time.Time
 	timeSpent          timeByCause // time so far by cause
@@ -198,6 +199,8 @@
 	Registration
 	lease                    workerLease
 	answeredThisOwner        bool      // answered a hold with this owner's fencing token
+	firstAnsweredAt          time.Time // when it first did
+	unprovenLapseLogged      bool      // lapse-unproven was logged since it last answered
 	registered               bool      // counts as registered
 	firstSeenAt              time.Time // when this owner first learned of the incarnation
 	pastStartsMs             []int64   // StartedMs of earlier incarnations, oldest first
@@ -345,7 +348,8 @@
 
 	mostSilentSince time.Time // since when most workers seem silent; zero: most answer
 
-	storeLeaseLostAt time.Time            // zero: the store lease is held
+	storeLeaseLostAt time.Time // zero: the store lease is held
+	ownership        ownership
 	earlyCancels     map[job.ID]time.Time // cancellations of jobs not known yet
 	decisions        []Decision
 	counts           Counts
@@ -367,6 +371,7 @@
 	Crashes           int64 // worker crashes that a task may have caused
 	IsolatedStarts    int64 // starts of risky tasks in isolation
 	GivenUp           int64 // tasks given up because they crash their workers
+	UnprovenLapses    int64 // ends of workers' leases that were no proof, as another owner may have renewed them
 	JobsConsidered    int64 // jobs considered for placement
 }
 
--- a/jobs/owner/stats.go
+++ b/jobs/owner/stats.go
@@ -11,6 +11,7 @@
 	UsableWorkers   int     // may get new tasks
 	SilentWorkers   int     // don't answer holds
 	RunningTasks    int     // runs on workers, starting and stopping ones included
+	Uncertain       bool    // another daemon may be the owner
 	MovingInstances int     // instances moving to another pool
 	WaitingCores    float64 // cores that tasks wait for
 	Pools           []PoolStats
@@ -28,7 +29,7 @@
 
 // Stats returns the owner's state at now.
 func (c *Core) Stats(now time.Time) Stats {
-	s := Stats{Counts: c.counts, OpenJobs: len(c.openJobs), DirtyJobs: len(c.dirtyJobs), MovingInstances: len(c.moves)}
+	s := Stats{Counts: c.counts, OpenJobs: len(c.openJobs), DirtyJobs: len(c.dirtyJobs), MovingInstances: len(c.moves), Uncertain: !c.ownership.heldAt(now)}
 	for _, w := range c.workers {
 		if w.ended {
 			continue
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -87,6 +87,13 @@
 	return time.Duration(float64(c.opt.TaskLease)/(1-maxClockSlowdown)) + leaseMargin
 }
 
+// earlierLeasesExpired reports whether all leases granted by earlier owners have expired, and no
+// later owner can have renewed them before.
+func (c *Core) earlierLeasesExpired(now time.Time) bool {
+	expiry := c.startedAt.Add(c.maxLeaseDuration())
+	return now.After(expiry) && c.ownership.heldAt(expiry)
+}
+
 // earlierRunsKnown reports whether every run that an earlier owner may have started for the
 // service is known: the worker of each instance that is up in its pool has answered a hold of
 // this owner, or all leases of earlier owners have expired. A starved owner waits for the
@@ -96,7 +103,7 @@
 		return true
 	}
 	awaited := c.awaitedInstance(service)
-	if awaited != "" && (now.Sub(c.startedAt) <= c.maxLeaseDuration() || c.isStarved(now)) {
+	if awaited != "" && (!c.earlierLeasesExpired(now) || c.isStarved(now)) {
 		c.logTakeoverWait(service, awaited, now)
 		return false
 	}
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -311,7 +311,7 @@
 // runsKnown reports whether all runs on the worker are known: it has answered a hold of this
 // owner, or all leases granted by earlier owners have expired.
 func (c *Core) runsKnown(w *worker, now time.Time) bool {
-	return w.answeredThisOwner || now.Sub(c.startedAt) > c.maxLeaseDuration()
+	return w.answeredThisOwner || c.earlierLeasesExpired(now)
 }
 
 // remainingWork returns the estimated core-seconds left of the runs on the worker. A
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -111,12 +111,17 @@
 
 // leaseEndFor returns the lease end for an order to w. The lease of a silent worker is not
 // renewed, as it has to expire before the worker's tasks may start elsewhere. A starved owner
-// renews it, as the worker's answers may wait to be read.
+// renews it, as the worker's answers may wait to be read. No lease is renewed for longer than
+// ownership.leaseLimit allows.
 func (c *Core) leaseEndFor(w *worker, now time.Time) int64 {
 	if w.isSilent() && !c.isStarved(now) {
 		return w.lease.grantedUntilMs
 	}
-	return w.lease.grant(c.opt.TaskLease, now)
+	d := c.ownership.leaseLimit(c.opt.TaskLease, now)
+	if d == 0 {
+		return w.lease.grantedUntilMs
+	}
+	return w.lease.grant(d, now)
 }
 
 // isSilent reports whether the last hold or a later order to w went unanswered, with no
@@ -241,6 +246,10 @@
 	}
 	first := !w.answeredThisOwner
 	w.answeredThisOwner = true
+	if first {
+		w.firstAnsweredAt = now
+	}
+	w.unprovenLapseLogged = false
 	w.answeredHoldSentAt = w.holdSentAt
 	for _, e := range h.Ends {
 		if e.Seq > w.lastSeenEnd {
@@ -313,6 +322,9 @@
 		if !confirmed {
 			continue
 		}
+		if r.fromPastIncarnation {
+			r.task.runLostAt = now
+		}
 		c.releaseRun(r, CauseRunLost, now) // its end was listed before, or it never started
 		if r.phase == running {
 			c.counts.Lost++
@@ -395,7 +407,8 @@
 }
 
 // expireLeases releases the runs of silent workers whose leases have all expired. A starved
-// owner releases none, as answers that it has not read yet may report tasks as done.
+// owner releases none, as answers that it has not read yet may report tasks as done. Nor does one
+// that was not certainly the owner when they expired: another one may have renewed them.
 func (c *Core) expireLeases(now time.Time) {
 	for id, w := range c.endedWorkers {
 		if !w.registered && !w.holdInFlight {
@@ -404,7 +417,11 @@
 	}
 	for _, w := range c.silentWorkers.sorted() {
 		id := w.Worker
-		if len(w.runs) > 0 && c.leasesExpired(w, now) && !c.isStarved(now) {
+		expiry, known := c.leaseExpiry(w)
+		lapsed := len(w.runs) > 0 && known && now.After(expiry) && !c.isStarved(now)
+		if lapsed && !c.ownership.heldAt(expiry) {
+			c.logUnprovenLapse(w, now)
+		} else if lapsed {
 			c.logDecision(Decision{Event: "leases-expired", Worker: id, Reason: "silent for " + now.Sub(w.silentSince).String()})
 			for _, r := range runsByNumber(w) {
 				c.recordUnconfirmedCrash(r, now) // whether the worker has crashed may become known later
