Owner: a revoked store lease is recorded, and the next owners wait for its holder

Cause: a daemon that finds nobody listening at the owner's address, confirmed by two others, revokes the owner's lease. If a whole zone is cut off and its connections are refused, the owner is alive, takes its store lease for held for up to 2 s longer and renews its workers' leases by as much, and the next owner's wait is too short by that.

Ruled out: silent cuts, where an unanswered call does not count as absence.

Change: the revoking daemon first writes the term to owner/revoked; owners of the next four terms wait 2 s longer for workers that do not answer. The election reads it beside the sequence, in one round trip. The stand-in network has cuts that refuse connections.

--- a/internal/jobfaults/zonecut_test.go
+++ b/internal/jobfaults/zonecut_test.go
@@ -100,6 +100,9 @@
 		{"incoming only", func(d *deployment, _ *jobfleet.Daemon, zone jobfleet.Members, cut time.Duration) {
 			d.in.Cut(jobfleet.Except(zone), zone, cut)
 		}},
+		{"connections refused", func(d *deployment, _ *jobfleet.Daemon, zone jobfleet.Members, cut time.Duration) {
+			d.in.CutRefusing(zone, jobfleet.Except(zone), cut)
+		}},
 		{"twice", func(d *deployment, _ *jobfleet.Daemon, zone jobfleet.Members, cut time.Duration) {
 			both(d, zone, cut)
 			time.AfterFunc(cut+1500*time.Millisecond, func() { both(d, zone, cut) })
--- a/jobs/ledger/keys.go
+++ b/jobs/ledger/keys.go
@@ -21,6 +21,8 @@
 	PrefixOwner = "owner/"
 	keyLock     = "owner/lock"
 	keyTerm     = "owner/term"
+	// keyRevoked holds the number of the last term whose lease another daemon has revoked.
+	keyRevoked = "owner/revoked"
 	// keySequence is written by every transaction of the owner, on condition that its revision is
 	// that of the previous one, so that a transaction that arrives late fails.
 	keySequence = "sequence"
--- a/jobs/ledger/term.go
+++ b/jobs/ledger/term.go
@@ -25,6 +25,9 @@
 	PriorOrders []owner.RecentOrder
 	// PriorOrdersUnknown says that PriorOrders could not be read.
 	PriorOrdersUnknown bool
+	// PriorLeaseRevoked says that another daemon has revoked the lease of one of the last owners, which may
+	// not know that yet.
+	PriorLeaseRevoked bool
 
 	store            Store
 	lock             Condition
@@ -106,11 +109,25 @@
 }
 
 func resume(ctx context.Context, s Store, number uint64, lockRevision int64) (*Term, error) {
+	type reading struct {
+		item Item
+		err  error
+	}
+	revoked := make(chan reading, 1)
+	go func() {
+		item, _, err := s.Get(ctx, keyRevoked, false)
+		revoked <- reading{item, err}
+	}()
 	seq, _, err := s.Get(ctx, keySequence, false)
 	if err != nil {
 		return nil, err
 	}
+	r := <-revoked
+	if r.err != nil {
+		return nil, r.err
+	}
 	t := &Term{Number: number, store: s, lock: Condition{keyLock, lockRevision}, sequence: seq.Revision}
+	t.PriorLeaseRevoked = r.item.Revision != 0 && termNumber(r.item)+recentTerms >= number
 	if seq.Revision != 0 {
 		last, err := decode[sequenceValue](seq)
 		t.PriorOrdersUnknown = err != nil // not written by an owner; the next write replaces it
@@ -119,6 +136,18 @@
 	return t, nil
 }
 
+// recentTerms is the number of terms before this one whose owners may still know nothing of the
+// revocation of their lease. That takes a store lease of 2 s at most, in which the owner seldom
+// changes more than once.
+const recentTerms = 4
+
+// RecordRevocation records that another daemon is about to revoke the lease of the lock l. The next owners
+// then know that the lease may have ended sooner than its holder can tell.
+func RecordRevocation(ctx context.Context, s Store, l Lock) error {
+	_, err := s.Commit(ctx, Txn{Puts: []Put{{Key: keyRevoked, Value: []byte(strconv.FormatUint(l.Term, 10))}}})
+	return err
+}
+
 // termNumber returns the number of the latest term. If the value is not a valid number, it
 // returns the value's revision: each term has changed the store at least once, so this is
 // higher than the number of any term so far.
--- a/jobs/ledger/term_test.go
+++ b/jobs/ledger/term_test.go
@@ -88,3 +88,21 @@
 		assert.Equal(t, "long text", j.Payload, "the submitted job is not modified")
 	})
 }
+
+// TestRevocationIsKnownToTheNextOwners: the owners after a term whose lease was revoked know it, for
+// as many terms as may begin before its holder notices.
+func TestRevocationIsKnownToTheNextOwners(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := jobfleet.NewStore().Client("d", &jobfleet.Gate{}, noFailure)
+		var known []bool
+		for number := uint64(1); number <= 7; number++ {
+			term := elect(t, s, "d1")
+			known = append(known, term.PriorLeaseRevoked)
+			if number == 2 {
+				require.NoError(t, ledger.RecordRevocation(t.Context(), s, ledger.Lock{Term: number}))
+			}
+			require.NoError(t, term.Release(t.Context(), nil, nil, nil))
+		}
+		assert.Equal(t, []bool{false, false, true, true, true, true, false}, known)
+	})
+}
--- a/jobs/node/ownerwatch.go
+++ b/jobs/node/ownerwatch.go
@@ -30,8 +30,9 @@
 
 // watchOwnerProcess revokes the lease of an owner whose process has ended. The store removes the
 // lock with it, and the next owner is elected within milliseconds instead of after the lease's
-// two seconds. If the owner is alive after all, it loses its lock as if the lease had expired,
-// which is safe at any time.
+// two seconds. If the owner is alive after all, it may not learn that it has lost its lock until the
+// time at which the lease would have expired. The revocation is recorded, so that the next owner
+// waits that much longer for workers that do not answer it.
 func (n *Node) watchOwnerProcess(ctx context.Context) {
 	for ctx.Err() == nil {
 		l := n.lock.Load()
@@ -67,6 +68,10 @@
 	n.log.Info("owner-process-ended", zap.String("node", l.Node), zap.Uint64("term", l.Term))
 	endCtx, end := context.WithTimeout(ctx, storeTimeout)
 	defer end()
+	if err := ledger.RecordRevocation(endCtx, n.store, *l); err != nil {
+		n.log.Warn("owner-lease-revoke-failed", zap.Error(err))
+		return
+	}
 	if err := n.store.EndLease(endCtx, l.Lease); err != nil {
 		n.log.Warn("owner-lease-revoke-failed", zap.Error(err))
 		return
--- a/jobs/node/termownership.go
+++ b/jobs/node/termownership.go
@@ -47,3 +47,12 @@
 	t.core.SetOwnedUntil(now.Add(left), now)
 	t.core.SetStoreLease(t.n.mayOrderInstances(), now)
 }
+
+// priorLeaseLeft returns for how long after the election an earlier owner may still have taken its
+// store lease for held.
+func priorLeaseLeft(term *ledger.Term) time.Duration {
+	if term.PriorLeaseRevoked {
+		return storeLease
+	}
+	return 0
+}
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -85,7 +85,7 @@
 		TaskLease: min(taskLease, n.settings.MaxTaskLease), MaxWorkerLease: n.settings.MaxTaskLease, HoldWait: holdWait, IdleHoldWait: idleHoldWait,
 		MaxHoldsPerSec: lossyHoldsPerCoreSecond * n.settings.Cores,
 		MaxMovesPerSec: n.settings.MovesPerSec,
-		DutyHandover:   n.settings.DutyHandover, PriorOrders: n.ordersByOthers(term.PriorOrders), ElectedAt: began, PriorOrdersUnknown: term.PriorOrdersUnknown, SucceedsSelf: term.SucceedsSelf,
+		DutyHandover:   n.settings.DutyHandover, PriorOrders: n.ordersByOthers(term.PriorOrders), ElectedAt: began, PriorOrdersUnknown: term.PriorOrdersUnknown, SucceedsSelf: term.SucceedsSelf, PriorLeaseLeft: priorLeaseLeft(term),
 		StatusRetention:      n.settings.StatusRetention,
 		MaxOutstandingStarts: startsPerSlot * cap(t.startCalls.slots),
 		Weights:              n.settings.Policy.Pools.Weights(), PoolPolicy: n.settings.Policy.Pools.Size, SchedulingPolicy: n.settings.Policy.Jobs.Order, CallPolicy: n.settings.Policy.Workers.Calls,
--- a/jobs/owner/ownership_test.go
+++ b/jobs/owner/ownership_test.go
@@ -98,3 +98,19 @@
 	r.tick(0)
 	assert.LessOrEqual(t, r.out.Holds[len(r.out.Holds)-1].LeaseUntilMs, r.clockMs()+rigLease.Milliseconds())
 }
+
+// TestTakeoverAfterARevokedLease: a new owner waits for the leases of an earlier one that may have
+// taken its store lease for held after it was revoked.
+func TestTakeoverAfterARevokedLease(t *testing.T) {
+	const left = 2 * time.Second
+	r := newRig(t, 2, StoredJob{Job: simpleJob(1, 1)})
+	r.core.opt.PriorLeaseLeft = left
+	w := r.worker("w")
+	r.worker("silent")
+	r.answerHold(w, nil)
+	r.tick(r.core.maxLeaseDuration() + left - 100*time.Millisecond)
+	assert.Empty(t, r.out.Starts)
+	r.answerHold(w, nil)
+	r.tick(200 * time.Millisecond)
+	assert.NotEmpty(t, r.out.Starts)
+}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -26,6 +26,7 @@
 	ElectedAt            time.Time     // when this owner was elected; zero: now
 	PriorOrdersUnknown   bool          // the orders of other holders could not be determined
 	SucceedsSelf         bool          // the previous owner was this daemon, before it was restarted
+	PriorLeaseLeft       time.Duration // how long after ElectedAt an earlier owner may have taken its store lease for held
 	StatusRetention      time.Duration // ended jobs are removed after twice this time
 	MaxOutstandingStarts int           // limit of starts without an outcome; 0: no limit
 	Weights              capacity.Weights
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -90,7 +90,7 @@
 // earlierLeasesExpired reports whether all leases granted by earlier owners have expired, and no
 // later owner can have renewed them before.
 func (c *Core) earlierLeasesExpired(now time.Time) bool {
-	expiry := c.startedAt.Add(c.maxLeaseDuration())
+	expiry := c.startedAt.Add(c.opt.PriorLeaseLeft + c.maxLeaseDuration())
 	return now.After(expiry) && c.ownership.heldAt(expiry)
 }
 
--- a/standin/jobfleet/cut.go
+++ b/standin/jobfleet/cut.go
@@ -33,16 +33,29 @@
 	list []*cut
 }
 
-type cut struct{ from, to Members }
+type cut struct {
+	from, to Members
+	refuses  bool // daemons are told that nobody listens
+}
 
 // Cut drops all messages from members of one group to members of another for d. A call in the other
 // direction is carried out, and its answer is lost.
 func (in *Installation) Cut(from, to Members, d time.Duration) {
-	c := &cut{from, to}
-	in.cuts.mu.Lock()
-	defer in.cuts.mu.Unlock()
-	in.cuts.list = append(in.cuts.list, c)
-	time.AfterFunc(d, func() { in.cuts.remove(c) })
+	in.cuts.add(&cut{from: from, to: to}, d)
+}
+
+// CutRefusing separates two groups for d. Connections between their daemons are closed and refused,
+// as if the processes had ended.
+func (in *Installation) CutRefusing(a, b Members, d time.Duration) {
+	in.cuts.add(&cut{a, b, true}, d)
+	in.cuts.add(&cut{b, a, true}, d)
+}
+
+func (l *cuts) add(c *cut, d time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.list = append(l.list, c)
+	time.AfterFunc(d, func() { l.remove(c) })
 }
 
 func (l *cuts) remove(c *cut) {
@@ -56,23 +69,29 @@
 	}
 }
 
-// drops reports whether messages from one member to another are dropped.
-func (l *cuts) drops(from, to string) bool {
+// between returns a cut that separates one member from another, nil if there is none.
+func (l *cuts) between(from, to string) *cut {
 	if l == nil {
-		return false
+		return nil
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for _, c := range l.list {
 		if c.from(from) && c.to(to) {
-			return true
+			return c
 		}
 	}
-	return false
+	return nil
+}
+
+// refused reports whether connections between the two daemons are refused.
+func (g *Gate) refused(by *Gate) bool {
+	c := g.cuts.between(g.name, by.name)
+	return c != nil && c.refuses
 }
 
 // requestDropped reports whether the daemon's requests to a member are dropped.
-func (g *Gate) requestDropped(to string) bool { return g.cuts.drops(g.name, to) }
+func (g *Gate) requestDropped(to string) bool { return g.cuts.between(g.name, to) != nil }
 
 // answerDropped reports whether a member's answers to the daemon are dropped.
-func (g *Gate) answerDropped(from string) bool { return g.cuts.drops(from, g.name) }
+func (g *Gate) answerDropped(from string) bool { return g.cuts.between(from, g.name) != nil }
--- a/standin/jobfleet/network.go
+++ b/standin/jobfleet/network.go
@@ -142,16 +142,23 @@
 		return err
 	}
 	c.network.mu.Lock()
-	left := c.network.left[addr]
+	left, gate := c.network.left[addr], c.network.gates[addr]
 	c.network.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-left:
-		return errNoAnswer
+	for !c.gate.refused(gate) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-left:
+			return errNoAnswer
+		case <-time.After(refusalCheckInterval):
+		}
 	}
+	return errNoAnswer
 }
 
+// refusalCheckInterval is the time within which an open connection is closed by a refusing cut.
+const refusalCheckInterval = 20 * time.Millisecond
+
 // CheckPresence implements node.Peers.
 func (c *PeerClient) CheckPresence(ctx context.Context, addr string) peer.Presence {
 	c.network.mu.Lock()
@@ -160,7 +167,7 @@
 	switch {
 	case c.gate.pass(ctx, toPeers) != nil:
 		return peer.Unknown
-	case h == nil:
+	case h == nil || c.gate.refused(gate):
 		return peer.Absent
 	case gate.pass(ctx, toPeers) != nil || c.gate.separatedFrom(gate):
 		return peer.Unknown
