Owner: a lapse is proven by a later renewal, and earlier owners' leases count

Ruled out: a cost while the store answers: renewals are sent each 500 ms.

Change: the end of a lease is a proof only once a renewal that was sent later was answered; it counts as ended no sooner than leases of earlier owners; jobs submitted within 2 s of an election after a revocation count as inherited, as those within 1 s do otherwise.

--- a/jobs/node/termownership.go
+++ b/jobs/node/termownership.go
@@ -43,8 +43,9 @@
 	if ledger.LeaseID(t.n.lease.Load()) == t.lease {
 		t.ownership.renewedAt = renewedAt
 	}
-	left := time.Duration(t.ownership.certainEnd() - t.n.uptimeNanos())
-	t.core.SetOwnedUntil(now.Add(left), now)
+	uptime, end := t.n.uptimeNanos(), t.ownership.certainEnd()
+	renewed := now.Add(time.Duration(min(end, t.ownership.renewedAt) - uptime))
+	t.core.SetOwnedUntil(renewed, now.Add(time.Duration(end-uptime)), now)
 	t.core.SetStoreLease(t.n.mayOrderInstances(), now)
 }
 
--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -148,12 +148,17 @@
 }
 
 // leaseExpiry returns the time by which all leases granted to a worker that does not answer have
-// expired. For an incarnation that has never answered, the longest possible lease counts. known is
-// false if nothing is known of the worker's leases.
+// expired. For an incarnation that has never answered, the longest possible lease counts. An
+// earlier owner may have granted a longer lease than this one. known is false if nothing is known of
+// the worker's leases.
 func (c *Core) leaseExpiry(w *worker) (at time.Time, known bool) {
 	switch {
 	case w.lease.known:
-		return w.lease.expiry(), true
+		at = w.lease.expiry()
+		if c.opt.Term > 1 {
+			at = laterOf(at, c.earlierLeaseExpiry())
+		}
+		return at, true
 	case len(w.pastStartsMs) == 0:
 		return time.Time{}, false
 	}
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -88,7 +88,7 @@
 	}
 	j := c.addJob(spec, now)
 	// The previous owner may not know yet that it was replaced, and may have started the job.
-	j.inherited = c.opt.Term > 1 && now.Sub(c.startedAt) < submitHandoverWindow
+	j.inherited = c.opt.Term > 1 && now.Sub(c.startedAt) < max(submitHandoverWindow, c.opt.PriorLeaseLeft)
 	c.logDecision(Decision{Event: "job-known", Job: spec.ID, Reason: j.service})
 	c.chargeShare(j)
 	c.recordArrival(j, now, now)
--- a/jobs/owner/ownership.go
+++ b/jobs/owner/ownership.go
@@ -9,13 +9,18 @@
 // later, while this one does not reach the store. It goes on with what the other one cannot
 // undo, see docs/design/0017. Without a known end, as in a test, the ownership does not end.
 type ownership struct {
-	until          time.Time // certain end; zero: not known
+	until          time.Time // certain end by the clock; zero: not known
+	proven         time.Time // when the last answered renewal was sent, which proves that it was held until then
 	uncertainSince time.Time // when the end was noticed to have passed; zero: it has not
 }
 
 // heldAt reports whether this daemon was certainly the owner at the given time.
 func (o *ownership) heldAt(at time.Time) bool { return o.until.IsZero() || !at.After(o.until) }
 
+// provenAt reports whether a later renewal proves that this daemon was the owner at the given time.
+// The clock does not prove it if another daemon has revoked the store lease.
+func (o *ownership) provenAt(at time.Time) bool { return o.until.IsZero() || !at.After(o.proven) }
+
 // leaseLimit returns how long a worker's lease granted now may be at most: a lease that ends within
 // longest after the certain end expires before the next owner starts the tasks that it covers.
 func (o *ownership) leaseLimit(longest time.Duration, now time.Time) time.Duration {
@@ -26,11 +31,12 @@
 }
 
 // SetOwnedUntil sets until when this daemon is certainly the owner: another daemon can be elected
-// only later. The end may move back by the duration of a suspension, see ReportSuspension.
-func (c *Core) SetOwnedUntil(until, now time.Time) {
+// only later, unless the store lease is revoked. renewed is when the last answered renewal was
+// sent. Both may move back by the duration of a suspension, see ReportSuspension.
+func (c *Core) SetOwnedUntil(renewed, until, now time.Time) {
 	o := &c.ownership
 	wasHeld := o.heldAt(now)
-	o.until = until
+	o.until, o.proven = until, renewed
 	switch held := o.heldAt(now); {
 	case !held && o.uncertainSince.IsZero():
 		o.uncertainSince = now
@@ -71,9 +77,9 @@
 func (c *Core) lossProven(t *task) bool { return c.ownership.heldAt(t.runLostAt) }
 
 // logUnprovenLapse logs that the leases of a worker have expired by this owner's knowledge, but
-// another owner may have renewed them.
+// another owner may have renewed them. While the store lease is held, the next renewal decides.
 func (c *Core) logUnprovenLapse(w *worker, now time.Time) {
-	if w.unprovenLapseLogged {
+	if w.unprovenLapseLogged || c.ownership.heldAt(now) {
 		return
 	}
 	w.unprovenLapseLogged = true
--- a/jobs/owner/ownership_test.go
+++ b/jobs/owner/ownership_test.go
@@ -6,6 +6,8 @@
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/job"
 )
 
 // TestLeasesAfterTheStoreLease: an owner whose store lease may have ended renews no lease beyond the
@@ -14,7 +16,7 @@
 	r := newRig(t, 1)
 	w := r.worker("w")
 	until := r.now.Add(time.Second)
-	r.core.SetOwnedUntil(until, r.now)
+	r.core.SetOwnedUntil(r.now, until, r.now)
 	for range 12 {
 		r.answerHold(w, nil)
 		r.tick(500 * time.Millisecond)
@@ -24,7 +26,7 @@
 		latest = max(latest, h.LeaseUntilMs)
 	}
 	assert.Equal(t, rigClockMs+(time.Second+rigLease).Milliseconds(), latest)
-	r.core.SetOwnedUntil(r.now.Add(time.Second), r.now)
+	r.core.SetOwnedUntil(r.now, r.now.Add(time.Second), r.now)
 	r.answerHold(w, nil)
 	r.tick(0)
 	assert.Equal(t, r.clockMs()+rigLease.Milliseconds(), r.out.Holds[len(r.out.Holds)-1].LeaseUntilMs)
@@ -36,7 +38,7 @@
 	r := newRig(t, 1)
 	w, other := r.worker("w"), r.worker("z")
 	r.answerHold(w, nil)
-	r.core.SetOwnedUntil(r.now.Add(time.Second), r.now)
+	r.core.SetOwnedUntil(r.now, r.now.Add(time.Second), r.now)
 	r.submit(1, 1)
 	starts := r.confirmStarts()
 	require.Len(t, starts, 1)
@@ -45,7 +47,7 @@
 	r.failHold(w)
 	r.tick(2 * rigLease)
 	assert.Empty(t, r.out.Starts)
-	r.core.SetOwnedUntil(r.now.Add(time.Second), r.now)
+	r.core.SetOwnedUntil(r.now, r.now.Add(time.Second), r.now)
 	r.tick(25 * time.Millisecond)
 	require.Len(t, r.out.Starts, 1)
 	assert.Equal(t, other, r.out.Starts[0].Worker)
@@ -72,7 +74,7 @@
 			if !c.late {
 				r.answerHold(w, nil)
 			}
-			r.core.SetOwnedUntil(r.now, r.now)
+			r.core.SetOwnedUntil(r.now, r.now, r.now)
 			r.tick(c.after)
 			r.answerHold(w, nil)
 			j := simpleJob(1, 1)
@@ -80,7 +82,7 @@
 			r.core.Submit(j, r.now)
 			r.tick(25 * time.Millisecond)
 			assert.Equal(t, c.started, len(r.out.Starts) > 0)
-			r.core.SetOwnedUntil(r.now.Add(time.Second), r.now)
+			r.core.SetOwnedUntil(r.now, r.now.Add(time.Second), r.now)
 			r.tick(200 * time.Millisecond)
 			assert.NotEmpty(t, r.out.Starts, "started once the owner is certain again")
 		})
@@ -99,6 +101,42 @@
 	assert.LessOrEqual(t, r.out.Holds[len(r.out.Holds)-1].LeaseUntilMs, r.clockMs()+rigLease.Milliseconds())
 }
 
+// TestALapseIsProvenByALaterRenewal: the clock alone proves no lapse, as the store lease may have
+// been revoked.
+func TestALapseIsProvenByALaterRenewal(t *testing.T) {
+	r := newRig(t, 1)
+	w, other := r.worker("w"), r.worker("z")
+	r.answerHold(w, nil)
+	r.submit(1, 1)
+	require.Len(t, r.confirmStarts(), 1)
+	r.core.SetOwnedUntil(r.now, r.now.Add(time.Minute), r.now)
+	r.answerHold(other, nil)
+	r.failHold(w)
+	r.tick(2 * rigLease)
+	assert.Empty(t, r.out.Starts)
+	r.core.SetOwnedUntil(r.now, r.now.Add(time.Minute), r.now)
+	r.tick(25 * time.Millisecond)
+	assert.Len(t, r.out.Starts, 1)
+}
+
+// TestALeaseOfAnEarlierOwnerMayLastLonger: the end of this owner's own grant is no proof while an
+// earlier owner's lease may last.
+func TestALeaseOfAnEarlierOwnerMayLastLonger(t *testing.T) {
+	const left = 2 * time.Second
+	j := simpleJob(1, 1)
+	r := newRig(t, 2, StoredJob{Job: j})
+	r.core.opt.PriorLeaseLeft = left
+	w, other := r.worker("w"), r.worker("z")
+	r.answerHold(other, nil)
+	r.answerHold(w, []ActiveRun{{Task: job.TaskID{Job: j.ID}, Run: runsPerTerm + 1}})
+	r.failHold(w)
+	r.tick(r.core.maxLeaseDuration() + left - 100*time.Millisecond)
+	assert.Empty(t, r.out.Starts)
+	r.answerHold(other, nil)
+	r.tick(200 * time.Millisecond)
+	assert.Len(t, r.out.Starts, 1)
+}
+
 // TestTakeoverAfterARevokedLease: a new owner waits for the leases of an earlier one that may have
 // taken its store lease for held after it was revoked.
 func TestTakeoverAfterARevokedLease(t *testing.T) {
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -87,11 +87,16 @@
 	return time.Duration(float64(c.opt.TaskLease)/(1-maxClockSlowdown)) + leaseMargin
 }
 
+// earlierLeaseExpiry returns the time by which all leases granted by earlier owners have expired.
+func (c *Core) earlierLeaseExpiry() time.Time {
+	return c.startedAt.Add(c.opt.PriorLeaseLeft + c.maxLeaseDuration())
+}
+
 // earlierLeasesExpired reports whether all leases granted by earlier owners have expired, and no
 // later owner can have renewed them before.
 func (c *Core) earlierLeasesExpired(now time.Time) bool {
-	expiry := c.startedAt.Add(c.opt.PriorLeaseLeft + c.maxLeaseDuration())
-	return now.After(expiry) && c.ownership.heldAt(expiry)
+	expiry := c.earlierLeaseExpiry()
+	return now.After(expiry) && c.ownership.provenAt(expiry)
 }
 
 // earlierRunsKnown reports whether every run that an earlier owner may have started for the
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -419,7 +419,7 @@
 		id := w.Worker
 		expiry, known := c.leaseExpiry(w)
 		lapsed := len(w.runs) > 0 && known && now.After(expiry) && !c.isStarved(now)
-		if lapsed && !c.ownership.heldAt(expiry) {
+		if lapsed && !c.ownership.provenAt(expiry) {
 			c.logUnprovenLapse(w, now)
 		} else if lapsed {
 			c.logDecision(Decision{Event: "leases-expired", Worker: id, Reason: "silent for " + now.Sub(w.silentSince).String()})
