requests/cluster: the end of an attempt on an own key is recorded at once

The daemon that serves the request also owns its key; when the request has ended it leaves the view. EndAttempt left the record of the end to a goroutine, which read the view (owner: this daemon) and was overtaken: the view without this daemon was adopted and the partition handed over with the claim still running. Then RecordAttempt found no partition, and the next try came 12 to 25 ms later. Meanwhile the new owner saw a running attempt of a daemon that is not in the view, and answered a resend with "may have run" (body: earlier-attempt-unknown) although the request had ended and its answer was there. Ruled out: the test's stop (it waits for all accepted requests); lost messages; the report to the new owner coming before the transfer (merged). Change: if this daemon owns the key, EndAttempt records the end in the table before it returns, under the same lock under which partitions are handed over. One goroutine and its retries less per request on an own key.

--- a/requests/cluster/claims.go
+++ b/requests/cluster/claims.go
@@ -308,8 +308,11 @@
 	return reply, false
 }
 
-// EndAttempt records how an attempt ended and reports it to the key's owner in the
-// background. It retries until the owner has recorded it, for up to deliveryTimeout.
+// EndAttempt records how an attempt ended and reports it to the key's owner. If this
+// daemon owns the key, the end is recorded before EndAttempt returns, so that a daemon
+// that leaves the view right after its last request hands over a claim that has ended.
+// Otherwise it is reported in the background, with retries until the owner has recorded
+// it, for up to deliveryTimeout.
 func (c *Claims) EndAttempt(attempt idempotency.AttemptID, status idempotency.Status, answer *idempotency.Answer) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -319,6 +322,10 @@
 	}
 	a.claim.Status = status
 	a.claim.Answer = answer
+	if c.table.RecordAttempt(a.claim) {
+		delete(c.attempts, attempt)
+		return
+	}
 	cl := a.claim
 	c.startLocked(func() { c.reportEnd(cl) })
 }
