requests/control: a worker's last report expires

Cause: a report that lists a running task was believed for ever. The job of a worker that had ended, but that the platform still listed as ready, stayed placed on it; its lease was asked to be renewed, or a cancelled job to be stopped ten times a second, without end. Ruled out: leaving the renewals as they are (the worker may get them while only its answers are lost: the job would run twice when it is placed again). Change: a running task is taken for running within one lease of the report's arrival. After that the job counts as lost, its lease is no longer renewed, and two leases later it is placed again, as a task that was never reported. Reports of an end do not expire.

--- a/requests/control/jobs.go
+++ b/requests/control/jobs.go
@@ -128,17 +128,25 @@
 		return true
 	case known && t.State == fleet.TaskFailed:
 		return r.handleFailedAttempt(pool, j)
-	case known:
+	case known && r.mayStillRun(j.Worker):
 		if j.LostAt.IsZero() {
 			return false
 		}
 		j.LostAt = time.Time{}
 		return true
+	case known:
+		return r.handleLostTask(j)
 	default:
 		return r.handleMissingTask(j)
 	}
 }
 
+// mayStillRun reports whether the tasks that a worker last reported as running may still run by
+// that report: within a lease of its arrival. Later, the worker may have ended with them.
+func (r *round) mayStillRun(id fleet.InstanceID) bool {
+	return r.now.Sub(r.c.tasks.reports[id].receivedAt) < r.c.opts.TaskLease
+}
+
 // handleFailedAttempt sets a job pending again, or failed after maxFailures failed
 // attempts. It reports that the job changed.
 func (r *round) handleFailedAttempt(pool fleet.PoolName, j *fleet.Job) bool {
@@ -175,6 +183,12 @@
 		j.State, j.Worker, j.Reason = fleet.JobPending, "", "its worker was drained"
 		return true
 	}
+	return r.handleLostTask(j)
+}
+
+// handleLostTask handles a placed job of which nothing is known to run: it is placed again once
+// the lease of its task must have expired. It reports whether the job changed.
+func (r *round) handleLostTask(j *fleet.Job) bool {
 	if j.LostAt.IsZero() {
 		if r.now.Sub(j.PlacedAt) < r.c.opts.TaskLease {
 			return false
@@ -323,13 +337,15 @@
 	case j.State == fleet.JobPlaced && !r.usable(j.Worker):
 		s.Stop = append(s.Stop, ref)
 		return true
+	case j.State == fleet.JobPlaced && known && !j.LostAt.IsZero() && !r.mayStillRun(j.Worker):
+		return false // its lease is left to expire, so that it can be placed again
 	case j.State == fleet.JobPlaced && known:
 		s.Keep = append(s.Keep, ref)
 		return t.State != fleet.TaskRunning
 	case j.State == fleet.JobPlaced && j.LostAt.IsZero():
 		s.Start = append(s.Start, port.TaskStart{Pool: pool, Job: j.Name, Attempt: j.Attempt, Need: j.Need, RunFor: j.RunFor})
 		return true
-	case j.State == fleet.JobCancelled && known && t.State == fleet.TaskRunning:
+	case j.State == fleet.JobCancelled && known && t.State == fleet.TaskRunning && r.mayStillRun(j.Worker):
 		s.Stop = append(s.Stop, ref)
 		return true
 	default:
