jobs/owner: a fenced duty is logged, a rejected move is ordered again after a minute

Cause: an owner that learns from the platform that there is a newer one stopped without the event "fenced" that it logs when a worker tells it. And a move that the platform once called invalid was never ordered again in that term, which may last for months, although the platform may have learned of the pool or instance since. Ruled out: a reset of rejected moves with each configuration (the platform's knowledge does not follow it). Change: markDutyFenced; rejected moves carry their time and are forgotten after a minute.

--- a/jobs/owner/instances.go
+++ b/jobs/owner/instances.go
@@ -158,6 +158,16 @@
 	return !now.Before(c.orderHoldoff[id])
 }
 
+// markDutyFenced records that the platform has refused an order because it has seen a higher
+// fencing token, so that this daemon is no longer the owner.
+func (c *Core) markDutyFenced(id InstanceID) {
+	if c.fenced {
+		return
+	}
+	c.fenced = true
+	c.logDecision(Decision{Event: "fenced", Reason: "the platform has seen a higher fencing token than that of the order for " + string(id)})
+}
+
 // isOnInstanceList reports whether the instance list shows the worker. A worker that it does not
 // show may have ended: the store keeps registrations for some seconds after that.
 func (c *Core) isOnInstanceList(w *worker) bool {
--- a/jobs/owner/moves.go
+++ b/jobs/owner/moves.go
@@ -55,12 +55,20 @@
 	return false
 }
 
-// orderMove orders a planned move, unless the platform has answered DutyInvalid to it before.
+// rejectedMovePause is the time after which a move is ordered again to which the platform answered
+// DutyInvalid. The platform may have learned of the instance or the pool in the meantime, and a term
+// can last for months.
+const rejectedMovePause = time.Minute
+
+// orderMove orders a planned move, unless the platform answered DutyInvalid to it within
+// rejectedMovePause.
 func (c *Core) orderMove(m capacity.Move, now time.Time) {
 	id := InstanceID(m.Instance)
-	if c.rejectedMoves[rejectedMove{id, m.To}] {
+	key := rejectedMove{id, m.To}
+	if at, rejected := c.rejectedMoves[key]; rejected && now.Sub(at) < rejectedMovePause {
 		return
 	}
+	delete(c.rejectedMoves, key)
 	ms := &poolMove{toPool: m.To, orderedAt: now, incarnation: c.incarnationOn(&c.instances[id].Instance)}
 	c.moves[id] = ms
 	c.updateSupply(c.instances[id])
@@ -93,10 +101,10 @@
 		c.effects.InstanceOrders = append(c.effects.InstanceOrders, o) // it may have been carried out: repeat it
 		return
 	case DutyFenced:
-		c.fenced = true
+		c.markDutyFenced(o.Instance)
 		return
 	case DutyInvalid:
-		c.rejectedMoves[rejectedMove{o.Instance, o.Pool}] = true
+		c.rejectedMoves[rejectedMove{o.Instance, o.Pool}] = now
 	}
 	c.removeMove(o.Instance, m)
 }
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -298,8 +298,8 @@
 	waves                  map[int]*waveState
 	pools                  map[string]*poolState
 	moves                  map[InstanceID]*poolMove
-	rejectedMoves          map[rejectedMove]bool
-	evacuatedZones         map[string]bool // zones that get no new tasks
+	rejectedMoves          map[rejectedMove]time.Time // when the platform last answered DutyInvalid
+	evacuatedZones         map[string]bool            // zones that get no new tasks
 	nextSizingAt           time.Time
 	returnBudget           float64 // instances that may be returned to the spare pool now
 	returnRefilledAt       time.Time
@@ -435,7 +435,7 @@
 		waves:                  map[int]*waveState{},
 		pools:                  map[string]*poolState{},
 		moves:                  map[InstanceID]*poolMove{},
-		rejectedMoves:          map[rejectedMove]bool{},
+		rejectedMoves:          map[rejectedMove]time.Time{},
 		dirtyJobs:              map[job.ID]*jobState{},
 		unstoredCrashes:        map[job.ID]*jobState{},
 		changedServices:        map[string]bool{},
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -383,7 +383,7 @@
 		// repeated until the platform answers.
 		c.effects.InstanceOrders = append(c.effects.InstanceOrders, o)
 	case DutyFenced:
-		c.fenced = true
+		c.markDutyFenced(o.Instance)
 	default:
 		delete(ws.down, o.Instance)
 		if w != nil {
