lab/jobload: a hold is lost with the scenario's share

Ruled out: that the second draw stands for the answer: a scenario's share is documented as that of the calls, and starts draw once. Change: one draw. TestLostCalls keeps its goals' strictness: as the load became easier, its bounds go from 0.03 and 0.10 to 0.02 and 0.05 below none. Conclusion: mended; the comment has the new figures.

--- a/lab/jobload/fleet.go
+++ b/lab/jobload/fleet.go
@@ -177,10 +177,6 @@
 		s.engine.after(o.Wait+o.Timeout, func() { deliverAnswer(owner.HoldAnswer{Answer: owner.Answer{Outcome: owner.Unanswered}}) })
 		return
 	}
-	if s.drawCallLoss() {
-		s.engine.after(o.Wait+o.Timeout, func() { deliverAnswer(owner.HoldAnswer{Answer: owner.Answer{Outcome: owner.Unanswered}}) })
-		return
-	}
 	s.receiveHold(o, func(held owner.HoldAnswer) {
 		if held.Outcome == owner.Unanswered {
 			deliverAnswer(held)
--- a/lab/jobload/lostcalls_test.go
+++ b/lab/jobload/lostcalls_test.go
@@ -13,7 +13,7 @@
 // TestLostCalls guards against timeouts that are too long when calls to workers are lost. With those for a
 // saturated link, a lost start or hold blocked its task or worker so long that 0.73 of the work was served
 // with a fifth of these calls lost, 0.89 with a twentieth, 0.99 with none. Under rotatingLoad the share on
-// time is 0.45 and 0.69 (a fifth, a twentieth) with callpolicy.Patient. With callpolicy.Short it is 0.91 and 0.97, but
+// time is 0.51 and 0.76 (a fifth, a twentieth) with callpolicy.Patient. With callpolicy.Short it is 0.96 and 0.97, but
 // this policy always holds each worker with tasks eight times a second.
 func TestLostCalls(t *testing.T) {
 	const seeds = 12
@@ -43,7 +43,7 @@
 	few, many := inTimeShare(0.055, callpolicy.Adaptive), inTimeShare(0.2, callpolicy.Adaptive)
 	t.Logf("none %.3f, few %.3f, many %.3f", none, few, many)
 	assert.InDelta(t, none, inTimeShare(0, callpolicy.Patient), 0.001, "the policy must not matter if no call is lost")
-	// The goal is that a twentieth costs at most 0.03 of the share without loss, a fifth at most 0.10.
-	assert.GreaterOrEqual(t, few, none-0.03)
-	assert.GreaterOrEqual(t, many, none-0.10)
+	// The goal is that a twentieth costs at most 0.02 of the share without loss, a fifth at most 0.05.
+	assert.GreaterOrEqual(t, few, none-0.02)
+	assert.GreaterOrEqual(t, many, none-0.05)
 }
