operators/query, cmd/postmount: a number has no unit, the name of a wave is quoted

Cause: "cpu 4GB" was read as four cores, since Sscanf stops at the unit; "postmount wait 'w; drain instance i'" sent two statements. Ruled out: a refusal of names that are no identifiers (a wave's name may be quoted elsewhere). Change: numbers are read whole; query.Quote, which refuses what the language cannot quote. Also refused now: "availability 99.9%", which was read as 99.9; the value is in percent. Figures: TestANumberHasNoUnit failed on the code before; Quote is new. Conclusion: mended.

--- a/cmd/postmount/wait.go
+++ b/cmd/postmount/wait.go
@@ -10,6 +10,7 @@
 	"github.com/alecthomas/kingpin/v2"
 
 	"github.com/postmount/postmount/operators/client"
+	"github.com/postmount/postmount/operators/query"
 	"github.com/postmount/postmount/verdict"
 )
 
@@ -65,9 +66,16 @@
 	}
 }
 
+// codeBadName is the code of a name that no statement can contain.
+const codeBadName verdict.Code = "bad-name"
+
 // waveProgress returns the state of a wave and a line that describes its progress.
 func waveProgress(ctx context.Context, c *client.Client, name string) (state, line string, err error) {
-	resp, err := c.Exec(ctx, "show waves where wave = "+name)
+	quoted, err := query.Quote(name)
+	if err != nil {
+		return "", "", verdict.Wrap(err, verdict.NotRun, codeBadName, "wave name")
+	}
+	resp, err := c.Exec(ctx, "show waves where wave = "+quoted)
 	if err != nil {
 		return "", "", err
 	}
--- a/operators/query/grammar.go
+++ b/operators/query/grammar.go
@@ -5,6 +5,7 @@
 import (
 	"errors"
 	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -210,6 +211,14 @@
 	return nil
 }
 
+// Quote returns text as a quoted string of the language, which has no escapes.
+func Quote(text string) (string, error) {
+	if strings.ContainsAny(text, "\"\n") {
+		return "", fmt.Errorf("%q contains a quotation mark or a line break, which a quoted text cannot", text)
+	}
+	return `"` + text + `"`, nil
+}
+
 // Duration is a Go duration such as 90s or 2h30m.
 type Duration time.Duration
 
@@ -228,9 +237,9 @@
 
 // Capture implements participle.Capture.
 func (n *Number) Capture(values []string) error {
-	var v float64
-	if _, err := fmt.Sscanf(values[0], "%g", &v); err != nil {
-		return fmt.Errorf("%q is not a number", values[0])
+	v, err := strconv.ParseFloat(values[0], 64)
+	if err != nil {
+		return fmt.Errorf("%q is not a number such as 4 or 0.5", values[0])
 	}
 	*n = Number(v)
 	return nil
--- a/operators/query/grammar_test.go
+++ b/operators/query/grammar_test.go
@@ -57,6 +57,37 @@
 	}
 }
 
+// TestANumberHasNoUnit: "cpu 4GB" is no four cores.
+func TestANumberHasNoUnit(t *testing.T) {
+	for _, text := range []string{
+		"create team t quota cpu 4GB", "submit job j to pool p cpu 2h", "create team t quota cpu 1e999",
+		"set weights rollout 3x buffer 1 moves 1", "set objective service s class c availability 99.9%",
+	} {
+		_, err := Parse(text)
+		require.Error(t, err, text)
+		assert.Contains(t, err.Error(), "is not a number", text)
+	}
+	p, err := Parse("create team t quota cpu 4.5")
+	require.NoError(t, err)
+	assert.EqualValues(t, 4.5, *p.Statements[0].Create.Team.Quota[0].CPU)
+}
+
+// TestQuote: a quoted text is one value, whatever it contains.
+func TestQuote(t *testing.T) {
+	for _, text := range []string{"w", "", "w; drain instance x", "my wave", "# w", "7"} {
+		quoted, err := Quote(text)
+		require.NoError(t, err)
+		p, err := Parse("show waves where wave = " + quoted)
+		require.NoError(t, err, text)
+		require.Len(t, p.Statements, 1, text)
+		assert.EqualValues(t, text, p.Statements[0].Show.Where[0].Value)
+	}
+	for _, text := range []string{`a"b`, "a\nb"} {
+		_, err := Quote(text)
+		assert.Error(t, err, text)
+	}
+}
+
 func FuzzParse(f *testing.F) {
 	f.Add("show pools where a = b")
 	f.Add("create route \"x/y\" to service s class c")
