adapter/etcdkv: a cancelled watch is compacted only if the store says so

Cause: every cancelled watch was reported as compacted, so that all records were read again, e.g. after a refusal. Ruled out: cancel_reason as the sign (it is text for people). Change: without compact_revision the code is store-unavailable, with the store's reason.

--- a/adapter/etcdkv/client.go
+++ b/adapter/etcdkv/client.go
@@ -252,6 +252,10 @@
 			return c.transportError(err, false)
 		}
 		idleTimer.Reset(c.opts.WatchIdleTimeout)
+		if m.Result.Canceled && m.Result.CompactRevision == 0 {
+			c.Counters.Errors.Add(1)
+			return verdict.New(verdict.NotRun, port.CodeStoreUnavailable, "store cancelled the watch: %s", m.Result.CancelReason)
+		}
 		if m.Result.Canceled {
 			return verdict.New(verdict.NotRun, port.CodeStoreCompacted, "store cancelled the watch: revisions before %d have been compacted", m.Result.CompactRevision)
 		}
--- a/adapter/etcdkv/messages.go
+++ b/adapter/etcdkv/messages.go
@@ -104,6 +104,7 @@
 type watchResponse struct {
 	Header          header       `json:"header"`
 	Canceled        bool         `json:"canceled"`
+	CancelReason    string       `json:"cancel_reason"`
 	CompactRevision decimalInt64 `json:"compact_revision"` // oldest revision that can still be watched; 0 unless an older one was asked for
 	Events          []watchEvent `json:"events"`
 }
