requests/wave: the note of a wave at its limit has the number of instances out

Cause: the limit was printed twice, also when more are out than a lowered limit allows. Ruled out: nothing. Change: instances out, and the limit. Conclusion: mended.

--- a/requests/wave/grant.go
+++ b/requests/wave/grant.go
@@ -98,8 +98,8 @@
 			return
 		}
 		limit := p.concurrencyLimit(w, account)
-		if p.disruptedBy(w.Name) >= limit {
-			p.note(m.Instance, "wave %s waits: %d of %d at once are out", w.Name, limit, limit)
+		if out := p.disruptedBy(w.Name); out >= limit {
+			p.note(m.Instance, "wave %s waits: %d instances are out, it takes at most %d at the same time", w.Name, out, limit)
 			return
 		}
 		if late := p.missesDeadline(w); late {
--- a/requests/wave/wave_test.go
+++ b/requests/wave/wave_test.go
@@ -84,6 +84,19 @@
 	assert.Contains(t, plan.Notes[0].Text, "would not be back before")
 }
 
+// TestTheLimitOfAWaveIsExplained: the note has the number of instances out and the limit. They
+// differ when the limit falls.
+func TestTheLimitOfAWaveIsExplained(t *testing.T) {
+	in := poolWithWave(8, fleet.AvailabilityBudget{MaxUnavailable: 6})
+	in.Options.MaxConcurrent = 3
+	in.Pool = Reconcile(in).Pool
+	require.Len(t, in.Pool.Disruptions, 3)
+	in.Options.MaxConcurrent = 2
+	notes := Reconcile(in).Notes
+	require.NotEmpty(t, notes)
+	assert.Equal(t, "wave w waits: 3 instances are out, it takes at most 2 at the same time", notes[len(notes)-1].Text)
+}
+
 func TestOperatorsRequestsGoBeforeWaves(t *testing.T) {
 	in := poolWithWave(4, fleet.AvailabilityBudget{MaxUnavailable: 1})
 	in.Pool.Requests = []fleet.Request{{Instance: "i3", Kind: fleet.DisruptByDrain, At: t0}}
