jobs/node: what registrationsWait has to be shorter than

Cause: the comment said that an outage is noticed within half a second more; it is the owner's storeOutageGap of 1.5 s that decides, less this wait. Ruled out: a change of either value. Change: the comment. Conclusion: mended.

--- a/jobs/node/registrations.go
+++ b/jobs/node/registrations.go
@@ -15,9 +15,9 @@
 
 // Intervals of the watch of the workers' registrations.
 const (
-	// registrationsWait is how long a watch waits for changes. The store's answer confirms that the
-	// owner's registrations are current, so an outage of the store is noticed within half a second
-	// more.
+	// registrationsWait is how long a watch waits for changes. Its answer, also one without changes,
+	// confirms that the owner's registrations are current. Package owner takes 1.5 s without an answer
+	// for an outage of the store (storeOutageGap), so this must be shorter by more than a call takes.
 	registrationsWait = time.Second
 	// registrationsInterval is the minimum time between two watch calls that return all changes:
 	// a fifth of the time in which starts to a draining worker must stop. Each worker's heartbeat
