jobs/owner: no start is repeated in an evacuated zone or on a draining worker

A start gets no answer; the zone of its worker is evacuated meanwhile; the start is sent again, up to a second time or more often while calls are lost. If the first was lost, the second begins a task in the zone after its evacuation (EVAC). The same holds for a worker that drains. Ruled out: stopping such runs at the evacuation (it ends tasks that work; what runs there may go on); a start of a fresh run there (none was seen). Change: a start without an answer is not repeated on a draining worker or in an evacuated zone. It counts as given up: the worker's next list shows whether it began; if not, it is stopped and starts elsewhere, as after the last repeat. Not covered: an order that was sent before the evacuation and that the worker carries out late.

--- a/jobs/owner/evacuation_test.go
+++ b/jobs/owner/evacuation_test.go
@@ -62,6 +62,52 @@
 	assert.Zero(t, supply.evacuated)
 }
 
+// TestNoStartIsRepeatedWhereNoneMayBegin: a start gets no answer, and the zone is evacuated or the worker
+// drains meanwhile. The start is not sent again: the first may have been lost, and the second would begin
+// the task there. Once the worker's list shows that it has not begun, it starts elsewhere.
+func TestNoStartIsRepeatedWhereNoneMayBegin(t *testing.T) {
+	for name, leave := range map[string]func(r *rig, s Start){
+		"evacuated": func(r *rig, _ Start) { r.core.SetEvacuatedZones([]string{"z1"}) },
+		"draining": func(r *rig, s Start) {
+			for n := range r.regs {
+				r.regs[n].Draining = r.regs[n].Worker == s.Worker
+			}
+			r.publishLists()
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1)
+			r.addWorkers("a")
+			r.setZone("a", "z1")
+			r.submit(1, 1)
+			require.Len(t, r.out.Starts, 1)
+			first := r.out.Starts[0]
+			r.out.Starts = nil
+			leave(r, first)
+			r.core.OnStartAnswer(first, Answer{Outcome: Unanswered}, r.now)
+			r.collectEffects()
+			assert.Empty(t, r.out.Starts)
+
+			r.addWorkers("b")
+			r.setZone("b", "z2")
+			var stops []Stop
+			for range 4 { // answers to holds that were sent before prove nothing
+				r.answerHold("a", nil)
+				r.tick(25 * time.Millisecond)
+				stops = append(stops, r.takeStops(first.Task)...)
+			}
+			require.Len(t, stops, 1, "it is not on the list; a late start is ruled out first")
+			r.core.OnStopAnswer(stops[0], Answer{Outcome: Accepted, ClockMs: r.clockMs()}, r.now)
+			for range 4 {
+				r.tick(25 * time.Millisecond)
+				r.answerHold("a", nil)
+			}
+			require.Len(t, r.out.Starts, 1)
+			assert.Equal(t, WorkerID("b"), r.out.Starts[0].Worker)
+		})
+	}
+}
+
 // TestReturnsLeaveMovesForWaitingTasks: returns to the spare pool use only what the moves for
 // waiting tasks leave of the rate limit.
 func TestReturnsLeaveMovesForWaitingTasks(t *testing.T) {
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -122,8 +122,9 @@
 }
 
 // onStartUnanswered handles a start that was not answered. It is sent again until it was sent
-// maxStartSends times, or more often while calls are being lost. After that the worker's run
-// list has to show whether the run has started.
+// maxStartSends times, or more often while calls are being lost, but not to a worker that is
+// draining or in an evacuated zone. After that the worker's run list has to show whether the run has
+// started.
 func (c *Core) onStartUnanswered(r *run, a Answer, now time.Time) {
 	if r.phase != starting {
 		return
@@ -135,7 +136,7 @@
 	switch {
 	case r.task.done:
 		c.stop(r, "the task is done", now)
-	case r.sends < c.callLossDetector.Attempts(maxStartSends):
+	case !r.worker.Draining && !c.evacuatedZones[r.worker.Zone] && r.sends < c.callLossDetector.Attempts(maxStartSends):
 		c.sendStart(r, now)
 	default:
 		// The worker may have started the run, and a stop would end a working task. The worker's
