--- a/jobs/node/evacuations.go
+++ b/jobs/node/evacuations.go
@@ -71,6 +71,10 @@
 // applyEvacuationEntry applies an operators' entry that evacuates a zone, or its deletion.
 func (n *Node) applyEvacuationEntry(e ledger.Event) {
 	zone := strings.TrimPrefix(e.Key, n.platform.Formats.EvacuationPrefix)
+	if zone == "" && e.Deleted {
+		n.refusedEntries.remove(e.Key)
+		return
+	}
 	if zone == "" {
 		n.refusedEntries.add(e.Key, e.Revision, errors.New("evacuation entry has no zone in its key"))
 		return
