--- a/internal/requestfaults/mutations.sh
+++ b/internal/requestfaults/mutations.sh
@@ -27,17 +27,30 @@
     echo "| $1 | $2 | NOT APPLIED |"
     return
   fi
-  local out
+  local out status failed
   out=$(cd "$copy/src" && timeout 120 go test -timeout 100s -skip "TestSessions|TestSlotLimit|TestOutcomes|TestAllDaemonsReplaced|Rejoin" $4 2>&1)
-  if [ $? -eq 0 ]; then
+  status=$?
+  if [ $status -eq 0 ]; then
     echo "| $1 | $2 | NOT NOTICED |"
     return
   fi
-  echo "| $1 | $2 | $(grep -oE -- '^--- FAIL: [A-Za-z]+' <<<"$out" | sed 's/--- FAIL: //' | sort -u | head -4 | paste -sd' ' || true) |"
+  # Only a test notices a mutation: one that failed or hung, or made the process panic.
+  if grep -qE '\[(build|setup) failed\]' <<<"$out"; then
+    echo "| $1 | $2 | DOES NOT BUILD |"
+    return
+  fi
+  failed=$(grep -oE -- '^--- FAIL: [A-Za-z]+|^\s+(Test|Fuzz)[A-Za-z]+ \([0-9hm.]+s\)$' <<<"$out" | grep -oE '(Test|Fuzz)[A-Za-z]+' | sort -u | head -4 | paste -sd' ' || true)
+  [ -n "$failed" ] || failed=$(grep -m1 -oE '^panic: [^|]*' <<<"$out" || true)
+  if [ -z "$failed" ]; then
+    echo "| $1 | $2 | NO TEST FAILED (exit $status) |"
+    return
+  fi
+  echo "| $1 | $2 | $failed |"
 }
 
 M=./internal/requestfaults
 mutate "nothing (a comment is changed)" requests/idempotency/idempotency.go 's/Package idempotency makes/Package idempotency lets/' "$M ./requests/idempotency"
+mutate "nothing (the source does not build)" requests/idempotency/idempotency.go 's/func NewTable/fun NewTable/' "./requests/idempotency"
 mutate "a lost owner's keys are granted" requests/idempotency/idempotency.go 's/case keyTime\.Before\(p\.completeSince\):/case false:/' "$M ./requests/idempotency"
 mutate "a new owner does not wait for the old table" requests/idempotency/idempotency.go 's/if t\.servingSince\.IsZero\(\) \|\| now\.Sub\(t\.viewSetAt\) < t\.opts\.HandoverWait/if false/' "$M ./requests/idempotency"
 mutate "a grant is not recorded" requests/idempotency/idempotency.go 's/\tt\.insert\(p, &Claim\{Key: r\.Key[^\n]*\n//' "$M ./requests/idempotency"
@@ -48,6 +61,7 @@
 mutate "a minority serves" requests/member/member.go 's/return 2\*n > total[^\n]*/return true/' "$M ./requests/member"
 mutate "a newer epoch is ignored" requests/member/member.go 's/if \w+\.highestEpoch == \w+\.view\.Epoch \{/if true {/' "$M ./requests/member"
 mutate "a request that may have run is recorded as not run" requests/entry/keyed.go 's/case verdict\.Of\(err\) == verdict\.NotRun:\n\t\th\.Claims/case true:\n\t\th.Claims/' "$M"
+mutate "a daemon records the end of an attempt on its own key later" requests/cluster/claims.go 's/if c\.table\.RecordAttempt\(a\.claim\) \{/if false {/' "./requests/cluster"
 mutate "the request is sent without a claim" requests/entry/handler.go 's/if c\.key == "" \{\n\t\treturn h\.send/if true {\n\t\treturn h.send/' "$M"
 mutate "a cut-off daemon goes on sending" requests/entry/handler.go 's/if !h\.ServingStatus\(\)\.MayUseSlots\(time\.Now\(\)\) \{/if false {/g' "$M ./requests/entry"
 mutate "a keyed request that may have run is retried" requests/retry/retry.go 's/safeToRetry := a\.Verdict == verdict\.NotRun \|\| a\.Idempotent/safeToRetry := true/' "$M ./requests/retry"
