adapter: connections that went silent cost one call, not one each

Cause: after a call without an answer the clients of the older store, of the platform and of backend servers closed only that connection. Ruled out: peerrpc (one connection, retired after a timeout), workerhttp (one connection). Change: a call that failed closes the client's idle connections (backendhttp: one that timed out, and only those to that worker); calls in flight go on.

--- a/adapter/backendhttp/client.go
+++ b/adapter/backendhttp/client.go
@@ -128,8 +128,12 @@
 	req.Header = r.Header
 	req.Host = r.Host
 	req.Header.Set(HeaderRequestID, r.RequestID)
-	resp, err := c.transport(workerAddr{r.Worker, r.Addr}).RoundTrip(req)
+	transport := c.transport(workerAddr{r.Worker, r.Addr})
+	resp, err := transport.RoundTrip(req)
 	if err != nil {
+		if errors.Is(ctx.Err(), context.DeadlineExceeded) {
+			transport.CloseIdleConnections() // if this connection has gone silent, they may have too
+		}
 		return nil, classifyError(ctx, err, conns.sealUnwritten(), r.Worker)
 	}
 	defer resp.Body.Close()
--- a/adapter/etcdkv/client.go
+++ b/adapter/etcdkv/client.go
@@ -116,9 +116,11 @@
 }
 
 // transportError converts the error of a call without a complete response. A write
-// may have taken effect unless the dial failed.
+// may have taken effect unless the dial failed. The idle connections are closed: if
+// this one has gone silent, they may have too.
 func (c *Client) transportError(err error, write bool) error {
 	c.Counters.Errors.Add(1)
+	c.http.CloseIdleConnections()
 	v := verdict.NotRun
 	var opErr *net.OpError
 	dialFailed := errors.As(err, &opErr) && opErr.Op == "dial"
--- a/adapter/etcdkv/client_test.go
+++ b/adapter/etcdkv/client_test.go
@@ -6,12 +6,14 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"github.com/postmount/postmount/internal/silentlink"
 	"github.com/postmount/postmount/requests/port"
 	"github.com/postmount/postmount/verdict"
 )
@@ -34,3 +36,30 @@
 		srv.Close()
 	}
 }
+
+// TestSilentConnectionsCostOneCall: the open connections to the store go silent. One call times out,
+// the next ones use new connections.
+func TestSilentConnectionsCostOneCall(t *testing.T) {
+	const concurrent = 3
+	srv := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		time.Sleep(30 * time.Millisecond) // concurrent calls use connections of their own
+		_, _ = io.WriteString(w, `{}`)
+	}))
+	t.Cleanup(func() { srv.CloseClientConnections(); srv.Close() })
+	link, err := silentlink.New(strings.TrimPrefix(srv.URL, "http://"))
+	require.NoError(t, err)
+	t.Cleanup(link.Close)
+	c := New(Options{Addr: link.Addr(), Timeout: 300 * time.Millisecond, WatchIdleTimeout: time.Second})
+	get := func() error { _, _, err := c.Get(context.Background(), "k"); return err }
+	var calls sync.WaitGroup
+	for range concurrent {
+		calls.Go(func() { assert.NoError(t, get()) })
+	}
+	calls.Wait()
+	require.Equal(t, concurrent, link.Opened())
+	link.GoSilent()
+	require.Error(t, get())
+	for range concurrent {
+		assert.NoError(t, get())
+	}
+}
--- a/adapter/platformhttp/client.go
+++ b/adapter/platformhttp/client.go
@@ -102,6 +102,7 @@
 	}
 	resp, err := c.http.Do(req)
 	if err != nil {
+		c.http.CloseIdleConnections() // if this connection has gone silent, they may have too
 		return verdict.Wrap(err, verdict.MayHaveRun, CodePlatformUnavailable, "call to the platform failed")
 	}
 	defer resp.Body.Close()
