jobs: a new owner that leaves first renews the workers' leases

A new owner's first call to a worker only learns the worker's clock, so that it cannot grant a lease; the second call renews. An owner that is stopped before its second round leaves every lease as it found it, and with several in a row nobody renews within the lease. Ruled out: a lease in the first call (the worker's clock is not known; a guess that is too late would outlast the next owner's wait); handing the clocks over through the store (a write of all workers per stop). Change: an owner that leaves while leases of earlier owners may be left waits, 1 s at most, until it has sent the second call to each worker that answers, 0.3 s ago. An owner that is killed renews nothing.

--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -159,9 +159,13 @@
 	instanceOrderTimeout = time.Second
 	// expireInterval is how often expired jobs are removed from the store.
 	expireInterval = 5 * time.Second
-	// handOverTimeout bounds the release of the owner's lock: two attempts. If both fail the lease
-	// is revoked, which removes the lock.
-	handOverTimeout = 2 * storeTimeout
+	// releaseRenewalsWait is how long a new owner that leaves waits until it has renewed the leases
+	// of all workers. An owner with a fifth of a core calls 350 workers twice within a second. No
+	// tasks are started meanwhile.
+	releaseRenewalsWait = time.Second
+	// handOverTimeout bounds the release of the owner's lock: that wait and two attempts. If both
+	// fail the lease is revoked, which removes the lock.
+	handOverTimeout = releaseRenewalsWait + 2*storeTimeout
 	// releaseProbeTimeout bounds an attempt to release the lock while the store is unavailable. It
 	// is short, as the attempt blocks the owner's work.
 	releaseProbeTimeout = 50 * time.Millisecond
