--- a/standin/jobfleet/evacuation.go
+++ b/standin/jobfleet/evacuation.go
@@ -22,6 +22,16 @@
 	}
 }
 
+// ZoneOf returns the availability zone of a worker, "" if it has none or is not known.
+func (f *Fleet) ZoneOf(id owner.WorkerID) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if w := f.workers[id]; w != nil {
+		return w.reg.Zone
+	}
+	return ""
+}
+
 // Evacuate requests the evacuation of a zone, as an operator does. No new tasks may start there.
 func (in *Installation) Evacuate(zone string) {
 	in.Store.Put(in.encoding.EvacuationPrefix+zone, []byte("{}"))
