--- /dev/null
+++ b/internal/ownermodel/daemon.go
@@ -0,0 +1,350 @@
+package ownermodel
+
+import "math/bits"
+
+// acquireLock writes the lock for a new term. certain is how long the daemon knows its lease to be
+// held; the lease may last longer, as renewals may have been carried out but not answered.
+func (x *execution) acquireLock(d, certain int) {
+	x.store.term++
+	x.store.holder, x.store.leaseLeft = int8(d+1), storeLease
+	x.d[d] = daemon{phase: elected, term: x.store.term, certain: int8(certain)}
+}
+
+// beginTerm loads the jobs.
+func (x *execution) beginTerm(dm *daemon) {
+	dm.phase = owning
+	for t, r := range x.store.tasks {
+		dm.tasks[t] = taskView{known: r.submitted, inherited: r.submitted, whileHeld: r.submitted && dm.certain > 0, done: r.done, failures: r.failures}
+	}
+	for w := range dm.workers {
+		dm.workers[w].granted = -1
+	}
+	x.checkTakeover(dm)
+}
+
+// depose ends the daemon's term.
+func (x *execution) depose(dm *daemon) { *dm = daemon{} }
+
+// holdsLock reports whether the daemon's lock is still the store's.
+func (x *execution) holdsLock(d int) bool {
+	return x.store.holder == int8(d+1) && x.store.term == x.d[d].term
+}
+
+// renewStoreLease renews the lease of the lock, or learns that the lock is gone.
+func (x *execution) renewStoreLease(d int, answered bool) {
+	dm := &x.d[d]
+	if x.holdsLock(d) {
+		x.store.leaseLeft = storeLease
+	}
+	switch {
+	case !answered:
+	case !x.holdsLock(d):
+		x.depose(dm)
+	default:
+		dm.certain = storeLease
+		x.checkHeld(dm)
+	}
+}
+
+// checkHeld applies what is known because the store lease was held until now.
+func (x *execution) checkHeld(dm *daemon) {
+	for w := range dm.workers {
+		v := &dm.workers[w]
+		if dm.certain > 0 {
+			v.whileHeld = v.answered
+		}
+		if v.granted == 0 && (dm.certain >= 0 || !x.rules.LapseNeedsStore) {
+			for t := range dm.tasks {
+				dm.tasks[t].runs[w] = runView{}
+			}
+		}
+	}
+	for t := range dm.tasks {
+		if dm.certain > 0 {
+			dm.tasks[t].whileHeld = dm.tasks[t].known
+		}
+	}
+}
+
+// longestWait is how long inherited tasks wait for workers that do not answer.
+func (x *execution) longestWait() uint8 {
+	if x.rules.RevokedWait {
+		return storeLease + taskLease
+	}
+	return taskLease
+}
+
+// checkTakeover decides whether inherited tasks have waited long enough.
+func (x *execution) checkTakeover(dm *daemon) {
+	all := true
+	for w := range x.w {
+		all = all && (!x.w[w].up || dm.workers[w].answered)
+	}
+	if dm.phase == owning && (dm.term == 1 || all || dm.age >= x.longestWait()) {
+		dm.takenOver = true
+	}
+}
+
+// grant returns the ticks of the lease that the next order to the worker grants.
+func (x *execution) grant(dm *daemon, v *workerView, bounded bool) int8 {
+	if !v.answered {
+		return 0 // its clock is not known
+	}
+	until := int8(taskLease)
+	if bounded {
+		until = max(0, min(until, dm.certain+taskLease))
+	}
+	if until > 0 && x.rules.GrantsInFull {
+		v.granted = taskLease
+	} else if until > 0 {
+		v.granted = max(v.granted, until)
+	}
+	return until
+}
+
+// hold sends a hold and, if it is answered, applies the answer.
+func (x *execution) hold(d, w int, o outcome) {
+	dm := &x.d[d]
+	v := &dm.workers[w]
+	h := order{kind: holdOrder, worker: int8(w), fence: dm.term, ack: v.stored, until: x.grant(dm, v, x.rules.HoldsBounded)}
+	if !x.rules.AckOnlyStored {
+		h.ack = v.seen
+	}
+	if o == late {
+		x.delay(h)
+		return
+	}
+	answer := x.deliver(h)
+	switch {
+	case o == answerLost:
+	case answer == fenced:
+		x.depose(dm)
+	default:
+		v.answered = true
+		x.applyEnds(dm, w)
+		x.reconcile(dm, w)
+		x.checkHeld(dm)
+		x.checkTakeover(dm)
+	}
+}
+
+// applyEnds applies the run ends that a worker lists.
+func (x *execution) applyEnds(dm *daemon, w int) {
+	unknown := false
+	v := &dm.workers[w]
+	v.seen = 0
+	for _, e := range x.w[w].ends[:x.w[w].listed] {
+		t := &dm.tasks[e.task]
+		unknown = unknown || !t.known
+		if !unknown {
+			v.seen++
+		}
+		if !t.known {
+			continue
+		}
+		if t.runs[w].number == e.run {
+			t.runs[w] = runView{}
+		}
+		if e.kind == failed && !t.done {
+			t.failures |= 1 << e.run
+		}
+		if e.kind == done {
+			t.done = true
+			for i := range t.runs {
+				if t.runs[i].number != 0 {
+					t.runs[i].phase = stopping
+				}
+			}
+		}
+	}
+}
+
+// reconcile compares the runs that a worker lists with those that it should have.
+func (x *execution) reconcile(dm *daemon, w int) {
+	for i := range dm.tasks {
+		t, listed := &dm.tasks[i], x.w[w].runs[i]
+		r := &t.runs[w]
+		switch {
+		case !t.known:
+		case listed == 0 && r.phase == abandoned && r.number != 0 && x.rules.StopUnanswered:
+			r.phase = stopping
+		case listed == 0 && r.phase != stopping:
+			*r = runView{}
+		case listed == 0:
+		case r.number == listed && r.phase == abandoned:
+			r.phase = running
+		case r.number != listed && listed <= x.firstRun(dm): // started by an earlier owner
+			*r = runView{number: listed}
+			if t.done || t.runs[1-w].number != 0 {
+				r.phase = stopping
+			}
+		}
+	}
+}
+
+// firstRun returns the highest run number before those of the daemon's term.
+func (x *execution) firstRun(dm *daemon) uint8 {
+	if !x.rules.RunsByTerm {
+		return 0
+	}
+	return (dm.term - 1) * uint8(x.bounds.Starts)
+}
+
+// mayStart reports whether the owner would start the task on the worker.
+func (x *execution) mayStart(dm *daemon, t, w int) bool {
+	task, v := &dm.tasks[t], &dm.workers[w]
+	if dm.phase != owning || int(dm.starts) >= x.bounds.Starts || !v.answered {
+		return false
+	}
+	if !task.known || task.done || bits.OnesCount8(task.failures) >= x.bounds.Attempts || task.runs != [workers]runView{} {
+		return false
+	}
+	if task.inherited && !dm.takenOver && x.rules.TakeoverWait {
+		return false
+	}
+	if dm.certain <= 0 {
+		if x.rules.NoStarts || x.rules.OnlyKnownTasks && !task.whileHeld || x.rules.OnlyKnownWorker && !v.whileHeld {
+			return false
+		}
+	}
+	return !x.rules.StartsBounded || dm.certain+taskLease > 0
+}
+
+// start sends a start order.
+func (x *execution) start(d, t, w int, o outcome) {
+	dm := &x.d[d]
+	dm.starts++
+	s := order{kind: startOrder, worker: int8(w), task: int8(t), fence: dm.term, run: x.firstRun(dm) + dm.starts, until: x.grant(dm, &dm.workers[w], x.rules.StartsBounded)}
+	r := &dm.tasks[t].runs[w]
+	*r = runView{s.run, abandoned}
+	if o == late {
+		x.delay(s)
+		return
+	}
+	answer := x.deliver(s)
+	switch {
+	case o == answerLost:
+	case answer == fenced:
+		x.depose(dm)
+	case answer == refused:
+		*r = runView{}
+	default:
+		r.phase = running
+	}
+}
+
+// stop sends a stop of a run.
+func (x *execution) stop(d, t, w int, o outcome) {
+	dm := &x.d[d]
+	r := &dm.tasks[t].runs[w]
+	answer := x.stopRun(&x.w[w], t, r.number, dm.term)
+	switch {
+	case o == answerLost:
+	case answer == fenced:
+		x.depose(dm)
+	default:
+		r.phase = stopped
+	}
+}
+
+// write stores the progress of all tasks.
+func (x *execution) write(d int, answered bool) {
+	dm := &x.d[d]
+	if !x.holdsLock(d) && x.rules.LockCondition {
+		if answered {
+			x.depose(dm)
+		}
+		return
+	}
+	for t := range dm.tasks {
+		if dm.tasks[t].known {
+			x.store.tasks[t].done, x.store.tasks[t].failures = dm.tasks[t].done, dm.tasks[t].failures
+		}
+	}
+	for w := range dm.workers {
+		if answered {
+			dm.workers[w].stored = dm.workers[w].seen
+		}
+	}
+}
+
+// hasUnstored reports whether the owner has seen run ends that are not stored.
+func (dm *daemon) hasUnstored() bool {
+	for w := range dm.workers {
+		if dm.workers[w].seen > dm.workers[w].stored {
+			return true
+		}
+	}
+	return false
+}
+
+// release deletes the lock. Without an answer the owner goes on until it learns of it.
+func (x *execution) release(d int, answered bool) {
+	dm := &x.d[d]
+	if x.holdsLock(d) {
+		x.store.holder, x.store.leaseLeft = 0, 0
+	}
+	switch {
+	case answered:
+		x.depose(dm)
+	case x.rules.LeavingIsOver:
+		dm.certain = min(dm.certain, 0)
+	}
+}
+
+// delay puts an order in flight.
+func (x *execution) delay(o order) {
+	for i := range x.late {
+		if x.late[i].kind == noOrder {
+			x.late[i] = o
+			return
+		}
+	}
+}
+
+func (x *execution) inFlight() int {
+	n := 0
+	for i := range x.late {
+		if x.late[i].kind != noOrder {
+			n++
+		}
+	}
+	return n
+}
+
+// tick advances the time.
+func (x *execution) tick() {
+	if x.store.holder != 0 {
+		if x.store.leaseLeft--; x.store.leaseLeft == 0 {
+			x.store.holder = 0
+		}
+	}
+	for i := range x.w {
+		if w := &x.w[i]; w.lease > 0 {
+			if w.lease--; w.lease == 0 {
+				x.lapse(w)
+			}
+		}
+	}
+	for i := range x.late {
+		x.late[i].until = max(0, x.late[i].until-1)
+	}
+	for i := range x.d {
+		dm := &x.d[i]
+		if dm.phase == idle {
+			continue
+		}
+		dm.certain = max(-taskLease, dm.certain-1)
+		if dm.phase != owning {
+			continue
+		}
+		dm.age = min(dm.age+1, x.longestWait())
+		for w := range dm.workers {
+			if dm.workers[w].granted > 0 {
+				dm.workers[w].granted--
+			}
+		}
+		x.checkHeld(dm)
+		x.checkTakeover(dm)
+	}
+}
--- /dev/null
+++ b/internal/ownermodel/explore.go
@@ -0,0 +1,268 @@
+package ownermodel
+
+import (
+	"fmt"
+	"hash/maphash"
+)
+
+// outcome is what becomes of an order.
+type outcome int8
+
+const (
+	answered outcome = iota
+	answerLost
+	late // the order is in flight, and is carried out at any later time or never
+)
+
+func (o outcome) String() string {
+	return [...]string{"", ", the answer is lost", ", the order is held up"}[o]
+}
+
+// execution applies one step to a state.
+type execution struct {
+	state
+	rules  Rules
+	bounds Bounds
+	broken string // the invariant that the step has broken
+}
+
+// Model is the protocol with some rules, within bounds.
+type Model struct {
+	Rules  Rules
+	Bounds Bounds
+}
+
+// Result is the outcome of an exploration.
+type Result struct {
+	States   int
+	Depth    int      // steps of the longest path from the start to a state's first occurrence
+	Complete bool     // all states within the bounds were visited
+	Broken   string   // the invariant that does not hold, "" if all hold
+	Trace    []string // the steps that lead there
+}
+
+// initial returns the state in which daemon 0 has just become the first owner.
+func (m Model) initial() state {
+	x := execution{rules: m.Rules, bounds: m.Bounds}
+	x.w[0].up, x.w[1].up = true, !m.Bounds.LateWorker
+	for t := range m.Bounds.Tasks {
+		x.store.tasks[t].submitted = !m.Bounds.LateTasks
+	}
+	x.acquireLock(0, storeLease)
+	x.beginTerm(&x.d[0])
+	for w := range x.w {
+		if x.w[w].up {
+			x.hold(0, w, answered)
+		}
+	}
+	x.normalise()
+	return x.state
+}
+
+// visit is called with each possible next state. It returns false to end the enumeration.
+type visit func(next *execution, text func() string) bool
+
+// successors calls v for each step that is possible in s.
+func (m Model) successors(s *state, v visit) {
+	ok := true
+	x := execution{rules: m.Rules, bounds: m.Bounds}
+	do := func(apply func(x *execution), format string, args ...any) {
+		if !ok {
+			return
+		}
+		x.state, x.broken = *s, ""
+		apply(&x)
+		x.normalise()
+		ok = v(&x, func() string { return fmt.Sprintf(format, args...) })
+	}
+	do((*execution).tick, "a tick passes")
+	for d := range s.d {
+		m.storeSteps(s, d, do)
+		if s.d[d].phase == owning {
+			m.orderSteps(s, d, do)
+		}
+	}
+	for w := range s.w {
+		m.workerSteps(s, w, do)
+	}
+	for t := range m.Bounds.Tasks {
+		if !s.store.tasks[t].submitted {
+			do(func(x *execution) { x.store.tasks[t].submitted = true }, "T%d is submitted", t)
+		}
+	}
+	for i, o := range s.late {
+		if o.kind != noOrder {
+			do(func(x *execution) { x.late[i] = order{}; x.deliver(o) }, "W%d carries out the held-up %s", o.worker, o)
+		}
+	}
+}
+
+func (o order) String() string {
+	if o.kind == holdOrder {
+		return fmt.Sprintf("hold of term %d (lease %d ticks, ack %d)", o.fence, o.until, o.ack)
+	}
+	return fmt.Sprintf("start of T%d as run %d of term %d (lease %d ticks)", o.task, o.run, o.fence, o.until)
+}
+
+type stepFunc func(apply func(x *execution), format string, args ...any)
+
+// storeSteps are the steps between a daemon and the store.
+func (m Model) storeSteps(s *state, d int, do stepFunc) {
+	dm := &s.d[d]
+	if dm.phase == idle {
+		if s.store.holder == 0 && int(s.store.term) < m.Bounds.Terms {
+			for certain := range storeLease + 1 {
+				do(func(x *execution) { x.acquireLock(d, certain) }, "D%d is elected for term %d, its lease is certainly held for %d ticks", d, s.store.term+1, certain)
+			}
+		}
+		return
+	}
+	for _, o := range []outcome{answered, answerLost} {
+		do(func(x *execution) { x.renewStoreLease(d, o == answered) }, "D%d renews the store lease%v", d, o)
+	}
+	if dm.phase == elected {
+		do(func(x *execution) { x.beginTerm(&x.d[d]) }, "D%d loads the jobs and begins term %d", d, dm.term)
+		return
+	}
+	for _, o := range []outcome{answered, answerLost} {
+		if dm.hasUnstored() {
+			do(func(x *execution) { x.write(d, o == answered) }, "D%d writes its progress%v", d, o)
+		}
+		if m.Bounds.Release {
+			do(func(x *execution) { x.release(d, o == answered) }, "D%d releases the lock%v", d, o)
+		}
+	}
+	if m.Bounds.Revoke && s.store.holder == int8(d+1) && s.store.term == dm.term {
+		do(func(x *execution) { x.store.holder, x.store.leaseLeft = 0, 0 }, "D%d revokes the lease of D%d", 1-d, d)
+	}
+	for t := range dm.tasks {
+		if s.store.tasks[t].submitted && !dm.tasks[t].known {
+			do(func(x *execution) {
+				x.d[d].tasks[t].known = true
+				x.checkHeld(&x.d[d])
+			}, "D%d learns of T%d", d, t)
+		}
+	}
+}
+
+// orderSteps are the orders of an owner to workers.
+func (m Model) orderSteps(s *state, d int, do stepFunc) {
+	dm := &s.d[d]
+	x := execution{state: *s, rules: m.Rules, bounds: m.Bounds}
+	outcomes := []outcome{answered, answerLost, late}
+	if x.inFlight() >= m.Bounds.Late {
+		outcomes = outcomes[:late]
+	}
+	for w := range s.w {
+		if !s.w[w].up {
+			continue
+		}
+		for _, o := range outcomes {
+			do(func(x *execution) { x.hold(d, w, o) }, "D%d (term %d) sends a hold to W%d%v", d, dm.term, w, o)
+		}
+		for t := range dm.tasks {
+			for _, o := range outcomes {
+				if x.mayStart(dm, t, w) {
+					do(func(x *execution) { x.start(d, t, w, o) }, "D%d (term %d) starts T%d on W%d%v", d, dm.term, t, w, o)
+				}
+			}
+			for _, o := range outcomes[:late] {
+				if r := dm.tasks[t].runs[w]; r.number != 0 && r.phase == stopping {
+					do(func(x *execution) { x.stop(d, t, w, o) }, "D%d (term %d) stops run %d of T%d on W%d%v", d, dm.term, r.number, t, w, o)
+				}
+			}
+		}
+	}
+}
+
+// workerSteps are what happens at a worker by itself.
+func (m Model) workerSteps(s *state, w int, do stepFunc) {
+	if !s.w[w].up {
+		do(func(x *execution) { x.w[w].up = true }, "W%d registers", w)
+	}
+	if s.w[w].listed == maxEnds {
+		return
+	}
+	for t, run := range s.w[w].runs {
+		if run == 0 {
+			continue
+		}
+		do(func(x *execution) { x.endRun(&x.w[w], t, done) }, "run %d of T%d ends done on W%d", run, t, w)
+		if m.Bounds.Failures {
+			do(func(x *execution) { x.endRun(&x.w[w], t, failed) }, "run %d of T%d ends failed on W%d", run, t, w)
+		}
+	}
+}
+
+var seed = maphash.MakeSeed()
+
+// key identifies a state, regardless of which of the workers and tasks is which.
+func (m Model) key(s *state) uint64 {
+	k := maphash.Comparable(seed, *s)
+	swapped := s.swapWorkers()
+	k = min(k, maphash.Comparable(seed, swapped))
+	if m.Bounds.Tasks < tasks {
+		return k
+	}
+	return min(k, maphash.Comparable(seed, s.swapTasks()), maphash.Comparable(seed, swapped.swapTasks()))
+}
+
+// Explore visits all states within the bounds, breadth first, until one breaks an invariant.
+func (m Model) Explore() Result {
+	start := m.initial()
+	parents := map[uint64]uint64{m.key(&start): 0}
+	res := Result{Complete: true}
+	for frontier := []state{start}; len(frontier) > 0; res.Depth++ {
+		var next []state
+		for i := range frontier {
+			from := m.key(&frontier[i])
+			m.successors(&frontier[i], func(x *execution, text func() string) bool {
+				if x.broken != "" {
+					res.Broken = x.broken
+					res.Trace = append(m.trace(start, path(parents, from)), text())
+					return false
+				}
+				k := m.key(&x.state)
+				if _, seen := parents[k]; !seen {
+					parents[k] = from
+					next = append(next, x.state)
+				}
+				return true
+			})
+			if res.States = len(parents); res.Broken != "" {
+				return res
+			}
+			if m.Bounds.MaxStates > 0 && res.States > m.Bounds.MaxStates {
+				res.Complete = false
+				return res
+			}
+		}
+		frontier = next
+	}
+	return res
+}
+
+// path returns the keys of the states that lead to the one with key k.
+func path(parents map[uint64]uint64, k uint64) []uint64 {
+	var out []uint64
+	for ; k != 0; k = parents[k] {
+		out = append([]uint64{k}, out...)
+	}
+	return out
+}
+
+// trace returns the steps through the states with the keys.
+func (m Model) trace(s state, keys []uint64) []string {
+	var out []string
+	for _, k := range keys[1:] {
+		m.successors(&s, func(x *execution, text func() string) bool {
+			if x.broken != "" || m.key(&x.state) != k {
+				return true
+			}
+			s = x.state
+			out = append(out, text())
+			return false
+		})
+	}
+	return out
+}
--- /dev/null
+++ b/internal/ownermodel/state.go
@@ -0,0 +1,227 @@
+// Package ownermodel is an executable model of how owners, workers and the store decide which
+// daemon may run a task, and explores it exhaustively within bounds. It models the protocol of
+// jobs/ledger, jobs/node and jobs/owner, not their code; docs/design/0018-ownership-model.md
+// says what is left out.
+package ownermodel
+
+// Sizes of the model, and of the lists that a state holds.
+const (
+	daemons = 2
+	workers = 2
+	tasks   = 2
+	maxEnds = 4 // unacknowledged run ends of a worker
+	maxLate = 2 // orders in flight
+)
+
+// Durations in ticks. All clocks advance by the same ticks. Times in a state are relative to the
+// present, so that equal situations at different times are one state.
+const (
+	storeLease = 2
+	taskLease  = 3
+)
+
+// Rules are the guards of the protocol. The explorer turns them off one by one.
+type Rules struct {
+	// Rules of an owner whose store lease may have ended.
+	HoldsBounded    bool // R1: no hold grants a lease beyond the store lease's certain end + taskLease
+	StartsBounded   bool // R1 and R3: neither does a start
+	GrantsInFull    bool // R1: a bounded lease is remembered as if it were not bounded
+	LapseNeedsStore bool // R2: the end of a worker lease proves nothing unless the store lease was held then
+	OnlyKnownTasks  bool // R3: only tasks that were known while the store lease was held are started
+	OnlyKnownWorker bool // R3: only on workers that answered while the store lease was held
+	NoStarts        bool // R3': no starts at all
+	AckOnlyStored   bool // R4: ends are acknowledged only once they are stored
+	LeavingIsOver   bool // nothing is certain once a release of the lock was sent
+	RevokedWait     bool // a new owner also waits for the store lease that it may have revoked
+
+	// Guards that were there before.
+	Fence          bool // workers refuse orders of older terms
+	TakeoverWait   bool // inherited tasks wait for all workers, or for the longest lease
+	LockCondition  bool // writes require the lock
+	RunsByTerm     bool // run numbers contain the term
+	StopUnanswered bool // a start that was not answered is stopped before its task starts elsewhere
+	RefuseOld      bool // workers refuse runs up to one that was stopped or has ended there
+	RefuseLate     bool // workers refuse starts whose lease has ended
+	StoppedByLease bool // workers kill their runs when their lease ends
+	LapsedEndsVoid bool // rule of the service: an end whose worker's lease lapsed before its ack does not count
+}
+
+// Bounds limit what happens in an exploration.
+type Bounds struct {
+	Terms      int  // elections, the first owner's included
+	Starts     int  // starts by each owner in a term
+	Tasks      int  // tasks submitted
+	Late       int  // orders in flight at a time
+	Attempts   int  // failed ends after which a task is not started again
+	Failures   bool // runs may fail
+	LateWorker bool // the second worker registers later
+	LateTasks  bool // tasks are submitted at any time, otherwise before the first term
+	Release    bool // an owner may release the lock
+	Revoke     bool // the lock may be revoked while its owner is alive
+	MaxStates  int  // states after which the exploration gives up, 0: no limit
+}
+
+// state is the state of the store, daemons, workers and orders in flight.
+type state struct {
+	store  store
+	d      [daemons]daemon
+	w      [workers]worker
+	late   [maxLate]order
+	judged [tasks]judgement
+}
+
+type store struct {
+	holder    int8 // daemon + 1 that holds the lock; 0: nobody
+	term      uint8
+	leaseLeft int8 // of the lock's lease
+	tasks     [tasks]record
+}
+
+// record is a task's progress, as stored.
+type record struct {
+	submitted bool
+	done      bool
+	failures  uint8 // set of run numbers, each below 8
+}
+
+// Phases of a daemon.
+const (
+	idle    = iota
+	elected // the jobs are not loaded yet
+	owning
+)
+
+type daemon struct {
+	phase     uint8
+	term      uint8
+	certain   int8  // ticks for which the store lease is certainly held, negative: since when it is not
+	age       uint8 // ticks since the term began, up to the longest wait
+	takenOver bool  // inherited tasks need not wait any more
+	starts    uint8 // in this term
+	workers   [workers]workerView
+	tasks     [tasks]taskView
+}
+
+// workerView is what an owner knows of a worker.
+type workerView struct {
+	answered  bool  // this owner
+	whileHeld bool  // and did so while the store lease was held
+	granted   int8  // ticks left of the longest lease granted, -1: none granted
+	seen      uint8 // ends at the head of the worker's list that were seen
+	stored    uint8 // those of them that are stored
+}
+
+// taskView is what an owner knows of a task.
+type taskView struct {
+	known     bool
+	whileHeld bool // was known while the store lease was held
+	inherited bool
+	done      bool
+	failures  uint8
+	runs      [workers]runView
+}
+
+// Phases of a run, as its owner sees it.
+const (
+	running   = iota
+	abandoned // its start was not answered
+	stopping
+	stopped // the worker has confirmed the stop, its end may not be listed yet
+)
+
+type runView struct {
+	number uint8 // 0: no run
+	phase  uint8
+}
+
+type worker struct {
+	up     bool
+	fence  uint8 // highest fencing token seen
+	lease  int8
+	runs   [tasks]uint8
+	ended  [tasks]uint8 // highest run that was stopped or has ended
+	ends   [maxEnds]end
+	listed uint8 // number of ends in the list
+}
+
+// Kinds of run ends. Runs that were stopped or whose lease has lapsed leave the list of active
+// runs, which tells an owner as much.
+const (
+	done = iota
+	failed
+)
+
+type end struct {
+	task     int8
+	run      uint8
+	kind     uint8
+	lapsed   bool // the worker's lease has lapsed since
+	followed bool // the task was started again since
+}
+
+// Kinds of orders that may be in flight.
+const (
+	noOrder = iota
+	startOrder
+	holdOrder
+)
+
+type order struct {
+	kind   uint8
+	worker int8
+	task   int8
+	fence  uint8
+	run    uint8
+	until  int8  // ticks left of the lease that it grants
+	ack    uint8 // ends at the head of the worker's list that it acknowledges
+}
+
+// judgement is what the rules of the service count of a task.
+type judgement struct {
+	done           bool  // a done end is taken note of
+	failures       uint8 // failed ends taken note of
+	failuresBefore uint8 // those of them that came before the last start
+}
+
+// swapWorkers returns the state with both workers exchanged.
+func (s state) swapWorkers() state {
+	s.w[0], s.w[1] = s.w[1], s.w[0]
+	for i := range s.d {
+		d := &s.d[i]
+		d.workers[0], d.workers[1] = d.workers[1], d.workers[0]
+		for t := range d.tasks {
+			r := &d.tasks[t].runs
+			r[0], r[1] = r[1], r[0]
+		}
+	}
+	for i := range s.late {
+		if o := &s.late[i]; o.kind != noOrder {
+			o.worker = 1 - o.worker
+		}
+	}
+	return s
+}
+
+// swapTasks returns the state with both tasks exchanged.
+func (s state) swapTasks() state {
+	s.judged[0], s.judged[1] = s.judged[1], s.judged[0]
+	s.store.tasks[0], s.store.tasks[1] = s.store.tasks[1], s.store.tasks[0]
+	for i := range s.d {
+		t := &s.d[i].tasks
+		t[0], t[1] = t[1], t[0]
+	}
+	for i := range s.w {
+		w := &s.w[i]
+		w.runs[0], w.runs[1] = w.runs[1], w.runs[0]
+		w.ended[0], w.ended[1] = w.ended[1], w.ended[0]
+		for e := range w.listed {
+			w.ends[e].task = 1 - w.ends[e].task
+		}
+	}
+	for i := range s.late {
+		if o := &s.late[i]; o.kind == startOrder {
+			o.task = 1 - o.task
+		}
+	}
+	return s
+}
