--- a/internal/ownermodel/daemon.go
+++ b/internal/ownermodel/daemon.go
@@ -43,6 +43,7 @@
 	default:
 		dm.certain = storeLease
 		x.checkHeld(dm)
+		x.checkTakeover(dm)
 	}
 }
 
@@ -80,7 +81,7 @@
 	for w := range x.w {
 		all = all && (!x.w[w].up || dm.workers[w].answered)
 	}
-	if dm.phase == owning && (dm.term == 1 || all || dm.age >= x.longestWait()) {
+	if dm.phase == owning && (dm.term == 1 || all || dm.age >= x.longestWait() && (dm.certain >= 0 || !x.rules.WaitNeedsStore)) {
 		dm.takenOver = true
 	}
 }
--- a/internal/ownermodel/model_test.go
+++ b/internal/ownermodel/model_test.go
@@ -11,7 +11,7 @@
 
 func mended() Rules {
 	r := today
-	r.HoldsBounded, r.StartsBounded, r.GrantsInFull, r.LapseNeedsStore, r.OnlyKnownTasks, r.OnlyKnownWorker = true, true, true, true, true, true
+	r.HoldsBounded, r.StartsBounded, r.GrantsInFull, r.LapseNeedsStore, r.OnlyKnownTasks, r.OnlyKnownWorker, r.WaitNeedsStore, r.LeavingIsOver = true, true, true, true, true, true, true, true
 	return r
 }
 
@@ -40,7 +40,7 @@
 func TestX(t *testing.T) {
 	for n, b := range scopes {
 		t.Run(n, func(t *testing.T) {
-			b.MaxStates = 6e6
+			b.MaxStates = 12e6
 			show(t, n, Model{mended(), b})
 		})
 	}
--- a/internal/ownermodel/state.go
+++ b/internal/ownermodel/state.go
@@ -27,6 +27,7 @@
 	StartsBounded   bool // R1 and R3: neither does a start
 	GrantsInFull    bool // R1: a bounded lease is remembered as if it were not bounded
 	LapseNeedsStore bool // R2: the end of a worker lease proves nothing unless the store lease was held then
+	WaitNeedsStore  bool // R2: the longest lease since the election proves nothing unless the store lease was held then
 	OnlyKnownTasks  bool // R3: only tasks that were known while the store lease was held are started
 	OnlyKnownWorker bool // R3: only on workers that answered while the store lease was held
 	NoStarts        bool // R3': no starts at all
