--- a/internal/ownermodel/daemon.go
+++ b/internal/ownermodel/daemon.go
@@ -4,10 +4,11 @@
 
 // acquireLock writes the lock for a new term. certain is how long the daemon knows its lease to be
 // held; the lease may last longer, as renewals may have been carried out but not answered.
-func (x *execution) acquireLock(d, certain int) {
+func (x *execution) acquireLock(d int, certain int8) {
 	x.store.term++
-	x.store.holder, x.store.leaseLeft = int8(d+1), storeLease
-	x.d[d] = daemon{phase: elected, term: x.store.term, certain: int8(certain)}
+	x.store.holder, x.store.leaseLeft = int8(d+1), x.bounds.StoreLease
+	x.d[d] = daemon{phase: elected, term: x.store.term, certain: certain, waitsLong: x.store.revoked}
+	x.store.revoked = false
 }
 
 // beginTerm loads the jobs.
@@ -19,7 +20,7 @@
 	for w := range dm.workers {
 		dm.workers[w].granted = -1
 	}
-	x.checkTakeover(dm)
+	x.checkTakeover(dm, false)
 }
 
 // depose ends the daemon's term.
@@ -34,27 +35,36 @@
 func (x *execution) renewStoreLease(d int, answered bool) {
 	dm := &x.d[d]
 	if x.holdsLock(d) {
-		x.store.leaseLeft = storeLease
+		x.store.leaseLeft = x.bounds.StoreLease
 	}
 	switch {
 	case !answered:
 	case !x.holdsLock(d):
 		x.depose(dm)
 	default:
-		dm.certain = storeLease
-		x.checkHeld(dm)
-		x.checkTakeover(dm)
+		if !dm.leaving || !x.rules.ReleaseIsFinal {
+			dm.certain = x.bounds.StoreLease
+		}
+		x.checkHeld(dm, true)
+		x.checkTakeover(dm, true)
 	}
 }
 
+// wasHeld reports whether the store lease was certainly held until now. renewed tells that a
+// renewal was just answered.
+func (x *execution) wasHeld(dm *daemon, renewed bool) bool {
+	return dm.certain >= 0 && (renewed || !x.rules.RenewalProves)
+}
+
 // checkHeld applies what is known because the store lease was held until now.
-func (x *execution) checkHeld(dm *daemon) {
+func (x *execution) checkHeld(dm *daemon, renewed bool) {
 	for w := range dm.workers {
 		v := &dm.workers[w]
 		if dm.certain > 0 {
 			v.whileHeld = v.answered
 		}
-		if v.granted == 0 && (dm.certain >= 0 || !x.rules.LapseNeedsStore) {
+		lapsed := v.granted == 0 || v.granted < 0 && v.answered && !x.rules.LapseNeedsGrant
+		if lapsed && (x.wasHeld(dm, renewed) || !x.rules.LapseNeedsStore) {
 			for t := range dm.tasks {
 				dm.tasks[t].runs[w] = runView{}
 			}
@@ -68,20 +78,21 @@
 }
 
 // longestWait is how long inherited tasks wait for workers that do not answer.
-func (x *execution) longestWait() uint8 {
-	if x.rules.RevokedWait {
-		return storeLease + taskLease
+func (x *execution) longestWait(dm *daemon) int8 {
+	if x.rules.RevokedWait && dm.waitsLong {
+		return x.bounds.StoreLease + x.bounds.TaskLease
 	}
-	return taskLease
+	return x.bounds.TaskLease
 }
 
 // checkTakeover decides whether inherited tasks have waited long enough.
-func (x *execution) checkTakeover(dm *daemon) {
+func (x *execution) checkTakeover(dm *daemon, renewed bool) {
 	all := true
 	for w := range x.w {
 		all = all && (!x.w[w].up || dm.workers[w].answered)
 	}
-	if dm.phase == owning && (dm.term == 1 || all || dm.age >= x.longestWait() && (dm.certain >= 0 || !x.rules.WaitNeedsStore)) {
+	waited := dm.age >= x.longestWait(dm) && (x.wasHeld(dm, renewed) || !x.rules.WaitNeedsStore)
+	if dm.phase == owning && (dm.term == 1 || all || waited) {
 		dm.takenOver = true
 	}
 }
@@ -91,12 +102,12 @@
 	if !v.answered {
 		return 0 // its clock is not known
 	}
-	until := int8(taskLease)
+	until := x.bounds.TaskLease
 	if bounded {
-		until = max(0, min(until, dm.certain+taskLease))
+		until = max(0, min(until, dm.certain+x.bounds.TaskLease))
 	}
 	if until > 0 && x.rules.GrantsInFull {
-		v.granted = taskLease
+		v.granted = x.bounds.TaskLease
 	} else if until > 0 {
 		v.granted = max(v.granted, until)
 	}
@@ -124,8 +135,8 @@
 		v.answered = true
 		x.applyEnds(dm, w)
 		x.reconcile(dm, w)
-		x.checkHeld(dm)
-		x.checkTakeover(dm)
+		x.checkHeld(dm, false)
+		x.checkTakeover(dm, false)
 	}
 }
 
@@ -200,15 +211,16 @@
 	if !task.known || task.done || bits.OnesCount8(task.failures) >= x.bounds.Attempts || task.runs != [workers]runView{} {
 		return false
 	}
-	if task.inherited && !dm.takenOver && x.rules.TakeoverWait {
+	waits := task.inherited || dm.waitsLong && x.rules.RevokedWaitForAll
+	if waits && !dm.takenOver && x.rules.TakeoverWait {
 		return false
 	}
 	if dm.certain <= 0 {
-		if x.rules.NoStarts || x.rules.OnlyKnownTasks && !task.whileHeld || x.rules.OnlyKnownWorker && !v.whileHeld {
+		if x.rules.OnlyKnownTasks && !task.whileHeld || x.rules.OnlyKnownWorker && !v.whileHeld {
 			return false
 		}
 	}
-	return !x.rules.StartsBounded || dm.certain+taskLease > 0
+	return !x.rules.StartsBounded || dm.certain+x.bounds.TaskLease > 0
 }
 
 // start sends a start order.
@@ -279,20 +291,40 @@
 	return false
 }
 
-// release deletes the lock. Without an answer the owner goes on until it learns of it.
-func (x *execution) release(d int, answered bool) {
+// sendRelease releases the lock. Without an answer the owner goes on until it learns of it.
+func (x *execution) sendRelease(d int, o outcome) {
 	dm := &x.d[d]
-	if x.holdsLock(d) {
-		x.store.holder, x.store.leaseLeft = 0, 0
+	if o == late {
+		x.release = dm.term
+	} else {
+		x.endLease(dm.term)
 	}
-	switch {
-	case answered:
+	if o == answered {
 		x.depose(dm)
-	case x.rules.LeavingIsOver:
+		return
+	}
+	dm.leaving = true
+	if x.rules.ReleaseEndsCertainty {
 		dm.certain = min(dm.certain, 0)
 	}
 }
 
+// endLease ends the lease of the lock if it is still that of the term.
+func (x *execution) endLease(term uint8) {
+	if x.store.term == term {
+		x.store.holder, x.store.leaseLeft = 0, 0
+	}
+}
+
+// revoke ends the lease of the lock of an owner.
+func (x *execution) revoke(d int) {
+	x.endLease(x.d[d].term)
+	x.store.revoked = true
+	if x.bounds.Absent {
+		x.depose(&x.d[d])
+	}
+}
+
 // delay puts an order in flight.
 func (x *execution) delay(o order) {
 	for i := range x.late {
@@ -335,17 +367,17 @@
 		if dm.phase == idle {
 			continue
 		}
-		dm.certain = max(-taskLease, dm.certain-1)
+		dm.certain = max(-x.bounds.TaskLease, dm.certain-1)
 		if dm.phase != owning {
 			continue
 		}
-		dm.age = min(dm.age+1, x.longestWait())
+		dm.age = min(dm.age+1, x.longestWait(dm))
 		for w := range dm.workers {
 			if dm.workers[w].granted > 0 {
 				dm.workers[w].granted--
 			}
 		}
-		x.checkHeld(dm)
-		x.checkTakeover(dm)
+		x.checkHeld(dm, false)
+		x.checkTakeover(dm, false)
 	}
 }
--- a/internal/ownermodel/explore.go
+++ b/internal/ownermodel/explore.go
@@ -11,11 +11,11 @@
 const (
 	answered outcome = iota
 	answerLost
-	late // the order is in flight, and is carried out at any later time or never
+	late // the message is in flight, and is carried out at any later time or never
 )
 
 func (o outcome) String() string {
-	return [...]string{"", ", the answer is lost", ", the order is held up"}[o]
+	return [...]string{"", ", the answer is lost", ", which is held up"}[o]
 }
 
 // execution applies one step to a state.
@@ -48,7 +48,7 @@
 	for t := range m.Bounds.Tasks {
 		x.store.tasks[t].submitted = !m.Bounds.LateTasks
 	}
-	x.acquireLock(0, storeLease)
+	x.acquireLock(0, m.Bounds.StoreLease)
 	x.beginTerm(&x.d[0])
 	for w := range x.w {
 		if x.w[w].up {
@@ -90,6 +90,9 @@
 			do(func(x *execution) { x.store.tasks[t].submitted = true }, "T%d is submitted", t)
 		}
 	}
+	if s.release != 0 {
+		do(func(x *execution) { x.endLease(s.release); x.release = 0 }, "the store carries out the held-up release of term %d", s.release)
+	}
 	for i, o := range s.late {
 		if o.kind != noOrder {
 			do(func(x *execution) { x.late[i] = order{}; x.deliver(o) }, "W%d carries out the held-up %s", o.worker, o)
@@ -111,36 +114,38 @@
 	dm := &s.d[d]
 	if dm.phase == idle {
 		if s.store.holder == 0 && int(s.store.term) < m.Bounds.Terms {
-			for certain := range storeLease + 1 {
-				do(func(x *execution) { x.acquireLock(d, certain) }, "D%d is elected for term %d, its lease is certainly held for %d ticks", d, s.store.term+1, certain)
+			for certain := range m.Bounds.StoreLease + 1 {
+				do(func(x *execution) { x.acquireLock(d, certain) }, "a daemon is elected for term %d, its lease is certainly held for %d ticks", s.store.term+1, certain)
 			}
 		}
 		return
 	}
 	for _, o := range []outcome{answered, answerLost} {
-		do(func(x *execution) { x.renewStoreLease(d, o == answered) }, "D%d renews the store lease%v", d, o)
+		do(func(x *execution) { x.renewStoreLease(d, o == answered) }, "owner %d renews the store lease%v", dm.term, o)
 	}
 	if dm.phase == elected {
-		do(func(x *execution) { x.beginTerm(&x.d[d]) }, "D%d loads the jobs and begins term %d", d, dm.term)
+		do(func(x *execution) { x.beginTerm(&x.d[d]) }, "owner %d loads the jobs", dm.term)
 		return
 	}
 	for _, o := range []outcome{answered, answerLost} {
 		if dm.hasUnstored() {
-			do(func(x *execution) { x.write(d, o == answered) }, "D%d writes its progress%v", d, o)
+			do(func(x *execution) { x.write(d, o == answered) }, "owner %d writes its progress%v", dm.term, o)
 		}
-		if m.Bounds.Release {
-			do(func(x *execution) { x.release(d, o == answered) }, "D%d releases the lock%v", d, o)
+	}
+	for _, o := range []outcome{answered, answerLost, late} {
+		if m.Bounds.Release && !dm.leaving {
+			do(func(x *execution) { x.sendRelease(d, o) }, "owner %d releases the lock%v", dm.term, o)
 		}
 	}
 	if m.Bounds.Revoke && s.store.holder == int8(d+1) && s.store.term == dm.term {
-		do(func(x *execution) { x.store.holder, x.store.leaseLeft = 0, 0 }, "D%d revokes the lease of D%d", 1-d, d)
+		do(func(x *execution) { x.revoke(d) }, "another daemon revokes the lease of owner %d", dm.term)
 	}
 	for t := range dm.tasks {
 		if s.store.tasks[t].submitted && !dm.tasks[t].known {
 			do(func(x *execution) {
 				x.d[d].tasks[t].known = true
-				x.checkHeld(&x.d[d])
-			}, "D%d learns of T%d", d, t)
+				x.checkHeld(&x.d[d], false)
+			}, "owner %d learns of T%d", dm.term, t)
 		}
 	}
 }
@@ -158,17 +163,17 @@
 			continue
 		}
 		for _, o := range outcomes {
-			do(func(x *execution) { x.hold(d, w, o) }, "D%d (term %d) sends a hold to W%d%v", d, dm.term, w, o)
+			do(func(x *execution) { x.hold(d, w, o) }, "owner %d sends a hold to W%d%v", dm.term, w, o)
 		}
 		for t := range dm.tasks {
 			for _, o := range outcomes {
 				if x.mayStart(dm, t, w) {
-					do(func(x *execution) { x.start(d, t, w, o) }, "D%d (term %d) starts T%d on W%d%v", d, dm.term, t, w, o)
+					do(func(x *execution) { x.start(d, t, w, o) }, "owner %d starts T%d on W%d%v", dm.term, t, w, o)
 				}
 			}
 			for _, o := range outcomes[:late] {
 				if r := dm.tasks[t].runs[w]; r.number != 0 && r.phase == stopping {
-					do(func(x *execution) { x.stop(d, t, w, o) }, "D%d (term %d) stops run %d of T%d on W%d%v", d, dm.term, r.number, t, w, o)
+					do(func(x *execution) { x.stop(d, t, w, o) }, "owner %d stops run %d of T%d on W%d%v", dm.term, r.number, t, w, o)
 				}
 			}
 		}
--- a/internal/ownermodel/normalise.go
+++ b/internal/ownermodel/normalise.go
@@ -5,11 +5,17 @@
 	for i := range x.w {
 		w := &x.w[i]
 		for e := range w.listed {
-			w.ends[e].followed = w.ends[e].followed && (!w.ends[e].lapsed || !x.rules.LapsedEndsVoid)
+			w.ends[e].followed = w.ends[e].followed && !w.ends[e].lapsed
 		}
 	}
 	if int(x.store.term) == x.bounds.Terms && x.store.holder != 0 {
-		x.store.leaseLeft = storeLease // no other daemon is elected
+		x.store.leaseLeft = x.bounds.StoreLease // no other daemon is elected
+	}
+	if x.d[0].term < x.d[1].term {
+		x.d[0], x.d[1] = x.d[1], x.d[0]
+		if x.store.holder != 0 {
+			x.store.holder = daemons + 1 - x.store.holder
+		}
 	}
 	for i := range x.d {
 		x.normaliseDaemon(&x.d[i])
--- a/internal/ownermodel/state.go
+++ b/internal/ownermodel/state.go
@@ -13,13 +13,6 @@
 	maxLate = 2 // orders in flight
 )
 
-// Durations in ticks. All clocks advance by the same ticks. Times in a state are relative to the
-// present, so that equal situations at different times are one state.
-const (
-	storeLease = 2
-	taskLease  = 3
-)
-
 // Rules are the guards of the protocol. The explorer turns them off one by one.
 type Rules struct {
 	// Rules of an owner whose store lease may have ended.
@@ -30,25 +23,31 @@
 	WaitNeedsStore  bool // R2: the longest lease since the election proves nothing unless the store lease was held then
 	OnlyKnownTasks  bool // R3: only tasks that were known while the store lease was held are started
 	OnlyKnownWorker bool // R3: only on workers that answered while the store lease was held
-	NoStarts        bool // R3': no starts at all
 	AckOnlyStored   bool // R4: ends are acknowledged only once they are stored
-	LeavingIsOver   bool // nothing is certain once a release of the lock was sent
-	RevokedWait     bool // a new owner also waits for the store lease that it may have revoked
+
+	// Rules for a lock that is given up or taken away before its lease ends.
+	ReleaseEndsCertainty bool // the store lease is not certainly held once a release of it was sent
+	ReleaseIsFinal       bool // nor does a later renewal change that
+	RevokedWait          bool // the owner after a revoked term waits a store lease longer
+	RevokedWaitForAll    bool // so do tasks that were submitted after its election
+	RenewalProves        bool // R2 with revocations: the store lease was held then, as a renewal was answered that was sent later
 
 	// Guards that were there before.
-	Fence          bool // workers refuse orders of older terms
-	TakeoverWait   bool // inherited tasks wait for all workers, or for the longest lease
-	LockCondition  bool // writes require the lock
-	RunsByTerm     bool // run numbers contain the term
-	StopUnanswered bool // a start that was not answered is stopped before its task starts elsewhere
-	RefuseOld      bool // workers refuse runs up to one that was stopped or has ended there
-	RefuseLate     bool // workers refuse starts whose lease has ended
-	StoppedByLease bool // workers kill their runs when their lease ends
-	LapsedEndsVoid bool // rule of the service: an end whose worker's lease lapsed before its ack does not count
+	Fence           bool // workers refuse orders of older terms
+	TakeoverWait    bool // inherited tasks wait for all workers, or for the longest lease
+	LockCondition   bool // writes require the lock
+	RunsByTerm      bool // run numbers contain the term
+	StopUnanswered  bool // a start that was not answered is stopped before its task starts elsewhere
+	LapseNeedsGrant bool // the lease of a worker to which nothing was granted has not ended
+	RefuseOld       bool // workers refuse runs up to one that was stopped or has ended there
+	RefuseLate      bool // workers refuse starts whose lease has ended
+	StoppedByLease  bool // workers kill their runs when their lease ends
 }
 
 // Bounds limit what happens in an exploration.
 type Bounds struct {
+	StoreLease int8 // ticks; all clocks advance by the same ticks
+	TaskLease  int8 // ticks
 	Terms      int  // elections, the first owner's included
 	Starts     int  // starts by each owner in a term
 	Tasks      int  // tasks submitted
@@ -57,24 +56,29 @@
 	Failures   bool // runs may fail
 	LateWorker bool // the second worker registers later
 	LateTasks  bool // tasks are submitted at any time, otherwise before the first term
-	Release    bool // an owner may release the lock
+	Release    bool // an owner may release the lock; the release may be late
 	Revoke     bool // the lock may be revoked while its owner is alive
+	Absent     bool // a revoked owner has ended, as the daemon that revokes it supposes
 	MaxStates  int  // states after which the exploration gives up, 0: no limit
 }
 
-// state is the state of the store, daemons, workers and orders in flight.
+// state is the state of the store, daemons, workers and messages in flight. Times are relative to
+// the present, so that equal situations at different times are one state. The daemon with the
+// newer term is the first.
 type state struct {
-	store  store
-	d      [daemons]daemon
-	w      [workers]worker
-	late   [maxLate]order
-	judged [tasks]judgement
+	store   store
+	d       [daemons]daemon
+	w       [workers]worker
+	late    [maxLate]order
+	release uint8 // term whose release is in flight, 0: none
+	judged  [tasks]judgement
 }
 
 type store struct {
 	holder    int8 // daemon + 1 that holds the lock; 0: nobody
 	term      uint8
 	leaseLeft int8 // of the lock's lease
+	revoked   bool // a revocation of the term is recorded
 	tasks     [tasks]record
 }
 
@@ -96,7 +100,9 @@
 	phase     uint8
 	term      uint8
 	certain   int8  // ticks for which the store lease is certainly held, negative: since when it is not
-	age       uint8 // ticks since the term began, up to the longest wait
+	leaving   bool  // has sent a release of the lock
+	waitsLong bool  // follows a revoked term
+	age       int8  // ticks since the term began, up to the longest wait
 	takenOver bool  // inherited tasks need not wait any more
 	starts    uint8 // in this term
 	workers   [workers]workerView
--- a/internal/ownermodel/worker.go
+++ b/internal/ownermodel/worker.go
@@ -12,13 +12,9 @@
 // deliver carries out an order at its worker, and returns the answer.
 func (x *execution) deliver(o order) int {
 	w := &x.w[o.worker]
-	if o.fence < w.fence {
-		if x.rules.Fence {
-			return fenced
-		}
-		x.fail("worker W%d carries out an order of term %d after one of term %d", o.worker, o.fence, w.fence)
+	if !x.admit(w, o.fence) {
+		return fenced
 	}
-	w.fence = max(w.fence, o.fence)
 	w.lease = max(w.lease, o.until)
 	if o.kind == holdOrder {
 		x.forgetEnds(o.worker, o.ack)
@@ -35,12 +31,23 @@
 	return accepted
 }
 
+// admit checks an order's fencing token.
+func (x *execution) admit(w *worker, fence uint8) bool {
+	if fence < w.fence {
+		if x.rules.Fence {
+			return false
+		}
+		x.fail("a worker carries out an order of term %d after one of term %d", fence, w.fence)
+	}
+	w.fence = max(w.fence, fence)
+	return true
+}
+
 // stopRun stops a run, or prevents its start if it is not there yet.
 func (x *execution) stopRun(w *worker, t int, run, fence uint8) int {
-	if fence < w.fence && x.rules.Fence {
+	if !x.admit(w, fence) {
 		return fenced
 	}
-	w.fence = max(w.fence, fence)
 	w.ended[t] = max(w.ended[t], run)
 	if w.runs[t] == run {
 		w.runs[t] = 0
@@ -118,7 +125,7 @@
 func (x *execution) judgeNoted(e end) {
 	j := &x.judged[e.task]
 	switch {
-	case e.lapsed && x.rules.LapsedEndsVoid:
+	case e.lapsed:
 	case e.kind == done:
 		j.done = true
 		if e.followed {
