--- a/internal/ownermodel/normalise.go
+++ b/internal/ownermodel/normalise.go
@@ -17,9 +17,39 @@
 			x.store.holder = daemons + 1 - x.store.holder
 		}
 	}
+	if x.release != 0 && (x.release != x.store.term || x.store.holder == 0) {
+		x.release = 0 // has no effect any more
+	}
 	for i := range x.d {
+		x.d[i].leaving = x.d[i].leaving && x.holdsLock(i)
 		x.normaliseDaemon(&x.d[i])
 	}
+	if x.rules.Fence {
+		x.dropFenced()
+	}
+}
+
+// dropFenced removes what every worker that it concerns would refuse because of its term.
+func (x *execution) dropFenced() {
+	for i := range x.late {
+		if o := x.late[i]; o.kind != noOrder && o.fence < x.w[o.worker].fence {
+			x.late[i] = order{}
+		}
+	}
+	for i := range x.d {
+		gone := x.rules.LockCondition && !x.holdsLock(i) && x.d[i].phase == owning
+		for w := range x.w {
+			gone = gone && x.w[w].fence > x.d[i].term
+		}
+		if gone {
+			x.depose(&x.d[i])
+		}
+	}
+	if x.bounds.Late == 0 && x.rules.RunsByTerm {
+		for w := range x.w {
+			x.w[w].ended = [tasks]uint8{} // no order that passes the fence has a run number up to these
+		}
+	}
 }
 
 func (x *execution) normaliseDaemon(dm *daemon) {
--- a/internal/ownermodel/state.go
+++ b/internal/ownermodel/state.go
@@ -13,26 +13,25 @@
 	maxLate = 2 // orders in flight
 )
 
-// Rules are the guards of the protocol. The explorer turns them off one by one.
+// Rules are the guards of the protocol. The zero value has none of them.
 type Rules struct {
-	// Rules of an owner whose store lease may have ended.
-	HoldsBounded    bool // R1: no hold grants a lease beyond the store lease's certain end + taskLease
+	// R1 to R4 of docs/design/0017, for an owner whose store lease may have ended.
+	HoldsBounded    bool // R1: no hold grants a lease beyond the store lease's certain end + TaskLease
 	StartsBounded   bool // R1 and R3: neither does a start
 	GrantsInFull    bool // R1: a bounded lease is remembered as if it were not bounded
 	LapseNeedsStore bool // R2: the end of a worker lease proves nothing unless the store lease was held then
-	WaitNeedsStore  bool // R2: the longest lease since the election proves nothing unless the store lease was held then
+	WaitNeedsStore  bool // R2: neither does the end of the wait for the leases of earlier owners
 	OnlyKnownTasks  bool // R3: only tasks that were known while the store lease was held are started
 	OnlyKnownWorker bool // R3: only on workers that answered while the store lease was held
 	AckOnlyStored   bool // R4: ends are acknowledged only once they are stored
 
-	// Rules for a lock that is given up or taken away before its lease ends.
+	// Rules for a lock that is released or revoked before its lease has ended.
 	ReleaseEndsCertainty bool // the store lease is not certainly held once a release of it was sent
-	ReleaseIsFinal       bool // nor does a later renewal change that
+	ReleaseIsFinal       bool // a later renewal does not change that
 	RevokedWait          bool // the owner after a revoked term waits a store lease longer
-	RevokedWaitForAll    bool // so do tasks that were submitted after its election
-	RenewalProves        bool // R2 with revocations: the store lease was held then, as a renewal was answered that was sent later
+	RenewalProves        bool // R2: that the store lease was held is proven by a renewal sent later, not by the clock
 
-	// Guards that were there before.
+	// Guards of the protocol from before R1 to R4.
 	Fence           bool // workers refuse orders of older terms
 	TakeoverWait    bool // inherited tasks wait for all workers, or for the longest lease
 	LockCondition   bool // writes require the lock
@@ -41,25 +40,27 @@
 	LapseNeedsGrant bool // the lease of a worker to which nothing was granted has not ended
 	RefuseOld       bool // workers refuse runs up to one that was stopped or has ended there
 	RefuseLate      bool // workers refuse starts whose lease has ended
-	StoppedByLease  bool // workers kill their runs when their lease ends
+	StoppedByLease  bool // workers stop their runs when their lease ends
 }
 
-// Bounds limit what happens in an exploration.
+// Bounds limit what happens in an exploration. Times are in ticks, by which all clocks advance.
 type Bounds struct {
-	StoreLease int8 // ticks; all clocks advance by the same ticks
-	TaskLease  int8 // ticks
-	Terms      int  // elections, the first owner's included
-	Starts     int  // starts by each owner in a term
-	Tasks      int  // tasks submitted
-	Late       int  // orders in flight at a time
-	Attempts   int  // failed ends after which a task is not started again
-	Failures   bool // runs may fail
-	LateWorker bool // the second worker registers later
-	LateTasks  bool // tasks are submitted at any time, otherwise before the first term
-	Release    bool // an owner may release the lock; the release may be late
-	Revoke     bool // the lock may be revoked while its owner is alive
-	Absent     bool // a revoked owner has ended, as the daemon that revokes it supposes
-	MaxStates  int  // states after which the exploration gives up, 0: no limit
+	StoreLease    int8
+	TaskLease     int8
+	Terms         int  // elections, the first owner's included
+	Starts        int  // starts by each owner in a term
+	Tasks         int  // tasks submitted
+	Late          int  // orders in flight at a time
+	Attempts      int  // failed ends after which a task is not started again
+	Failures      bool // runs may fail
+	LateElections bool // the lock may be written after the certain end of its lease
+	LateWorker    bool // the second worker registers later
+	LateTasks     bool // tasks are submitted at any time, otherwise before the first term
+	Release       bool // an owner may release the lock; the release may be late
+	Revoke        bool // the lock may be revoked while its owner is alive
+	Absent        bool // assumption: a revoked owner has ended
+	Isolated      bool // assumption: a revoked owner learns of no further task
+	MaxStates     int  // states after which the exploration gives up, 0: no limit
 }
 
 // state is the state of the store, daemons, workers and messages in flight. Times are relative to
@@ -77,8 +78,8 @@
 type store struct {
 	holder    int8 // daemon + 1 that holds the lock; 0: nobody
 	term      uint8
-	leaseLeft int8 // of the lock's lease
-	revoked   bool // a revocation of the term is recorded
+	leaseLeft int8  // of the lock's lease
+	revoked   uint8 // latest term of which a revocation is recorded
 	tasks     [tasks]record
 }
 
