--- a/internal/ownermodel/daemon.go
+++ b/internal/ownermodel/daemon.go
@@ -7,7 +7,7 @@
 func (x *execution) acquireLock(d int, certain int8) {
 	x.store.term++
 	x.store.holder, x.store.leaseLeft = int8(d+1), x.bounds.StoreLease
-	x.d[d] = daemon{phase: elected, term: x.store.term, certain: certain, waitsLong: x.store.revoked == x.store.term-1 && x.store.revoked > 0}
+	x.d[d] = daemon{phase: elected, term: x.store.term, certain: certain, waitsLong: x.store.revoked&(1<<(x.store.term-1)) != 0}
 }
 
 // beginTerm loads the jobs.
@@ -317,7 +317,7 @@
 // revoke ends the lease of the lock of an owner.
 func (x *execution) revoke(d int) {
 	x.endLease(x.d[d].term)
-	x.store.revoked = x.d[d].term
+	x.store.revoked |= 1 << x.d[d].term
 	if x.bounds.Absent {
 		x.depose(&x.d[d])
 	}
--- a/internal/ownermodel/explore.go
+++ b/internal/ownermodel/explore.go
@@ -149,7 +149,7 @@
 		do(func(x *execution) { x.revoke(d) }, "another daemon revokes the lease of owner %d", dm.term)
 	}
 	for t := range dm.tasks {
-		isolated := m.Bounds.Isolated && s.store.revoked == dm.term
+		isolated := m.Bounds.Isolated && s.store.revoked&(1<<dm.term) != 0
 		if s.store.tasks[t].submitted && !dm.tasks[t].known && !isolated {
 			do(func(x *execution) {
 				x.d[d].tasks[t].known = true
@@ -201,8 +201,10 @@
 		if run == 0 {
 			continue
 		}
-		do(func(x *execution) { x.endRun(&x.w[w], t, done) }, "run %d of T%d ends done on W%d", run, t, w)
-		if m.Bounds.Failures {
+		if !m.Bounds.OnlyFailures {
+			do(func(x *execution) { x.endRun(&x.w[w], t, done) }, "run %d of T%d ends done on W%d", run, t, w)
+		}
+		if m.Bounds.Failures || m.Bounds.OnlyFailures {
 			do(func(x *execution) { x.endRun(&x.w[w], t, failed) }, "run %d of T%d ends failed on W%d", run, t, w)
 		}
 	}
--- a/internal/ownermodel/state.go
+++ b/internal/ownermodel/state.go
@@ -52,6 +52,7 @@
 	Tasks         int  // tasks submitted
 	Late          int  // orders in flight at a time
 	Attempts      int  // failed ends after which a task is not started again
+	OnlyFailures  bool // all runs fail that are not stopped
 	Failures      bool // runs may fail
 	LateElections bool // the lock may be written after the certain end of its lease
 	LateWorker    bool // the second worker registers later
@@ -79,7 +80,7 @@
 	holder    int8 // daemon + 1 that holds the lock; 0: nobody
 	term      uint8
 	leaseLeft int8  // of the lock's lease
-	revoked   uint8 // latest term of which a revocation is recorded
+	revoked   uint8 // set of terms of which a revocation is recorded
 	tasks     [tasks]record
 }
 
