--- a/internal/importrule/rule_test.go
+++ b/internal/importrule/rule_test.go
@@ -36,6 +36,8 @@
 	"requests/slots":       {"requests/fleet", "requests/rendezvous"},
 	"requests/directory":   {"requests/fleet", "requests/route"},
 
+	"internal/ownermodel": {},
+
 	"jobs/apikey":     {},
 	"jobs/job":        {"jobs/apikey"},
 	"jobs/quota":      {"jobs/job"},
--- a/internal/ownermodel/model_test.go
+++ b/internal/ownermodel/model_test.go
@@ -29,6 +29,13 @@
 	return r
 }
 
+// withoutGrantsInFull are all rules but one that is needed only for elections after the certain end.
+func withoutGrantsInFull() Rules {
+	r := all()
+	r.GrantsInFull = false
+	return r
+}
+
 // withRevocations are all rules.
 func withRevocations() Rules {
 	r := all()
@@ -118,6 +125,7 @@
 		{"tasks and workers that join", all(), joining, false},
 		{"failed runs", all(), failures, false},
 		{"releases", all(), releases, false},
+		{"grants not in full, elections before the certain end", withoutGrantsInFull(), twoStarts, true},
 		{"three terms", all(), threeTerms, true},
 		{"late orders, two starts a term", all(), lateStarts, true},
 		{"two attempts", all(), func(b *Bounds) { b.Failures, b.Attempts, b.Starts = true, 2, 2 }, true},
--- a/internal/ownermodel/revocation_test.go
+++ b/internal/ownermodel/revocation_test.go
@@ -26,6 +26,7 @@
 		{"the revoked owner learns of tasks", func(*Rules) {}, revoked, twice, false},
 		{"all rules", func(*Rules) {}, isolated, "", false},
 		{"all rules, two starts a term", func(*Rules) {}, twoStarts, "", true},
+		{"all rules, three terms", func(*Rules) {}, threeTerms, "", true},
 		{"only the next owner waits", func(r *Rules) { r.RevokedWaitStays = false }, threeTerms, twice, true},
 	} {
 		if s.large && !*large {
