Model of ownership: one order in flight, answers handled in one place

Cause: two slots for held-up orders of which the bounds used one; the same three cases after each order. Change: late is one order; receive handles answers.

--- a/internal/ownermodel/daemon.go
+++ b/internal/ownermodel/daemon.go
@@ -111,15 +111,10 @@
 		h.ack = v.seen
 	}
 	if o == late {
-		x.delay(h)
+		x.late = h
 		return
 	}
-	answer := x.deliver(h)
-	switch {
-	case o == answerLost:
-	case answer == fenced:
-		x.depose(dm)
-	default:
+	if x.receive(dm, x.deliver(h), o) {
 		v.answered = true
 		x.applyEnds(dm, w)
 		x.reconcile(dm, w)
@@ -127,6 +122,15 @@
 	}
 }
 
+// receive handles a worker's answer, unless it is lost. It reports whether the daemon is an owner
+// that has an answer.
+func (x *execution) receive(dm *daemon, answer int, o outcome) bool {
+	if o != answerLost && answer == fenced {
+		x.depose(dm)
+	}
+	return o != answerLost && answer != fenced
+}
+
 // applyEnds applies the run ends that a worker lists.
 func (x *execution) applyEnds(dm *daemon, w int) {
 	unknown := false
@@ -134,7 +138,7 @@
 	v.seen = 0
 	for _, e := range x.w[w].ends[:x.w[w].listed] {
 		t := &dm.tasks[e.task]
-		unknown = unknown || !t.known
+		unknown = unknown || !t.known // later ends are not acknowledged before it
 		if !unknown {
 			v.seen++
 		}
@@ -217,18 +221,16 @@
 	r := &dm.tasks[t].runs[w]
 	*r = runView{s.run, abandoned}
 	if o == late {
-		x.delay(s)
+		x.late = s
 		return
 	}
 	answer := x.deliver(s)
-	switch {
-	case o == answerLost:
-	case answer == fenced:
-		x.depose(dm)
-	case answer == refused:
+	if !x.receive(dm, answer, o) {
+		return
+	}
+	r.phase = running
+	if answer == refused {
 		*r = runView{}
-	default:
-		r.phase = running
 	}
 }
 
@@ -236,12 +238,7 @@
 func (x *execution) stop(d, t, w int, o outcome) {
 	dm := &x.d[d]
 	r := &dm.tasks[t].runs[w]
-	answer := x.stopRun(&x.w[w], t, r.number, dm.term)
-	switch {
-	case o == answerLost:
-	case answer == fenced:
-		x.depose(dm)
-	default:
+	if x.receive(dm, x.stopRun(&x.w[w], t, r.number, dm.term), o) {
 		r.phase = stopped
 	}
 }
@@ -260,8 +257,8 @@
 			x.store.tasks[t].done, x.store.tasks[t].failures = dm.tasks[t].done, dm.tasks[t].failures
 		}
 	}
-	for w := range dm.workers {
-		if answered {
+	if answered {
+		for w := range dm.workers {
 			dm.workers[w].stored = dm.workers[w].seen
 		}
 	}
@@ -311,26 +308,6 @@
 	}
 }
 
-// delay puts an order in flight.
-func (x *execution) delay(o order) {
-	for i := range x.late {
-		if x.late[i].kind == noOrder {
-			x.late[i] = o
-			return
-		}
-	}
-}
-
-func (x *execution) inFlight() int {
-	n := 0
-	for i := range x.late {
-		if x.late[i].kind != noOrder {
-			n++
-		}
-	}
-	return n
-}
-
 // tick advances the time.
 func (x *execution) tick() {
 	x.store.leaseLeft = max(0, x.store.leaseLeft-1)
@@ -341,9 +318,7 @@
 			}
 		}
 	}
-	for i := range x.late {
-		x.late[i].until = max(0, x.late[i].until-1)
-	}
+	x.late.until = max(0, x.late.until-1)
 	for i := range x.d {
 		dm := &x.d[i]
 		if dm.phase == idle {
--- a/internal/ownermodel/explore.go
+++ b/internal/ownermodel/explore.go
@@ -99,10 +99,8 @@
 	if s.release != 0 {
 		do(func(x *execution) { x.endLease(s.release); x.release = 0 }, "the store carries out the held-up release of term %d", s.release)
 	}
-	for i, o := range s.late {
-		if o.kind != noOrder {
-			do(func(x *execution) { x.late[i] = order{}; x.deliver(o) }, "W%d gets a held-up order of term %d, run %d, lease of %d ticks", o.worker, o.fence, o.run, o.until)
-		}
+	if o := s.late; o.kind != noOrder {
+		do(func(x *execution) { x.late = order{}; x.deliver(o) }, "W%d gets a held-up order of term %d, run %d, lease of %d ticks", o.worker, o.fence, o.run, o.until)
 	}
 }
 
@@ -161,7 +159,7 @@
 	dm := &s.d[d]
 	x := execution{state: *s, rules: m.Rules, bounds: m.Bounds}
 	outcomes := []outcome{answered, answerLost, late}
-	if x.inFlight() >= m.Bounds.Late {
+	if !m.Bounds.Late || s.late.kind != noOrder {
 		outcomes = outcomes[:late]
 	}
 	for w := range s.w {
--- a/internal/ownermodel/model_test.go
+++ b/internal/ownermodel/model_test.go
@@ -57,7 +57,7 @@
 
 func lateElections(b *Bounds) { b.LateElections = true }
 func twoStarts(b *Bounds)     { b.Starts = 2 }
-func lateOrders(b *Bounds)    { b.Late = 1 }
+func lateOrders(b *Bounds)    { b.Late = true }
 func twoTasks(b *Bounds)      { b.Tasks = 2 }
 func lateTasks(b *Bounds)     { b.LateTasks = true }
 func lateWorker(b *Bounds)    { b.LateWorker = true }
@@ -66,7 +66,7 @@
 func onlyFailures(b *Bounds)  { b.OnlyFailures = true }
 func releases(b *Bounds)      { b.Release = true }
 func threeTerms(b *Bounds)    { b.Terms = 3 }
-func lateStarts(b *Bounds)    { b.Late, b.Starts = 1, 2 }
+func lateStarts(b *Bounds)    { b.Late, b.Starts = true, 2 }
 
 func explore(t *testing.T, m Model) Result {
 	t.Helper()
--- a/internal/ownermodel/normalise.go
+++ b/internal/ownermodel/normalise.go
@@ -32,13 +32,11 @@
 // dropFenced removes what every worker that it concerns would refuse because of its term, and
 // orders in flight that change nothing.
 func (x *execution) dropFenced() {
-	for i := range x.late {
-		o := x.late[i]
-		w := &x.w[o.worker]
-		grantsNothing := o.until <= 0 && x.rules.RefuseLate || o.kind == holdOrder && o.until <= w.lease
-		if o.fence < w.fence || o.fence == w.fence && o.ack == 0 && grantsNothing {
-			x.late[i] = order{}
-		}
+	o := x.late
+	w := &x.w[o.worker]
+	grantsNothing := o.until <= 0 && x.rules.RefuseLate || o.kind == holdOrder && o.until <= w.lease
+	if o.fence < w.fence || o.fence == w.fence && o.ack == 0 && grantsNothing {
+		x.late = order{}
 	}
 	for i := range x.d {
 		gone := x.rules.LockCondition && !x.holdsLock(i) && x.d[i].phase == owning
@@ -49,7 +47,7 @@
 			x.depose(&x.d[i])
 		}
 	}
-	if x.bounds.Late == 0 && x.rules.RunsByTerm {
+	if !x.bounds.Late && x.rules.RunsByTerm {
 		for w := range x.w {
 			x.w[w].ended = [tasks]uint8{} // no order that passes the fence has a run number up to these
 		}
--- a/internal/ownermodel/state.go
+++ b/internal/ownermodel/state.go
@@ -10,7 +10,6 @@
 	workers = 2
 	tasks   = 2
 	maxEnds = 4 // unacknowledged run ends of a worker
-	maxLate = 2 // orders in flight
 )
 
 // Rules are the guards of the protocol. The zero value has none of them.
@@ -51,7 +50,7 @@
 	Terms         int  // elections, the first owner's included
 	Starts        int  // starts by each owner in a term
 	Tasks         int  // tasks submitted
-	Late          int  // orders in flight at a time
+	Late          bool // an order may be in flight
 	Attempts      int  // failed ends after which a task is not started again
 	OnlyFailures  bool // all runs fail that are not stopped
 	Failures      bool // runs may fail
@@ -71,7 +70,7 @@
 	store   store
 	d       [daemons]daemon
 	w       [workers]worker
-	late    [maxLate]order
+	late    order // the order in flight
 	release uint8 // term whose release is in flight, 0: none
 	judged  [tasks]judgement
 }
@@ -168,7 +167,7 @@
 	followed bool // the task was started again since
 }
 
-// Kinds of orders that may be in flight.
+// Kinds of orders.
 const (
 	noOrder = iota
 	startOrder
@@ -203,10 +202,8 @@
 			r[0], r[1] = r[1], r[0]
 		}
 	}
-	for i := range s.late {
-		if o := &s.late[i]; o.kind != noOrder {
-			o.worker = 1 - o.worker
-		}
+	if s.late.kind != noOrder {
+		s.late.worker = 1 - s.late.worker
 	}
 	return s
 }
--- a/internal/ownermodel/worker.go
+++ b/internal/ownermodel/worker.go
@@ -92,10 +92,8 @@
 		v := &x.d[d].workers[worker]
 		v.seen, v.stored = v.seen-min(n, v.seen), v.stored-min(n, v.stored)
 	}
-	for i := range x.late {
-		if o := &x.late[i]; o.kind == holdOrder && o.worker == worker {
-			o.ack -= min(n, o.ack)
-		}
+	if x.late.kind == holdOrder && x.late.worker == worker {
+		x.late.ack -= min(n, x.late.ack)
 	}
 }
 
