--- a/internal/ownermodel/explore.go
+++ b/internal/ownermodel/explore.go
@@ -36,7 +36,7 @@
 // Result is the outcome of an exploration.
 type Result struct {
 	States int      // different states that were visited
-	Depth  int      // the most steps that are needed to reach one of them
+	Depth  int      // steps from the start to the farthest state that was left
 	Broken string   // the invariant that does not hold, "" if all hold
 	Trace  []string // a shortest sequence of steps that breaks it
 }
@@ -217,7 +217,9 @@
 	start := m.initial()
 	parents := map[uint64]uint64{key(&start): 0}
 	var res Result
-	for frontier := []state{start}; len(frontier) > 0; res.Depth++ {
+	frontier := []state{start}
+	for depth := 0; len(frontier) > 0; depth++ {
+		res.Depth = depth
 		var next []state
 		for i := range frontier {
 			from := key(&frontier[i])
