Pools are spread over zones where the loss of one has to be borne

Ruled out: moves only for the spread, and pools half as large again (docs/design/0020). Change: with tolerate.zones above 0 in the settings a plan takes the instances that it brings from the zone in which the pool has fewest, and gives back from that with most. The number of moves stays the same. Gauge pool_largest_zone_share. Kept for the bound that chance does not give.

--- a/jobs/capacity/capacity.go
+++ b/jobs/capacity/capacity.go
@@ -50,17 +50,21 @@
 // Instance is an instance of a pool.
 type Instance struct {
 	ID      string
+	Zone    string
 	IdleFor time.Duration // how long it has been idle
 	Movable bool          // it is idle and not reserved for anything else
 }
 
 // Pool is the supply and demand of one service.
 type Pool struct {
-	Name             string
-	Instances        []Instance // instances that are up, except those counted in BusyInstances
-	BusyInstances    int        // instances that are up but not movable, as tasks run on them
-	EvacuatedIdle    []Instance // idle instances in evacuated zones, which add no capacity
-	Arriving         int        // instances moving to the pool; a plan subtracts those that it moves away
+	Name          string
+	Instances     []Instance // instances that are up, except those counted in BusyInstances
+	BusyInstances int        // instances that are up but not movable, as tasks run on them
+	EvacuatedIdle []Instance // idle instances in evacuated zones, which add no capacity
+	Arriving      int        // instances moving to the pool; a plan subtracts those that it moves away
+	// ByZone is the number of instances in each availability zone, up or moving to the pool. If it
+	// is set, a plan chooses instances so that the loss of one zone takes few from the pool.
+	ByZone           map[string]int
 	CoresPerInstance float64
 	MissingCores     float64 // cores that undersized workers don't offer at present
 	BusyCores        float64 // cores in use
@@ -200,14 +204,7 @@
 	if short > 0 && p.spare.Name != "" && p.weights.InstanceSecond > 0 {
 		short = p.takeFromDonors(to, short, late, p.minIdleBeforeReturn())
 	}
-	for _, i := range p.spare.Instances {
-		if short == 0 {
-			return
-		}
-		if p.addMove(&p.spare, to, i, "tasks are waiting") {
-			short--
-		}
-	}
+	short = p.take(&p.spare, to, p.spare.Instances, short, "tasks are waiting")
 	p.takeFromDonors(to, short, late, 0)
 }
 
@@ -219,18 +216,27 @@
 		if donor.Name == to.Name || short == 0 || p.surplus(donor, late) <= 0 {
 			continue
 		}
-		for _, i := range longestIdle(donor.Instances, minIdle) {
-			if short == 0 || p.surplus(donor, late) <= 0 {
-				break
-			}
-			if p.addMove(donor, to, i, "tasks are waiting, and it is idle in its pool") {
-				short--
-			}
-		}
+		wanted := min(short, p.surplus(donor, late))
+		left := p.take(donor, to, longestIdle(donor.Instances, minIdle), wanted, "tasks are waiting, and it is idle in its pool")
+		short -= wanted - left
 	}
 	return short
 }
 
+// take moves up to n of the candidates from one pool to another, and returns how many are still
+// lacking. The candidates are taken in the order that spread gives them.
+func (p *planner) take(from, to *Pool, candidates []Instance, n int, reason string) int {
+	for i := range spread(candidates, to.ByZone, toFewest) {
+		if n <= 0 {
+			break
+		}
+		if p.addMove(from, to, i, reason) {
+			n--
+		}
+	}
+	return n
+}
+
 // minIdleBeforeReturn returns how long an instance must be idle before its return to the
 // spare pool: until its idle time has cost as much as movesPerReturn moves.
 func (p *planner) minIdleBeforeReturn() time.Duration {
@@ -244,7 +250,8 @@
 	}
 	for _, i := range longestIdle(from.EvacuatedIdle, p.minIdleBeforeReturn()) {
 		if p.returnsLeft > 0 && p.addMove(from, &p.spare, i, "its zone is evacuated") {
-			from.Arriving++ // undoes the change in addMove: the instance did not count in its pool
+			from.Arriving++ // undoes the changes in addMove: the instance did not count in its pool
+			from.addToZone(i.Zone, 1)
 			p.returnsLeft--
 		}
 	}
@@ -252,7 +259,7 @@
 		return
 	}
 	maxReturns := min(p.returnsLeft, max(minReturnsPerPlan, int(returnSharePerPlan*float64(from.Size()))))
-	for _, i := range longestIdle(from.Instances, p.minIdleBeforeReturn()) {
+	for i := range spread(longestIdle(from.Instances, p.minIdleBeforeReturn()), from.ByZone, fromMost) {
 		if maxReturns == 0 || p.surplus(from, lateWorkFull) <= 0 {
 			return
 		}
@@ -284,6 +291,8 @@
 	p.planned[i.ID] = true
 	from.Arriving--
 	to.Arriving++
+	from.addToZone(i.Zone, -1)
+	to.addToZone(i.Zone, 1)
 	p.moves = append(p.moves, Move{Instance: i.ID, From: from.Name, To: to.Name, Reason: reason})
 	return true
 }
--- a/jobs/node/metrics.go
+++ b/jobs/node/metrics.go
@@ -93,5 +93,6 @@
 		pool.Gauge("pool_cores_busy").Update(p.BusyCores)
 		pool.Gauge("pool_cores_waiting").Update(p.WaitingCores)
 		pool.Gauge("pool_work_rate").Update(p.ArrivalRate)
+		pool.Gauge("pool_largest_zone_share").Update(p.LargestZoneShare)
 	}
 }
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -33,6 +33,7 @@
 	StopGrace       time.Duration // between SIGTERM and SIGKILL
 	DutyHandover    time.Duration // minimum time between instance orders of two duty holders
 	MovesPerSec     float64       // rate of instance orders that the platform accepts; 0: unlimited
+	ToleratedZones  int           // availability zones that may be lost at the same time
 	MinStoreLease   time.Duration // shortest lease that the store grants
 	StatusRetention time.Duration // how long the state of ended jobs is kept
 	RequireKeys     bool          // callers need a tenant's key, except on public queues
@@ -65,6 +66,9 @@
 	if s.MovesPerSec < 0 {
 		errs = append(errs, fmt.Errorf("MovesPerSec is %v, must not be negative", s.MovesPerSec))
 	}
+	if s.ToleratedZones < 0 {
+		errs = append(errs, fmt.Errorf("ToleratedZones is %d, must not be negative", s.ToleratedZones))
+	}
 	if s.MaxConfigAge < 0 {
 		errs = append(errs, fmt.Errorf("MaxConfigAge is %s, must not be negative", s.MaxConfigAge))
 	}
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -83,6 +83,7 @@
 		TaskLease: min(taskLease, n.settings.MaxTaskLease), MaxWorkerLease: n.settings.MaxTaskLease, HoldWait: holdWait, IdleHoldWait: idleHoldWait,
 		MaxHoldsPerSec: lossyHoldsPerCoreSecond * n.settings.Cores,
 		MaxMovesPerSec: n.settings.MovesPerSec,
+		ToleratedZones: n.settings.ToleratedZones,
 		DutyHandover:   n.settings.DutyHandover, PriorOrders: n.ordersByOthers(term.PriorOrders), ElectedAt: began, PriorOrdersUnknown: term.PriorOrdersUnknown, SucceedsSelf: term.SucceedsSelf,
 		StatusRetention:      n.settings.StatusRetention,
 		MaxOutstandingStarts: startsPerSlot * cap(t.startCalls.slots),
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"maps"
 	"time"
 
 	"github.com/postmount/postmount/jobs/capacity"
@@ -141,6 +142,7 @@
 			v.EvacuatedIdle = append(v.EvacuatedIdle, c.idleSnapshot(i, now))
 		}
 	}
+	c.countZones(snapshots)
 	for _, m := range c.moves {
 		if v := snapshots[m.toPool]; v != nil {
 			v.Arriving++
@@ -156,6 +158,25 @@
 	return pools, spare
 }
 
+// countZones counts the instances of each pool by availability zone, with those that are moving to
+// it, if the loss of a zone has to be tolerated. Otherwise plans do not look at zones.
+func (c *Core) countZones(pools map[string]*capacity.Pool) {
+	if c.opt.ToleratedZones == 0 {
+		return
+	}
+	for name, v := range pools {
+		v.ByZone = maps.Clone(c.pool(name).supply.byZone)
+		if v.ByZone == nil {
+			v.ByZone = map[string]int{}
+		}
+	}
+	for id, m := range c.moves {
+		if v, i := pools[m.toPool], c.instances[id]; v != nil && i != nil {
+			v.ByZone[i.Zone]++
+		}
+	}
+}
+
 // isUnderMaintenance reports whether a wave has taken the instance down.
 func (c *Core) isUnderMaintenance(id InstanceID) bool {
 	for _, ws := range c.waves {
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -30,8 +30,11 @@
 	MaxOutstandingStarts int           // limit of starts without an outcome; 0: no limit
 	Weights              capacity.Weights
 	MaxMovesPerSec       float64 // moves per second that the platform accepts; 0: no limit
-	PoolPolicy           capacity.Policy
-	SchedulingPolicy     SchedulingPolicy
+	// ToleratedZones is how many availability zones may be lost at the same time. If it is positive,
+	// pools are spread over the zones.
+	ToleratedZones   int
+	PoolPolicy       capacity.Policy
+	SchedulingPolicy SchedulingPolicy
 }
 
 // runsPerTerm is the size of each term's range of run numbers. Runs of term n are numbered from
@@ -199,6 +202,7 @@
 	lease                    workerLease
 	answeredThisOwner        bool      // answered a hold with this owner's fencing token
 	registered               bool      // counts as registered
+	coldUntil                time.Time // end of its slow phase after its start; zero: none was reported
 	firstSeenAt              time.Time // when this owner first learned of the incarnation
 	pastStartsMs             []int64   // StartedMs of earlier incarnations, oldest first
 	registrationMissingSince time.Time // when it was first missing from the registrations; zero: listed
--- a/jobs/owner/stats.go
+++ b/jobs/owner/stats.go
@@ -24,6 +24,9 @@
 	BusyCores    float64 // cores in use
 	WaitingCores float64 // cores that tasks wait for
 	ArrivalRate  float64 // core-seconds of work arriving per second
+	// LargestZoneShare is the largest share of its instances in one availability zone, 0 if the loss of
+	// a zone need not be tolerated.
+	LargestZoneShare float64
 }
 
 // Stats returns the owner's state at now.
@@ -58,7 +61,7 @@
 	pools, spare := c.poolSnapshots(now)
 	var out []PoolStats
 	for _, p := range append(pools, spare) {
-		out = append(out, PoolStats{Name: p.Name, Instances: p.Size(), Arriving: p.Arriving, BusyCores: p.BusyCores, WaitingCores: p.WaitingCores, ArrivalRate: p.ArrivalRate})
+		out = append(out, PoolStats{Name: p.Name, Instances: p.Size(), Arriving: p.Arriving, BusyCores: p.BusyCores, WaitingCores: p.WaitingCores, ArrivalRate: p.ArrivalRate, LargestZoneShare: p.LargestZoneShare()})
 	}
 	return out
 }
--- a/jobs/owner/supply.go
+++ b/jobs/owner/supply.go
@@ -23,12 +23,13 @@
 // not up or are moving add nothing. Sizes are in millicores.
 type supplyContribution struct {
 	pool             string // "": it is not counted
-	cpuMilli         int    // size of the instance
-	missingMilli     int    // part of cpuMilli that its worker does not offer at present
-	busyMilli        int    // in use
-	longRunningMilli int    // of these, in use by long-running tasks
-	idle             bool   // nothing runs on it
-	evacuated        bool   // its zone is evacuated, so it takes no new tasks
+	zone             string
+	cpuMilli         int  // size of the instance
+	missingMilli     int  // part of cpuMilli that its worker does not offer at present
+	busyMilli        int  // in use
+	longRunningMilli int  // of these, in use by long-running tasks
+	idle             bool // nothing runs on it
+	evacuated        bool // its zone is evacuated, so it takes no new tasks
 }
 
 // poolSupply holds totals over the instances of a pool. It is updated with each change of an
@@ -40,6 +41,7 @@
 	missingMilli                int // of undersized workers
 	undersized                  map[InstanceID]*instanceState
 	sizes                       map[int]int      // number of instances by size
+	byZone                      map[string]int   // number of instances by availability zone
 	idle                        []*instanceState // outside evacuated zones, ordered by ID
 	evacuated                   int              // instances in evacuated zones
 	evacuatedIdle               []*instanceState // of these, the idle ones, ordered by ID
@@ -65,6 +67,10 @@
 	if s.sizes[contribution.cpuMilli] += n; s.sizes[contribution.cpuMilli] == 0 {
 		delete(s.sizes, contribution.cpuMilli)
 	}
+	if s.byZone == nil {
+		s.byZone = map[string]int{}
+	}
+	s.byZone[contribution.zone] += n
 	if contribution.idle {
 		s.idle = insertOrRemove(s.idle, i, n > 0)
 	}
@@ -153,9 +159,9 @@
 	w := i.worker
 	evacuated := c.evacuatedZones[i.Zone]
 	if w == nil {
-		return supplyContribution{pool: i.Pool, idle: i.Worker == "", evacuated: evacuated}
+		return supplyContribution{pool: i.Pool, zone: i.Zone, idle: i.Worker == "", evacuated: evacuated}
 	}
-	contribution := supplyContribution{evacuated: evacuated, pool: i.Pool, busyMilli: w.allocated.CPUMilli, longRunningMilli: w.longRunningCPUMilli, idle: len(w.runs)+len(w.unknownRuns) == 0}
+	contribution := supplyContribution{evacuated: evacuated, pool: i.Pool, zone: i.Zone, busyMilli: w.allocated.CPUMilli, longRunningMilli: w.longRunningCPUMilli, idle: len(w.runs)+len(w.unknownRuns) == 0}
 	contribution.cpuMilli, contribution.missingMilli = i.sizeWith(w)
 	if !contribution.idle {
 		w.idleSince = time.Time{}
@@ -179,7 +185,7 @@
 
 // idleSnapshot returns an idle instance as input for capacity.Plan.
 func (c *Core) idleSnapshot(i *instanceState, now time.Time) capacity.Instance {
-	out := capacity.Instance{ID: string(i.ID)}
+	out := capacity.Instance{ID: string(i.ID), Zone: i.Zone}
 	w := i.worker
 	if w == nil {
 		out.Movable = !c.isUnderMaintenance(i.ID) && c.mayOrderInstance(i.ID, now)
