Workers that are slow after their start get tasks last

Ruled out: excluding cold workers (after a loss of all power each is cold), longer estimates (nothing says how slow they are). Change: a worker that reports it is a second choice until that time has passed, as one on which tasks failed recently. Conclusion: switched on by what workers report.

--- a/jobs/owner/freeindex.go
+++ b/jobs/owner/freeindex.go
@@ -106,7 +106,7 @@
 
 // candidates appends the workers of the class that may be the best one: the fullest with
 // enough free capacity for each combination of recent failures and preferred rack, up to
-// the first without failures on that rack.
+// the first one to be preferred on that rack.
 func (k *capacityClass) candidates(out []*worker, req *placement.Request, allowed func(*worker) bool, stepTasks map[*worker]int, now time.Time) []*worker {
 	from, _ := slices.BinarySearchFunc(k.byFree, req.Need.CPUMilli, func(w *worker, need int) int {
 		if w.indexedFreeCPUMilli < need {
@@ -114,20 +114,20 @@
 		}
 		return 1
 	})
-	var found [2][2]bool // by recent failures, by preferred rack
+	var found [2][2]bool // by isSecondChoice, by preferred rack
 	for _, w := range k.byFree[from:] {
 		if !w.free().Fits(req.Need) || !allowed(w) ||
 			req.MaxPerWorker > 0 && stepTasks[w] >= req.MaxPerWorker ||
 			req.RequiredLabel != "" && !slices.Contains(w.Labels, req.RequiredLabel) {
 			continue
 		}
-		failing := w.hasRecentFailures(now)
+		second := w.isSecondChoice(now)
 		onRack := req.PreferredRack == "" || w.Rack == req.PreferredRack
-		if seen := &found[boolIndex(failing)][boolIndex(onRack)]; !*seen {
+		if seen := &found[boolIndex(second)][boolIndex(onRack)]; !*seen {
 			*seen = true
 			out = append(out, w)
 		}
-		if !failing && onRack {
+		if !second && onRack {
 			break
 		}
 	}
@@ -146,11 +146,17 @@
 	return w.recentEnds.failures(now) >= minFailuresToAvoid
 }
 
+// isSecondChoice reports whether new tasks are placed on the worker only if they fit on no other:
+// tasks failed on it recently, or it still works slowly after its start.
+func (w *worker) isSecondChoice(now time.Time) bool {
+	return w.hasRecentFailures(now) || now.Before(w.coldUntil)
+}
+
 // placementView returns the worker as the placement package sees it.
 func (w *worker) placementView(now time.Time) placement.Worker {
 	return placement.Worker{
 		Capacity: w.Capacity, Free: w.free(), Rack: w.Rack, Labels: w.Labels,
-		Fillers: w.fillerRuns, Serving: w.servingRuns, LongRunning: w.longRunningRuns, Unreliable: w.hasRecentFailures(now),
+		Fillers: w.fillerRuns, Serving: w.servingRuns, LongRunning: w.longRunningRuns, SecondChoice: w.isSecondChoice(now),
 	}
 }
 
--- a/jobs/owner/registrations.go
+++ b/jobs/owner/registrations.go
@@ -154,6 +154,10 @@
 	if r.Draining && !w.Draining {
 		c.logDecision(Decision{Event: "worker-draining", Worker: r.Worker})
 	}
+	w.coldUntil = time.Time{}
+	if r.ColdFor > 0 {
+		w.coldUntil = now.Add(r.ColdFor)
+	}
 	unchanged := w.registered && w.equal(&r)
 	w.registrationMissingSince = time.Time{}
 	c.missingRegistrations.put(w, false)
@@ -174,7 +178,8 @@
 	c.changedServices[r.Service] = true
 }
 
-// equal reports whether both registrations have the same values.
+// equal reports whether both registrations have the same values, apart from ColdFor, which changes
+// with time.
 func (r *Registration) equal(o *Registration) bool {
 	return r.Worker == o.Worker && r.Service == o.Service && r.Addr == o.Addr && r.Zone == o.Zone && r.Rack == o.Rack &&
 		r.Capacity == o.Capacity && r.Draining == o.Draining && r.StartedMs == o.StartedMs && slices.Equal(r.Labels, o.Labels)
--- a/jobs/owner/types.go
+++ b/jobs/owner/types.go
@@ -28,7 +28,8 @@
 	Labels    []string
 	Capacity  job.Resources
 	Draining  bool
-	StartedMs int64 // start of this incarnation in ms of Unix time, on the worker's clock; 0: not reported
+	ColdFor   time.Duration // how much longer it works slowly after its start, as of its report; 0: it does not
+	StartedMs int64         // start of this incarnation in ms of Unix time, on the worker's clock; 0: not reported
 }
 
 // Validate returns an error if the registration does not describe a usable worker.
--- a/jobs/placement/placement.go
+++ b/jobs/placement/placement.go
@@ -10,16 +10,16 @@
 
 // Worker is a candidate for placement.
 type Worker struct {
-	Capacity    job.Resources // total of the worker
-	Free        job.Resources
-	Rack        string
-	Labels      []string
-	Unreliable  bool // tasks failed on it recently; used only if nothing else fits
-	SameStep    int  // tasks on it of the request's step and occurrence
-	Fillers     int  // filler tasks on it, which use idle cores only
-	Serving     int  // long-running tasks on it that have a latency target
-	LongRunning int  // long-running tasks on it
-	Excluded    bool // not permitted for the request
+	Capacity     job.Resources // total of the worker
+	Free         job.Resources
+	Rack         string
+	Labels       []string
+	SecondChoice bool // tasks failed on it recently, or it is slow after its start; used only if nothing else fits
+	SameStep     int  // tasks on it of the request's step and occurrence
+	Fillers      int  // filler tasks on it, which use idle cores only
+	Serving      int  // long-running tasks on it that have a latency target
+	LongRunning  int  // long-running tasks on it
+	Excluded     bool // not permitted for the request
 }
 
 // Request is a task to be placed.
@@ -43,8 +43,8 @@
 	// rackBonus is for workers on the preferred rack, which holds the task's data: there the task
 	// takes half the time.
 	rackBonus = 2.0
-	// unreliablePenalty ranks unreliable workers behind all others.
-	unreliablePenalty = 8.0
+	// secondChoicePenalty ranks workers of second choice behind all others.
+	secondChoicePenalty = 8.0
 	// sharingPenalty keeps fillers away from serving tasks and from each other if possible.
 	// Each such task on a worker counts as much as a quarter of its cores.
 	sharingPenalty = 0.25
@@ -94,8 +94,8 @@
 	if r.PreferredRack != "" && w.Rack == r.PreferredRack {
 		s += rackBonus
 	}
-	if w.Unreliable {
-		s -= unreliablePenalty
+	if w.SecondChoice {
+		s -= secondChoicePenalty
 	}
 	if r.Filler {
 		s -= sharingPenalty * float64(w.Serving+w.Fillers)
--- a/jobs/placement/placement_test.go
+++ b/jobs/placement/placement_test.go
@@ -24,8 +24,8 @@
 	racks[1].Rack = "r1"
 	labels := workers(8, 8)
 	labels[1].Labels = []string{"fast"}
-	unreliable := workers(2, 8)
-	unreliable[0].Unreliable = true
+	secondChoice := workers(2, 8)
+	secondChoice[0].SecondChoice = true
 	full := workers(8, 8)
 	full[0].SameStep = 1
 	shared := workers(8, 8)
@@ -42,8 +42,8 @@
 		{"the preferred rack", racks, Request{Need: cores(1), PreferredRack: "r1"}, 1},
 		{"the required label", labels, Request{Need: cores(1), RequiredLabel: "fast"}, 1},
 		{"no worker with the label", labels, Request{Need: cores(1), RequiredLabel: "gpu"}, -1},
-		{"an unreliable worker last", unreliable, Request{Need: cores(1)}, 1},
-		{"an unreliable worker rather than none", unreliable[:1], Request{Need: cores(1)}, 0},
+		{"a worker of second choice last", secondChoice, Request{Need: cores(1)}, 1},
+		{"a worker of second choice rather than none", secondChoice[:1], Request{Need: cores(1)}, 0},
 		{"the limit of tasks of a step per worker", full, Request{Need: cores(1), MaxPerWorker: 1}, 1},
 		{"long-running tasks spread for maintenance", full, Request{Need: cores(1), LongRunning: true, PreferredMaxPerWorker: 1}, 1},
 		{"fillers away from serving tasks", shared, Request{Filler: true}, 1},
