--- a/internal/jobfaults/evacuation_test.go
+++ b/internal/jobfaults/evacuation_test.go
@@ -123,3 +123,28 @@
 		}
 	}
 }
+
+// TestAZoneIsLostWhileAnotherIsEvacuated: all workers of z2 crash while z1 is evacuated, and the
+// owner is killed meanwhile. Batch jobs, gangs and a long-running job wait for z2; nothing starts in z1.
+func TestAZoneIsLostWhileAnotherIsEvacuated(t *testing.T) {
+	simulate(t, func(d *deployment) {
+		d.assignZones()
+		longRunning := longRunningJob(900)
+		d.submit(ordersPrefix, longRunning)
+		d.in.Evacuate("z1")
+		d.submitBatchJobs(0, 4)
+		for i := 1; i < 8; i += 2 {
+			d.in.Fleet.Crash(owner.InstanceID(fmt.Sprintf("i%d", i)), 4*time.Second)
+		}
+		first := d.in.Owner()
+		require.NotNil(t, first)
+		d.in.Kill(first.Name)
+		gang := batchJob(100)
+		gang.Steps[0].Gang, gang.Steps[0].SameRack = true, true
+		d.submit(ordersPrefix, gang)
+		d.submitBatchJobs(4, 4)
+		d.awaitCompletion(20 * time.Second)
+		d.checkAllRunning(longRunning)
+		assert.Less(t, d.in.Checker.LastStartInEvacuatedZone(), time.Second)
+	})
+}
