--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -31,8 +31,11 @@
 	MaxOutstandingStarts int           // limit of starts without an outcome; 0: no limit
 	Weights              capacity.Weights
 	MaxMovesPerSec       float64 // moves per second that the platform accepts; 0: no limit
-	PoolPolicy           capacity.Policy
-	SchedulingPolicy     SchedulingPolicy
+	// ToleratedZones is how many availability zones may be lost at the same time. If it is positive,
+	// pools are spread over the zones.
+	ToleratedZones   int
+	PoolPolicy       capacity.Policy
+	SchedulingPolicy SchedulingPolicy
 }
 
 // runsPerTerm is the size of each term's range of run numbers. Runs of term n are numbered from
@@ -203,6 +206,7 @@
 	firstAnsweredAt          time.Time // when it first did
 	unprovenLapseLogged      bool      // lapse-unproven was logged since it last answered
 	registered               bool      // counts as registered
+	coldUntil                time.Time // end of its slow phase after its start; zero: none was reported
 	firstSeenAt              time.Time // when this owner first learned of the incarnation
 	pastStartsMs             []int64   // StartedMs of earlier incarnations, oldest first
 	registrationMissingSince time.Time // when it was first missing from the registrations; zero: listed
