--- a/jobs/callpolicy/callpolicy.go
+++ b/jobs/callpolicy/callpolicy.go
@@ -23,6 +23,14 @@
 	LossyUntilBelow = 0.005
 	// linkDownAbove is the loss rate from which the link counts as down instead of lossy.
 	linkDownAbove = 0.5
+	// fastLinkDownAbove is the same while the calls that are answered are answered fast. At a loss
+	// rate of 0.4 the fast average exceeds 0.5 at times, with a standard deviation of 0.08.
+	fastLinkDownAbove = 0.75
+	// fastLatency is the mean latency of answered calls below which answers are fast. On a saturated
+	// link or CPU, the calls that are still answered are slow.
+	fastLatency = LossyTimeout / 2
+	// latencyDecay is the weight of the previous mean latency: about the last 20 answers count.
+	latencyDecay = 0.95
 )
 
 // Parameters of calls on a lossy link.
@@ -51,11 +59,26 @@
 	Policy                 Policy
 	lossRate, fastLossRate float64 // moving averages, 0 to 1
 	lossy                  bool
+	latency                time.Duration // mean of answered calls; 0: not measured
 }
 
 // RecordAnswer records a call that was answered.
 func (d *LossDetector) RecordAnswer() { d.record(0, true) }
 
+// RecordLatency records the latency of an answered call; 0 is ignored.
+func (d *LossDetector) RecordLatency(latency time.Duration) {
+	switch {
+	case latency <= 0:
+	case d.latency == 0:
+		d.latency = latency
+	default:
+		d.latency = time.Duration(latencyDecay*float64(d.latency) + (1-latencyDecay)*float64(latency))
+	}
+}
+
+// answersFast reports whether the calls that are answered are answered fast.
+func (d *LossDetector) answersFast() bool { return d.latency > 0 && d.latency < fastLatency }
+
 // RecordLoss records an unanswered call to a worker that answered the previous one.
 func (d *LossDetector) RecordLoss() { d.record(1, true) }
 
@@ -85,7 +108,10 @@
 	case Short:
 		return d.fastLossRate < linkDownAbove
 	}
-	return d.lossy && d.fastLossRate < linkDownAbove
+	if d.answersFast() {
+		return d.lossy && d.fastLossRate < fastLinkDownAbove
+	}
+	return d.lossy && d.latency == 0 && d.fastLossRate < linkDownAbove
 }
 
 // Timeout returns the timeout of a call: usual, or at most LossyTimeout on a lossy link.
@@ -96,6 +122,16 @@
 	return usual
 }
 
+// WorkerTimeout returns the timeout of a call to a worker: its retransmission timeout, from
+// LossyTimeout to usual, as long as answers are fast. Otherwise it is that of Timeout.
+func (d *LossDetector) WorkerTimeout(w *WorkerCalls, usual time.Duration) time.Duration {
+	adaptive := d.Policy != Patient && d.Policy != Short
+	if !adaptive || !w.Known() || !d.answersFast() {
+		return d.Timeout(usual)
+	}
+	return w.Timeout(min(usual, LossyTimeout), usual)
+}
+
 // Attempts returns how many times to send an unanswered call: usual, or at least LossyAttempts
 // on a lossy link.
 func (d *LossDetector) Attempts(usual int) int {
--- /dev/null
+++ b/jobs/callpolicy/roundtrip.go
@@ -0,0 +1,141 @@
+package callpolicy
+
+import "time"
+
+// Parameters of the estimate of a round trip, by RFC 6298.
+const (
+	rttGain        = 1.0 / 8 // weight of a new sample in the mean
+	rttVarGain     = 1.0 / 4 // weight of a new sample in the mean deviation
+	rttVarFactor   = 4       // deviations that the timeout adds to the mean
+	maxRTTBackoffs = 3       // doublings of the timeout of a worker that does not answer
+)
+
+// Parameters of the loss rate of one worker.
+const (
+	// workerLossDecay is the weight of the previous loss rate: about the last 20 calls count.
+	workerLossDecay = 0.9
+	// A worker loses more calls than the others from minWorkerLoss on, if its loss rate is also
+	// workerLossFactor times that of all workers. At a common loss rate of 40% the rate of single
+	// workers deviates by 0.11.
+	minWorkerLoss    = 0.5
+	workerLossFactor = 2
+)
+
+// WorkerCalls estimates the round trip of calls to one worker, or to all workers, and the share
+// of calls that are lost. Its zero value is ready for use.
+type WorkerCalls struct {
+	srtt, rttVar time.Duration // smoothed round trip and its mean deviation
+	known        bool          // a round trip was measured
+	backoffs     int           // unanswered calls in a row, with no answer since they were sent
+	lossRate     float64       // moving average, 0 to 1
+}
+
+// RecordRoundTrip records the round trip of an answered call; 0 is ignored. An answer belongs to a
+// certain call also if that call is a repeat, so repeats may be recorded (Karn's rule is for
+// protocols in which this is not known).
+func (w *WorkerCalls) RecordRoundTrip(rtt time.Duration) {
+	switch {
+	case rtt <= 0:
+		return
+	case !w.known:
+		w.known, w.srtt, w.rttVar = true, rtt, rtt/2
+		return
+	}
+	deviation := (rtt - w.srtt).Abs()
+	w.rttVar += time.Duration(rttVarGain * float64(deviation-w.rttVar))
+	w.srtt += time.Duration(rttGain * float64(rtt-w.srtt))
+}
+
+// RecordAnswer records that a call was answered, which ends the backoff.
+func (w *WorkerCalls) RecordAnswer() {
+	w.backoffs = 0
+	w.lossRate *= workerLossDecay
+}
+
+// RecordLoss records an unanswered call. answeredSince reports whether the worker has answered
+// another call since: then it answers, and its timeout is not extended.
+func (w *WorkerCalls) RecordLoss(answeredSince bool) {
+	w.lossRate = workerLossDecay*w.lossRate + 1 - workerLossDecay
+	if !answeredSince {
+		w.backoffs = min(maxRTTBackoffs, w.backoffs+1)
+	}
+}
+
+// Known reports whether a round trip was measured.
+func (w *WorkerCalls) Known() bool { return w.known }
+
+// Timeout returns the retransmission timeout, within the bounds.
+func (w *WorkerCalls) Timeout(least, most time.Duration) time.Duration {
+	return min(most, max(least, w.srtt+rttVarFactor*w.rttVar)<<max(0, w.backoffs-1))
+}
+
+// LosesMoreThan reports whether the worker loses many more calls than all workers do on average.
+func (w *WorkerCalls) LosesMoreThan(all *WorkerCalls) bool {
+	return w.lossRate >= minWorkerLoss && w.lossRate >= workerLossFactor*all.lossRate
+}
+
+// FastAnswers records when calls were sent that were answered fast. As links and CPUs serve in
+// order, a call that was sent later and answered fast shows that an unanswered one does not wait
+// in the owner's own queue: it, or its answer, was lost. Its zero value is ready for use.
+type FastAnswers struct {
+	sentAt [fastAnswerSlots]time.Time // latest of each slot
+}
+
+// A slot covers fastAnswerSlot; together they cover the longest timeout.
+const (
+	fastAnswerSlot  = 10 * time.Millisecond
+	fastAnswerSlots = 128
+)
+
+// Record records that a call sent at a time was answered fast.
+func (f *FastAnswers) Record(sentAt time.Time) {
+	f.sentAt[slotOf(sentAt)] = sentAt
+}
+
+// Between reports whether a call sent after from, and up to the time to, was answered fast.
+func (f *FastAnswers) Between(from, to time.Time) bool {
+	for t := from; !t.After(to.Add(fastAnswerSlot)); t = t.Add(fastAnswerSlot) {
+		if at := f.sentAt[slotOf(t)]; at.After(from) && !at.After(to) {
+			return true
+		}
+	}
+	return false
+}
+
+func slotOf(t time.Time) int {
+	return int(t.UnixNano() / int64(fastAnswerSlot) % fastAnswerSlots)
+}
+
+// Parameters of the repeat budget.
+const (
+	// repeatShare is the share of first sends that may be repeated. A loss rate of 40% needs two
+	// repeats for each three first sends.
+	repeatShare = 1.0
+	// congestedRepeatShare is the same while answers are slow, where repeats add to the queue.
+	congestedRepeatShare = 0.1
+	// maxSavedRepeats is how many repeats may be saved up.
+	maxSavedRepeats = 64
+)
+
+// RepeatBudget limits repeats to a share of the first sends, so that repeats never fill a link.
+type RepeatBudget struct {
+	used float64 // repeats taken from maxSavedRepeats and not earned back
+}
+
+// RecordFirstSend adds to the budget. congested reports whether answers are slow.
+func (b *RepeatBudget) RecordFirstSend(congested bool) {
+	share := repeatShare
+	if congested {
+		share = congestedRepeatShare
+	}
+	b.used = max(0, b.used-share)
+}
+
+// Take takes a repeat from the budget and reports whether one was left.
+func (b *RepeatBudget) Take() bool {
+	if b.used+1 > maxSavedRepeats {
+		return false
+	}
+	b.used++
+	return true
+}
