callpolicy: lost calls are told from slow ones by later answers

Cause: timeouts of calls that were sent together come together, after the answers of all others, so that at a loss rate of 40% the detector took the link as down several times a second and lost calls as slow ones. Ruled out: a higher bound of the loss rate (0.75 instead of 0.5): a link on which 24 starts in a row go unanswered would count as lossy, not as full (TestUnansweredStartsIndicateSaturatedLink). Change: RecordSingleLoss for calls that are known to be lost; a link with slow answers is never lossy; the repeat budget is a share of the sends of the last second, as a bucket of 64 was empty after each burst.

--- a/jobs/callpolicy/callpolicy.go
+++ b/jobs/callpolicy/callpolicy.go
@@ -23,9 +23,6 @@
 	LossyUntilBelow = 0.005
 	// linkDownAbove is the loss rate from which the link counts as down instead of lossy.
 	linkDownAbove = 0.5
-	// fastLinkDownAbove is the same while the calls that are answered are answered fast. At a loss
-	// rate of 0.4 the fast average exceeds 0.5 at times, with a standard deviation of 0.08.
-	fastLinkDownAbove = 0.75
 	// fastLatency is the mean latency of answered calls below which answers are fast. On a saturated
 	// link or CPU, the calls that are still answered are slow.
 	fastLatency = LossyTimeout / 2
@@ -63,7 +60,10 @@
 }
 
 // RecordAnswer records a call that was answered.
-func (d *LossDetector) RecordAnswer() { d.record(0, true) }
+func (d *LossDetector) RecordAnswer() {
+	d.recordLink(0)
+	d.recordRate(0)
+}
 
 // RecordLatency records the latency of an answered call; 0 is ignored.
 func (d *LossDetector) RecordLatency(latency time.Duration) {
@@ -80,17 +80,25 @@
 func (d *LossDetector) answersFast() bool { return d.latency > 0 && d.latency < fastLatency }
 
 // RecordLoss records an unanswered call to a worker that answered the previous one.
-func (d *LossDetector) RecordLoss() { d.record(1, true) }
+func (d *LossDetector) RecordLoss() {
+	d.recordLink(1)
+	d.recordRate(1)
+}
+
+// RecordSingleLoss is RecordLoss for a call that was lost while later ones were answered fast, which
+// shows that the link is not down. Timeouts of calls that were sent together come together, so that
+// at a loss rate of 40% the last 20 calls are all lost several times a second.
+func (d *LossDetector) RecordSingleLoss() { d.recordRate(1) }
 
 // RecordRepeatedLoss records a further unanswered call to the same worker. As the worker itself may
 // be down, the call counts only for detecting that the link is down.
-func (d *LossDetector) RecordRepeatedLoss() { d.record(1, false) }
+func (d *LossDetector) RecordRepeatedLoss() { d.recordLink(1) }
 
-func (d *LossDetector) record(lost float64, wasReachable bool) {
+func (d *LossDetector) recordLink(lost float64) {
 	d.fastLossRate = fastDecay*d.fastLossRate + (1-fastDecay)*lost
-	if !wasReachable {
-		return
-	}
+}
+
+func (d *LossDetector) recordRate(lost float64) {
 	d.lossRate = decay*d.lossRate + (1-decay)*lost
 	switch {
 	case d.lossRate >= LossyAbove:
@@ -108,10 +116,7 @@
 	case Short:
 		return d.fastLossRate < linkDownAbove
 	}
-	if d.answersFast() {
-		return d.lossy && d.fastLossRate < fastLinkDownAbove
-	}
-	return d.lossy && d.latency == 0 && d.fastLossRate < linkDownAbove
+	return d.lossy && d.fastLossRate < linkDownAbove && (d.latency == 0 || d.answersFast())
 }
 
 // Timeout returns the timeout of a call: usual, or at most LossyTimeout on a lossy link.
--- a/jobs/callpolicy/roundtrip.go
+++ b/jobs/callpolicy/roundtrip.go
@@ -1,6 +1,9 @@
 package callpolicy
 
-import "time"
+import (
+	"math"
+	"time"
+)
 
 // Parameters of the estimate of a round trip, by RFC 6298.
 const (
@@ -69,6 +72,13 @@
 	return min(most, max(least, w.srtt+rttVarFactor*w.rttVar)<<max(0, w.backoffs-1))
 }
 
+// WithoutBackoff returns the estimate without the backoff.
+func (w *WorkerCalls) WithoutBackoff() WorkerCalls {
+	out := *w
+	out.backoffs = 0
+	return out
+}
+
 // LosesMoreThan reports whether the worker loses many more calls than all workers do on average.
 func (w *WorkerCalls) LosesMoreThan(all *WorkerCalls) bool {
 	return w.lossRate >= minWorkerLoss && w.lossRate >= workerLossFactor*all.lossRate
@@ -113,29 +123,46 @@
 	repeatShare = 1.0
 	// congestedRepeatShare is the same while answers are slow, where repeats add to the queue.
 	congestedRepeatShare = 0.1
-	// maxSavedRepeats is how many repeats may be saved up.
-	maxSavedRepeats = 64
+	// minRepeats may be repeated within repeatPeriod in any case.
+	minRepeats = 32
+	// repeatPeriod is the mean age of the sends that count. Repeats follow up to 400 ms after the
+	// first sends, often many at a time.
+	repeatPeriod = time.Second
 )
 
-// RepeatBudget limits repeats to a share of the first sends, so that repeats never fill a link.
+// RepeatBudget limits repeats to a share of the recent first sends, so that repeats never fill a
+// link. Its zero value is ready for use.
 type RepeatBudget struct {
-	used float64 // repeats taken from maxSavedRepeats and not earned back
+	first, repeats float64 // sends, with weights that decay over repeatPeriod
+	at             time.Time
+}
+
+// RecordFirstSend records a call that is sent for the first time.
+func (b *RepeatBudget) RecordFirstSend(now time.Time) {
+	b.decay(now)
+	b.first++
 }
 
-// RecordFirstSend adds to the budget. congested reports whether answers are slow.
-func (b *RepeatBudget) RecordFirstSend(congested bool) {
+// Take takes a repeat from the budget and reports whether one was left. congested reports whether
+// answers are slow.
+func (b *RepeatBudget) Take(congested bool, now time.Time) bool {
+	b.decay(now)
 	share := repeatShare
 	if congested {
 		share = congestedRepeatShare
 	}
-	b.used = max(0, b.used-share)
-}
-
-// Take takes a repeat from the budget and reports whether one was left.
-func (b *RepeatBudget) Take() bool {
-	if b.used+1 > maxSavedRepeats {
+	if b.repeats+1 > minRepeats+share*b.first {
 		return false
 	}
-	b.used++
+	b.repeats++
 	return true
 }
+
+func (b *RepeatBudget) decay(now time.Time) {
+	if age := now.Sub(b.at); age > 0 {
+		weight := math.Exp(-age.Seconds() / repeatPeriod.Seconds())
+		b.first *= weight
+		b.repeats *= weight
+		b.at = now
+	}
+}
