Owner: timeouts by worker, lost starts are not slow answers, a budget for repeats

The limit of outstanding starts fell from 384 to 8; 130 to 230 starts a second were sent instead of 1,700, 569 submissions were refused for it, and the pools met the next turn with the backlog. Two lost holds in a row kept tasks from a fifth of the workers and made copies of their tasks. Change: the timeout of a start or stop is the worker's (RFC 6298, 120 to 400 ms); an unanswered start counts as slow only if no start that was sent after it was answered fast; repeats take from a budget; while calls are being lost, a worker counts as unreachable 450 ms after its last answer; workers that lose twice as many calls as the others get tasks last; log line start-settled and metrics. jobload: the daemon's model has lost calls, timeouts of each order, and measures latency; the simulator without it measures latency too. Before, answers later than the timeout were reported when they were read, not at the timeout.

--- a/jobs/node/metrics.go
+++ b/jobs/node/metrics.go
@@ -83,6 +83,10 @@
 		"owner_tasks_lost": float64(s.Lost), "owner_commits": float64(s.Commits),
 		"owner_lasting_tasks_lapsed": float64(s.LongRunningLapsed), "owner_jobs_considered": float64(s.JobsConsidered),
 		"owner_worker_crashes": float64(s.Crashes), "owner_trials": float64(s.IsolatedStarts), "owner_tasks_given_up": float64(s.GivenUp),
+		"owner_starts_unanswered": float64(s.Unanswered), "owner_starts_repeated": float64(s.Repeated), "owner_repeats_denied": float64(s.RepeatsDenied),
+		"owner_starts_settled_by_answer": float64(s.SettledByAnswer), "owner_starts_settled_by_run_list": float64(s.SettledByRunList),
+		"owner_starts_settled_by_end": float64(s.SettledByEnd), "owner_start_settling_s": s.SettlingTime.Seconds(),
+		"owner_call_timeout_min_s": s.MinCallTimeout.Seconds(), "owner_call_timeout_max_s": s.MaxCallTimeout.Seconds(),
 	} {
 		m.scope.Gauge(name).Update(v)
 	}
--- a/jobs/owner/copies.go
+++ b/jobs/owner/copies.go
@@ -22,7 +22,7 @@
 const (
 	noCopy     copyNeed = iota
 	lateCopy            // the run takes much longer than estimated
-	urgentCopy          // the run's worker is silent, or the run is being stopped
+	urgentCopy          // the run's worker seems unreachable, or the run is being stopped
 )
 
 // copyNeed returns whether a copy of a speculative task may complete before its run.
@@ -35,7 +35,7 @@
 		return noCopy // the task may crash the copy's worker, too
 	}
 	r := t.runs[0]
-	if r.phase == stopping || r.worker.isSilent() {
+	if r.phase == stopping || r.worker.seemsUnreachable(now) {
 		return urgentCopy
 	}
 	late := time.Duration(copyDelayFactor*float64(spec.Estimate)) + copyExtraDelay
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -192,6 +192,7 @@
 	if cause != CauseWork {
 		r.addLostTime(cause, now)
 	}
+	c.settleStart(r, settledByEnd, now)
 	c.removeRun(r)
 	if r.worker.contactLoss.lostAt.IsZero() && !r.fromPastIncarnation {
 		r.task.dropUnconfirmedCrash(r.number) // the worker still answers
--- a/jobs/owner/freeindex.go
+++ b/jobs/owner/freeindex.go
@@ -121,7 +121,7 @@
 			req.RequiredLabel != "" && !slices.Contains(w.Labels, req.RequiredLabel) {
 			continue
 		}
-		failing := w.hasRecentFailures(now)
+		failing := w.isUnreliable(now)
 		onRack := req.PreferredRack == "" || w.Rack == req.PreferredRack
 		if seen := &found[boolIndex(failing)][boolIndex(onRack)]; !*seen {
 			*seen = true
@@ -146,11 +146,16 @@
 	return w.recentEnds.failures(now) >= minFailuresToAvoid
 }
 
+// isUnreliable reports whether the worker gets tasks only if no other has capacity.
+func (w *worker) isUnreliable(now time.Time) bool {
+	return w.losesOrders || w.hasRecentFailures(now)
+}
+
 // placementView returns the worker as the placement package sees it.
 func (w *worker) placementView(now time.Time) placement.Worker {
 	return placement.Worker{
 		Capacity: w.Capacity, Free: w.free(), Rack: w.Rack, Labels: w.Labels,
-		Fillers: w.fillerRuns, Serving: w.servingRuns, LongRunning: w.longRunningRuns, Unreliable: w.hasRecentFailures(now),
+		Fillers: w.fillerRuns, Serving: w.servingRuns, LongRunning: w.longRunningRuns, Unreliable: w.isUnreliable(now),
 	}
 }
 
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -15,6 +15,11 @@
 func (c *Core) sendStart(r *run, now time.Time) {
 	r.sentAt = now
 	r.sends++
+	if r.sends == 1 {
+		c.repeatBudget.RecordFirstSend(now)
+	} else {
+		c.counts.Repeated++
+	}
 	c.effects.Starts = append(c.effects.Starts, Start{
 		Seq:          c.startWindow.add(now),
 		Target:       c.target(r.worker),
@@ -24,7 +29,7 @@
 		LeaseUntilMs: c.leaseEndFor(r.worker, now),
 		Checkpoint:   r.task.checkpoint,
 		Ticket:       r.task.step.ticketFor(r.worker),
-		Timeout:      c.callLossDetector.Timeout(OrderTimeout),
+		Timeout:      c.orderTimeout(r.worker),
 	})
 }
 
@@ -35,10 +40,8 @@
 	if w == nil {
 		return
 	}
-	c.onOrderAnswer(w, a, now)
-	if a.Outcome == Unanswered && !c.callLossDetector.Lossy() {
-		c.trackAnswerLatency(OrderTimeout, now) // lower bound of the latency of a late answer
-	}
+	c.onOrderAnswer(w, a, o.Timeout, now)
+	c.recordStartLatency(w, o, a, now)
 	r := w.runs[o.Task]
 	if r == nil || r.number != o.Run {
 		c.logLateStartAnswer(w, o, a, now)
@@ -47,6 +50,7 @@
 	switch a.Outcome {
 	case Accepted:
 		r.resetRefusals()
+		c.settleStart(r, settledByAnswer, now)
 		if r.phase == starting {
 			r.phase = running
 			r.confirmedAt = now
@@ -129,13 +133,17 @@
 		return
 	}
 	r.mayStartLate = true
+	if r.unansweredSince.IsZero() {
+		r.unansweredSince = now
+		c.counts.Unanswered++
+	}
 	c.markOrderUnanswered(r.worker, r.sentAt)
 	id := r.task.id()
 	c.logDecision(Decision{Event: "start-unanswered", Job: id.Job, Task: id.String(), Worker: r.worker.Worker, Run: r.number, Reason: describeAnswer(a)})
 	switch {
 	case r.task.done:
 		c.stop(r, "the task is done", now)
-	case r.sends < c.callLossDetector.Attempts(maxStartSends):
+	case r.sends < c.callLossDetector.Attempts(maxStartSends) && c.takeRepeat(now):
 		c.sendStart(r, now)
 	default:
 		// The worker may have started the run, and a stop would end a working task. The worker's
@@ -165,8 +173,8 @@
 // sendStop orders the run's worker to stop the run, and schedules a repetition.
 func (c *Core) sendStop(r *run, now time.Time) {
 	r.sentAt = now
-	c.stopsDue.add(now.Add(c.stopRetryInterval()), r)
-	c.effects.Stops = append(c.effects.Stops, Stop{Target: c.target(r.worker), Task: r.task.id(), Run: r.number, Timeout: c.callLossDetector.Timeout(OrderTimeout)})
+	c.stopsDue.add(now.Add(c.stopRetryInterval(r.worker)), r)
+	c.effects.Stops = append(c.effects.Stops, Stop{Target: c.target(r.worker), Task: r.task.id(), Run: r.number, Timeout: c.orderTimeout(r.worker)})
 }
 
 // OnStopAnswer handles the outcome of a stop, answered or not.
@@ -175,7 +183,7 @@
 	if w == nil {
 		return
 	}
-	c.onOrderAnswer(w, a, now)
+	c.onOrderAnswer(w, a, o.Timeout, now)
 	switch a.Outcome {
 	case Fenced:
 		c.markFenced(w)
@@ -198,7 +206,7 @@
 	r.sentAt = now
 	r.confirmedAt = time.Time{}
 	r.sends++
-	c.stopsDue.add(now.Add(c.stopRetryInterval()), r)
+	c.stopsDue.add(now.Add(c.stopRetryInterval(r.worker)), r)
 }
 
 // resendStops sends unconfirmed stops again.
@@ -207,7 +215,7 @@
 		if r.phase != stopping || !r.confirmedAt.IsZero() || r.worker.ended || r.worker.runs[r.task.id()] != r {
 			continue
 		}
-		if resendAt := r.sentAt.Add(c.stopRetryInterval()); now.Before(resendAt) {
+		if resendAt := r.sentAt.Add(c.stopRetryInterval(r.worker)); now.Before(resendAt) {
 			c.stopsDue.add(resendAt, r) // it was sent again in the meantime
 			continue
 		}
@@ -217,8 +225,8 @@
 
 // stopRetryInterval returns the time between two stops of a run. It exceeds the timeout of
 // an answer, so that at most one stop of a run is in flight.
-func (c *Core) stopRetryInterval() time.Duration {
-	return c.callLossDetector.Timeout(OrderTimeout) + stopRetryPause
+func (c *Core) stopRetryInterval(w *worker) time.Duration {
+	return c.orderTimeout(w) + stopRetryPause
 }
 
 // OrderTimeout is the timeout for the answer to a start or stop: about a hundred times the round
--- a/jobs/owner/startwindow.go
+++ b/jobs/owner/startwindow.go
@@ -107,7 +107,7 @@
 // adjust adapts the limit to the mean answer latency; called after each answer.
 func (w *startWindow) adjust(mean time.Duration, now time.Time) {
 	switch {
-	case mean <= congestedLatency:
+	case !w.isCongested(mean):
 		w.limit = min(float64(w.maxOutstanding), w.limit+1/w.limit)
 	case now.Sub(w.decreasedAt) > limitDecreaseInterval:
 		w.limit = max(min(minLimit, float64(w.maxOutstanding)), limitDecrease*w.limit)
@@ -115,6 +115,9 @@
 	}
 }
 
+// isCongested reports whether orders or answers queue up at this mean answer latency.
+func (w *startWindow) isCongested(mean time.Duration) bool { return mean > congestedLatency }
+
 // isFull reports whether no further start may be ordered.
 func (w *startWindow) isFull() bool {
 	return w.maxOutstanding > 0 && len(w.outstanding) >= int(w.limit)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -56,6 +56,7 @@
 	throttlePercent     int           // ordered percentage of full speed; initially 100
 	mayStartLate        bool          // a start went unanswered and may still reach the worker
 	fromPastIncarnation bool          // ordered on an earlier incarnation of the worker, not yet seen on this one
+	unansweredSince     time.Time     // when its start first went unanswered, until its outcome is known
 	neverStarted        bool          // the worker does not list it, and a stop will keep it from starting
 	startAbandonedAt    time.Time     // when the start was given up as unanswered; zero: it may be sent again
 	stopReason          string
@@ -207,12 +208,15 @@
 	holdSentAt               time.Time
 	answeredHoldSentAt       time.Time // when the latest answered hold was sent
 	nextHoldAt               time.Time
-	silentSince              time.Time   // since when holds go unanswered; zero: the last one was answered
-	lastAnswerAt             time.Time   // latest answer to any order
-	orderUnanswered          bool        // an order sent after lastAnswerAt went unanswered
-	crashSuspects            []*task     // tasks that may have crashed it, set when it ends
-	lostCallCounted          bool        // a lost call was counted in callLossDetector, and no call was answered since
-	contactLoss              contactLoss // zero: in contact
+	silentSince              time.Time              // since when holds go unanswered; zero: the last one was answered
+	lastAnswerAt             time.Time              // latest answer to any order
+	orderUnanswered          bool                   // an order sent after lastAnswerAt went unanswered
+	crashSuspects            []*task                // tasks that may have crashed it, set when it ends
+	calls                    callpolicy.WorkerCalls // outcomes and round trips of orders
+	silenceToleratedUntil    time.Time              // until then lost calls may explain its silence
+	losesOrders              bool                   // loses many more calls than the other workers
+	lostCallCounted          bool                   // a lost call was counted in callLossDetector, and no call was answered since
+	contactLoss              contactLoss            // zero: in contact
 	runs                     map[job.TaskID]*run
 	allocated                job.Resources             // by runs
 	fillerRuns               int                       // filler runs
@@ -270,7 +274,7 @@
 // isReady reports whether the worker's own state allows new tasks.
 func (w *worker) isReady(now time.Time) bool {
 	return w.answeredThisOwner && w.registered && !w.ended && !w.Draining && w.lease.known &&
-		w.reserved == "" && !w.isSilent() && !now.Before(w.avoidUntil)
+		w.reserved == "" && !w.seemsUnreachable(now) && !now.Before(w.avoidUntil)
 }
 
 // Core is the state machine that schedules all jobs: methods named On handle answers and events,
@@ -338,6 +342,9 @@
 	staleIndexWorkers []*worker // workers with indexStale set
 
 	callLossDetector  callpolicy.LossDetector
+	allCalls          callpolicy.WorkerCalls // to all workers
+	fastAnswers       callpolicy.FastAnswers // to starts
+	repeatBudget      callpolicy.RepeatBudget
 	starvedSince      time.Time     // start of the current or last period in which the owner is starved
 	starvedUntil      time.Time     // end of that period
 	meanAnswerLatency time.Duration // moving average
@@ -368,6 +375,7 @@
 	IsolatedStarts    int64 // starts of risky tasks in isolation
 	GivenUp           int64 // tasks given up because they crash their workers
 	JobsConsidered    int64 // jobs considered for placement
+	UnansweredStarts
 }
 
 // Decision is a log line that says what was decided about a job, a worker or an instance, and
--- a/jobs/owner/stats.go
+++ b/jobs/owner/stats.go
@@ -14,6 +14,8 @@
 	MovingInstances int     // instances moving to another pool
 	WaitingCores    float64 // cores that tasks wait for
 	Pools           []PoolStats
+	// MinCallTimeout and MaxCallTimeout are the range of the timeouts of starts over the workers.
+	MinCallTimeout, MaxCallTimeout time.Duration
 }
 
 // PoolStats is a snapshot of one pool.
@@ -43,6 +45,11 @@
 		if w.isSilent() {
 			s.SilentWorkers++
 		}
+		timeout := c.orderTimeout(w)
+		s.MaxCallTimeout = max(s.MaxCallTimeout, timeout)
+		if s.MinCallTimeout == 0 || timeout < s.MinCallTimeout {
+			s.MinCallTimeout = timeout
+		}
 	}
 	for _, p := range c.pools {
 		s.WaitingCores += p.waitingCores
--- a/jobs/owner/throttle.go
+++ b/jobs/owner/throttle.go
@@ -84,7 +84,7 @@
 	if w == nil {
 		return
 	}
-	c.onOrderAnswer(w, a, now)
+	c.onOrderAnswer(w, a, OrderTimeout, now)
 	if a.Outcome == Fenced {
 		c.markFenced(w)
 		return
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -18,6 +18,8 @@
 	reregistrationGrace = 2200 * time.Millisecond
 	// holdRetryPause is the pause after an unanswered hold.
 	holdRetryPause = 150 * time.Millisecond
+	// lossyHoldRetryPause is the same for a worker whose silence lost calls may explain.
+	lossyHoldRetryPause = 30 * time.Millisecond
 	// noInstanceHoldRetryPause is the same for a worker that the instance list does not show.
 	// Most of these have ended, but stay registered for some seconds. If they were retried as
 	// often as the others, most calls of a new owner would go to them.
@@ -58,7 +60,7 @@
 			LeaseUntilMs: c.leaseEndFor(w, now),
 			AckThrough:   w.ackThrough(),
 			Wait:         c.holdWait(w),
-			Timeout:      c.callLossDetector.Timeout(holdTimeout),
+			Timeout:      c.holdTimeout(w),
 		})
 	}
 }
@@ -127,8 +129,8 @@
 // lost contact: only that order may have been lost, and the hold in flight will show whether
 // the worker answers. Otherwise, on a network that loses a fifth of the calls, each lost order
 // would be recorded as an unconfirmed crash.
-func (c *Core) onOrderAnswer(w *worker, a Answer, now time.Time) {
-	c.recordCallOutcome(w, a)
+func (c *Core) onOrderAnswer(w *worker, a Answer, timeout time.Duration, now time.Time) {
+	c.recordCallOutcome(w, a, now.Add(-timeout), now)
 	if a.Outcome == Unanswered && !a.ConnFailed {
 		c.markWorkerChanged(w)
 		return
@@ -137,26 +139,11 @@
 }
 
 // mayBeLostHold reports whether an unanswered hold may have been lost on a lossy network. Such a
-// hold does not count as lost contact unless the next one goes unanswered too; otherwise tasks
-// just started on the worker would be suspected of having crashed it.
-func (c *Core) mayBeLostHold(w *worker, a Answer) bool {
-	return a.Outcome == Unanswered && !a.ConnFailed && w.silentSince.IsZero() && c.callLossDetector.Lossy()
-}
-
-// recordCallOutcome counts answered and lost calls. The timeouts of later calls depend on them.
-func (c *Core) recordCallOutcome(w *worker, a Answer) {
-	switch {
-	case a.Outcome == NotSent:
-	case a.Outcome != Unanswered:
-		c.callLossDetector.RecordAnswer()
-		w.lostCallCounted = false
-	case a.ConnFailed:
-	case w.lostCallCounted:
-		c.callLossDetector.RecordRepeatedLoss()
-	default:
-		c.callLossDetector.RecordLoss()
-		w.lostCallCounted = true
-	}
+// hold does not count as lost contact unless more go unanswered too; otherwise tasks just started
+// on the worker would be suspected of having crashed it.
+func (c *Core) mayBeLostHold(w *worker, a Answer, now time.Time) bool {
+	return a.Outcome == Unanswered && !a.ConnFailed && c.callLossDetector.Lossy() &&
+		(w.silentSince.IsZero() || now.Before(w.silenceToleratedUntil))
 }
 
 // onAnswer handles the outcome of a call to the worker, answered or not.
@@ -210,8 +197,9 @@
 	if w.ended {
 		return // answered before the incarnation ended; its runs are already released
 	}
-	c.recordCallOutcome(w, h.Answer)
-	if !c.mayBeLostHold(w, h.Answer) {
+	c.recordCallOutcome(w, h.Answer, w.holdSentAt, now)
+	c.markWorkerChanged(w)
+	if !c.mayBeLostHold(w, h.Answer, now) {
 		c.onAnswer(w, h.Answer, now)
 	}
 	switch h.Outcome {
@@ -267,6 +255,9 @@
 	if c.callLossDetector.Lossy() && w.silentSince.Equal(now) {
 		return 0 // only this hold may have been lost
 	}
+	if now.Before(w.silenceToleratedUntil) {
+		return lossyHoldRetryPause
+	}
 	if !c.instanceListAt.IsZero() && !c.isOnInstanceList(w) {
 		return noInstanceHoldRetryPause
 	}
@@ -355,6 +346,7 @@
 		r.fromPastIncarnation = false
 		r.task.dropUnconfirmedCrash(r.number)
 	}
+	c.settleStart(r, settledByRunList, now)
 	if r.phase == starting {
 		r.phase = running
 		r.confirmedAt = now
--- a/lab/jobload/daemon.go
+++ b/lab/jobload/daemon.go
@@ -28,12 +28,11 @@
 	tickCPUTime              = 100 * time.Microsecond
 	orderBytes               = 900 // a start with a payload of 500 bytes
 	answerBytes              = 200
-	holdRowBytes             = 60                     // a task in the answer to a hold
-	registrationBytes        = 370                    // a registration in the store's answer
-	instanceBytes            = 155                    // an instance in the list
-	holdMargin               = 300 * time.Millisecond // timeout of a hold, beyond its wait
-	maxStartAge              = time.Second            // a start that was queued for longer is not sent
-	slotTime                 = 50 * time.Millisecond  // a start holds its slot for this long at most
+	holdRowBytes             = 60                    // a task in the answer to a hold
+	registrationBytes        = 370                   // a registration in the store's answer
+	instanceBytes            = 155                   // an instance in the list
+	maxStartAge              = time.Second           // a start that was queued for longer is not sent
+	slotTime                 = 50 * time.Millisecond // a start holds its slot for this long at most
 	slotsPerCore             = 120
 	minSlots                 = 4
 	outstandingStartsPerSlot = 4
@@ -156,31 +155,40 @@
 		}
 	}
 	h.s.engine.after(slotTime, release)
-	var a owner.Answer
-	h.send(orderBytes, func() (int, time.Duration) {
-		a = h.s.start(next.order)
-		return answerBytes, 0
-	}, func(took time.Duration) {
-		release()
-		a.Latency = took
-		if took > owner.OrderTimeout {
-			a = owner.Answer{Outcome: owner.Unanswered}
-		}
+	h.order(orderBytes, next.order.Timeout, func() owner.Answer { return h.s.start(next.order) }, release, func(a owner.Answer) {
 		h.deliver(StartAnswered, term, func(c *owner.Core) { c.OnStartAnswer(next.order, a, h.s.engine.now) })
 	})
 }
 
 func (h *daemonSim) stop(o owner.Stop) {
 	term := h.s.term
+	h.order(answerBytes, o.Timeout, func() owner.Answer { return h.s.stop(o) }, func() {}, func(a owner.Answer) {
+		h.deliver(StopAnswered, term, func(c *owner.Core) { c.OnStopAnswer(o, a, h.s.engine.now) })
+	})
+}
+
+// order transfers an order of some bytes to its worker, which carries it out, and the answer back.
+// onAnswer is called once: with the answer, or with Unanswered after the timeout. onRead is called when an answer is
+// read, however late.
+func (h *daemonSim) order(bytes int, timeout time.Duration, carryOut func() owner.Answer, onRead func(), onAnswer func(owner.Answer)) {
+	answered := false
+	answer := func(a owner.Answer) {
+		if !answered {
+			answered = true
+			onAnswer(a)
+		}
+	}
+	h.s.engine.after(timeout, func() { answer(owner.Answer{Outcome: owner.Unanswered}) })
 	var a owner.Answer
-	h.send(answerBytes, func() (int, time.Duration) {
-		a = h.s.stop(o)
+	h.send(bytes, func() (int, time.Duration) {
+		a = h.s.answerOrLose(carryOut)
 		return answerBytes, 0
 	}, func(took time.Duration) {
-		if took > owner.OrderTimeout {
-			a = owner.Answer{Outcome: owner.Unanswered}
+		if a.Outcome != owner.Unanswered {
+			a.Latency = took
+			onRead()
+			answer(a)
 		}
-		h.deliver(StopAnswered, term, func(c *owner.Core) { c.OnStopAnswer(o, a, h.s.engine.now) })
 	})
 }
 
@@ -188,7 +196,6 @@
 // an answer that is read after the timeout is dropped.
 func (h *daemonSim) hold(o owner.Hold) {
 	term := h.s.term
-	sent := h.s.engine.now
 	answered := false
 	answer := func(held owner.HoldAnswer) {
 		if !answered {
@@ -196,16 +203,17 @@
 			h.deliver(HoldAnswered, term, func(c *owner.Core) { c.OnHoldAnswer(o.Target, held, h.s.engine.now) })
 		}
 	}
-	h.s.engine.after(o.Wait+holdMargin, func() { answer(owner.HoldAnswer{Answer: owner.Answer{Outcome: owner.Unanswered}}) })
+	h.s.engine.after(o.Wait+o.Timeout, func() { answer(owner.HoldAnswer{Answer: owner.Answer{Outcome: owner.Unanswered}}) })
+	if h.s.drawCallLoss() {
+		return
+	}
 	h.compute(callCPUTime/2, func() {
 		h.transfer(&h.up, answerBytes, func() {
 			h.s.engine.after(callTime, func() {
 				h.s.receiveHold(o, func(held owner.HoldAnswer) {
 					h.transfer(&h.down, answerBytes+holdRowBytes*(len(held.Active)+len(held.Ends)), func() {
 						h.compute(callCPUTime/2, func() {
-							if h.s.engine.now.Sub(sent) <= o.Wait+holdMargin {
-								answer(held)
-							}
+							answer(held)
 						})
 					})
 				})
--- a/lab/jobload/fleet.go
+++ b/lab/jobload/fleet.go
@@ -327,7 +327,9 @@
 // answerOrLose carries out an order immediately or, if the call is lost, later and without an answer.
 func (s *sim) answerOrLose(do func() owner.Answer) owner.Answer {
 	if !s.drawCallLoss() {
-		return do()
+		a := do()
+		a.Latency = callTime
+		return a
 	}
 	s.engine.after(lostCallMinDelay+time.Duration(s.rand.Int64N(int64(lostCallDelaySpread))), func() { do() })
 	return owner.Answer{Outcome: owner.Unanswered}
