callpolicy: FastAnswers looks at each slot once

Cause: a call that was sent long ago, as before a suspension of the instance, was looked for in steps of 10 ms from then to now; times before 1970 gave a negative slot. Change: one pass over the 128 slots; the slot is computed without sign.

--- a/jobs/callpolicy/roundtrip.go
+++ b/jobs/callpolicy/roundtrip.go
@@ -104,16 +104,16 @@
 
 // Between reports whether a call sent after from, and up to the time to, was answered fast.
 func (f *FastAnswers) Between(from, to time.Time) bool {
-	for t := from; !t.After(to.Add(fastAnswerSlot)); t = t.Add(fastAnswerSlot) {
-		if at := f.sentAt[slotOf(t)]; at.After(from) && !at.After(to) {
+	for _, at := range f.sentAt {
+		if at.After(from) && !at.After(to) {
 			return true
 		}
 	}
 	return false
 }
 
-func slotOf(t time.Time) int {
-	return int(t.UnixNano() / int64(fastAnswerSlot) % fastAnswerSlots)
+func slotOf(t time.Time) uint64 {
+	return uint64(t.UnixNano()) / uint64(fastAnswerSlot) % fastAnswerSlots
 }
 
 // Parameters of the repeat budget.
