--- a/jobs/callpolicy/callpolicy.go
+++ b/jobs/callpolicy/callpolicy.go
@@ -23,6 +23,11 @@
 	LossyUntilBelow = 0.005
 	// linkDownAbove is the loss rate from which the link counts as down instead of lossy.
 	linkDownAbove = 0.5
+	// fastLatency is the mean latency of answered calls below which answers are fast. On a saturated
+	// link or CPU, the calls that are still answered are slow.
+	fastLatency = LossyTimeout / 2
+	// latencyDecay is the weight of the previous mean latency: about the last 20 answers count.
+	latencyDecay = 0.95
 )
 
 // Parameters of calls on a lossy link.
@@ -51,23 +56,49 @@
 	Policy                 Policy
 	lossRate, fastLossRate float64 // moving averages, 0 to 1
 	lossy                  bool
+	latency                time.Duration // mean of answered calls; 0: not measured
 }
 
 // RecordAnswer records a call that was answered.
-func (d *LossDetector) RecordAnswer() { d.record(0, true) }
+func (d *LossDetector) RecordAnswer() {
+	d.recordLink(0)
+	d.recordRate(0)
+}
+
+// RecordLatency records the latency of an answered call; 0 is ignored.
+func (d *LossDetector) RecordLatency(latency time.Duration) {
+	switch {
+	case latency <= 0:
+	case d.latency == 0:
+		d.latency = latency
+	default:
+		d.latency = time.Duration(latencyDecay*float64(d.latency) + (1-latencyDecay)*float64(latency))
+	}
+}
+
+// answersFast reports whether the calls that are answered are answered fast.
+func (d *LossDetector) answersFast() bool { return d.latency > 0 && d.latency < fastLatency }
 
 // RecordLoss records an unanswered call to a worker that answered the previous one.
-func (d *LossDetector) RecordLoss() { d.record(1, true) }
+func (d *LossDetector) RecordLoss() {
+	d.recordLink(1)
+	d.recordRate(1)
+}
+
+// RecordSingleLoss is RecordLoss for a call that was lost while later ones were answered fast, which
+// shows that the link is not down. Timeouts of calls that were sent together come together, so that
+// at a loss rate of 40% the last 20 calls are all lost several times a second.
+func (d *LossDetector) RecordSingleLoss() { d.recordRate(1) }
 
 // RecordRepeatedLoss records a further unanswered call to the same worker. As the worker itself may
 // be down, the call counts only for detecting that the link is down.
-func (d *LossDetector) RecordRepeatedLoss() { d.record(1, false) }
+func (d *LossDetector) RecordRepeatedLoss() { d.recordLink(1) }
 
-func (d *LossDetector) record(lost float64, wasReachable bool) {
+func (d *LossDetector) recordLink(lost float64) {
 	d.fastLossRate = fastDecay*d.fastLossRate + (1-fastDecay)*lost
-	if !wasReachable {
-		return
-	}
+}
+
+func (d *LossDetector) recordRate(lost float64) {
 	d.lossRate = decay*d.lossRate + (1-decay)*lost
 	switch {
 	case d.lossRate >= LossyAbove:
@@ -85,7 +116,7 @@
 	case Short:
 		return d.fastLossRate < linkDownAbove
 	}
-	return d.lossy && d.fastLossRate < linkDownAbove
+	return d.lossy && d.fastLossRate < linkDownAbove && (d.latency == 0 || d.answersFast())
 }
 
 // Timeout returns the timeout of a call: usual, or at most LossyTimeout on a lossy link.
@@ -96,6 +127,16 @@
 	return usual
 }
 
+// WorkerTimeout returns the timeout of a call to a worker: its retransmission timeout, from
+// LossyTimeout to usual, as long as answers are fast. Otherwise it is that of Timeout.
+func (d *LossDetector) WorkerTimeout(w *WorkerCalls, usual time.Duration) time.Duration {
+	adaptive := d.Policy != Patient && d.Policy != Short
+	if !adaptive || !w.Known() || !d.answersFast() {
+		return d.Timeout(usual)
+	}
+	return w.Timeout(min(usual, LossyTimeout), usual)
+}
+
 // Attempts returns how many times to send an unanswered call: usual, or at least LossyAttempts
 // on a lossy link.
 func (d *LossDetector) Attempts(usual int) int {
--- a/jobs/owner/freeindex.go
+++ b/jobs/owner/freeindex.go
@@ -147,9 +147,10 @@
 }
 
 // isSecondChoice reports whether new tasks are placed on the worker only if they fit on no other:
-// tasks failed on it recently, or it still works slowly after its start.
+// tasks failed on it recently, it loses many more calls than others, or it still works slowly after its
+// start.
 func (w *worker) isSecondChoice(now time.Time) bool {
-	return w.hasRecentFailures(now) || now.Before(w.coldUntil)
+	return w.hasRecentFailures(now) || w.losesOrders || now.Before(w.coldUntil)
 }
 
 // placementView returns the worker as the placement package sees it.
