jobs/admission: decides on new jobs by what their pool can carry

Cause: a job was refused only while start orders waited for the owner's link or processor. A pool without room refused nobody, so that jobs that could no longer be on time took cores and instances from jobs that could. Conclusion: refuse what would be late, but only in a congested pool.

--- a/internal/importrule/rule_test.go
+++ b/internal/importrule/rule_test.go
@@ -42,7 +42,8 @@
 	"jobs/callpolicy": {},
 	"jobs/placement":  {"jobs/job"},
 	"jobs/capacity":   {},
-	"jobs/owner":      {"jobs/job", "jobs/quota", "jobs/callpolicy", "jobs/placement", "jobs/capacity"},
+	"jobs/admission":  {"jobs/job"},
+	"jobs/owner":      {"jobs/job", "jobs/admission", "jobs/quota", "jobs/callpolicy", "jobs/placement", "jobs/capacity"},
 }
 
 // sideEffectPackages are packages that the packages in pureImports must not import.
