jobs/owner: refuses jobs that a full pool would start too late, and jobs that no instance fits

Cause: see jobs/admission. A returning job counts from its first attempt. Conclusion: the owner's part.

--- a/jobs/capacity/rate.go
+++ b/jobs/capacity/rate.go
@@ -53,7 +53,7 @@
 	if !now.After(first) {
 		return 0
 	}
-	return float64(n) * r.meanWork() / now.Sub(first).Seconds()
+	return float64(n) * r.MeanWork() / now.Sub(first).Seconds()
 }
 
 // nthNewest returns the k-th most recent arrival, starting at 0.
@@ -61,9 +61,12 @@
 	return &r.arrivals[(r.next+len(r.arrivals)-1-k)%len(r.arrivals)]
 }
 
-// meanWork returns the mean work of the most recent jobs in core-seconds.
-func (r *RateEstimator) meanWork() float64 {
+// MeanWork returns the mean work of the most recent jobs in core-seconds, 0 if there were none.
+func (r *RateEstimator) MeanWork() float64 {
 	n := min(len(r.arrivals), meanWorkWindow)
+	if n == 0 {
+		return 0
+	}
 	sum := 0.0
 	for k := range n {
 		sum += r.nthNewest(k).work
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -91,7 +91,9 @@
 	j.inherited = c.opt.Term > 1 && now.Sub(c.startedAt) < submitHandoverWindow
 	c.logDecision(Decision{Event: "job-known", Job: spec.ID, Reason: j.service})
 	c.chargeShare(j)
-	c.recordArrival(j, now, now)
+	if !c.wasRefused(j) {
+		c.recordArrival(j, now, now)
+	}
 	c.resolveUnknownJob(j, now)
 	if _, cancelled := c.earlyCancels[spec.ID]; cancelled {
 		delete(c.earlyCancels, spec.ID)
--- a/jobs/owner/moves.go
+++ b/jobs/owner/moves.go
@@ -26,6 +26,9 @@
 		switch {
 		case i == nil:
 		case m.accepted && i.Pool == m.toPool && i.State == InstanceUp && c.incarnationOn(&i.Instance) != m.incarnation && c.hasJoinedPool(&i.Instance):
+			if s := c.catalog.Service(m.toPool); s == nil || !s.Spare {
+				c.admission.recordMoveDuration(now.Sub(m.orderedAt))
+			}
 		case m.accepted && now.Sub(m.orderedAt) > moveTimeout:
 		default:
 			continue
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -239,6 +239,7 @@
 	c.resizePools(now)
 	c.markWaitingServices()
 	c.schedule(now)
+	c.updateAdmission(now)
 }
 
 // markWaitingServices marks every service with queued jobs as changed, as backoffs and other
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/callpolicy"
 	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/job"
@@ -32,6 +33,7 @@
 	MaxMovesPerSec       float64 // moves per second that the platform accepts; 0: no limit
 	PoolPolicy           capacity.Policy
 	SchedulingPolicy     SchedulingPolicy
+	AdmissionPolicy      admission.Policy // "": as admission.Never
 }
 
 // runsPerTerm is the size of each term's range of run numbers. Runs of term n are numbered from
@@ -351,6 +353,7 @@
 	counts           Counts
 
 	startWindow startWindow
+	admission   admissionState
 }
 
 // Counts holds totals since the start of the term.
@@ -368,6 +371,8 @@
 	IsolatedStarts    int64 // starts of risky tasks in isolation
 	GivenUp           int64 // tasks given up because they crash their workers
 	JobsConsidered    int64 // jobs considered for placement
+	RefusedJobs       int64 // submissions refused by Admit, returns of the same job included
+	NeedlessRefusals  int64 // refused jobs that did not return although their pool had room for them in time
 }
 
 // Decision is a log line that says what was decided about a job, a worker or an instance, and
@@ -447,6 +452,7 @@
 		lastAwaited:            map[string]InstanceID{},
 		startWindow:            newStartWindow(opt.MaxOutstandingStarts),
 		orderHoldoff:           map[InstanceID]time.Time{},
+		admission:              admissionState{controllers: map[string]*admission.Controller{}},
 		startedAt:              now,
 		electedAt:              now,
 		unregisterFrom:         now,
--- a/jobs/quota/share.go
+++ b/jobs/quota/share.go
@@ -57,6 +57,25 @@
 	return true
 }
 
+// Configured reports whether a tenant has a share.
+func (s *Shares) Configured() bool {
+	for _, b := range s.buckets {
+		if b.weight > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// IsExceeded reports whether Take would report that a job is not within its tenant's share.
+func (s *Shares) IsExceeded(tenant string, at time.Time) bool {
+	b := s.buckets[tenant]
+	if b == nil || b.weight == 0 {
+		return false
+	}
+	return b.tokens+b.weight*max(0, at.Sub(b.at).Seconds()) < 1
+}
+
 // burst returns the capacity of a bucket: how many jobs a tenant may submit in one burst, at least
 // one.
 func burst(weight float64) float64 { return max(1, weight*shareBurst.Seconds()) }
--- a/jobs/quota/share_test.go
+++ b/jobs/quota/share_test.go
@@ -11,6 +11,7 @@
 
 func TestShares(t *testing.T) {
 	s := NewShares()
+	assert.False(t, s.Configured())
 	s.SetWeights([]job.Tenant{{Name: "t", Weight: 4}, {Name: "slow", Weight: 0.5}, {Name: "any"}})
 	at := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
 	within := func(tenant string, n int) int {
@@ -22,7 +23,12 @@
 		}
 		return count
 	}
+	assert.True(t, s.Configured())
+	assert.False(t, s.IsExceeded("t", at))
 	assert.Equal(t, 4, within("t", 10), "the share of one second at once")
+	assert.True(t, s.IsExceeded("t", at))
+	assert.False(t, s.IsExceeded("t", at.Add(250*time.Millisecond)), "refilled, but not taken")
+	assert.False(t, s.IsExceeded("any", at))
 	assert.Equal(t, 1, within("slow", 3), "at least one job")
 	assert.Equal(t, 9, within("any", 9), "no limit without a weight")
 	assert.Equal(t, 9, within("", 9))
