--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -16,6 +16,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/verdict"
@@ -94,15 +95,24 @@
 	retryAfter time.Duration // 0: no Retry-After header
 }
 
-// OverloadedError means that a job was refused because it would be late by RetryAfter. If it is
-// submitted again after that time, it could be on time.
-type OverloadedError struct{ RetryAfter time.Duration }
+// OverloadedError means that a job was refused because it would be late by LateBy. If it is
+// submitted again after RetryAfter, it could be on time.
+type OverloadedError struct {
+	Reason             admission.Reason
+	LateBy, RetryAfter time.Duration
+}
 
 // Error implements error.
 func (e *OverloadedError) Error() string {
-	return fmt.Sprintf("the job would be late by %s", e.RetryAfter.Round(time.Millisecond))
+	return fmt.Sprintf("%s: the job would be late by %s", e.Reason, e.LateBy.Round(time.Millisecond))
 }
 
+// ImpossibleError means that a job was refused because it can never run.
+type ImpossibleError struct{ Reason admission.Reason }
+
+// Error implements error.
+func (e *ImpossibleError) Error() string { return fmt.Sprintf("%s: the job can never run", e.Reason) }
+
 type stateBody struct {
 	State job.State `json:"state"`
 }
@@ -262,6 +272,10 @@
 	if verdict.CodeOf(err) == ledger.CodeOtherTenant {
 		return reply{status: http.StatusForbidden, problem: err.Error()}
 	}
+	var impossible *ImpossibleError
+	if errors.As(err, &impossible) {
+		return reply{status: http.StatusTooManyRequests, problem: err.Error()} // without Retry-After, as returning is useless
+	}
 	if verdict.Of(err) == verdict.NotRun {
 		return reply{status: http.StatusServiceUnavailable, problem: err.Error(), retryAfter: retryAfterFor(err)}
 	}
--- a/jobs/gateway/gateway_test.go
+++ b/jobs/gateway/gateway_test.go
@@ -157,6 +157,7 @@
 		{mayHaveRun, "1"},
 		{verdict.Wrap(&OverloadedError{RetryAfter: 2300 * time.Millisecond}, verdict.NotRun, "overloaded", "job"), "3"},
 		{verdict.Wrap(&OverloadedError{RetryAfter: time.Millisecond}, verdict.NotRun, "overloaded", "job"), "1"},
+		{verdict.Wrap(&ImpossibleError{}, verdict.NotRun, "impossible", "job"), ""},
 	} {
 		g := New(&fakeJobs{catalog: catalog(), err: c.err}, readTestKey, decode, noObserver{}, zap.NewNop())
 		r := httptest.NewRequest(http.MethodPost, "http://h.example/a/"+id, strings.NewReader("good"))
--- a/jobs/late/late.go
+++ b/jobs/late/late.go
@@ -10,6 +10,7 @@
 	"strings"
 	"time"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/explain"
 	"github.com/postmount/postmount/jobs/owner"
 )
@@ -19,11 +20,14 @@
 	// NotAccepted is the time between a caller's first refused attempt and the attempt that was
 	// accepted.
 	NotAccepted = "not-accepted"
-	// StoreUnavailable, OwnerChanging, Overloaded and OtherRefusal are reasons why a job was never
-	// accepted.
+	// StoreUnavailable, OwnerChanging, Overloaded, PoolFull, OrdersWait, NoInstanceFits and OtherRefusal are reasons why
+	// a job was never accepted.
 	StoreUnavailable = "store-away"
 	OwnerChanging    = "owner-changing"
 	Overloaded       = "overloaded"
+	PoolFull         = string(admission.PoolFull)
+	OrdersWait       = string(admission.OrdersWait)
+	NoInstanceFits   = string(admission.NoInstanceFits)
 	OtherRefusal     = "refused-otherwise"
 	// AttemptsUsedUp means that a task of an accepted job used up its attempts.
 	AttemptsUsedUp = "attempts-used-up"
@@ -213,6 +217,11 @@
 // refusalCause returns why a job was never accepted, derived from the text of the last refusal.
 func refusalCause(reasons []string) string {
 	last := reasons[len(reasons)-1]
+	for _, reason := range []string{PoolFull, OrdersWait, NoInstanceFits} {
+		if strings.Contains(last, reason+": ") {
+			return reason
+		}
+	}
 	switch {
 	case strings.Contains(last, "submissions wait"):
 		return Overloaded
--- a/jobs/late/late_test.go
+++ b/jobs/late/late_test.go
@@ -23,6 +23,8 @@
 {"ts":"2030-01-01T00:00:04Z","msg":"request-refused","method":"POST","job":"d","status":503,"why":"512 submissions wait for the store"}
 {"ts":"2030-01-01T00:00:04Z","msg":"request-refused","method":"GET","job":"e","status":503,"why":"no owner is elected at present"}
 {"ts":"2030-01-01T00:00:05Z","msg":"request-refused","method":"POST","job":"f","status":504,"why":"store transaction retried for 1.02s: connection reset"}
+{"ts":"2030-01-01T00:00:05Z","msg":"request-refused","method":"POST","job":"g","status":503,"why":"job g refused: pool-full: the job would be late by 1.2s"}
+{"ts":"2030-01-01T00:00:05Z","msg":"request-refused","method":"POST","job":"h","status":429,"why":"job h refused: no-instance-fits: the job can never run"}
 {"ts":"2030-01-01T00:00:06Z","msg":"job-failed","job":"c"}
 {"ts":"2030-01-01T00:00:07Z","msg":"job-late","job":"a","why":"s","total":4000,"allowed":2500,"work":1500,"pool-short":2000,"run-failed":500}
 {"ts":"2030-01-01T00:00:07Z","msg":"job-completed","job":"b"}
@@ -40,7 +42,7 @@
 	for _, j := range r.Jobs {
 		byID[j.ID] = j
 	}
-	require.Len(t, byID, 4, "b was in time, and only a status request of e was refused")
+	require.Len(t, byID, 6, "b was in time, and only a status request of e was refused")
 
 	a := byID["a"]
 	assert.Equal(t, Late, a.Outcome)
@@ -53,11 +55,13 @@
 	assert.Equal(t, AttemptsUsedUp, byID["c"].MainCause())
 	assert.Equal(t, Overloaded, byID["d"].MainCause())
 	assert.Equal(t, StoreUnavailable, byID["f"].MainCause())
+	assert.Equal(t, PoolFull, byID["g"].MainCause())
+	assert.Equal(t, NoInstanceFits, byID["h"].MainCause())
 
 	queues := r.ByQueue()
 	require.Len(t, queues, 2)
 	assert.Equal(t, "(never accepted)", queues[0].Name)
-	assert.Equal(t, 2, queues[0].Outcomes[Refused])
+	assert.Equal(t, 4, queues[0].Outcomes[Refused])
 	assert.Equal(t, "q", queues[1].Name)
 	assert.Equal(t, 2, queues[1].Jobs)
 	assert.Len(t, r.ByTimeSlice(2*time.Second), 3)
--- a/jobs/node/admission.go
+++ b/jobs/node/admission.go
@@ -2,47 +2,54 @@
 
 import (
 	"context"
-	"time"
 
 	"go.uber.org/zap"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/gateway"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/verdict"
 )
 
-// codeOverloaded means that the job was refused because it would be late.
-const codeOverloaded verdict.Code = "scheduler-overloaded"
+// Codes of refused jobs.
+const (
+	codeOverloaded verdict.Code = "scheduler-overloaded" // the job would be late
+	codeImpossible verdict.Code = "job-impossible"       // the job can never run
+)
 
-// checkAdmission returns an error if the owner expects the job to be late: its caller can retry
-// later, and the owner works on jobs that can be on time. The owner is asked only while it is
-// backlogged. A job that is already in the store is not refused, as callers repeat requests that
-// got no answer.
+// checkAdmission returns an error if the owner refuses the job. The owner is asked only about jobs that the
+// hint of its last reply concerns; a job about which it does not answer is accepted. A job that is
+// already in the store is not refused, as callers repeat requests that got no answer.
 func (n *Node) checkAdmission(ctx context.Context, j *job.Job) error {
-	if !n.ownerBacklogged.Load() {
+	hint := n.admissionHint.Load()
+	if hint == nil || !hint.MustAsk(j) {
 		return nil
 	}
-	late := n.estimateLateness(ctx, j)
-	if late == 0 {
+	d := n.askAdmission(ctx, j)
+	if d.Reason == admission.NotRefused {
 		return nil
 	}
 	if known, err := ledger.JobExists(ctx, n.store, j.ID); err != nil || known {
 		return nil // accepted before, or unknown: Accept decides
 	}
-	n.log.Info("job-admission-refused", zap.String("job", string(j.ID)), zap.String("queue", j.Queue), zap.Duration("late-by", late))
-	return verdict.Wrap(&gateway.OverloadedError{RetryAfter: late}, verdict.NotRun, codeOverloaded, "job %s refused", j.ID)
+	n.metrics.jobRefused(j.Queue, d)
+	n.log.Info("job-admission-refused", zap.String("job", string(j.ID)), zap.String("queue", j.Queue), zap.String("pool", j.Service), zap.String("tenant", j.Tenant),
+		zap.String("reason", string(d.Reason)), zap.Duration("start-in", d.StartIn), zap.Duration("late-by", d.LateBy), zap.Duration("retry-after", d.RetryAfter))
+	if d.Reason == admission.NoInstanceFits {
+		return verdict.Wrap(&gateway.ImpossibleError{Reason: d.Reason}, verdict.NotRun, codeImpossible, "job %s refused", j.ID)
+	}
+	return verdict.Wrap(&gateway.OverloadedError{Reason: d.Reason, LateBy: d.LateBy, RetryAfter: d.RetryAfter}, verdict.NotRun, codeOverloaded, "job %s refused", j.ID)
 }
 
-// estimateLateness asks the owner by how much the job would be late. It returns 0 if the job
-// would be on time or the owner does not answer.
-func (n *Node) estimateLateness(ctx context.Context, j *job.Job) time.Duration {
+// askAdmission asks the owner whether to accept the job. Without an answer the job is accepted.
+func (n *Node) askAdmission(ctx context.Context, j *job.Job) admission.Decision {
 	if t := n.term.Load(); t != nil {
-		return t.admit(j).LateBy
+		return t.admit(j).Decision
 	}
 	lock := n.lock.Load()
 	if lock == nil {
-		return 0
+		return admission.Decision{}
 	}
 	ctx, cancel := context.WithTimeout(ctx, peerTimeout)
 	defer cancel()
@@ -51,10 +58,12 @@
 	r, err := n.peers.Admit(ctx, lock.Addr, &withoutPayload)
 	if err != nil {
 		n.log.Info("admission-query-failed", zap.String("job", string(j.ID)), zap.Error(err))
-		return 0
+		return admission.Decision{}
 	}
-	if !r.Owner || r.LateBy == 0 {
-		n.ownerBacklogged.Store(false) // the reply to the next submission sets it again if necessary
+	if !r.Owner {
+		n.admissionHint.Store(nil) // the owner's reply to the next submission sets it again
+		return admission.Decision{}
 	}
-	return r.LateBy
+	n.admissionHint.Store(&r.Hint)
+	return r.Decision
 }
--- a/jobs/node/metrics.go
+++ b/jobs/node/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
 	"github.com/postmount/postmount/verdict"
@@ -49,6 +50,11 @@
 	m.scope.Histogram("commit_time", latencyBuckets).RecordDuration(took)
 }
 
+// jobRefused counts a submission that the owner refused.
+func (m *Metrics) jobRefused(queue string, d admission.Decision) {
+	m.scope.Tagged(map[string]string{"queue": queue, "reason": string(d.Reason)}).Counter("jobs_refused").Inc(1)
+}
+
 // refusedEntries sets the number of store entries that are refused at present.
 func (m *Metrics) refusedEntries(n int) { m.scope.Gauge("entries_refused").Update(float64(n)) }
 
@@ -83,6 +89,7 @@
 		"owner_tasks_lost": float64(s.Lost), "owner_commits": float64(s.Commits),
 		"owner_lasting_tasks_lapsed": float64(s.LongRunningLapsed), "owner_jobs_considered": float64(s.JobsConsidered),
 		"owner_worker_crashes": float64(s.Crashes), "owner_trials": float64(s.IsolatedStarts), "owner_tasks_given_up": float64(s.GivenUp),
+		"owner_refusals": float64(s.RefusedJobs), "owner_refusals_needless": float64(s.NeedlessRefusals),
 	} {
 		m.scope.Gauge(name).Update(v)
 	}
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -13,6 +13,7 @@
 	"github.com/go-chi/chi/v5"
 	"go.uber.org/zap"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/gateway"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
@@ -86,12 +87,13 @@
 	acceptor       *ledger.Acceptor
 	gateway        *gateway.Gateway
 
-	catalog           atomic.Pointer[job.Catalog]
-	lock              atomic.Pointer[ledger.Lock] // the owner's lock; nil: no owner is known
-	term              atomic.Pointer[termRun]     // nil: this daemon is not the owner
-	members           atomic.Pointer[[]ledger.Member]
-	rng               *lockedRand
-	ownerBacklogged   atomic.Bool            // according to the owner's last reply to Submitted
+	catalog atomic.Pointer[job.Catalog]
+	lock    atomic.Pointer[ledger.Lock] // the owner's lock; nil: no owner is known
+	term    atomic.Pointer[termRun]     // nil: this daemon is not the owner
+	members atomic.Pointer[[]ledger.Member]
+	rng     *lockedRand
+	// admissionHint is the hint of the owner's last reply; nil: none.
+	admissionHint     atomic.Pointer[admission.Hint]
 	lastRelay         atomic.Pointer[string] // address of the relay in use
 	failedRelays      sync.Map               // peer address -> time.Time until which it is not used as a relay
 	lease             atomic.Int64           // ledger.LeaseID; 0: none
@@ -287,8 +289,8 @@
 	}
 	go n.notifyOwner(j.ID, func(ctx context.Context, addr string) error {
 		out, err := n.peers.Submitted(ctx, addr, j)
-		if err == nil {
-			n.ownerBacklogged.Store(out.Behind)
+		if err == nil && out.Owner {
+			n.admissionHint.Store(&out.Hint)
 		}
 		return err
 	})
--- a/jobs/node/peerhandler.go
+++ b/jobs/node/peerhandler.go
@@ -37,7 +37,7 @@
 		return peer.SubmitReply{}
 	}
 	t.onSubmitted(&r.Job)
-	return peer.SubmitReply{Behind: t.backlogged.Load()}
+	return peer.SubmitReply{Owner: true, Hint: *t.admissionHint.Load()}
 }
 
 // Admit implements peer.Handler.
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -9,6 +9,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
@@ -44,15 +45,16 @@
 	cpuStarved          atomic.Bool   // short of CPU for more than cpuStarvedAfter
 	suspensionSeen      time.Duration // Clock.Suspended() when the core was last told of a suspension
 	suspensionCheckedAt time.Time     // last call of Clock.Suspended()
-	backlogged          atomic.Bool   // tasks wait for their start orders to be sent
-	committing          bool          // a transaction is in flight
-	lastCommit          time.Time     // when the last transaction started
-	lastStats           time.Time     // when the metrics were last updated
-	lastExpire          time.Time     // when expired jobs were last removed
-	startedAt           time.Time     // when the term began
-	leavingSince        time.Time     // when the handover began
-	releaseTriedAt      time.Time     // last attempt to release the lock
-	pendingPuts         []ledger.Put  // puts for the next transaction, in addition to the records
+	admissionHint       atomic.Pointer[admission.Hint]
+	hintUpdatedAt       time.Time
+	committing          bool         // a transaction is in flight
+	lastCommit          time.Time    // when the last transaction started
+	lastStats           time.Time    // when the metrics were last updated
+	lastExpire          time.Time    // when expired jobs were last removed
+	startedAt           time.Time    // when the term began
+	leavingSince        time.Time    // when the handover began
+	releaseTriedAt      time.Time    // last attempt to release the lock
+	pendingPuts         []ledger.Put // puts for the next transaction, in addition to the records
 	orders              instanceOrders
 	startCalls          callLimiter // start orders to workers
 	holdCalls           callLimiter // holds
@@ -72,6 +74,7 @@
 		return
 	}
 	t := &termRun{n: n, term: term, lease: lease, startedAt: began, suspensionSeen: n.clock.Suspended(), events: make(chan event, eventQueueLen), leaving: make(chan struct{}), released: make(chan struct{}), relist: make(chan struct{}, 1), stopsInFlight: stopSet{}}
+	t.admissionHint.Store(&admission.Hint{})
 	t.startCalls = newCallLimiter(startSlotsPerCore, n.settings.Cores, callSlotTimeout)
 	t.holdCalls = newCallLimiter(holdSlotsPerCore, n.settings.Cores, holdSlotTimeout)
 	t.otherCalls = newCallLimiter(otherSlotsPerCore, n.settings.Cores, callSlotTimeout)
@@ -86,7 +89,7 @@
 		DutyHandover:   n.settings.DutyHandover, PriorOrders: n.ordersByOthers(term.PriorOrders), ElectedAt: began, PriorOrdersUnknown: term.PriorOrdersUnknown, SucceedsSelf: term.SucceedsSelf,
 		StatusRetention:      n.settings.StatusRetention,
 		MaxOutstandingStarts: startsPerSlot * cap(t.startCalls.slots),
-		Weights:              n.settings.Policy.Pools.Weights(), PoolPolicy: n.settings.Policy.Pools.Size, SchedulingPolicy: n.settings.Policy.Jobs.Order, CallPolicy: n.settings.Policy.Workers.Calls,
+		Weights:              n.settings.Policy.Pools.Weights(), PoolPolicy: n.settings.Policy.Pools.Size, SchedulingPolicy: n.settings.Policy.Jobs.Order, AdmissionPolicy: n.settings.Policy.Jobs.Admission, CallPolicy: n.settings.Policy.Workers.Calls,
 	}, n.catalog.Load(), snap.Jobs, n.clock.Now())
 	for _, e := range snap.Refused {
 		n.refusedEntries.add(e.Key, e.Revision, e.Err)
@@ -185,6 +188,7 @@
 			t.core.SetStoreLease(t.n.mayOrderInstances(), now)
 			t.core.Tick(now)
 			t.updateStats(now)
+			t.updateAdmissionHint(now)
 			t.n.yieldIfPartitioned(t)
 		case <-leaving:
 			leaving = nil
@@ -250,7 +254,6 @@
 	t.lastStats = now
 	stats := t.core.Stats(now)
 	t.idle.Store(stats.OpenJobs == 0 && stats.DirtyJobs == 0)
-	t.backlogged.Store(t.core.IsBacklogged(now))
 	t.cpuStarved.Store(t.core.StarvedFor(now) > cpuStarvedAfter)
 	t.n.metrics.ownerStats(stats)
 }
@@ -416,14 +419,31 @@
 	return r
 }
 
-// admit returns by how much a job would be late if it were accepted now.
+// admit decides whether to accept a job. Without a certain lease it decides nothing, as another daemon may be
+// the owner.
 func (t *termRun) admit(j *job.Job) peer.AdmitReply {
+	if !t.leaseHeld() {
+		return peer.AdmitReply{}
+	}
 	r, _ := queryCore(t, func(c *owner.Core) peer.AdmitReply {
-		return peer.AdmitReply{Owner: true, LateBy: c.ExpectedLateness(j, t.n.clock.Now())}
+		return peer.AdmitReply{Owner: true, Decision: c.Admit(j, t.n.clock.Now())}
 	})
+	r.Hint = *t.admissionHint.Load()
 	return r
 }
 
+// hintInterval is how often the hint for other daemons is updated.
+const hintInterval = 200 * time.Millisecond
+
+func (t *termRun) updateAdmissionHint(now time.Time) {
+	if now.Sub(t.hintUpdatedAt) < hintInterval {
+		return
+	}
+	t.hintUpdatedAt = now
+	h := t.core.AdmissionHint(now)
+	t.admissionHint.Store(&h)
+}
+
 // onCancelled passes a cancellation that is in the store to the core.
 func (t *termRun) onCancelled(id job.ID) {
 	t.enqueue(func(c *owner.Core, now time.Time) { c.Cancel(id, now) })
--- a/jobs/peer/peer.go
+++ b/jobs/peer/peer.go
@@ -11,6 +11,7 @@
 
 	"github.com/postmount/postmount/internal/netdial"
 	"github.com/postmount/postmount/internal/rpcconn"
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/verdict"
@@ -53,18 +54,22 @@
 // SubmitRequest notifies the owner of a job that is in the store.
 type SubmitRequest struct{ Job job.Job }
 
-// SubmitReply says whether the owner is backlogged and must be asked, by an AdmitRequest, before
-// the next job is accepted.
-type SubmitReply struct{ Behind bool }
+// SubmitReply says for which jobs the owner must be asked, by an AdmitRequest, before they are accepted. Owner is
+// false if the peer is not the owner.
+type SubmitReply struct {
+	Owner bool
+	Hint  admission.Hint
+}
 
-// AdmitRequest asks whether a job that is not accepted yet would be completed on time.
+// AdmitRequest asks whether to accept a job.
 type AdmitRequest struct{ Job job.Job }
 
-// AdmitReply is the owner's reply. LateBy is by how much the job would be late, 0 if it would be on
-// time.
+// AdmitReply is the owner's reply, with the hint for further jobs. Owner is false if the peer is not, or may not be,
+// the owner; then it decides nothing.
 type AdmitReply struct {
-	Owner  bool
-	LateBy time.Duration
+	Owner    bool
+	Decision admission.Decision
+	Hint     admission.Hint
 }
 
 // Empty is a reply without content. encoding/gob, which net/rpc uses, needs an exported field.
@@ -237,8 +242,8 @@
 	return out, err
 }
 
-// Admit asks the peer at addr whether a job would be completed on time. It is not repeated, as the
-// owner is asked only while it is backlogged.
+// Admit asks the peer at addr whether to accept a job. It is not repeated: a job about which the owner does not
+// answer in time is accepted.
 func (c *Client) Admit(ctx context.Context, addr string, j *job.Job) (AdmitReply, error) {
 	var out AdmitReply
 	err := c.call(ctx, addr, "Admit", AdmitRequest{*j}, &out)
--- a/jobs/policy/policy.go
+++ b/jobs/policy/policy.go
@@ -4,6 +4,7 @@
 
 import (
 	"github.com/postmount/postmount/internal/strictoml"
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/callpolicy"
 	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/owner"
@@ -21,9 +22,10 @@
 	Calls callpolicy.Policy `toml:"calls" validate:"oneof=adaptive patient short"`
 }
 
-// Jobs are the settings for the order in which jobs are placed.
+// Jobs are the settings for which jobs are accepted and in which order they are placed.
 type Jobs struct {
-	Order owner.SchedulingPolicy `toml:"order" validate:"oneof=worth first-in-first-out shortest slack"`
+	Admission admission.Policy       `toml:"admission" validate:"oneof=late start-orders impossible never"`
+	Order     owner.SchedulingPolicy `toml:"order" validate:"oneof=worth first-in-first-out shortest slack"`
 }
 
 // Pools are the settings for the sizes of pools.
@@ -39,7 +41,7 @@
 // Default returns the defaults for settings that are missing in the file.
 func Default() Settings {
 	return Settings{
-		Jobs:    Jobs{Order: owner.SchedulePriority},
+		Jobs:    Jobs{Admission: admission.Late, Order: owner.SchedulePriority},
 		Workers: Workers{Calls: callpolicy.Adaptive},
 		Pools: Pools{
 			Size:           capacity.Demand,
--- a/jobs/policy/policy_test.go
+++ b/jobs/policy/policy_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/require"
 
 	"github.com/postmount/postmount/internal/strictoml"
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/owner"
 )
@@ -31,15 +32,16 @@
 	require.NoError(t, err)
 	assert.Equal(t, owner.ScheduleLeastSlack, s.Jobs.Order)
 	assert.Equal(t, capacity.DefaultWeights, s.Pools.Weights())
+	assert.Equal(t, admission.Late, s.Jobs.Admission)
 }
 
 func TestAllErrorsAreReported(t *testing.T) {
-	_, err := Load(write(t, "[jobs]\norder = \"best\"\n[pools]\nmove = -1.0\nsise = \"demand\"\n"))
+	_, err := Load(write(t, "[jobs]\norder = \"best\"\nadmission = \"sometimes\"\n[pools]\nmove = -1.0\nsise = \"demand\"\n"))
 	var invalid *strictoml.InvalidFileError
 	require.ErrorAs(t, err, &invalid)
 	var keys []string
 	for _, p := range invalid.Problems {
 		keys = append(keys, p.Key)
 	}
-	assert.ElementsMatch(t, []string{"jobs.order", "pools.move", "pools.sise"}, keys)
+	assert.ElementsMatch(t, []string{"jobs.admission", "jobs.order", "pools.move", "pools.sise"}, keys)
 }
