--- a/lab/jobload/jobs.go
+++ b/lab/jobload/jobs.go
@@ -5,6 +5,7 @@
 	"math"
 	"time"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/owner"
 )
@@ -23,15 +24,58 @@
 				s.submit(q, 1)
 			}
 		}
+		s.addTenantArrivals(q, rateInterval)
 		s.scheduleArrivals(q)
 	})
 }
 
+// addTenantArrivals submits the jobs by which tenants exceed their usual rates.
+func (s *sim) addTenantArrivals(q Queue, interval time.Duration) {
+	for n, t := range s.scenario.Tenants {
+		if t.RateFactor == nil {
+			continue
+		}
+		extra := t.RateFactor(s.engine.elapsed()) - 1
+		due := q.PerSecond * q.RateFactor(s.engine.elapsed()) * t.Weight / s.totalWeight() * extra * interval.Seconds()
+		for ; due > 0; due-- {
+			if s.rand.Float64() < due {
+				s.submitFor(q, 1, tenantName(n))
+			}
+		}
+	}
+}
+
+func (s *sim) totalWeight() float64 {
+	sum := 0.0
+	for _, t := range s.scenario.Tenants {
+		sum += t.Weight
+	}
+	return sum
+}
+
+func tenantName(n int) string { return fmt.Sprintf("t%02d", n) }
+
+// drawTenant draws a tenant by weight, "" if there are none.
+func (s *sim) drawTenant() string {
+	if len(s.scenario.Tenants) == 0 {
+		return ""
+	}
+	left := s.rand.Float64() * s.totalWeight()
+	for n, t := range s.scenario.Tenants {
+		if left -= t.Weight; left < 0 {
+			return tenantName(n)
+		}
+	}
+	return tenantName(len(s.scenario.Tenants) - 1)
+}
+
 // submit makes a caller submit a new job of a queue, with widthFactor times the usual number of
 // tasks in each step.
-func (s *sim) submit(q Queue, widthFactor int) {
+func (s *sim) submit(q Queue, widthFactor int) { s.submitFor(q, widthFactor, s.drawTenant()) }
+
+func (s *sim) submitFor(q Queue, widthFactor int, tenant string) {
 	s.result.Jobs++
-	spec := &job.Job{ID: job.ID(fmt.Sprintf("%016x", s.result.Jobs)), Queue: q.Name, Service: q.Name}
+	spec := &job.Job{ID: job.ID(fmt.Sprintf("%016x", s.result.Jobs)), Queue: q.Name, Service: q.Name, Tenant: tenant}
 	j := &simJob{spec: spec, submittedAt: s.engine.now}
 	for n := range s.stepCount(q.Kind) {
 		mean := time.Duration(s.logNormal(float64(q.Kind.TaskDuration)))
@@ -76,7 +120,7 @@
 
 // attemptSubmit is attempt n, counted from 0, of a caller to submit a job.
 func (s *sim) attemptSubmit(j *simJob, n int) {
-	if !s.storeUnavailable() {
+	if !s.storeUnavailable() && !s.refuses(j) {
 		j.spec.AcceptedAt = s.engine.now
 		s.stored = append(s.stored, j)
 		s.deliver(Submission, s.term, func(c *owner.Core) { c.Submit(j.spec, s.engine.now) })
@@ -84,6 +128,7 @@
 	}
 	if n+1 == len(submitAttempts) {
 		s.result.Refused++
+		s.owe(j, 0)
 		s.countLate(j)
 		return
 	}
@@ -105,14 +150,70 @@
 	}
 	j.ended = true
 	allowed := time.Duration(objectiveFactor*float64(j.stepsDuration())) + objectiveOffset
-	if state == job.Completed && s.engine.now.Sub(j.submittedAt) <= allowed {
+	took := s.engine.now.Sub(j.submittedAt)
+	if state == job.Completed && took <= allowed {
 		s.result.InTime++
+		s.owe(j, 1)
 		return
 	}
 	s.result.Late++
+	if state == job.Completed && took <= uselessAfter*allowed {
+		s.owe(j, lateWorth)
+	} else {
+		s.result.Failed++
+		s.owe(j, 0)
+	}
 	s.countLate(j)
 }
 
+// Parameters of the users' prices: a job that takes longer than allowed is worth lateWorth, and one
+// that takes longer than uselessAfter times that nothing.
+const (
+	uselessAfter = 3
+	lateWorth    = 1.0 / 14
+)
+
+// owe adds a job to the worth owed, and the earned share of it to the worth earned. A job is worth
+// 0.3 and 0.7 times its work compared with that of a mean job of its queue, at most 4.
+func (s *sim) owe(j *simJob, share float64) {
+	work := 0.0
+	for n, step := range j.durations {
+		for _, d := range step {
+			work += d.Seconds() * float64(j.spec.Steps[n].Need.CPUMilli) / 1000
+		}
+	}
+	kind := s.kindOf(j.spec.Queue)
+	s.sizes = append(s.sizes, servedSize{j.spec.Queue, work, share > 0})
+	mean := kind.Steps * float64(kind.Width) * float64(kind.CPUMilli) / 1000 * kind.TaskDuration.Seconds()
+	worth := min(4, 0.3+0.7*work/mean) * mean
+	s.owed += worth
+	s.earned += share * worth
+}
+
+func (s *sim) kindOf(queue string) JobKind {
+	for _, q := range s.scenario.Queues {
+		if q.Name == queue {
+			return q.Kind
+		}
+	}
+	return JobKind{}
+}
+
+// refuses asks the owner whether to accept a job.
+func (s *sim) refuses(j *simJob) bool {
+	if s.scenario.AdmissionPolicy == "" || s.core == nil {
+		return false
+	}
+	if h := s.core.AdmissionHint(s.engine.now); !h.MustAsk(j.spec) {
+		return false
+	}
+	d := s.core.Admit(j.spec, s.engine.now)
+	if d.Reason != admission.NotRefused {
+		s.result.Refusals++
+	}
+	return d.Reason != admission.NotRefused
+}
+
 // countLate counts a job that is late, refused or open at the end.
 func (s *sim) countLate(j *simJob) {
 	s.result.LateBySecond[s.submitSecond(j)]++
--- a/lab/jobload/scenario.go
+++ b/lab/jobload/scenario.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/callpolicy"
 	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/job"
@@ -17,12 +18,14 @@
 	Spare     int           // instances in the spare pool, which aren't counted as cost
 	Capacity  job.Resources // of an instance
 	Queues    []Queue       // each has a pool of its own
+	Tenants   []Tenant      // who submit jobs, in proportion to their weights; empty: no tenants
 	Faults    []Fault
 	Daemon    *Daemon // limits of the owner's daemon; nil: its work takes no time
 
 	PoolPolicy       capacity.Policy
 	SchedulingPolicy owner.SchedulingPolicy
 	CallPolicy       callpolicy.Policy
+	AdmissionPolicy  admission.Policy // "": the owner isn't asked
 
 	// OnDecision is called with each decision of an owner; it may be nil.
 	OnDecision func(at time.Time, d owner.Decision)
@@ -37,6 +40,23 @@
 	RateFactor RateFactor
 	Kind       JobKind
 	Priority   int
+	Instances  int // of its pool at the start; 0: as Scenario.Instances
+}
+
+// Tenant submits jobs to all queues. Its weight is its share of their arrivals.
+type Tenant struct {
+	Weight     float64
+	RateFactor RateFactor // of its own arrivals; nil: constant
+}
+
+// Burst multiplies a RateFactor by x for a time.
+func Burst(f RateFactor, from, length time.Duration, x float64) RateFactor {
+	return func(at time.Duration) float64 {
+		if at >= from && at < from+length {
+			return x * f(at)
+		}
+		return f(at)
+	}
 }
 
 // RateFactor returns a queue's arrival rate at a time as a multiple of its mean.
@@ -111,6 +131,12 @@
 	Late    int
 	Refused int // not accepted by the last of submitAttempts
 	Open    int // accepted, but not done at the end
+	Failed  int // part of Late that took more than three times as long as allowed
+
+	Worth            float64 // of the jobs by the users' prices, as a share of what all are worth
+	LargestServed    float64 // share of the largest tenth of a queue's jobs that was served, compared with all its jobs; the least of the queues
+	Refusals         int     // by the owner's decision, of attempts
+	NeedlessRefusals int     // refused jobs that did not return although there was room for them in time
 
 	Causes            map[string]time.Duration // time of late jobs by cause, their work excluded
 	CapacityWait      time.Duration            // time that late jobs waited for capacity
--- a/lab/jobload/sim.go
+++ b/lab/jobload/sim.go
@@ -1,8 +1,10 @@
 package jobload
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"github.com/postmount/postmount/jobs/capacity"
@@ -73,6 +75,43 @@
 	daemonSim         *daemonSim                     // nil: the owner's work takes no time, see Scenario.Daemon
 	running           map[job.TaskID]int             // number of running runs
 	done              map[job.TaskID]bool
+	owed, earned      float64 // worth of the jobs, see owe
+	sizes             []servedSize
+}
+
+// servedSize is the work of a job in core-seconds, and whether the job was served at all.
+type servedSize struct {
+	queue  string
+	work   float64
+	served bool
+}
+
+// largestServed returns the smallest ratio, over the queues, of the share of the largest tenth of its jobs that was served
+// to the share of all its jobs.
+func (s *sim) largestServed() float64 {
+	worst := 1.0
+	for _, q := range s.scenario.Queues {
+		var all []servedSize
+		for _, j := range s.sizes {
+			if j.queue == q.Name {
+				all = append(all, j)
+			}
+		}
+		slices.SortFunc(all, func(a, b servedSize) int { return cmp.Compare(b.work, a.work) })
+		share := func(list []servedSize) float64 {
+			n := 0
+			for _, j := range list {
+				if j.served {
+					n++
+				}
+			}
+			return float64(n) / float64(max(1, len(list)))
+		}
+		if of := share(all); of > 0 {
+			worst = min(worst, share(all[:len(all)/10])/of)
+		}
+	}
+	return worst
 }
 
 type simJob struct {
@@ -92,6 +131,8 @@
 	}
 	s.finish()
 	s.result.Meter = s.meter
+	s.result.Worth = s.earned / s.owed
+	s.result.LargestServed = s.largestServed()
 	return s.result
 }
 
@@ -113,9 +154,12 @@
 	for _, q := range sc.Queues {
 		s.catalog.Queues = append(s.catalog.Queues, job.Queue{Name: q.Name, Service: q.Name, Priority: q.Priority, MaxAttempts: 3, ObjectiveFactor: objectiveFactor, ObjectiveOffset: objectiveOffset})
 		s.catalog.Services = append(s.catalog.Services, job.Service{Name: q.Name, EnforcesCapacity: true})
-		s.addInstances(q.Name, sc.Instances)
+		s.addInstances(q.Name, cmp.Or(q.Instances, sc.Instances))
 	}
 	s.addInstances(sparePool, sc.Spare)
+	for n, t := range sc.Tenants {
+		s.catalog.Tenants = append(s.catalog.Tenants, job.Tenant{Name: tenantName(n), Weight: t.Weight})
+	}
 	if sc.Daemon != nil {
 		s.daemonSim = &daemonSim{s: s, daemon: *sc.Daemon}
 	}
@@ -172,6 +216,7 @@
 		Term:                 s.term, TaskLease: taskLease, HoldWait: holdWait, StatusRetention: 2 * time.Minute,
 		DutyHandover: dutyHandover, PriorOrders: s.recentOrders(), ElectedAt: s.electedAt,
 		Weights: capacity.DefaultWeights, PoolPolicy: s.scenario.PoolPolicy, SchedulingPolicy: s.scenario.SchedulingPolicy, CallPolicy: s.scenario.CallPolicy,
+		AdmissionPolicy: s.scenario.AdmissionPolicy,
 	}, s.catalog, loaded, s.engine.now)
 	s.commitPending = false
 	s.listInstances()
@@ -448,9 +493,14 @@
 
 // finish counts the accepted jobs that are still open.
 func (s *sim) finish() {
+	if s.core != nil {
+		s.result.NeedlessRefusals = int(s.core.Stats(s.engine.now).NeedlessRefusals) // of the last owner
+	}
 	for _, j := range s.stored {
 		if !j.ended {
 			s.result.Open++
+			s.result.Failed++
+			s.owe(j, 0)
 			s.countLate(j)
 		}
 	}
