Admission: sums in a fixed order; a daemon stops asking an owner that does not answer

Cause: review. Sums over maps depended on the order of iteration, so that a run of the model could differ in the last bits; and while an owner was gone, each submission for a congested pool waited for its answer (0.5 s). Ruled out: fewer attempts only: the hint would stay for as long as no submission is answered.

--- a/jobs/admission/admission.go
+++ b/jobs/admission/admission.go
@@ -4,6 +4,8 @@
 
 import (
 	"hash/fnv"
+	"maps"
+	"slices"
 	"time"
 )
 
@@ -171,7 +173,7 @@
 }
 
 func (c *Controller) accept(j Job) {
-	c.accepted = append(c.accepted, Waiting{j.Rank, j.Work})
+	c.accepted = append(c.accepted, Waiting{Rank: j.Rank, Work: j.Work})
 	if r := c.refusals[j.ID]; r != nil {
 		r.settled = true
 	}
@@ -211,7 +213,8 @@
 // cores, which no waiting task can use. It returns their number.
 func (c *Controller) CountNeedless(freeCores float64, now time.Time) int64 {
 	var n int64
-	for _, r := range c.refusals {
+	for _, id := range slices.Sorted(maps.Keys(c.refusals)) {
+		r := c.refusals[id]
 		if r.settled || r.cores > freeCores || now.After(r.latestStart) {
 			continue
 		}
--- a/jobs/admission/admission_test.go
+++ b/jobs/admission/admission_test.go
@@ -41,7 +41,7 @@
 }
 
 func backlogOf(d time.Duration) Queue {
-	return NewQueue([]Waiting{{Rank{Work: 10}, usableShare * 100 * d.Seconds()}})
+	return NewQueue([]Waiting{{Rank: Rank{Work: 10}, Work: usableShare * 100 * d.Seconds()}})
 }
 
 func newJob(n int, slack time.Duration) Job {
@@ -88,7 +88,7 @@
 func TestOneTenantAtTenTimesItsShareIsRefusedFirst(t *testing.T) {
 	const within, above = 1, 2
 	c := &Controller{}
-	c.Update(Supply{Cores: 100}, NewQueue([]Waiting{{Rank{Band: within, Work: 10}, 45}, {Rank{Band: above, Work: 10}, 450}}), start)
+	c.Update(Supply{Cores: 100}, NewQueue([]Waiting{{Rank: Rank{Band: within, Work: 10}, Work: 45}, {Rank: Rank{Band: above, Work: 10}, Work: 450}}), start)
 	refused := map[int]int{}
 	for n := range 40 {
 		band := within + n%2
--- a/jobs/node/admission.go
+++ b/jobs/node/admission.go
@@ -58,10 +58,10 @@
 	r, err := n.peers.Admit(ctx, lock.Addr, &withoutPayload)
 	if err != nil {
 		n.log.Info("admission-query-failed", zap.String("job", string(j.ID)), zap.Error(err))
-		return admission.Decision{}
 	}
-	if !r.Owner {
-		n.admissionHint.Store(nil) // the owner's reply to the next submission sets it again
+	if err != nil || !r.Owner {
+		// The owner's reply to the next submission sets it again. Meanwhile no submission waits for an owner that is gone.
+		n.admissionHint.Store(nil)
 		return admission.Decision{}
 	}
 	n.admissionHint.Store(&r.Hint)
--- a/jobs/node/admission_test.go
+++ b/jobs/node/admission_test.go
@@ -71,6 +71,9 @@
 		n.admissionHint.Store(c.hint)
 		n.lock.Store(c.lock)
 		err := n.checkAdmission(t.Context(), &job.Job{ID: "a", Service: "s"})
+		if c.owner.err != nil || c.lock != nil && c.asked > 0 && !c.owner.reply.Owner {
+			assert.Nil(t, n.admissionHint.Load(), "%s: the next submission does not wait", c.name)
+		}
 		assert.Equal(t, c.asked, asked, c.name)
 		if c.want == "" {
 			assert.NoError(t, err, c.name)
--- a/jobs/owner/admission.go
+++ b/jobs/owner/admission.go
@@ -201,8 +201,9 @@
 		ctl.Reset()
 		return
 	}
-	supply := c.admissionSupply(service, w.meanTask(), now)
-	ctl.Update(supply, admission.NewQueue(w.list), now)
+	queue := admission.NewQueue(w.list)
+	supply := c.admissionSupply(service, queue.MeanTask(), now)
+	ctl.Update(supply, queue, now)
 	if c.pool(service).waitingCores > 0 {
 		return
 	}
@@ -213,11 +214,7 @@
 }
 
 // waitingWork is the work of a service that no worker has started.
-type waitingWork struct {
-	list  []admission.Waiting
-	cores float64
-	work  float64 // core-seconds
-}
+type waitingWork struct{ list []admission.Waiting }
 
 // add adds the job's tasks without a run, also those of later steps. Jobs at their tenant's limit do not wait for
 // the pool.
@@ -236,17 +233,7 @@
 		return
 	}
 	e := c.queueEntryOf(j, now)
-	w.list = append(w.list, admission.Waiting{Rank: e.rank(), Work: left})
-	w.cores += cores
-	w.work += left
-}
-
-// meanTask returns the mean duration of the waiting tasks, weighted by their cores.
-func (w *waitingWork) meanTask() time.Duration {
-	if w.cores == 0 {
-		return 0
-	}
-	return time.Duration(w.work / w.cores * float64(time.Second))
+	w.list = append(w.list, admission.Waiting{Rank: e.rank(), Work: left, Cores: cores})
 }
 
 // admissionSupply returns the capacity of the service's pool. Workers that are reserved for maintenance or for a move
