--- a/jobs/node/metrics.go
+++ b/jobs/node/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
 	"github.com/postmount/postmount/verdict"
@@ -49,6 +50,11 @@
 	m.scope.Histogram("commit_time", latencyBuckets).RecordDuration(took)
 }
 
+// jobRefused counts a submission that the owner refused.
+func (m *Metrics) jobRefused(queue string, d admission.Decision) {
+	m.scope.Tagged(map[string]string{"queue": queue, "reason": string(d.Reason)}).Counter("jobs_refused").Inc(1)
+}
+
 // refusedEntries sets the number of store entries that are refused at present.
 func (m *Metrics) refusedEntries(n int) { m.scope.Gauge("entries_refused").Update(float64(n)) }
 
@@ -96,6 +102,7 @@
 		"owner_starts_settled_by_answer": float64(s.SettledByAnswer), "owner_starts_settled_by_run_list": float64(s.SettledByRunList),
 		"owner_starts_settled_by_end": float64(s.SettledByEnd), "owner_start_settling_s": s.SettlingTime.Seconds(),
 		"owner_call_timeout_min_s": s.MinCallTimeout.Seconds(), "owner_call_timeout_max_s": s.MaxCallTimeout.Seconds(),
+		"owner_refusals": float64(s.RefusedJobs), "owner_refusals_needless": float64(s.NeedlessRefusals),
 	} {
 		m.scope.Gauge(name).Update(v)
 	}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/callpolicy"
 	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/job"
@@ -36,6 +37,7 @@
 	ToleratedZones   int
 	PoolPolicy       capacity.Policy
 	SchedulingPolicy SchedulingPolicy
+	AdmissionPolicy  admission.Policy // "": as admission.Never
 }
 
 // runsPerTerm is the size of each term's range of run numbers. Runs of term n are numbered from
@@ -367,6 +369,7 @@
 	counts           Counts
 
 	startWindow startWindow
+	admission   admissionState
 }
 
 // Counts holds totals since the start of the term.
@@ -385,6 +388,8 @@
 	GivenUp           int64 // tasks given up because they crash their workers
 	UnprovenLapses    int64 // ends of workers' leases that were no proof, as another owner may have renewed them
 	JobsConsidered    int64 // jobs considered for placement
+	RefusedJobs       int64 // submissions refused by Admit, returns of the same job included
+	NeedlessRefusals  int64 // refused jobs that did not return although their pool had room for them in time
 	UnansweredStarts
 }
 
@@ -465,6 +470,7 @@
 		lastAwaited:            map[string]InstanceID{},
 		startWindow:            newStartWindow(opt.MaxOutstandingStarts),
 		orderHoldoff:           map[InstanceID]time.Time{},
+		admission:              admissionState{controllers: map[string]*admission.Controller{}},
 		startedAt:              now,
 		electedAt:              now,
 		unregisterFrom:         now,
