Owner: no lease is renewed by an old certain end right after a release that was not answered

Cause: the release of the lock blocks the owner's loop for up to 0.9 s. If it took effect and its answer was lost, the next event could renew leases by the certain end from before the release, until the next tick.

Ruled out: a late answer of the release: the log shows lock-release-failed, and holds sent in the same millisecond.

Change: the core is told of the release's time before the next event. A case of TestAZoneIsCutOffWithTheOwner brings it about.

--- a/internal/jobfaults/zonecut_test.go
+++ b/internal/jobfaults/zonecut_test.go
@@ -103,6 +103,17 @@
 		{"connections refused", func(d *deployment, _ *jobfleet.Daemon, zone jobfleet.Members, cut time.Duration) {
 			d.in.CutRefusing(zone, jobfleet.Except(zone), cut)
 		}},
+		{"owner stops, its release is not answered", func(d *deployment, o *jobfleet.Daemon, zone jobfleet.Members, cut time.Duration) {
+			d.in.Cut(jobfleet.Except(zone), zone, cut)
+			go d.in.Stop(o.Name)
+			for range 500 { // until the next owner is elected, before it calls workers
+				time.Sleep(time.Millisecond)
+				if d.in.Owner() != nil {
+					break
+				}
+			}
+			d.in.Cut(zone, jobfleet.Except(zone), cut)
+		}},
 		{"twice", func(d *deployment, _ *jobfleet.Daemon, zone jobfleet.Members, cut time.Duration) {
 			both(d, zone, cut)
 			time.AfterFunc(cut+1500*time.Millisecond, func() { both(d, zone, cut) })
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -308,6 +308,7 @@
 		if verdict.Of(err) == verdict.NotRun && !sentBefore {
 			t.ownership.releaseNotRun()
 		}
+		t.updateOwnership(t.n.clock.Now()) // before the core renews any lease
 		t.n.log.Warn("lock-release-failed", zap.Error(err))
 		return false
 	}
