--- a/internal/ownermodel/daemon.go
+++ b/internal/ownermodel/daemon.go
@@ -64,6 +64,9 @@
 		all = all && (v.answered || !x.w[w].up)
 		v.whileHeld = v.answered && (v.whileHeld || dm.certain > 0)
 		lapsed := v.granted == 0 || v.granted < 0 && v.answered && !x.rules.LapseNeedsGrant
+		if x.rules.LapseAfterWait && dm.term > 1 && dm.age < x.longestWait(dm) {
+			lapsed = false
+		}
 		if lapsed && (held || !x.rules.LapseNeedsStore) {
 			for t := range dm.tasks {
 				dm.tasks[t].runs[w] = runView{}
@@ -142,7 +145,7 @@
 		if !unknown {
 			v.seen++
 		}
-		if !t.known {
+		if !t.known && !x.rules.KeepUnknown {
 			continue
 		}
 		if t.runs[w].number == e.run {
@@ -168,7 +171,7 @@
 		t, listed := &dm.tasks[i], x.w[w].runs[i]
 		r := &t.runs[w]
 		switch {
-		case !t.known:
+		case !t.known && !x.rules.KeepUnknown:
 		case listed == 0 && r.phase == abandoned && r.number != 0 && x.rules.StopUnanswered:
 			r.phase = stopping
 		case listed == 0 && r.phase != stopping:
@@ -202,7 +205,7 @@
 	if !task.known || task.done || bits.OnesCount8(task.failures) >= x.bounds.Attempts || task.runs != [workers]runView{} {
 		return false
 	}
-	if task.inherited && !dm.takenOver && x.rules.TakeoverWait {
+	if (task.inherited || x.rules.NewTasksWait && dm.waitsLong) && !dm.takenOver && x.rules.TakeoverWait {
 		return false
 	}
 	if dm.certain <= 0 {
--- a/internal/ownermodel/explore.go
+++ b/internal/ownermodel/explore.go
@@ -144,8 +144,7 @@
 		do(func(x *execution) { x.revoke(d) }, "another daemon revokes the lease of owner %d", dm.term)
 	}
 	for t := range dm.tasks {
-		isolated := m.Bounds.Isolated && s.store.revoked&(1<<dm.term) != 0
-		if s.store.tasks[t].submitted && !dm.tasks[t].known && !isolated {
+		if s.store.tasks[t].submitted && !dm.tasks[t].known {
 			do(func(x *execution) {
 				x.d[d].tasks[t].known = true
 				x.conclude(&x.d[d], false)
--- a/internal/ownermodel/model_test.go
+++ b/internal/ownermodel/model_test.go
@@ -36,10 +36,18 @@
 	return r
 }
 
+// withLapseAfterWait are all rules, with one that takes the place of two.
+func withLapseAfterWait() Rules {
+	r := all()
+	r.GrantsInFull, r.LapseNeedsGrant, r.LapseAfterWait = false, false, true
+	return r
+}
+
 // withRevocations are all rules.
 func withRevocations() Rules {
 	r := all()
 	r.RevokedWait, r.RevokedWaitStays, r.RenewalProves = true, true, true
+	r.NewTasksWait, r.KeepUnknown = true, true
 	return r
 }
 
@@ -125,6 +133,9 @@
 		{"tasks and workers that join", all(), joining, false},
 		{"failed runs", all(), failures, false},
 		{"releases", all(), releases, false},
+		{"lapses after the wait", withLapseAfterWait(), lateElections, false},
+		{"lapses after the wait, three terms", withLapseAfterWait(), threeTerms, true},
+		{"lapses after the wait, two starts a term", withLapseAfterWait(), func(b *Bounds) { b.LateElections, b.Starts = true, 2 }, true},
 		{"grants not in full, elections before the certain end", withoutGrantsInFull(), twoStarts, true},
 		{"three terms", all(), threeTerms, true},
 		{"late orders, two starts a term", all(), lateStarts, true},
--- a/internal/ownermodel/normalise.go
+++ b/internal/ownermodel/normalise.go
@@ -58,7 +58,7 @@
 	if !x.rules.HoldsBounded && !x.rules.StartsBounded {
 		dm.certain = max(dm.certain, -1)
 	}
-	if dm.takenOver {
+	if dm.takenOver && !x.rules.LapseAfterWait {
 		dm.age = 0
 	}
 	for t := range dm.tasks {
@@ -66,7 +66,7 @@
 		v.inherited = v.inherited && !dm.takenOver
 		v.whileHeld = v.whileHeld && x.rules.OnlyKnownTasks
 		if v.done {
-			*v = taskView{known: true, done: true}
+			*v = taskView{known: v.known, done: true}
 		}
 	}
 	for w := range dm.workers {
--- a/internal/ownermodel/revocation_test.go
+++ b/internal/ownermodel/revocation_test.go
@@ -9,7 +9,6 @@
 // TestRevocations explores a lock that is revoked while its owner may be alive.
 func TestRevocations(t *testing.T) {
 	revoked := func(b *Bounds) { b.Revoke, b.LateTasks = true, true }
-	isolated := func(b *Bounds) { b.Revoke, b.LateTasks, b.Isolated = true, true, true }
 	absent := func(b *Bounds) { b.Revoke, b.LateTasks, b.Absent = true, true, true }
 	twoStarts := func(b *Bounds) { b.Revoke, b.Starts = true, 2 }
 	threeTerms := func(b *Bounds) { b.Revoke, b.Release, b.Terms = true, true, 3 }
@@ -20,12 +19,14 @@
 		broken string
 		large  bool
 	}{
-		{"the revoked owner has ended", func(r *Rules) { r.RevokedWait, r.RevokedWaitStays, r.RenewalProves = false, false, false }, absent, "", false},
-		{"no wait", func(r *Rules) { r.RevokedWait = false }, isolated, twice, false},
+		{"the revoked owner has ended", func(r *Rules) { *r = all() }, absent, "", false},
+		{"no wait", func(r *Rules) { r.RevokedWait = false }, revoked, twice, false},
 		{"proofs by the clock", func(r *Rules) { r.RenewalProves = false }, twoStarts, twice, false},
-		{"the revoked owner learns of tasks", func(*Rules) {}, revoked, twice, false},
-		{"all rules", func(*Rules) {}, isolated, "", false},
+		{"new tasks do not wait", func(r *Rules) { r.NewTasksWait = false }, revoked, twice, false},
+		{"runs of unknown tasks are not kept", func(r *Rules) { r.KeepUnknown = false }, revoked, twice, false},
+		{"all rules", func(*Rules) {}, revoked, "", false},
 		{"all rules, two starts a term", func(*Rules) {}, twoStarts, "", true},
+		{"all rules, a worker that joins", func(*Rules) {}, func(b *Bounds) { revoked(b); b.LateWorker = true }, "", true},
 		{"all rules, three terms", func(*Rules) {}, threeTerms, "", true},
 		{"only the next owner waits", func(r *Rules) { r.RevokedWaitStays = false }, threeTerms, twice, true},
 	} {
--- a/internal/ownermodel/state.go
+++ b/internal/ownermodel/state.go
@@ -29,6 +29,8 @@
 	ReleaseIsFinal       bool // a later renewal does not change that
 	RevokedWait          bool // the owner after a revoked term waits a store lease longer
 	RevokedWaitStays     bool // and so do those after it
+	NewTasksWait         bool // after a revoked term, tasks that were submitted after the election wait like inherited ones
+	KeepUnknown          bool // what workers list of a task that is not known yet is kept until it is
 	RenewalProves        bool // R2: that the store lease was held is proven by a renewal sent later, not by the clock
 
 	// Guards of the protocol from before R1 to R4.
@@ -38,6 +40,7 @@
 	RunsByTerm      bool // run numbers contain the term
 	StopUnanswered  bool // a start that was not answered is stopped before its task starts elsewhere
 	LapseNeedsGrant bool // the lease of a worker to which nothing was granted has not ended
+	LapseAfterWait  bool // in place of GrantsInFull and LapseNeedsGrant: the end of a worker lease proves nothing before that wait is over
 	RefuseOld       bool // workers refuse runs up to one that was stopped or has ended there
 	RefuseLate      bool // workers refuse starts whose lease has ended
 	StoppedByLease  bool // workers stop their runs when their lease ends
@@ -60,7 +63,6 @@
 	Release       bool // an owner may release the lock; the release may be late
 	Revoke        bool // the lock may be revoked while its owner is alive
 	Absent        bool // assumption: a revoked owner has ended
-	Isolated      bool // assumption: a revoked owner learns of no further task
 }
 
 // state is the state of the store, daemons, workers and messages in flight. Times are relative to
