--- a/jobs/admission/admission.go
+++ b/jobs/admission/admission.go
@@ -56,18 +56,19 @@
 	Work float64 // core-seconds
 	// Cores is what the tasks need that start first.
 	Cores float64
-	// Slack is how long the start can wait such that the job meets its objective, which counts from its first
-	// submission.
+	// Slack is how long the start can wait such that the job meets its objective, which counts from
+	// its first submission.
 	Slack time.Duration
 }
 
-// Thresholds of congestion, as the time that the pool needs to start all work that waits for it. A pool whose
-// instances are on their way at the start of a turn stays below the first one.
+// Thresholds of congestion, as the time that the pool needs to start all work that waits for it. A
+// pool whose instances are on their way at the start of a turn stays below the first one.
 const (
 	congestedFrom  = 3000 * time.Millisecond
 	congestedUntil = 500 * time.Millisecond
-	// overloadedFrom replaces congestedFrom once more work has arrived for overloadedFor than the pool can start with
-	// all instances on their way. At the start of a turn this lasts until their moves are ordered.
+	// overloadedFrom replaces congestedFrom once more work has arrived for overloadedFor than the
+	// pool can start with all instances on their way. At the start of a turn this lasts until their
+	// moves are ordered.
 	overloadedFrom = time.Second
 	overloadedFor  = 1000 * time.Millisecond
 )
@@ -94,7 +95,8 @@
 	settled      bool // accepted since, or counted as needless
 }
 
-// maxRetryAfter limits Retry-After: promises for a later time say nothing, as most callers have given up until then.
+// maxRetryAfter limits Retry-After: promises for a later time say nothing, as most callers have
+// given up until then.
 const maxRetryAfter = 8 * time.Second
 
 // refusalRetention is how long a refused job is remembered, counted from its first attempt. Callers
@@ -209,8 +211,8 @@
 	}
 }
 
-// CountNeedless counts the refused jobs that were not accepted since, still could be on time and fit into the free
-// cores, which no waiting task can use. It returns their number.
+// CountNeedless counts the refused jobs that were not accepted since, still could be on time and
+// fit into the free cores, which no waiting task can use. It returns their number.
 func (c *Controller) CountNeedless(freeCores float64, now time.Time) int64 {
 	var n int64
 	for _, id := range slices.Sorted(maps.Keys(c.refusals)) {
@@ -225,8 +227,8 @@
 	return n
 }
 
-// maxSpread is the largest share by which a return is delayed, so that jobs that were refused at the same
-// time do not return at the same time.
+// maxSpread is the largest share by which a return is delayed, so that jobs that were refused at
+// the same time do not return at the same time.
 const maxSpread = 0.25
 
 // spread returns d and up to maxSpread more, by a hash of the job's ID.
--- a/jobs/admission/admission_test.go
+++ b/jobs/admission/admission_test.go
@@ -48,7 +48,8 @@
 	return Job{ID: fmt.Sprintf("%016x", n), Rank: Rank{Work: 20}, Work: 20, Cores: 20, Slack: slack}
 }
 
-// TestCongestion: short waits refuse nobody; once congested, a pool stays so until the backlog is short.
+// TestCongestion: short waits refuse nobody; once congested, a pool stays so until the backlog is
+// short.
 func TestCongestion(t *testing.T) {
 	c := &Controller{}
 	for _, step := range []struct {
@@ -83,8 +84,8 @@
 	assert.Zero(t, c.Decide(newJob(4, time.Second), start.Add(4*time.Second)), "time has passed since the snapshot")
 }
 
-// TestOneTenantAtTenTimesItsShareIsRefusedFirst: jobs above their tenant's share are in a later band, behind the backlog of
-// the same size that jobs within theirs are placed before.
+// TestOneTenantAtTenTimesItsShareIsRefusedFirst: jobs above their tenant's share are in a later
+// band, behind the backlog of the same size that jobs within theirs are placed before.
 func TestOneTenantAtTenTimesItsShareIsRefusedFirst(t *testing.T) {
 	const within, above = 1, 2
 	c := &Controller{}
@@ -102,8 +103,8 @@
 	assert.Equal(t, 20, refused[above])
 }
 
-// TestReturnsAreSpread: jobs refused at the same time do not return as a second peak. In no second more work
-// returns than the pool can start, but for the share by which equal times are spread.
+// TestReturnsAreSpread: jobs refused at the same time do not return as a second peak. In no second
+// more work returns than the pool can start, but for the share by which equal times are spread.
 func TestReturnsAreSpread(t *testing.T) {
 	c := busyPool(4 * time.Second)
 	returns := map[int]float64{}
@@ -123,7 +124,8 @@
 	assert.Equal(t, spread("a", time.Second), spread("a", time.Second))
 }
 
-// TestNeedlessRefusals: a refused job for which there was room in time counts, unless it was accepted since.
+// TestNeedlessRefusals: a refused job for which there was room in time counts, unless it was
+// accepted since.
 func TestNeedlessRefusals(t *testing.T) {
 	c := busyPool(4 * time.Second)
 	for n := range 4 {
--- a/jobs/admission/supply.go
+++ b/jobs/admission/supply.go
@@ -19,7 +19,8 @@
 	Cores float64
 }
 
-// isOverloaded reports whether more work arrives than the pool can start, also with all instances on their way.
+// isOverloaded reports whether more work arrives than the pool can start, also with all instances
+// on their way.
 func (s *Supply) isOverloaded() bool {
 	cores := s.Cores
 	for _, a := range s.Arrivals {
--- a/jobs/node/admission.go
+++ b/jobs/node/admission.go
@@ -18,9 +18,9 @@
 	codeImpossible verdict.Code = "job-impossible"       // the job can never run
 )
 
-// checkAdmission returns an error if the owner refuses the job. The owner is asked only about jobs that the
-// hint of its last reply concerns; a job about which it does not answer is accepted. A job that is
-// already in the store is not refused, as callers repeat requests that got no answer.
+// checkAdmission returns an error if the owner refuses the job. The owner is asked only about jobs
+// that the hint of its last reply concerns; a job about which it does not answer is accepted. A job
+// that is already in the store is not refused, as callers repeat requests that got no answer.
 func (n *Node) checkAdmission(ctx context.Context, j *job.Job) error {
 	hint := n.admissionHint.Load()
 	if hint == nil || !hint.MustAsk(j) {
@@ -60,7 +60,8 @@
 		n.log.Info("admission-query-failed", zap.String("job", string(j.ID)), zap.Error(err))
 	}
 	if err != nil || !r.Owner {
-		// The owner's reply to the next submission sets it again. Meanwhile no submission waits for an owner that is gone.
+		// The owner's reply to the next submission sets it again. Meanwhile no submission waits for
+		// an owner that is gone.
 		n.admissionHint.Store(nil)
 		return admission.Decision{}
 	}
--- a/jobs/node/admission_test.go
+++ b/jobs/node/admission_test.go
@@ -41,8 +41,9 @@
 	return ledger.Item{}, f.known, f.err
 }
 
-// TestCheckAdmission: the owner is asked only about jobs that the hint concerns. Without a clear answer, and if the job may be in the
-// store, nobody is refused; a refusal says that the job has not run.
+// TestCheckAdmission: the owner is asked only about jobs that the hint concerns. Without a clear
+// answer, and if the job may be in the store, nobody is refused; a refusal says that the job has
+// not run.
 func TestCheckAdmission(t *testing.T) {
 	refused := peer.AdmitReply{Owner: true, Decision: admission.Decision{Reason: admission.PoolFull, LateBy: time.Second, RetryAfter: 2 * time.Second}}
 	congested, lock := &admission.Hint{Congested: []string{"s"}}, &ledger.Lock{Addr: "o"}
--- a/jobs/owner/admission.go
+++ b/jobs/owner/admission.go
@@ -55,8 +55,8 @@
 	return c.decideByPool(spec, now)
 }
 
-// refusesByPool reports whether jobs are refused because their pool is full. This is for fleets that tenants share:
-// their configuration has shares, by which it is fair who is refused first.
+// refusesByPool reports whether jobs are refused because their pool is full. This is for fleets
+// that tenants share: their configuration has shares, by which it is fair who is refused first.
 func (c *Core) refusesByPool() bool {
 	return c.opt.AdmissionPolicy.RefusesByPool() && c.shares.Configured()
 }
@@ -72,7 +72,8 @@
 	e := c.queueEntryOf(j, now)
 	factor := c.pool(j.service).estimateRatio.factor()
 	rank := e.rank()
-	// Large jobs are placed last, so that nearly all of them would be refused. They are treated like a mean one.
+	// Large jobs are placed last, so that nearly all of them would be refused. They are treated
+	// like a mean one.
 	rank.Work = min(rank.Work, c.pool(j.service).arrivalRate.MeanWork())
 	returned := ctl.WasRefused(string(spec.ID))
 	d := ctl.Decide(admission.Job{ID: string(spec.ID), Rank: rank, Work: j.work * factor, Cores: firstStepCores(spec), Slack: e.slack}, now)
@@ -82,13 +83,15 @@
 	return d
 }
 
-// wasRefused reports whether the job was refused before it was accepted, so that it is counted as an arrival.
+// wasRefused reports whether the job was refused before it was accepted, so that it is counted as
+// an arrival.
 func (c *Core) wasRefused(j *jobState) bool {
 	ctl := c.admission.controllers[j.service]
 	return ctl != nil && ctl.WasRefused(string(j.spec.ID))
 }
 
-// newJobState returns the state of a job that is not accepted, as if it were accepted at the given time.
+// newJobState returns the state of a job that is not accepted, as if it were accepted at the given
+// time.
 func (c *Core) newJobState(spec *job.Job, acceptedAt time.Time) *jobState {
 	accepted := *spec
 	accepted.AcceptedAt = acceptedAt
@@ -116,8 +119,8 @@
 	return slices.ContainsFunc(spec.Steps, func(s job.Step) bool { return !c.fitsOnSomeInstance(s.ReservedResources()) })
 }
 
-// fitsOnSomeInstance reports whether an instance of the fleet has these resources at full size, or may have
-// them because its size is not reported.
+// fitsOnSomeInstance reports whether an instance of the fleet has these resources at full size, or
+// may have them because its size is not reported.
 func (c *Core) fitsOnSomeInstance(need job.Resources) bool {
 	if len(c.instances) == 0 {
 		return true
@@ -130,8 +133,8 @@
 	return false
 }
 
-// largestInstance returns the largest amount of each resource that an instance of the fleet has; zero if it is
-// not known.
+// largestInstance returns the largest amount of each resource that an instance of the fleet has;
+// zero if it is not known.
 func (c *Core) largestInstance() job.Resources {
 	var out job.Resources
 	for _, i := range c.instances {
@@ -161,8 +164,8 @@
 	return h
 }
 
-// updateAdmission passes snapshots of the pools to their controllers. Only pools in which tasks wait, or that were
-// congested, need one.
+// updateAdmission passes snapshots of the pools to their controllers. Only pools in which tasks
+// wait, or that were congested, need one.
 func (c *Core) updateAdmission(now time.Time) {
 	if !c.refusesByPool() || now.Before(c.admission.nextUpdateAt) {
 		return
@@ -189,8 +192,8 @@
 	}
 }
 
-// updateController passes a snapshot to the service's controller. As long as an earlier owner's runs are not
-// known, their tasks would count as waiting, so that nothing is refused.
+// updateController passes a snapshot to the service's controller. As long as an earlier owner's
+// runs are not known, their tasks would count as waiting, so that nothing is refused.
 func (c *Core) updateController(service string, w *waitingWork, now time.Time) {
 	ctl := c.admission.controllers[service]
 	if ctl == nil {
@@ -216,8 +219,8 @@
 // waitingWork is the work of a service that no worker has started.
 type waitingWork struct{ list []admission.Waiting }
 
-// add adds the job's tasks without a run, also those of later steps. Jobs at their tenant's limit do not wait for
-// the pool.
+// add adds the job's tasks without a run, also those of later steps. Jobs at their tenant's limit
+// do not wait for the pool.
 func (w *waitingWork) add(c *Core, j *jobState, now time.Time) {
 	left, cores := 0.0, 0.0
 	factor := c.pool(j.service).estimateRatio.factor()
@@ -236,8 +239,8 @@
 	w.list = append(w.list, admission.Waiting{Rank: e.rank(), Work: left, Cores: cores})
 }
 
-// admissionSupply returns the capacity of the service's pool. Workers that are reserved for maintenance or for a move
-// take no new tasks and do not count.
+// admissionSupply returns the capacity of the service's pool. Workers that are reserved for
+// maintenance or for a move take no new tasks and do not count.
 func (c *Core) admissionSupply(service string, meanTask time.Duration, now time.Time) admission.Supply {
 	p := c.pool(service)
 	rate := p.arrivalRate.WorkPerSecond(p.supply.instances+p.arrivingInstances, now) * p.estimateRatio.factor()
@@ -259,8 +262,8 @@
 	return s
 }
 
-// fullCores returns the cores of the instance at full size, or of the largest in its target pool if its size is
-// not reported.
+// fullCores returns the cores of the instance at full size, or of the largest in its target pool if
+// its size is not reported.
 func (c *Core) fullCores(i *instanceState) float64 {
 	milli := i.Capacity.CPUMilli
 	if m := c.moves[i.ID]; milli == 0 && m != nil {
--- a/jobs/owner/admission_test.go
+++ b/jobs/owner/admission_test.go
@@ -11,7 +11,8 @@
 	"github.com/postmount/postmount/jobs/job"
 )
 
-// fullPool returns a rig with a worker of eight cores, and eighty tasks of one second that need one each.
+// fullPool returns a rig with a worker of eight cores, and eighty tasks of one second that need one
+// each.
 func fullPool(t *testing.T, term uint64, policy admission.Policy) *rig {
 	r := newRig(t, term)
 	r.core.opt.AdmissionPolicy = policy
@@ -47,7 +48,8 @@
 	assert.Zero(t, r.core.Admit(simpleJob(54, 8), r.now), "its objective allows the wait")
 }
 
-// TestTenantsAboveTheirShareAreRefusedFirst: a small job, which would be placed next, is refused if its tenant is above its share.
+// TestTenantsAboveTheirShareAreRefusedFirst: a small job, which would be placed next, is refused if
+// its tenant is above its share.
 func TestTenantsAboveTheirShareAreRefusedFirst(t *testing.T) {
 	r := fullPool(t, 1, admission.Late)
 	small := simpleJob(50, 1)
@@ -75,8 +77,8 @@
 	assert.Zero(t, r.core.Admit(simpleJob(50, 8), r.now))
 }
 
-// TestRefusedWorkIsDemand: otherwise the pool would not get the instances that the refused jobs lack. A return is no
-// further demand.
+// TestRefusedWorkIsDemand: otherwise the pool would not get the instances that the refused jobs
+// lack. A return is no further demand.
 func TestRefusedWorkIsDemand(t *testing.T) {
 	r := fullPool(t, 1, admission.Late)
 	rate := func() float64 { return r.core.pool("s").arrivalRate.MeanWork() }
@@ -119,7 +121,8 @@
 	assert.Zero(t, r.core.AdmissionHint(r.now).Largest)
 }
 
-// TestNewOwnerRefusesNobody: as long as runs of an earlier owner are not known, their tasks seem to wait.
+// TestNewOwnerRefusesNobody: as long as runs of an earlier owner are not known, their tasks seem to
+// wait.
 func TestNewOwnerRefusesNobody(t *testing.T) {
 	r := newRig(t, 2, StoredJob{Job: simpleJob(1, 80)}, StoredJob{Job: simpleJob(2, 80)})
 	r.core.opt.AdmissionPolicy = admission.Late
--- a/lab/jobload/admission_test.go
+++ b/lab/jobload/admission_test.go
@@ -52,14 +52,16 @@
 const (
 	// maxFailedShare is the share of jobs that may take more than three times as long as allowed.
 	maxFailedShare = 0.03
-	// maxNeedlessShare is the share of jobs that may be refused although there was room for them in time.
+	// maxNeedlessShare is the share of jobs that may be refused although there was room for them in
+	// time.
 	maxNeedlessShare = 0.005
 	// policyNoise is the difference of shares between two policies that depends on chance.
 	policyNoise = 0.01
 )
 
-// TestAdmissionUnderLoad compares admission by capacity with refusing nobody, for loads that a pool can't carry: at
-// least as many jobs are on time and their worth is not lower, few accepted jobs fail, and few are refused needlessly.
+// TestAdmissionUnderLoad compares admission by capacity with refusing nobody, for loads that a pool
+// can't carry: at least as many jobs are on time and their worth is not lower, few accepted jobs
+// fail, and few are refused needlessly.
 func TestAdmissionUnderLoad(t *testing.T) {
 	const sec = time.Second
 	for _, c := range []struct {
@@ -117,7 +119,8 @@
 	}
 }
 
-// TestCalmLoadsRefuseNobody: pools that grow at the start of each turn refuse nobody, although some jobs are late then.
+// TestCalmLoadsRefuseNobody: pools that grow at the start of each turn refuse nobody, although some
+// jobs are late then.
 func TestCalmLoadsRefuseNobody(t *testing.T) {
 	for name, sc := range map[string]Scenario{"shared fleet": sharedFleet(1), "rotating load": rotatingLoad(1), "oversized fleet": oversizedFleet(1, 160)} {
 		sc.AdmissionPolicy, sc.Tenants = admission.Late, sharedFleet(1).Tenants
@@ -125,8 +128,8 @@
 	}
 }
 
-// TestRefusalsDoNotRepeatThePeak: after a burst all callers of refused jobs have returned or given up, and the jobs of
-// the next turns are served as without a burst.
+// TestRefusalsDoNotRepeatThePeak: after a burst all callers of refused jobs have returned or given
+// up, and the jobs of the next turns are served as without a burst.
 func TestRefusalsDoNotRepeatThePeak(t *testing.T) {
 	const burstEnd, turnEnd = 16, 24
 	share := func(x float64) float64 {
