internal/jobfaults: jobs that wait for ever need a label that no worker has; a job that fits on no instance is refused

It keeps jobs pending by a need of nine cores where instances have eight; such jobs are refused now, once the daemon has the owner's hint. Ruled out: a weaker count. The tests ask for the same numbers; only the reason why the jobs can't start differs. In counts_test the same device would have hidden jobs from the count. Change: RequiredLabel in both; a test that a job that fits on no instance is refused and does not run. Conclusion: as strict as before.

--- a/internal/jobfaults/counts_test.go
+++ b/internal/jobfaults/counts_test.go
@@ -92,7 +92,7 @@
 				f.inject(d, o, 12*time.Second)
 				for i := range jobsDuringFault {
 					j := batchJob(i)
-					j.Steps[0].Need.CPUMilli = 9000 // more than any worker has
+					j.Steps[0].RequiredLabel = "none" // no worker has it
 					d.submit(ordersPrefix, j)
 					time.Sleep(200 * time.Millisecond)
 				}
--- a/internal/jobfaults/pending_test.go
+++ b/internal/jobfaults/pending_test.go
@@ -36,7 +36,7 @@
 		const jobs = 6
 		for i := range jobs {
 			j := batchJob(i)
-			j.Steps[0].Need.CPUMilli = 9000 // more than any worker has
+			j.Steps[0].RequiredLabel = "none" // no worker has it
 			d.submit(ordersPrefix, j)
 		}
 		time.Sleep(5 * time.Second)
--- a/internal/jobfaults/refusal_test.go
+++ b/internal/jobfaults/refusal_test.go
@@ -46,3 +46,23 @@
 		assert.Empty(t, in.Checker.Violations())
 	})
 }
+
+// TestAJobThatFitsOnNoInstanceIsRefused: a daemon knows the largest instance from the owner's reply to
+// its last submission, and asks the owner only about larger tasks.
+func TestAJobThatFitsOnNoInstanceIsRefused(t *testing.T) {
+	simulate(t, func(d *deployment) {
+		time.Sleep(3 * time.Second)
+		caller := d.in.Caller()
+		for n := range 2 * len(d.in.Daemons()) { // until each daemon has had a submission
+			caller.Submit(ordersPrefix, batchJob(n))
+		}
+		time.Sleep(time.Second)
+		tooLarge := batchJob(100)
+		tooLarge.Steps[0].Need.CPUMilli = 9000
+		accepted, refused := caller.Submit(ordersPrefix, tooLarge)
+		assert.False(t, accepted)
+		assert.True(t, refused)
+		time.Sleep(5 * time.Second)
+		assert.Empty(t, d.in.Checker.Violations())
+	})
+}
