--- a/internal/ownermodel/daemon.go
+++ b/internal/ownermodel/daemon.go
@@ -77,6 +77,7 @@
 		dm.tasks[t].whileHeld = dm.tasks[t].known && (dm.tasks[t].whileHeld || dm.certain > 0)
 	}
 	waited := dm.age >= x.longestWait(dm) && (held || !x.rules.WaitNeedsStore)
+	all = all && (!x.rules.AnswersWait || !dm.waitsLong || dm.age >= x.bounds.StoreLease)
 	dm.takenOver = dm.takenOver || dm.term == 1 || all || waited
 }
 
--- a/internal/ownermodel/model_test.go
+++ b/internal/ownermodel/model_test.go
@@ -43,7 +43,8 @@
 	return r
 }
 
-// withRevocations are all rules.
+// withRevocations are all rules but AnswersWait, which would delay each takeover from an owner whose
+// lease was revoked.
 func withRevocations() Rules {
 	r := all()
 	r.RevokedWait, r.RevokedWaitStays, r.RenewalProves = true, true, true
--- a/internal/ownermodel/revocation_test.go
+++ b/internal/ownermodel/revocation_test.go
@@ -9,6 +9,7 @@
 // TestRevocations explores a lock that is revoked while its owner may be alive.
 func TestRevocations(t *testing.T) {
 	revoked := func(b *Bounds) { b.Revoke, b.LateTasks = true, true }
+	joins := func(b *Bounds) { b.Revoke, b.LateTasks, b.LateWorker = true, true, true }
 	absent := func(b *Bounds) { b.Revoke, b.LateTasks, b.Absent = true, true, true }
 	twoStarts := func(b *Bounds) { b.Revoke, b.Starts = true, 2 }
 	threeTerms := func(b *Bounds) { b.Revoke, b.Release, b.Terms = true, true, 3 }
@@ -26,7 +27,8 @@
 		{"runs of unknown tasks are not kept", func(r *Rules) { r.KeepUnknown = false }, revoked, twice, false},
 		{"all rules", func(*Rules) {}, revoked, "", false},
 		{"all rules, two starts a term", func(*Rules) {}, twoStarts, "", true},
-		{"all rules, a worker that joins", func(*Rules) {}, func(b *Bounds) { revoked(b); b.LateWorker = true }, "", true},
+		{"a worker that only the revoked owner reaches registers", func(*Rules) {}, joins, twice, false},
+		{"the same, answers wait", func(r *Rules) { r.AnswersWait = true }, joins, "", true},
 		{"all rules, three terms", func(*Rules) {}, threeTerms, "", true},
 		{"only the next owner waits", func(r *Rules) { r.RevokedWaitStays = false }, threeTerms, twice, true},
 	} {
--- a/internal/ownermodel/state.go
+++ b/internal/ownermodel/state.go
@@ -31,6 +31,7 @@
 	RevokedWaitStays     bool // and so do those after it
 	NewTasksWait         bool // after a revoked term, tasks that were submitted after the election wait like inherited ones
 	KeepUnknown          bool // what workers list of a task that is not known yet is kept until it is
+	AnswersWait          bool // after a revoked term, answers of all workers end the wait only a store lease after the election
 	RenewalProves        bool // R2: that the store lease was held is proven by a renewal sent later, not by the clock
 
 	// Guards of the protocol from before R1 to R4.
