jobs/owner: a run that is listed before its job is known is not started again

Cause: found by the model (internal/ownermodel, KeepUnknown): a worker lists a run of an earlier owner, the job becomes known to the new one afterwards, and its tasks are placed; only the ends listed before were applied, not the runs. Ruled out: waiting for the next hold, which comes after the start. Change: resolveUnknownJob adopts the listed runs. Conclusion: needs an earlier owner that is alive after its lease was revoked; mended all the same.

--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -40,9 +40,14 @@
 }
 
 // resolveUnknownJob applies the run ends that workers listed for the job before this owner
-// learned of it.
+// learned of it, and takes over the runs. Otherwise its tasks would be started again.
 func (c *Core) resolveUnknownJob(j *jobState, now time.Time) {
 	for _, w := range c.workersWithUnknownJobs.sorted() {
+		for id, ur := range w.unknownRuns {
+			if id.Job == j.spec.ID {
+				c.adoptRun(w, j, ActiveRun{Task: id, Run: ur.run}, now)
+			}
+		}
 		for seq, ue := range w.unknownEnds {
 			if ue.end.Task.Job != j.spec.ID {
 				continue
