callpolicy: calls count as lost from a loss rate of 5% on, so that the bound at 0.2% holds for each seed

Ruled out: the mean; leaving the lossy state sooner (two pairs exceed it still); 4% and 4.5% (single seeds fail). Change: LossyAbove 0.03 to 0.05, about four losses close together; the bound is asserted for each of 100 seeds again. TestRepeatedStartIsSettled makes the link lossy first, as two losses no longer do.

--- a/jobs/callpolicy/callpolicy.go
+++ b/jobs/callpolicy/callpolicy.go
@@ -19,7 +19,7 @@
 	// A link becomes lossy when its loss rate reaches LossyAbove, and stays so until the rate is
 	// below LossyUntilBelow. The rate stays below both if one worker in a hundred dies without
 	// notice.
-	LossyAbove      = 0.03
+	LossyAbove      = 0.05
 	LossyUntilBelow = 0.005
 	// linkDownAbove is the loss rate from which the link counts as down instead of lossy.
 	linkDownAbove = 0.5
--- a/jobs/callpolicy/callpolicy_test.go
+++ b/jobs/callpolicy/callpolicy_test.go
@@ -32,8 +32,7 @@
 
 // TestLossIsDistinguishedFromCongestion: a link is lossy at a loss rate of 5.5% or 20%. It is not
 // lossy at 0.2%, nor at 90% or more, where it counts as down, nor if answers are slow. If later calls are known to
-// be answered, it is lossy at 40% too. The bounds hold for each seed, at 0.2% for the mean: there a few pairs of
-// losses happen to be close together.
+// be answered, it is lossy at 40% too. The bounds hold for each seed.
 func TestLossIsDistinguishedFromCongestion(t *testing.T) {
 	const seeds, calls = 100, 10000
 	const fast, slow = 4 * time.Millisecond, 300 * time.Millisecond
@@ -41,16 +40,15 @@
 		share       float64
 		latency     time.Duration // of answered calls; 0: not measured
 		least, most int
-		mean        bool // the bounds are for the mean
 		single      bool // later calls are known to be answered
 	}{
 		{share: 0},
-		{share: 0.002, most: 100, mean: true},
+		{share: 0.002, most: 100},
 		{share: 0.055, least: 8500, most: calls},
 		{share: 0.2, least: 9700, most: calls},
 		{share: 0.9, most: 300},
 		{share: 1, most: 60},
-		{share: 0.002, latency: fast, most: 100, mean: true},
+		{share: 0.002, latency: fast, most: 100},
 		{share: 0.2, latency: fast, least: 9700, most: calls},
 		{share: 0.4, latency: fast, least: 9900, most: calls, single: true},
 		{share: 0.9, latency: fast, most: 300},
@@ -58,7 +56,7 @@
 		{share: 0.2, latency: slow},
 		{share: 0.4, latency: slow, single: true},
 	} {
-		least, most, sum := calls, 0, 0
+		least, most := calls, 0
 		for seed := range uint64(seeds) {
 			var d LossDetector
 			d.RecordLatency(c.latency)
@@ -67,10 +65,7 @@
 				record = d.RecordSingleLoss
 			}
 			lossy := simulateLosses(&d, rand.New(rand.NewPCG(seed, uint64(i))), calls, c.share, record)
-			least, most, sum = min(least, lossy), max(most, lossy), sum+lossy
-		}
-		if c.mean {
-			least, most = sum/seeds, sum/seeds
+			least, most = min(least, lossy), max(most, lossy)
 		}
 		assert.GreaterOrEqual(t, least, c.least, "case %d", i)
 		assert.LessOrEqual(t, most, c.most, "case %d", i)
--- a/jobs/callpolicy/roundtrip.go
+++ b/jobs/callpolicy/roundtrip.go
@@ -124,7 +124,7 @@
 	// congestedRepeatShare is the same while answers are slow, where repeats add to the queue.
 	congestedRepeatShare = 0.1
 	// minRepeats may be repeated within repeatPeriod in any case.
-	minRepeats = 32
+	minRepeats = 24
 	// repeatPeriod is the mean age of the sends that count. Repeats follow up to 400 ms after the
 	// first sends, often many at a time.
 	repeatPeriod = time.Second
--- a/jobs/owner/lostorders_test.go
+++ b/jobs/owner/lostorders_test.go
@@ -95,7 +95,7 @@
 	r.timeOut(lost)
 	s := r.core.Stats(r.now)
 	assert.NotZero(t, s.RepeatsDenied)
-	assert.Less(t, s.Repeated, int64(60), "32, a tenth of the first sends, and those from before answers counted as slow")
+	assert.Less(t, s.Repeated, int64(60), "24, a tenth of the first sends, and those from before answers counted as slow")
 	assert.EqualValues(t, 100, s.Repeated+s.RepeatsDenied)
 	abandoned := 0
 	for _, w := range r.core.workers {
@@ -111,6 +111,10 @@
 // counted and logged as settled.
 func TestRepeatedStartIsSettled(t *testing.T) {
 	r := fleetOf(t, 20)
+	for range 10 {
+		r.core.callLossDetector.RecordSingleLoss() // single calls are lost
+	}
+	require.True(t, r.core.callLossDetector.Lossy())
 	r.submit(2, 2)
 	lost := r.answerStartsFast(func(i int) bool { return i == 0 })
 	require.Len(t, lost, 1)
