Owner: after a release of the lock that may have taken effect, nothing is answered or ordered as the owner

Cause: the release of the lock leaves the daemon's own lease alive. After a release whose answer was lost, termRun.leaseHeld and mayOrderInstances still looked only at that lease, which goes on being renewed. Until the next attempt or the watch of the lock, the daemon answered numbers of pending jobs, took new jobs, and, with the store counted as unavailable, could order instances although the next owner may have been elected and moves instances at once.

Ruled out: a release that is answered, and one that certainly did not run: unchanged.

Change: both questions also ask whether a release was sent that may have taken effect.

Before: TestPendingRequiresTermLease, case 'a release of the lock is sent while the query is queued', and TestNoInstanceOrdersAfterARelease fail. After: go test ./jobs/node passes.

--- a/jobs/node/termlease_test.go
+++ b/jobs/node/termlease_test.go
@@ -48,6 +48,7 @@
 		{"the lease is held", 1, func(*Node) {}, true},
 		{"the daemon holds another lease", 2, func(*Node) {}, false},
 		{"the lease ends while the query is queued", 1, func(n *Node) { n.lease.Store(0) }, false},
+		{"a release of the lock is sent while the query is queued", 1, func(n *Node) { n.term.Load().ownership.releaseSent(n.uptimeNanos()) }, false},
 		{"the lease is not renewed in time while the query is queued", 1, func(n *Node) { n.leaseRenewedAt.Store(-int64(storeLease)) }, false},
 	} {
 		t.Run(c.name, func(t *testing.T) {
@@ -88,3 +89,14 @@
 	n.renewLease(context.Background())
 	assert.Error(t, r.ctx.Err())
 }
+
+// TestNoInstanceOrdersAfterARelease: the next owner knows of the orders that were sent before the
+// release of the lock, and may send its own as soon as the release has taken effect.
+func TestNoInstanceOrdersAfterARelease(t *testing.T) {
+	n, r := newTestTerm(t, 1)
+	assert.True(t, r.mayOrderInstances())
+	r.ownership.releaseSent(n.uptimeNanos())
+	assert.False(t, r.mayOrderInstances(), "the release may have taken effect")
+	r.ownership.releaseNotRun()
+	assert.True(t, r.mayOrderInstances())
+}
--- a/jobs/node/termorders.go
+++ b/jobs/node/termorders.go
@@ -104,7 +104,7 @@
 // the call, as another daemon may order instances some time after the lease has expired.
 func (t *termRun) orderInstance(ctx context.Context, o owner.InstanceOrder) event {
 	outcome := owner.DutyRefused
-	sent := t.n.mayOrderInstances()
+	sent := t.mayOrderInstances()
 	if sent {
 		duty := owner.Duty{Holder: t.n.settings.Node, Token: t.term.Number}
 		if o.Wave != 0 {
--- a/jobs/node/termownership.go
+++ b/jobs/node/termownership.go
@@ -26,6 +26,10 @@
 // releaseNotRun records that the only release that was sent has certainly had no effect.
 func (o *termOwnership) releaseNotRun() { o.releasedAt.Store(0) }
 
+// mayBeReleased reports whether a release was sent that may have taken effect. The daemon's own
+// lease is renewed all the same, and does not tell whether the lock is held.
+func (o *termOwnership) mayBeReleased() bool { return o.releasedAt.Load() != 0 }
+
 // certainEnd returns until when the lock is certainly held, as uptimeNanos.
 func (o *termOwnership) certainEnd() int64 {
 	end := o.renewedAt + int64(certainStoreLease)
@@ -46,7 +50,12 @@
 	uptime, end := t.n.uptimeNanos(), t.ownership.certainEnd()
 	renewed := now.Add(time.Duration(min(end, t.ownership.renewedAt) - uptime))
 	t.core.SetOwnedUntil(renewed, now.Add(time.Duration(end-uptime)), now)
-	t.core.SetStoreLease(t.n.mayOrderInstances(), now)
+	t.core.SetStoreLease(t.mayOrderInstances(), now)
+}
+
+// mayOrderInstances reports whether the term may send orders for instances.
+func (t *termRun) mayOrderInstances() bool {
+	return !t.ownership.mayBeReleased() && t.n.mayOrderInstances()
 }
 
 // priorLeaseLeft returns for how long after the election an earlier owner may still have taken its
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -410,10 +410,10 @@
 	return r
 }
 
-// leaseHeld reports whether the lease of the lock is certainly held, so that no other daemon
+// leaseHeld reports whether the lock and its lease are certainly held, so that no other daemon
 // can be the owner. The daemon's current lease may be a newer one.
 func (t *termRun) leaseHeld() bool {
-	return t.n.leaseHeld() && ledger.LeaseID(t.n.lease.Load()) == t.lease
+	return !t.ownership.mayBeReleased() && t.n.leaseHeld() && ledger.LeaseID(t.n.lease.Load()) == t.lease
 }
 
 // pending returns the number of pending jobs of a queue, but only while no other daemon can be the
