Model of ownership: mutations start from the guards that jobs/owner has

Ruled out: that a guard is redundant in the code's set: each is found.

Change: TestMutations starts from the code's set; two mutations more (LapseAfterWait; OnlyKnownTasks with releases), and releases with tasks that join.

--- a/internal/ownermodel/model_test.go
+++ b/internal/ownermodel/model_test.go
@@ -133,6 +133,7 @@
 		{"tasks and workers that join", all(), joining, false},
 		{"failed runs", all(), failures, false},
 		{"releases", all(), releases, false},
+		{"releases, tasks that join", withLapseAfterWait(), func(b *Bounds) { b.Release, b.LateTasks = true, true }, false},
 		{"lapses after the wait", withLapseAfterWait(), lateElections, false},
 		{"lapses after the wait, three terms", withLapseAfterWait(), threeTerms, true},
 		{"lapses after the wait, two starts a term", withLapseAfterWait(), func(b *Bounds) { b.LateElections, b.Starts = true, 2 }, true},
@@ -156,7 +157,8 @@
 	}
 }
 
-// TestMutations leaves out one guard at a time.
+// TestMutations leaves out one guard at a time. The others are those of jobs/owner, but for the two
+// guards in whose place it has another one.
 func TestMutations(t *testing.T) {
 	for _, m := range []struct {
 		guard  string
@@ -166,10 +168,12 @@
 	}{
 		{"HoldsBounded", func(r *Rules) { r.HoldsBounded = false }, func(*Bounds) {}, twice},
 		{"StartsBounded", func(r *Rules) { r.StartsBounded = false }, func(*Bounds) {}, twice},
-		{"GrantsInFull", func(r *Rules) { r.GrantsInFull = false }, lateElections, twice},
+		{"GrantsInFull", func(r *Rules) { *r = all(); r.GrantsInFull = false }, lateElections, twice},
+		{"LapseAfterWait", func(r *Rules) { r.LapseAfterWait = false }, lateElections, twice},
 		{"LapseNeedsStore", func(r *Rules) { r.LapseNeedsStore = false }, twoStarts, twice},
 		{"WaitNeedsStore", func(r *Rules) { r.WaitNeedsStore = false }, threeTerms, twice},
 		{"OnlyKnownTasks", func(r *Rules) { r.OnlyKnownTasks = false }, lateTasks, twice},
+		{"OnlyKnownTasks, releases", func(r *Rules) { r.OnlyKnownTasks = false }, func(b *Bounds) { b.Release, b.LateTasks = true, true }, twice},
 		{"OnlyKnownWorker", func(r *Rules) { r.OnlyKnownWorker = false }, lateWorker, twice},
 		{"AckOnlyStored", func(r *Rules) { r.AckOnlyStored = false }, func(*Bounds) {}, again},
 		{"AckOnlyStored, failures", func(r *Rules) { r.AckOnlyStored = false }, onlyFailures, beyond},
@@ -181,14 +185,14 @@
 		{"LockCondition, failures", func(r *Rules) { r.LockCondition = false }, onlyFailures, beyond},
 		{"RunsByTerm", func(r *Rules) { r.RunsByTerm = false }, func(*Bounds) {}, twice},
 		{"StopUnanswered", func(r *Rules) { r.StopUnanswered = false }, lateStarts, twice},
-		{"LapseNeedsGrant", func(r *Rules) { r.LapseNeedsGrant = false }, func(*Bounds) {}, twice},
+		{"LapseNeedsGrant", func(r *Rules) { *r = all(); r.LapseNeedsGrant = false }, func(*Bounds) {}, twice},
 		{"RefuseOld", func(r *Rules) { r.RefuseOld = false }, lateStarts, twice},
 		{"RefuseLate", func(r *Rules) { r.RefuseLate = false }, lateStarts, twice},
 		{"StoppedByLease", func(r *Rules) { r.StoppedByLease = false }, func(*Bounds) {}, twice},
 	} {
 		t.Run(m.guard, func(t *testing.T) {
 			t.Parallel()
-			rules := all()
+			rules := withLapseAfterWait()
 			m.off(&rules)
 			r := explore(t, Model{rules, with(m.bounds)})
 			assert.Contains(t, r.Broken, m.broken, trace(r))
