Tests: a revocation is recorded before the lease ends, and an unreadable record counts as one

A value above the store's revision is read as rubbish, so that the sum with recentTerms cannot overflow.

Change: TestRevocationIsRecordedFirst (fails if the error of the record is ignored) and TestUnreadableRevocation.

Conclusion: covered. Rubbish under that key makes each owner wait 2 s longer for silent workers until the next revocation replaces it.

--- a/jobs/ledger/term_test.go
+++ b/jobs/ledger/term_test.go
@@ -106,3 +106,17 @@
 		assert.Equal(t, []bool{false, false, true, true, true, true, false}, known)
 	})
 }
+
+// TestUnreadableRevocation: an owner that cannot read which term was revoked waits as if it was the last one.
+func TestUnreadableRevocation(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := jobfleet.NewStore().Client("d", &jobfleet.Gate{}, noFailure)
+		for _, value := range []string{"", "x", "-1", "18446744073709551615"} {
+			_, err := s.Commit(t.Context(), ledger.Txn{Puts: []ledger.Put{{Key: ledger.PrefixOwner + "revoked", Value: []byte(value)}}})
+			require.NoError(t, err)
+			term := elect(t, s, "d1")
+			assert.True(t, term.PriorLeaseRevoked, "value %q", value)
+			require.NoError(t, term.Release(t.Context(), nil, nil, nil))
+		}
+	})
+}
--- a/jobs/node/ownerwatch_test.go
+++ b/jobs/node/ownerwatch_test.go
@@ -4,12 +4,15 @@
 	"context"
 	"errors"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"go.uber.org/zap"
 
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/peer"
+	"github.com/postmount/postmount/verdict"
 )
 
 // fakePresences fakes what this daemon and its peers see of the owner.
@@ -74,3 +77,53 @@
 		assert.Equal(t, c.may, n.mayReplace(c.owner), "%s replaces %s", c.self, c.owner)
 	}
 }
+
+// closedConnection is a peer that cannot be reached, as its process has ended.
+type closedConnection struct{ fakePresences }
+
+func (closedConnection) AwaitDisconnect(context.Context, string) error { return errors.New("refused") }
+
+// revocationStore records the calls of a revocation in order.
+type revocationStore struct {
+	ledger.Store
+	commitErr error
+	calls     []string
+}
+
+func (s *revocationStore) Commit(_ context.Context, txn ledger.Txn) (ledger.TxnResult, error) {
+	s.calls = append(s.calls, "record "+string(txn.Puts[0].Value))
+	return ledger.TxnResult{Committed: s.commitErr == nil}, s.commitErr
+}
+
+func (s *revocationStore) EndLease(context.Context, ledger.LeaseID) error {
+	s.calls = append(s.calls, "end lease")
+	return nil
+}
+
+// TestRevocationIsRecordedFirst: the lease of an owner that may be alive is not revoked unless the
+// next owner will know of it.
+func TestRevocationIsRecordedFirst(t *testing.T) {
+	notRun := verdict.New(verdict.NotRun, ledger.CodeStoreUnavailable, "refused")
+	for _, c := range []struct {
+		name      string
+		commitErr error
+		calls     []string
+	}{
+		{"recorded", nil, []string{"record 7", "end lease"}},
+		{"not recorded", notRun, []string{"record 7"}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				s := &revocationStore{commitErr: c.commitErr}
+				peers := closedConnection{fakePresences{own: peer.Absent, others: map[string]peer.Presence{"b": peer.Absent, "c": peer.Absent}}}
+				n := &Node{settings: Settings{Node: "a"}, clock: &fakeClock{}, peers: peers, log: zap.NewNop(), rng: newLockedRand("a")}
+				n.store = ledger.NewFailover(s, noRelays{}, time.Now, func(error) {})
+				n.members.Store(&[]ledger.Member{{Node: "a", Addr: "a"}, {Node: "b", Addr: "b"}, {Node: "c", Addr: "c"}, {Node: "o", Addr: "o"}})
+				l := &ledger.Lock{Node: "o", Addr: "o", Term: 7, Lease: 3}
+				n.lock.Store(l)
+				n.watchOwnerConnection(t.Context(), l)
+				assert.Equal(t, c.calls, s.calls)
+			})
+		})
+	}
+}
