Owner: unknown runs that a worker listed are forgotten when the worker ends

If the job becomes known between the end of the worker and its removal, the run is taken over on the ended worker, nothing releases it, and its task waits for the rest of the term.

Ruled out: a silent worker (the end of its lease releases the run), a restarted one (its state is new).

Change: endIncarnation forgets the unknown runs. Reported ends are kept.

Before, with: TestARunListedByAWorkerThatHasEndedIsNotTakenOver fails (no start in 12 s). After: go test ./jobs/owner passes, with and without it (without it the test passes before as well).

--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -390,6 +390,7 @@
 	c.markWorkerChanged(w)
 	c.logDecision(Decision{Event: "worker-ended", Worker: w.Worker, Reason: fmt.Sprintf("%s; %d runs are lost", proof, len(w.runs))})
 	c.scheduleAttribution(w, now)
+	clear(w.unknownRuns) // they have ended, too
 	for _, r := range runsByNumber(w) {
 		c.releaseLostRun(r, proof, now)
 	}
