Admission: moving instances count from the time of a short move, so that nobody is refused for one that is about to arrive

Cause: an instance on its way counted from the mean duration of moves, and from 2 s if this owner saw none. In the model (lab/jobload, "all power lost and everybody back at once", a move takes 1.5 s) a new owner refused 38 jobs of 4599 whose pool had 135 instances on their way: "refused at 17.430 wait 895ms slack 653ms ... cores 32 free 0.137 arr 135", the instances were there at 17.925, and the pool then had room for them within their latest start. Change: the expected duration falls to a shorter one at once and rises slowly; 1 s until a move was seen.

--- a/jobs/owner/admission.go
+++ b/jobs/owner/admission.go
@@ -14,14 +14,15 @@
 // the time that hints may be out of date, and a snapshot visits all open jobs.
 const admissionInterval = 200 * time.Millisecond
 
-// defaultMoveDuration is the expected duration of a move until one was seen.
-const defaultMoveDuration = 2 * time.Second
+// defaultMoveDuration is the expected duration of a move until one was seen. It is a short one, as
+// are the durations that recordMoveDuration keeps.
+const defaultMoveDuration = time.Second
 
 // admissionState is what the owner keeps to decide on new jobs.
 type admissionState struct {
 	controllers  map[string]*admission.Controller // by service
 	nextUpdateAt time.Time
-	moveDuration time.Duration // moving average; 0: no move was seen
+	moveDuration time.Duration // of the shorter recent moves; 0: no move was seen
 }
 
 // Admit decides whether to accept a job that is not in the store.
@@ -274,12 +275,15 @@
 	return float64(milli) / 1000
 }
 
-// moveDurationDecay is the weight of the previous value of the mean duration of moves, at each move.
+// moveDurationDecay is the weight of the previous values in the durations of moves, at each move.
 const moveDurationDecay = 0.9
 
-// recordMoveDuration updates the expected duration of a move.
+// recordMoveDuration updates the expected duration of a move. moveDuration follows the short ones:
+// it falls to a shorter one at once. A job that is refused because an instance is expected later
+// than it arrives was refused needlessly; if it is accepted and the instance arrives later, it is
+// late as it would have been without a decision.
 func (a *admissionState) recordMoveDuration(d time.Duration) {
-	if a.moveDuration == 0 {
+	if a.moveDuration == 0 || d < a.moveDuration {
 		a.moveDuration = d
 		return
 	}
