Admission: a refusal is needless also if the pool started only late work in the job's time

Cause: owner_refusals_needless was counted only in moments in which no task of the pool waited at all. Change: the count compares bands: late work and work above its tenant's share comes after a job on time; room is the free cores and those on which tasks end before the latest start. No test was eased: the existing calls pass the same free cores in the new type, two tests are new. Conclusion: the metric can show what it is for. It does not count the pieces of cores that no gang fits.

--- a/jobs/admission/admission.go
+++ b/jobs/admission/admission.go
@@ -92,6 +92,7 @@
 	returnAt     time.Time // promised return
 	promisedWork float64   // part of Controller.promisedWork; 0: it has returned, or that time has passed
 	cores        float64
+	band         int
 	settled      bool // accepted since, or counted as needless
 }
 
@@ -188,7 +189,7 @@
 	}
 	c.refusals[j.ID] = &refusal{
 		firstAttempt: c.FirstAttempt(j.ID, now), latestStart: now.Add(j.Slack),
-		returnAt: now.Add(retryAfter), promisedWork: j.Work, cores: j.Cores,
+		returnAt: now.Add(retryAfter), promisedWork: j.Work, cores: j.Cores, band: j.Rank.Band,
 	}
 	c.promisedWork += j.Work
 }
@@ -211,16 +212,18 @@
 	}
 }
 
-// CountNeedless counts the refused jobs that were not accepted since, still could be on time and
-// fit into the free cores, which no waiting task can use. It returns their number.
-func (c *Controller) CountNeedless(freeCores float64, now time.Time) int64 {
+// CountNeedless counts the refused jobs that were not accepted since and for which the pool has room
+// by their latest start, and returns their number. firstWaiting is the lowest band in which tasks
+// wait: free cores and those on which tasks end would have been used by refused jobs of lower bands.
+func (c *Controller) CountNeedless(s Supply, firstWaiting int, now time.Time) int64 {
 	var n int64
+	taken := 0.0
 	for _, id := range slices.Sorted(maps.Keys(c.refusals)) {
 		r := c.refusals[id]
-		if r.settled || r.cores > freeCores || now.After(r.latestStart) {
+		if r.settled || r.band >= firstWaiting || now.After(r.latestStart) || taken+r.cores > s.freeWithin(r.latestStart.Sub(now)) {
 			continue
 		}
-		freeCores -= r.cores
+		taken += r.cores
 		r.settled = true
 		n++
 	}
--- a/jobs/admission/admission_test.go
+++ b/jobs/admission/admission_test.go
@@ -131,9 +131,9 @@
 	for n := range 4 {
 		require.Equal(t, PoolFull, c.Decide(newJob(n, time.Second), start).Reason)
 	}
-	assert.Zero(t, c.CountNeedless(10, start.Add(100*time.Millisecond)), "too little room")
-	assert.EqualValues(t, 2, c.CountNeedless(50, start.Add(200*time.Millisecond)), "room for two of them")
-	assert.Zero(t, c.CountNeedless(100, start.Add(2*time.Second)), "too late for the others")
+	assert.Zero(t, c.CountNeedless(Supply{FreeCores: 10}, 1, start.Add(100*time.Millisecond)), "too little room")
+	assert.EqualValues(t, 2, c.CountNeedless(Supply{FreeCores: 50}, 1, start.Add(200*time.Millisecond)), "room for two of them")
+	assert.Zero(t, c.CountNeedless(Supply{FreeCores: 100}, 1, start.Add(2*time.Second)), "too late for the others")
 	assert.True(t, c.HasRefusals())
 	c.Update(Supply{Cores: 100}, Queue{}, start.Add(refusalRetention+time.Second))
 	assert.False(t, c.HasRefusals())
@@ -142,7 +142,20 @@
 	c.Decide(newJob(1, time.Second), start)
 	assert.Zero(t, c.Decide(newJob(1, 4*time.Second), start), "it returns and is accepted")
 	assert.True(t, c.WasRefused(newJob(1, 0).ID))
-	assert.Zero(t, c.CountNeedless(100, start))
+	assert.Zero(t, c.CountNeedless(Supply{FreeCores: 100}, 1, start))
+}
+
+// TestNeedlessRefusalsWhileLateWorkWaits: the cores on which tasks end before the latest start of a
+// refused job would have been its own, as late work is placed after it.
+func TestNeedlessRefusalsWhileLateWorkWaits(t *testing.T) {
+	c := busyPool(4 * time.Second)
+	for n := range 4 {
+		require.Equal(t, PoolFull, c.Decide(newJob(n, time.Second), start).Reason)
+	}
+	busy := Supply{Cores: 100, MeanTask: 2 * time.Second}
+	assert.Zero(t, c.CountNeedless(busy, 0, start), "work of their own band waits")
+	assert.EqualValues(t, 2, c.CountNeedless(busy, 1, start), "tasks end on 45 cores within a second")
+	assert.Zero(t, c.CountNeedless(busy, 1, start.Add(900*time.Millisecond)), "on too few cores in the time left")
 }
 
 func TestFirstAttemptIsRemembered(t *testing.T) {
--- a/jobs/admission/supply.go
+++ b/jobs/admission/supply.go
@@ -68,3 +68,13 @@
 	}
 	return at + time.Duration(left/cores*float64(time.Second))
 }
+
+// freeWithin returns the cores that are free now or on which a task ends within d. The ends of the
+// tasks are spread over MeanTask; if that is not known, only the free cores count.
+func (s *Supply) freeWithin(d time.Duration) float64 {
+	if s.MeanTask <= 0 {
+		return s.FreeCores
+	}
+	busy := max(0, usableShare*s.Cores-s.FreeCores)
+	return s.FreeCores + busy*min(1, d.Seconds()/s.MeanTask.Seconds())
+}
--- a/jobs/owner/admission.go
+++ b/jobs/owner/admission.go
@@ -208,12 +208,9 @@
 	queue := admission.NewQueue(w.list)
 	supply := c.admissionSupply(service, queue.MeanTask(), now)
 	ctl.Update(supply, queue, now)
-	if c.pool(service).waitingCores > 0 {
-		return
-	}
-	if n := ctl.CountNeedless(supply.FreeCores, now); n > 0 {
+	if n := ctl.CountNeedless(supply, int(c.pool(service).firstWaitingBand()), now); n > 0 {
 		c.counts.NeedlessRefusals += n
-		c.logDecision(Decision{Event: "refusals-needless", Reason: fmt.Sprintf("%s: %d refused jobs did not return, and %.0f cores were free in time", service, n, supply.FreeCores)})
+		c.logDecision(Decision{Event: "refusals-needless", Reason: fmt.Sprintf("%s: %d refused jobs could have started in time; %.0f of %.0f cores are free", service, n, supply.FreeCores, supply.Cores)})
 	}
 }
 
--- a/jobs/owner/admission_test.go
+++ b/jobs/owner/admission_test.go
@@ -152,3 +152,14 @@
 	}
 	assert.InDelta(t, 2, arrivesIn().Seconds(), 0.1, "all moves take longer now")
 }
+
+// TestFirstWaitingBand: late work and work above its tenant's share are not ahead of jobs on time.
+func TestFirstWaitingBand(t *testing.T) {
+	for _, c := range []struct {
+		waiting, late float64
+		want          priorityBand
+	}{{0, 0, bandLate + 1}, {8, 8, bandOverShare}, {8, 3, bandOnTime}} {
+		p := poolState{waitingCores: c.waiting, lateWaitingCores: c.late}
+		assert.Equal(t, c.want, p.firstWaitingBand())
+	}
+}
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -49,6 +49,18 @@
 	}
 }
 
+// firstWaitingBand returns the lowest band in which tasks may wait for free capacity, one above the
+// last band if none wait.
+func (p *poolState) firstWaitingBand() priorityBand {
+	switch {
+	case p.waitingCores == 0:
+		return bandLate + 1
+	case p.waitingCores > p.lateWaitingCores:
+		return bandOnTime
+	}
+	return bandOverShare
+}
+
 // updateWaitingSince sets or clears waitingSince after a scheduling pass.
 func (p *poolState) updateWaitingSince(now time.Time) {
 	if p.waitingCores == 0 {
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -389,7 +389,7 @@
 	UnprovenLapses    int64 // ends of workers' leases that were no proof, as another owner may have renewed them
 	JobsConsidered    int64 // jobs considered for placement
 	RefusedJobs       int64 // submissions refused by Admit, returns of the same job included
-	NeedlessRefusals  int64 // refused jobs that did not return although their pool had room for them in time
+	NeedlessRefusals  int64 // refused jobs that did not return although their pool could have started them in time
 	UnansweredStarts
 }
 
