--- a/jobs/owner/admission.go
+++ b/jobs/owner/admission.go
@@ -14,15 +14,15 @@
 // the time that hints may be out of date, and a snapshot visits all open jobs.
 const admissionInterval = 200 * time.Millisecond
 
-// defaultMoveDuration is the expected duration of a move until one was seen. It is a short one, as
-// are the durations that recordMoveDuration keeps.
+// defaultMoveDuration is the expected duration of a move until one was seen. It is that of a short
+// move, as a job refused for an instance that arrives earlier than expected is refused needlessly.
 const defaultMoveDuration = time.Second
 
 // admissionState is what the owner keeps to decide on new jobs.
 type admissionState struct {
 	controllers  map[string]*admission.Controller // by service
 	nextUpdateAt time.Time
-	moveDuration time.Duration // of the shorter recent moves; 0: no move was seen
+	moveDuration time.Duration // moving average; 0: no move was seen
 }
 
 // Admit decides whether to accept a job that is not in the store.
@@ -272,15 +272,12 @@
 	return float64(milli) / 1000
 }
 
-// moveDurationDecay is the weight of the previous values in the durations of moves, at each move.
+// moveDurationDecay is the weight of the previous value of the mean duration of moves, at each move.
 const moveDurationDecay = 0.9
 
-// recordMoveDuration updates the expected duration of a move. moveDuration follows the short ones:
-// it falls to a shorter one at once. A job that is refused because an instance is expected later
-// than it arrives was refused needlessly; if it is accepted and the instance arrives later, it is
-// late as it would have been without a decision.
+// recordMoveDuration updates the expected duration of a move.
 func (a *admissionState) recordMoveDuration(d time.Duration) {
-	if a.moveDuration == 0 || d < a.moveDuration {
+	if a.moveDuration == 0 {
 		a.moveDuration = d
 		return
 	}
