Admission: a job that returns once its pool is no longer congested is not counted as refused needlessly

Daemons ask only while a pool is congested. A refused job that came back after that went straight to Submit, which did not note that it was accepted: it could count as needless, and its promised return stayed in the work ahead until its time passed. Ruled out: asking the owner about every return; daemons don't know what was refused elsewhere. Change: Submit settles the refusal. Figures: the new test failed with 1 needless refusal, now 0; jobs/owner and jobs/admission pass. Conclusion: the count holds only jobs that did not come back, as its description says.

--- a/jobs/admission/admission.go
+++ b/jobs/admission/admission.go
@@ -135,6 +135,17 @@
 // WasRefused reports whether the job was refused before.
 func (c *Controller) WasRefused(id string) bool { return c.refusals[id] != nil }
 
+// SettleRefusal notes that the job was accepted, and reports whether it was refused before.
+func (c *Controller) SettleRefusal(id string) bool {
+	r := c.refusals[id]
+	if r == nil {
+		return false
+	}
+	c.dropPromise(r)
+	r.settled = true
+	return true
+}
+
 // FirstAttempt returns when the job was first refused, now if it was not.
 func (c *Controller) FirstAttempt(id string, now time.Time) time.Time {
 	if r := c.refusals[id]; r != nil {
@@ -177,9 +188,7 @@
 
 func (c *Controller) accept(j Job) {
 	c.accepted = append(c.accepted, Waiting{Rank: j.Rank, Work: j.Work})
-	if r := c.refusals[j.ID]; r != nil {
-		r.settled = true
-	}
+	c.SettleRefusal(j.ID)
 }
 
 // refuse remembers the job and its promised return.
--- a/jobs/owner/admission.go
+++ b/jobs/owner/admission.go
@@ -84,11 +84,11 @@
 	return d
 }
 
-// wasRefused reports whether the job was refused before it was accepted, so that it is counted as
-// an arrival.
-func (c *Core) wasRefused(j *jobState) bool {
+// settleRefusal notes that a job was accepted, and reports whether it was refused before, so that it
+// is counted as an arrival.
+func (c *Core) settleRefusal(j *jobState) bool {
 	ctl := c.admission.controllers[j.service]
-	return ctl != nil && ctl.WasRefused(string(j.spec.ID))
+	return ctl != nil && ctl.SettleRefusal(string(j.spec.ID))
 }
 
 // newJobState returns the state of a job that is not accepted, as if it were accepted at the given
--- a/jobs/owner/admission_test.go
+++ b/jobs/owner/admission_test.go
@@ -161,3 +161,15 @@
 		assert.Equal(t, c.want, p.firstWaitingBand())
 	}
 }
+
+// TestAReturnWithoutAQuestionSettlesTheRefusal: once a pool is no longer congested, daemons accept
+// returning jobs without asking.
+func TestAReturnWithoutAQuestionSettlesTheRefusal(t *testing.T) {
+	r := fullPool(t, 1, admission.Late)
+	j := simpleJob(50, 8)
+	require.Equal(t, admission.PoolFull, r.core.Admit(j, r.now).Reason)
+	j.AcceptedAt = r.now
+	r.core.Submit(j, r.now)
+	ctl := r.core.admission.controllers["s"]
+	assert.Zero(t, ctl.CountNeedless(admission.Supply{FreeCores: 100}, int(bandLate)+1, r.now))
+}
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -91,7 +91,7 @@
 	j.inherited = c.opt.Term > 1 && now.Sub(c.startedAt) < max(submitHandoverWindow, c.opt.PriorLeaseLeft)
 	c.logDecision(Decision{Event: "job-known", Job: spec.ID, Reason: j.service})
 	c.chargeShare(j)
-	if !c.wasRefused(j) {
+	if !c.settleRefusal(j) {
 		c.recordArrival(j, now, now)
 	}
 	c.resolveUnknownJob(j, now)
