--- a/jobs/admission/admission.go
+++ b/jobs/admission/admission.go
@@ -92,6 +92,7 @@
 	returnAt     time.Time // promised return
 	promisedWork float64   // part of Controller.promisedWork; 0: it has returned, or that time has passed
 	cores        float64
+	band         int
 	settled      bool // accepted since, or counted as needless
 }
 
@@ -134,6 +135,17 @@
 // WasRefused reports whether the job was refused before.
 func (c *Controller) WasRefused(id string) bool { return c.refusals[id] != nil }
 
+// SettleRefusal notes that the job was accepted, and reports whether it was refused before.
+func (c *Controller) SettleRefusal(id string) bool {
+	r := c.refusals[id]
+	if r == nil {
+		return false
+	}
+	c.dropPromise(r)
+	r.settled = true
+	return true
+}
+
 // FirstAttempt returns when the job was first refused, now if it was not.
 func (c *Controller) FirstAttempt(id string, now time.Time) time.Time {
 	if r := c.refusals[id]; r != nil {
@@ -176,9 +188,7 @@
 
 func (c *Controller) accept(j Job) {
 	c.accepted = append(c.accepted, Waiting{Rank: j.Rank, Work: j.Work})
-	if r := c.refusals[j.ID]; r != nil {
-		r.settled = true
-	}
+	c.SettleRefusal(j.ID)
 }
 
 // refuse remembers the job and its promised return.
@@ -188,7 +198,7 @@
 	}
 	c.refusals[j.ID] = &refusal{
 		firstAttempt: c.FirstAttempt(j.ID, now), latestStart: now.Add(j.Slack),
-		returnAt: now.Add(retryAfter), promisedWork: j.Work, cores: j.Cores,
+		returnAt: now.Add(retryAfter), promisedWork: j.Work, cores: j.Cores, band: j.Rank.Band,
 	}
 	c.promisedWork += j.Work
 }
@@ -211,16 +221,18 @@
 	}
 }
 
-// CountNeedless counts the refused jobs that were not accepted since, still could be on time and
-// fit into the free cores, which no waiting task can use. It returns their number.
-func (c *Controller) CountNeedless(freeCores float64, now time.Time) int64 {
+// CountNeedless counts the refused jobs that were not accepted since and for which the pool has room
+// by their latest start, and returns their number. firstWaiting is the lowest band in which tasks
+// wait: free cores and those on which tasks end would have been used by refused jobs of lower bands.
+func (c *Controller) CountNeedless(s Supply, firstWaiting int, now time.Time) int64 {
 	var n int64
+	taken := 0.0
 	for _, id := range slices.Sorted(maps.Keys(c.refusals)) {
 		r := c.refusals[id]
-		if r.settled || r.cores > freeCores || now.After(r.latestStart) {
+		if r.settled || r.band >= firstWaiting || now.After(r.latestStart) || taken+r.cores > s.freeWithin(r.latestStart.Sub(now)) {
 			continue
 		}
-		freeCores -= r.cores
+		taken += r.cores
 		r.settled = true
 		n++
 	}
--- a/jobs/owner/admission.go
+++ b/jobs/owner/admission.go
@@ -14,8 +14,9 @@
 // the time that hints may be out of date, and a snapshot visits all open jobs.
 const admissionInterval = 200 * time.Millisecond
 
-// defaultMoveDuration is the expected duration of a move until one was seen.
-const defaultMoveDuration = 2 * time.Second
+// defaultMoveDuration is the expected duration of a move until one was seen. It is that of a short
+// move, as a job refused for an instance that arrives earlier than expected is refused needlessly.
+const defaultMoveDuration = time.Second
 
 // admissionState is what the owner keeps to decide on new jobs.
 type admissionState struct {
@@ -83,11 +84,11 @@
 	return d
 }
 
-// wasRefused reports whether the job was refused before it was accepted, so that it is counted as
-// an arrival.
-func (c *Core) wasRefused(j *jobState) bool {
+// settleRefusal notes that a job was accepted, and reports whether it was refused before, so that it
+// is counted as an arrival.
+func (c *Core) settleRefusal(j *jobState) bool {
 	ctl := c.admission.controllers[j.service]
-	return ctl != nil && ctl.WasRefused(string(j.spec.ID))
+	return ctl != nil && ctl.SettleRefusal(string(j.spec.ID))
 }
 
 // newJobState returns the state of a job that is not accepted, as if it were accepted at the given
@@ -207,12 +208,9 @@
 	queue := admission.NewQueue(w.list)
 	supply := c.admissionSupply(service, queue.MeanTask(), now)
 	ctl.Update(supply, queue, now)
-	if c.pool(service).waitingCores > 0 {
-		return
-	}
-	if n := ctl.CountNeedless(supply.FreeCores, now); n > 0 {
+	if n := ctl.CountNeedless(supply, int(c.pool(service).firstWaitingBand()), now); n > 0 {
 		c.counts.NeedlessRefusals += n
-		c.logDecision(Decision{Event: "refusals-needless", Reason: fmt.Sprintf("%s: %d refused jobs did not return, and %.0f cores were free in time", service, n, supply.FreeCores)})
+		c.logDecision(Decision{Event: "refusals-needless", Reason: fmt.Sprintf("%s: %d refused jobs could have started in time; %.0f of %.0f cores are free", service, n, supply.FreeCores, supply.Cores)})
 	}
 }
 
--- a/jobs/owner/admission_test.go
+++ b/jobs/owner/admission_test.go
@@ -133,3 +133,43 @@
 	assert.Zero(t, r.core.Admit(simpleJob(50, 8), r.now))
 	assert.Empty(t, r.core.AdmissionHint(r.now).Congested)
 }
+
+// TestInstancesCountFromTheirExpectedArrival: as long as no move was seen, after a short one, as jobs
+// refused for an instance that arrives earlier were refused needlessly.
+func TestInstancesCountFromTheirExpectedArrival(t *testing.T) {
+	r := fullPool(t, 1, admission.Late)
+	const moving InstanceID = "moving"
+	r.core.instances[moving] = &instanceState{Instance: Instance{ID: moving, Capacity: job.Resources{CPUMilli: 8000}}}
+	r.core.moves[moving] = &poolMove{toPool: "s", orderedAt: r.now}
+	arrivesIn := func() time.Duration { return r.core.admissionSupply("s", time.Second, r.now).Arrivals[0].In }
+	assert.LessOrEqual(t, arrivesIn(), time.Second, "no move was seen")
+	r.core.admission.recordMoveDuration(1200 * time.Millisecond)
+	assert.InDelta(t, 1.2, arrivesIn().Seconds(), 0.01, "as long as the only one")
+	for range 50 {
+		r.core.admission.recordMoveDuration(2 * time.Second)
+	}
+	assert.InDelta(t, 2, arrivesIn().Seconds(), 0.1, "all moves take longer now")
+}
+
+// TestFirstWaitingBand: late work and work above its tenant's share are not ahead of jobs on time.
+func TestFirstWaitingBand(t *testing.T) {
+	for _, c := range []struct {
+		waiting, late float64
+		want          priorityBand
+	}{{0, 0, bandLate + 1}, {8, 8, bandOverShare}, {8, 3, bandOnTime}} {
+		p := poolState{waitingCores: c.waiting, lateWaitingCores: c.late}
+		assert.Equal(t, c.want, p.firstWaitingBand())
+	}
+}
+
+// TestAReturnWithoutAQuestionSettlesTheRefusal: once a pool is no longer congested, daemons accept
+// returning jobs without asking.
+func TestAReturnWithoutAQuestionSettlesTheRefusal(t *testing.T) {
+	r := fullPool(t, 1, admission.Late)
+	j := simpleJob(50, 8)
+	require.Equal(t, admission.PoolFull, r.core.Admit(j, r.now).Reason)
+	j.AcceptedAt = r.now
+	r.core.Submit(j, r.now)
+	ctl := r.core.admission.controllers["s"]
+	assert.Zero(t, ctl.CountNeedless(admission.Supply{FreeCores: 100}, int(bandLate)+1, r.now))
+}
