--- a/adapter/etcdkv/client.go
+++ b/adapter/etcdkv/client.go
@@ -116,9 +116,11 @@
 }
 
 // transportError converts the error of a call without a complete response. A write
-// may have taken effect unless the dial failed.
+// may have taken effect unless the dial failed. The idle connections are closed: if
+// this one has gone silent, they may have too.
 func (c *Client) transportError(err error, write bool) error {
 	c.Counters.Errors.Add(1)
+	c.http.CloseIdleConnections()
 	v := verdict.NotRun
 	var opErr *net.OpError
 	dialFailed := errors.As(err, &opErr) && opErr.Op == "dial"
@@ -252,6 +254,10 @@
 			return c.transportError(err, false)
 		}
 		idleTimer.Reset(c.opts.WatchIdleTimeout)
+		if m.Result.Canceled && m.Result.CompactRevision == 0 {
+			c.Counters.Errors.Add(1)
+			return verdict.New(verdict.NotRun, port.CodeStoreUnavailable, "store cancelled the watch: %s", m.Result.CancelReason)
+		}
 		if m.Result.Canceled {
 			return verdict.New(verdict.NotRun, port.CodeStoreCompacted, "store cancelled the watch: revisions before %d have been compacted", m.Result.CompactRevision)
 		}
--- a/internal/importrule/rule_test.go
+++ b/internal/importrule/rule_test.go
@@ -36,13 +36,16 @@
 	"requests/slots":       {"requests/fleet", "requests/rendezvous"},
 	"requests/directory":   {"requests/fleet", "requests/route"},
 
+	"internal/ownermodel": {},
+
 	"jobs/apikey":     {},
 	"jobs/job":        {"jobs/apikey"},
 	"jobs/quota":      {"jobs/job"},
 	"jobs/callpolicy": {},
 	"jobs/placement":  {"jobs/job"},
 	"jobs/capacity":   {},
-	"jobs/owner":      {"jobs/job", "jobs/quota", "jobs/callpolicy", "jobs/placement", "jobs/capacity"},
+	"jobs/admission":  {"jobs/job"},
+	"jobs/owner":      {"jobs/job", "jobs/admission", "jobs/quota", "jobs/callpolicy", "jobs/placement", "jobs/capacity"},
 }
 
 // sideEffectPackages are packages that the packages in pureImports must not import.
--- a/jobs/node/metrics.go
+++ b/jobs/node/metrics.go
@@ -7,6 +7,7 @@
 
 	"github.com/uber-go/tally/v4"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
 	"github.com/postmount/postmount/verdict"
@@ -49,6 +50,11 @@
 	m.scope.Histogram("commit_time", latencyBuckets).RecordDuration(took)
 }
 
+// jobRefused counts a submission that the owner refused.
+func (m *Metrics) jobRefused(queue string, d admission.Decision) {
+	m.scope.Tagged(map[string]string{"queue": queue, "reason": string(d.Reason)}).Counter("jobs_refused").Inc(1)
+}
+
 // refusedEntries sets the number of store entries that are refused at present.
 func (m *Metrics) refusedEntries(n int) { m.scope.Gauge("entries_refused").Update(float64(n)) }
 
@@ -71,6 +77,14 @@
 	m.scope.Tagged(map[string]string{"code": string(verdict.CodeOf(err)), "verdict": verdict.Of(err).String()}).Counter("store_failures").Inc(1)
 }
 
+// boolGauge returns 1 for true and 0 for false.
+func boolGauge(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 // ownerStats sets the gauges of the owner. A daemon that is no longer the owner keeps reporting
 // its last values; those of the newest term are valid.
 func (m *Metrics) ownerStats(s owner.Stats) {
@@ -82,7 +96,13 @@
 		"owner_tasks_failed": float64(s.Failed), "owner_tasks_stopped": float64(s.Stopped), "owner_tasks_lapsed": float64(s.Lapsed),
 		"owner_tasks_lost": float64(s.Lost), "owner_commits": float64(s.Commits),
 		"owner_lasting_tasks_lapsed": float64(s.LongRunningLapsed), "owner_jobs_considered": float64(s.JobsConsidered),
-		"owner_worker_crashes": float64(s.Crashes), "owner_trials": float64(s.IsolatedStarts), "owner_tasks_given_up": float64(s.GivenUp),
+		"owner_worker_crashes": float64(s.Crashes), "owner_lapses_unproven": float64(s.UnprovenLapses), "owner_uncertain": boolGauge(s.Uncertain),
+		"owner_trials": float64(s.IsolatedStarts), "owner_tasks_given_up": float64(s.GivenUp),
+		"owner_starts_unanswered": float64(s.Unanswered), "owner_starts_repeated": float64(s.Repeated), "owner_repeats_denied": float64(s.RepeatsDenied),
+		"owner_starts_settled_by_answer": float64(s.SettledByAnswer), "owner_starts_settled_by_run_list": float64(s.SettledByRunList),
+		"owner_starts_settled_by_end": float64(s.SettledByEnd), "owner_start_settling_s": s.SettlingTime.Seconds(),
+		"owner_call_timeout_min_s": s.MinCallTimeout.Seconds(), "owner_call_timeout_max_s": s.MaxCallTimeout.Seconds(),
+		"owner_refusals": float64(s.RefusedJobs), "owner_refusals_needless": float64(s.NeedlessRefusals),
 	} {
 		m.scope.Gauge(name).Update(v)
 	}
@@ -93,5 +113,6 @@
 		pool.Gauge("pool_cores_busy").Update(p.BusyCores)
 		pool.Gauge("pool_cores_waiting").Update(p.WaitingCores)
 		pool.Gauge("pool_work_rate").Update(p.ArrivalRate)
+		pool.Gauge("pool_largest_zone_share").Update(p.LargestZoneShare)
 	}
 }
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -33,6 +33,7 @@
 	StopGrace       time.Duration // between SIGTERM and SIGKILL
 	DutyHandover    time.Duration // minimum time between instance orders of two duty holders
 	MovesPerSec     float64       // rate of instance orders that the platform accepts; 0: unlimited
+	ToleratedZones  int           // availability zones that may be lost at the same time
 	MinStoreLease   time.Duration // shortest lease that the store grants
 	StatusRetention time.Duration // how long the state of ended jobs is kept
 	RequireKeys     bool          // callers need a tenant's key, except on public queues
@@ -65,6 +66,9 @@
 	if s.MovesPerSec < 0 {
 		errs = append(errs, fmt.Errorf("MovesPerSec is %v, must not be negative", s.MovesPerSec))
 	}
+	if s.ToleratedZones < 0 {
+		errs = append(errs, fmt.Errorf("ToleratedZones is %d, must not be negative", s.ToleratedZones))
+	}
 	if s.MaxConfigAge < 0 {
 		errs = append(errs, fmt.Errorf("MaxConfigAge is %s, must not be negative", s.MaxConfigAge))
 	}
@@ -159,9 +163,13 @@
 	instanceOrderTimeout = time.Second
 	// expireInterval is how often expired jobs are removed from the store.
 	expireInterval = 5 * time.Second
-	// handOverTimeout bounds the release of the owner's lock: two attempts. If both fail the lease
-	// is revoked, which removes the lock.
-	handOverTimeout = 2 * storeTimeout
+	// releaseRenewalsWait is how long a new owner that leaves waits until it has renewed the leases
+	// of all workers. An owner with a fifth of a core calls 350 workers twice within a second. No
+	// tasks are started meanwhile.
+	releaseRenewalsWait = time.Second
+	// handOverTimeout bounds the release of the owner's lock: that wait and two attempts. If both
+	// fail the lease is revoked, which removes the lock.
+	handOverTimeout = releaseRenewalsWait + 2*storeTimeout
 	// releaseProbeTimeout bounds an attempt to release the lock while the store is unavailable. It
 	// is short, as the attempt blocks the owner's work.
 	releaseProbeTimeout = 50 * time.Millisecond
--- a/jobs/owner/lease.go
+++ b/jobs/owner/lease.go
@@ -18,6 +18,7 @@
 	clockMs        int64     // worker's clock in its last answer
 	clockReadAt    time.Time // when that answer was received
 	grantedUntilMs int64     // latest lease end sent in any order, on the worker's clock
+	firstGrantAt   time.Time // when this owner first granted a lease; zero: never
 }
 
 // observeClock takes the worker's clock from an answer received at now.
@@ -36,16 +37,16 @@
 		return 0
 	}
 	expiresAtMs := l.clockMs + now.Sub(l.clockReadAt).Milliseconds() + d.Milliseconds()
+	if l.firstGrantAt.IsZero() {
+		l.firstGrantAt = now
+	}
 	l.grantedUntilMs = max(l.grantedUntilMs, expiresAtMs)
 	return expiresAtMs
 }
 
-// expired reports whether every lease that was sent has certainly expired.
-func (l *workerLease) expired(now time.Time) bool {
-	if !l.known {
-		return false
-	}
+// expiry returns the time by which every lease that was sent has certainly expired. The worker's
+// clock must be known.
+func (l *workerLease) expiry() time.Time {
 	left := time.Duration(l.grantedUntilMs-l.clockMs) * time.Millisecond
-	end := l.clockReadAt.Add(time.Duration(float64(left) / (1 - maxClockSlowdown))).Add(leaseMargin)
-	return now.After(end)
+	return l.clockReadAt.Add(time.Duration(float64(left) / (1 - maxClockSlowdown))).Add(leaseMargin)
 }
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/callpolicy"
 	"github.com/postmount/postmount/jobs/capacity"
 	"github.com/postmount/postmount/jobs/job"
@@ -26,12 +27,17 @@
 	ElectedAt            time.Time     // when this owner was elected; zero: now
 	PriorOrdersUnknown   bool          // the orders of other holders could not be determined
 	SucceedsSelf         bool          // the previous owner was this daemon, before it was restarted
+	PriorLeaseLeft       time.Duration // how long after ElectedAt an earlier owner may have taken its store lease for held
 	StatusRetention      time.Duration // ended jobs are removed after twice this time
 	MaxOutstandingStarts int           // limit of starts without an outcome; 0: no limit
 	Weights              capacity.Weights
 	MaxMovesPerSec       float64 // moves per second that the platform accepts; 0: no limit
-	PoolPolicy           capacity.Policy
-	SchedulingPolicy     SchedulingPolicy
+	// ToleratedZones is how many availability zones may be lost at the same time. If it is positive,
+	// pools are spread over the zones.
+	ToleratedZones   int
+	PoolPolicy       capacity.Policy
+	SchedulingPolicy SchedulingPolicy
+	AdmissionPolicy  admission.Policy // "": as admission.Never
 }
 
 // runsPerTerm is the size of each term's range of run numbers. Runs of term n are numbered from
@@ -56,6 +62,7 @@
 	throttlePercent     int           // ordered percentage of full speed; initially 100
 	mayStartLate        bool          // a start went unanswered and may still reach the worker
 	fromPastIncarnation bool          // ordered on an earlier incarnation of the worker, not yet seen on this one
+	unansweredSince     time.Time     // when its start first went unanswered, until its outcome is known
 	neverStarted        bool          // the worker does not list it, and a stop will keep it from starting
 	startAbandonedAt    time.Time     // when the start was given up as unanswered; zero: it may be sent again
 	stopReason          string
@@ -83,6 +90,7 @@
 	notBefore          time.Time  // end of the backoff after a failure
 	consecutiveRetries int        // consecutive failures or refusals that do not use up attempts
 	stalls             int        // runs stopped for lack of progress
+	runLostAt          time.Time  // when a run of it was last lost without a report of its end
 	failedOn           []WorkerID // workers it failed on in this term; the worker may have been at fault
 	lastFailedAt       time.Time
 	timeSpent          timeByCause // time so far by cause
@@ -198,7 +206,10 @@
 	Registration
 	lease                    workerLease
 	answeredThisOwner        bool      // answered a hold with this owner's fencing token
+	firstAnsweredAt          time.Time // when it first did
+	unprovenLapseLogged      bool      // lapse-unproven was logged since it last answered
 	registered               bool      // counts as registered
+	coldUntil                time.Time // end of its slow phase after its start; zero: none was reported
 	firstSeenAt              time.Time // when this owner first learned of the incarnation
 	pastStartsMs             []int64   // StartedMs of earlier incarnations, oldest first
 	registrationMissingSince time.Time // when it was first missing from the registrations; zero: listed
@@ -207,12 +218,15 @@
 	holdSentAt               time.Time
 	answeredHoldSentAt       time.Time // when the latest answered hold was sent
 	nextHoldAt               time.Time
-	silentSince              time.Time   // since when holds go unanswered; zero: the last one was answered
-	lastAnswerAt             time.Time   // latest answer to any order
-	orderUnanswered          bool        // an order sent after lastAnswerAt went unanswered
-	crashSuspects            []*task     // tasks that may have crashed it, set when it ends
-	lostCallCounted          bool        // a lost call was counted in callLossDetector, and no call was answered since
-	contactLoss              contactLoss // zero: in contact
+	silentSince              time.Time              // since when holds go unanswered; zero: the last one was answered
+	lastAnswerAt             time.Time              // latest answer to any order
+	orderUnanswered          bool                   // an order sent after lastAnswerAt went unanswered
+	crashSuspects            []*task                // tasks that may have crashed it, set when it ends
+	calls                    callpolicy.WorkerCalls // outcomes and round trips of orders
+	silenceToleratedUntil    time.Time              // until then lost calls may explain its silence
+	losesOrders              bool                   // loses many more calls than the other workers
+	lostCallCounted          bool                   // a lost call was counted in callLossDetector, and no call was answered since
+	contactLoss              contactLoss            // zero: in contact
 	runs                     map[job.TaskID]*run
 	allocated                job.Resources             // by runs
 	fillerRuns               int                       // filler runs
@@ -270,7 +284,7 @@
 // isReady reports whether the worker's own state allows new tasks.
 func (w *worker) isReady(now time.Time) bool {
 	return w.answeredThisOwner && w.registered && !w.ended && !w.Draining && w.lease.known &&
-		w.reserved == "" && !w.isSilent() && !now.Before(w.avoidUntil)
+		w.reserved == "" && !w.seemsUnreachable(now) && !now.Before(w.avoidUntil)
 }
 
 // Core is the state machine that schedules all jobs: methods named On handle answers and events,
@@ -298,8 +312,8 @@
 	waves                  map[int]*waveState
 	pools                  map[string]*poolState
 	moves                  map[InstanceID]*poolMove
-	rejectedMoves          map[rejectedMove]bool
-	evacuatedZones         map[string]bool // zones that get no new tasks
+	rejectedMoves          map[rejectedMove]time.Time // when the platform last answered DutyInvalid
+	evacuatedZones         map[string]bool            // zones that get no new tasks
 	nextSizingAt           time.Time
 	returnBudget           float64 // instances that may be returned to the spare pool now
 	returnRefilledAt       time.Time
@@ -338,6 +352,9 @@
 	staleIndexWorkers []*worker // workers with indexStale set
 
 	callLossDetector  callpolicy.LossDetector
+	allCalls          callpolicy.WorkerCalls // to all workers
+	fastAnswers       callpolicy.FastAnswers // to starts
+	repeatBudget      callpolicy.RepeatBudget
 	starvedSince      time.Time     // start of the current or last period in which the owner is starved
 	starvedUntil      time.Time     // end of that period
 	meanAnswerLatency time.Duration // moving average
@@ -345,12 +362,14 @@
 
 	mostSilentSince time.Time // since when most workers seem silent; zero: most answer
 
-	storeLeaseLostAt time.Time            // zero: the store lease is held
+	storeLeaseLostAt time.Time // zero: the store lease is held
+	ownership        ownership
 	earlyCancels     map[job.ID]time.Time // cancellations of jobs not known yet
 	decisions        []Decision
 	counts           Counts
 
 	startWindow startWindow
+	admission   admissionState
 }
 
 // Counts holds totals since the start of the term.
@@ -367,7 +386,11 @@
 	Crashes           int64 // worker crashes that a task may have caused
 	IsolatedStarts    int64 // starts of risky tasks in isolation
 	GivenUp           int64 // tasks given up because they crash their workers
+	UnprovenLapses    int64 // ends of workers' leases that were no proof, as another owner may have renewed them
 	JobsConsidered    int64 // jobs considered for placement
+	RefusedJobs       int64 // submissions refused by Admit, returns of the same job included
+	NeedlessRefusals  int64 // refused jobs that did not return although their pool could have started them in time
+	UnansweredStarts
 }
 
 // Decision is a log line that says what was decided about a job, a worker or an instance, and
@@ -435,7 +458,7 @@
 		waves:                  map[int]*waveState{},
 		pools:                  map[string]*poolState{},
 		moves:                  map[InstanceID]*poolMove{},
-		rejectedMoves:          map[rejectedMove]bool{},
+		rejectedMoves:          map[rejectedMove]time.Time{},
 		dirtyJobs:              map[job.ID]*jobState{},
 		unstoredCrashes:        map[job.ID]*jobState{},
 		changedServices:        map[string]bool{},
@@ -447,6 +470,7 @@
 		lastAwaited:            map[string]InstanceID{},
 		startWindow:            newStartWindow(opt.MaxOutstandingStarts),
 		orderHoldoff:           map[InstanceID]time.Time{},
+		admission:              admissionState{controllers: map[string]*admission.Controller{}},
 		startedAt:              now,
 		electedAt:              now,
 		unregisterFrom:         now,
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -18,6 +18,8 @@
 	reregistrationGrace = 2200 * time.Millisecond
 	// holdRetryPause is the pause after an unanswered hold.
 	holdRetryPause = 150 * time.Millisecond
+	// lossyHoldRetryPause is the same for a worker whose silence lost calls may explain.
+	lossyHoldRetryPause = 30 * time.Millisecond
 	// noInstanceHoldRetryPause is the same for a worker that the instance list does not show.
 	// Most of these have ended, but stay registered for some seconds. If they were retried as
 	// often as the others, most calls of a new owner would go to them.
@@ -58,7 +60,7 @@
 			LeaseUntilMs: c.leaseEndFor(w, now),
 			AckThrough:   w.ackThrough(),
 			Wait:         c.holdWait(w),
-			Timeout:      c.callLossDetector.Timeout(holdTimeout),
+			Timeout:      c.holdTimeout(w),
 		})
 	}
 }
@@ -111,12 +113,17 @@
 
 // leaseEndFor returns the lease end for an order to w. The lease of a silent worker is not
 // renewed, as it has to expire before the worker's tasks may start elsewhere. A starved owner
-// renews it, as the worker's answers may wait to be read.
+// renews it, as the worker's answers may wait to be read. No lease is renewed for longer than
+// ownership.leaseLimit allows.
 func (c *Core) leaseEndFor(w *worker, now time.Time) int64 {
 	if w.isSilent() && !c.isStarved(now) {
 		return w.lease.grantedUntilMs
 	}
-	return w.lease.grant(c.opt.TaskLease, now)
+	d := c.ownership.leaseLimit(c.opt.TaskLease, now)
+	if d == 0 {
+		return w.lease.grantedUntilMs
+	}
+	return w.lease.grant(d, now)
 }
 
 // isSilent reports whether the last hold or a later order to w went unanswered, with no
@@ -127,8 +134,8 @@
 // lost contact: only that order may have been lost, and the hold in flight will show whether
 // the worker answers. Otherwise, on a network that loses a fifth of the calls, each lost order
 // would be recorded as an unconfirmed crash.
-func (c *Core) onOrderAnswer(w *worker, a Answer, now time.Time) {
-	c.recordCallOutcome(w, a)
+func (c *Core) onOrderAnswer(w *worker, a Answer, timeout time.Duration, now time.Time) {
+	c.recordCallOutcome(w, a, now.Add(-timeout), now)
 	if a.Outcome == Unanswered && !a.ConnFailed {
 		c.markWorkerChanged(w)
 		return
@@ -137,26 +144,11 @@
 }
 
 // mayBeLostHold reports whether an unanswered hold may have been lost on a lossy network. Such a
-// hold does not count as lost contact unless the next one goes unanswered too; otherwise tasks
-// just started on the worker would be suspected of having crashed it.
-func (c *Core) mayBeLostHold(w *worker, a Answer) bool {
-	return a.Outcome == Unanswered && !a.ConnFailed && w.silentSince.IsZero() && c.callLossDetector.Lossy()
-}
-
-// recordCallOutcome counts answered and lost calls. The timeouts of later calls depend on them.
-func (c *Core) recordCallOutcome(w *worker, a Answer) {
-	switch {
-	case a.Outcome == NotSent:
-	case a.Outcome != Unanswered:
-		c.callLossDetector.RecordAnswer()
-		w.lostCallCounted = false
-	case a.ConnFailed:
-	case w.lostCallCounted:
-		c.callLossDetector.RecordRepeatedLoss()
-	default:
-		c.callLossDetector.RecordLoss()
-		w.lostCallCounted = true
-	}
+// hold does not count as lost contact unless more go unanswered too; otherwise tasks just started
+// on the worker would be suspected of having crashed it.
+func (c *Core) mayBeLostHold(w *worker, a Answer, now time.Time) bool {
+	return a.Outcome == Unanswered && !a.ConnFailed && c.callLossDetector.Lossy() &&
+		(w.silentSince.IsZero() || now.Before(w.silenceToleratedUntil))
 }
 
 // onAnswer handles the outcome of a call to the worker, answered or not.
@@ -210,8 +202,9 @@
 	if w.ended {
 		return // answered before the incarnation ended; its runs are already released
 	}
-	c.recordCallOutcome(w, h.Answer)
-	if !c.mayBeLostHold(w, h.Answer) {
+	c.recordCallOutcome(w, h.Answer, w.holdSentAt, now)
+	c.markWorkerChanged(w)
+	if !c.mayBeLostHold(w, h.Answer, now) {
 		c.onAnswer(w, h.Answer, now)
 	}
 	switch h.Outcome {
@@ -241,6 +234,10 @@
 	}
 	first := !w.answeredThisOwner
 	w.answeredThisOwner = true
+	if first {
+		w.firstAnsweredAt = now
+	}
+	w.unprovenLapseLogged = false
 	w.answeredHoldSentAt = w.holdSentAt
 	for _, e := range h.Ends {
 		if e.Seq > w.lastSeenEnd {
@@ -267,6 +264,9 @@
 	if c.callLossDetector.Lossy() && w.silentSince.Equal(now) {
 		return 0 // only this hold may have been lost
 	}
+	if now.Before(w.silenceToleratedUntil) {
+		return lossyHoldRetryPause
+	}
 	if !c.instanceListAt.IsZero() && !c.isOnInstanceList(w) {
 		return noInstanceHoldRetryPause
 	}
@@ -313,6 +313,9 @@
 		if !confirmed {
 			continue
 		}
+		if r.fromPastIncarnation {
+			r.task.runLostAt = now
+		}
 		c.releaseRun(r, CauseRunLost, now) // its end was listed before, or it never started
 		if r.phase == running {
 			c.counts.Lost++
@@ -355,6 +358,7 @@
 		r.fromPastIncarnation = false
 		r.task.dropUnconfirmedCrash(r.number)
 	}
+	c.settleStart(r, settledByRunList, now)
 	if r.phase == starting {
 		r.phase = running
 		r.confirmedAt = now
@@ -386,6 +390,7 @@
 	c.markWorkerChanged(w)
 	c.logDecision(Decision{Event: "worker-ended", Worker: w.Worker, Reason: fmt.Sprintf("%s; %d runs are lost", proof, len(w.runs))})
 	c.scheduleAttribution(w, now)
+	clear(w.unknownRuns) // they have ended, too
 	for _, r := range runsByNumber(w) {
 		c.releaseLostRun(r, proof, now)
 	}
@@ -395,7 +400,8 @@
 }
 
 // expireLeases releases the runs of silent workers whose leases have all expired. A starved
-// owner releases none, as answers that it has not read yet may report tasks as done.
+// owner releases none, as answers that it has not read yet may report tasks as done. Nor does one
+// that was not certainly the owner when they expired: another one may have renewed them.
 func (c *Core) expireLeases(now time.Time) {
 	for id, w := range c.endedWorkers {
 		if !w.registered && !w.holdInFlight {
@@ -404,7 +410,11 @@
 	}
 	for _, w := range c.silentWorkers.sorted() {
 		id := w.Worker
-		if len(w.runs) > 0 && c.leasesExpired(w, now) && !c.isStarved(now) {
+		expiry, known := c.leaseExpiry(w)
+		lapsed := len(w.runs) > 0 && known && now.After(expiry) && !c.isStarved(now)
+		if lapsed && !c.ownership.provenAt(expiry) {
+			c.logUnprovenLapse(w, now)
+		} else if lapsed {
 			c.logDecision(Decision{Event: "leases-expired", Worker: id, Reason: "silent for " + now.Sub(w.silentSince).String()})
 			for _, r := range runsByNumber(w) {
 				c.recordUnconfirmedCrash(r, now) // whether the worker has crashed may become known later
--- a/standin/jobfleet/network.go
+++ b/standin/jobfleet/network.go
@@ -64,6 +64,10 @@
 	if c.gate.pass(ctx, toPeers) != nil || gate.pass(ctx, toPeers) != nil {
 		return nil, verdict.Wrap(errNoAnswer, verdict.MayHaveRun, peer.CodePeerUnreachable, "peer %s", addr)
 	}
+	if c.gate.separatedFrom(gate) {
+		<-ctx.Done()
+		return nil, verdict.Wrap(errNoAnswer, verdict.MayHaveRun, peer.CodePeerUnreachable, "peer %s", addr)
+	}
 	time.Sleep(peerLatency)
 	return h, ctx.Err()
 }
@@ -127,22 +131,34 @@
 	return out, nil
 }
 
+// separatedFrom reports whether messages between the two daemons are dropped in either direction.
+func (g *Gate) separatedFrom(other *Gate) bool {
+	return g.requestDropped(other.name) || g.answerDropped(other.name)
+}
+
 // AwaitDisconnect implements node.Peers.
 func (c *PeerClient) AwaitDisconnect(ctx context.Context, addr string) error {
 	if _, err := c.reach(ctx, addr); err != nil {
 		return err
 	}
 	c.network.mu.Lock()
-	left := c.network.left[addr]
+	left, gate := c.network.left[addr], c.network.gates[addr]
 	c.network.mu.Unlock()
-	select {
-	case <-ctx.Done():
-		return nil
-	case <-left:
-		return errNoAnswer
+	for !c.gate.refused(gate) {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-left:
+			return errNoAnswer
+		case <-time.After(refusalCheckInterval):
+		}
 	}
+	return errNoAnswer
 }
 
+// refusalCheckInterval is the time within which an open connection is closed by a refusing cut.
+const refusalCheckInterval = 20 * time.Millisecond
+
 // CheckPresence implements node.Peers.
 func (c *PeerClient) CheckPresence(ctx context.Context, addr string) peer.Presence {
 	c.network.mu.Lock()
@@ -151,9 +167,9 @@
 	switch {
 	case c.gate.pass(ctx, toPeers) != nil:
 		return peer.Unknown
-	case h == nil:
+	case h == nil || c.gate.refused(gate):
 		return peer.Absent
-	case gate.pass(ctx, toPeers) != nil:
+	case gate.pass(ctx, toPeers) != nil || c.gate.separatedFrom(gate):
 		return peer.Unknown
 	}
 	return peer.Present
