Owner: tolerated silence ends by itself; a worker's losses are compared with those of the whole fleet over seconds

Cause: found in review. A silent worker stayed in the index of usable workers after its tolerated silence, until the next event. The mean that losesOrders compares with covered some ten calls of the fleet, so that it swung between 0 and 1 as timeouts come together. Ruled out: nothing. Change: the worker is due in the index at the end of the silence; decay 0.9995 for calls to all workers, 0.95 for one (about 20 calls, as its comment says). Figures: TestToleratedSilenceEnds fails before, passes after.

--- a/jobs/callpolicy/roundtrip.go
+++ b/jobs/callpolicy/roundtrip.go
@@ -15,8 +15,11 @@
 
 // Parameters of the loss rate of one worker.
 const (
-	// workerLossDecay is the weight of the previous loss rate: about the last 20 calls count.
-	workerLossDecay = 0.9
+	// workerLossDecay is the weight of the previous loss rate of a worker: about the last 20 calls count.
+	workerLossDecay = 0.95
+	// fleetLossDecay is the same for all workers together: about the last 2000 calls. Calls that are
+	// sent together time out together, so that the rate over a few calls swings between 0 and 1.
+	fleetLossDecay = 0.9995
 	// A worker loses more calls than the others from minWorkerLoss on, if its loss rate is also
 	// workerLossFactor times that of all workers. At a common loss rate of 40% the rate of single
 	// workers deviates by 0.11.
@@ -27,6 +30,7 @@
 // WorkerCalls estimates the round trip of calls to one worker, or to all workers, and the share
 // of calls that are lost. Its zero value is ready for use.
 type WorkerCalls struct {
+	AllWorkers   bool          // the calls are to all workers
 	srtt, rttVar time.Duration // smoothed round trip and its mean deviation
 	known        bool          // a round trip was measured
 	backoffs     int           // unanswered calls in a row, with no answer since they were sent
@@ -52,18 +56,26 @@
 // RecordAnswer records that a call was answered, which ends the backoff.
 func (w *WorkerCalls) RecordAnswer() {
 	w.backoffs = 0
-	w.lossRate *= workerLossDecay
+	w.lossRate *= w.lossDecay()
 }
 
 // RecordLoss records an unanswered call. answeredSince reports whether the worker has answered
 // another call since: then it answers, and its timeout is not extended.
 func (w *WorkerCalls) RecordLoss(answeredSince bool) {
-	w.lossRate = workerLossDecay*w.lossRate + 1 - workerLossDecay
+	w.lossRate = w.lossDecay()*w.lossRate + 1 - w.lossDecay()
 	if !answeredSince {
 		w.backoffs = min(maxRTTBackoffs, w.backoffs+1)
 	}
 }
 
+// lossDecay returns the weight of the previous loss rate.
+func (w *WorkerCalls) lossDecay() float64 {
+	if w.AllWorkers {
+		return fleetLossDecay
+	}
+	return workerLossDecay
+}
+
 // Known reports whether a round trip was measured.
 func (w *WorkerCalls) Known() bool { return w.known }
 
--- a/jobs/owner/lostorders_test.go
+++ b/jobs/owner/lostorders_test.go
@@ -201,3 +201,28 @@
 		assert.Empty(t, r.out.Starts, "it has been silent for too long")
 	}
 }
+
+// TestToleratedSilenceEnds: a worker whose start went unanswered while its hold is in flight gets no
+// more tasks once the tolerated silence is over, without any further event.
+func TestToleratedSilenceEnds(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.answerHold(a, nil)
+	r.core.callLossDetector.RecordLatency(fastAnswer)
+	for range 10 {
+		r.core.callLossDetector.RecordSingleLoss()
+	}
+	require.True(t, r.core.callLossDetector.Lossy())
+	r.tick(25 * time.Millisecond)
+	r.submit(1, 1)
+	require.Len(t, r.out.Starts, 1)
+	r.now = r.now.Add(callpolicy.LossyTimeout)
+	r.timeOut(r.out.Starts)
+	r.out.Starts = nil
+	require.True(t, r.core.isUsable(r.core.workers[a], r.now))
+	assert.Equal(t, 1, r.core.pool("s").free.size())
+	r.tick(toleratedSilence + 25*time.Millisecond)
+	r.out.Starts = nil
+	r.submit(2, 1)
+	assert.Empty(t, r.out.Starts)
+}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -476,6 +476,7 @@
 		unregisterFrom:         now,
 	}
 	c.callLossDetector.Policy = opt.CallPolicy
+	c.allCalls.AllWorkers = true
 	if !opt.ElectedAt.IsZero() {
 		c.electedAt = opt.ElectedAt
 	}
--- a/jobs/owner/unanswered.go
+++ b/jobs/owner/unanswered.go
@@ -134,9 +134,13 @@
 		c.allCalls.RecordLoss(true)
 	}
 	w.lostCallCounted = true
-	w.silenceToleratedUntil = time.Time{}
+	until := time.Time{}
 	if c.callLossDetector.Lossy() {
-		w.silenceToleratedUntil = w.lastAnswerAt.Add(toleratedSilence)
+		until = w.lastAnswerAt.Add(toleratedSilence)
+	}
+	if !until.Equal(w.silenceToleratedUntil) {
+		w.silenceToleratedUntil = until
+		c.avoidedDue.add(until, w) // the worker leaves the index then, if it has not answered
 	}
 }
 
