--- a/jobs/owner/coldworker_test.go
+++ b/jobs/owner/coldworker_test.go
@@ -30,4 +30,11 @@
 	r.regs[0].ColdFor = 0
 	r.publishLists()
 	assert.False(t, r.core.workers["a"].isSecondChoice(r.now))
+
+	r.regs[1].ColdFor = 3 * time.Second
+	r.publishLists()
+	r.tick(2 * time.Second)
+	r.publishLists() // the same report, read again
+	r.tick(1100 * time.Millisecond)
+	assert.False(t, r.core.workers["b"].isSecondChoice(r.now))
 }
--- a/jobs/owner/registrations.go
+++ b/jobs/owner/registrations.go
@@ -154,10 +154,7 @@
 	if r.Draining && !w.Draining {
 		c.logDecision(Decision{Event: "worker-draining", Worker: r.Worker})
 	}
-	w.coldUntil = time.Time{}
-	if r.ColdFor > 0 {
-		w.coldUntil = now.Add(r.ColdFor)
-	}
+	w.updateCold(&r, now)
 	unchanged := w.registered && w.equal(&r)
 	w.registrationMissingSince = time.Time{}
 	c.missingRegistrations.put(w, false)
@@ -178,6 +175,18 @@
 	c.changedServices[r.Service] = true
 }
 
+// updateCold applies how much longer the worker reports to be slow. The same report may be read again
+// later, so within one incarnation the end moves to an earlier time only.
+func (w *worker) updateCold(r *Registration, now time.Time) {
+	end := now.Add(r.ColdFor)
+	switch {
+	case r.ColdFor == 0:
+		w.coldUntil = time.Time{}
+	case w.coldUntil.IsZero() || end.Before(w.coldUntil):
+		w.coldUntil = end
+	}
+}
+
 // equal reports whether both registrations have the same values, apart from ColdFor, which changes
 // with time.
 func (r *Registration) equal(o *Registration) bool {
