A daemon that could not release its lock takes a new term

Change: the lock of a term that this process has run is replaced by one of a new term, as that of an earlier process is. A release that arrives late fails on the lock's revision.

--- a/jobs/node/election.go
+++ b/jobs/node/election.go
@@ -121,8 +121,8 @@
 	n.runTerm(ctx, term, lease)
 }
 
-// acquireLock tries to get the owner's lock for a new term, or resumes the term whose lock is
-// attached to the lease. It returns nil if another daemon is the owner.
+// acquireLock tries to get the owner's lock for a new term. If the answer to an election was lost, it
+// takes the term that was won. It returns nil if another daemon is the owner.
 func (n *Node) acquireLock(ctx context.Context, lease ledger.LeaseID) (*ledger.Term, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
@@ -131,11 +131,12 @@
 		return nil, err
 	}
 	switch {
-	case held && l.Lease == lease:
+	case held && l.Lease == lease && l.Term > n.lastTerm.Load():
 		return ledger.Resume(ctx, n.store, l, revision)
 	case held && l.Node == n.settings.Node:
-		// Left by an earlier process of this daemon, which has certainly ended: an instance
-		// runs only one.
+		// Left by an earlier process of this daemon, which has certainly ended, as an instance
+		// runs only one; or by a term of this process that could not release it. The runs of
+		// either are those of an earlier owner, so the new term needs a number of its own.
 		term, err := ledger.Elect(ctx, n.store, n.memberEntry(), lease, revision)
 		if term != nil {
 			term.SucceedsSelf = true
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -101,6 +101,7 @@
 	electionWake      chan struct{}          // wakes runElections
 	configConfirmedAt atomic.Int64           // when the configuration was last known to be the newest, as uptimeNanos
 	lockGoneAt        atomic.Int64           // when the lock was last seen to be free, as uptimeNanos
+	lastTerm          atomic.Uint64          // number of the last term in which this process ran the scheduler; 0: none
 	clock             Clock
 	slowdown          slowdownDetector
 	startedAt         time.Time
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -94,6 +94,7 @@
 		MaxOutstandingStarts: startsPerSlot * cap(t.startCalls.slots),
 		Weights:              n.settings.Policy.Pools.Weights(), PoolPolicy: n.settings.Policy.Pools.Size, SchedulingPolicy: n.settings.Policy.Jobs.Order, AdmissionPolicy: n.settings.Policy.Jobs.Admission, CallPolicy: n.settings.Policy.Workers.Calls,
 	}, n.catalog.Load(), snap.Jobs, n.clock.Now())
+	n.lastTerm.Store(term.Number)
 	t.updateOwnership(n.clock.Now())
 	for _, e := range snap.Refused {
 		n.refusedEntries.add(e.Key, e.Revision, e.Err)
