Owner: the services on whose workers a job's tasks may run are in its record

Cause: a new owner inferred from two samples of the route, at the job's acceptance and now, where tasks may run (otherServicesTakenOver). After a move there and back both are equal. Evidence: the next owner's log has takeover-complete of the queue's service, the starts there, and 9 ms after its election run-stopped, "the task has another run", as the other service's workers answer.

Ruled out: workers that changed their pool (no move-ordered); lost records (finished steps are not started again); waiting for the workers of all services, which is safe and makes every change of owner as slow as the slowest worker of any service.

Change: job.Progress.OtherServices. A record of a job without a started task says queued. Related paths with the same comparison: queue removed; moved back by the time of the next owner.

Why it works: a write of the earlier owner is conditional on its lock, so that the next owner reads every service in which anything can have been started.

What an owner of an earlier version started on a moved queue stays at risk until it has ended.

--- a/jobs/job/progress.go
+++ b/jobs/job/progress.go
@@ -12,6 +12,9 @@
 	// Steps is sorted by occurrence, then step. A missing entry means that none of the step's
 	// tasks has ended.
 	Steps []StepProgress `json:",omitempty"`
+	// OtherServices are the services, besides that of the job's acceptance, on whose workers its tasks may
+	// run, as operators moved its queue there. A service is stored before the first start on its workers.
+	OtherServices []string `json:",omitempty"`
 	// EndedAt is when the state became final; the record is removed some time later.
 	EndedAt time.Time `json:",omitzero"`
 	// Cause is why a job failed, in at most maxCauseBytes. Records written by earlier versions have
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -24,6 +24,7 @@
 // restoreProgress applies the stored progress p to the job.
 func (c *Core) restoreProgress(j *jobState, p *job.Progress, now time.Time) {
 	j.version, j.storedVersion = 1, 1
+	j.restoreServices(p.OtherServices)
 	for _, sp := range p.Steps {
 		c.createOccurrences(j, sp.Occurrence)
 		s := j.step(sp.Occurrence, sp.Step)
--- a/jobs/owner/records.go
+++ b/jobs/owner/records.go
@@ -92,6 +92,7 @@
 	for _, r := range records {
 		if j := c.jobs[r.Job.ID]; j != nil {
 			c.ackStoredEnds(j, now)
+			c.scheduleAfterServiceStored(j)
 			c.dropSteps(j)
 		}
 	}
@@ -129,6 +130,7 @@
 		return p
 	}
 	p.State = job.Running
+	p.OtherServices = j.otherServiceNames()
 	for _, s := range j.steps {
 		sp := job.StepProgress{Occurrence: s.occurrence, Step: s.index}
 		hasProgress := false
@@ -158,6 +160,9 @@
 			p.Steps = append(p.Steps, sp)
 		}
 	}
+	if len(p.Steps) == 0 && !j.started {
+		p.State = job.Queued
+	}
 	return p
 }
 
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -149,13 +149,13 @@
 	kept := pool.placementQueue[:0]
 	entries := pool.entries[:0]
 	for _, j := range pool.placementQueue {
-		if !j.inherited || takenOver && c.otherServicesTakenOver(j, now) || leasesExpired && j.isLongRunning() {
+		if !j.inherited || takenOver && c.inheritedRunsKnown(j, now) || leasesExpired && j.isLongRunning() {
 			if j.state.Final() || j.service != service || !mayNeedPlacement(j) {
 				j.clearQueued(service)
 				continue
 			}
 			c.counts.JobsConsidered++
-			if jobNeedsPlacement(j, now) {
+			if jobNeedsPlacement(j, now) && c.mayStartInService(j) {
 				entries = append(entries, c.queueEntryOf(j, now))
 			}
 		}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -174,8 +174,9 @@
 // jobState is a job and its progress.
 type jobState struct {
 	spec               *job.Job
-	queue              job.Queue // latest known settings of its queue
-	service            string
+	queue              job.Queue    // latest known settings of its queue
+	service            string       // current service of its queue
+	otherServices      []jobService // besides that of its acceptance, those on whose workers its tasks may run
 	steps              []*stepState // ordered by occurrence, then step
 	nextOccurrence     int          // first occurrence that was not created yet
 	state              job.State
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -132,13 +132,6 @@
 	return true
 }
 
-// otherServicesTakenOver reports whether no other service may run tasks of the inherited job: its
-// service has not changed, or the runs of all services are known. Operators may have moved its
-// queue to another service more than once.
-func (c *Core) otherServicesTakenOver(j *jobState, now time.Time) bool {
-	return j.service == j.spec.Service || c.earlierRunsKnown(j.spec.Service, now) && c.knowsAllRuns(now)
-}
-
 // addTakeoverWait counts the time that inherited jobs of the service waited as
 // CauseTakeover.
 func (c *Core) addTakeoverWait(service string, now time.Time) {
--- a/jobs/owner/tenants_test.go
+++ b/jobs/owner/tenants_test.go
@@ -23,6 +23,9 @@
 func tenantJob(n, count int, queue string) *job.Job {
 	j := simpleJob(n, count)
 	j.Tenant, j.Queue = "t", queue
+	if queue == "o" {
+		j.Service = "other"
+	}
 	return j
 }
 
