Owner: an absent run end proves nothing if the list of ends is truncated

Cause: a worker lists 500 ended runs at a time, the rest once these are acknowledged, and an owner without the store acknowledges none. reconcileRuns took a run that is neither active nor listed as ended for lost. Evidence: the record has over 500 ends that wait at each worker, run-vanished follows 0.1 s later, and the tasks that run twice are those beyond the 500th end.

Ruled out: expired leases (none in the record); ends dropped at the owner (no end-of-unknown-job).

An unlisted run that had started holds no resources any more, but its task keeps it (phase ended) until a complete list shows its end or lacks it. The same for an unanswered start, for a run of an unknown job, for a takeover (which waits for complete lists, past the expiry of earlier leases, until the worker ends or its lease has certainly expired), and for idle instances and waves. The stand-ins list 500 ends at a time, as the platform does; no other test failed by that. The model of the protocol has the bound, too.

Why it works: a task starts again only if its end is listed, or if a list that contains all ends lacks it. The list moves on by 500 ends with each write and hold.

--- a/internal/ownermodel/daemon.go
+++ b/internal/ownermodel/daemon.go
@@ -58,10 +58,9 @@
 // conclude applies what the owner may conclude from the time and from its knowledge of the lock.
 func (x *execution) conclude(dm *daemon, renewed bool) {
 	held := x.wasHeld(dm, renewed)
-	all := true
+	all, truncated := true, false
 	for w := range dm.workers {
 		v := &dm.workers[w]
-		all = all && (v.answered || !x.w[w].up)
 		v.whileHeld = v.answered && (v.whileHeld || dm.certain > 0)
 		lapsed := v.granted == 0 || v.granted < 0 && v.answered && !x.rules.LapseNeedsGrant
 		if x.rules.LapseAfterWait && dm.term > 1 && dm.age < x.longestWait(dm) {
@@ -71,12 +70,15 @@
 			for t := range dm.tasks {
 				dm.tasks[t].runs[w] = runView{}
 			}
+			v.truncated = false
 		}
+		all = all && (v.answered && !v.truncated || !x.w[w].up)
+		truncated = truncated || v.truncated
 	}
 	for t := range dm.tasks {
 		dm.tasks[t].whileHeld = dm.tasks[t].known && (dm.tasks[t].whileHeld || dm.certain > 0)
 	}
-	waited := dm.age >= x.longestWait(dm) && (held || !x.rules.WaitNeedsStore)
+	waited := dm.age >= x.longestWait(dm) && (held || !x.rules.WaitNeedsStore) && !truncated
 	all = all && (!x.rules.AnswersWait || !dm.waitsLong || dm.age >= x.bounds.StoreLease)
 	dm.takenOver = dm.takenOver || dm.term == 1 || all || waited
 }
@@ -120,6 +122,7 @@
 	}
 	if x.receive(dm, x.deliver(h), o) {
 		v.answered = true
+		v.truncated = x.rules.CompleteEnds && x.listedEnds(w) < x.w[w].listed
 		x.applyEnds(dm, w)
 		x.reconcile(dm, w)
 		x.conclude(dm, false)
@@ -140,7 +143,7 @@
 	unknown := false
 	v := &dm.workers[w]
 	v.seen = 0
-	for _, e := range x.w[w].ends[:x.w[w].listed] {
+	for _, e := range x.w[w].ends[:x.listedEnds(w)] {
 		t := &dm.tasks[e.task]
 		unknown = unknown || !t.known // later ends are not acknowledged before it
 		if !unknown {
@@ -166,6 +169,14 @@
 	}
 }
 
+// listedEnds returns the number of ends in the worker's answer.
+func (x *execution) listedEnds(w int) uint8 {
+	if x.bounds.ListedEnds == 0 {
+		return x.w[w].listed
+	}
+	return min(x.w[w].listed, uint8(x.bounds.ListedEnds))
+}
+
 // reconcile compares the runs that a worker lists with those that it should have.
 func (x *execution) reconcile(dm *daemon, w int) {
 	for i := range dm.tasks {
@@ -173,6 +184,7 @@
 		r := &t.runs[w]
 		switch {
 		case !t.known && !x.rules.KeepUnknown:
+		case listed == 0 && dm.workers[w].truncated: // it may have ended
 		case listed == 0 && r.phase == abandoned && r.number != 0 && x.rules.StopUnanswered:
 			r.phase = stopping
 		case listed == 0 && r.phase != stopping:
--- a/internal/ownermodel/model_test.go
+++ b/internal/ownermodel/model_test.go
@@ -15,7 +15,7 @@
 func earlier() Rules {
 	return Rules{
 		AckOnlyStored: true, Fence: true, TakeoverWait: true, LockCondition: true, RunsByTerm: true,
-		StopUnanswered: true, LapseNeedsGrant: true, RefuseOld: true, RefuseLate: true, StoppedByLease: true,
+		StopUnanswered: true, CompleteEnds: true, LapseNeedsGrant: true, RefuseOld: true, RefuseLate: true, StoppedByLease: true,
 	}
 }
 
@@ -73,6 +73,8 @@
 func joining(b *Bounds)       { b.LateTasks, b.LateWorker = true, true }
 func failures(b *Bounds)      { b.Failures = true }
 func onlyFailures(b *Bounds)  { b.OnlyFailures = true }
+func oneOwner(b *Bounds)      { b.Terms, b.Tasks, b.Starts, b.ListedEnds = 1, 2, 3, 1 }
+func listedEnds(b *Bounds)    { b.Tasks, b.Starts, b.ListedEnds = 2, 2, 1 }
 func releases(b *Bounds)      { b.Release = true }
 func threeTerms(b *Bounds)    { b.Terms = 3 }
 func lateStarts(b *Bounds)    { b.Late, b.Starts = true, 2 }
@@ -90,6 +92,7 @@
 const (
 	twice   = "is active on"
 	again   = "end done was taken note of"
+	before  = "is taken note of, after which another run was started"
 	beyond  = "failures"
 	oldTerm = "carries out an order of term 1 after one of term 2"
 )
@@ -133,6 +136,8 @@
 		{"late orders", all(), lateOrders, false},
 		{"tasks and workers that join", all(), joining, false},
 		{"failed runs", all(), failures, false},
+		{"truncated lists of ends, one owner", all(), oneOwner, false},
+		{"truncated lists of ends", all(), listedEnds, true},
 		{"releases", all(), releases, false},
 		{"releases, tasks that join", withLapseAfterWait(), func(b *Bounds) { b.Release, b.LateTasks = true, true }, false},
 		{"lapses after the wait", withLapseAfterWait(), lateElections, false},
@@ -178,6 +183,7 @@
 		{"OnlyKnownWorker", func(r *Rules) { r.OnlyKnownWorker = false }, lateWorker, twice},
 		{"AckOnlyStored", func(r *Rules) { r.AckOnlyStored = false }, func(*Bounds) {}, again},
 		{"AckOnlyStored, failures", func(r *Rules) { r.AckOnlyStored = false }, onlyFailures, beyond},
+		{"CompleteEnds", func(r *Rules) { r.CompleteEnds = false }, oneOwner, before},
 		{"ReleaseEndsCertainty", func(r *Rules) { r.ReleaseEndsCertainty = false }, releases, twice},
 		{"ReleaseIsFinal", func(r *Rules) { r.ReleaseIsFinal = false }, releases, twice},
 		{"Fence", func(r *Rules) { r.Fence = false }, func(*Bounds) {}, oldTerm},
--- a/internal/ownermodel/normalise.go
+++ b/internal/ownermodel/normalise.go
@@ -72,7 +72,7 @@
 	for w := range dm.workers {
 		v := &dm.workers[w]
 		v.whileHeld = v.whileHeld && x.rules.OnlyKnownWorker
-		busy := false
+		busy := v.truncated
 		for t := range dm.tasks {
 			busy = busy || dm.tasks[t].runs[w].number != 0
 		}
--- a/internal/ownermodel/state.go
+++ b/internal/ownermodel/state.go
@@ -44,6 +44,7 @@
 	LapseAfterWait  bool // in place of GrantsInFull and LapseNeedsGrant: the end of a worker lease proves nothing before that wait is over
 	RefuseOld       bool // workers refuse runs up to one that was stopped or has ended there
 	RefuseLate      bool // workers refuse starts whose lease has ended
+	CompleteEnds    bool // how an unlisted run has ended is concluded only from a complete list of ends
 	StoppedByLease  bool // workers stop their runs when their lease ends
 }
 
@@ -55,6 +56,7 @@
 	Starts        int  // starts by each owner in a term
 	Tasks         int  // tasks submitted
 	Late          bool // an order may be in flight
+	ListedEnds    int  // ends that a worker lists at a time; 0: all
 	Attempts      int  // failed ends after which a task is not started again
 	OnlyFailures  bool // all runs fail that are not stopped
 	Failures      bool // runs may fail
@@ -116,6 +118,7 @@
 // workerView is what an owner knows of a worker.
 type workerView struct {
 	answered  bool  // this owner
+	truncated bool  // its latest answer may lack ends
 	whileHeld bool  // and did so while the store lease was held
 	granted   int8  // ticks left of the longest lease granted, -1: none granted
 	seen      uint8 // ends at the head of the worker's list that were seen
--- a/jobs/owner/crash.go
+++ b/jobs/owner/crash.go
@@ -45,7 +45,7 @@
 // lostAtStart reports whether the run's worker was lost at the start of the run, as far as is
 // known.
 func (r *run) lostAtStart() bool {
-	return !r.firstSentAt.IsZero() && (r.phase == starting || r.aliveAfterStart() <= atStartTime)
+	return r.phase != ended && !r.firstSentAt.IsZero() && (r.phase == starting || r.aliveAfterStart() <= atStartTime)
 }
 
 // onContactLost handles an unanswered call to the worker. Runs that have just started there
@@ -70,7 +70,7 @@
 // have crashed for another reason, or not at all.
 func (c *Core) recordUnconfirmedCrash(r *run, now time.Time) {
 	t := r.task
-	if r.neverStarted || t.done || t.step.job.state.Final() || r.worker.endsAsPlanned() {
+	if r.neverStarted || r.phase == ended || t.done || t.step.job.state.Final() || r.worker.endsAsPlanned() {
 		return
 	}
 	k := job.Crash{Run: r.number, Worker: r.worker.incarnation().String(), AtStart: r.lostAtStart(), SoleSuspect: r.isSoleSuspect(), Exposure: r.exposure()}
@@ -134,7 +134,7 @@
 	var out []*task
 	atStart := r.lostAtStart()
 	for _, o := range runsByNumber(r.worker) {
-		if !r.task.failsWith(o.task) && (!atStart || o.lostAtStart()) {
+		if o.phase != ended && !r.task.failsWith(o.task) && (!atStart || o.lostAtStart()) {
 			out = append(out, o.task)
 		}
 	}
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -187,7 +187,7 @@
 
 // stop orders a run to be stopped. Its resources stay allocated until its end is listed.
 func (c *Core) stop(r *run, reason string, now time.Time) {
-	if r.phase == stopping {
+	if r.phase == stopping || r.phase == ended {
 		return
 	}
 	r.phase = stopping
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -85,6 +85,7 @@
 	starting phase = iota // ordered, not confirmed
 	running
 	stopping // ordered to stop; still holds its resources
+	ended    // does not run any more, but its end is not listed yet; holds no resources
 )
 
 // task is one task of a step in one occurrence of a job.
@@ -121,7 +122,7 @@
 // activeRun returns the run that is starting or running, nil if there is none.
 func (t *task) activeRun() *run {
 	for _, r := range t.runs {
-		if r.phase != stopping {
+		if r.phase == starting || r.phase == running {
 			return r
 		}
 	}
@@ -253,6 +254,7 @@
 	longRunningRuns          int                       // long-running runs
 	longRunningCPUMilli      int                       // millicores used by them
 	unknownRuns              map[job.TaskID]unknownRun // runs of jobs not known yet
+	endsTruncated            bool                      // its latest answer may lack ends of runs
 	lastSeenEnd              uint64                    // highest number of an end handled
 	lastAckedEnd             uint64                    // number up to which ends may be acknowledged
 	unacked                  []unackedEnd              // in the order of their numbers
--- a/jobs/owner/supply.go
+++ b/jobs/owner/supply.go
@@ -161,7 +161,7 @@
 	if w == nil {
 		return supplyContribution{pool: i.Pool, zone: i.Zone, idle: i.Worker == "", evacuated: evacuated}
 	}
-	contribution := supplyContribution{evacuated: evacuated, pool: i.Pool, zone: i.Zone, busyMilli: w.allocated.CPUMilli, longRunningMilli: w.longRunningCPUMilli, idle: len(w.runs)+len(w.unknownRuns) == 0}
+	contribution := supplyContribution{evacuated: evacuated, pool: i.Pool, zone: i.Zone, busyMilli: w.allocated.CPUMilli, longRunningMilli: w.longRunningCPUMilli, idle: len(w.runs)+len(w.unknownRuns) == 0 && !w.endsTruncated}
 	contribution.cpuMilli, contribution.missingMilli = i.sizeWith(w)
 	if !contribution.idle {
 		w.idleSince = time.Time{}
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -109,15 +109,16 @@
 }
 
 // earlierRunsKnown reports whether every run that an earlier owner may have started for the
-// service is known: the worker of each instance that is up in its pool has answered a hold of
-// this owner, or all leases of earlier owners have expired. A starved owner waits for the
-// workers even after that, as answers that it has not read yet may report tasks as done.
+// service is known, and how it ended: the worker of each instance that is up in its pool has answered
+// a hold of this owner with a complete list, or all leases of earlier owners have expired. A starved
+// owner waits for the workers even after that, as answers that it has not read yet may report tasks as
+// done. So does an owner for ends that a worker has not listed yet, as it has renewed that worker's lease.
 func (c *Core) earlierRunsKnown(service string, now time.Time) bool {
 	if c.opt.Term == 1 || c.takeoverDone[service] {
 		return true
 	}
 	awaited := c.awaitedInstance(service)
-	if awaited != "" && (!c.earlierLeasesExpired(now) || c.isStarved(now)) {
+	if awaited != "" && (!c.earlierLeasesExpired(now) || c.isStarved(now) || c.awaitsEnds(service)) {
 		c.logTakeoverWait(service, awaited, now)
 		return false
 	}
@@ -164,7 +165,7 @@
 
 // awaitedInstance describes what inherited tasks of the service wait for: the first instance
 // list, or an instance whose worker may run tasks and has not answered a hold of this owner
-// yet. It returns "" if they wait for nothing. Registered workers that the instance list does
+// with a complete list yet. It returns "" if they wait for nothing. Registered workers that the instance list does
 // not show are ignored: they have ended, and their registrations have not expired yet.
 func (c *Core) awaitedInstance(service string) string {
 	if c.instanceListAt.IsZero() {
@@ -186,12 +187,22 @@
 	return "instance " + string(first)
 }
 
+// awaitsEnds reports whether a worker of the service has not listed all ends of its runs yet.
+func (c *Core) awaitsEnds(service string) bool {
+	for _, i := range c.instances {
+		if w := c.workers[i.Worker]; w != nil && w.endsTruncated && c.isAwaited(service, i) {
+			return true
+		}
+	}
+	return false
+}
+
 // isAwaited reports whether the instance may run tasks of the service and its worker has not
-// answered a hold of this owner yet.
+// answered a hold of this owner with a complete list yet.
 func (c *Core) isAwaited(service string, i *instanceState) bool {
 	if i == nil || i.Pool != service || i.State != InstanceUp || i.Worker == "" {
 		return false
 	}
 	w := c.workers[i.Worker]
-	return w == nil || !w.answeredThisOwner && !w.ended
+	return w == nil || !w.ended && (!w.answeredThisOwner || w.endsTruncated)
 }
--- a/jobs/owner/types.go
+++ b/jobs/owner/types.go
@@ -202,7 +202,10 @@
 	Answer
 	StartedMs int64       // of the incarnation that answered; 0: not reported
 	Active    []ActiveRun // the worker's run list
-	Ends      []RunEnd    // ended runs that were not acknowledged yet
+	Ends      []RunEnd    // ended runs that were not acknowledged yet, in the order of their numbers
+	// EndsTruncated reports that Ends may lack later ends. They are listed once the earlier ones are
+	// acknowledged. Active is always complete.
+	EndsTruncated bool
 }
 
 // WorkerClient sends orders to workers and returns their answers.
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -308,10 +308,10 @@
 	return out
 }
 
-// runsKnown reports whether all runs on the worker are known: it has answered a hold of this
-// owner, or all leases granted by earlier owners have expired.
+// runsKnown reports whether all runs on the worker and their ends are known: it has answered a hold of
+// this owner with a complete list, or all leases granted by earlier owners have expired.
 func (c *Core) runsKnown(w *worker, now time.Time) bool {
-	return w.answeredThisOwner || c.earlierLeasesExpired(now)
+	return !w.endsTruncated && (w.answeredThisOwner || c.earlierLeasesExpired(now))
 }
 
 // remainingWork returns the estimated core-seconds left of the runs on the worker. A
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -4,8 +4,6 @@
 	"fmt"
 	"slices"
 	"time"
-
-	"github.com/postmount/postmount/jobs/job"
 )
 
 // Timeouts and retry pauses for workers.
@@ -255,13 +253,7 @@
 	}
 	w.unprovenLapseLogged = false
 	w.answeredHoldSentAt = w.holdSentAt
-	for _, e := range h.Ends {
-		if e.Seq > w.lastSeenEnd {
-			w.lastSeenEnd = e.Seq
-			c.onEnd(w, e, now)
-		}
-	}
-	c.reconcileRuns(w, h.Active, now)
+	c.applyRunList(w, h, now)
 	c.workersWithUnknownJobs.put(w, len(w.unknownRuns)+len(w.unknownEnds) > 0)
 	w.nextHoldAt = now
 	c.advanceAck(w, now)
@@ -309,91 +301,6 @@
 	c.logDecision(Decision{Event: "fenced", Worker: w.Worker, Reason: "the worker has seen a higher fencing token"})
 }
 
-// reconcileRuns compares the runs that a worker lists with those that it should have, and
-// releases or stops those that it should have but does not list.
-func (c *Core) reconcileRuns(w *worker, active []ActiveRun, now time.Time) {
-	listed := map[job.TaskID]bool{}
-	for _, a := range active {
-		listed[a.Task] = true
-		c.reconcileRun(w, a, now)
-	}
-	for id, r := range w.runs {
-		if listed[id] {
-			continue
-		}
-		if r.provenNotStarted(w.holdSentAt) {
-			r.neverStarted = true
-			c.ruleOutCrash(r, "the worker answers and does not list the run")
-			c.stop(r, "the start was not answered, and the worker does not list the run", now)
-			continue
-		}
-		confirmed := r.phase != starting && !r.confirmedAt.IsZero() && w.holdSentAt.After(r.confirmedAt)
-		if !confirmed {
-			continue
-		}
-		if r.fromPastIncarnation {
-			r.task.runLostAt = now
-		}
-		c.releaseRun(r, CauseRunLost, now) // its end was listed before, or it never started
-		if r.phase == running {
-			c.counts.Lost++
-			c.logDecision(Decision{Event: "run-vanished", Job: id.Job, Task: id.String(), Worker: w.Worker, Run: r.number})
-		}
-	}
-	for id := range w.unknownRuns {
-		if !listed[id] {
-			delete(w.unknownRuns, id)
-		}
-	}
-}
-
-// reconcileRun handles a run that a worker lists as active: it updates the progress of a known run,
-// keeps a run of an unknown job for later, and adopts or stops any other run.
-func (c *Core) reconcileRun(w *worker, a ActiveRun, now time.Time) {
-	r := w.runs[a.Task]
-	if r != nil && r.number == a.Run {
-		c.onProgress(r, a, now)
-		return
-	}
-	j := c.jobs[a.Task.Job]
-	if j == nil {
-		if _, known := w.unknownRuns[a.Task]; !known {
-			w.unknownRuns[a.Task] = unknownRun{a.Run, now}
-		}
-		return
-	}
-	if j.stepsDropped {
-		c.stopUnexpectedRun(w, a, "the job has ended")
-		return
-	}
-	c.adoptRun(w, j, a, now)
-}
-
-// onProgress applies what a worker's run list says about a known run.
-func (c *Core) onProgress(r *run, a ActiveRun, now time.Time) {
-	r.mayStartLate = false
-	if r.fromPastIncarnation {
-		r.fromPastIncarnation = false
-		c.ruleOutCrash(r, "the worker's next incarnation lists the run")
-	}
-	c.settleStart(r, settledByRunList, now)
-	r.startConfirmed = true
-	if r.phase == starting {
-		r.phase = running
-		r.confirmedAt = now
-		r.progressAt = now
-		c.recordAcceptedStart(r, now)
-	}
-	c.scheduleStallCheck(r)
-	c.markJobStarted(r, now)
-	r.recordProgress(a.Percent, now)
-	r.usage = a.Usage
-	c.clearLongRunning(r, now)
-	if a.Checkpoint != "" && r.task.step.spec.Checkpoints {
-		r.task.checkpoint = a.Checkpoint // stored only when the run ends
-	}
-}
-
 // endIncarnation handles the proven end of a worker's incarnation: all its runs are lost. proof
 // says how the end is known.
 func (c *Core) endIncarnation(w *worker, proof string, now time.Time) {
@@ -439,7 +346,7 @@
 	for _, w := range c.silentWorkers.sorted() {
 		id := w.Worker
 		expiry, known := c.leaseExpiry(w)
-		lapsed := len(w.runs) > 0 && known && now.After(expiry) && !c.isStarved(now)
+		lapsed := (len(w.runs) > 0 || w.endsTruncated) && known && now.After(expiry) && !c.isStarved(now)
 		if lapsed && !c.ownership.provenAt(expiry) {
 			c.logUnprovenLapse(w, now)
 		} else if lapsed {
@@ -450,8 +357,9 @@
 			for _, r := range runsByNumber(w) {
 				c.releaseLostRun(r, "its lease has expired", now)
 			}
+			w.endsTruncated = false // ends that it did not list before its lease expired do not count any more
 		}
-		if !w.registered && len(w.runs) == 0 && !w.holdInFlight && now.Sub(w.silentSince) > c.opt.TaskLease*2 {
+		if !w.registered && len(w.runs) == 0 && !w.endsTruncated && !w.holdInFlight && now.Sub(w.silentSince) > c.opt.TaskLease*2 {
 			c.presumeLost(w, now)
 			c.removeWorker(id) // added again if it registers again
 		}
--- a/jobs/owner/workerview.go
+++ b/jobs/owner/workerview.go
@@ -130,8 +130,11 @@
 	w.addUsage(r, -1)
 }
 
-// addUsage adds n times the run's needs to the worker's usage; n is 1 or -1.
+// addUsage adds n times the run's needs to the worker's usage; n is 1 or -1. A run that has ended has none.
 func (w *worker) addUsage(r *run, n int) {
+	if r.phase == ended {
+		return
+	}
 	spec := r.task.step.spec
 	need := spec.ReservedResources()
 	w.allocated = w.allocated.Add(job.Resources{CPUMilli: n * need.CPUMilli, MemMB: n * need.MemMB, GPU: n * need.GPU})
--- a/lab/jobload/fleet.go
+++ b/lab/jobload/fleet.go
@@ -205,6 +205,9 @@
 	s.engine.after(wait, func() { s.answerHold(w, h) })
 }
 
+// maxListedEnds is the largest number of ended runs in an answer to a hold, as on the platform.
+const maxListedEnds = 500
+
 // answerHold answers a hold, unless it has been answered or replaced.
 func (s *sim) answerHold(w *worker, h *pendingHold) {
 	if w.hold != h {
@@ -215,7 +218,7 @@
 		h.answer(owner.HoldAnswer{Answer: owner.Answer{Outcome: owner.Unanswered}})
 		return
 	}
-	held := owner.HoldAnswer{Answer: owner.Answer{Outcome: owner.Accepted, ClockMs: s.clockMs()}, Ends: slices.Clone(w.ends)}
+	held := owner.HoldAnswer{Answer: owner.Answer{Outcome: owner.Accepted, ClockMs: s.clockMs()}, Ends: slices.Clone(w.ends[:min(len(w.ends), maxListedEnds)]), EndsTruncated: len(w.ends) > maxListedEnds}
 	for _, t := range w.startOrder {
 		e := w.active[t]
 		percent := min(99, int(100*s.engine.now.Sub(e.began)/e.duration))
--- a/standin/jobfleet/workers.go
+++ b/standin/jobfleet/workers.go
@@ -469,13 +469,17 @@
 	return a
 }
 
-// currentHoldAnswer returns the worker's running tasks and ended runs.
+// maxListedEnds is the largest number of ended runs in an answer to a hold, as on the platform.
+const maxListedEnds = 500
+
+// currentHoldAnswer returns the worker's running tasks and its first ended runs.
 func (f *Fleet) currentHoldAnswer(w *worker) owner.HoldAnswer {
 	h := owner.HoldAnswer{Answer: owner.Answer{Outcome: owner.Accepted, ClockMs: w.clockMs()}, StartedMs: w.reg.StartedMs}
 	for _, e := range w.active {
 		h.Active = append(h.Active, owner.ActiveRun{Task: e.task, Run: e.run, Percent: e.percent()})
 	}
-	h.Ends = append(h.Ends, w.ended...)
+	h.Ends = append(h.Ends, w.ended[:min(len(w.ended), maxListedEnds)]...)
+	h.EndsTruncated = len(w.ended) > maxListedEnds
 	return h
 }
 
