Owner: crashes of one instance are no evidence against a task

Cause: the bound on false convictions assumes independent losses. Repeated crashes of one instance are not: the instance may be at fault as well as the task. And a task that is likely to be the cause took the instance's losses with it, so that it looked sound. Evidence: task-crashed-with-worker three times with "sole suspect true" and 0.01, each on the same instance, which the line did not say; it does now.

Ruled out: a higher rate of losses, which would excuse tasks that crash their workers late.

Change: crashes are stored with their instance; of several on one instance the most probable counts, and two instances at least must have crashed under the task alone.

Why it works: only crashes on different instances are independent of a faulty one.

New: TestMostProbableCrashOfAnInstanceCounts.

--- a/jobs/job/crash.go
+++ b/jobs/job/crash.go
@@ -10,6 +10,7 @@
 type Crash struct {
 	Run         uint64 `json:"R"`
 	Worker      string `json:"W,omitempty"` // incarnation of the worker while the crash is unconfirmed; "" once confirmed
+	Instance    string `json:"I,omitempty"` // of the worker; "": not known
 	AtStart     bool   `json:"E,omitempty"` // right after the run started
 	SoleSuspect bool   `json:"A,omitempty"` // no other run on the worker is as likely to have caused it
 	// Eliminated: there were others, and all of them have completed elsewhere since.
@@ -102,7 +103,7 @@
 // Risk returns the task's risk according to its crashes.
 func (c Crashes) Risk() CrashRisk {
 	switch {
-	case c.exceedCoincidence(maxCoincidenceOfRisk, func(k *Crash) bool { return !k.Unconfirmed() && k.isTimed() }):
+	case exceedCoincidence(maxCoincidenceOfRisk, slices.DeleteFunc(slices.Clone(c), func(k Crash) bool { return k.Unconfirmed() || !k.isTimed() })):
 		return CrashRiskAnytime
 	case c.count(func(k Crash) bool { return k.AtStart }) > 0:
 		return CrashRiskAtStart
@@ -123,44 +124,64 @@
 // Conclusive reports whether the confirmed crashes prove that the task crashes its workers, so that
 // another start would crash another worker.
 func (c Crashes) Conclusive() bool {
-	return c.wereAlone(func(k *Crash) bool { return !k.Unconfirmed() }) &&
-		c.exceedCoincidence(maxFalseConviction, func(k *Crash) bool { return !k.Unconfirmed() && k.IsEvidence() })
+	confirmed := slices.DeleteFunc(slices.Clone(c), func(k Crash) bool { return k.Unconfirmed() })
+	return confirmed.MayBecomeConclusive()
 }
 
-// wereAlone reports whether the task crashed minRepeatedCrashes workers alone, of the crashes for which counts is
-// true. Without this thousands of tasks would be judged, of which some lose two workers by a rare coincidence;
-// few are tried alone.
-func (c Crashes) wereAlone(counts func(k *Crash) bool) bool {
-	return c.count(func(k Crash) bool { return counts(&k) && k.WasAlone() }) >= minRepeatedCrashes
+// MayBecomeConclusive reports whether the crashes would be conclusive if all were confirmed. The task has to have
+// crashed minRepeatedCrashes instances alone: otherwise thousands of tasks would be judged, of which some lose
+// two workers by a rare coincidence; few are tried alone.
+func (c Crashes) MayBecomeConclusive() bool {
+	return c.AloneOnInstances() >= minRepeatedCrashes && exceedCoincidence(maxFalseConviction, c.onePerInstance((*Crash).IsEvidence))
 }
 
-// MayBecomeConclusive reports whether the crashes would be conclusive if all were confirmed.
-func (c Crashes) MayBecomeConclusive() bool {
-	return c.wereAlone(func(*Crash) bool { return true }) && c.exceedCoincidence(maxFalseConviction, (*Crash).IsEvidence)
+// AloneOnInstances returns the number of instances that crashed under the task alone.
+func (c Crashes) AloneOnInstances() int { return len(c.onePerInstance((*Crash).WasAlone)) }
+
+// OnInstance returns the number of crashes on the instance, unconfirmed ones included. id "" counts those on instances
+// that are not known.
+func (c Crashes) OnInstance(id string) int {
+	return c.count(func(k Crash) bool { return k.Instance == id })
+}
+
+// onePerInstance returns, of the crashes for which counts is true, the most probable one of each instance: a faulty
+// instance crashes again and again under whatever runs there, so that its later crashes prove nothing against a task.
+func (c Crashes) onePerInstance(counts func(k *Crash) bool) Crashes {
+	var out Crashes
+	for n := range c {
+		k := &c[n]
+		if !counts(k) {
+			continue
+		}
+		i := slices.IndexFunc(out, func(o Crash) bool { return o.Instance == k.Instance && k.Instance != "" })
+		switch {
+		case i < 0:
+			out = append(out, *k)
+		case out[i].Coincidence < k.Coincidence:
+			out[i] = *k
+		}
+	}
+	return out
 }
 
 // AreImprobable reports whether the timed crashes would meet a task that crashes no worker with a probability of
 // maxCoincidenceOfRisk at most, if workers are lost at the given rate per second.
 func (c Crashes) AreImprobable(lossRate float64) bool {
-	n, expected := 0, 0.0
-	for i := range c {
-		if c[i].isTimed() {
-			n++
-			expected += lossRate * c[i].Exposure.Seconds()
-		}
+	timed := c.onePerInstance((*Crash).isTimed)
+	n, expected := len(timed), 0.0
+	for _, k := range timed {
+		expected += lossRate * k.Exposure.Seconds()
 	}
 	return n > minRepeatedCrashes && coincidenceBound(expected, n, n) <= maxCoincidenceOfRisk
 }
 
-// exceedCoincidence reports whether so many of the crashes for which counts is true meet a task that
-// crashes no worker with a probability of at most maxProbability. Some of the crashes may have nothing to do
-// with the task, so the most improbable ones are considered alone, too.
-func (c Crashes) exceedCoincidence(maxProbability float64, counts func(k *Crash) bool) bool {
+// exceedCoincidence reports whether so many crashes meet a task that crashes no worker with a probability of at
+// most maxProbability. Some of the crashes may have nothing to do with the task, so the most improbable ones are
+// considered alone, too.
+func exceedCoincidence(maxProbability float64, crashes Crashes) bool {
 	var coincidences []float64
-	for n := range c {
-		if counts(&c[n]) {
-			coincidences = append(coincidences, c[n].Coincidence)
-		}
+	for _, k := range crashes {
+		coincidences = append(coincidences, k.Coincidence)
 	}
 	slices.Sort(coincidences)
 	expected := 0.0 // number of crashes by coincidence
--- a/jobs/job/crash_test.go
+++ b/jobs/job/crash_test.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -107,3 +108,41 @@
 	assert.False(t, c.AreImprobable(1))
 	assert.False(t, c[:2].AreImprobable(0.01), "two may always be a coincidence")
 }
+
+// TestCrashesOfOneInstanceProveNothing guards against a task that is given up because one faulty instance crashed again and
+// again under it. It is the table of what k crashes on m instances prove, on a calm fleet.
+func TestCrashesOfOneInstanceProveNothing(t *testing.T) {
+	for _, c := range []struct {
+		instances  int
+		name       string
+		p          float64 // probability of coincidence of each crash
+		conclusive bool
+	}{
+		{1, "at start", calmAtStart, false},
+		{1, "late", calmLate, false},
+		{2, "at start", calmAtStart, true},
+		{2, "late", calmLate, false},
+		{3, "at start", calmAtStart, true},
+		{3, "late", calmLate, true},
+	} {
+		for crashes := c.instances; crashes <= 12; crashes++ {
+			var list Crashes
+			for k := range crashes {
+				list = append(list, Crash{Run: uint64(k), Instance: fmt.Sprint("i-", k%c.instances), SoleSuspect: true, Exposure: time.Second, Coincidence: c.p})
+			}
+			assert.Equal(t, c.conclusive, list.Conclusive(), "%d crashes %s on %d instances", crashes, c.name, c.instances)
+			assert.Equal(t, c.instances, list.AloneOnInstances())
+		}
+	}
+}
+
+// TestMostProbableCrashOfAnInstanceCounts: the first crash of a faulty instance may be a rare coincidence, and another
+// may happen while many workers are lost.
+func TestMostProbableCrashOfAnInstanceCounts(t *testing.T) {
+	at := func(instance string, p float64) Crash {
+		return Crash{Instance: instance, SoleSuspect: true, Exposure: time.Second, Coincidence: p}
+	}
+	assert.True(t, Crashes{at("a", calmAtStart), at("b", calmAtStart)}.Conclusive())
+	assert.False(t, Crashes{at("a", calmAtStart), at("b", calmAtStart), at("a", seriesLate)}.Conclusive())
+	assert.True(t, Crashes{at("", calmAtStart), at("", calmAtStart)}.Conclusive(), "records of earlier versions name no instance")
+}
--- a/jobs/owner/acceptedstart.go
+++ b/jobs/owner/acceptedstart.go
@@ -31,7 +31,7 @@
 	}
 	w := r.worker
 	r.accepted = &job.Crash{
-		Run: r.number, Worker: w.incarnation().String(), Rack: w.Rack, AcceptedAt: r.firstSentAt,
+		Run: r.number, Worker: w.incarnation().String(), Instance: string(c.instanceOfWorker[w.Worker]), Rack: w.Rack, AcceptedAt: r.firstSentAt,
 		SoleSuspect: isRisky && w.runsNothingElseThan(t, now),
 	}
 	w.acceptedRuns = append(w.acceptedRuns, r)
--- a/jobs/owner/crash.go
+++ b/jobs/owner/crash.go
@@ -73,7 +73,7 @@
 	if r.neverStarted || r.phase == ended || t.done || t.step.job.state.Final() || r.worker.endsAsPlanned() {
 		return
 	}
-	k := job.Crash{Run: r.number, Worker: r.worker.incarnation().String(), AtStart: r.lostAtStart(), SoleSuspect: r.isSoleSuspect(), Exposure: r.exposure()}
+	k := job.Crash{Run: r.number, Worker: r.worker.incarnation().String(), Instance: string(c.instanceOfWorker[r.worker.Worker]), AtStart: r.lostAtStart(), SoleSuspect: r.isSoleSuspect(), Exposure: r.exposure()}
 	k.Coincidence = c.coincidence(t, r.worker.Worker, k.Exposure, now)
 	if known := t.crashes.Find(r.number); known != nil {
 		*known = k
@@ -275,6 +275,9 @@
 	for n := range t.crashes {
 		if k := &t.crashes[n]; k.Worker == inc.String() {
 			k.Worker = ""
+			if k.Instance == "" {
+				k.Instance = string(c.instanceOfWorker[inc.worker])
+			}
 			t.crashedAt = now
 			c.reassessCrashes(t)
 			c.logDecision(Decision{Event: "task-crashed-with-worker", Job: j.spec.ID, Task: t.id().String(), Worker: inc.worker, Run: k.Run, Reason: crashReason(t.crashes, k) + "; " + t.crashDetail(k.Run).String()})
@@ -287,7 +290,8 @@
 
 // crashReason describes a confirmed crash in the log.
 func crashReason(all job.Crashes, k *job.Crash) string {
-	return fmt.Sprintf("%d confirmed so far; at start %t, sole suspect %t, probability of coincidence %.2g", all.Confirmed(), k.AtStart, k.SoleSuspect, k.Coincidence)
+	return fmt.Sprintf("%d confirmed so far, alone on %d instances; instance %s, at start %t, sole suspect %t, probability of coincidence %.2g",
+		all.Confirmed(), all.AloneOnInstances(), k.Instance, k.AtStart, k.SoleSuspect, k.Coincidence)
 }
 
 // giveUpIfConclusive gives the task up if its crashes are conclusive. Its job fails, unless it has
--- a/jobs/owner/isolation.go
+++ b/jobs/owner/isolation.go
@@ -1,7 +1,6 @@
 package owner
 
 import (
-	"slices"
 	"time"
 
 	"github.com/postmount/postmount/jobs/job"
@@ -33,10 +32,6 @@
 	// maxVacatingShare is the largest share of a service's workers that may be vacated for
 	// risky tasks at a time; one worker always may be.
 	maxVacatingShare = 0.25
-	// crashedInstanceAvoidTime is how long a crashed instance is used for risky tasks only if
-	// there is no other. It may crash again on its own, and the crash would be attributed to the
-	// task.
-	crashedInstanceAvoidTime = 20 * time.Second
 )
 
 // crashRisk returns the task's risk of crashing its worker. Members of a gang share the
@@ -154,22 +149,17 @@
 	return true
 }
 
-// isInstanceReliable reports whether the worker's instance has not crashed recently, other than
-// by a task that was given up.
-func (c *Core) isInstanceReliable(w *worker, now time.Time) bool {
-	i := c.instances[c.instanceOfWorker[w.Worker]]
-	return i == nil || i.crashedAt.IsZero() || now.Sub(i.crashedAt) > crashedInstanceAvoidTime || slices.ContainsFunc(i.suspects, (*task).isGivenUp)
-}
-
 // isolationConditions returns the conditions that a risky task's worker may meet, the preferred
 // one first.
 func (p *schedulingPass) isolationConditions(t *task) []func(*worker) bool {
 	if t.isolationWaitSince.IsZero() {
 		t.isolationWaitSince = p.now
 	}
-	reliable := func(w *worker) bool { return p.core.isInstanceReliable(w, p.now) }
-	stable := func(w *worker) bool { return w.othersStable(t, p.now) }
-	alone := func(w *worker) bool { return w.runsNothingElse(t) }
+	reliable := func(w *worker) bool {
+		return p.core.isInstanceReliable(w, p.now) && p.core.isNewInstanceFor(t, w)
+	}
+	stable := func(w *worker) bool { return w.othersStable(t, p.now) && p.core.mayRepeatOn(t, w, p.now) }
+	alone := func(w *worker) bool { return w.runsNothingElse(t) && p.core.mayRepeatOn(t, w, p.now) }
 	out := []func(*worker) bool{func(w *worker) bool { return alone(w) && reliable(w) }}
 	waited := p.now.Sub(t.isolationWaitSince)
 	switch {
@@ -234,7 +224,7 @@
 			vacating++
 			continue
 		}
-		if w.longRunningRuns > 0 || view.views[i].Excluded || // long-running tasks do not end on their own
+		if w.longRunningRuns > 0 || view.views[i].Excluded || !p.core.isNewInstanceFor(t, w) || // long-running tasks do not end on their own
 			!placement.Feasible(&view.views[i], req) {
 			continue
 		}
--- a/jobs/owner/lossrate.go
+++ b/jobs/owner/lossrate.go
@@ -87,22 +87,16 @@
 	return true
 }
 
-// minCrashesOfLikelyCause is the number of crashes without another suspect from which a task is the
-// likely cause of its other ones.
+// minCrashesOfLikelyCause is the number of instances that crashed without another suspect from which a task is
+// the likely cause of its other crashes.
 const minCrashesOfLikelyCause = 2
 
 // isLikelyCause reports whether the task is likely to have caused the loss of all workers that it ran on: it
-// crashed several without another suspect, or so many that the losses of the others do not explain it.
+// crashed several instances without another suspect, or so many that the losses of the others do not explain it.
 // Crashes that are evidence only since other tasks have completed do not count: among workers that are lost at
 // random nearly every loss would have such a cause.
 func (c *Core) isLikelyCause(t *task) bool {
-	n := 0
-	for i := range t.crashes {
-		if t.crashes[i].WasAlone() {
-			n++
-		}
-	}
-	if n >= minCrashesOfLikelyCause {
+	if t.crashes.AloneOnInstances() >= minCrashesOfLikelyCause {
 		return true
 	}
 	return len(t.crashes) > minCrashesOfLikelyCause && t.crashes.AreImprobable(c.measuredLossRate(t))
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -147,7 +147,7 @@
 	c.updateIndexes(now)
 	for name, v := range snapshots {
 		c.pool(name).supply.fillSnapshot(v)
-		for _, i := range c.pool(name).supply.idle {
+		for _, i := range c.reliableFirst(c.pool(name).supply.idle, now) {
 			v.Instances = append(v.Instances, c.idleSnapshot(i, now))
 		}
 		for _, i := range c.pool(name).supply.evacuatedIdle {
--- a/jobs/owner/schedulingpass.go
+++ b/jobs/owner/schedulingpass.go
@@ -152,14 +152,14 @@
 			p.onNoCapacity(s, &sel.req)
 			return
 		}
-		w := sel.pick(t.prefersOthersTo)
+		w := sel.pick(func(w *worker) bool { return p.core.prefersOthers(t, w) })
 		if w == nil && (t.awaitsOtherWorker(&p.pool.free, &sel.req, p.now) || t.awaitsWorkerAfterStall(p.now)) {
 			p.pool.addWaiting(s, 1)
 			t.addTime(CauseFailedThereBefore, s.readySince(), p.now)
 			p.requestAdvice(s)
 			continue
 		}
-		if w == nil && len(t.failedOn)+len(t.stalledOn) > 0 {
+		if w == nil && len(t.failedOn)+len(t.stalledOn)+len(t.crashes) > 0 {
 			w = sel.pick(excludeNone)
 		}
 		if w == nil {
--- a/jobs/owner/workerview.go
+++ b/jobs/owner/workerview.go
@@ -77,9 +77,6 @@
 // hasFailedOn reports whether the task failed on the worker in this term.
 func (t *task) hasFailedOn(w *worker) bool { return slices.Contains(t.failedOn, w.Worker) }
 
-// prefersOthersTo reports whether the task failed or made no progress on the worker in this term.
-func (t *task) prefersOthersTo(w *worker) bool { return t.hasFailedOn(w) || t.hasStalledOn(w) }
-
 // runsByNumber returns the worker's runs in the order of their starts.
 func runsByNumber(w *worker) []*run {
 	out := slices.Collect(maps.Values(w.runs))
