Ledger: a submission that was cancelled before it is stored is refused

Cause: an acceptance has the condition that the job is not in the store, and the cancellation of a job that is not there left nothing. Evidence: TestCancelOvertakesASubmissionInAFrozenDaemon, which breaks the same way.

Ruled out: an owner that forgets the cancellation (it is not told). Considered: a final record under the job's own key, which would show a job that nobody submitted.

Change: ledger.EarlyCancels stores such a cancellation under a lease on condition that the job is not in the store; a submission is stored on condition that there is none, and is refused with 429 and no Retry-After otherwise. The checker of the stand-ins takes 410 for an acknowledgement, too.

Why it works: the store puts the two in order, also for a submission that is carried out late.

--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -274,7 +274,7 @@
 		return reply{status: http.StatusForbidden, problem: err.Error()}
 	}
 	var impossible *ImpossibleError
-	if errors.As(err, &impossible) {
+	if errors.As(err, &impossible) || verdict.CodeOf(err) == ledger.CodeCancelledEarly {
 		return reply{status: http.StatusTooManyRequests, problem: err.Error()} // without Retry-After, as returning is useless
 	}
 	if verdict.Of(err) == verdict.NotRun {
--- a/jobs/ledger/accept.go
+++ b/jobs/ledger/accept.go
@@ -13,9 +13,9 @@
 
 // Parameters of accepting jobs.
 const (
-	// acceptBatch is the number of submissions in a transaction: each takes a condition and a
+	// acceptBatch is the number of submissions in a transaction: each takes two conditions and a
 	// put.
-	acceptBatch = MaxTxnEntries / 2
+	acceptBatch = MaxTxnEntries / 3
 	// acceptWorkers is the number of concurrent transactions. With several, a slow answer does
 	// not delay all submissions.
 	acceptWorkers = 4
@@ -56,6 +56,11 @@
 	done   chan error // receives the result once
 }
 
+// cancelKey returns the key of an early cancellation of the submission.
+func (s *pendingSubmission) cancelKey() string {
+	return earlyCancelKey(idOf(s.key, prefixSubmitted), s.tenant)
+}
+
 // NewAcceptor returns an acceptor. Submissions wait in its queue until Run is called.
 func NewAcceptor(s AcceptorStore) *Acceptor {
 	return &Acceptor{store: s, queue: make(chan pendingSubmission, acceptQueueLen)}
@@ -121,8 +126,8 @@
 	return batch
 }
 
-// storeBatch writes a batch. Jobs that are in the store already are completed and removed
-// from the batch, and the rest is sent again.
+// storeBatch writes a batch. Jobs that are in the store already, or were cancelled before, are completed and
+// removed from the batch, and the rest is sent again.
 func (a *Acceptor) storeBatch(ctx context.Context, batch map[string][]pendingSubmission) {
 	if a.store.Unavailable() {
 		completeBatch(batch, errStoreUnavailable())
@@ -147,7 +152,7 @@
 			completeStored(batch)
 			return
 		}
-		if a.dropExisting(batch, res) == 0 {
+		if a.dropExisting(batch, res)+dropCancelled(batch, res) == 0 {
 			completeBatch(batch, verdict.New(verdict.MayHaveRun, CodeStoreUnavailable, "the store refused a batch but reported no existing key"))
 			return
 		}
@@ -159,7 +164,7 @@
 	defer cancel()
 	var t Txn
 	for key, submissions := range batch {
-		t.If = append(t.If, Condition{Key: key})
+		t.If = append(t.If, Condition{Key: key}, Condition{Key: submissions[0].cancelKey()})
 		t.Puts = append(t.Puts, Put{Key: key, Value: submissions[0].value})
 	}
 	return a.store.Commit(ctx, t)
@@ -183,6 +188,31 @@
 	return n
 }
 
+// dropCancelled completes and removes the submissions of jobs that their tenants cancelled before they were stored,
+// and returns their number.
+func dropCancelled(batch map[string][]pendingSubmission, res TxnResult) int {
+	existing := map[string]bool{}
+	for _, i := range res.Current {
+		existing[i.Key] = true
+	}
+	n := 0
+	for key, submissions := range batch {
+		var left []pendingSubmission
+		for _, s := range submissions {
+			if !existing[s.cancelKey()] {
+				left = append(left, s)
+				continue
+			}
+			n++
+			s.done <- verdict.New(verdict.NotRun, CodeCancelledEarly, "job %s was cancelled before it was stored", idOf(key, prefixSubmitted))
+		}
+		if batch[key] = left; len(left) == 0 {
+			delete(batch, key)
+		}
+	}
+	return n
+}
+
 // CodeOtherTenant means that a call was refused because its job belongs to another tenant.
 const CodeOtherTenant verdict.Code = "job-of-another-tenant"
 
--- a/jobs/ledger/keys.go
+++ b/jobs/ledger/keys.go
@@ -17,6 +17,8 @@
 	prefixSubmitted = "jobs/in/"
 	prefixCancelled = "jobs/cx/"
 	prefixProgress  = "progress/"
+	// prefixEarlyCancel contains cancellations of jobs that were not in the store; see EarlyCancels.
+	prefixEarlyCancel = "early-cancel/"
 	// PrefixOwner is watched by every daemon.
 	PrefixOwner = "owner/"
 	keyLock     = "owner/lock"
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -85,6 +85,7 @@
 	store          *ledger.Failover
 	peers          Peers
 	acceptor       *ledger.Acceptor
+	earlyCancels   *ledger.EarlyCancels
 	gateway        *gateway.Gateway
 
 	catalog atomic.Pointer[job.Catalog]
@@ -126,6 +127,7 @@
 	n.platform.Store = ledger.Observed(p.Store, m.storeCall)
 	n.store = ledger.NewFailover(n.platform.Store, n, p.Clock.Now, n.onStoreFailure)
 	n.acceptor = ledger.NewAcceptor(n.store)
+	n.earlyCancels = ledger.NewEarlyCancels(n.store, p.Clock.Now)
 	n.gateway = gateway.New(n, p.Formats.CallerKey, p.Formats.DecodeJob, m, log)
 	return n
 }
@@ -298,12 +300,22 @@
 	return nil
 }
 
-// Cancel implements gateway.JobService.
+// Cancel implements gateway.JobService. The cancellation of an unknown job is stored, as its submission may still be
+// on its way. If the job is stored meanwhile, it is cancelled.
 func (n *Node) Cancel(ctx context.Context, id job.ID, tenant string) (bool, error) {
 	known, err := ledger.Cancel(ctx, n.store, id, tenant)
-	if err != nil || !known {
+	if err != nil {
 		return known, err
 	}
+	if !known {
+		recorded, err := n.earlyCancels.Record(ctx, id, tenant)
+		if err != nil || recorded {
+			return false, err
+		}
+		if known, err = ledger.Cancel(ctx, n.store, id, tenant); err != nil || !known {
+			return known, err // removed meanwhile, as it had ended long before
+		}
+	}
 	go n.notifyOwner(id, func(ctx context.Context, addr string) error { return n.peers.Cancelled(ctx, addr, id) })
 	return true, nil
 }
--- a/standin/jobfleet/installation.go
+++ b/standin/jobfleet/installation.go
@@ -271,10 +271,11 @@
 	return ""
 }
 
-// Cancel cancels a job and reports whether this was confirmed.
+// Cancel cancels a job and reports whether the job is known and this was confirmed. That there is no such job is a
+// confirmation for the checker, too: the job must not start later.
 func (c *Caller) Cancel(prefix string, id job.ID) bool {
 	status, _ := c.send(http.MethodDelete, prefix+string(id), nil)
-	if status == http.StatusOK {
+	if status == http.StatusOK || status == http.StatusGone {
 		c.in.Checker.Cancelled(id)
 	}
 	return status == http.StatusOK
