Submissions: times that the store's encoding cannot hold are refused

Cause: time.Time has no JSON form beyond the year 9999; ledger.encode panics, and the HTTP server closes the connection. Validate did not look at StartAt.

Ruled out: handling the panic, which would leave the caller with a 5xx that invites a retry.

The answer is 400 with the field and its bounds.

Not done: numbers and texts of configurations, workers' answers and machine lists; sums of counts and resources; a bound on repeatCount.

--- a/jobs/job/validate.go
+++ b/jobs/job/validate.go
@@ -13,6 +13,11 @@
 	maxTasks = 10_000
 	// minInterval is the shortest time between the occurrences of a job.
 	minInterval = time.Millisecond
+	// maxSpan bounds durations of a job, and the time from its first occurrence to its last: 100 years. A
+	// time.Duration holds 292 years.
+	maxSpan = 100 * 365 * 24 * time.Hour
+	// minYear and maxYear bound times of a job: the store's encoding of a time has four digits for the year.
+	minYear, maxYear = 1, 9999
 )
 
 // Validate returns an error that names the invalid field, for a job that no worker could ever run.
@@ -23,6 +28,9 @@
 	if j.Repeat > 1 && j.Interval < minInterval {
 		return fmt.Errorf("interval is %s, want at least %s", j.Interval, minInterval)
 	}
+	if err := j.validateTimes(); err != nil {
+		return err
+	}
 	tasks := 0
 	for n := range j.Steps {
 		s := &j.Steps[n]
@@ -37,6 +45,17 @@
 	return nil
 }
 
+// validateTimes checks the times of the occurrences.
+func (j *Job) validateTimes() error {
+	if y := j.StartAt.Year(); y < minYear || y > maxYear {
+		return fmt.Errorf("start time is in the year %d, want %d to %d", y, minYear, maxYear)
+	}
+	if j.Repeat > 1 && j.Interval > maxSpan/time.Duration(j.Repeat-1) {
+		return fmt.Errorf("%d occurrences with an interval of %s take longer than %s", j.Repeat, j.Interval, maxSpan)
+	}
+	return nil
+}
+
 // validate checks the step with the given index.
 func (s *Step) validate(index int) error {
 	if s.Count < 1 || s.Count > maxTasks {
@@ -45,8 +64,8 @@
 	if s.Need.CPUMilli < 0 || s.Need.MemMB < 0 || s.Need.GPU < 0 {
 		return fmt.Errorf("requested resources are negative: %s", s.Need)
 	}
-	if s.Estimate < 0 {
-		return fmt.Errorf("estimate %s is negative", s.Estimate)
+	if s.Estimate < 0 || s.Estimate > maxSpan {
+		return fmt.Errorf("estimate is %s, want 0s to %s", s.Estimate, maxSpan)
 	}
 	for _, a := range s.After {
 		if a < 0 || a >= index {
