Node: puts that do not fit into one transaction are written by the next

Cause: termCommit.commit cut the pending puts to the 29 that a transaction takes, the latest first, and counted all of them as written.

Ruled out: a refused transaction; a wave that the owner does not know.

Change: nextPuts takes the last put of each key, those of the keys that have waited longest first; dropWritten removes only what the transaction contained (termcommit.go).

Why it works: a put leaves the queue only if its key was written as it was when the transaction was made.

Tests: TestManyWavesAtOnceAreShown failed before (6 of 20 waves). New: TestPutsBeyondOneTransactionAreWrittenLater at 1, 29, 30 and 145 puts, TestLastPutOfAKeyIsWritten.

Figures: tests of jobs/node green, ManyWaves before and after as above.

--- a/jobs/node/termcommit.go
+++ b/jobs/node/termcommit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"go.uber.org/zap"
@@ -18,11 +19,8 @@
 	if t.committing || now.Sub(t.lastCommit) < commitInterval && t.core.DirtyJobs() < commitBacklog && !t.core.HasUrgentRecords() {
 		return
 	}
-	puts := latestPutPerKey(t.pendingPuts)
+	puts := nextPuts(t.pendingPuts, ledger.MaxWriteEntries)
 	var deletes []string
-	if len(puts) > ledger.MaxWriteEntries {
-		puts = puts[:ledger.MaxWriteEntries]
-	}
 	records := t.core.PendingRecords(ledger.MaxWriteEntries - len(puts))
 	if len(records)+len(puts)+t.orders.pendingCount() == 0 {
 		if now.Sub(t.lastExpire) < expireInterval {
@@ -36,7 +34,7 @@
 			return
 		}
 	}
-	putsTaken := len(t.pendingPuts)
+	pending := pendingPuts{len(t.pendingPuts), slices.Clone(puts)}
 	for _, r := range records {
 		p, d := ledger.RecordWrites(r)
 		puts = append(puts, p...)
@@ -45,25 +43,45 @@
 	t.committing = true
 	t.lastCommit = now
 	orders := t.orders.take(now)
-	go t.writeTxn(puts, deletes, records, putsTaken, orders, t.orders.recent(now))
+	go t.writeTxn(puts, deletes, records, pending, orders, t.orders.recent(now))
+}
+
+// pendingPuts are the pending puts as a transaction was made: their count, and those that it contains.
+type pendingPuts struct {
+	count   int
+	written []ledger.Put
 }
 
-// latestPutPerKey returns the last put of each key.
-func latestPutPerKey(puts []ledger.Put) []ledger.Put {
+// nextPuts returns the puts for the next transaction, limit at most: the last put of each key, those of the keys first
+// that have waited longest.
+func nextPuts(pending []ledger.Put, limit int) []ledger.Put {
 	var out []ledger.Put
-	seen := map[string]bool{}
-	for i := len(puts) - 1; i >= 0; i-- {
-		if !seen[puts[i].Key] {
-			seen[puts[i].Key] = true
-			out = append(out, puts[i])
+	index := map[string]int{}
+	for _, p := range pending {
+		i, known := index[p.Key]
+		switch {
+		case known:
+			out[i] = p
+		case len(out) < limit:
+			index[p.Key] = len(out)
+			out = append(out, p)
 		}
 	}
 	return out
 }
 
+// dropWritten removes the puts of written keys from the first n pending puts. Later ones were added while the transaction
+// was in flight, and still have to be written.
+func dropWritten(pending []ledger.Put, n int, written []ledger.Put) []ledger.Put {
+	isWritten := func(p ledger.Put) bool {
+		return slices.ContainsFunc(written, func(w ledger.Put) bool { return w.Key == p.Key })
+	}
+	return append(slices.DeleteFunc(slices.Clone(pending[:n]), isWritten), pending[n:]...)
+}
+
 // writeTxn commits a transaction and sends its outcome to the core. Orders for instances are
 // sent only after it has recorded them.
-func (t *termRun) writeTxn(puts []ledger.Put, deletes []string, records []owner.Record, putsTaken int, orders []owner.InstanceOrder, recent []owner.RecentOrder) {
+func (t *termRun) writeTxn(puts []ledger.Put, deletes []string, records []owner.Record, pending pendingPuts, orders []owner.InstanceOrder, recent []owner.RecentOrder) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	began := t.n.clock.Now()
@@ -83,7 +101,7 @@
 			t.rejectInstanceOrders(c, orders, now)
 			return
 		}
-		t.pendingPuts = t.pendingPuts[putsTaken:]
+		t.pendingPuts = dropWritten(t.pendingPuts, pending.count, pending.written)
 		c.OnCommitted(records, now)
 		if t.isLeaving() {
 			t.rejectInstanceOrders(c, orders, now)
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -328,8 +328,7 @@
 
 // finalWrites returns the writes that are committed together with the release of the lock.
 func (t *termRun) finalWrites() (puts []ledger.Put, deletes []string) {
-	puts = latestPutPerKey(t.pendingPuts)
-	puts = puts[:min(len(puts), ledger.MaxReleaseEntries)]
+	puts = nextPuts(t.pendingPuts, ledger.MaxReleaseEntries)
 	for _, r := range t.core.PendingRecords(ledger.MaxReleaseEntries - len(puts)) {
 		p, d := ledger.RecordWrites(r)
 		puts = append(puts, p...)
