--- /dev/null
+++ b/review/rig/main.go
@@ -0,0 +1,195 @@
+// Command rig plays the cases of the review: the project's daemons as separate processes, with stand-ins of the
+// platform's store, its machines, workers and consumers, all on loopback addresses.
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+)
+
+// Exit statuses of a case.
+const (
+	ruleHeld   = 0
+	ruleBroken = 1
+	notRun     = 2
+)
+
+// options are those of a deployment.
+type options struct {
+	daemons    int
+	cpuShare   float64
+	memory     int // MB of a daemon
+	machines   int
+	cpu, mem   int // of a worker
+	guards     bool
+	kinds      []string // labels of the machines, in turn
+	valueBytes int
+}
+
+// The service and the queue of all cases.
+const (
+	service   = "svc-a"
+	queueHost = "pule25.example"
+	queuePath = "/puxa400/"
+)
+
+// small returns the options of a small deployment like those of the site files.
+func small() options {
+	return options{daemons: 6, cpuShare: 0.4, memory: 284, machines: 10, cpu: 32000, mem: 131072, guards: true, kinds: []string{"a"}, valueBytes: 1 << 20}
+}
+
+// busy returns the options of a deployment with the largest machines of the users' fleet.
+func busy() options {
+	o := small()
+	o.daemons, o.cpuShare, o.memory, o.machines = 3, 1.6, 1048, 24
+	return o
+}
+
+// fleet4 returns the options of a deployment with four workers.
+func fleet4() options {
+	o := small()
+	o.machines = 4
+	return o
+}
+
+// unguarded returns the options of a deployment with four workers, which don't guard their capacity.
+func unguarded() options {
+	o := fleet4()
+	o.guards = false
+	return o
+}
+
+// fleet24 returns the options of a deployment with 24 workers.
+func fleet24() options {
+	o := small()
+	o.machines = 24
+	return o
+}
+
+// deploy starts a deployment and waits until its daemons answer.
+func deploy(o options, j *judge) (*deployment, error) {
+	dir, err := os.MkdirTemp("", "review-")
+	if err != nil {
+		return nil, err
+	}
+	prefix, err := freePrefix()
+	if err != nil {
+		return nil, err
+	}
+	d := &deployment{prefix: prefix, dir: dir, store: newStore(o.valueBytes), plans: &plans{byID: map[string]*plan{}}, judge: j, memory: o.memory}
+	d.fleet = newFleet(d.store, d.plans, j, o.cpu, o.mem, o.guards)
+	d.store.put("op/config", map[string]any{
+		"version": 7,
+		"routes": []any{map[string]any{"name": "r-1", "host": queueHost, "prefix": queuePath, "kind": "non_idempotent", "timeoutMs": 3000,
+			"targetDurationMs": 600, "priority": 0, "service": service, "maxAttempts": maxAttempts, "stretch": 1.6}},
+		"services": []any{map[string]any{"name": service, "enforcesCapacity": o.guards}},
+		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 5000, "idleTimeoutMs": 60000},
+	})
+	for n := range o.machines {
+		zone := fmt.Sprintf("z-%c", 'a'+n%3)
+		if _, err := d.fleet.addMachine(prefix+"100", service, zone, fmt.Sprintf("r%d-%d", n%3+1, n/12), o.kinds[n%len(o.kinds)]); err != nil {
+			return nil, err
+		}
+	}
+	storeAddr, err := serve(prefix+"101", d.store)
+	if err != nil {
+		return nil, err
+	}
+	cloudAddr, err := serve(prefix+"102", http.HandlerFunc(d.fleet.cloud))
+	if err != nil {
+		return nil, err
+	}
+	for n := range o.daemons {
+		if err := d.addDaemon(n+1, storeAddr, cloudAddr, o.cpuShare); err != nil {
+			d.end()
+			return nil, err
+		}
+	}
+	for end := time.Now().Add(15 * time.Second); ; time.Sleep(100 * time.Millisecond) {
+		if d.allReady() && d.owner() != nil {
+			break
+		}
+		if time.Now().After(end) {
+			d.end()
+			return nil, fmt.Errorf("the daemons were not ready within 15 s")
+		}
+	}
+	time.Sleep(time.Second)
+	return d, nil
+}
+
+// allReady reports whether all daemons say that they are ready.
+func (d *deployment) allReady() bool {
+	for _, p := range d.daemons {
+		resp, err := http.Get(fmt.Sprintf("http://%s:%d/-/ready", p.ip, readyPort))
+		if err != nil {
+			return false
+		}
+		resp.Body.Close()
+		if resp.StatusCode != http.StatusOK {
+			return false
+		}
+	}
+	return true
+}
+
+// caseFunc plays a case on a deployment. trouble is false if the disruption is left out.
+type caseFunc func(d *deployment, trouble bool)
+
+func main() {
+	name := flag.String("case", "", "name of the case")
+	recordFile := flag.String("record", "record.txt", "file for the record")
+	keep := flag.Bool("keep", false, "keep the temporary folder with the logs")
+	seed := flag.Uint64("seed", 1, "seed of the soak")
+	flag.Parse()
+	soakSeed = *seed
+	c, ok := cases[*name]
+	if !ok {
+		fmt.Fprintf(os.Stderr, "unknown case %q\n", *name)
+		os.Exit(notRun)
+	}
+	out, err := os.Create(*recordFile)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(notRun)
+	}
+	j := newJudge(out)
+	d, err := deploy(c.options, j)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(notRun)
+	}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		<-signals
+		d.end()
+		os.Exit(notRun)
+	}()
+	stop := make(chan struct{})
+	go d.keepRunning(stop)
+	c.play(d, os.Getenv("TROUBLE") != "0")
+	close(stop)
+	d.end()
+	rules := j.rules()
+	j.note("%d starts, ends %v, rules broken: %v", j.starts, j.ends, rules)
+	fmt.Println("rules broken:", rules)
+	if *keep {
+		fmt.Println("logs in", d.dir)
+	} else {
+		os.RemoveAll(d.dir)
+	}
+	if d.unplayable != "" {
+		fmt.Fprintln(os.Stderr, d.unplayable)
+		os.Exit(notRun)
+	}
+	if len(rules) > 0 {
+		os.Exit(ruleBroken)
+	}
+	os.Exit(ruleHeld)
+}
