--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -139,11 +139,10 @@
 
 // Figures of the case of many runs.
 const (
-	runsOfTerm    = 1_000_000              // run numbers between those of one term and the next
-	shortTasks    = 500                    // of one job
-	shortTaskCPU  = 70                     // 450 at a time on a worker
-	maxShortTasks = 20_000                 // open at a time
-	longStopTime  = 300 * time.Millisecond // of stopTimeoutMs, 400
+	runsOfTerm    = 1_000_000 // run numbers between those of one term and the next
+	shortTasks    = 500       // of one job
+	shortTaskCPU  = 70        // 450 at a time on a worker
+	maxShortTasks = 20_000    // open at a time
 	manyRunsTime  = 95 * time.Second
 )
 
@@ -176,10 +175,10 @@
 		time.Sleep(100 * time.Millisecond)
 	}
 	d.judge.note("all short tasks have ended, and all ends are taken note of: %v", d.fleet.idle())
-	d.fleet.stopTime = longStopTime
+	d.fleet.stopTime = d.stopBound - stopReserve
 	var jobs []*plan
-	for range 5 {
-		p := &plan{ID: newID(), Spec: "payment", Steps: []step{{Count: 4, CPU: 17000, MemMB: 500, Work: 5 * time.Second}}}
+	for range 10 {
+		p := &plan{ID: newID(), Spec: "payment", Steps: []step{{Count: 2, CPU: 17000, MemMB: 500, Work: 5 * time.Second}}}
 		if c.submit(p) == http.StatusOK {
 			jobs = append(jobs, p)
 		}
@@ -214,7 +213,7 @@
 
 // playCancelAtTakeover cancels jobs while the owner is frozen. Their tasks fill all workers, and others wait.
 func playCancelAtTakeover(d *deployment, trouble bool) {
-	d.fleet.stopTime = longStopTime
+	d.fleet.stopTime = d.stopBound - stopReserve
 	c := newConsumer(d, queueHost, queuePath)
 	var first, second []*plan
 	for range len(d.fleet.machines) {
@@ -242,6 +241,9 @@
 	d.judge.note("%d of %d jobs not completed", len(left), len(second))
 }
 
+// stopReserve is how much less than stopTimeoutMs a stop takes.
+const stopReserve = 100 * time.Millisecond
+
 // freezeTime is how long a machine of the system stands still.
 const freezeTime = 4 * time.Second
 
--- a/review/rig/daemons.go
+++ b/review/rig/daemons.go
@@ -33,15 +33,16 @@
 
 // deployment is the project's daemons and all that they talk to.
 type deployment struct {
-	prefix  string // of its loopback addresses
-	dir     string
-	store   *kvStore
-	fleet   *fleet
-	plans   *plans
-	judge   *judge
-	daemons []*daemon
-	memory  int // MB that a daemon may use
-	killed  int // daemons that were killed as they used more memory
+	prefix    string // of its loopback addresses
+	dir       string
+	store     *kvStore
+	fleet     *fleet
+	plans     *plans
+	judge     *judge
+	daemons   []*daemon
+	memory    int           // MB that a daemon may use
+	stopBound time.Duration // stopTimeoutMs of the settings
+	killed    int           // daemons that were killed as they used more memory
 
 	unplayable string // why the case could not be played
 }
@@ -90,7 +91,7 @@
 		"limits": map[string]any{"cpuShare": cpuShare, "cores": 1, "memoryMb": d.memory, "maxFds": 4100, "linkMbps": 1000.0, "diskMb": 0}, "dataDir": nil, "discovery": "platform", "entry": "vip", "heartbeatMs": 1500,
 		"contracts": []string{"base", "drain", "config", "cost", "recover", "sched", "platform", "upkeep", "sharing"}, "tolerate": map[string]int{"machines": 2, "zones": 0, "regions": 0},
 		"bounds": map[string]any{"seedLagS": 3, "addrReuseS": 2, "stabilityMs": 3000, "ackMs": 4000, "catchUpS": 4, "drainMs": 2000, "graceS": 6, "lossSlackMs": 200, "configApplyMs": 2000, "downgradeSlackMs": 250,
-			"maxStretchMs": 5000, "recoveryS": 12, "maxHoldMs": 10000, "stopTimeoutMs": 400, "gangTimeoutMs": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120, "crossRackFactor": 2,
+			"maxStretchMs": 5000, "recoveryS": 12, "maxHoldMs": 10000, "stopTimeoutMs": d.stopBound.Milliseconds(), "gangTimeoutMs": 3000, "cancel_ms": 3000, "visible_ms": 3000, "early_ms": 250, "finish_s": 14, "status_s": 120, "crossRackFactor": 2,
 			"checkpointIntervalS": 2, "restoreMs": 600, "noticeMs": 4500, "migrateS": 1.5, "maintenanceS": 2, "fenceChecked": false, "leaseMs": 3000, "thawSlackMs": 300, "paceMs": 100, "harmMs": 4000},
 		"orders": "call", "advice": "", "platform": map[string]any{"address": storeAddr, "form": "kv", "writesPerS": 400, "readsPerS": 2000, "historyS": 20, "valueBytes": d.store.valueBytes, "minTtlMs": 1000},
 		"cloudApi": map[string]any{"address": cloudAddr, "ratePerS": 64.0, "duties": []string{}, "dutyPerS": 64.0},
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -29,6 +29,7 @@
 	guards     bool
 	kinds      []string // labels of the machines, in turn
 	valueBytes int
+	stopBound  time.Duration // stopTimeoutMs
 }
 
 // The service and the queue of all cases.
@@ -40,12 +41,14 @@
 
 // small returns the options of a small deployment like those of the site files.
 func small() options {
-	return options{daemons: 6, cpuShare: 0.4, memory: 284, machines: 10, cpu: 32000, mem: 131072, guards: true, kinds: []string{"a"}, valueBytes: 1 << 20}
+	return options{daemons: 6, cpuShare: 0.4, memory: 284, machines: 10, cpu: 32000, mem: 131072, guards: true, kinds: []string{"a"}, valueBytes: 1 << 20, stopBound: 400 * time.Millisecond}
 }
 
-// busy returns the options of a deployment with the largest machines of the users' fleet.
+// busy returns the options of a deployment with the largest machines of the users' fleet, whose workers take up to
+// 900 ms to stop a task.
 func busy() options {
 	o := small()
+	o.stopBound = 900 * time.Millisecond
 	o.daemons, o.cpuShare, o.memory, o.machines = 3, 1.6, 1048, 24
 	return o
 }
@@ -81,7 +84,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &deployment{prefix: prefix, dir: dir, store: newStore(o.valueBytes), plans: &plans{byID: map[string]*plan{}}, judge: j, memory: o.memory}
+	d := &deployment{prefix: prefix, dir: dir, store: newStore(o.valueBytes), plans: &plans{byID: map[string]*plan{}}, judge: j, memory: o.memory, stopBound: o.stopBound}
 	d.fleet = newFleet(d.store, d.plans, j, o.cpu, o.mem, o.guards)
 	d.store.put("op/config", map[string]any{
 		"version": 7,
--- a/review/rig/store.go
+++ b/review/rig/store.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"slices"
 	"sort"
 	"strconv"
 	"strings"
@@ -52,6 +53,7 @@
 	mu      sync.Mutex
 	rev     int64
 	items   map[string]item
+	keys    []string // of items, sorted
 	history []item
 	times   []time.Time // of the entries of history
 	floor   int64       // latest revision that is not in history any more
@@ -112,6 +114,9 @@
 		return
 	}
 	delete(s.items, key)
+	if n, found := slices.BinarySearch(s.keys, key); found {
+		s.keys = slices.Delete(s.keys, n, n+1)
+	}
 	s.record(item{Key: key, Rev: s.rev, Deleted: true})
 }
 
@@ -119,6 +124,8 @@
 	created := s.rev
 	if old, ok := s.items[key]; ok {
 		created = old.Created
+	} else if n, found := slices.BinarySearch(s.keys, key); !found {
+		s.keys = slices.Insert(s.keys, n, key)
 	}
 	i := item{Key: key, Value: value, Rev: s.rev, Created: created, Lease: lease}
 	s.items[key] = i
@@ -244,15 +251,15 @@
 func (s *kvStore) list(w http.ResponseWriter, r *http.Request) {
 	prefix, after := r.URL.Query().Get("prefix"), r.URL.Query().Get("after")
 	s.mu.Lock()
-	var keys []string
-	for k := range s.items {
-		if strings.HasPrefix(k, prefix) && k > after {
-			keys = append(keys, k)
-		}
+	first, found := slices.BinarySearch(s.keys, max(prefix, after))
+	if found && s.keys[first] == after {
+		first++
 	}
-	sort.Strings(keys)
 	items, size, more := []item{}, 0, false
-	for _, k := range keys {
+	for _, k := range s.keys[first:] {
+		if !strings.HasPrefix(k, prefix) {
+			break
+		}
 		size += len(s.items[k].Value)
 		if len(items) > 0 && (len(items) == maxPageItems || size > maxPageBytes) {
 			more = true
