Review: case 8 with 24 workers and the latency of the sheet; the soak with silent channels

Change: 24 workers, 1.8 ms to a worker and back; the soak silences open channels and checks cancelled jobs.

--- a/review/rig/daemons.go
+++ b/review/rig/daemons.go
@@ -70,12 +70,12 @@
 }
 
 // serve serves a handler at a free port of the host and returns the address.
-func serve(host string, h http.Handler) (string, error) {
+func serve(host string, h http.Handler, s *silencer) (string, error) {
 	l, err := net.Listen("tcp", host+":0")
 	if err != nil {
 		return "", err
 	}
-	go func() { _ = http.Serve(l, h) }()
+	go func() { _ = http.Serve(s.listener(l), h) }()
 	return l.Addr().String(), nil
 }
 
--- a/review/rig/judge.go
+++ b/review/rig/judge.go
@@ -287,3 +287,18 @@
 	}
 	return task, cpu
 }
+
+// judgeCancelled checks that no task of a cancelled job is at work.
+func (j *judge) judgeCancelled() {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	for name, t := range j.tasks {
+		id, _, _ := strings.Cut(name, ".")
+		if _, cancelled := j.cancelled[id]; !cancelled {
+			continue
+		}
+		for r, w := range t.active {
+			j.violate("UNASKED", "%s is still at work as run %d on %s, and its job was cancelled", name, r.number, w.id)
+		}
+	}
+}
--- a/review/rig/main.go
+++ b/review/rig/main.go
@@ -30,6 +30,7 @@
 	kinds      []string // labels of the machines, in turn
 	valueBytes int
 	stopBound  time.Duration // stopTimeoutMs
+	latency    time.Duration // between daemons and workers, both ways
 }
 
 // The service and the queue of all cases.
@@ -60,10 +61,13 @@
 	return o
 }
 
-// unguarded returns the options of a deployment with four workers, which don't guard their capacity.
+// betweenZones is the time of a message to another zone and back, as on the users' sheet.
+const betweenZones = 1800 * time.Microsecond
+
+// unguarded returns the options of a deployment with 24 workers, which don't guard their capacity.
 func unguarded() options {
-	o := fleet4()
-	o.guards = false
+	o := fleet24()
+	o.guards, o.latency = false, betweenZones
 	return o
 }
 
@@ -99,11 +103,12 @@
 			return nil, err
 		}
 	}
-	storeAddr, err := serve(prefix+"101", d.store)
+	d.fleet.latency = o.latency
+	storeAddr, err := serve(prefix+"101", d.store, d.fleet.silencer)
 	if err != nil {
 		return nil, err
 	}
-	cloudAddr, err := serve(prefix+"102", http.HandlerFunc(d.fleet.cloud))
+	cloudAddr, err := serve(prefix+"102", http.HandlerFunc(d.fleet.cloud), d.fleet.silencer)
 	if err != nil {
 		return nil, err
 	}
--- a/review/rig/soak.go
+++ b/review/rig/soak.go
@@ -48,7 +48,7 @@
 // randomTrouble makes one disruption and waits until it is over.
 func randomTrouble(d *deployment, rng *rand.Rand) {
 	short := time.Duration(500+rng.IntN(3000)) * time.Millisecond
-	switch n := rng.IntN(12); n {
+	switch n := rng.IntN(14); n {
 	case 0, 1:
 		if p := d.owner(); p != nil {
 			d.judge.note("TROUBLE kill owner %s", p.node)
@@ -92,6 +92,9 @@
 		})
 		time.Sleep(short)
 		d.store.setFault(nil)
+	case 9, 10:
+		d.judge.note("TROUBLE all open channels to the store, the cloud and workers go silent")
+		d.fleet.silencer.silence()
 	default:
 		share := 0.05 + rng.Float64()*0.2
 		d.judge.note("TROUBLE %.2f of the starts and stops late for %s", share, short)
@@ -146,12 +149,19 @@
 	if trouble {
 		<-quiet
 	}
+	calmSince := time.Now()
 	for _, p := range awaitEnded(c, accepted, 30*time.Second) {
 		status, state := c.state(p.ID)
 		d.judge.broken("LOST", "job %s is %d %s 30 s after the last disruption, all tasks done: %v", p.ID, status, state, d.judge.isDone(p))
 	}
+	time.Sleep(time.Until(calmSince.Add(settleTime)))
+	d.judge.judgeCancelled()
 }
 
+// settleTime is how long after the last disruption no task of a cancelled job may be at work: the time until the
+// machines count as in touch, the bound of cancelling, the longest stop, and a second.
+const settleTime = 3*time.Second + cancelBound + 1400*time.Millisecond
+
 // awaitEnded waits until all jobs have ended, checks how they are shown, and returns those that have not.
 func awaitEnded(c *consumer, jobs []*plan, d time.Duration) []*plan {
 	left := jobs
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -172,6 +172,7 @@
 	cpu, mem int
 	guards   bool
 	stopTime time.Duration // that a stop takes
+	latency  time.Duration // of an order and its answer on the network
 
 	mu       sync.Mutex
 	machines []*machine
@@ -179,6 +180,7 @@
 	order    func(w *worker, path string) orderFault // what becomes of an order; nil: all are carried out
 	onStart  func(w *worker, r *run)                 // called after each start, with the lock held
 	gangs    map[string]map[string]bool              // tasks present, by gang
+	silencer *silencer
 }
 
 // orderFault is what becomes of an order to a worker.
@@ -188,7 +190,7 @@
 }
 
 func newFleet(s *kvStore, p *plans, j *judge, cpu, mem int, guards bool) *fleet {
-	f := &fleet{store: s, plans: p, judge: j, cpu: cpu, mem: mem, guards: guards, stopTime: usualStopTime, gangs: map[string]map[string]bool{}}
+	f := &fleet{store: s, plans: p, judge: j, cpu: cpu, mem: mem, guards: guards, stopTime: usualStopTime, gangs: map[string]map[string]bool{}, silencer: newSilencer()}
 	go func() {
 		for range time.Tick(workerTick) {
 			f.mu.Lock()
@@ -228,7 +230,7 @@
 	if err != nil {
 		return err
 	}
-	w := &worker{fleet: f, machine: m, id: id, addr: addr, pool: m.pool, kind: m.kind, born: time.Now(), up: true, runs: map[string]*run{}, closed: map[string]uint64{}, closedBefore: map[string]uint64{}, closedSince: time.Now(), ended: make(chan struct{}), conns: &openConns{Listener: l}}
+	w := &worker{fleet: f, machine: m, id: id, addr: addr, pool: m.pool, kind: m.kind, born: time.Now(), up: true, runs: map[string]*run{}, closed: map[string]uint64{}, closedBefore: map[string]uint64{}, closedSince: time.Now(), ended: make(chan struct{}), conns: &openConns{Listener: f.silencer.listener(l)}}
 	w.server = &fasthttp.Server{Handler: w.serve, Logger: silentLogger{}}
 	m.worker, m.state = w, "up"
 	go func() { _ = w.server.Serve(w.conns) }()
@@ -397,6 +399,7 @@
 		return http.StatusMisdirectedRequest, []byte("{}"), true
 	}
 	f := w.fleet
+	time.Sleep(f.latency)
 	f.mu.Lock()
 	var fault orderFault
 	if f.order != nil {
