Review: case 5, a takeover that needs more memory than a daemon has

Cause: a new owner creates the tasks of all ended jobs that the store still holds. Change: case 5 is now a kill of the owner after 200 large jobs were cancelled; the overdue schedule stays in the rig.

--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -4,4 +4,4 @@
 dir=$(cd "$(dirname "$0")" && pwd)
 cd "$dir/../.." || exit 2
 [ -x target/postmountd ] && [ -x target/review-rig ] || { echo "build first: the deploy file's build, then review/build-2.sh" >&2; exit 2; }
-exec target/review-rig -case overdue -record "$dir/record.txt"
+exec target/review-rig -case bulk -record "$dir/record.txt"
--- a/review/rig/cases.go
+++ b/review/rig/cases.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -15,6 +16,7 @@
 }
 
 var cases = map[string]reviewCase{
+	"bulk":               {fleet24(), playBulkJobs},
 	"cancel-at-takeover": {unguarded(), playCancelAtTakeover},
 	"falling-workers":    {fleet24(), playFallingWorkers},
 	"many-runs":          {busy(), playManyRuns},
@@ -269,3 +271,39 @@
 		d.judge.broken("LOST", "job %s has not ended", p.ID)
 	}
 }
+
+// Figures of the case of bulk jobs.
+const (
+	bulkJobs  = 200
+	bulkTasks = 10_000
+	bulkLanes = 4 // consumers that hand them in
+)
+
+// playBulkJobs lets consumers hand in large jobs and cancel them soon after, and then kills the owner.
+func playBulkJobs(d *deployment, trouble bool) {
+	c := newConsumer(d, queueHost, queuePath)
+	var lanes sync.WaitGroup
+	for range bulkLanes {
+		lanes.Go(func() {
+			for range bulkJobs / bulkLanes {
+				p := &plan{ID: newID(), Spec: "bulk", Steps: []step{{Count: bulkTasks, CPU: 30000, MemMB: 500, Work: time.Second}}}
+				if c.submit(p) == http.StatusOK {
+					time.Sleep(200 * time.Millisecond)
+					c.cancel(p.ID)
+				}
+			}
+		})
+	}
+	lanes.Wait()
+	time.Sleep(5 * time.Second)
+	if p := d.owner(); p != nil {
+		d.judge.note("the owner %s uses %d MB of %d", p.node, residentMB(p.pid()), d.memory)
+		if trouble {
+			d.judge.note("TROUBLE the owner's process %s is killed", p.node)
+			p.kill()
+		}
+	}
+	accepted := watchOrdinary(c, 10*time.Second)
+	judgeStuck(d, accepted)
+	d.judge.note("%d times a daemon was killed for its memory", d.killed)
+}
