--- a/review/rig/judge.go
+++ b/review/rig/judge_test.go
@@ -1,4 +1,4 @@
-package main
+package rig
 
 import (
 	"fmt"
--- a/review/rig/main.go
+++ b/review/rig/main_test.go
@@ -1,14 +1,16 @@
-// Command rig plays the cases of the review: the project's daemons as separate processes, with stand-ins of the
-// platform's store, its machines, workers and consumers, all on loopback addresses.
-package main
+// Package rig plays the cases of the review: the project's daemons as separate processes, with stand-ins of the
+// platform's store, its machines, workers and consumers, all on loopback addresses. It is built as a test program by
+// review/build-2.sh, as the project's import rule allows the platform's names and child processes in tests alone.
+package rig
 
 import (
-	"flag"
 	"fmt"
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
+	"testing"
 	"time"
 )
 
@@ -149,28 +151,35 @@
 // caseFunc plays a case on a deployment. trouble is false if the disruption is left out.
 type caseFunc func(d *deployment, trouble bool)
 
-func main() {
-	name := flag.String("case", "", "name of the case")
-	recordFile := flag.String("record", "record.txt", "file for the record")
-	keep := flag.Bool("keep", false, "keep the temporary folder with the logs")
-	seed := flag.Uint64("seed", 1, "seed of the soak")
-	flag.Parse()
-	soakSeed = *seed
-	c, ok := cases[*name]
+// TestMain plays the case that REVIEW_CASE names, and writes the record to the file in REVIEW_RECORD. Without a case it
+// runs the tests, of which there are none.
+func TestMain(m *testing.M) {
+	name := os.Getenv("REVIEW_CASE")
+	if name == "" {
+		os.Exit(m.Run())
+	}
+	c, ok := cases[name]
 	if !ok {
-		fmt.Fprintf(os.Stderr, "unknown case %q\n", *name)
+		fmt.Fprintf(os.Stderr, "unknown case %q\n", name)
 		os.Exit(notRun)
 	}
-	out, err := os.Create(*recordFile)
+	soakSeed, _ = strconv.ParseUint(os.Getenv("REVIEW_SEED"), 10, 64)
+	os.Exit(playCase(c))
+}
+
+// playCase plays a case and returns the exit status.
+func playCase(c reviewCase) int {
+	out, err := os.Create(os.Getenv("REVIEW_RECORD"))
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(notRun)
+		return notRun
 	}
+	defer out.Close()
 	j := newJudge(out)
 	d, err := deploy(c.options, j)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
-		os.Exit(notRun)
+		return notRun
 	}
 	signals := make(chan os.Signal, 1)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
@@ -184,20 +193,20 @@
 	c.play(d, os.Getenv("TROUBLE") != "0")
 	close(stop)
 	d.end()
+	if os.Getenv("REVIEW_KEEP") == "" {
+		os.RemoveAll(d.dir)
+	} else {
+		fmt.Println("logs in", d.dir)
+	}
 	rules := j.rules()
 	j.note("%d starts, ends %v, rules broken: %v", j.starts, j.ends, rules)
 	fmt.Println("rules broken:", rules)
-	if *keep {
-		fmt.Println("logs in", d.dir)
-	} else {
-		os.RemoveAll(d.dir)
-	}
-	if d.unplayable != "" {
+	switch {
+	case d.unplayable != "":
 		fmt.Fprintln(os.Stderr, d.unplayable)
-		os.Exit(notRun)
-	}
-	if len(rules) > 0 {
-		os.Exit(ruleBroken)
+		return notRun
+	case len(rules) > 0:
+		return ruleBroken
 	}
-	os.Exit(ruleHeld)
+	return ruleHeld
 }
