--- a/jobs/job/job.go
+++ b/jobs/job/job.go
@@ -138,6 +138,12 @@
 	Index      int
 }
 
+// Has reports whether the job has the task with the given ID.
+func (j *Job) Has(id TaskID) bool {
+	return id.Occurrence >= 0 && id.Occurrence < j.Occurrences() && id.Step >= 0 && id.Step < len(j.Steps) &&
+		id.Index >= 0 && id.Index < j.Steps[id.Step].Count
+}
+
 // String returns the ID in the form JOB.OCCURRENCE.STEP.INDEX.
 func (t TaskID) String() string {
 	b := make([]byte, 0, idLength+len(".0.0.00")+8)
--- a/jobs/owner/admission.go
+++ b/jobs/owner/admission.go
@@ -64,11 +64,11 @@
 
 // decideByPool decides whether the job's pool can start it in time.
 func (c *Core) decideByPool(spec *job.Job, now time.Time) admission.Decision {
-	ctl := c.admission.controllers[c.newJobState(spec, now).service]
+	ctl := c.admission.controllers[c.unacceptedJob(spec, now).service]
 	if ctl == nil || !ctl.IsCongested() {
 		return admission.Decision{}
 	}
-	j := c.newJobState(spec, ctl.FirstAttempt(string(spec.ID), now))
+	j := c.unacceptedJob(spec, ctl.FirstAttempt(string(spec.ID), now))
 	j.overShare = c.shares.IsExceeded(spec.Tenant, now)
 	e := c.queueEntryOf(j, now)
 	factor := c.pool(j.service).estimateRatio.factor()
@@ -91,9 +91,9 @@
 	return ctl != nil && ctl.SettleRefusal(string(j.spec.ID))
 }
 
-// newJobState returns the state of a job that is not accepted, as if it were accepted at the given
+// unacceptedJob returns the state of a job that is not accepted, as if it were accepted at the given
 // time.
-func (c *Core) newJobState(spec *job.Job, acceptedAt time.Time) *jobState {
+func (c *Core) unacceptedJob(spec *job.Job, acceptedAt time.Time) *jobState {
 	accepted := *spec
 	accepted.AcceptedAt = acceptedAt
 	j := &jobState{spec: &accepted}
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -53,13 +53,12 @@
 // end.
 func (c *Core) applyEnd(w *worker, j *jobState, e RunEnd, now time.Time) {
 	delete(w.unknownRuns, e.Task)
-	c.createOccurrences(j, e.Task.Occurrence)
-	s := j.step(e.Task.Occurrence, e.Task.Step)
-	if s == nil || e.Task.Index >= len(s.tasks) {
+	t := c.taskOfEnd(w, j, e.Task)
+	if t == nil {
 		c.logDecision(Decision{Event: "end-of-unknown-task", Task: e.Task.String(), Worker: w.Worker})
 		return
 	}
-	t := s.tasks[e.Task.Index]
+	s := t.step
 	r := t.findRun(e.Run, w)
 	j.started = j.started || s.endProvesStart(e.Kind)
 	c.updatePendingCount(j)
@@ -95,6 +94,24 @@
 	c.changedServices[j.service] = true
 }
 
+// taskOfEnd returns the task of a run end that a worker lists, nil if the job has no such task or its steps were
+// freed. The task of a run that was adopted after that is known to the worker alone.
+func (c *Core) taskOfEnd(w *worker, j *jobState, id job.TaskID) *task {
+	if r := w.runs[id]; r != nil {
+		return r.task
+	}
+	if !j.spec.Has(id) {
+		return nil
+	}
+	if !j.state.Final() {
+		c.createOccurrences(j, id.Occurrence)
+	}
+	if s := j.step(id.Occurrence, id.Step); s != nil {
+		return s.tasks[id.Index]
+	}
+	return nil
+}
+
 // onTaskDone completes the task, or all tasks of a gang, and stops its other runs. doneBy is the
 // run that completed it; nil if it is not known. Long-running tasks are never done.
 func (c *Core) onTaskDone(t *task, doneBy *run, now time.Time) {
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -7,24 +7,61 @@
 	"github.com/postmount/postmount/jobs/job"
 )
 
-// loadJob adds a job that was in the store when this term began.
+// loadJob adds a job that was in the store when this term began. No steps are created for a job that has ended or
+// was cancelled: the store keeps ended jobs for long, and each may have thousands of tasks.
 func (c *Core) loadJob(l StoredJob, now time.Time) {
-	j := c.addJob(l.Job, now)
+	j := newJobState(l.Job, now)
 	j.inherited = true
 	j.loadedFromStore = true
 	if l.Progress != nil {
-		c.restoreProgress(j, l.Progress, now)
-		c.failIfCrashesConclusive(j, now)
+		j.version, j.storedVersion = 1, 1
+		j.restoreServices(l.Progress.OtherServices)
+	}
+	if l.Progress != nil && l.Progress.State.Final() {
+		c.loadEndedJob(j, l.Progress, now)
+		return
 	}
+	c.addOpenJob(j)
 	if l.Cancelled {
 		c.Cancel(j.spec.ID, now)
+		return
+	}
+	c.createDueOccurrences(j, now)
+	if l.Progress != nil {
+		c.restoreProgress(j, l.Progress)
+		c.failIfCrashesConclusive(j, now)
 	}
 }
 
-// restoreProgress applies the stored progress p to the job.
-func (c *Core) restoreProgress(j *jobState, p *job.Progress, now time.Time) {
-	j.version, j.storedVersion = 1, 1
-	j.restoreServices(p.OtherServices)
+// loadEndedJob adds a job whose end is stored as p. It is kept for its callers, and for runs that workers still have.
+func (c *Core) loadEndedJob(j *jobState, p *job.Progress, now time.Time) {
+	c.jobs[j.spec.ID] = j
+	if c.catalog != nil {
+		j.applyQueueSettings(c.catalog)
+	}
+	j.state = p.State
+	j.endedAt = p.EndedAt
+	if p.EndedAt.IsZero() || p.EndedAt.After(now) { // it is not known, or the owners' clocks differ
+		j.endedAt = now
+	}
+	c.restoreCause(j, p.Cause)
+	c.endedBeforeTerm = append(c.endedBeforeTerm, j)
+}
+
+// forgetEndedSteps frees the specifications of the steps of jobs that had ended before this term. They are needed as
+// long as a worker may have runs of an earlier owner.
+func (c *Core) forgetEndedSteps(now time.Time) {
+	if len(c.endedBeforeTerm) == 0 || !c.earlierLeasesExpired(now) {
+		return
+	}
+	for _, j := range c.endedBeforeTerm {
+		c.dropSteps(j)
+	}
+	c.endedBeforeTerm = nil
+}
+
+// restoreProgress applies the stored progress p to an open job.
+func (c *Core) restoreProgress(j *jobState, p *job.Progress) {
 	for _, sp := range p.Steps {
 		c.createOccurrences(j, sp.Occurrence)
 		s := j.step(sp.Occurrence, sp.Step)
@@ -45,14 +82,6 @@
 		}
 		j.started = true
 	}
-	if p.State.Final() {
-		j.state = p.State
-		j.endedAt = now
-		j.storedVersion = j.version
-		c.restoreCause(j, p.Cause)
-		delete(c.openJobs, j.spec.ID)
-		delete(c.dirtyJobs, j.spec.ID)
-	}
 	c.updatePendingCount(j)
 }
 
@@ -93,7 +122,9 @@
 		c.logDecision(Decision{Event: "job-withheld", Job: spec.ID, Reason: "its records cannot be read, and some of its tasks may be done"})
 		return
 	}
-	j := c.addJob(spec, now)
+	j := newJobState(spec, now)
+	c.addOpenJob(j)
+	c.createDueOccurrences(j, now)
 	// The previous owner may not know yet that it was replaced, and may have started the job.
 	j.inherited = c.opt.Term > 1 && now.Sub(c.startedAt) < max(submitHandoverWindow, c.opt.PriorLeaseLeft)
 	c.logDecision(Decision{Event: "job-known", Job: spec.ID, Reason: j.service})
@@ -108,18 +139,21 @@
 	}
 }
 
-// addJob adds a job and creates its due occurrences.
-func (c *Core) addJob(spec *job.Job, now time.Time) *jobState {
+// newJobState returns the state of a job that became known at now, with the queue's settings of its acceptance.
+func newJobState(spec *job.Job, now time.Time) *jobState {
 	j := &jobState{spec: spec, queue: spec.QueueWhenAccepted(), service: spec.Service, state: job.Queued, knownAt: now}
-	c.jobs[spec.ID] = j
-	c.openJobs[spec.ID] = j
-	c.refreshQueue(j)
 	j.criticalPath, j.work = estimateCriticalPathAndWork(spec)
-	c.updatePendingCount(j)
-	c.createDueOccurrences(j, now)
 	return j
 }
 
+// addOpenJob adds a job without its occurrences.
+func (c *Core) addOpenJob(j *jobState) {
+	c.jobs[j.spec.ID] = j
+	c.openJobs[j.spec.ID] = j
+	c.refreshQueue(j)
+	c.updatePendingCount(j)
+}
+
 // isLongRunning reports whether the job runs until it is cancelled. Its tasks are never done, so
 // once all leases under which they may run have expired, it is certain that they do not run.
 func (j *jobState) isLongRunning() bool {
--- a/jobs/owner/records.go
+++ b/jobs/owner/records.go
@@ -102,7 +102,7 @@
 // kept, as its state may be queried for long: of 5,400 jobs in half a minute, all but the open
 // ones are kept only for that.
 func (c *Core) dropSteps(j *jobState) {
-	if j.stepsDropped || !j.state.Final() || j.storedVersion < j.version || c.hasRuns(j) {
+	if j.stepsDropped || !j.state.Final() || j.storedVersion < j.version || j.runs > 0 {
 		return
 	}
 	j.stepsDropped = true
@@ -185,7 +185,7 @@
 		if !j.state.Final() || j.storedVersion < j.version || now.Sub(j.endedAt) < 2*c.opt.StatusRetention {
 			continue
 		}
-		if c.hasRuns(j) {
+		if j.runs > 0 {
 			continue
 		}
 		delete(c.jobs, id)
@@ -193,14 +193,3 @@
 	}
 	return out
 }
-
-func (c *Core) hasRuns(j *jobState) bool {
-	for _, s := range j.steps {
-		for _, t := range s.tasks {
-			if len(t.runs) > 0 {
-				return true
-			}
-		}
-	}
-	return false
-}
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -237,6 +237,7 @@
 	c.stopStalledRuns(now)
 	c.sendDueHolds(now)
 	c.createAllDueOccurrences(now)
+	c.forgetEndedSteps(now)
 	c.throttleFillers(now)
 	c.advanceWaves(now)
 	c.resizePools(now)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -186,6 +186,7 @@
 	band               priorityBand // as of the last scheduling pass
 
 	overShare        bool // its tenant had used up its share when the job was accepted
+	runs             int  // known runs of its tasks
 	started          bool // a worker confirmed that one of its tasks started
 	waitLogged       bool // a job-waits line was logged
 	endedAt          time.Time
@@ -321,6 +322,7 @@
 	jobs                   map[job.ID]*jobState
 	withheldJobs           map[job.ID]bool
 	openJobs               map[job.ID]*jobState // not final, or not stored as final
+	endedBeforeTerm        []*jobState          // whose steps are needed as long as workers may have runs of earlier owners
 	workers                workerSet
 	unknownServiceWorkers  map[WorkerID]Registration // registrations for services not configured
 	workersByService       serviceWorkers
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -1,14 +1,17 @@
 package owner
 
-import "time"
+import (
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
 
 // adoptRun takes over a listed run that an earlier owner started. It stops the run if its task
 // is done or already has another run, or if the job has no such task.
 func (c *Core) adoptRun(w *worker, j *jobState, a ActiveRun, now time.Time) {
 	delete(w.unknownRuns, a.Task)
-	c.createOccurrences(j, a.Task.Occurrence)
-	s := j.step(a.Task.Occurrence, a.Task.Step)
-	if s == nil || a.Task.Index >= len(s.tasks) {
+	t := c.taskToAdopt(j, a.Task)
+	if t == nil {
 		c.stopUnexpectedRun(w, a, "the job has no such task, or has ended")
 		return
 	}
@@ -16,7 +19,7 @@
 		c.stopUnexpectedRun(w, a, "this owner has already released the run")
 		return
 	}
-	t := s.tasks[a.Task.Index]
+	s := t.step
 	r := &run{task: t, number: a.Run, worker: w, phase: running, sentAt: now, confirmedAt: now, progressAt: now, percent: a.Percent, throttlePercent: 100, startConfirmed: true}
 	if s.spec.Filler {
 		r.throttlePercent = unknownThrottle // the earlier owner may have throttled it
@@ -37,6 +40,23 @@
 	}
 }
 
+// taskToAdopt returns the task of a run that a worker lists, nil if the job has no such task or its steps are not
+// known any more. For a job without tasks, as it has ended, it returns a task of its own that is done: the run holds
+// its resources until it has been stopped.
+func (c *Core) taskToAdopt(j *jobState, id job.TaskID) *task {
+	if !j.spec.Has(id) {
+		return nil
+	}
+	if !j.state.Final() {
+		c.createOccurrences(j, id.Occurrence)
+	}
+	if s := j.step(id.Occurrence, id.Step); s != nil {
+		return s.tasks[id.Index]
+	}
+	s := &stepState{job: j, spec: &j.spec.Steps[id.Step], occurrence: id.Occurrence, index: id.Step}
+	return &task{step: s, index: id.Index, done: true}
+}
+
 // stopUnexpectedRun stops a listed run that must not continue and is not tracked by this core.
 func (c *Core) stopUnexpectedRun(w *worker, a ActiveRun, reason string) {
 	c.logDecision(Decision{Event: "run-unexpected", Job: a.Task.Job, Task: a.Task.String(), Worker: w.Worker, Run: a.Run, Reason: reason})
--- a/jobs/owner/tenants.go
+++ b/jobs/owner/tenants.go
@@ -89,13 +89,27 @@
 		if !j.inherited || !c.tenantUsage.HasLimit(j.spec.Tenant) {
 			continue
 		}
-		for _, s := range j.steps {
-			out[j.spec.Tenant] = out[j.spec.Tenant].Add(s.spec.Need.Times(s.withoutRun))
-		}
+		out[j.spec.Tenant] = out[j.spec.Tenant].Add(j.mayRunUnknown())
 	}
 	return out
 }
 
+// mayRunUnknown returns the resources of the job's tasks that an earlier owner may have started and that are not known
+// to run. No steps are kept of a job that was cancelled before it was loaded.
+func (j *jobState) mayRunUnknown() job.Resources {
+	var sum job.Resources
+	if j.state.Final() && len(j.steps) == 0 {
+		for i := range j.spec.Steps {
+			sum = sum.Add(j.spec.Steps[i].Need.Times(j.spec.Steps[i].Count))
+		}
+		return sum
+	}
+	for _, s := range j.steps {
+		sum = sum.Add(s.spec.Need.Times(s.withoutRun))
+	}
+	return sum
+}
+
 // withinTenantLimit reports whether n more tasks of the step may start under the tenant's limit.
 // If not, their waiting time is recorded, but they do not count as demand and preempt nothing.
 func (p *schedulingPass) withinTenantLimit(s *stepState, n int) bool {
--- a/jobs/owner/workerview.go
+++ b/jobs/owner/workerview.go
@@ -90,6 +90,7 @@
 		t.step.withoutRun--
 	}
 	t.runs = append(t.runs, r)
+	t.step.job.runs++
 	r.worker.addRun(r)
 }
 
@@ -101,6 +102,7 @@
 		return false
 	}
 	t.runs = slices.Delete(t.runs, i, i+1)
+	t.step.job.runs--
 	if len(t.runs) == 0 && !t.done {
 		t.step.withoutRun++
 	}
