--- a/jobs/job/job.go
+++ b/jobs/job/job.go
@@ -121,6 +121,15 @@
 // Occurrences returns how many times the steps run.
 func (j *Job) Occurrences() int { return max(1, j.Repeat) }
 
+// TasksPerOccurrence returns the number of tasks of one occurrence.
+func (j *Job) TasksPerOccurrence() int {
+	n := 0
+	for i := range j.Steps {
+		n += j.Steps[i].Count
+	}
+	return n
+}
+
 // Due returns the earliest start of occurrence k, counted from 0; the zero time for a job
 // that does not repeat.
 func (j *Job) Due(k int) time.Time {
--- a/jobs/job/progress.go
+++ b/jobs/job/progress.go
@@ -9,8 +9,10 @@
 // Progress is the stored state of a job apart from its submission. Only the owner writes it.
 type Progress struct {
 	State State
-	// Steps is sorted by occurrence, then step. A missing entry means that none of the step's
-	// tasks has ended.
+	// DoneOccurrences are occurrences of which all tasks are done.
+	DoneOccurrences Ranges `json:",omitempty"`
+	// Steps are those of other occurrences, sorted by occurrence, then step. A missing entry means that none
+	// of the step's tasks has ended. Records written by earlier versions contain done occurrences as well.
 	Steps []StepProgress `json:",omitempty"`
 	// OtherServices are the services, besides that of the job's acceptance, on whose workers its tasks may
 	// run, as operators moved its queue there. A service is stored before the first start on its workers.
@@ -22,6 +24,26 @@
 	Cause string `json:",omitempty"`
 }
 
+// rangesMarker is the occurrence of an entry in Steps that versions without DoneOccurrences take for invalid. They
+// would run done occurrences again; instead they withhold the job.
+const rangesMarker = -1
+
+// SetDoneOccurrences sets DoneOccurrences. It is called before Steps are added.
+func (p *Progress) SetDoneOccurrences(done Ranges) {
+	if len(done) > 0 {
+		p.DoneOccurrences = slices.Clone(done)
+		p.Steps = []StepProgress{{Occurrence: rangesMarker}}
+	}
+}
+
+// OpenSteps returns Steps without the marker for earlier versions.
+func (p *Progress) OpenSteps() []StepProgress {
+	if len(p.DoneOccurrences) > 0 && len(p.Steps) > 0 && p.Steps[0].Occurrence == rangesMarker {
+		return p.Steps[1:]
+	}
+	return p.Steps
+}
+
 // maxCauseBytes bounds the stored cause of a failure. Each new owner reads the records of all jobs.
 const maxCauseBytes = 512
 
--- a/jobs/job/validate.go
+++ b/jobs/job/validate.go
@@ -82,7 +82,10 @@
 	default:
 		return fmt.Errorf("unknown state %q", p.State)
 	}
-	for _, s := range p.Steps {
+	if err := p.DoneOccurrences.validate(j.Occurrences()); err != nil {
+		return fmt.Errorf("done occurrences: %w", err)
+	}
+	for _, s := range p.OpenSteps() {
 		if s.Occurrence < 0 || s.Occurrence >= j.Occurrences() || s.Step < 0 || s.Step >= len(j.Steps) {
 			return fmt.Errorf("progress is of step %d in occurrence %d, which the job does not have", s.Step, s.Occurrence)
 		}
--- a/jobs/node/calllimiter.go
+++ b/jobs/node/calllimiter.go
@@ -17,6 +17,8 @@
 	// lossyHoldsPerCoreSecond limits the holds per second and CPU core on a lossy link, where each
 	// hold is kept short. It is a tenth of the calls that a CPU core can make.
 	lossyHoldsPerCoreSecond = 1000
+	// catchUpTasksPerCoreSecond limits the tasks of overdue schedules per second and CPU core: the same share.
+	catchUpTasksPerCoreSecond = 1000
 	// minSlots is the minimum, so that a daemon with very little CPU makes progress.
 	minSlots = 4
 	// startsPerSlot is how many starts owner.Core may have pending per slot: one in flight, the
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -94,8 +94,8 @@
 	c.changedServices[j.service] = true
 }
 
-// taskOfEnd returns the task of a run end that a worker lists, nil if the job has no such task or its steps were
-// freed. The task of a run that was adopted after that is known to the worker alone.
+// taskOfEnd returns the task of a run end that a worker lists, nil if the job has no such task or its state is not
+// kept, as the job has ended or the occurrence is done. The task of a run that was adopted after that is known to the worker alone.
 func (c *Core) taskOfEnd(w *worker, j *jobState, id job.TaskID) *task {
 	if r := w.runs[id]; r != nil {
 		return r.task
@@ -104,7 +104,7 @@
 		return nil
 	}
 	if !j.state.Final() {
-		c.createOccurrences(j, id.Occurrence)
+		c.openOccurrence(j, id.Occurrence)
 	}
 	if s := j.step(id.Occurrence, id.Step); s != nil {
 		return s.tasks[id.Index]
@@ -221,5 +221,6 @@
 	c.markWorkerChanged(r.worker)
 	c.changedServices[r.worker.Service] = true
 	c.queueForPlacement(r.task.step.job)
+	c.closeIfDone(r.task.step.job, r.task.step.occurrence)
 	c.dropSteps(r.task.step.job)
 }
--- a/jobs/owner/health.go
+++ b/jobs/owner/health.go
@@ -153,9 +153,9 @@
 	j.criticalPathLeft = j.remainingCriticalPath()
 }
 
-// remainingWork returns the core-seconds of the job that are not done, by the estimates.
+// remainingWork returns the core-seconds of the due occurrences that are not done, by the estimates.
 func (j *jobState) remainingWork() float64 {
-	sum := 0.0
+	sum := float64(j.overdue) * j.work
 	for _, s := range j.steps {
 		sum += float64(s.remaining) * float64(s.spec.Need.CPUMilli) / 1000 * s.spec.Estimate.Seconds()
 	}
@@ -163,7 +163,7 @@
 }
 
 // remainingCriticalPath returns the estimated duration of the longest chain of dependent steps
-// that are not done, over all occurrences.
+// that are not done, over all open occurrences.
 func (j *jobState) remainingCriticalPath() time.Duration {
 	n := len(j.spec.Steps)
 	var longest time.Duration
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -26,11 +26,13 @@
 		c.Cancel(j.spec.ID, now)
 		return
 	}
-	c.createDueOccurrences(j, now)
 	if l.Progress != nil {
 		c.restoreProgress(j, l.Progress)
 		c.failIfCrashesConclusive(j, now)
 	}
+	if !j.state.Final() {
+		c.createDueOccurrences(j, now)
+	}
 }
 
 // loadEndedJob adds a job whose end is stored as p. It is kept for its callers, and for runs that workers still have.
@@ -62,8 +64,11 @@
 
 // restoreProgress applies the stored progress p to an open job.
 func (c *Core) restoreProgress(j *jobState, p *job.Progress) {
-	for _, sp := range p.Steps {
-		c.createOccurrences(j, sp.Occurrence)
+	j.doneOccurrences = slices.Clone(p.DoneOccurrences)
+	j.advanceNextOccurrence()
+	j.started = len(p.DoneOccurrences) > 0
+	for _, sp := range p.OpenSteps() {
+		c.openOccurrence(j, sp.Occurrence)
 		s := j.step(sp.Occurrence, sp.Step)
 		if s == nil {
 			continue
@@ -77,11 +82,12 @@
 			c.restoreCrashes(t, sp.Crashed[t.index])
 			c.restoreAcceptedStarts(t, sp.Accepted[t.index])
 			if sp.Done.Has(t.index) {
-				c.completeTask(t)
+				c.markTaskDone(t)
 			}
 		}
 		j.started = true
 	}
+	j.updateRemaining()
 	c.updatePendingCount(j)
 }
 
@@ -203,52 +209,17 @@
 	return criticalPath, work
 }
 
-// createDueOccurrences creates the occurrences of the job that are due, and schedules the
-// check for the next one.
-func (c *Core) createDueOccurrences(j *jobState, now time.Time) {
-	for j.nextOccurrence < j.spec.Occurrences() && !j.spec.Due(j.nextOccurrence).After(now) {
-		c.createOccurrences(j, j.nextOccurrence)
-	}
-	if j.nextOccurrence < j.spec.Occurrences() {
-		c.occurrencesDue.add(j.spec.Due(j.nextOccurrence), j)
-	}
-}
-
-// createAllDueOccurrences creates the due occurrences of all jobs.
-func (c *Core) createAllDueOccurrences(now time.Time) {
-	for _, j := range c.occurrencesDue.popAllDue(now) {
-		if c.openJobs[j.spec.ID] == j && !j.state.Final() {
-			c.createDueOccurrences(j, now)
-		}
-	}
-}
-
-// createOccurrences creates the steps of all occurrences up to and including k.
-func (c *Core) createOccurrences(j *jobState, k int) {
-	if k >= j.spec.Occurrences() {
-		return
-	}
-	for ; j.nextOccurrence <= k; j.nextOccurrence++ {
-		for i := range j.spec.Steps {
-			s := &stepState{job: j, spec: &j.spec.Steps[i], occurrence: j.nextOccurrence, index: i}
-			s.remaining, s.withoutRun = s.spec.Count, s.spec.Count
-			s.openDependencies = len(s.spec.After)
-			for n := range s.spec.Count {
-				s.tasks = append(s.tasks, &task{step: s, index: n})
-			}
-			j.steps = append(j.steps, s)
-		}
+// completeTask marks a task as done and updates the work that is left.
+func (c *Core) completeTask(t *task) {
+	if !t.done {
+		c.markTaskDone(t)
+		t.step.job.updateRemaining()
 	}
-	j.updateRemaining()
-	c.queueForPlacement(j)
 }
 
-// completeTask marks a task as done. If it was the last one of its step, the steps that
+// markTaskDone marks a task as done that is not. If it was the last one of its step, the steps that
 // depend on it are unblocked.
-func (c *Core) completeTask(t *task) {
-	if t.done {
-		return
-	}
+func (c *Core) markTaskDone(t *task) {
 	t.done = true
 	t.checkpoint = ""
 	t.crashes, t.crashDetails = nil, nil
@@ -258,7 +229,6 @@
 	if len(t.runs) == 0 {
 		s.withoutRun--
 	}
-	j.updateRemaining()
 	if s.remaining > 0 {
 		return
 	}
@@ -270,6 +240,7 @@
 		}
 	}
 	c.queueForPlacement(j)
+	c.closeIfDone(j, s.occurrence)
 }
 
 // finishIfDone completes a job once all its occurrences are done.
--- a/jobs/owner/records.go
+++ b/jobs/owner/records.go
@@ -131,6 +131,7 @@
 	}
 	p.State = job.Running
 	p.OtherServices = j.otherServiceNames()
+	p.SetDoneOccurrences(j.doneOccurrences)
 	for _, s := range j.steps {
 		sp := job.StepProgress{Occurrence: s.occurrence, Step: s.index}
 		hasProgress := false
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -150,7 +150,10 @@
 	entries := pool.entries[:0]
 	for _, j := range pool.placementQueue {
 		if !j.inherited || takenOver && c.inheritedRunsKnown(j, now) || leasesExpired && j.isLongRunning() {
-			if j.state.Final() || j.service != service || !mayNeedPlacement(j) {
+			if j.overdue > 0 && !j.state.Final() {
+				c.createDueOccurrences(j, now)
+			}
+			if j.state.Final() || j.service != service || !mayNeedPlacement(j) && j.overdue == 0 {
 				j.clearQueued(service)
 				continue
 			}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -35,6 +35,8 @@
 	MaxOutstandingStarts int           // limit of starts without an outcome; 0: no limit
 	Weights              capacity.Weights
 	MaxMovesPerSec       float64 // moves per second that the platform accepts; 0: no limit
+	// CatchUpTasksPerSec limits the tasks per second of occurrences that have been due for long; 0: no limit.
+	CatchUpTasksPerSec float64
 	// ToleratedZones is how many availability zones may be lost at the same time. If it is positive,
 	// pools are spread over the zones.
 	ToleratedZones   int
@@ -158,6 +160,7 @@
 	tasks            []*task
 	remaining        int          // tasks not done
 	withoutRun       int          // tasks neither done nor with a run
+	runs             int          // known runs of its tasks
 	openDependencies int          // steps it depends on that are not done
 	failures         job.Failures // of the gang as a whole
 	permits          *permits     // nil: the advisor was not asked
@@ -178,8 +181,11 @@
 	queue              job.Queue    // latest known settings of its queue
 	service            string       // current service of its queue
 	otherServices      []jobService // besides that of its acceptance, those on whose workers its tasks may run
-	steps              []*stepState // ordered by occurrence, then step
-	nextOccurrence     int          // first occurrence that was not created yet
+	steps              []*stepState // of the open occurrences, ordered by occurrence, then step
+	doneOccurrences    job.Ranges   // of a job that repeats
+	nextOccurrence     int          // first occurrence that is neither open nor done
+	overdue            int          // occurrences that are due and were not created yet; see countOverdue
+	dueTimerSet        bool         // in occurrencesDue
 	state              job.State
 	queuedForPlacement bool         // in its pool's placement queue
 	countedPending     bool         // counted in pendingPerQueue
@@ -206,15 +212,6 @@
 	ackWaiters       []*worker     // workers with ends to acknowledge once the job is stored
 }
 
-// step returns a step of an occurrence, nil if it does not exist or was not created yet.
-func (j *jobState) step(occurrence, index int) *stepState {
-	n := occurrence*len(j.spec.Steps) + index
-	if occurrence < 0 || index < 0 || index >= len(j.spec.Steps) || n >= len(j.steps) {
-		return nil
-	}
-	return j.steps[n]
-}
-
 // unackedEnd is a run end that is acknowledged once version of job is stored.
 type unackedEnd struct {
 	seq     uint64
@@ -322,7 +319,8 @@
 	jobs                   map[job.ID]*jobState
 	withheldJobs           map[job.ID]bool
 	openJobs               map[job.ID]*jobState // not final, or not stored as final
-	endedBeforeTerm        []*jobState          // whose steps are needed as long as workers may have runs of earlier owners
+	catchUp                catchUpBudget
+	endedBeforeTerm        []*jobState // whose steps are needed as long as workers may have runs of earlier owners
 	workers                workerSet
 	unknownServiceWorkers  map[WorkerID]Registration // registrations for services not configured
 	workersByService       serviceWorkers
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -41,14 +41,14 @@
 }
 
 // taskToAdopt returns the task of a run that a worker lists, nil if the job has no such task or its steps are not
-// known any more. For a job without tasks, as it has ended, it returns a task of its own that is done: the run holds
-// its resources until it has been stopped.
+// known any more. If the state of the task is not kept, as its job has ended or its occurrence is done, it returns a
+// task of its own that is done: the run holds its resources until it has been stopped.
 func (c *Core) taskToAdopt(j *jobState, id job.TaskID) *task {
 	if !j.spec.Has(id) {
 		return nil
 	}
 	if !j.state.Final() {
-		c.createOccurrences(j, id.Occurrence)
+		c.openOccurrence(j, id.Occurrence)
 	}
 	if s := j.step(id.Occurrence, id.Step); s != nil {
 		return s.tasks[id.Index]
--- a/jobs/owner/workerview.go
+++ b/jobs/owner/workerview.go
@@ -90,6 +90,7 @@
 		t.step.withoutRun--
 	}
 	t.runs = append(t.runs, r)
+	t.step.runs++
 	t.step.job.runs++
 	r.worker.addRun(r)
 }
@@ -102,6 +103,7 @@
 		return false
 	}
 	t.runs = slices.Delete(t.runs, i, i+1)
+	t.step.runs--
 	t.step.job.runs--
 	if len(t.runs) == 0 && !t.done {
 		t.step.withoutRun++
