--- a/jobs/ledger/term.go
+++ b/jobs/ledger/term.go
@@ -163,6 +163,21 @@
 	return n
 }
 
+// ReserveTerm returns the put that reserves the owner's next term, for Write: the term of the next owner is a later one.
+// Each term is reserved by a write of its own, as termNumber assumes.
+func ReserveTerm(number uint64) Put {
+	return Put{Key: keyTerm, Value: []byte(strconv.FormatUint(number, 10))}
+}
+
+// ReservedTerm returns the term that the put reserves; ok is false if it reserves none.
+func (p *Put) ReservedTerm() (number uint64, ok bool) {
+	if p.Key != keyTerm {
+		return 0, false
+	}
+	number, err := strconv.ParseUint(string(p.Value), 10, 64)
+	return number, err == nil
+}
+
 // ReadLock returns the owner's lock; held is false if there is no owner. Then revision is 0, or
 // that of an invalid value of the lock's key, which an election replaces.
 func ReadLock(ctx context.Context, s Store) (l Lock, revision int64, held bool, err error) {
--- a/jobs/ledger/term_test.go
+++ b/jobs/ledger/term_test.go
@@ -90,6 +90,28 @@
 	})
 }
 
+// TestNextOwnerBeginsBehindReservedTerms guards against two owners with the same run numbers.
+func TestNextOwnerBeginsBehindReservedTerms(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := jobfleet.NewStore().Client("d", &jobfleet.Gate{}, noFailure)
+		first := elect(t, s, "d1")
+		require.EqualValues(t, 1, first.Number)
+		for number := uint64(2); number <= 4; number++ {
+			put := ledger.ReserveTerm(number)
+			reserved, ok := put.ReservedTerm()
+			require.True(t, ok)
+			require.Equal(t, number, reserved)
+			require.NoError(t, first.Write(t.Context(), []ledger.Put{put}, nil, nil))
+		}
+		require.NoError(t, first.Release(t.Context(), nil, nil, nil))
+		second := elect(t, s, "d2")
+		assert.EqualValues(t, 5, second.Number)
+		require.Error(t, first.Write(t.Context(), []ledger.Put{ledger.ReserveTerm(9)}, nil, nil))
+		require.NoError(t, second.Release(t.Context(), nil, nil, nil))
+		assert.EqualValues(t, 6, elect(t, s, "d3").Number)
+	})
+}
+
 // TestRevocationIsKnownToTheNextOwners: the owners after a term whose lease was revoked know it, for
 // as many terms as may begin before its holder notices.
 func TestRevocationIsKnownToTheNextOwners(t *testing.T) {
--- a/jobs/node/termcommit.go
+++ b/jobs/node/termcommit.go
@@ -19,6 +19,7 @@
 	if t.committing || now.Sub(t.lastCommit) < commitInterval && t.core.DirtyJobs() < commitBacklog && !t.core.HasUrgentRecords() {
 		return
 	}
+	t.reserveTerm()
 	puts := nextPuts(t.pendingPuts, ledger.MaxWriteEntries)
 	var deletes []string
 	records := t.core.PendingRecords(ledger.MaxWriteEntries - len(puts))
@@ -46,6 +47,17 @@
 	go t.writeTxn(puts, deletes, records, pending, orders, t.orders.recent(now))
 }
 
+// reserveTerm adds the put that reserves the next term, if the core will need its run numbers.
+func (t *termRun) reserveTerm() {
+	number, needed := t.core.TermToReserve()
+	if !needed || number == t.reservingTerm {
+		return
+	}
+	t.reservingTerm = number
+	t.n.log.Info("term-reserved", zap.Uint64("term", t.term.Number), zap.Uint64("reserved", number))
+	t.pendingPuts = append(t.pendingPuts, ledger.ReserveTerm(number))
+}
+
 // pendingPuts are the pending puts as a transaction was made: their count, and those that it contains.
 type pendingPuts struct {
 	count   int
@@ -102,6 +114,11 @@
 			return
 		}
 		t.pendingPuts = dropWritten(t.pendingPuts, pending.count, pending.written)
+		for _, p := range pending.written {
+			if number, ok := p.ReservedTerm(); ok {
+				c.OnTermReserved(number)
+			}
+		}
 		c.OnCommitted(records, now)
 		if t.isLeaving() {
 			t.rejectInstanceOrders(c, orders, now)
--- a/jobs/owner/occurrences_test.go
+++ b/jobs/owner/occurrences_test.go
@@ -179,7 +179,7 @@
 	assert.Equal(t, 0, r.out.Starts[0].Task.Occurrence)
 	assert.EqualValues(t, 1, r.core.workers[w].lastAckedEnd)
 	r.confirmStarts()
-	r.answerHold(w, nil, RunEnd{Seq: 2, Task: late, Run: 1_000_007, Kind: EndDone}, RunEnd{Seq: 3, Task: job.TaskID{Job: s.ID}, Run: r.core.lastRun, Kind: EndDone})
+	r.answerHold(w, nil, RunEnd{Seq: 2, Task: late, Run: 1_000_007, Kind: EndDone}, RunEnd{Seq: 3, Task: job.TaskID{Job: s.ID}, Run: r.core.runs.last, Kind: EndDone})
 	r.tick(100 * time.Millisecond)
 	require.Len(t, r.out.Starts, 1)
 	assert.Equal(t, 2, r.out.Starts[0].Task.Occurrence)
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -209,11 +209,6 @@
 	return !t.done && len(t.runs) == 0 && !now.Before(t.notBefore) && !t.isGivenUp()
 }
 
-func (c *Core) nextRunNumber() uint64 {
-	c.lastRun++
-	return c.lastRun
-}
-
 // startRun adds a run of the task and orders the worker to start it.
 func (c *Core) startRun(t *task, w *worker, number uint64, now time.Time) {
 	r := &run{task: t, number: number, worker: w, phase: starting, throttlePercent: 100, firstSentAt: now, sentDuringHold: w.holdInFlight}
--- a/jobs/owner/schedulingpass.go
+++ b/jobs/owner/schedulingpass.go
@@ -64,10 +64,10 @@
 // startsDeferred reports whether the service's starts wait until the start window has headroom.
 func (p *schedulingPass) startsDeferred() bool { return p.core.startWindow.deferred[p.service] }
 
-// deferStarts reports whether the start window is full. If so, it defers the service's starts,
-// so that the service is scheduled again once the window has headroom.
+// deferStarts reports whether no run may be started now: the start window is full, or no run number is left. If so,
+// it defers the service's starts, so that the service is scheduled again once there are.
 func (p *schedulingPass) deferStarts() bool {
-	if !p.core.startWindow.isFull() {
+	if !p.core.startWindow.isFull() && !p.core.runs.isUsedUp() {
 		return false
 	}
 	p.core.startWindow.deferred[p.service] = true
@@ -255,7 +255,7 @@
 		return
 	}
 	s.waitingSince = time.Time{}
-	number := p.core.nextRunNumber()
+	number := p.core.runs.next()
 	for n, i := range chosen {
 		p.startRun(s.tasks[n], view.workers[i], &req, number)
 	}
@@ -326,7 +326,7 @@
 
 // start starts the task on the worker under a new run number.
 func (sel *workerSelector) start(t *task, w *worker) {
-	sel.pass.startRun(t, w, &sel.req, sel.pass.core.nextRunNumber())
+	sel.pass.startRun(t, w, &sel.req, sel.pass.core.runs.next())
 	if sel.stepTasks != nil {
 		sel.stepTasks[w]++
 	}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -45,10 +45,6 @@
 	AdmissionPolicy  admission.Policy // "": as admission.Never
 }
 
-// runsPerTerm is the size of each term's range of run numbers. Runs of term n are numbered from
-// n*runsPerTerm + 1 on.
-const runsPerTerm = 1_000_000
-
 // run is one attempt of a task on a worker.
 type run struct {
 	task                *task
@@ -314,7 +310,7 @@
 type Core struct {
 	opt                    Options
 	fencingToken           uint64
-	lastRun                uint64
+	runs                   runNumbers
 	catalog                *job.Catalog
 	jobs                   map[job.ID]*jobState
 	withheldJobs           map[job.ID]bool
@@ -471,7 +467,7 @@
 	c := &Core{
 		opt:                    opt,
 		fencingToken:           opt.Term,
-		lastRun:                opt.Term * runsPerTerm,
+		runs:                   firstRunNumbers(opt.Term),
 		catalog:                catalog,
 		jobs:                   map[job.ID]*jobState{},
 		withheldJobs:           map[job.ID]bool{},
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -15,7 +15,7 @@
 		c.stopUnexpectedRun(w, a, "the job has no such task, or has ended")
 		return
 	}
-	if a.Run > c.opt.Term*runsPerTerm {
+	if c.runs.isOwn(a.Run) {
 		c.stopUnexpectedRun(w, a, "this owner has already released the run")
 		return
 	}
