Node: ended jobs leave the store as fast as jobs end

What callers saw: nothing yet.

Cause: nine ended jobs were removed every 5 s, only while nothing else was to be written; candidates were searched for among all jobs; those of a failed transaction were forgotten.

Ruled out: the store's limits (a removal shares a transaction that is written anyway).

Change: each transaction removes ended jobs with the entries that its records leave, in the order of the times at which they may go. When idle, nine are sent at once, fewer every 5 s. Removals are kept until they are stored.

TestRemovalWaitsForRuns.

Conclusion: the store holds what ended within twice the retention.

--- a/jobs/ledger/term.go
+++ b/jobs/ledger/term.go
@@ -313,7 +313,10 @@
 	Done  bool
 }
 
-// JobKeys returns all keys that a job may have.
+// KeysPerJob is the number of keys that a job may have.
+const KeysPerJob = 3
+
+// JobKeys returns all keys that a job may have, KeysPerJob of them.
 func JobKeys(id job.ID) []string {
 	return []string{prefixSubmitted + string(id), prefixCancelled + string(id), prefixProgress + string(id)}
 }
--- a/jobs/node/termcommit.go
+++ b/jobs/node/termcommit.go
@@ -8,32 +8,35 @@
 	"go.uber.org/zap"
 
 	"github.com/postmount/postmount/internal/sleep"
+	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
 	"github.com/postmount/postmount/jobs/owner"
 	"github.com/postmount/postmount/verdict"
 )
 
-// commit starts the next transaction if one is due: records and other puts, or else the
-// deletion of expired jobs.
+// commit starts the next transaction if one is due: records and other puts, and the deletion of expired jobs.
 func (t *termRun) commit(now time.Time) {
 	if t.committing || now.Sub(t.lastCommit) < commitInterval && t.core.DirtyJobs() < commitBacklog && !t.core.HasUrgentRecords() {
 		return
 	}
 	t.reserveTerm()
 	puts := nextPuts(t.pendingPuts, ledger.MaxWriteEntries)
-	var deletes []string
 	records := t.core.PendingRecords(ledger.MaxWriteEntries - len(puts))
-	if len(records)+len(puts)+t.orders.pendingCount() == 0 {
-		if now.Sub(t.lastExpire) < expireInterval {
-			return
-		}
-		t.lastExpire = now
-		for _, id := range t.core.RemoveExpired(ledger.MaxWriteEntries/3, now) {
-			deletes = append(deletes, ledger.JobKeys(id)...)
-		}
-		if len(deletes) == 0 {
-			return
-		}
+	nothingToWrite := len(records)+len(puts)+t.orders.pendingCount() == 0
+	if nothingToWrite && !t.removalsDue(now) {
+		return
+	}
+	room := ledger.MaxWriteEntries - len(puts)
+	for _, r := range records {
+		room -= r.TxnEntries()
+	}
+	removals := t.nextRemovals(room/ledger.KeysPerJob, now)
+	var deletes []string
+	for _, id := range removals {
+		deletes = append(deletes, ledger.JobKeys(id)...)
+	}
+	if nothingToWrite && len(deletes) == 0 {
+		return
 	}
 	pending := pendingPuts{len(t.pendingPuts), slices.Clone(puts)}
 	for _, r := range records {
@@ -44,7 +47,30 @@
 	t.committing = true
 	t.lastCommit = now
 	orders := t.orders.take(now)
-	go t.writeTxn(puts, deletes, records, pending, orders, t.orders.recent(now))
+	go t.writeTxn(puts, deletes, records, pending, orders, t.orders.recent(now), len(removals))
+}
+
+// maxRemovals is the largest number of ended jobs that one transaction removes.
+const maxRemovals = ledger.MaxWriteEntries / ledger.KeysPerJob
+
+// removalsDue reports whether ended jobs are to be removed although nothing else is to be written: a whole transaction
+// of them, or fewer now and then, as each call to the store has its price.
+func (t *termRun) removalsDue(now time.Time) bool {
+	waiting := len(t.removals) + t.core.ExpiredJobs(maxRemovals, now)
+	return waiting >= maxRemovals || waiting > 0 && now.Sub(t.lastExpire) >= expireInterval
+}
+
+// nextRemovals returns the ended jobs that the next transaction removes, limit at most. They stay in t.removals until it
+// is stored.
+func (t *termRun) nextRemovals(limit int, now time.Time) []job.ID {
+	if missing := limit - len(t.removals); missing > 0 {
+		t.removals = append(t.removals, t.core.RemoveExpired(missing, now)...)
+	}
+	out := t.removals[:min(max(0, limit), len(t.removals))]
+	if len(out) > 0 {
+		t.lastExpire = now
+	}
+	return out
 }
 
 // reserveTerm adds the put that reserves the next term, if the core will need its run numbers.
@@ -93,7 +119,7 @@
 
 // writeTxn commits a transaction and sends its outcome to the core. Orders for instances are
 // sent only after it has recorded them.
-func (t *termRun) writeTxn(puts []ledger.Put, deletes []string, records []owner.Record, pending pendingPuts, orders []owner.InstanceOrder, recent []owner.RecentOrder) {
+func (t *termRun) writeTxn(puts []ledger.Put, deletes []string, records []owner.Record, pending pendingPuts, orders []owner.InstanceOrder, recent []owner.RecentOrder, removed int) {
 	ctx, cancel := context.WithTimeout(context.Background(), storeTimeout)
 	defer cancel()
 	began := t.n.clock.Now()
@@ -114,6 +140,7 @@
 			return
 		}
 		t.pendingPuts = dropWritten(t.pendingPuts, pending.count, pending.written)
+		t.removals = slices.Clone(t.removals[removed:])
 		for _, p := range pending.written {
 			if number, ok := p.ReservedTerm(); ok {
 				c.OnTermReserved(number)
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -52,6 +52,7 @@
 	lastCommit          time.Time    // when the last transaction started
 	lastStats           time.Time    // when the metrics were last updated
 	lastExpire          time.Time    // when expired jobs were last removed
+	removals            []job.ID     // ended jobs that are removed from the core and still in the store
 	startedAt           time.Time    // when the term began
 	leavingSince        time.Time    // when the handover began
 	releaseTriedAt      time.Time    // last attempt to release the lock
--- a/jobs/owner/endedload_test.go
+++ b/jobs/owner/endedload_test.go
@@ -109,6 +109,28 @@
 	assert.Equal(t, job.Resources{CPUMilli: 3000, MemMB: 300}, r.core.presumedRunning("acme", r.now))
 }
 
+// TestRemovalWaitsForRuns: a job stays known as long as a worker has a run of it, and others are removed meanwhile in the
+// order of their ends.
+func TestRemovalWaitsForRuns(t *testing.T) {
+	r := newRig(t, 2)
+	began := r.now
+	var loaded []StoredJob
+	for n := range 3 {
+		endedAt := began.Add(-time.Duration(n+1) * time.Hour)
+		loaded = append(loaded, StoredJob{Job: simpleJob(n, 1), Progress: &job.Progress{State: job.Completed, EndedAt: endedAt}})
+	}
+	r = newRig(t, 2, loaded...)
+	w := r.worker("w")
+	atWork := job.TaskID{Job: loaded[2].Job.ID}
+	r.answerHold(w, []ActiveRun{{Task: atWork, Run: 1_000_001}})
+	assert.Equal(t, 2, r.core.ExpiredJobs(2, r.now))
+	assert.Equal(t, []job.ID{loaded[1].Job.ID}, r.core.RemoveExpired(1, r.now))
+	assert.Equal(t, []job.ID{loaded[0].Job.ID}, r.core.RemoveExpired(5, r.now))
+	r.answerHold(w, nil, RunEnd{Seq: 1, Task: atWork, Run: 1_000_001, Kind: EndStopped})
+	assert.Empty(t, r.core.RemoveExpired(5, r.now), "tried again after a pause")
+	assert.Equal(t, []job.ID{loaded[2].Job.ID}, r.core.RemoveExpired(5, r.now.Add(removalRetryPause)))
+}
+
 // BenchmarkLoadEndedJobs measures a load by the number of ended tasks in the store.
 func BenchmarkLoadEndedJobs(b *testing.B) {
 	for _, jobs := range []int{1, 100, 1000} {
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -48,6 +48,7 @@
 	}
 	c.restoreCause(j, p.Cause)
 	c.endedBeforeTerm = append(c.endedBeforeTerm, j)
+	c.scheduleRemoval(j)
 }
 
 // forgetEndedSteps frees the specifications of the steps of jobs that had ended before this term. They are needed as
--- a/jobs/owner/records.go
+++ b/jobs/owner/records.go
@@ -86,6 +86,7 @@
 		j.crashUnstored = false
 		if j.state.Final() {
 			delete(c.openJobs, r.Job.ID)
+			c.scheduleRemoval(j)
 			c.logDecision(Decision{Event: "job-recorded", Job: r.Job.ID, Reason: string(j.state)})
 		}
 	}
@@ -175,22 +176,37 @@
 	return m
 }
 
+// removalRetryPause is the time until the removal of an ended job is tried again that still has runs.
+const removalRetryPause = 5 * time.Second
+
+// scheduleRemoval schedules the removal of a job whose end is stored, for twice StatusRetention after its end.
+func (c *Core) scheduleRemoval(j *jobState) {
+	c.removalsDue.add(j.endedAt.Add(2*c.opt.StatusRetention), j)
+}
+
+// ExpiredJobs returns how many ended jobs may be removed, at most limit.
+func (c *Core) ExpiredJobs(limit int, now time.Time) int {
+	return c.removalsDue.countDue(limit, now)
+}
+
 // RemoveExpired removes up to limit jobs that ended more than twice StatusRetention ago, and
 // returns their IDs for removal from the store.
 func (c *Core) RemoveExpired(limit int, now time.Time) []job.ID {
 	var out []job.ID
-	for id, j := range c.jobs {
-		if len(out) == limit {
+	for len(out) < limit {
+		j, due := c.removalsDue.popDue(now)
+		if !due {
 			break
 		}
-		if !j.state.Final() || j.storedVersion < j.version || now.Sub(j.endedAt) < 2*c.opt.StatusRetention {
+		if c.jobs[j.spec.ID] != j {
 			continue
 		}
-		if j.runs > 0 {
+		if j.runs > 0 || j.storedVersion < j.version {
+			c.removalsDue.add(now.Add(removalRetryPause), j)
 			continue
 		}
-		delete(c.jobs, id)
-		out = append(out, id)
+		delete(c.jobs, j.spec.ID)
+		out = append(out, j.spec.ID)
 	}
 	return out
 }
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -368,6 +368,7 @@
 	stopsDue       timerQueue[*run]      // stops to resend unless confirmed
 	stallsDue      timerQueue[*run]      // runs to check for lack of progress
 	occurrencesDue timerQueue[*jobState] // jobs with later occurrences
+	removalsDue    timerQueue[*jobState] // ended jobs to be removed
 	recentlyEnded  []*worker             // incarnations kept for crash attribution
 	// correlationsStale: contact to a worker was lost or regained since the last refreshCorrelations.
 	correlationsStale bool
--- a/jobs/owner/timerqueue.go
+++ b/jobs/owner/timerqueue.go
@@ -35,6 +35,22 @@
 	return out
 }
 
+// countDue returns how many entries are due by now, at most limit. It visits at most twice as many.
+func (q *timerQueue[T]) countDue(limit int, now time.Time) int {
+	n := 0
+	var visit func(i int)
+	visit = func(i int) {
+		if i >= len(q.entries) || n == limit || q.entries[i].at.After(now) {
+			return
+		}
+		n++
+		visit(2*i + 1)
+		visit(2*i + 2)
+	}
+	visit(0)
+	return n
+}
+
 type timerEntry[T any] struct {
 	at    time.Time
 	seq   uint64 // order of entries with equal times
