Owner: an ended job keeps its tenant

What callers saw: the state of a job of another tenant, once the job had ended; before its end they got 403.

Cause: dropSteps kept ID, queue and service of an ended job, not its tenant.

Ruled out: answers from the store and cancellations (they read the record, which has the tenant).

Change: the tenant is kept. Test: TestEndedJobKeepsItsTenant failed before, after the end and after a change of owner.

Conclusion: access to a job does not depend on whether it has ended.

--- a/jobs/owner/dropsteps_test.go
+++ b/jobs/owner/dropsteps_test.go
@@ -34,6 +34,33 @@
 	assert.Empty(t, r.out.Starts, "a caller's repeated submission does not run it again")
 }
 
+// TestEndedJobKeepsItsTenant guards against the state of a job that is shown to callers of other tenants once the job
+// has ended.
+func TestEndedJobKeepsItsTenant(t *testing.T) {
+	r := newRig(t, 1)
+	w := r.worker("a")
+	r.answerHold(w, nil)
+	j := simpleJob(1, 1)
+	j.Tenant = "acme"
+	r.core.Submit(j, r.now)
+	r.core.React(r.now)
+	r.collectEffects()
+	assert.Equal(t, "acme", r.core.TenantOf(j.ID))
+	s := r.confirmStarts()
+	require.Len(t, s, 1)
+	r.answerHold(w, nil, RunEnd{Seq: 1, Task: s[0].Task, Run: s[0].Run, Kind: EndDone})
+	records := r.core.PendingRecords(10)
+	r.core.OnCommitted(records, r.now)
+	require.Nil(t, r.core.jobs[j.ID].steps)
+	assert.Equal(t, "acme", r.core.TenantOf(j.ID), "after its end")
+
+	next := newRig(t, 2, StoredJob{Job: j, Progress: &records[0].Progress})
+	assert.Equal(t, "acme", next.core.TenantOf(j.ID), "after a change of owner")
+	next.tick(2 * rigLease)
+	require.Empty(t, next.core.jobs[j.ID].spec.Steps)
+	assert.Equal(t, "acme", next.core.TenantOf(j.ID), "after its steps were freed")
+}
+
 // TestLateRunOfAStoredJobIsStopped: a run that started late is stopped even when the job's
 // steps have been dropped, and its end is acknowledged.
 func TestLateRunOfAStoredJobIsStopped(t *testing.T) {
--- a/jobs/owner/records.go
+++ b/jobs/owner/records.go
@@ -108,7 +108,7 @@
 	}
 	j.stepsDropped = true
 	j.steps = nil
-	j.spec = &job.Job{ID: j.spec.ID, Queue: j.spec.Queue, Service: j.spec.Service}
+	j.spec = &job.Job{ID: j.spec.ID, Queue: j.spec.Queue, Service: j.spec.Service, Tenant: j.spec.Tenant}
 }
 
 // ackStoredEnds acknowledges the ends that waited for the job to be stored.
