Owner: runs of inherited jobs hold their room also if the job's end is stored first

Cause: the steps of a job were freed once its end was stored and no run of it was known. An earlier owner may have started runs that the workers have not listed yet; these were stopped without being tracked.

Ruled out: room that is given back with the order to stop (it is kept until the end is listed).

Change: the specifications of an inherited job's steps are kept until the leases of all unknown runs have expired, and a run that is listed until then is tracked.

Test: TestRunOfJobEndedAtTakeoverHoldsItsRoom failed before: 16 starts where there was room for 8.

Conclusion: an unknown run is not taken for none.

--- a/jobs/owner/endedload_test.go
+++ b/jobs/owner/endedload_test.go
@@ -69,6 +69,36 @@
 	}
 }
 
+// TestRunOfJobEndedAtTakeoverHoldsItsRoom guards against a worker that is filled beyond its capacity: the end of an
+// inherited job was stored before the worker listed its runs, which then counted for nothing.
+func TestRunOfJobEndedAtTakeoverHoldsItsRoom(t *testing.T) {
+	j := simpleJob(1, 8)
+	r := newRig(t, 2, StoredJob{Job: j, Progress: &job.Progress{State: job.Running}})
+	a, b := r.worker("a"), r.worker("b")
+	r.core.Cancel(j.ID, r.now)
+	r.core.OnCommitted(r.core.PendingRecords(10), r.now)
+	list := func(from, n int) (active []ActiveRun, ends []RunEnd) {
+		for i := range n {
+			id := job.TaskID{Job: j.ID, Index: from + i}
+			active = append(active, ActiveRun{Task: id, Run: 1_000_001 + uint64(from+i), Percent: 50})
+			ends = append(ends, RunEnd{Seq: 1 + uint64(i), Task: id, Run: 1_000_001 + uint64(from+i), Kind: EndStopped})
+		}
+		return active, ends
+	}
+	active, ends := list(0, 6)
+	r.answerHold(a, active)
+	activeB, _ := list(6, 2)
+	r.answerHold(b, activeB)
+	assert.Len(t, r.out.Stops, 8)
+	r.submit(2, 16)
+	r.tick(200 * time.Millisecond)
+	assert.Len(t, r.out.Starts, 8, "the workers have room for 16")
+	r.answerHold(a, nil, ends...)
+	r.tick(200 * time.Millisecond)
+	assert.Len(t, r.out.Starts, 14, "six of the runs have ended")
+	assert.Len(t, r.core.workers[b].runs, 8, "six new ones beside the two that are being stopped")
+}
+
 // TestEndedJobsAreRemovedByTheTimeOfTheirEnd guards against a store that grows with each change of owner: a new owner
 // counted the time until an ended job is removed from its own beginning.
 func TestEndedJobsAreRemovedByTheTimeOfTheirEnd(t *testing.T) {
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -47,20 +47,29 @@
 		j.endedAt = now
 	}
 	c.restoreCause(j, p.Cause)
-	c.endedBeforeTerm = append(c.endedBeforeTerm, j)
+	c.dropSteps(j)
 	c.scheduleRemoval(j)
 }
 
-// forgetEndedSteps frees the specifications of the steps of jobs that had ended before this term. They are needed as
-// long as a worker may have runs of an earlier owner.
-func (c *Core) forgetEndedSteps(now time.Time) {
-	if len(c.endedBeforeTerm) == 0 || !c.earlierLeasesExpired(now) {
+// retainSpec keeps the specifications of an ended job's steps until no run of an earlier owner is left.
+func (c *Core) retainSpec(j *jobState) {
+	if !j.specRetained {
+		j.specRetained = true
+		c.retainedSpecs = append(c.retainedSpecs, j)
+	}
+}
+
+// dropRetainedSpecs frees what retainSpec has kept once the leases of all runs of earlier owners have expired,
+// or were renewed by this one, which knows the runs.
+func (c *Core) dropRetainedSpecs(now time.Time) {
+	if c.earlierRunsGone || !c.earlierLeasesExpired(now) {
 		return
 	}
-	for _, j := range c.endedBeforeTerm {
+	c.earlierRunsGone = true
+	for _, j := range c.retainedSpecs {
 		c.dropSteps(j)
 	}
-	c.endedBeforeTerm = nil
+	c.retainedSpecs = nil
 }
 
 // restoreProgress applies the stored progress p to an open job.
--- a/jobs/owner/records.go
+++ b/jobs/owner/records.go
@@ -101,13 +101,18 @@
 
 // dropSteps frees the steps of a job once its end is stored and it has no runs. The job itself is
 // kept, as its state may be queried for long: of 5,400 jobs in half a minute, all but the open
-// ones are kept only for that.
+// ones are kept only for that. As long as a worker may have runs of the job that this owner does not know,
+// the specification of the steps is kept as well, which says what resources the runs hold.
 func (c *Core) dropSteps(j *jobState) {
 	if j.stepsDropped || !j.state.Final() || j.storedVersion < j.version || j.runs > 0 {
 		return
 	}
-	j.stepsDropped = true
 	j.steps = nil
+	if j.inherited && !c.earlierRunsGone {
+		c.retainSpec(j)
+		return
+	}
+	j.stepsDropped = true
 	j.spec = &job.Job{ID: j.spec.ID, Queue: j.spec.Queue, Service: j.spec.Service, Tenant: j.spec.Tenant}
 }
 
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -235,7 +235,7 @@
 	c.stopStalledRuns(now)
 	c.sendDueHolds(now)
 	c.createAllDueOccurrences(now)
-	c.forgetEndedSteps(now)
+	c.dropRetainedSpecs(now)
 	c.throttleFillers(now)
 	c.advanceWaves(now)
 	c.resizePools(now)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -193,6 +193,7 @@
 	waitLogged       bool // a job-waits line was logged
 	endedAt          time.Time
 	cause            string        // why it failed; "": it has not, or it is not known
+	specRetained     bool          // in retainedSpecs
 	stepsDropped     bool          // steps were freed, as the job's end is stored and it has no runs
 	inherited        bool          // an earlier owner may have started some of its tasks
 	loadedFromStore  bool          // loaded when this term began
@@ -316,7 +317,8 @@
 	withheldJobs           map[job.ID]bool
 	openJobs               map[job.ID]*jobState // not final, or not stored as final
 	catchUp                catchUpBudget
-	endedBeforeTerm        []*jobState // whose steps are needed as long as workers may have runs of earlier owners
+	retainedSpecs          []*jobState // ended jobs of which workers may have runs that are not known
+	earlierRunsGone        bool        // the leases of all runs of earlier owners that are not known have expired
 	workers                workerSet
 	unknownServiceWorkers  map[WorkerID]Registration // registrations for services not configured
 	workersByService       serviceWorkers
