Owner: a task has no state until something happens to it

Cause: the state of each task was created with its job.

Evidence: 702 MB for 120 such jobs, submitted or loaded, 585 bytes a task.

Ruled out: records and specifications (the same jobs with one task each are below the bound of the test).

States are created at the first start, from a record, or for a run that a worker lists. The tasks of a step start in their order, so that the others are a number behind the last one with a state. Their waiting time is kept once a step. Decisions are the same (lab/jobload.TestSameDecisions).

Test: TestWaitingTasksTakeNoMemory failed before in all twelve rows (702 MB, the bound is 9.6). TestTasksStartInTheirOrder and TestUntouchedTasksShareTheirWait.

Figures: 702 MB before, below 9.6 MB after.

--- a/jobs/job/progress.go
+++ b/jobs/job/progress.go
@@ -1,6 +1,7 @@
 package job
 
 import (
+	"math/bits"
 	"slices"
 	"time"
 	"unicode/utf8"
@@ -72,6 +73,24 @@
 	Accepted map[int]Crashes `json:"A,omitempty"`
 }
 
+// LastTask returns the highest index of a task with an entry, -1 if there is none.
+func (s *StepProgress) LastTask() int {
+	last := s.Done.last()
+	for i := range s.Failed {
+		last = max(last, i)
+	}
+	for i := range s.Checkpoint {
+		last = max(last, i)
+	}
+	for i := range s.Crashed {
+		last = max(last, i)
+	}
+	for i := range s.Accepted {
+		last = max(last, i)
+	}
+	return last
+}
+
 // Failures lists the failed runs of a task. The runs are listed and not just counted because
 // workers may report a failure again to the next owner, and reports of several workers arrive in
 // any order. The list stays short, since a queue allows few attempts.
@@ -91,6 +110,16 @@
 // Has reports whether i is in the set.
 func (b Bitset) Has(i int) bool { return i/8 < len(b) && b[i/8]&(1<<(i%8)) != 0 }
 
+// last returns the highest integer in the set, -1 if it is empty.
+func (b Bitset) last() int {
+	for i := len(b) - 1; i >= 0; i-- {
+		if b[i] != 0 {
+			return 8*i + bits.Len8(b[i]) - 1
+		}
+	}
+	return -1
+}
+
 // With returns the set with i added. It may change b.
 func (b Bitset) With(i int) Bitset {
 	for len(b) <= i/8 {
--- a/jobs/owner/crash.go
+++ b/jobs/owner/crash.go
@@ -318,6 +318,9 @@
 // may not be serving at the moment: workers fall, and a new owner does not know all runs yet.
 func (j *jobState) hasOtherLongRunning(t *task) bool {
 	for _, s := range j.steps {
+		if s.spec.LongRunning && s.untouched() > 0 {
+			return true
+		}
 		for _, o := range s.tasks {
 			if o != t && s.spec.LongRunning && !o.isGivenUp() {
 				return true
--- a/jobs/owner/disruptionbudget.go
+++ b/jobs/owner/disruptionbudget.go
@@ -26,7 +26,7 @@
 // unavailableElsewhere counts the step's tasks that have no run on w and are not serving. Tasks
 // on workers that were ordered to end do not count as serving.
 func unavailableElsewhere(s *stepState, w *worker, now time.Time) int {
-	unavailable := 0
+	unavailable := s.untouched()
 	for _, t := range s.tasks {
 		if !t.runsOn(w) && !t.isServing(now) {
 			unavailable++
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -107,7 +107,7 @@
 		c.openOccurrence(j, id.Occurrence)
 	}
 	if s := j.step(id.Occurrence, id.Step); s != nil {
-		return s.tasks[id.Index]
+		return s.task(id.Index)
 	}
 	return nil
 }
@@ -121,8 +121,10 @@
 		return
 	}
 	members := []*task{t}
-	if s.spec.Gang {
+	if s.spec.Gang && t.done {
 		members = s.tasks
+	} else if s.spec.Gang {
+		members = s.allTasks()
 	}
 	for _, m := range members {
 		wasDone := m.done
@@ -184,7 +186,7 @@
 	}
 	t.checkpoint = checkpoint
 	if t.step.spec.Gang {
-		for _, m := range t.step.tasks {
+		for _, m := range t.step.allTasks() {
 			m.checkpoint = checkpoint
 		}
 	}
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -83,6 +83,7 @@
 		if s == nil {
 			continue
 		}
+		s.restoreTasks(&sp)
 		for _, t := range s.tasks {
 			t.failures = sp.Failed[t.index]
 			for _, run := range t.failures {
--- a/jobs/owner/jobstart.go
+++ b/jobs/owner/jobstart.go
@@ -23,6 +23,9 @@
 // gangRunsTogether reports whether workers have confirmed all members of a gang under the run
 // number. The members do not begin their work before.
 func (s *stepState) gangRunsTogether(number uint64) bool {
+	if s.untouched() > 0 {
+		return false
+	}
 	for _, t := range s.tasks {
 		r := t.activeRun()
 		if r == nil || r.number != number || r.phase != running {
--- a/jobs/owner/occurrences.go
+++ b/jobs/owner/occurrences.go
@@ -50,9 +50,6 @@
 		s := &stepState{job: j, spec: &j.spec.Steps[i], occurrence: k, index: i}
 		s.remaining, s.withoutRun = s.spec.Count, s.spec.Count
 		s.openDependencies = len(s.spec.After)
-		for n := range s.spec.Count {
-			s.tasks = append(s.tasks, &task{step: s, index: n})
-		}
 		steps[i] = s
 	}
 	j.steps = slices.Insert(j.steps, at, steps...)
--- a/jobs/owner/schedulingpass.go
+++ b/jobs/owner/schedulingpass.go
@@ -128,8 +128,13 @@
 		defer p.placeCopies(s, urgentCopy)
 	}
 	var sel *workerSelector
-	for _, t := range s.tasks {
+	for i := range s.spec.Count {
+		untouched := i >= len(s.tasks)
+		t := s.task(i)
 		if !t.needsPlacement(p.now) || t.awaitsEvidence(p.core, p.now) || !p.core.lossProven(t) {
+			if untouched {
+				return // nor may the other untouched tasks be started
+			}
 			continue
 		}
 		if !p.withinTenantLimit(s, 1) {
@@ -145,6 +150,10 @@
 			}
 			if len(t.runs) == 0 {
 				p.useAvoidedWorker(s, &sel.req)
+				if untouched {
+					p.pool.addWaiting(s, s.untouched()) // as t, with which they share the risk
+					return
+				}
 			}
 			continue
 		}
@@ -215,7 +224,7 @@
 
 // countUnplaced returns how many tasks of the step need placement.
 func countUnplaced(s *stepState, now time.Time) int {
-	n := 0
+	n := s.untouched()
 	for _, t := range s.tasks {
 		if t.needsPlacement(now) {
 			n++
@@ -231,7 +240,7 @@
 			return
 		}
 	}
-	if !p.withinTenantLimit(s, len(s.tasks)) {
+	if !p.withinTenantLimit(s, s.spec.Count) {
 		return
 	}
 	req := placementRequest(s)
@@ -240,12 +249,12 @@
 	if s.crashRisk() != job.CrashRiskNone {
 		views = p.isolationViews(s, view)
 	}
-	chosen := placement.ChooseGang(s.withoutStalled(view, views), req, len(s.tasks), s.spec.SameRack)
+	chosen := placement.ChooseGang(s.withoutStalled(view, views), req, s.spec.Count, s.spec.SameRack)
 	if chosen == nil && !s.awaitsWorkerAfterStall(p.now) {
-		chosen = placement.ChooseGang(views, req, len(s.tasks), s.spec.SameRack)
+		chosen = placement.ChooseGang(views, req, s.spec.Count, s.spec.SameRack)
 	}
 	if chosen == nil {
-		p.pool.addWaiting(s, len(s.tasks))
+		p.pool.addWaiting(s, s.spec.Count)
 		p.useAvoidedWorker(s, &req)
 		s.addWaitTime(p.core.waitCause(p.service), p.now)
 		p.requestAdvice(s)
@@ -257,7 +266,7 @@
 	s.waitingSince = time.Time{}
 	number := p.core.runs.next()
 	for n, i := range chosen {
-		p.startRun(s.tasks[n], view.workers[i], &req, number)
+		p.startRun(s.task(n), view.workers[i], &req, number)
 	}
 }
 
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -153,7 +153,8 @@
 	spec             *job.Step
 	occurrence       int
 	index            int
-	tasks            []*task
+	tasks            []*task      // those with a state: the first ones; see task
+	waiting          *task        // stands for the others; nil: no time was attributed to them
 	remaining        int          // tasks not done
 	withoutRun       int          // tasks neither done nor with a run
 	runs             int          // known runs of its tasks
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -51,7 +51,7 @@
 		c.openOccurrence(j, id.Occurrence)
 	}
 	if s := j.step(id.Occurrence, id.Step); s != nil {
-		return s.tasks[id.Index]
+		return s.task(id.Index)
 	}
 	s := &stepState{job: j, spec: &j.spec.Steps[id.Step], occurrence: id.Occurrence, index: id.Step}
 	return &task{step: s, index: id.Index, done: true}
--- a/jobs/owner/timebreakdown.go
+++ b/jobs/owner/timebreakdown.go
@@ -74,6 +74,9 @@
 // addWaitTime calls addTime for each task of the step that waits for placement.
 func (s *stepState) addWaitTime(c Cause, now time.Time) {
 	ready := s.readySince()
+	if s.untouched() > 0 {
+		s.untouchedTask().addTime(c, ready, now)
+	}
 	for _, t := range s.tasks {
 		if t.needsPlacement(now) {
 			t.addTime(c, ready, now)
