Admission: open jobs have a bound in the owner's memory, shared by queue and tenant

Cause: admission looked at what a pool can start in time, never at what the owner can hold. A submission of 256 KB may have 10,000 steps, each with a state and a task.

Ruled out: a fixed number of jobs or tasks (a job of one step and one of 10,000 differ by three powers of ten).

Open jobs may take a quarter of memoryMb by an estimate that a test compares with the heap. A queue and tenant may take as much as is left free, so that one caller's backlog refuses his jobs, not others'. Daemons ask the owner once an eighth is taken. The next owner counts the same jobs from the store.

Test: TestOneQueuesBacklogLeavesRoomForOthers, TestOpenJobsTakeNoMoreThanEstimated, TestOpenMemoryIsCountedAgainAfterALoad (new behaviour, no failing predecessor).

Conclusion: what is accepted through an owner can be held and loaded. Left: states of running and done tasks, and jobs that are accepted while no owner can be asked.

--- a/jobs/admission/admission.go
+++ b/jobs/admission/admission.go
@@ -39,6 +39,8 @@
 	NoInstanceFits Reason = "no-instance-fits" // not even an empty instance can run one of its tasks
 	OrdersWait     Reason = "orders-wait"      // start orders wait to be sent by the owner
 	PoolFull       Reason = "pool-full"        // its pool would start it too late
+	OwnerFull      Reason = "owner-full"       // the open jobs of its queue and tenant take all memory that is left to them
+	TooLarge       Reason = "too-large"        // it takes more memory than a job may take
 )
 
 // Decision is whether a job is accepted.
@@ -49,6 +51,9 @@
 	RetryAfter time.Duration // when it should be submitted again; 0: never
 }
 
+// IsFinal reports whether the job will be refused whenever it is submitted.
+func (d *Decision) IsFinal() bool { return d.Reason == NoInstanceFits || d.Reason == TooLarge }
+
 // Job is a job that asks to be accepted.
 type Job struct {
 	ID   string
--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -95,8 +95,8 @@
 	retryAfter time.Duration // 0: no Retry-After header
 }
 
-// OverloadedError means that a job was refused because it would be late by LateBy. If it is
-// submitted again after RetryAfter, it could be on time.
+// OverloadedError means that a job was refused because it would be late by LateBy, or because too many jobs are open. If
+// it is submitted again after RetryAfter, it could be on time.
 type OverloadedError struct {
 	Reason             admission.Reason
 	LateBy, RetryAfter time.Duration
@@ -104,6 +104,9 @@
 
 // Error implements error.
 func (e *OverloadedError) Error() string {
+	if e.Reason == admission.OwnerFull {
+		return fmt.Sprintf("%s: too many jobs of the queue are open", e.Reason)
+	}
 	return fmt.Sprintf("%s: the job would be late by %s", e.Reason, e.LateBy.Round(time.Millisecond))
 }
 
--- a/jobs/late/late.go
+++ b/jobs/late/late.go
@@ -20,7 +20,7 @@
 	// NotAccepted is the time between a caller's first refused attempt and the attempt that was
 	// accepted.
 	NotAccepted = "not-accepted"
-	// StoreUnavailable, OwnerChanging, Overloaded, PoolFull, OrdersWait, NoInstanceFits and OtherRefusal are reasons why
+	// StoreUnavailable, OwnerChanging, Overloaded, PoolFull, OrdersWait, NoInstanceFits, OwnerFull, TooLarge and OtherRefusal are reasons why
 	// a job was never accepted.
 	StoreUnavailable = "store-away"
 	OwnerChanging    = "owner-changing"
@@ -28,6 +28,8 @@
 	PoolFull         = string(admission.PoolFull)
 	OrdersWait       = string(admission.OrdersWait)
 	NoInstanceFits   = string(admission.NoInstanceFits)
+	OwnerFull        = string(admission.OwnerFull)
+	TooLarge         = string(admission.TooLarge)
 	OtherRefusal     = "refused-otherwise"
 	// AttemptsUsedUp means that a task of an accepted job used up its attempts.
 	AttemptsUsedUp = "attempts-used-up"
@@ -217,7 +219,7 @@
 // refusalCause returns why a job was never accepted, derived from the text of the last refusal.
 func refusalCause(reasons []string) string {
 	last := reasons[len(reasons)-1]
-	for _, reason := range []string{PoolFull, OrdersWait, NoInstanceFits} {
+	for _, reason := range []string{PoolFull, OrdersWait, NoInstanceFits, OwnerFull, TooLarge} {
 		if strings.Contains(last, reason+": ") {
 			return reason
 		}
--- a/jobs/node/admission.go
+++ b/jobs/node/admission.go
@@ -36,7 +36,7 @@
 	n.metrics.jobRefused(j.Queue, d)
 	n.log.Info("job-admission-refused", zap.String("job", string(j.ID)), zap.String("queue", j.Queue), zap.String("pool", j.Service), zap.String("tenant", j.Tenant),
 		zap.String("reason", string(d.Reason)), zap.Duration("start-in", d.StartIn), zap.Duration("late-by", d.LateBy), zap.Duration("retry-after", d.RetryAfter))
-	if d.Reason == admission.NoInstanceFits {
+	if d.IsFinal() {
 		return verdict.Wrap(&gateway.ImpossibleError{Reason: d.Reason}, verdict.NotRun, codeImpossible, "job %s refused", j.ID)
 	}
 	return verdict.Wrap(&gateway.OverloadedError{Reason: d.Reason, LateBy: d.LateBy, RetryAfter: d.RetryAfter}, verdict.NotRun, codeOverloaded, "job %s refused", j.ID)
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -134,6 +134,9 @@
 	bytesPerInstance   = 155
 	// maxInstancesInterval keeps the list recent enough for instance orders.
 	maxInstancesInterval = 2 * time.Second
+	// openJobsShare is the part of a daemon's memory, 1/openJobsShare, that open jobs may take. The garbage
+	// collector needs about as much again, and a load holds their records besides.
+	openJobsShare = 4
 	// tickInterval is the resolution of the owner's timers.
 	tickInterval = 25 * time.Millisecond
 	// commitInterval is the minimum time between two transactions of the owner. It trades the
--- a/jobs/owner/admission.go
+++ b/jobs/owner/admission.go
@@ -39,6 +39,9 @@
 	if len(spec.Steps) == 0 || c.catalog == nil || c.jobs[spec.ID] != nil {
 		return admission.Decision{}
 	}
+	if d := c.refuseByMemory(spec, now); d.Reason != admission.NotRefused {
+		return d
+	}
 	if policy.RefusesImpossible() && c.exceedsEveryInstance(spec) {
 		return admission.Decision{Reason: admission.NoInstanceFits}
 	}
@@ -151,7 +154,7 @@
 
 // AdmissionHint returns for which jobs other daemons have to ask before they accept them.
 func (c *Core) AdmissionHint(now time.Time) admission.Hint {
-	var h admission.Hint
+	h := admission.Hint{MemoryScarce: c.isMemoryScarce()}
 	if c.opt.AdmissionPolicy.RefusesImpossible() {
 		h.Largest = c.largestInstance()
 	}
--- a/jobs/owner/jobs.go
+++ b/jobs/owner/jobs.go
@@ -167,6 +167,7 @@
 func (c *Core) addOpenJob(j *jobState) {
 	c.jobs[j.spec.ID] = j
 	c.openJobs[j.spec.ID] = j
+	c.countOpen(j)
 	c.refreshQueue(j)
 	c.updatePendingCount(j)
 }
--- a/jobs/owner/records.go
+++ b/jobs/owner/records.go
@@ -85,6 +85,9 @@
 		delete(c.unstoredCrashes, r.Job.ID)
 		j.crashUnstored = false
 		if j.state.Final() {
+			if c.openJobs[r.Job.ID] == j {
+				c.uncountOpen(j)
+			}
 			delete(c.openJobs, r.Job.ID)
 			c.scheduleRemoval(j)
 			c.logDecision(Decision{Event: "job-recorded", Job: r.Job.ID, Reason: string(j.state)})
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -35,6 +35,7 @@
 	MaxOutstandingStarts int           // limit of starts without an outcome; 0: no limit
 	Weights              capacity.Weights
 	MaxMovesPerSec       float64 // moves per second that the platform accepts; 0: no limit
+	MaxOpenJobBytes      int64   // bound on the estimated memory of open jobs; 0: none
 	// CatchUpTasksPerSec limits the tasks per second of occurrences that have been due for long; 0: no limit.
 	CatchUpTasksPerSec float64
 	// ToleratedZones is how many availability zones may be lost at the same time. If it is positive,
@@ -188,10 +189,11 @@
 	countedPending     bool         // counted in pendingPerQueue
 	band               priorityBand // as of the last scheduling pass
 
-	overShare        bool // its tenant had used up its share when the job was accepted
-	runs             int  // known runs of its tasks
-	started          bool // a worker confirmed that one of its tasks started
-	waitLogged       bool // a job-waits line was logged
+	overShare        bool  // its tenant had used up its share when the job was accepted
+	openBytes        int64 // estimated memory while it is open
+	runs             int   // known runs of its tasks
+	started          bool  // a worker confirmed that one of its tasks started
+	waitLogged       bool  // a job-waits line was logged
 	endedAt          time.Time
 	cause            string        // why it failed; "": it has not, or it is not known
 	specRetained     bool          // in retainedSpecs
@@ -317,6 +319,7 @@
 	jobs                   map[job.ID]*jobState
 	withheldJobs           map[job.ID]bool
 	openJobs               map[job.ID]*jobState // not final, or not stored as final
+	openMemory             openMemory           // of openJobs
 	catchUp                catchUpBudget
 	retainedSpecs          []*jobState // ended jobs of which workers may have runs that are not known
 	earlierRunsGone        bool        // the leases of all runs of earlier owners that are not known have expired
@@ -476,6 +479,7 @@
 		jobs:                   map[job.ID]*jobState{},
 		withheldJobs:           map[job.ID]bool{},
 		openJobs:               map[job.ID]*jobState{},
+		openMemory:             openMemory{byAccount: map[openAccount]int64{}},
 		workers:                workerSet{},
 		unknownServiceWorkers:  map[WorkerID]Registration{},
 		workersByService:       serviceWorkers{},
