--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -276,6 +276,9 @@
 	if verdict.CodeOf(err) == ledger.CodeOtherTenant {
 		return reply{status: http.StatusForbidden, problem: err.Error()}
 	}
+	if verdict.CodeOf(err) == ledger.CodeSubmissionTooLarge {
+		return reply{status: http.StatusRequestEntityTooLarge, problem: err.Error()}
+	}
 	var impossible *ImpossibleError
 	if errors.As(err, &impossible) || verdict.CodeOf(err) == ledger.CodeCancelledEarly {
 		return reply{status: http.StatusTooManyRequests, problem: err.Error()} // without Retry-After, as returning is useless
--- a/jobs/job/progress.go
+++ b/jobs/job/progress.go
@@ -45,6 +45,11 @@
 	return p.Steps
 }
 
+// HasCheckpoints reports whether a step has a checkpoint.
+func (p *Progress) HasCheckpoints() bool {
+	return slices.ContainsFunc(p.Steps, func(s StepProgress) bool { return len(s.Checkpoint) > 0 })
+}
+
 // maxCauseBytes bounds the stored cause of a failure. Each new owner reads the records of all jobs.
 const maxCauseBytes = 512
 
--- a/jobs/ledger/accept.go
+++ b/jobs/ledger/accept.go
@@ -31,6 +31,12 @@
 	acceptRetryInterval = 60 * time.Millisecond
 )
 
+// CodeSubmissionTooLarge means that a submission was refused because the store accepts no value of its size.
+const CodeSubmissionTooLarge verdict.Code = "submission-too-large"
+
+// endRecordBytes bounds what the record of a job's end has in addition to its submission.
+const endRecordBytes = 1024
+
 // CodeTooManySubmissions means that a submission was refused because the queue of submissions is
 // full.
 const CodeTooManySubmissions verdict.Code = "too-many-submissions"
@@ -44,8 +50,9 @@
 
 // Acceptor writes submissions to the store in batches.
 type Acceptor struct {
-	store AcceptorStore
-	queue chan pendingSubmission
+	store         AcceptorStore
+	queue         chan pendingSubmission
+	maxValueBytes int // largest value that the store accepts; 0: unknown
 }
 
 // pendingSubmission is a submission that waits for the store.
@@ -61,9 +68,10 @@
 	return earlyCancelKey(idOf(s.key, prefixSubmitted), s.tenant)
 }
 
-// NewAcceptor returns an acceptor. Submissions wait in its queue until Run is called.
-func NewAcceptor(s AcceptorStore) *Acceptor {
-	return &Acceptor{store: s, queue: make(chan pendingSubmission, acceptQueueLen)}
+// NewAcceptor returns an acceptor for a store that accepts no value of more than maxValueBytes; 0: not known.
+// Submissions wait in its queue until Run is called.
+func NewAcceptor(s AcceptorStore, maxValueBytes int) *Acceptor {
+	return &Acceptor{store: s, queue: make(chan pendingSubmission, acceptQueueLen), maxValueBytes: maxValueBytes}
 }
 
 // Run starts the acceptor's goroutines, which end with ctx.
@@ -82,6 +90,9 @@
 		return errStoreUnavailable()
 	}
 	s := pendingSubmission{key: prefixSubmitted + string(j.ID), tenant: j.Tenant, value: encode(j), done: make(chan error, 1)}
+	if limit := a.maxValueBytes - endRecordBytes; a.maxValueBytes > 0 && len(s.value) > limit {
+		return verdict.New(verdict.NotRun, CodeSubmissionTooLarge, "job %s takes %d bytes in the store, want at most %d", j.ID, len(s.value), limit)
+	}
 	select {
 	case a.queue <- s:
 	default:
--- a/jobs/ledger/accept_test.go
+++ b/jobs/ledger/accept_test.go
@@ -53,7 +53,7 @@
 		s := &resettingStore{}
 		s.down.Store(true)
 		f := NewFailover(s, s, time.Now, func(error) {})
-		a := NewAcceptor(f)
+		a := NewAcceptor(f, 0)
 		a.Run(ctx)
 		accept := func(n int) error {
 			return a.Accept(ctx, &job.Job{ID: job.ID(fmt.Sprintf("%016x", n))})
@@ -80,6 +80,47 @@
 	})
 }
 
+// TestSubmissionBeyondTheLargestValueIsRefused: at the bound a submission is stored, above it the caller is told so.
+func TestSubmissionBeyondTheLargestValueIsRefused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		defer cancel()
+		j := &job.Job{ID: "00000000000000ab", Payload: "text", AcceptedAt: time.Now()}
+		size := len(encode(j))
+		for over, code := range map[int]verdict.Code{0: "", 1: CodeSubmissionTooLarge} {
+			s := &resettingStore{}
+			a := NewAcceptor(NewFailover(s, s, time.Now, func(error) {}), size+endRecordBytes-over)
+			a.Run(ctx)
+			err := a.Accept(ctx, j)
+			assert.Equal(t, code, verdict.CodeOf(err))
+			assert.Equal(t, 1-over, s.commits)
+			if over > 0 {
+				assert.Equal(t, verdict.NotRun, verdict.Of(err))
+			}
+		}
+	})
+}
+
+// TestRejectedTransactionIsNoOutage: a store that rejects a transaction as invalid is available, and is not asked again.
+func TestRejectedTransactionIsNoOutage(t *testing.T) {
+	s := &rejectingStore{}
+	f := NewFailover(s, &resettingStore{}, time.Now, func(err error) { t.Errorf("the store failed: %v", err) })
+	for range 5 {
+		_, err := f.Commit(t.Context(), Txn{})
+		assert.Equal(t, CodeStoreRejected, verdict.CodeOf(err))
+	}
+	assert.Equal(t, 5, s.commits)
+	assert.False(t, f.Unavailable())
+}
+
+// rejectingStore rejects every transaction as invalid.
+type rejectingStore struct{ resettingStore }
+
+func (s *rejectingStore) Commit(context.Context, Txn) (TxnResult, error) {
+	s.commits++
+	return TxnResult{}, verdict.New(verdict.NotRun, CodeStoreRejected, "a value is too large")
+}
+
 // TestLostAnswerIsRetried: a transaction whose answer is lost is retried, and the caller is told
 // that the job is stored.
 func TestLostAnswerIsRetried(t *testing.T) {
@@ -88,7 +129,7 @@
 		defer cancel()
 		s := &resettingStore{}
 		s.down.Store(true)
-		a := NewAcceptor(NewFailover(s, s, time.Now, func(error) {}))
+		a := NewAcceptor(NewFailover(s, s, time.Now, func(error) {}), 0)
 		a.Run(ctx)
 		time.AfterFunc(300*time.Millisecond, func() { s.down.Store(false) })
 		assert.NoError(t, a.Accept(ctx, &job.Job{ID: "00000000000000ab"}))
--- a/jobs/ledger/earlycancel_test.go
+++ b/jobs/ledger/earlycancel_test.go
@@ -32,7 +32,7 @@
 		defer cancel()
 		store := jobfleet.NewStore()
 		client := store.Client("d", &jobfleet.Gate{}, noFailure)
-		r := &earlyCancelRig{t: t, store: store, client: client, acceptor: ledger.NewAcceptor(ledger.NewFailover(client, noPeers{}, time.Now, func(error) {})), early: ledger.NewEarlyCancels(client, time.Now)}
+		r := &earlyCancelRig{t: t, store: store, client: client, acceptor: ledger.NewAcceptor(ledger.NewFailover(client, noPeers{}, time.Now, func(error) {}), 0), early: ledger.NewEarlyCancels(client, time.Now)}
 		r.acceptor.Run(ctx)
 		f(ctx, r)
 	})
--- a/jobs/ledger/failover.go
+++ b/jobs/ledger/failover.go
@@ -253,10 +253,10 @@
 	for _, p := range f.paths(false) {
 		began := f.now()
 		res, err = p.store.Commit(ctx, t)
-		if err == nil {
+		if err == nil || verdict.CodeOf(err) == CodeStoreRejected {
 			f.pathSucceeded(p.store, began)
 			f.recordRevision(res.Revision)
-			return res, nil
+			return res, err
 		}
 		if errors.Is(ctx.Err(), context.Canceled) {
 			return res, err
--- a/jobs/ledger/sharedbatch_test.go
+++ b/jobs/ledger/sharedbatch_test.go
@@ -19,7 +19,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		s := &resettingStore{}
-		a := NewAcceptor(NewFailover(s, s, time.Now, func(error) {}))
+		a := NewAcceptor(NewFailover(s, s, time.Now, func(error) {}), 0)
 		outcomes := make(chan error, 3)
 		for _, tenant := range []string{"one", "two", "one"} {
 			go func() { outcomes <- a.Accept(ctx, &job.Job{ID: "00000000000000aa", Tenant: tenant}) }()
--- a/jobs/ledger/store.go
+++ b/jobs/ledger/store.go
@@ -83,11 +83,12 @@
 	Revision int64 // where the next watch continues
 }
 
-// Codes of the store's errors: it did not serve a call, or it has compacted the history that
-// a watch asked for.
+// Codes of the store's errors: it did not serve a call, it has compacted the history that
+// a watch asked for, or it rejects the call as invalid, also if it is repeated.
 const (
 	CodeStoreUnavailable verdict.Code = "store-unavailable"
 	CodeCompacted        verdict.Code = "store-history-gone"
+	CodeStoreRejected    verdict.Code = "store-rejected"
 )
 
 // Store is the platform's key-value store. Each method makes one call. The verdict of an error
--- a/jobs/ledger/term_test.go
+++ b/jobs/ledger/term_test.go
@@ -58,7 +58,7 @@
 		ctx, cancel := context.WithCancel(context.Background())
 		defer cancel()
 		s := jobfleet.NewStore().Client("d", &jobfleet.Gate{}, noFailure)
-		a := ledger.NewAcceptor(ledger.NewFailover(s, noPeers{}, time.Now, func(error) {}))
+		a := ledger.NewAcceptor(ledger.NewFailover(s, noPeers{}, time.Now, func(error) {}), 0)
 		a.Run(ctx)
 		j := &job.Job{ID: "00000000000000aa", Queue: "q", Payload: "long text", AcceptedAt: time.Now(), Steps: []job.Step{{Count: 2}}}
 		require.NoError(t, a.Accept(ctx, j))
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -126,7 +126,7 @@
 	n.refusedEntries = newRefusedEntries(log, m)
 	n.platform.Store = ledger.Observed(p.Store, m.storeCall)
 	n.store = ledger.NewFailover(n.platform.Store, n, p.Clock.Now, n.onStoreFailure)
-	n.acceptor = ledger.NewAcceptor(n.store)
+	n.acceptor = ledger.NewAcceptor(n.store, settings.MaxValueBytes)
 	n.earlyCancels = ledger.NewEarlyCancels(n.store, p.Clock.Now)
 	n.gateway = gateway.New(n, p.Formats.CallerKey, p.Formats.DecodeJob, m, log)
 	return n
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -35,6 +35,7 @@
 	MovesPerSec     float64       // rate of instance orders that the platform accepts; 0: unlimited
 	ToleratedZones  int           // availability zones that may be lost at the same time
 	MinStoreLease   time.Duration // shortest lease that the store grants
+	MaxValueBytes   int           // largest value that the store accepts; 0: unknown
 	StatusRetention time.Duration // how long the state of ended jobs is kept
 	RequireKeys     bool          // callers need a tenant's key, except on public queues
 	// MaxConfigAge is how long keys are accepted after the configuration was last known to be the
@@ -63,6 +64,9 @@
 	if s.MaxTaskLease <= 0 {
 		errs = append(errs, fmt.Errorf("MaxTaskLease is %s, must be positive", s.MaxTaskLease))
 	}
+	if s.MaxValueBytes < 0 {
+		errs = append(errs, fmt.Errorf("MaxValueBytes is %d, must not be negative", s.MaxValueBytes))
+	}
 	if s.MovesPerSec < 0 {
 		errs = append(errs, fmt.Errorf("MovesPerSec is %v, must not be negative", s.MovesPerSec))
 	}
--- a/jobs/node/termcommit.go
+++ b/jobs/node/termcommit.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"slices"
 	"time"
 
@@ -21,12 +22,18 @@
 	}
 	t.reserveTerm()
 	puts := nextPuts(t.pendingPuts, ledger.MaxWriteEntries)
-	records := t.core.PendingRecords(ledger.MaxWriteEntries - len(puts))
+	records := t.writableRecords(t.core.PendingRecords(ledger.MaxWriteEntries-len(puts)), now)
+	if t.isolating > 0 {
+		puts, records = firstOf(puts, records)
+	}
 	nothingToWrite := len(records)+len(puts)+t.orders.pendingCount() == 0
 	if nothingToWrite && !t.removalsDue(now) {
 		return
 	}
 	room := ledger.MaxWriteEntries - len(puts)
+	if t.isolating > 0 && !nothingToWrite {
+		room = 0
+	}
 	for _, r := range records {
 		room -= r.TxnEntries()
 	}
@@ -73,6 +80,68 @@
 	return out
 }
 
+// writableRecords returns the records that the store accepts. The core is told of the others.
+func (t *termRun) writableRecords(records []owner.Record, now time.Time) []owner.Record {
+	limit := t.n.settings.MaxValueBytes
+	if limit == 0 {
+		return records
+	}
+	var out []owner.Record
+	for _, r := range records {
+		if size := largestValue(r); size > limit {
+			t.core.OnUnwritable(r, fmt.Sprintf("it has %d bytes, the store accepts %d", size, limit), now)
+			continue
+		}
+		out = append(out, r)
+	}
+	return out
+}
+
+// largestValue returns the size of the largest value that stores the record.
+func largestValue(r owner.Record) int {
+	puts, _ := ledger.RecordWrites(r)
+	size := 0
+	for _, p := range puts {
+		size = max(size, len(p.Value))
+	}
+	return size
+}
+
+// firstOf returns only the first of the puts or, without puts, of the records. Transactions contain one of them after the
+// store has rejected several, so that those that it accepts are stored.
+func firstOf(puts []ledger.Put, records []owner.Record) ([]ledger.Put, []owner.Record) {
+	if len(puts) > 0 {
+		return puts[:1], nil
+	}
+	return nil, records[:min(1, len(records))]
+}
+
+// onRejected handles a transaction that the store rejects as invalid. If it had one item, that is not written again.
+func (t *termRun) onRejected(c *owner.Core, records []owner.Record, pending pendingPuts, err error, now time.Time) {
+	t.n.log.Error("transaction-rejected", zap.Error(err), zap.Strings("values", describeValues(records, pending.written)))
+	switch items := len(records) + len(pending.written); {
+	case items > 1:
+		t.isolating = items
+	case len(records) == 1:
+		c.OnUnwritable(records[0], "the store rejects it", now)
+	case len(pending.written) == 1:
+		t.pendingPuts = dropWritten(t.pendingPuts, pending.count, pending.written)
+	}
+}
+
+// describeValues returns the keys and sizes of the values, for the log.
+func describeValues(records []owner.Record, puts []ledger.Put) []string {
+	for _, r := range records {
+		p, _ := ledger.RecordWrites(r)
+		puts = append(slices.Clip(puts), p...)
+	}
+	var out []string
+	for _, p := range puts {
+		out = append(out, fmt.Sprintf("%s: %d bytes", p.Key, len(p.Value)))
+	}
+	return out
+}
+
 // reserveTerm adds the put that reserves the next term, if the core will need its run numbers.
 func (t *termRun) reserveTerm() {
 	number, needed := t.core.TermToReserve()
@@ -137,8 +206,12 @@
 		t.committing = false
 		if err != nil {
 			t.rejectInstanceOrders(c, orders, now)
+			if verdict.CodeOf(err) == ledger.CodeStoreRejected {
+				t.onRejected(c, records, pending, err, now)
+			}
 			return
 		}
+		t.isolating = max(0, t.isolating-1)
 		t.pendingPuts = dropWritten(t.pendingPuts, pending.count, pending.written)
 		t.removals = slices.Clone(t.removals[removed:])
 		for _, p := range pending.written {
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -52,6 +52,7 @@
 	lastCommit          time.Time    // when the last transaction started
 	lastStats           time.Time    // when the metrics were last updated
 	lastExpire          time.Time    // when expired jobs were last removed
+	isolating           int          // transactions that contain one item each, as several were rejected together
 	removals            []job.ID     // ended jobs that are removed from the core and still in the store
 	startedAt           time.Time    // when the term began
 	leavingSince        time.Time    // when the handover began
@@ -333,7 +334,7 @@
 // finalWrites returns the writes that are committed together with the release of the lock.
 func (t *termRun) finalWrites() (puts []ledger.Put, deletes []string) {
 	puts = nextPuts(t.pendingPuts, ledger.MaxReleaseEntries)
-	for _, r := range t.core.PendingRecords(ledger.MaxReleaseEntries - len(puts)) {
+	for _, r := range t.writableRecords(t.core.PendingRecords(ledger.MaxReleaseEntries-len(puts)), t.n.clock.Now()) {
 		p, d := ledger.RecordWrites(r)
 		puts = append(puts, p...)
 		deletes = append(deletes, d...)
--- a/jobs/owner/crash.go
+++ b/jobs/owner/crash.go
@@ -310,7 +310,7 @@
 	c.logDecision(Decision{Event: eventTaskGivenUp, Job: j.spec.ID, Task: t.id().String(),
 		Reason: fmt.Sprintf("%d workers crashed while running it; %s; %s; %d workers ended unplanned in the %s of this term", t.crashes.Confirmed(), outcome, t.listCrashes(), c.counts.UnplannedEnds, now.Sub(c.startedAt).Round(time.Millisecond))})
 	if !goesOn {
-		c.finishJob(j, job.Failed, failureCause{failedByCrashes, t}, now)
+		c.finishJob(j, job.Failed, failureCause{kind: failedByCrashes, task: t}, now)
 	}
 }
 
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -175,7 +175,7 @@
 	}
 	c.markDirty(j)
 	if j.queue.MaxAttempts > 0 && attempts >= j.queue.MaxAttempts {
-		c.finishJob(j, job.Failed, failureCause{failedByAttempts, t}, now)
+		c.finishJob(j, job.Failed, failureCause{kind: failedByAttempts, task: t}, now)
 	}
 }
 
--- a/jobs/owner/failurecause.go
+++ b/jobs/owner/failurecause.go
@@ -26,12 +26,14 @@
 	notFailed        failureKind = iota // the job ended otherwise
 	failedByAttempts                    // a task or a gang used up its attempts
 	failedByCrashes                     // the crashes of a task are conclusive
+	failedByRecord                      // the store accepts no record of the job's progress
 )
 
 // failureCause is why a job failed. The zero value stands for a job that ended otherwise.
 type failureCause struct {
-	kind failureKind
-	task *task // that made the job fail
+	kind   failureKind
+	task   *task  // that made the job fail; nil with failedByRecord
+	record string // what is wrong with the record, with failedByRecord
 }
 
 // count counts the failure.
@@ -52,6 +54,9 @@
 	case failedByCrashes:
 		return fmt.Sprintf("crashes: %d workers crashed while running task %s: %s", f.task.crashes.Confirmed(), f.task.id(), f.task.listCrashes())
 	}
+	if f.kind == failedByRecord {
+		return "record: " + f.record
+	}
 	return ""
 }
 
--- a/jobs/owner/records.go
+++ b/jobs/owner/records.go
@@ -57,6 +57,23 @@
 	return out
 }
 
+// OnUnwritable handles a record that the store does not accept, for the given reason. It is written again without the
+// checkpoints, which a later owner can do without. If it has none the job fails: its ends could never be acknowledged,
+// and would hold up those of other jobs.
+func (c *Core) OnUnwritable(r Record, reason string, now time.Time) {
+	j := c.jobs[r.Job.ID]
+	if j == nil || j.state.Final() || r.Progress.HasCheckpoints() && j.savesNoProgress {
+		return // the next record is smaller
+	}
+	c.logDecision(Decision{Event: "record-unwritable", Job: j.spec.ID, Reason: reason})
+	if r.Progress.HasCheckpoints() {
+		j.savesNoProgress = true
+		c.markDirty(j)
+		return
+	}
+	c.finishJob(j, job.Failed, failureCause{kind: failedByRecord, record: reason}, now)
+}
+
 // trueFirst is a comparison result that orders true before false.
 func trueFirst(b bool) int {
 	if b {
@@ -161,7 +178,7 @@
 				sp.Accepted = setEntry(sp.Accepted, t.index, accepted)
 				hasProgress = true
 			}
-			if t.checkpoint != "" {
+			if t.checkpoint != "" && !j.savesNoProgress {
 				sp.Checkpoint = setEntry(sp.Checkpoint, t.index, t.checkpoint)
 				hasProgress = true
 			}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -197,6 +197,7 @@
 	endedAt          time.Time
 	cause            string        // why it failed; "": it has not, or it is not known
 	specRetained     bool          // in retainedSpecs
+	savesNoProgress  bool          // its record is stored without checkpoints, as it is too large otherwise
 	stepsDropped     bool          // steps were freed, as the job's end is stored and it has no runs
 	inherited        bool          // an earlier owner may have started some of its tasks
 	loadedFromStore  bool          // loaded when this term began
--- a/standin/jobfleet/installation.go
+++ b/standin/jobfleet/installation.go
@@ -94,6 +94,7 @@
 	set := node.Settings{
 		Node: name, IP: name, PeerPort: 1, Cores: cores, MaxTaskLease: 10 * time.Second, StopGrace: 6 * time.Second,
 		DutyHandover: dutyHandover, MinStoreLease: time.Second, StatusRetention: 2 * time.Minute, Policy: policy.Default(),
+		MaxValueBytes: in.Store.MaxValueBytes(),
 	}
 	var workers owner.WorkerClient = in.Fleet.Client(name, d.Gate, in.failureOf)
 	if in.WrapWorkers != nil {
--- a/standin/jobfleet/store.go
+++ b/standin/jobfleet/store.go
@@ -37,6 +37,7 @@
 	nextLease      ledger.LeaseID
 	changed        chan struct{} // closed and replaced at the next change
 	calls          map[string]int
+	maxValueBytes  int // largest value that is accepted; 0: no limit
 	maxWatchEvents int // maximum number of changes in an answer to a watch; 0: no limit
 }
 
@@ -52,6 +53,8 @@
 		leases:  map[ledger.LeaseID]*lease{},
 		changed: make(chan struct{}),
 		calls:   map[string]int{},
+
+		maxValueBytes: defaultMaxValueBytes,
 	}
 }
 
@@ -63,6 +66,23 @@
 	s.maxWatchEvents = limit
 }
 
+// defaultMaxValueBytes is the largest value that a new store accepts.
+const defaultMaxValueBytes = 1 << 20
+
+// LimitValues sets the largest value that the store accepts, in bytes; 0: no limit. Daemons that start later know it.
+func (s *Store) LimitValues(limit int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.maxValueBytes = limit
+}
+
+// MaxValueBytes returns the largest value that the store accepts.
+func (s *Store) MaxValueBytes() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.maxValueBytes
+}
+
 // Calls returns the number of calls of a kind; "" means all kinds.
 func (s *Store) Calls(kind string) int {
 	s.mu.Lock()
@@ -245,6 +265,11 @@
 	if n := len(t.If) + len(t.Puts) + len(t.Deletes); n > ledger.MaxTxnEntries {
 		return ledger.TxnResult{}, verdict.New(verdict.NotRun, ledger.CodeStoreUnavailable, "transaction has %d entries, at most %d are allowed", n, ledger.MaxTxnEntries)
 	}
+	for _, p := range t.Puts {
+		if s.maxValueBytes > 0 && len(p.Value) > s.maxValueBytes {
+			return ledger.TxnResult{}, verdict.New(verdict.NotRun, ledger.CodeStoreRejected, "the value of %s has %d bytes, at most %d are accepted", p.Key, len(p.Value), s.maxValueBytes)
+		}
+	}
 	held := true
 	var current []ledger.Item
 	for _, c := range t.If {
