Owner: all members of a gang resume from one checkpoint

Cause: a checkpoint in a worker's list was kept for one member; only that of an ended run was spread. A repeated start took the task's present checkpoint instead of the run's.

Ruled out: the record (what is stored at an end is the same for all members).

Change: a listed checkpoint is set for the whole gang, a run keeps the checkpoint of its first start, and records with different ones are made equal when the gang is placed.

Test: TestGangResumesFromOneCheckpoint failed before in both rows: 0001 and 0002 beside each other, "" and 0001.

Conclusion: the starts of one run of a gang carry one checkpoint.

--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -184,15 +184,29 @@
 	if checkpoint == "" || checkpoint == t.checkpoint || t.done {
 		return
 	}
-	t.checkpoint = checkpoint
-	if t.step.spec.Gang {
-		for _, m := range t.step.allTasks() {
-			m.checkpoint = checkpoint
-		}
-	}
+	t.setCheckpoint(checkpoint)
 	c.markDirty(t.step.job)
 }
 
+// setCheckpoint sets the checkpoint from which the task resumes. That of one member of a gang is valid for all, and all
+// have to resume from the same.
+func (t *task) setCheckpoint(checkpoint string) {
+	switch {
+	case t.checkpoint == checkpoint || t.done:
+	case t.step.spec.Gang:
+		t.step.setCheckpoints(checkpoint)
+	default:
+		t.checkpoint = checkpoint
+	}
+}
+
+// setCheckpoints sets the checkpoint of all members of a gang.
+func (s *stepState) setCheckpoints(checkpoint string) {
+	for _, m := range s.allTasks() {
+		m.checkpoint = checkpoint
+	}
+}
+
 // cause returns the cause to which the time of a run that ended this way is attributed.
 func (k EndKind) cause() Cause {
 	switch k {
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -28,7 +28,7 @@
 		Run:          r.number,
 		Payload:      r.task.step.job.spec.Payload,
 		LeaseUntilMs: c.leaseEndFor(r.worker, now),
-		Checkpoint:   r.task.checkpoint,
+		Checkpoint:   r.checkpoint,
 		Ticket:       r.task.step.ticketFor(r.worker),
 		Timeout:      c.orderTimeout(r.worker),
 	})
--- a/jobs/owner/runlist.go
+++ b/jobs/owner/runlist.go
@@ -148,6 +148,6 @@
 	r.usage = a.Usage
 	c.clearLongRunning(r, now)
 	if a.Checkpoint != "" && r.task.step.spec.Checkpoints {
-		r.task.checkpoint = a.Checkpoint // stored only when the run ends
+		r.task.setCheckpoint(a.Checkpoint) // stored only when the run ends
 	}
 }
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -211,7 +211,7 @@
 
 // startRun adds a run of the task and orders the worker to start it.
 func (c *Core) startRun(t *task, w *worker, number uint64, now time.Time) {
-	r := &run{task: t, number: number, worker: w, phase: starting, throttlePercent: 100, firstSentAt: now, sentDuringHold: w.holdInFlight}
+	r := &run{task: t, number: number, worker: w, phase: starting, checkpoint: t.checkpoint, throttlePercent: 100, firstSentAt: now, sentDuringHold: w.holdInFlight}
 	c.addRun(r)
 	c.beginIsolation(r, now)
 	c.markWorkerChanged(w)
--- a/jobs/owner/schedulingpass.go
+++ b/jobs/owner/schedulingpass.go
@@ -264,12 +264,24 @@
 		return
 	}
 	s.waitingSince = time.Time{}
+	s.unifyCheckpoints()
 	number := p.core.runs.next()
 	for n, i := range chosen {
 		p.startRun(s.task(n), view.workers[i], &req, number)
 	}
 }
 
+// unifyCheckpoints gives all members of the gang the checkpoint of one. Records of earlier versions may have different
+// ones.
+func (s *stepState) unifyCheckpoints() {
+	for _, t := range s.tasks {
+		if t.checkpoint != "" {
+			s.setCheckpoints(t.checkpoint)
+			return
+		}
+	}
+}
+
 // withoutStalled returns a copy of the views that excludes the workers on which the step's gang made no
 // progress.
 func (s *stepState) withoutStalled(view *workerView, views []placement.Worker) []placement.Worker {
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -74,6 +74,7 @@
 	startsSent          int           // starts sent by this owner
 	startsUndelivered   int           // of these, starts that cannot have arrived
 	accepted            *job.Crash    // what the next owner is told of it while it may crash its worker; nil: nothing
+	checkpoint          string        // from which it resumes; the same each time its start is sent
 	stopReason          string
 }
 
