--- a/internal/jobfaults/config_test.go
+++ b/internal/jobfaults/config_test.go
@@ -1,11 +1,14 @@
 package jobfaults
 
 import (
+	"net/http"
+	"net/http/httptest"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 
+	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/standin/jobfleet"
 )
 
@@ -93,3 +96,48 @@
 		})
 	}
 }
+
+// TestNewQueueIsNotRefusedWhileWatchesAreSilent guards against 404 for a queue that is there: watches that were cut without
+// notice took longer to be repeated than a configuration may take to be in force.
+func TestNewQueueIsNotRefusedWhileWatchesAreSilent(t *testing.T) {
+	const prefix = "/added/"
+	ask := func(dm *jobfleet.Daemon, path string) int {
+		r := httptest.NewRequest(http.MethodGet, path, nil)
+		r.Host = "jobs.example"
+		w := httptest.NewRecorder()
+		dm.Node.CallerHandler().ServeHTTP(w, r)
+		return w.Code
+	}
+	simulate(t, func(d *deployment) {
+		d.in.SetFailureFunc(func(_, op string) jobfleet.Failure {
+			if op == "watch" {
+				return jobfleet.RequestLost
+			}
+			return jobfleet.NoFailure
+		})
+		time.Sleep(3 * time.Second)
+		c := catalog(2)
+		c.Queues = append(c.Queues, job.Queue{Name: "added", Host: "jobs.example", Prefix: prefix, Service: "orders", Public: true})
+		d.in.Configure(c)
+		time.Sleep(configureBound)
+		for _, dm := range d.in.Daemons() {
+			assert.Equal(t, http.StatusOK, ask(dm, prefix), dm.Name)
+			assert.Equal(t, http.StatusNotFound, ask(dm, "/never/"), dm.Name)
+		}
+		reads := d.in.Store.Calls("get")
+		for range 100 {
+			for _, dm := range d.in.Daemons() {
+				assert.Equal(t, http.StatusNotFound, ask(dm, "/never/"), dm.Name)
+			}
+		}
+		assert.LessOrEqual(t, d.in.Store.Calls("get")-reads, len(d.in.Daemons()), "reads for 100 requests to each daemon")
+
+		failStoreFor(d, jobfleet.RequestLost, 20*time.Second)
+		time.Sleep(4 * time.Second)
+		for _, dm := range d.in.Daemons() {
+			assert.Equal(t, http.StatusServiceUnavailable, ask(dm, "/never/"), "%s does not know", dm.Name)
+			assert.NotEqual(t, http.StatusNotFound, ask(dm, prefix), dm.Name)
+		}
+		time.Sleep(20 * time.Second)
+	})
+}
--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -26,6 +26,9 @@
 type JobService interface {
 	// Catalog returns the configuration in force, nil before the first one.
 	Catalog() *job.Catalog
+	// FreshCatalog returns a configuration that is known to have been the newest a moment ago, or an error with
+	// the verdict NotRun.
+	FreshCatalog(ctx context.Context) (*job.Catalog, error)
 	// ConfigConfirmed reports whether keys may be checked against that configuration: it was
 	// known to be the newest recently enough, or the settings do not require that.
 	ConfigConfirmed() bool
@@ -160,6 +163,14 @@
 		return reply{status: http.StatusServiceUnavailable, problem: "no configuration loaded yet", retryAfter: defaultRetryAfter}, ""
 	}
 	queue, rest := catalog.Match(r.Host, r.URL.Path)
+	if queue == nil { // a newer configuration may have it
+		fresh, err := g.jobs.FreshCatalog(ctx)
+		if err != nil {
+			return errorReply(err), rest
+		}
+		catalog = fresh
+		queue, rest = catalog.Match(r.Host, r.URL.Path)
+	}
 	if queue == nil {
 		return reply{status: http.StatusNotFound, problem: "no such queue"}, rest
 	}
--- a/jobs/gateway/gateway_test.go
+++ b/jobs/gateway/gateway_test.go
@@ -26,8 +26,10 @@
 	catalog     *job.Catalog
 	err         error
 	known       bool
-	jobTenant   string // tenant of all jobs
-	configStale bool   // the configuration may not be the newest
+	jobTenant   string       // tenant of all jobs
+	configStale bool         // the configuration may not be the newest
+	fresh       *job.Catalog // the newest configuration; nil: catalog
+	freshErr    error        // of its read
 	accepted    []*job.Job
 }
 
@@ -35,6 +37,13 @@
 
 func (f *fakeJobs) Catalog() *job.Catalog { return f.catalog }
 
+func (f *fakeJobs) FreshCatalog(context.Context) (*job.Catalog, error) {
+	if f.fresh == nil {
+		return f.catalog, f.freshErr
+	}
+	return f.fresh, f.freshErr
+}
+
 func (f *fakeJobs) Accept(_ context.Context, j *job.Job) error {
 	f.accepted = append(f.accepted, j)
 	return f.err
@@ -231,3 +240,31 @@
 	require.Len(t, f.accepted, 1)
 	assert.Equal(t, "one", f.accepted[0].Tenant)
 }
+
+// TestNotFoundNeedsTheNewestConfiguration guards against 404 for a queue that is there: the daemon had not heard of it yet.
+func TestNotFoundNeedsTheNewestConfiguration(t *testing.T) {
+	newest := catalog()
+	newest.Queues = append(newest.Queues, job.Queue{Name: "new", Host: "h.example", Prefix: "/new/", Service: "s", Public: true})
+	unread := verdict.New(verdict.NotRun, "configuration-unconfirmed", "it cannot be read")
+	for name, c := range map[string]struct {
+		jobs   fakeJobs
+		path   string
+		status int
+	}{
+		"added since":              {fakeJobs{catalog: catalog(), fresh: newest}, "/new/", 200},
+		"not there":                {fakeJobs{catalog: catalog(), fresh: newest}, "/other/", 404},
+		"not known whether there":  {fakeJobs{catalog: catalog(), freshErr: unread}, "/new/", 503},
+		"known, newest not needed": {fakeJobs{catalog: catalog(), freshErr: unread}, "/a/", 200},
+	} {
+		t.Run(name, func(t *testing.T) {
+			g := New(&c.jobs, readTestKey, decode, noObserver{}, zap.NewNop())
+			r := httptest.NewRequest("GET", "http://h.example"+c.path, nil)
+			w := httptest.NewRecorder()
+			g.ServeHTTP(w, r)
+			assert.Equal(t, c.status, w.Code, w.Body)
+			if c.status == 503 {
+				assert.NotEmpty(t, w.Header().Get("Retry-After"))
+			}
+		})
+	}
+}
--- a/jobs/node/evacuations.go
+++ b/jobs/node/evacuations.go
@@ -101,5 +101,5 @@
 	if n.evacuations.endList() {
 		n.onEvacuationsChanged()
 	}
-	n.configConfirmedAt.Store(n.uptimeNanos())
+	n.confirmConfig(n.uptimeNanos())
 }
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -100,6 +100,8 @@
 	lease             atomic.Int64           // ledger.LeaseID; 0: none
 	leaseRenewedAt    atomic.Int64           // start of the last successful renewal, as uptimeNanos
 	electionWake      chan struct{}          // wakes runElections
+	configMu          sync.Mutex             // held while a configuration is applied
+	configReadMu      sync.Mutex             // held while the configuration is read for a request
 	configConfirmedAt atomic.Int64           // when the configuration was last known to be the newest, as uptimeNanos
 	lockGoneAt        atomic.Int64           // when the lock was last seen to be free, as uptimeNanos
 	lastTerm          atomic.Uint64          // number of the last term in which this process ran the scheduler; 0: none
@@ -279,7 +281,7 @@
 
 // ConfigConfirmed implements gateway.JobService.
 func (n *Node) ConfigConfirmed() bool {
-	return n.settings.MaxConfigAge == 0 || time.Duration(n.uptimeNanos()-n.configConfirmedAt.Load()) <= n.settings.MaxConfigAge
+	return n.settings.MaxConfigAge == 0 || n.configAge() <= n.settings.MaxConfigAge
 }
 
 // Accept implements gateway.JobService.
--- a/jobs/node/operators.go
+++ b/jobs/node/operators.go
@@ -43,6 +43,8 @@
 		return
 	}
 	n.refusedEntries.remove(i.Key)
+	n.configMu.Lock()
+	defer n.configMu.Unlock()
 	if old := n.catalog.Load(); old != nil && old.Version >= c.Version {
 		return
 	}
