--- a/jobs/node/freshconfig.go
+++ b/jobs/node/freshconfig.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/postmount/postmount/jobs/job"
@@ -20,21 +21,35 @@
 // codeConfigUnconfirmed means that the configuration may not be the newest.
 const codeConfigUnconfirmed verdict.Code = "configuration-unconfirmed"
 
+// configRead is the state of the reads of the configuration for requests.
+type configRead struct {
+	mu       sync.Mutex // held during a read
+	err      error      // of the last one; nil: it succeeded
+	failedAt int64      // when it failed, as uptimeNanos
+}
+
 // FreshCatalog implements gateway.JobService. It reads the configuration from the store if the watch has not confirmed it
 // lately: the connection of a watch may have been cut without notice.
 func (n *Node) FreshCatalog(ctx context.Context) (*job.Catalog, error) {
-	n.configReadMu.Lock() // requests that wait for one read share its result
-	defer n.configReadMu.Unlock()
+	read := &n.configRead
+	read.mu.Lock() // requests that wait for a read share its result
+	defer read.mu.Unlock()
 	if n.configAge() <= maxRefusalConfigAge {
 		return n.catalog.Load(), nil
 	}
+	if read.err != nil && time.Duration(n.uptimeNanos()-read.failedAt) < configReadTimeout {
+		return nil, read.err
+	}
 	ctx, cancel := context.WithTimeout(ctx, configReadTimeout)
 	defer cancel()
 	began := n.uptimeNanos()
 	item, found, err := n.store.Get(ctx, n.platform.Formats.ConfigKey, false)
 	if err != nil {
-		return nil, verdict.Wrap(err, verdict.NotRun, codeConfigUnconfirmed, "the configuration is %s old and cannot be read", n.configAge().Round(time.Millisecond))
+		read.failedAt = n.uptimeNanos()
+		read.err = verdict.Wrap(err, verdict.NotRun, codeConfigUnconfirmed, "the configuration is %s old and cannot be read", n.configAge().Round(time.Millisecond))
+		return nil, read.err
 	}
+	read.err = nil
 	if found {
 		n.configure(item)
 	}
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -101,10 +101,10 @@
 	leaseRenewedAt    atomic.Int64           // start of the last successful renewal, as uptimeNanos
 	electionWake      chan struct{}          // wakes runElections
 	configMu          sync.Mutex             // held while a configuration is applied
-	configReadMu      sync.Mutex             // held while the configuration is read for a request
-	configConfirmedAt atomic.Int64           // when the configuration was last known to be the newest, as uptimeNanos
-	lockGoneAt        atomic.Int64           // when the lock was last seen to be free, as uptimeNanos
-	lastTerm          atomic.Uint64          // number of the last term in which this process ran the scheduler; 0: none
+	configRead        configRead
+	configConfirmedAt atomic.Int64  // when the configuration was last known to be the newest, as uptimeNanos
+	lockGoneAt        atomic.Int64  // when the lock was last seen to be free, as uptimeNanos
+	lastTerm          atomic.Uint64 // number of the last term in which this process ran the scheduler; 0: none
 	clock             Clock
 	slowdown          slowdownDetector
 	startedAt         time.Time
--- a/jobs/node/termcommit.go
+++ b/jobs/node/termcommit.go
@@ -22,10 +22,11 @@
 	}
 	t.reserveTerm()
 	puts := nextPuts(t.pendingPuts, ledger.MaxWriteEntries)
-	records := t.writableRecords(t.core.PendingRecords(ledger.MaxWriteEntries-len(puts)), now)
+	records := t.core.PendingRecords(ledger.MaxWriteEntries - len(puts))
 	if t.isolating > 0 {
 		puts, records = firstOf(puts, records)
 	}
+	records, recordPuts, deletes := t.encodeRecords(records, now)
 	nothingToWrite := len(records)+len(puts)+t.orders.pendingCount() == 0
 	if nothingToWrite && !t.removalsDue(now) {
 		return
@@ -38,7 +39,6 @@
 		room -= r.TxnEntries()
 	}
 	removals := t.nextRemovals(room/ledger.KeysPerJob, now)
-	var deletes []string
 	for _, id := range removals {
 		deletes = append(deletes, ledger.JobKeys(id)...)
 	}
@@ -46,11 +46,7 @@
 		return
 	}
 	pending := pendingPuts{len(t.pendingPuts), slices.Clone(puts)}
-	for _, r := range records {
-		p, d := ledger.RecordWrites(r)
-		puts = append(puts, p...)
-		deletes = append(deletes, d...)
-	}
+	puts = append(puts, recordPuts...)
 	t.committing = true
 	t.lastCommit = now
 	orders := t.orders.take(now)
@@ -80,26 +76,25 @@
 	return out
 }
 
-// writableRecords returns the records that the store accepts. The core is told of the others.
-func (t *termRun) writableRecords(records []owner.Record, now time.Time) []owner.Record {
+// encodeRecords returns the records that the store accepts, and the puts and deletes that store them. The core is told of
+// the others.
+func (t *termRun) encodeRecords(records []owner.Record, now time.Time) (writable []owner.Record, puts []ledger.Put, deletes []string) {
 	limit := t.n.settings.MaxValueBytes
-	if limit == 0 {
-		return records
-	}
-	var out []owner.Record
 	for _, r := range records {
-		if size := largestValue(r); size > limit {
+		p, d := ledger.RecordWrites(r)
+		if size := largestValue(p); limit > 0 && size > limit {
 			t.core.OnUnwritable(r, fmt.Sprintf("it has %d bytes, the store accepts %d", size, limit), now)
 			continue
 		}
-		out = append(out, r)
+		writable = append(writable, r)
+		puts = append(puts, p...)
+		deletes = append(deletes, d...)
 	}
-	return out
+	return writable, puts, deletes
 }
 
-// largestValue returns the size of the largest value that stores the record.
-func largestValue(r owner.Record) int {
-	puts, _ := ledger.RecordWrites(r)
+// largestValue returns the size of the largest value in bytes.
+func largestValue(puts []ledger.Put) int {
 	size := 0
 	for _, p := range puts {
 		size = max(size, len(p.Value))
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -334,12 +334,8 @@
 // finalWrites returns the writes that are committed together with the release of the lock.
 func (t *termRun) finalWrites() (puts []ledger.Put, deletes []string) {
 	puts = nextPuts(t.pendingPuts, ledger.MaxReleaseEntries)
-	for _, r := range t.writableRecords(t.core.PendingRecords(ledger.MaxReleaseEntries-len(puts)), t.n.clock.Now()) {
-		p, d := ledger.RecordWrites(r)
-		puts = append(puts, p...)
-		deletes = append(deletes, d...)
-	}
-	return puts, deletes
+	_, recordPuts, deletes := t.encodeRecords(t.core.PendingRecords(ledger.MaxReleaseEntries-len(puts)), t.n.clock.Now())
+	return append(puts, recordPuts...), deletes
 }
 
 // logDecisions logs the core's decisions since the last call.
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -54,6 +54,9 @@
 func (c *Core) applyEnd(w *worker, j *jobState, e RunEnd, now time.Time) {
 	delete(w.unknownRuns, e.Task)
 	t := c.taskOfEnd(w, j, e.Task)
+	if t == nil && j.doneOccurrences.Has(e.Task.Occurrence) {
+		return // listed again
+	}
 	if t == nil {
 		c.logDecision(Decision{Event: "end-of-unknown-task", Task: e.Task.String(), Worker: w.Worker})
 		return
@@ -121,9 +124,10 @@
 		return
 	}
 	members := []*task{t}
-	if s.spec.Gang && t.done {
+	switch {
+	case s.spec.Gang && t.done: // then all are done, or t is known to its worker alone
 		members = s.tasks
-	} else if s.spec.Gang {
+	case s.spec.Gang:
 		members = s.allTasks()
 	}
 	for _, m := range members {
--- a/jobs/owner/openmemory.go
+++ b/jobs/owner/openmemory.go
@@ -47,7 +47,7 @@
 	occurrences := 1
 	if spec.Repeat > 0 && spec.Interval > 0 && spec.StartAt.Before(now) {
 		due := 1 + int(min(now.Sub(spec.StartAt)/spec.Interval, maxUnbegunOccurrences))
-		occurrences = max(1, min(due, spec.Repeat, maxUnbegunOccurrences, maxOpenTasks/spec.TasksPerOccurrence()))
+		occurrences = max(1, min(due, spec.Repeat, maxUnbegunOccurrences, maxOpenTasks/max(1, spec.TasksPerOccurrence())))
 	}
 	return openJobBytes + int64(occurrences)*int64(len(spec.Steps))*openStepBytes
 }
@@ -78,11 +78,11 @@
 	return admission.Decision{Reason: admission.OwnerFull, RetryAfter: memoryRetryAfter}
 }
 
-// askAboveShare is the share of the bound from which other daemons ask the owner before they accept a job. Below it, what
-// they accept until they hear of it has room.
-const askAboveShare = 8
+// scarceFraction is the part of the bound, 1/scarceFraction, above which other daemons ask the owner before they accept
+// a job. What they accept until they hear of it has room.
+const scarceFraction = 8
 
 // isMemoryScarce reports whether other daemons have to ask before they accept a job.
 func (c *Core) isMemoryScarce() bool {
-	return c.opt.MaxOpenJobBytes > 0 && c.openMemory.total > c.opt.MaxOpenJobBytes/askAboveShare
+	return c.opt.MaxOpenJobBytes > 0 && c.openMemory.total > c.opt.MaxOpenJobBytes/scarceFraction
 }
--- a/jobs/owner/records.go
+++ b/jobs/owner/records.go
@@ -62,12 +62,12 @@
 // and would hold up those of other jobs.
 func (c *Core) OnUnwritable(r Record, reason string, now time.Time) {
 	j := c.jobs[r.Job.ID]
-	if j == nil || j.state.Final() || r.Progress.HasCheckpoints() && j.savesNoProgress {
+	if j == nil || j.state.Final() || r.Progress.HasCheckpoints() && j.omitsCheckpoints {
 		return // the next record is smaller
 	}
 	c.logDecision(Decision{Event: "record-unwritable", Job: j.spec.ID, Reason: reason})
 	if r.Progress.HasCheckpoints() {
-		j.savesNoProgress = true
+		j.omitsCheckpoints = true
 		c.markDirty(j)
 		return
 	}
@@ -178,7 +178,7 @@
 				sp.Accepted = setEntry(sp.Accepted, t.index, accepted)
 				hasProgress = true
 			}
-			if t.checkpoint != "" && !j.savesNoProgress {
+			if t.checkpoint != "" && !j.omitsCheckpoints {
 				sp.Checkpoint = setEntry(sp.Checkpoint, t.index, t.checkpoint)
 				hasProgress = true
 			}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -156,7 +156,7 @@
 	occurrence       int
 	index            int
 	tasks            []*task      // those with a state: the first ones; see task
-	waiting          *task        // stands for the others; nil: no time was attributed to them
+	sharedWait       *task        // has the waiting time of the others; nil: they have none
 	remaining        int          // tasks not done
 	withoutRun       int          // tasks neither done nor with a run
 	runs             int          // known runs of its tasks
@@ -198,7 +198,7 @@
 	endedAt          time.Time
 	cause            string        // why it failed; "": it has not, or it is not known
 	specRetained     bool          // in retainedSpecs
-	savesNoProgress  bool          // its record is stored without checkpoints, as it is too large otherwise
+	omitsCheckpoints bool          // its record is stored without checkpoints, as it is too large otherwise
 	stepsDropped     bool          // steps were freed, as the job's end is stored and it has no runs
 	inherited        bool          // an earlier owner may have started some of its tasks
 	loadedFromStore  bool          // loaded when this term began
--- a/jobs/owner/tasks.go
+++ b/jobs/owner/tasks.go
@@ -13,8 +13,8 @@
 func (s *stepState) task(index int) *task {
 	for len(s.tasks) <= index {
 		t := &task{step: s, index: len(s.tasks)}
-		if s.waiting != nil {
-			t.timeSpent, t.accountedUntil = s.waiting.timeSpent, s.waiting.accountedUntil
+		if s.sharedWait != nil {
+			t.timeSpent, t.accountedUntil = s.sharedWait.timeSpent, s.sharedWait.accountedUntil
 		}
 		s.tasks = append(s.tasks, t)
 	}
@@ -27,12 +27,12 @@
 	return s.tasks
 }
 
-// untouchedTask returns a task that stands for all without a state. Their time is attributed to it.
-func (s *stepState) untouchedTask() *task {
-	if s.waiting == nil {
-		s.waiting = &task{step: s, index: len(s.tasks)}
+// sharedWaitOfUntouched returns a task that stands for those without a state, for the time that they wait.
+func (s *stepState) sharedWaitOfUntouched() *task {
+	if s.sharedWait == nil {
+		s.sharedWait = &task{step: s, index: len(s.tasks)}
 	}
-	return s.waiting
+	return s.sharedWait
 }
 
 // restoreTasks creates the states of the tasks that the record names.
--- a/jobs/owner/timebreakdown.go
+++ b/jobs/owner/timebreakdown.go
@@ -75,7 +75,7 @@
 func (s *stepState) addWaitTime(c Cause, now time.Time) {
 	ready := s.readySince()
 	if s.untouched() > 0 {
-		s.untouchedTask().addTime(c, ready, now)
+		s.sharedWaitOfUntouched().addTime(c, ready, now)
 	}
 	for _, t := range s.tasks {
 		if t.needsPlacement(now) {
