--- a/jobs/node/metrics_test.go
+++ b/jobs/node/metrics_test.go
@@ -23,7 +23,7 @@
 	n.order("start", owner.NoCapacity)
 	n.commit(nil, 5*time.Millisecond)
 	n.ownerStats(owner.Stats{
-		OpenJobs: 7, Counts: owner.Counts{Starts: 42, LongRunningLapsed: 5, JobsConsidered: 1400, UnplannedEnds: 9, JobsFailedByAttempts: 2, JobsFailedByCrashes: 3},
+		OpenJobs: 7, Counts: owner.Counts{Starts: 42, LongRunningLapsed: 5, JobsConsidered: 1400, SkippedEnds: 4, UnplannedEnds: 9, JobsFailedByAttempts: 2, JobsFailedByCrashes: 3},
 		Pools: []owner.PoolStats{{Name: "orders", Instances: 5, Arriving: 1, BusyCores: 12.5, WaitingCores: 3, ArrivalRate: 20}},
 	})
 	n.storeCall(ledger.StoreCall{Kind: "range", Stale: true, Outcome: "answered", Took: 4 * time.Millisecond})
@@ -43,6 +43,7 @@
 		`postmount_owner_starts 42`,
 		`postmount_owner_lasting_tasks_lapsed 5`,
 		`postmount_owner_jobs_considered 1400`,
+		`postmount_owner_run_ends_skipped 4`,
 		`postmount_owner_worker_ends_unplanned 9`,
 		`postmount_owner_jobs_failed_by_attempts 2`,
 		`postmount_owner_jobs_failed_by_crashes 3`,
--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -116,7 +116,7 @@
 // are kept until the first run list of the new one shows which is the case, so that their tasks do
 // not start elsewhere until then.
 func (c *Core) startIncarnation(old *worker, startedMs int64, proof string, now time.Time) *worker {
-	c.logDecision(Decision{Event: "worker-restarted", Worker: old.Worker, Reason: fmt.Sprintf("%s; the past incarnation had %d runs", proof, len(old.runs))})
+	c.logDecision(Decision{Event: "worker-restarted", Worker: old.Worker, Reason: fmt.Sprintf("%s; the past incarnation had %d runs, %s", proof, len(old.runs), old.describeOpenHold(now))})
 	if !old.ended {
 		old.ended = true
 		c.scheduleAttribution(old, now)
@@ -136,6 +136,14 @@
 	return w
 }
 
+// describeOpenHold describes for the log the hold that is under way to the worker or was not answered.
+func (w *worker) describeOpenHold(now time.Time) string {
+	if !w.holdInFlight && w.silentSince.IsZero() {
+		return "and its holds were answered"
+	}
+	return fmt.Sprintf("and a hold sent %s ago was not answered, which acknowledges ends up to %d", now.Sub(w.holdSentAt).Round(time.Millisecond), w.lastAckedEnd)
+}
+
 // moveToIncarnation assigns the run to the worker's next incarnation, whose run list will show
 // whether it exists there.
 func (r *run) moveToIncarnation(w *worker, now time.Time) {
--- a/jobs/owner/runlist.go
+++ b/jobs/owner/runlist.go
@@ -16,6 +16,7 @@
 	c.setEndsTruncated(w, h)
 	for _, e := range h.Ends {
 		if e.Seq > w.lastSeenEnd {
+			c.logSkippedEnds(w, e.Seq)
 			w.lastSeenEnd = e.Seq
 			c.onEnd(w, e, now)
 		}
@@ -23,6 +24,16 @@
 	c.reconcileRuns(w, h.Active, now)
 }
 
+// logSkippedEnds logs that the worker has forgotten ends before seq that this owner has not read: an order that was
+// not meant for this incarnation acknowledged them. The first list that an owner reads begins anywhere.
+func (c *Core) logSkippedEnds(w *worker, seq uint64) {
+	if seq == w.lastSeenEnd+1 || w.lastSeenEnd == 0 && (c.opt.Term > 1 || len(w.pastStartsMs) == 0) {
+		return
+	}
+	c.counts.SkippedEnds += int64(seq - w.lastSeenEnd - 1)
+	c.logDecision(Decision{Event: "run-ends-skipped", Worker: w.Worker, Reason: fmt.Sprintf("ends %d to %d were forgotten before they were read", w.lastSeenEnd+1, seq-1)})
+}
+
 // setEndsTruncated records whether the answer may lack ends of runs.
 func (c *Core) setEndsTruncated(w *worker, h HoldAnswer) {
 	if w.endsTruncated != h.EndsTruncated {
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -413,6 +413,7 @@
 	Refused              int64 // starts that a worker refused
 	Failed               int64 // runs that failed
 	Lapsed               int64 // runs that their worker ended because their lease expired or other members of their gang were missing
+	SkippedEnds          int64 // run ends that workers forgot before they were read
 	Lost                 int64 // runs that ended with their worker or its lease, or vanished from its run list
 	Stopped              int64 // runs that were stopped by an order
 	Done                 int64 // runs that completed their task
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -350,7 +350,7 @@
 		if lapsed && !c.ownership.provenAt(expiry) {
 			c.logUnprovenLapse(w, now)
 		} else if lapsed {
-			c.logDecision(Decision{Event: "leases-expired", Worker: id, Reason: "silent for " + now.Sub(w.silentSince).String()})
+			c.logDecision(Decision{Event: "leases-expired", Worker: id, Reason: fmt.Sprintf("silent for %s; %d incarnations before this one, first seen %s ago", now.Sub(w.silentSince), len(w.pastStartsMs), now.Sub(w.firstSeenAt).Round(time.Millisecond))})
 			for _, r := range runsByNumber(w) {
 				c.recordUnconfirmedCrash(r, now) // whether the worker has crashed may become known later
 			}
