--- a/jobs/ledger/term.go
+++ b/jobs/ledger/term.go
@@ -142,8 +142,11 @@
 
 // recentTerms is the number of terms before this one whose owners may still know nothing of the
 // revocation of their lease. That takes a store lease of 2 s at most, in which the owner seldom
-// changes more than once.
-const recentTerms = 4
+// changes more than once. Four owners in that time have reserved up to two further terms each.
+const recentTerms = 4 * 3
+
+// MinReserveInterval is the minimum time between two reservations of a term.
+const MinReserveInterval = time.Second
 
 // RecordRevocation records that another daemon is about to revoke the lease of the lock l. The next owners
 // then know that the lease may have ended sooner than its holder can tell.
--- a/jobs/ledger/term_test.go
+++ b/jobs/ledger/term_test.go
@@ -113,16 +113,20 @@
 }
 
 // TestRevocationIsKnownToTheNextOwners: the owners after a term whose lease was revoked know it, for
-// as many terms as may begin before its holder notices.
+// as many terms as may begin before its holder notices, each of which reserves two more.
 func TestRevocationIsKnownToTheNextOwners(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		s := jobfleet.NewStore().Client("d", &jobfleet.Gate{}, noFailure)
 		var known []bool
-		for number := uint64(1); number <= 7; number++ {
+		for n := range 7 {
 			term := elect(t, s, "d1")
+			require.EqualValues(t, 3*n+1, term.Number)
 			known = append(known, term.PriorLeaseRevoked)
-			if number == 2 {
-				require.NoError(t, ledger.RecordRevocation(t.Context(), s, ledger.Lock{Term: number}))
+			if n == 1 {
+				require.NoError(t, ledger.RecordRevocation(t.Context(), s, ledger.Lock{Term: term.Number}))
+			}
+			for more := range uint64(2) {
+				require.NoError(t, term.Write(t.Context(), []ledger.Put{ledger.ReserveTerm(term.Number + more + 1)}, nil, nil))
 			}
 			require.NoError(t, term.Release(t.Context(), nil, nil, nil))
 		}
--- a/jobs/node/termcommit.go
+++ b/jobs/node/termcommit.go
@@ -20,7 +20,7 @@
 	if t.committing || now.Sub(t.lastCommit) < commitInterval && t.core.DirtyJobs() < commitBacklog && !t.core.HasUrgentRecords() {
 		return
 	}
-	t.reserveTerm()
+	t.reserveTerm(now)
 	puts := nextPuts(t.pendingPuts, ledger.MaxWriteEntries)
 	records := t.core.PendingRecords(ledger.MaxWriteEntries - len(puts))
 	if t.isolating > 0 {
@@ -137,13 +137,13 @@
 	return out
 }
 
-// reserveTerm adds the put that reserves the next term, if the core will need its run numbers.
-func (t *termRun) reserveTerm() {
+// reserveTerm adds the put that reserves the next term, if the core will need its run numbers or fencing token.
+func (t *termRun) reserveTerm(now time.Time) {
 	number, needed := t.core.TermToReserve()
-	if !needed || number == t.reservingTerm {
+	if !needed || number == t.reservingTerm || now.Sub(t.reservingTermAt) < ledger.MinReserveInterval {
 		return
 	}
-	t.reservingTerm = number
+	t.reservingTerm, t.reservingTermAt = number, now
 	t.n.log.Info("term-reserved", zap.Uint64("term", t.term.Number), zap.Uint64("reserved", number))
 	t.pendingPuts = append(t.pendingPuts, ledger.ReserveTerm(number))
 }
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -57,7 +57,8 @@
 	startedAt           time.Time    // when the term began
 	leavingSince        time.Time    // when the handover began
 	releaseTriedAt      time.Time    // last attempt to release the lock
-	reservingTerm       uint64       // last term that was to be reserved for its run numbers
+	reservingTerm       uint64       // last term that was to be reserved
+	reservingTermAt     time.Time    // when it was
 	pendingPuts         []ledger.Put // puts for the next transaction, in addition to the records
 	orders              instanceOrders
 	startCalls          callLimiter // start orders to workers
--- a/jobs/owner/core_test.go
+++ b/jobs/owner/core_test.go
@@ -63,6 +63,7 @@
 }
 
 func (r *rig) collectEffects() {
+	r.reserveTokens()
 	e := r.core.TakeEffects()
 	r.out.Starts = append(r.out.Starts, e.Starts...)
 	r.out.Stops = append(r.out.Stops, e.Stops...)
@@ -73,6 +74,17 @@
 	r.out.Throttles = append(r.out.Throttles, e.Throttles...)
 }
 
+// reserveTokens reserves the terms whose fencing tokens restarted workers wait for.
+func (r *rig) reserveTokens() {
+	for _, w := range r.core.workers {
+		for !r.core.assignToken(w) {
+			term, needed := r.core.TermToReserve()
+			require.True(r.t, needed)
+			r.core.OnTermReserved(term)
+		}
+	}
+}
+
 func (r *rig) clockMs() int64 {
 	return rigClockMs + r.now.Sub(r.core.startedAt).Milliseconds()
 }
--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,6 +16,10 @@
 // numbers of run ends, its clock and the highest fencing token that it has seen. Incarnations are
 // told apart by their start times. These are compared only for equality, as the worker's time of
 // day may go back across a restart. An unknown start time matches every incarnation.
+//
+// A worker cannot tell which of its incarnations an order is meant for, and may execute it late. So
+// each incarnation has a higher fencing token than the ones before it: once it has executed one order
+// of its own, it refuses all that were meant for those.
 
 // incarnation identifies one incarnation of a worker.
 type incarnation struct {
@@ -70,7 +75,11 @@
 // targetedWorker returns the worker that an order was sent to. It returns nil if another
 // incarnation of the worker has begun since, about which the order's outcome says nothing.
 func (c *Core) targetedWorker(t Target) *worker {
-	return c.currentWorker(incarnation{t.Worker, t.StartedMs})
+	w := c.currentWorker(incarnation{t.Worker, t.StartedMs})
+	if w == nil || t.Token != 0 && t.Token < w.token {
+		return nil
+	}
+	return w
 }
 
 // incarnationRelation is how an incarnation relates to the one that the core knows.
@@ -101,16 +110,67 @@
 func (c *Core) newWorker(id WorkerID, startedMs int64, now time.Time) *worker {
 	w := &worker{
 		Registration: Registration{Worker: id, StartedMs: startedMs},
+		token:        c.fencingToken,
 		firstSeenAt:  now,
 		runs:         map[job.TaskID]*run{},
 		unknownRuns:  map[job.TaskID]unknownRun{},
 		unknownEnds:  map[uint64]unknownEnd{},
 	}
+	if f, known := c.formerWorkers[id]; known {
+		delete(c.formerWorkers, id)
+		c.continueLineage(w, f)
+	}
 	c.workers[id] = w
 	c.holdsDue.add(now, w)
 	return w
 }
 
+// formerWorker is what is remembered of a worker that was removed, in case that it registers again.
+type formerWorker struct {
+	startedMs    int64
+	pastStartsMs []int64
+	lastToken    uint64 // fencing token of the latest orders
+	removedAt    time.Time
+}
+
+// formerWorkersKept is how long removed workers are remembered: much longer than an order may be
+// delayed. A worker that returns later refuses the tokens of this owner if they were raised for it, which
+// ends the term.
+const formerWorkersKept = 10 * time.Minute
+
+// rememberWorker remembers a worker that is removed.
+func (c *Core) rememberWorker(w *worker, now time.Time) {
+	maps.DeleteFunc(c.formerWorkers, func(_ WorkerID, f formerWorker) bool { return now.Sub(f.removedAt) > formerWorkersKept })
+	c.formerWorkers[w.Worker] = formerWorker{w.StartedMs, w.pastStartsMs, max(w.token, w.pastToken), now}
+}
+
+// continueLineage makes w, which was just added, the same incarnation as the former worker or the
+// one after it.
+func (c *Core) continueLineage(w *worker, f formerWorker) {
+	w.pastStartsMs = f.pastStartsMs
+	if w.StartedMs == 0 {
+		w.StartedMs = f.startedMs
+	}
+	if w.StartedMs == f.startedMs || f.startedMs == 0 {
+		w.token = f.lastToken
+		return
+	}
+	w.pastStartsMs = append(slices.Clone(f.pastStartsMs), f.startedMs)
+	w.pastStartsMs = w.pastStartsMs[max(0, len(w.pastStartsMs)-maxPastIncarnations):]
+	w.token, w.pastToken = 0, f.lastToken
+	c.assignToken(w)
+}
+
+// assignToken gives the incarnation a fencing token above those of the worker's past incarnations. It
+// reports false while none is reserved; then no order is sent to the incarnation.
+func (c *Core) assignToken(w *worker) bool {
+	c.highestToken = max(c.highestToken, w.pastToken+1)
+	if w.token == 0 && w.pastToken < c.runs.lastTerm {
+		w.token = w.pastToken + 1
+	}
+	return w.token != 0
+}
+
 // startIncarnation ends the known incarnation of a worker and begins a new one under the same ID.
 // The runs have ended with the past incarnation, unless their start order reached the new one. They
 // are kept until the first run list of the new one shows which is the case, so that their tasks do
@@ -121,10 +181,8 @@
 		old.ended = true
 		c.scheduleAttribution(old, now)
 	}
-	c.removeWorker(old.Worker)
+	c.removeWorker(old.Worker, now)
 	w := c.newWorker(old.Worker, startedMs, now)
-	w.pastStartsMs = append(slices.Clone(old.pastStartsMs), old.StartedMs)
-	w.pastStartsMs = w.pastStartsMs[max(0, len(w.pastStartsMs)-maxPastIncarnations):]
 	w.Registration = old.Registration
 	w.StartedMs, w.Draining = startedMs, false
 	c.workersByService.add(w)
@@ -141,7 +199,7 @@
 	if !w.holdInFlight && w.silentSince.IsZero() {
 		return "and its holds were answered"
 	}
-	return fmt.Sprintf("and a hold sent %s ago was not answered, which acknowledges ends up to %d", now.Sub(w.holdSentAt).Round(time.Millisecond), w.lastAckedEnd)
+	return fmt.Sprintf("and a hold sent %s ago was not answered, which acknowledges ends up to %d", now.Sub(w.holdSentAt).Round(time.Millisecond), w.holdAckThrough)
 }
 
 // moveToIncarnation assigns the run to the worker's next incarnation, whose run list will show
--- a/jobs/owner/incarnation_test.go
+++ b/jobs/owner/incarnation_test.go
@@ -100,6 +100,7 @@
 	r.setIncarnation(a, 500) // registration of the past incarnation
 	assert.Equal(t, int64(300), r.core.workers[a].StartedMs)
 	second := r.setIncarnation(a, 300)
+	r.tick(tokenRetryPause)
 	r.answerHoldAs(second, 300, nil)
 	r.tick(maxAttributionTime)
 	assert.Len(t, r.confirmStarts(), 1)
@@ -174,3 +175,124 @@
 		assert.Equal(t, l, parseIncarnation(l.String()))
 	}
 }
+
+// lastHold returns the latest hold of the worker.
+func (r *rig) lastHold(id WorkerID) Hold {
+	for i := len(r.out.Holds) - 1; i >= 0; i-- {
+		if r.out.Holds[i].Worker == id {
+			return r.out.Holds[i]
+		}
+	}
+	r.t.Fatalf("no hold of %s", id)
+	return Hold{}
+}
+
+// answerLastHold answers the worker's latest hold as the incarnation started at startedMs.
+func (r *rig) answerLastHold(id WorkerID, startedMs int64, active []ActiveRun, ends ...RunEnd) {
+	r.answerHoldAs(r.lastHold(id).Target, startedMs, active, ends...)
+}
+
+// TestIncarnationsHaveTheirOwnFencingTokens guards against tasks that run twice: a worker that had
+// restarted under its ID executed orders that were meant for its past incarnation.
+func TestIncarnationsHaveTheirOwnFencingTokens(t *testing.T) {
+	r := newRig(t, 3)
+	a := r.worker("a")
+	r.setIncarnation(a, 500)
+	token := r.lastHold(a).Token
+	assert.EqualValues(t, 3, token)
+	for _, startedMs := range []int64{500, 700, 600} {
+		r.answerLastHold(a, startedMs, nil)
+		r.tick(tokenRetryPause)
+		hold := r.lastHold(a)
+		assert.Equal(t, startedMs, hold.StartedMs)
+		if startedMs != 500 {
+			assert.Greater(t, hold.Token, token)
+		}
+		token = hold.Token
+	}
+	next, _ := r.core.TermToReserve()
+	assert.Less(t, token, next, "the next owner has a higher token")
+}
+
+// TestNoOrdersWithoutAReservedToken: a worker's new incarnation gets no orders until a fencing token of
+// its own is reserved in the store, above which the next owner begins.
+func TestNoOrdersWithoutAReservedToken(t *testing.T) {
+	r := newRig(t, 3)
+	a := r.worker("a")
+	r.setIncarnation(a, 500)
+	r.answerLastHold(a, 500, nil)
+	r.out.Holds = nil
+	r.core.startIncarnation(r.core.workers[a], 700, "it restarted", r.now)
+	holds := func() []Hold {
+		r.core.Tick(r.now)
+		return r.core.TakeEffects().Holds
+	}
+	assert.Empty(t, holds())
+	term, needed := r.core.TermToReserve()
+	require.True(t, needed)
+	r.core.OnTermReserved(term)
+	r.now = r.now.Add(tokenRetryPause)
+	sent := holds()
+	require.Len(t, sent, 1)
+	assert.Equal(t, term, sent[0].Token)
+}
+
+// TestRemovedWorkerKeepsItsFencingToken: a worker that was removed and registers again, as the same
+// incarnation or as the next one, is not called with a lower token than before.
+func TestRemovedWorkerKeepsItsFencingToken(t *testing.T) {
+	for name, row := range map[string]struct {
+		startedMs int64
+		raised    uint64
+	}{
+		"same incarnation": {startedMs: 700},
+		"next incarnation": {startedMs: 900, raised: 1},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 3)
+			a := r.worker("a")
+			r.setIncarnation(a, 500)
+			r.answerLastHold(a, 500, nil)
+			r.answerLastHold(a, 700, nil)
+			r.tick(tokenRetryPause)
+			token := r.lastHold(a).Token
+			r.core.removeWorker(a, r.now)
+			r.out.Holds = nil
+			r.setIncarnation(a, 500)
+			assert.Empty(t, r.out.Holds, "the registration is outdated")
+			r.setIncarnation(a, row.startedMs)
+			r.tick(tokenRetryPause)
+			hold := r.lastHold(a)
+			assert.Equal(t, row.startedMs, hold.StartedMs)
+			assert.Equal(t, token+row.raised, hold.Token)
+		})
+	}
+}
+
+// TestRunListOfALateHoldIsNotUsed guards against tasks that run twice: the new incarnation answered a
+// hold for the past one without a run whose first start was still on its way.
+func TestRunListOfALateHoldIsNotUsed(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	first := r.setIncarnation(a, 500)
+	r.answerHoldAs(first, 500, nil)
+	r.submit(1, 1)
+	require.Len(t, r.out.Starts, 1)
+	start := r.out.Starts[0]
+	r.core.OnStartAnswer(start, Answer{Outcome: Unanswered}, r.now)
+	r.core.OnStartAnswer(start, Answer{Outcome: Accepted, ClockMs: r.clockMs()}, r.now) // the repeat
+	r.collectEffects()
+	r.out.Starts = nil
+	r.tick(100 * time.Millisecond)
+	r.answerHoldAs(first, 500, []ActiveRun{{Task: start.Task, Run: start.Run}})
+	r.tick(100 * time.Millisecond)
+	b := r.worker("b")
+	r.answerHold(b, nil)
+
+	r.answerHoldAs(first, 700, nil)
+	r.tick(maxAttributionTime)
+	assert.Empty(t, r.out.Starts, "the start may be executed until the new incarnation has executed an order of its own")
+	r.answerLastHold(a, 700, []ActiveRun{{Task: start.Task, Run: start.Run, Percent: 5}})
+	r.tick(time.Second)
+	assert.Empty(t, r.out.Starts)
+	assert.Len(t, r.core.workers[a].runs, 1)
+}
--- a/jobs/owner/registrations.go
+++ b/jobs/owner/registrations.go
@@ -135,6 +135,9 @@
 // or updates the properties of a known incarnation.
 func (c *Core) register(r Registration, now time.Time) {
 	w := c.workers[r.Worker]
+	if w == nil && slices.Contains(c.formerWorkers[r.Worker].pastStartsMs, r.StartedMs) {
+		return // written before the latest known incarnation registered
+	}
 	if w == nil {
 		w = c.newWorker(r.Worker, r.StartedMs, now)
 		c.logDecision(Decision{Event: "worker-registered", Worker: r.Worker, Reason: "service " + r.Service})
@@ -195,8 +198,9 @@
 }
 
 // removeWorker removes a worker whose state is no longer needed.
-func (c *Core) removeWorker(id WorkerID) {
+func (c *Core) removeWorker(id WorkerID, now time.Time) {
 	w := c.workers[id]
+	c.rememberWorker(w, now)
 	if !w.ended && len(c.unconfirmedCrashes[w.incarnation()]) > 0 {
 		c.clearCrashes(w.incarnation(), "the worker was removed before it was known whether it had crashed")
 	}
--- a/jobs/owner/runnumbers.go
+++ b/jobs/owner/runnumbers.go
@@ -2,7 +2,8 @@
 
 // Run numbers rise from one owner to the next, so that workers refuse late starts of earlier owners, and an owner can
 // tell its own runs from those of earlier ones. The term n has the numbers from n*runsPerTerm + 1 to (n+1)*runsPerTerm.
-// An owner that needs more reserves the next term in the store: the next owner then begins behind it.
+// An owner that needs more reserves the next term in the store: the next owner then begins behind it. The same goes for
+// fencing tokens: an owner may use the number of any of its terms.
 
 const (
 	// runsPerTerm is the number of runs of a term.
@@ -38,10 +39,10 @@
 func (n *runNumbers) isOwn(run uint64) bool { return run > n.before }
 
 // TermToReserve returns the term that has to be reserved in the store so that this owner does not run out of run
-// numbers; needed is false if it has enough of them.
+// numbers, or of fencing tokens for workers that restart; needed is false if it has enough of them.
 func (c *Core) TermToReserve() (term uint64, needed bool) {
-	return c.runs.lastTerm + 1, c.runs.left() < reserveRunsBelow
+	return c.runs.lastTerm + 1, c.runs.left() < reserveRunsBelow || c.highestToken >= c.runs.lastTerm
 }
 
-// OnTermReserved adds the run numbers of a term that is reserved in the store.
+// OnTermReserved adds the run numbers and the fencing token of a term that is reserved in the store.
 func (c *Core) OnTermReserved(term uint64) { c.runs.lastTerm = max(c.runs.lastTerm, term) }
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -232,6 +232,8 @@
 	coldUntil                time.Time // end of its slow phase after its start; zero: none was reported
 	firstSeenAt              time.Time // when this owner first learned of the incarnation
 	pastStartsMs             []int64   // StartedMs of earlier incarnations, oldest first
+	token                    uint64    // fencing token of orders to the incarnation; 0: none is reserved yet
+	pastToken                uint64    // highest fencing token of orders to earlier incarnations
 	registrationMissingSince time.Time // when it was first missing from the registrations; zero: listed
 	ended                    bool      // the incarnation has ended for certain
 	holdInFlight             bool
@@ -257,6 +259,7 @@
 	endsTruncated            bool                      // its latest answer may lack ends of runs
 	lastSeenEnd              uint64                    // highest number of an end handled
 	lastAckedEnd             uint64                    // number up to which ends may be acknowledged
+	holdAckThrough           uint64                    // AckThrough of the latest hold
 	unacked                  []unackedEnd              // in the order of their numbers
 	unknownEnds              map[uint64]unknownEnd     // ends of jobs not known yet, by number
 	avoidUntil               time.Time                 // gets no new tasks until then
@@ -315,7 +318,9 @@
 // safe for concurrent use.
 type Core struct {
 	opt                    Options
-	fencingToken           uint64
+	fencingToken           uint64 // of orders to first incarnations, see assignToken
+	highestToken           uint64 // highest fencing token that is in use or needed
+	formerWorkers          map[WorkerID]formerWorker
 	runs                   runNumbers
 	catalog                *job.Catalog
 	jobs                   map[job.ID]*jobState
@@ -477,6 +482,8 @@
 	c := &Core{
 		opt:                    opt,
 		fencingToken:           opt.Term,
+		highestToken:           opt.Term,
+		formerWorkers:          map[WorkerID]formerWorker{},
 		runs:                   firstRunNumbers(opt.Term),
 		catalog:                catalog,
 		jobs:                   map[job.ID]*jobState{},
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -22,6 +22,9 @@
 	// Most of these have ended, but stay registered for some seconds. If they were retried as
 	// often as the others, most calls of a new owner would go to them.
 	noInstanceHoldRetryPause = 700 * time.Millisecond
+	// tokenRetryPause is the time between two checks whether the fencing token for a worker's new
+	// incarnation is reserved.
+	tokenRetryPause = 25 * time.Millisecond
 	// ackRetryPause is how long the next hold is delayed after one that listed run ends, so that
 	// these can be stored and then acknowledged by that next hold.
 	ackRetryPause = 300 * time.Millisecond
@@ -38,7 +41,7 @@
 
 // target returns the target of orders to w.
 func (c *Core) target(w *worker) Target {
-	return Target{Worker: w.Worker, Addr: w.Addr, Token: c.fencingToken, StartedMs: w.StartedMs}
+	return Target{Worker: w.Worker, Addr: w.Addr, Token: w.token, StartedMs: w.StartedMs}
 }
 
 // scheduleHold sets the time of the worker's next hold.
@@ -55,6 +58,10 @@
 		if w.holdInFlight || w.ended || now.Before(w.nextHoldAt) || c.workers[w.Worker] != w {
 			continue
 		}
+		if !c.assignToken(w) {
+			c.scheduleHold(w, now.Add(tokenRetryPause))
+			continue
+		}
 		c.sendHold(w, now)
 	}
 }
@@ -67,10 +74,11 @@
 	if leaseUntilMs > 0 && w.lease.firstRenewalAt.IsZero() {
 		w.lease.firstRenewalAt = now
 	}
+	w.holdAckThrough = w.ackThrough()
 	c.effects.Holds = append(c.effects.Holds, Hold{
 		Target:       c.target(w),
 		LeaseUntilMs: leaseUntilMs,
-		AckThrough:   w.ackThrough(),
+		AckThrough:   w.holdAckThrough,
 		Wait:         c.holdWait(w),
 		Timeout:      c.holdTimeout(w),
 	})
@@ -207,9 +215,10 @@
 			c.scheduleHold(w, now.Add(holdRetryPause))
 			return
 		case nextIncarnation:
-			sent := w.holdSentAt
-			w = c.startIncarnation(w, h.StartedMs, "another incarnation answered the hold", now)
-			w.holdSentAt = sent
+			// Late orders for the past incarnation may still change what it lists, until it has
+			// executed an order of its own.
+			c.startIncarnation(w, h.StartedMs, "another incarnation answered the hold", now)
+			return
 		}
 	}
 	if w.ended {
@@ -340,7 +349,7 @@
 func (c *Core) expireLeases(now time.Time) {
 	for id, w := range c.endedWorkers {
 		if !w.registered && !w.holdInFlight {
-			c.removeWorker(id)
+			c.removeWorker(id, now)
 		}
 	}
 	for _, w := range c.silentWorkers.sorted() {
@@ -361,7 +370,7 @@
 		}
 		if !w.registered && len(w.runs) == 0 && !w.endsTruncated && !w.holdInFlight && now.Sub(w.silentSince) > c.opt.TaskLease*2 {
 			c.presumeLost(w, now)
-			c.removeWorker(id) // added again if it registers again
+			c.removeWorker(id, now) // added again if it registers again
 		}
 	}
 }
