--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -232,10 +232,12 @@
 	return w.firstSeenAt.Add(maxLease), true
 }
 
-// ackThrough returns the number up to which the next hold acknowledges run ends. It is 0 while
-// the worker does not answer: if a new incarnation has begun, it would drop its own run ends.
+// ackThrough returns the number up to which the next hold acknowledges run ends. If a new
+// incarnation has begun unnoticed, it drops its own run ends up to that number unread. So it is 0 while the
+// worker does not answer, and once an acknowledgement was answered. A hold that acknowledges ends does not
+// wait: a worker drops ends also when the wait is over, after the new incarnation's first order.
 func (w *worker) ackThrough() uint64 {
-	if w.StartedMs != 0 && (!w.silentSince.IsZero() || !w.contactLoss.lostAt.IsZero()) {
+	if w.lastAckedEnd == w.confirmedAckEnd || w.StartedMs != 0 && (!w.silentSince.IsZero() || !w.contactLoss.lostAt.IsZero()) {
 		return 0
 	}
 	return w.lastAckedEnd
--- a/jobs/owner/incarnation_test.go
+++ b/jobs/owner/incarnation_test.go
@@ -296,3 +296,29 @@
 	assert.Empty(t, r.out.Starts)
 	assert.Len(t, r.core.workers[a].runs, 1)
 }
+
+// TestAcknowledgementsActOnArrival guards against tasks that run twice: a hold that waited at a restarted
+// worker acknowledged run ends by the numbers of the past incarnation, so that they were never listed.
+func TestAcknowledgementsActOnArrival(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	first := r.setIncarnation(a, 500)
+	r.answerHoldAs(first, 500, nil)
+	r.submit(1, 2)
+	starts := r.confirmStarts()
+	require.Len(t, starts, 2)
+	running := []ActiveRun{{Task: starts[1].Task, Run: starts[1].Run}}
+	r.answerHoldAs(first, 500, running, RunEnd{Seq: 1, Task: starts[0].Task, Run: starts[0].Run, Kind: EndDone})
+	for _, rec := range r.core.PendingRecords(10) {
+		r.core.OnCommitted([]Record{rec}, r.now)
+	}
+	r.tick(ackRetryPause)
+	ack := r.lastHold(a)
+	assert.EqualValues(t, 1, ack.AckThrough)
+	assert.Zero(t, ack.Wait)
+	r.answerHoldAs(ack.Target, 500, running)
+	r.tick(0)
+	next := r.lastHold(a)
+	assert.Zero(t, next.AckThrough, "it was acknowledged")
+	assert.Positive(t, next.Wait)
+}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -259,6 +259,7 @@
 	endsTruncated            bool                      // its latest answer may lack ends of runs
 	lastSeenEnd              uint64                    // highest number of an end handled
 	lastAckedEnd             uint64                    // number up to which ends may be acknowledged
+	confirmedAckEnd          uint64                    // number up to which an answered hold has acknowledged them
 	holdAckThrough           uint64                    // AckThrough of the latest hold
 	unacked                  []unackedEnd              // in the order of their numbers
 	unknownEnds              map[uint64]unknownEnd     // ends of jobs not known yet, by number
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -98,6 +98,8 @@
 	switch {
 	case !w.answeredThisOwner || !w.silentSince.IsZero() || len(w.unacked) > 0 || w.hasUnansweredStart():
 		return 0
+	case w.lastAckedEnd > w.confirmedAckEnd:
+		return 0 // an acknowledgement must not act later than the hold arrives, see ackThrough
 	case len(w.runs) == 0:
 		return max(c.opt.HoldWait, c.opt.IdleHoldWait)
 	case c.callLossDetector.Lossy():
@@ -261,6 +263,7 @@
 		w.firstAnsweredAt = now
 	}
 	w.unprovenLapseLogged = false
+	w.confirmedAckEnd = max(w.confirmedAckEnd, w.holdAckThrough)
 	w.answeredHoldSentAt = w.holdSentAt
 	c.applyRunList(w, h, now)
 	c.workersWithUnknownJobs.put(w, len(w.unknownRuns)+len(w.unknownEnds) > 0)
