--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -214,22 +214,40 @@
 }
 
 // leaseExpiry returns the time by which all leases granted to a worker that does not answer have
-// expired. For an incarnation that has never answered, the longest possible lease counts. An
-// earlier owner may have granted a longer lease than this one. known is false if nothing is known of
-// the worker's leases.
+// expired. An earlier owner may have granted a longer lease than this one. known is false if nothing is
+// known of the worker's leases.
 func (c *Core) leaseExpiry(w *worker) (at time.Time, known bool) {
-	switch {
-	case w.lease.known:
+	if w.lease.known {
 		at = w.lease.expiry()
 		if c.opt.Term > 1 {
 			at = laterOf(at, c.earlierLeaseExpiry())
 		}
-		return at, true
-	case len(w.pastStartsMs) == 0:
-		return time.Time{}, false
 	}
-	maxLease := time.Duration(float64(max(c.opt.MaxWorkerLease, c.opt.TaskLease))/(1-maxClockSlowdown)) + leaseMargin
-	return w.firstSeenAt.Add(maxLease), true
+	if w.mayHoldLeaseOfPast() {
+		return laterOf(at, c.leaseOfPastExpiry(w)), true
+	}
+	return at, w.lease.known
+}
+
+// mayHoldLeaseOfPast reports whether an order for a past incarnation may have granted the worker a
+// lease. Its end is a time on the past incarnation's clock, so that the lease may be as long as the worker
+// accepts.
+func (w *worker) mayHoldLeaseOfPast() bool { return len(w.pastStartsMs) > 0 }
+
+// leaseOfPastExpiry returns the time by which a lease that an order for a past incarnation granted has
+// expired. No such order is executed after the incarnation's first answered order, whose fencing token is
+// higher.
+func (c *Core) leaseOfPastExpiry(w *worker) time.Time {
+	latestGrant := w.firstSeenAt.Add(maxOrderDelay)
+	if w.answeredThisOwner {
+		latestGrant = w.firstAnsweredAt
+	}
+	return latestGrant.Add(c.longestWorkerLease())
+}
+
+// longestWorkerLease returns how long a lease can last, whatever the order that granted it says.
+func (c *Core) longestWorkerLease() time.Duration {
+	return time.Duration(float64(max(c.opt.MaxWorkerLease, c.opt.TaskLease))/(1-maxClockSlowdown)) + leaseMargin
 }
 
 // ackThrough returns the number up to which the next hold acknowledges run ends. If a new
--- a/jobs/owner/lease.go
+++ b/jobs/owner/lease.go
@@ -10,6 +10,9 @@
 	// leaseMargin is added to the computed end of a lease, as the worker takes some time to stop
 	// its runs.
 	leaseMargin = 150 * time.Millisecond
+	// maxOrderDelay is how long after it was sent an order may be executed whose answer is missing. The
+	// platform documents 12 s.
+	maxOrderDelay = 12 * time.Second
 )
 
 // workerLease tracks a worker's clock and the end of the leases that were sent to it.
