--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -207,6 +207,7 @@
 func (r *run) moveToIncarnation(w *worker, now time.Time) {
 	r.worker = w
 	r.fromPastIncarnation = true
+	r.listed = false
 	w.addRun(r)
 	if r.phase == starting {
 		r.mayStartLate, r.startAbandonedAt = true, now
@@ -245,6 +246,16 @@
 	return latestGrant.Add(c.longestWorkerLease())
 }
 
+// unlistedLeaseExpiry returns the time by which runs have ended that the worker has not listed. Their starts may
+// have been accepted, or may still be, by a next incarnation that this owner has not heard of, and that any order
+// with a lease end may have granted the longest lease.
+func (c *Core) unlistedLeaseExpiry(w *worker) time.Time {
+	if w.StartedMs == 0 {
+		return time.Time{}
+	}
+	return w.lease.sentAt.Add(maxOrderDelay + c.longestWorkerLease())
+}
+
 // longestWorkerLease returns how long a lease can last, whatever the order that granted it says.
 func (c *Core) longestWorkerLease() time.Duration {
 	return time.Duration(float64(max(c.opt.MaxWorkerLease, c.opt.TaskLease))/(1-maxClockSlowdown)) + leaseMargin
--- a/jobs/owner/incarnation_test.go
+++ b/jobs/owner/incarnation_test.go
@@ -354,3 +354,50 @@
 	wait(answeredAt.Add(11 * time.Second))
 	assert.Len(t, r.confirmStarts(), 1)
 }
+
+// TestUnlistedRunOfASilentWorkerIsKept guards against tasks that run twice: a start was executed by a next
+// incarnation that the owner had not heard of, with the longest lease, before the worker was cut off.
+func TestUnlistedRunOfASilentWorkerIsKept(t *testing.T) {
+	for name, answer := range map[string]Answer{
+		"accepted":   {Outcome: Accepted, ClockMs: rigClockMs},
+		"unanswered": {Outcome: Unanswered},
+	} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 1)
+			r.core.opt.MaxWorkerLease = 10 * time.Second
+			a := r.worker("a")
+			first := r.setIncarnation(a, 500)
+			r.answerHoldAs(first, 500, nil)
+			listed, unlisted := r.submit(1, 1), r.submit(2, 1)
+			require.Len(t, r.out.Starts, 2)
+			starts := r.out.Starts
+			r.out.Starts = nil
+			r.core.OnStartAnswer(starts[0], Answer{Outcome: Accepted, ClockMs: rigClockMs}, r.now)
+			r.answerHoldAs(first, 500, []ActiveRun{{Task: starts[0].Task, Run: starts[0].Run}})
+			r.core.OnStartAnswer(starts[1], answer, r.now)
+			r.collectEffects()
+			sentAt := r.now
+			r.out.Starts = nil
+			b := r.worker("b")
+			var onB []ActiveRun
+			startedUntil := func(until time.Time) (out []job.ID) {
+				for r.now.Before(until) {
+					if r.core.workers[a].holdInFlight {
+						r.core.OnHoldAnswer(r.lastHold(a).Target, HoldAnswer{Answer: Answer{Outcome: Unanswered}}, r.now)
+					}
+					r.answerHold(b, onB)
+					r.tick(100 * time.Millisecond)
+					for _, s := range r.confirmStarts() {
+						out = append(out, s.Task.Job)
+						onB = append(onB, ActiveRun{Task: s.Task, Run: s.Run})
+					}
+				}
+				return out
+			}
+			assert.Equal(t, []job.ID{listed.ID}, startedUntil(sentAt.Add(rigLease+maxAttributionTime)))
+			assert.Zero(t, r.lastHold(a).LeaseUntilMs, "a silent worker gets no lease")
+			assert.Empty(t, startedUntil(sentAt.Add(maxOrderDelay+10*time.Second)))
+			assert.Equal(t, []job.ID{unlisted.ID}, startedUntil(sentAt.Add(maxOrderDelay+12*time.Second)))
+		})
+	}
+}
--- a/jobs/owner/lease.go
+++ b/jobs/owner/lease.go
@@ -21,6 +21,7 @@
 	clockMs        int64     // worker's clock in its last answer
 	clockReadAt    time.Time // when that answer was received
 	grantedUntilMs int64     // latest lease end sent in any order, on the worker's clock
+	sentAt         time.Time // when the latest order with a lease end was sent
 	firstRenewalAt time.Time // when a hold of this owner first renewed the lease; zero: none did
 }
 
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -14,6 +14,7 @@
 // sendStart orders the run's worker to start the run, or repeats the order.
 func (c *Core) sendStart(r *run, now time.Time) {
 	r.sentAt = now
+	r.worker.lease.sentAt = now
 	r.sends++
 	r.startsSent++
 	if r.sends == 1 {
--- a/jobs/owner/runlist.go
+++ b/jobs/owner/runlist.go
@@ -143,6 +143,7 @@
 	}
 	c.settleStart(r, settledByRunList, now)
 	r.startConfirmed = true
+	r.listed = true
 	switch r.phase {
 	case starting:
 		r.phase = running
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -69,6 +69,7 @@
 	unansweredSince     time.Time     // when its start first went unanswered, until its outcome is known
 	neverStarted        bool          // the worker does not list it, and a stop will keep it from starting
 	startAbandonedAt    time.Time     // when the start was given up as unanswered; zero: it may be sent again
+	listed              bool          // its worker's incarnation has listed the run
 	startConfirmed      bool          // the worker accepted the start or listed the run
 	sentDuringHold      bool          // a hold of the worker was in flight when the start was first sent
 	startsSent          int           // starts sent by this owner
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -20,7 +20,7 @@
 		return
 	}
 	s := t.step
-	r := &run{task: t, number: a.Run, worker: w, phase: running, sentAt: now, confirmedAt: now, progressAt: now, percent: a.Percent, throttlePercent: 100, startConfirmed: true}
+	r := &run{task: t, number: a.Run, worker: w, phase: running, sentAt: now, confirmedAt: now, progressAt: now, percent: a.Percent, throttlePercent: 100, startConfirmed: true, listed: true}
 	if s.spec.Filler {
 		r.throttlePercent = unknownThrottle // the earlier owner may have throttled it
 	}
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -71,6 +71,12 @@
 	w.holdInFlight = true
 	w.holdSentAt = now
 	leaseUntilMs := c.leaseEndFor(w, now)
+	if w.isSilent() && w.StartedMs != 0 && !c.isStarved(now) {
+		leaseUntilMs = 0 // renews nothing, and would be a longer lease on the clock of a next incarnation
+	}
+	if leaseUntilMs > 0 {
+		w.lease.sentAt = now
+	}
 	if leaseUntilMs > 0 && w.lease.firstRenewalAt.IsZero() {
 		w.lease.firstRenewalAt = now
 	}
@@ -357,23 +363,45 @@
 	}
 	for _, w := range c.silentWorkers.sorted() {
 		id := w.Worker
-		expiry, known := c.leaseExpiry(w)
-		lapsed := (len(w.runs) > 0 || w.endsTruncated) && known && now.After(expiry) && !c.isStarved(now)
-		if lapsed && !c.ownership.provenAt(expiry) {
-			c.logUnprovenLapse(w, now)
-		} else if lapsed {
-			c.logDecision(Decision{Event: "leases-expired", Worker: id, Reason: fmt.Sprintf("silent for %s; %d incarnations before this one, first seen %s ago", now.Sub(w.silentSince), len(w.pastStartsMs), now.Sub(w.firstSeenAt).Round(time.Millisecond))})
-			for _, r := range runsByNumber(w) {
-				c.recordUnconfirmedCrash(r, now) // whether the worker has crashed may become known later
-			}
-			for _, r := range runsByNumber(w) {
-				c.releaseLostRun(r, "its lease has expired", now)
-			}
-			w.endsTruncated = false // ends that it did not list before its lease expired do not count any more
-		}
+		c.expireLeasesOf(w, now)
 		if !w.registered && len(w.runs) == 0 && !w.endsTruncated && !w.holdInFlight && now.Sub(w.silentSince) > c.opt.TaskLease*2 {
 			c.presumeLost(w, now)
 			c.removeWorker(id, now) // added again if it registers again
 		}
 	}
 }
+
+// expireLeasesOf releases the runs of a silent worker whose leases have expired.
+func (c *Core) expireLeasesOf(w *worker, now time.Time) {
+	expiry, known := c.leaseExpiry(w)
+	if !known || !now.After(expiry) || c.isStarved(now) {
+		return
+	}
+	unlistedExpiry := c.unlistedLeaseExpiry(w)
+	if !now.After(unlistedExpiry) {
+		c.releaseLapsed(w, expiry, func(r *run) bool { return r.listed }, now)
+		return
+	}
+	c.releaseLapsed(w, laterOf(expiry, unlistedExpiry), func(*run) bool { return true }, now)
+}
+
+// releaseLapsed releases those runs of a silent worker for which lapsed is true.
+func (c *Core) releaseLapsed(w *worker, expiry time.Time, lapsed func(*run) bool, now time.Time) {
+	runs := slices.DeleteFunc(runsByNumber(w), func(r *run) bool { return !lapsed(r) })
+	if len(runs) == 0 && !w.endsTruncated {
+		return
+	}
+	if !c.ownership.provenAt(expiry) {
+		c.logUnprovenLapse(w, now)
+		return
+	}
+	c.logDecision(Decision{Event: "leases-expired", Worker: w.Worker, Reason: fmt.Sprintf("silent for %s; %d incarnations before this one, first seen %s ago; %d of %d runs are lost",
+		now.Sub(w.silentSince), len(w.pastStartsMs), now.Sub(w.firstSeenAt).Round(time.Millisecond), len(runs), len(w.runs))})
+	for _, r := range runs {
+		c.recordUnconfirmedCrash(r, now) // whether the worker has crashed may become known later
+	}
+	for _, r := range runs {
+		c.releaseLostRun(r, "its lease has expired", now)
+	}
+	w.endsTruncated = false // ends that it did not list before its lease expired do not count any more
+}
