--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"fmt"
+	"maps"
 	"slices"
 	"strconv"
 	"strings"
@@ -15,6 +16,10 @@
 // numbers of run ends, its clock and the highest fencing token that it has seen. Incarnations are
 // told apart by their start times. These are compared only for equality, as the worker's time of
 // day may go back across a restart. An unknown start time matches every incarnation.
+//
+// A worker cannot tell which of its incarnations an order is meant for, and may execute it late. So
+// each incarnation has a higher fencing token than the ones before it: once it has executed one order
+// of its own, it refuses all that were meant for those.
 
 // incarnation identifies one incarnation of a worker.
 type incarnation struct {
@@ -70,7 +75,11 @@
 // targetedWorker returns the worker that an order was sent to. It returns nil if another
 // incarnation of the worker has begun since, about which the order's outcome says nothing.
 func (c *Core) targetedWorker(t Target) *worker {
-	return c.currentWorker(incarnation{t.Worker, t.StartedMs})
+	w := c.currentWorker(incarnation{t.Worker, t.StartedMs})
+	if w == nil || t.Token != 0 && t.Token < w.token {
+		return nil
+	}
+	return w
 }
 
 // incarnationRelation is how an incarnation relates to the one that the core knows.
@@ -101,30 +110,79 @@
 func (c *Core) newWorker(id WorkerID, startedMs int64, now time.Time) *worker {
 	w := &worker{
 		Registration: Registration{Worker: id, StartedMs: startedMs},
+		token:        c.fencingToken,
 		firstSeenAt:  now,
 		runs:         map[job.TaskID]*run{},
 		unknownRuns:  map[job.TaskID]unknownRun{},
 		unknownEnds:  map[uint64]unknownEnd{},
 	}
+	if f, known := c.formerWorkers[id]; known {
+		delete(c.formerWorkers, id)
+		c.continueLineage(w, f)
+	}
 	c.workers[id] = w
 	c.holdsDue.add(now, w)
 	return w
 }
 
+// formerWorker is what is remembered of a worker that was removed, in case that it registers again.
+type formerWorker struct {
+	startedMs    int64
+	pastStartsMs []int64
+	lastToken    uint64 // fencing token of the latest orders
+	removedAt    time.Time
+}
+
+// formerWorkersKept is how long removed workers are remembered: much longer than an order may be
+// delayed. A worker that returns later refuses the tokens of this owner if they were raised for it, which
+// ends the term.
+const formerWorkersKept = 10 * time.Minute
+
+// rememberWorker remembers a worker that is removed.
+func (c *Core) rememberWorker(w *worker, now time.Time) {
+	maps.DeleteFunc(c.formerWorkers, func(_ WorkerID, f formerWorker) bool { return now.Sub(f.removedAt) > formerWorkersKept })
+	c.formerWorkers[w.Worker] = formerWorker{w.StartedMs, w.pastStartsMs, max(w.token, w.pastToken), now}
+}
+
+// continueLineage makes w, which was just added, the same incarnation as the former worker or the
+// one after it.
+func (c *Core) continueLineage(w *worker, f formerWorker) {
+	w.pastStartsMs = f.pastStartsMs
+	if w.StartedMs == 0 {
+		w.StartedMs = f.startedMs
+	}
+	if w.StartedMs == f.startedMs || f.startedMs == 0 {
+		w.token = f.lastToken
+		return
+	}
+	w.pastStartsMs = append(slices.Clone(f.pastStartsMs), f.startedMs)
+	w.pastStartsMs = w.pastStartsMs[max(0, len(w.pastStartsMs)-maxPastIncarnations):]
+	w.token, w.pastToken = 0, f.lastToken
+	c.assignToken(w)
+}
+
+// assignToken gives the incarnation a fencing token above those of the worker's past incarnations. It
+// reports false while none is reserved; then no order is sent to the incarnation.
+func (c *Core) assignToken(w *worker) bool {
+	c.highestToken = max(c.highestToken, w.pastToken+1)
+	if w.token == 0 && w.pastToken < c.runs.lastTerm {
+		w.token = w.pastToken + 1
+	}
+	return w.token != 0
+}
+
 // startIncarnation ends the known incarnation of a worker and begins a new one under the same ID.
 // The runs have ended with the past incarnation, unless their start order reached the new one. They
 // are kept until the first run list of the new one shows which is the case, so that their tasks do
 // not start elsewhere until then.
 func (c *Core) startIncarnation(old *worker, startedMs int64, proof string, now time.Time) *worker {
-	c.logDecision(Decision{Event: "worker-restarted", Worker: old.Worker, Reason: fmt.Sprintf("%s; the past incarnation had %d runs", proof, len(old.runs))})
+	c.logDecision(Decision{Event: "worker-restarted", Worker: old.Worker, Reason: fmt.Sprintf("%s; the past incarnation had %d runs, %s", proof, len(old.runs), old.describeOpenHold(now))})
 	if !old.ended {
 		old.ended = true
 		c.scheduleAttribution(old, now)
 	}
-	c.removeWorker(old.Worker)
+	c.removeWorker(old.Worker, now)
 	w := c.newWorker(old.Worker, startedMs, now)
-	w.pastStartsMs = append(slices.Clone(old.pastStartsMs), old.StartedMs)
-	w.pastStartsMs = w.pastStartsMs[max(0, len(w.pastStartsMs)-maxPastIncarnations):]
 	w.Registration = old.Registration
 	w.StartedMs, w.Draining = startedMs, false
 	c.workersByService.add(w)
@@ -136,11 +194,20 @@
 	return w
 }
 
+// describeOpenHold describes for the log the hold that is under way to the worker or was not answered.
+func (w *worker) describeOpenHold(now time.Time) string {
+	if !w.holdInFlight && w.silentSince.IsZero() {
+		return "and its holds were answered"
+	}
+	return fmt.Sprintf("and a hold sent %s ago was not answered, which acknowledges ends up to %d", now.Sub(w.holdSentAt).Round(time.Millisecond), w.holdAckThrough)
+}
+
 // moveToIncarnation assigns the run to the worker's next incarnation, whose run list will show
 // whether it exists there.
 func (r *run) moveToIncarnation(w *worker, now time.Time) {
 	r.worker = w
 	r.fromPastIncarnation = true
+	r.listed = false
 	w.addRun(r)
 	if r.phase == starting {
 		r.mayStartLate, r.startAbandonedAt = true, now
@@ -148,28 +215,58 @@
 }
 
 // leaseExpiry returns the time by which all leases granted to a worker that does not answer have
-// expired. For an incarnation that has never answered, the longest possible lease counts. An
-// earlier owner may have granted a longer lease than this one. known is false if nothing is known of
-// the worker's leases.
+// expired. An earlier owner may have granted a longer lease than this one. known is false if nothing is
+// known of the worker's leases.
 func (c *Core) leaseExpiry(w *worker) (at time.Time, known bool) {
-	switch {
-	case w.lease.known:
+	if w.lease.known {
 		at = w.lease.expiry()
 		if c.opt.Term > 1 {
 			at = laterOf(at, c.earlierLeaseExpiry())
 		}
-		return at, true
-	case len(w.pastStartsMs) == 0:
-		return time.Time{}, false
 	}
-	maxLease := time.Duration(float64(max(c.opt.MaxWorkerLease, c.opt.TaskLease))/(1-maxClockSlowdown)) + leaseMargin
-	return w.firstSeenAt.Add(maxLease), true
+	if w.mayHoldLeaseOfPast() {
+		return laterOf(at, c.leaseOfPastExpiry(w)), true
+	}
+	return at, w.lease.known
+}
+
+// mayHoldLeaseOfPast reports whether an order for a past incarnation may have granted the worker a
+// lease. Its end is a time on the past incarnation's clock, so that the lease may be as long as the worker
+// accepts.
+func (w *worker) mayHoldLeaseOfPast() bool { return len(w.pastStartsMs) > 0 }
+
+// leaseOfPastExpiry returns the time by which a lease that an order for a past incarnation granted has
+// expired. No such order is executed after the incarnation's first answered order, whose fencing token is
+// higher.
+func (c *Core) leaseOfPastExpiry(w *worker) time.Time {
+	latestGrant := w.firstSeenAt.Add(maxOrderDelay)
+	if w.answeredThisOwner {
+		latestGrant = w.firstAnsweredAt
+	}
+	return latestGrant.Add(c.longestWorkerLease())
+}
+
+// unlistedLeaseExpiry returns the time by which runs have ended that the worker has not listed. Their starts may
+// have been accepted, or may still be, by a next incarnation that this owner has not heard of, and that any order
+// with a lease end may have granted the longest lease.
+func (c *Core) unlistedLeaseExpiry(w *worker) time.Time {
+	if w.StartedMs == 0 {
+		return time.Time{}
+	}
+	return w.lease.sentAt.Add(maxOrderDelay + c.longestWorkerLease())
+}
+
+// longestWorkerLease returns how long a lease can last, whatever the order that granted it says.
+func (c *Core) longestWorkerLease() time.Duration {
+	return time.Duration(float64(max(c.opt.MaxWorkerLease, c.opt.TaskLease))/(1-maxClockSlowdown)) + leaseMargin
 }
 
-// ackThrough returns the number up to which the next hold acknowledges run ends. It is 0 while
-// the worker does not answer: if a new incarnation has begun, it would drop its own run ends.
+// ackThrough returns the number up to which the next hold acknowledges run ends. If a new
+// incarnation has begun unnoticed, it drops its own run ends up to that number unread. So it is 0 while the
+// worker does not answer, and once an acknowledgement was answered. A hold that acknowledges ends does not
+// wait: a worker drops ends also when the wait is over, after the new incarnation's first order.
 func (w *worker) ackThrough() uint64 {
-	if w.StartedMs != 0 && (!w.silentSince.IsZero() || !w.contactLoss.lostAt.IsZero()) {
+	if w.lastAckedEnd == w.confirmedAckEnd || w.StartedMs != 0 && (!w.silentSince.IsZero() || !w.contactLoss.lostAt.IsZero()) {
 		return 0
 	}
 	return w.lastAckedEnd
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -69,6 +69,7 @@
 	unansweredSince     time.Time     // when its start first went unanswered, until its outcome is known
 	neverStarted        bool          // the worker does not list it, and a stop will keep it from starting
 	startAbandonedAt    time.Time     // when the start was given up as unanswered; zero: it may be sent again
+	listed              bool          // its worker's incarnation has listed the run
 	startConfirmed      bool          // the worker accepted the start or listed the run
 	sentDuringHold      bool          // a hold of the worker was in flight when the start was first sent
 	startsSent          int           // starts sent by this owner
@@ -232,6 +233,8 @@
 	coldUntil                time.Time // end of its slow phase after its start; zero: none was reported
 	firstSeenAt              time.Time // when this owner first learned of the incarnation
 	pastStartsMs             []int64   // StartedMs of earlier incarnations, oldest first
+	token                    uint64    // fencing token of orders to the incarnation; 0: none is reserved yet
+	pastToken                uint64    // highest fencing token of orders to earlier incarnations
 	registrationMissingSince time.Time // when it was first missing from the registrations; zero: listed
 	ended                    bool      // the incarnation has ended for certain
 	holdInFlight             bool
@@ -257,6 +260,8 @@
 	endsTruncated            bool                      // its latest answer may lack ends of runs
 	lastSeenEnd              uint64                    // highest number of an end handled
 	lastAckedEnd             uint64                    // number up to which ends may be acknowledged
+	confirmedAckEnd          uint64                    // number up to which an answered hold has acknowledged them
+	holdAckThrough           uint64                    // AckThrough of the latest hold
 	unacked                  []unackedEnd              // in the order of their numbers
 	unknownEnds              map[uint64]unknownEnd     // ends of jobs not known yet, by number
 	avoidUntil               time.Time                 // gets no new tasks until then
@@ -315,7 +320,9 @@
 // safe for concurrent use.
 type Core struct {
 	opt                    Options
-	fencingToken           uint64
+	fencingToken           uint64 // of orders to first incarnations, see assignToken
+	highestToken           uint64 // highest fencing token that is in use or needed
+	formerWorkers          map[WorkerID]formerWorker
 	runs                   runNumbers
 	catalog                *job.Catalog
 	jobs                   map[job.ID]*jobState
@@ -413,6 +420,7 @@
 	Refused              int64 // starts that a worker refused
 	Failed               int64 // runs that failed
 	Lapsed               int64 // runs that their worker ended because their lease expired or other members of their gang were missing
+	SkippedEnds          int64 // run ends that workers forgot before they were read
 	Lost                 int64 // runs that ended with their worker or its lease, or vanished from its run list
 	Stopped              int64 // runs that were stopped by an order
 	Done                 int64 // runs that completed their task
@@ -476,6 +484,8 @@
 	c := &Core{
 		opt:                    opt,
 		fencingToken:           opt.Term,
+		highestToken:           opt.Term,
+		formerWorkers:          map[WorkerID]formerWorker{},
 		runs:                   firstRunNumbers(opt.Term),
 		catalog:                catalog,
 		jobs:                   map[job.ID]*jobState{},
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -22,6 +22,9 @@
 	// Most of these have ended, but stay registered for some seconds. If they were retried as
 	// often as the others, most calls of a new owner would go to them.
 	noInstanceHoldRetryPause = 700 * time.Millisecond
+	// tokenRetryPause is the time between two checks whether the fencing token for a worker's new
+	// incarnation is reserved.
+	tokenRetryPause = 25 * time.Millisecond
 	// ackRetryPause is how long the next hold is delayed after one that listed run ends, so that
 	// these can be stored and then acknowledged by that next hold.
 	ackRetryPause = 300 * time.Millisecond
@@ -38,7 +41,7 @@
 
 // target returns the target of orders to w.
 func (c *Core) target(w *worker) Target {
-	return Target{Worker: w.Worker, Addr: w.Addr, Token: c.fencingToken, StartedMs: w.StartedMs}
+	return Target{Worker: w.Worker, Addr: w.Addr, Token: w.token, StartedMs: w.StartedMs}
 }
 
 // scheduleHold sets the time of the worker's next hold.
@@ -55,6 +58,10 @@
 		if w.holdInFlight || w.ended || now.Before(w.nextHoldAt) || c.workers[w.Worker] != w {
 			continue
 		}
+		if !c.assignToken(w) {
+			c.scheduleHold(w, now.Add(tokenRetryPause))
+			continue
+		}
 		c.sendHold(w, now)
 	}
 }
@@ -64,13 +71,20 @@
 	w.holdInFlight = true
 	w.holdSentAt = now
 	leaseUntilMs := c.leaseEndFor(w, now)
+	if w.isSilent() && w.StartedMs != 0 && !c.isStarved(now) {
+		leaseUntilMs = 0 // renews nothing, and would be a longer lease on the clock of a next incarnation
+	}
+	if leaseUntilMs > 0 {
+		w.lease.sentAt = now
+	}
 	if leaseUntilMs > 0 && w.lease.firstRenewalAt.IsZero() {
 		w.lease.firstRenewalAt = now
 	}
+	w.holdAckThrough = w.ackThrough()
 	c.effects.Holds = append(c.effects.Holds, Hold{
 		Target:       c.target(w),
 		LeaseUntilMs: leaseUntilMs,
-		AckThrough:   w.ackThrough(),
+		AckThrough:   w.holdAckThrough,
 		Wait:         c.holdWait(w),
 		Timeout:      c.holdTimeout(w),
 	})
@@ -90,6 +104,8 @@
 	switch {
 	case !w.answeredThisOwner || !w.silentSince.IsZero() || len(w.unacked) > 0 || w.hasUnansweredStart():
 		return 0
+	case w.lastAckedEnd > w.confirmedAckEnd:
+		return 0 // an acknowledgement must not act later than the hold arrives, see ackThrough
 	case len(w.runs) == 0:
 		return max(c.opt.HoldWait, c.opt.IdleHoldWait)
 	case c.callLossDetector.Lossy():
@@ -207,9 +223,10 @@
 			c.scheduleHold(w, now.Add(holdRetryPause))
 			return
 		case nextIncarnation:
-			sent := w.holdSentAt
-			w = c.startIncarnation(w, h.StartedMs, "another incarnation answered the hold", now)
-			w.holdSentAt = sent
+			// Late orders for the past incarnation may still change what it lists, until it has
+			// executed an order of its own.
+			c.startIncarnation(w, h.StartedMs, "another incarnation answered the hold", now)
+			return
 		}
 	}
 	if w.ended {
@@ -252,6 +269,7 @@
 		w.firstAnsweredAt = now
 	}
 	w.unprovenLapseLogged = false
+	w.confirmedAckEnd = max(w.confirmedAckEnd, w.holdAckThrough)
 	w.answeredHoldSentAt = w.holdSentAt
 	c.applyRunList(w, h, now)
 	c.workersWithUnknownJobs.put(w, len(w.unknownRuns)+len(w.unknownEnds) > 0)
@@ -340,28 +358,50 @@
 func (c *Core) expireLeases(now time.Time) {
 	for id, w := range c.endedWorkers {
 		if !w.registered && !w.holdInFlight {
-			c.removeWorker(id)
+			c.removeWorker(id, now)
 		}
 	}
 	for _, w := range c.silentWorkers.sorted() {
 		id := w.Worker
-		expiry, known := c.leaseExpiry(w)
-		lapsed := (len(w.runs) > 0 || w.endsTruncated) && known && now.After(expiry) && !c.isStarved(now)
-		if lapsed && !c.ownership.provenAt(expiry) {
-			c.logUnprovenLapse(w, now)
-		} else if lapsed {
-			c.logDecision(Decision{Event: "leases-expired", Worker: id, Reason: "silent for " + now.Sub(w.silentSince).String()})
-			for _, r := range runsByNumber(w) {
-				c.recordUnconfirmedCrash(r, now) // whether the worker has crashed may become known later
-			}
-			for _, r := range runsByNumber(w) {
-				c.releaseLostRun(r, "its lease has expired", now)
-			}
-			w.endsTruncated = false // ends that it did not list before its lease expired do not count any more
-		}
+		c.expireLeasesOf(w, now)
 		if !w.registered && len(w.runs) == 0 && !w.endsTruncated && !w.holdInFlight && now.Sub(w.silentSince) > c.opt.TaskLease*2 {
 			c.presumeLost(w, now)
-			c.removeWorker(id) // added again if it registers again
+			c.removeWorker(id, now) // added again if it registers again
 		}
 	}
 }
+
+// expireLeasesOf releases the runs of a silent worker whose leases have expired.
+func (c *Core) expireLeasesOf(w *worker, now time.Time) {
+	expiry, known := c.leaseExpiry(w)
+	if !known || !now.After(expiry) || c.isStarved(now) {
+		return
+	}
+	unlistedExpiry := c.unlistedLeaseExpiry(w)
+	if !now.After(unlistedExpiry) {
+		c.releaseLapsed(w, expiry, func(r *run) bool { return r.listed }, now)
+		return
+	}
+	c.releaseLapsed(w, laterOf(expiry, unlistedExpiry), func(*run) bool { return true }, now)
+}
+
+// releaseLapsed releases those runs of a silent worker for which lapsed is true.
+func (c *Core) releaseLapsed(w *worker, expiry time.Time, lapsed func(*run) bool, now time.Time) {
+	runs := slices.DeleteFunc(runsByNumber(w), func(r *run) bool { return !lapsed(r) })
+	if len(runs) == 0 && !w.endsTruncated {
+		return
+	}
+	if !c.ownership.provenAt(expiry) {
+		c.logUnprovenLapse(w, now)
+		return
+	}
+	c.logDecision(Decision{Event: "leases-expired", Worker: w.Worker, Reason: fmt.Sprintf("silent for %s; %d incarnations before this one, first seen %s ago; %d of %d runs are lost",
+		now.Sub(w.silentSince), len(w.pastStartsMs), now.Sub(w.firstSeenAt).Round(time.Millisecond), len(runs), len(w.runs))})
+	for _, r := range runs {
+		c.recordUnconfirmedCrash(r, now) // whether the worker has crashed may become known later
+	}
+	for _, r := range runs {
+		c.releaseLostRun(r, "its lease has expired", now)
+	}
+	w.endsTruncated = false // ends that it did not list before its lease expired do not count any more
+}
