--- a/jobs/ledger/keys.go
+++ b/jobs/ledger/keys.go
@@ -31,6 +31,8 @@
 	// PrefixMembers contains the live daemons.
 	PrefixMembers = "member/"
 	prefixWaves   = "wave/"
+	// prefixSettled contains the settled incarnations of workers, in owner.SettledShards items.
+	prefixSettled = "settled/"
 )
 
 // Lock identifies the owner. Its key is attached to the owner's lease.
--- a/jobs/ledger/snapshot.go
+++ b/jobs/ledger/snapshot.go
@@ -25,28 +25,31 @@
 	Jobs     []owner.StoredJob
 	Withheld []job.ID // jobs that are not loaded although some of their tasks may be done
 	Waves    map[int]WaveProgress
-	Revision int64 // a watch of PrefixJobs from there misses no change
+	Settled  map[owner.WorkerID]int64 // start times of settled incarnations by worker
+	Revision int64                    // a watch of PrefixJobs from there misses no change
 }
 
 // loadTimeout bounds the reading of a snapshot, which has several pages of 1 MB.
 const loadTimeout = 10 * time.Second
 
-// Load reads all jobs and waves. Reading them concurrently is consistent: only the owner writes
-// progress and waves, and a watch from Revision reports later submissions.
+// Load reads all jobs, waves and settled incarnations. Reading them concurrently is consistent: only the
+// owner writes progress, waves and settled incarnations, and a watch from Revision reports later submissions.
 func Load(ctx context.Context, s Store) (Snapshot, error) {
 	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
 	defer cancel()
 	snap := Snapshot{Waves: map[int]WaveProgress{}}
-	var items, progress, waves []Item
+	var items, progress, waves, settled []Item
 	err := runConcurrently(
 		func() (err error) { items, snap.Revision, err = RangeAll(ctx, s, PrefixJobs, false); return err },
 		func() (err error) { progress, _, err = RangeAll(ctx, s, prefixProgress, false); return err },
 		func() (err error) { waves, _, err = RangeAll(ctx, s, prefixWaves, false); return err },
+		func() (err error) { settled, _, err = RangeAll(ctx, s, prefixSettled, false); return err },
 	)
 	if err != nil {
 		return snap, err
 	}
 	snap.assemble(items, progress)
+	snap.addSettled(settled)
 	for _, i := range waves {
 		n, err := strconv.Atoi(i.Key[len(prefixWaves):])
 		if err != nil {
--- a/jobs/node/termcommit.go
+++ b/jobs/node/termcommit.go
@@ -21,6 +21,7 @@
 		return
 	}
 	t.reserveTerm(now)
+	t.takeSettled(now)
 	puts := nextPuts(t.pendingPuts, ledger.MaxWriteEntries)
 	records := t.core.PendingRecords(ledger.MaxWriteEntries - len(puts))
 	if t.isolating > 0 {
--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -66,6 +66,7 @@
 	otherCalls          callLimiter // all other orders to workers
 	stopsInFlight       stopSet
 	ownership           termOwnership
+	settledTakenAt      [owner.SettledShards]time.Time // when a shard of the settled incarnations was last taken from the core
 }
 
 // runTerm loads all jobs and schedules them until the term or ctx ends.
@@ -97,6 +98,7 @@
 		MaxOpenJobBytes:      int64(n.settings.MemoryMB) << 20 / openJobsShare,
 		CatchUpTasksPerSec:   catchUpTasksPerCoreSecond * n.settings.Cores,
 		WithheldJobs:         snap.Withheld,
+		Settled:              snap.Settled,
 		StatusRetention:      n.settings.StatusRetention,
 		MaxOutstandingStarts: startsPerSlot * cap(t.startCalls.slots),
 		Weights:              n.settings.Policy.Pools.Weights(), PoolPolicy: n.settings.Policy.Pools.Size, SchedulingPolicy: n.settings.Policy.Jobs.Order, AdmissionPolicy: n.settings.Policy.Jobs.Admission, CallPolicy: n.settings.Policy.Workers.Calls,
@@ -334,8 +336,10 @@
 
 // finalWrites returns the writes that are committed together with the release of the lock.
 func (t *termRun) finalWrites() (puts []ledger.Put, deletes []string) {
+	now := t.n.clock.Now()
+	t.takeAllSettled(now)
 	puts = nextPuts(t.pendingPuts, ledger.MaxReleaseEntries)
-	_, recordPuts, deletes := t.encodeRecords(t.core.PendingRecords(ledger.MaxReleaseEntries-len(puts)), t.n.clock.Now())
+	_, recordPuts, deletes := t.encodeRecords(t.core.PendingRecords(ledger.MaxReleaseEntries-len(puts)), now)
 	return append(puts, recordPuts...), deletes
 }
 
--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -120,6 +120,7 @@
 		delete(c.formerWorkers, id)
 		c.continueLineage(w, f)
 	}
+	c.dropPastSettled(w, now)
 	c.workers[id] = w
 	c.holdsDue.add(now, w)
 	return w
@@ -223,26 +224,30 @@
 			at = laterOf(at, c.earlierLeaseExpiry())
 		}
 	}
-	if w.mayHoldLeaseOfPast() {
-		return laterOf(at, c.leaseOfPastExpiry(w)), true
+	if foreign, possible := c.foreignLeaseExpiry(w); possible {
+		return laterOf(at, foreign), true
 	}
 	return at, w.lease.known
 }
 
-// mayHoldLeaseOfPast reports whether an order for a past incarnation may have granted the worker a
-// lease. Its end is a time on the past incarnation's clock, so that the lease may be as long as the worker
-// accepts.
-func (w *worker) mayHoldLeaseOfPast() bool { return len(w.pastStartsMs) > 0 }
-
-// leaseOfPastExpiry returns the time by which a lease that an order for a past incarnation granted has
-// expired. No such order is executed after the incarnation's first answered order, whose fencing token is
-// higher.
-func (c *Core) leaseOfPastExpiry(w *worker) time.Time {
-	latestGrant := w.firstSeenAt.Add(maxOrderDelay)
+// foreignLeaseExpiry returns the time by which a lease has expired that an order for a past incarnation, or of
+// an earlier owner, may have granted. No such order is executed after the incarnation's first answered order,
+// whose fencing token is higher. possible is false if there is no such order.
+func (c *Core) foreignLeaseExpiry(w *worker) (at time.Time, possible bool) {
+	latestGrant := time.Time{}
+	if len(w.pastStartsMs) > 0 {
+		latestGrant = w.firstSeenAt.Add(maxOrderDelay)
+	}
+	if !c.wasSettled(w.incarnation()) {
+		latestGrant = laterOf(latestGrant, c.latestEarlierOrder())
+	}
+	if latestGrant.IsZero() {
+		return time.Time{}, false
+	}
 	if w.answeredThisOwner {
 		latestGrant = w.firstAnsweredAt
 	}
-	return latestGrant.Add(c.longestWorkerLease())
+	return latestGrant.Add(c.longestWorkerLease()), true
 }
 
 // longestWorkerLease returns how long a lease can last, whatever the order that granted it says.
--- a/jobs/owner/registrations.go
+++ b/jobs/owner/registrations.go
@@ -171,8 +171,12 @@
 			c.logDecision(Decision{Event: "worker-resized", Worker: r.Worker, Reason: fmt.Sprintf("from %v to %v, %v in use", w.Capacity, r.Capacity, w.allocated)})
 		}
 	}
+	startKnown := w.StartedMs != r.StartedMs
 	w.Registration = r
 	w.registered = true
+	if startKnown && w.answeredThisOwner {
+		c.scheduleSettling(w, now)
+	}
 	c.workersByService.add(w)
 	c.markWorkerChanged(w)
 	c.changedServices[r.Service] = true
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"maps"
 	"slices"
+	"sync"
 	"time"
 )
 
@@ -145,11 +146,11 @@
 // each worker that answers would keep a new owner's CPU busy for longer than leases last.
 func (c *Core) queueEntries(service string, pool *poolState, now time.Time) []queueEntry {
 	takenOver := c.earlierRunsKnown(service, now)
-	leasesExpired := takenOver || c.earlierLeasesExpired(now)
+	leasesExpired := sync.OnceValue(func() bool { return takenOver || c.earlierLeasesOfServiceExpired(service, now) })
 	kept := pool.placementQueue[:0]
 	entries := pool.entries[:0]
 	for _, j := range pool.placementQueue {
-		if !j.inherited || takenOver && c.inheritedRunsKnown(j, now) || leasesExpired && j.isLongRunning() {
+		if !j.inherited || takenOver && c.inheritedRunsKnown(j, now) || j.isLongRunning() && leasesExpired() {
 			if j.overdue > 0 && !j.state.Final() {
 				c.createDueOccurrences(j, now)
 			}
@@ -234,6 +235,7 @@
 	c.resendStops(now)
 	c.stopStalledRuns(now)
 	c.sendDueHolds(now)
+	c.settleDue(now)
 	c.createAllDueOccurrences(now)
 	c.dropRetainedSpecs(now)
 	c.throttleFillers(now)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -19,6 +19,9 @@
 	IdleHoldWait   time.Duration     // the same for a worker without tasks; 0: HoldWait
 	CallPolicy     callpolicy.Policy // policy for call timeouts; "": adaptive
 	MaxHoldsPerSec float64           // holds per second that this daemon's CPU can handle; 0: no limit
+	// Settled are the start times of the incarnations that were settled for the earlier owners, by worker; 0:
+	// not reported.
+	Settled map[WorkerID]int64
 	// WithheldJobs are not run, even if they are submitted again: their records cannot be read, and some
 	// of their tasks may be done.
 	WithheldJobs []job.ID
@@ -322,6 +325,7 @@
 	fencingToken           uint64 // of orders to first incarnations, see assignToken
 	highestToken           uint64 // highest fencing token that is in use or needed
 	formerWorkers          map[WorkerID]formerWorker
+	settled                [SettledShards]settledShard // record of settled incarnations
 	runs                   runNumbers
 	catalog                *job.Catalog
 	jobs                   map[job.ID]*jobState
@@ -366,7 +370,9 @@
 	presumedUsage          presumedUsage           // usage by tenant of runs that may exist but are not known
 	takeoverDone           map[string]bool         // services for which all runs of earlier owners are known
 	loggedTakeoverWaits    map[string]takeoverWait // last logged wait, by service
+	earlierLeasesGone      map[string]bool         // services for which the leases of earlier owners have expired
 	lastAwaited            map[string]InstanceID   // instance found by the last scan in awaitedInstance, by service
+	lastUnsettled          map[string]InstanceID   // instance found by the last scan in unsettledWorker, by service
 	startedAt              time.Time
 	electedAt              time.Time
 	orderHoldoff           map[InstanceID]time.Time // until when no order is sent, because an earlier owner may have sent one
@@ -379,6 +385,7 @@
 	fenced                 bool
 
 	holdsDue       timerQueue[*worker]
+	settlesDue     timerQueue[*worker]   // answered workers whose incarnations are to be recorded as settled
 	stopsDue       timerQueue[*run]      // stops to resend unless confirmed
 	stallsDue      timerQueue[*run]      // runs to check for lack of progress
 	occurrencesDue timerQueue[*jobState] // jobs with later occurrences
@@ -517,7 +524,9 @@
 		tenantUsage:            quota.New(),
 		takeoverDone:           map[string]bool{},
 		loggedTakeoverWaits:    map[string]takeoverWait{},
+		earlierLeasesGone:      map[string]bool{},
 		lastAwaited:            map[string]InstanceID{},
+		lastUnsettled:          map[string]InstanceID{},
 		startWindow:            newStartWindow(opt.MaxOutstandingStarts),
 		orderHoldoff:           map[InstanceID]time.Time{},
 		admission:              admissionState{controllers: map[string]*admission.Controller{}},
@@ -528,6 +537,7 @@
 	for _, id := range opt.WithheldJobs {
 		c.withheldJobs[id] = true
 	}
+	c.loadSettled(opt.Settled)
 	c.callLossDetector.Policy = opt.CallPolicy
 	c.allCalls.AllWorkers = true
 	if !opt.ElectedAt.IsZero() {
--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"time"
 
 	"github.com/postmount/postmount/jobs/job"
@@ -116,21 +117,72 @@
 	return time.Duration(float64(c.opt.TaskLease)/(1-maxClockSlowdown)) + leaseMargin
 }
 
-// earlierLeaseExpiry returns the time by which all leases granted by earlier owners have expired.
+// earlierLeaseExpiry returns the time by which all leases that earlier owners granted to settled incarnations
+// have expired.
 func (c *Core) earlierLeaseExpiry() time.Time {
 	return c.startedAt.Add(c.opt.PriorLeaseLeft + c.maxLeaseDuration())
 }
 
-// earlierLeasesExpired reports whether all leases granted by earlier owners have expired, and no
-// later owner can have renewed them before.
-func (c *Core) earlierLeasesExpired(now time.Time) bool {
-	expiry := c.earlierLeaseExpiry()
+// latestEarlierOrder returns the time by which all orders of earlier owners that may start a run have been
+// executed. An earlier owner that does not know of this one starts runs for as long as it renews leases.
+func (c *Core) latestEarlierOrder() time.Time { return c.earlierLeaseExpiry().Add(maxOrderDelay) }
+
+// unsettledLeaseExpiry returns the time by which all leases have expired that orders of earlier owners granted
+// to incarnations that are not settled and do not answer.
+func (c *Core) unsettledLeaseExpiry() time.Time {
+	return c.latestEarlierOrder().Add(c.longestWorkerLease())
+}
+
+// earlierLeaseExpiryAt returns the time by which the worker's leases from earlier owners have expired. Of a
+// worker that is not registered the incarnation is not known: it counts as settled if one was.
+func (c *Core) earlierLeaseExpiryAt(id WorkerID) time.Time {
+	if w := c.workers[id]; w != nil {
+		foreign, _ := c.foreignLeaseExpiry(w)
+		return laterOf(c.earlierLeaseExpiry(), foreign)
+	}
+	if c.mayBeUnsettled(id) {
+		return c.unsettledLeaseExpiry()
+	}
+	return c.earlierLeaseExpiry()
+}
+
+// mayBeUnsettled reports whether the incarnation of a worker that is not registered may not be settled.
+func (c *Core) mayBeUnsettled(id WorkerID) bool {
+	if f, known := c.formerWorkers[id]; known {
+		return len(f.pastStartsMs) > 0 || !c.wasSettled(incarnation{id, f.startedMs})
+	}
+	_, recorded := c.opt.Settled[id]
+	return c.opt.Term > 1 && !recorded
+}
+
+// certainlyPast reports whether all leases that expire by the given time have expired, and no later owner can
+// have renewed them before.
+func (c *Core) certainlyPast(expiry, now time.Time) bool {
 	return now.After(expiry) && c.ownership.provenAt(expiry)
 }
 
+// earlierLeasesOfServiceExpired reports whether all leases granted by earlier owners to workers of the service
+// that have not answered this one have expired.
+func (c *Core) earlierLeasesOfServiceExpired(service string, now time.Time) bool {
+	if !c.earlierLeasesGone[service] && c.certainlyPast(c.earlierLeaseExpiry(), now) && c.unsettledWorker(service, now) == "" {
+		c.earlierLeasesGone[service] = true
+	}
+	return c.earlierLeasesGone[service]
+}
+
+// earlierLeasesExpired reports the same for the workers of all services.
+func (c *Core) earlierLeasesExpired(now time.Time) bool {
+	if !c.certainlyPast(c.earlierLeaseExpiry(), now) {
+		return false
+	}
+	return c.catalog == nil || !slices.ContainsFunc(c.catalog.Services, func(s job.Service) bool {
+		return !s.Spare && !c.earlierLeasesOfServiceExpired(s.Name, now)
+	})
+}
+
 // earlierRunsKnown reports whether every run that an earlier owner may have started for the
 // service is known, and how it ended: the worker of each instance that is up in its pool has answered
-// a hold of this owner with a complete list, or all leases of earlier owners have expired. A starved
+// a hold of this owner with a complete list, or its leases of earlier owners have expired. A starved
 // owner waits for the workers even after that, as answers that it has not read yet may report tasks as
 // done. So does an owner for ends that a worker has not listed yet, as it has renewed that worker's lease.
 func (c *Core) earlierRunsKnown(service string, now time.Time) bool {
@@ -138,8 +190,8 @@
 		return true
 	}
 	awaited := c.awaitedInstance(service)
-	if awaited != "" && (!c.earlierLeasesExpired(now) || c.isStarved(now) || c.awaitsEnds(service)) {
-		c.logTakeoverWait(service, awaited, now)
+	if waitsFor := c.takeoverBlocker(service, awaited, now); waitsFor != "" {
+		c.logTakeoverWait(service, waitsFor, now)
 		return false
 	}
 	c.takeoverDone[service] = true
@@ -153,6 +205,23 @@
 	return true
 }
 
+// takeoverBlocker describes what the takeover of the service waits for, given what it awaits; "" if it is complete.
+func (c *Core) takeoverBlocker(service, awaited string, now time.Time) string {
+	switch {
+	case awaited == "":
+		return ""
+	case !c.certainlyPast(c.earlierLeaseExpiry(), now) || c.isStarved(now):
+		return awaited
+	}
+	if unsettled := c.unsettledWorker(service, now); unsettled != "" {
+		return unsettled
+	}
+	if c.awaitsEnds(service) {
+		return awaited
+	}
+	return ""
+}
+
 // addTakeoverWait counts the time that inherited jobs of the service waited as
 // CauseTakeover.
 func (c *Core) addTakeoverWait(service string, now time.Time) {
@@ -207,6 +276,38 @@
 	return "instance " + string(first)
 }
 
+// unsettledWorker describes a worker that the takeover of the service awaits, and that may have a lease of earlier
+// owners for longer than a settled one. It returns "" if there is none.
+func (c *Core) unsettledWorker(service string, now time.Time) string {
+	if c.instanceListAt.IsZero() {
+		for _, w := range c.workersByService[service] {
+			if !w.ended && !w.answeredThisOwner && c.mayHaveEarlierLease(w.Worker, now) {
+				return "worker " + string(w.Worker) + ", which may be a new incarnation with a longer lease"
+			}
+		}
+		return ""
+	}
+	id := c.lastUnsettled[service]
+	if i := c.instances[id]; !c.isAwaited(service, i) || !c.mayHaveEarlierLease(i.Worker, now) {
+		id = ""
+		for _, i := range c.instances {
+			if (id == "" || i.ID < id) && c.isAwaited(service, i) && c.mayHaveEarlierLease(i.Worker, now) {
+				id = i.ID
+			}
+		}
+		c.lastUnsettled[service] = id
+	}
+	if id == "" {
+		return ""
+	}
+	return "instance " + string(id) + ", whose worker may be a new incarnation with a longer lease"
+}
+
+// mayHaveEarlierLease reports whether the worker may have a lease from an earlier owner.
+func (c *Core) mayHaveEarlierLease(id WorkerID, now time.Time) bool {
+	return !c.certainlyPast(c.earlierLeaseExpiryAt(id), now)
+}
+
 // awaitsEnds reports whether a worker of the service has not listed all ends of its runs yet.
 func (c *Core) awaitsEnds(service string) bool {
 	for _, i := range c.instances {
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -311,7 +311,7 @@
 // runsKnown reports whether all runs on the worker and their ends are known: it has answered a hold of
 // this owner with a complete list, or all leases granted by earlier owners have expired.
 func (c *Core) runsKnown(w *worker, now time.Time) bool {
-	return !w.endsTruncated && (w.answeredThisOwner || c.earlierLeasesExpired(now))
+	return !w.endsTruncated && (w.answeredThisOwner || !c.mayHaveEarlierLease(w.Worker, now))
 }
 
 // remainingWork returns the estimated core-seconds left of the runs on the worker. A
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -261,6 +261,7 @@
 	w.answeredThisOwner = true
 	if first {
 		w.firstAnsweredAt = now
+		c.scheduleSettling(w, now)
 	}
 	w.unprovenLapseLogged = false
 	w.confirmedAckEnd = max(w.confirmedAckEnd, w.holdAckThrough)
