--- /dev/null
+++ b/jobs/owner/restarts_test.go
@@ -0,0 +1,141 @@
+package owner
+
+import (
+	"flag"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// These tests guard against orders and acknowledgements that are meant for one incarnation of a worker
+// and act on the next one under the same ID: tasks then run twice. They drive real Cores in virtual time.
+
+var (
+	restartSeeds = flag.Int("restarts.seeds", 200, "seeds of TestRestartsAtRandom")
+	restartFirst = flag.Uint64("restarts.first", 1, "first seed of TestRestartsAtRandom")
+)
+
+// twiceJudge judges by what the workers do that no task runs twice: not at the same time, and not after
+// a run has ended as done if that end is taken note of, even later.
+type twiceJudge struct {
+	now    func() time.Time
+	active map[job.TaskID][]*simRun
+	done   map[job.TaskID][]*simEnd
+	starts map[job.TaskID][]*simRun
+	broken []twiceFinding
+}
+
+type twiceFinding struct {
+	task job.TaskID
+	what string
+}
+
+func newTwiceJudge() *twiceJudge {
+	return &twiceJudge{active: map[job.TaskID][]*simRun{}, done: map[job.TaskID][]*simEnd{}, starts: map[job.TaskID][]*simRun{}}
+}
+
+func (t *twiceJudge) started(r *simRun) {
+	for _, o := range t.active[r.task] {
+		t.broken = append(t.broken, twiceFinding{r.task, fmt.Sprintf("run %d on %s starts while run %d is active on %s", r.number, r.inc.worker.id, o.number, o.inc.worker.id)})
+	}
+	t.active[r.task] = append(t.active[r.task], r)
+	t.starts[r.task] = append(t.starts[r.task], r)
+}
+
+func (t *twiceJudge) ended(r *simRun, e *simEnd) {
+	t.killed(r)
+	if e.Kind == EndDone {
+		t.done[r.task] = append(t.done[r.task], e)
+	}
+}
+
+// killed removes a run that has ended without a list entry, or with one.
+func (t *twiceJudge) killed(r *simRun) {
+	var left []*simRun
+	for _, o := range t.active[r.task] {
+		if o != r {
+			left = append(left, o)
+		}
+	}
+	t.active[r.task] = left
+}
+
+// findings returns all breaches, at the end of the simulation.
+func (t *twiceJudge) findings() []twiceFinding {
+	out := t.broken
+	for task, ends := range t.done {
+		for _, e := range ends {
+			for _, r := range t.starts[task] {
+				if !e.noted.IsZero() && !e.lapsed && !r.startedAt.Before(e.at) {
+					out = append(out, twiceFinding{task, fmt.Sprintf("run %d on %s starts after run %d has ended as done, which is taken note of", r.number, r.inc.worker.id, e.Run)})
+				}
+			}
+		}
+	}
+	return out
+}
+
+// requireOnce fails the test if a task has run twice.
+func (s *restartSim) requireOnce(t *testing.T) {
+	t.Helper()
+	if f := s.judge.findings(); len(f) > 0 {
+		t.Fatalf("task %s: %s; %d findings\n%s", f[0].task, f[0].what, len(f), s.logOf(f[0].task.String()))
+	}
+}
+
+// joinOthersAt lets only the first worker have tasks before d, and returns it.
+func (s *restartSim) joinOthersAt(d time.Duration) *simWorker {
+	for _, w := range s.workers[1:] {
+		w.joined = false
+		s.at(d, func() { w.joined = true })
+	}
+	return s.workers[0]
+}
+
+// TestLeaseMeantForThePastIncarnation guards against a copy of a task beside its run: an order for a
+// worker's past incarnation grants the next one a longer lease than the owner, or the next owner, knows of.
+func TestLeaseMeantForThePastIncarnation(t *testing.T) {
+	for name, killed := range map[string]bool{"same owner": false, "next owner": true} {
+		t.Run(name, func(t *testing.T) {
+			s := newRestartSim(1)
+			s.maxRegLag = 0
+			w := s.joinOthersAt(7 * time.Second)
+			s.at(5*time.Second, func() { s.restart(w) })
+			s.at(6*time.Second, func() { s.submit(2, 12*time.Second) })
+			if killed {
+				s.at(7*time.Second, s.killOwner)
+			}
+			s.at(7600*time.Millisecond, func() { s.cut(w, 9*time.Second) })
+			s.runUntil(17*time.Second, 60*time.Second)
+			require.NotEmpty(t, s.judge.starts)
+			s.requireOnce(t)
+			assert.Empty(t, s.incomplete())
+		})
+	}
+}
+
+// TestAcknowledgementMeantForThePastIncarnation guards against a task that is started again after it was done: a
+// hold for a worker's past incarnation makes the next one forget the end of a run that the owner has not read.
+func TestAcknowledgementMeantForThePastIncarnation(t *testing.T) {
+	s := newRestartSim(1)
+	s.maxRegLag = 0
+	w := s.joinOthersAt(7 * time.Second)
+	s.lateness = func() time.Duration { return 2150 * time.Millisecond }
+	s.at(2*time.Second, func() { s.submit(12, 200*time.Millisecond) })
+	s.at(4*time.Second, func() { s.submit(1, time.Second) })
+	s.at(5030*time.Millisecond, func() { s.restart(w) }) // before the last end is acknowledged
+	s.at(6100*time.Millisecond, func() {
+		s.submit(1, 200*time.Millisecond)
+		s.submit(1, 1300*time.Millisecond)
+	})
+	s.at(7700*time.Millisecond, func() { s.cut(w, 9*time.Second) })
+	s.runUntil(17*time.Second, 60*time.Second)
+	require.NotEmpty(t, s.judge.starts)
+	s.requireOnce(t)
+	assert.Empty(t, s.incomplete())
+}
--- /dev/null
+++ b/jobs/owner/restartsim_test.go
@@ -0,0 +1,370 @@
+package owner
+
+import (
+	"cmp"
+	"container/heap"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+
+	"github.com/postmount/postmount/jobs/job"
+)
+
+// Timing of the daemon around the core, as in package node, and of the simulated faults.
+const (
+	simTick           = 25 * time.Millisecond
+	simListInterval   = 400 * time.Millisecond // between reads of the registrations
+	simInstancesEvery = 700 * time.Millisecond
+	simCommitInterval = 50 * time.Millisecond
+	simCommitTime     = 4 * time.Millisecond
+	simRestartTime    = 600 * time.Millisecond
+	simElectionTime   = 2 * time.Second // from the end of an owner until the next one has begun
+	simMaxLateness    = 12 * time.Second
+)
+
+// restartSim simulates, in virtual time, owners that follow each other, the store, the network and
+// workers that restart under their IDs. The owners are real Cores. All that happens is determined by
+// the seed.
+type restartSim struct {
+	rnd       *rand.Rand
+	startedAt time.Time
+	now       time.Time
+	events    simEvents
+	workers   []*simWorker
+	judge     *twiceJudge
+
+	core *Core // nil: there is no owner at present
+	term uint64
+
+	storeAwayUntil time.Time
+	stored         map[job.ID]*StoredJob
+	order          []job.ID // of submission
+	highestTerm    uint64   // highest term that was used or reserved
+
+	// lateness returns when after its sending a call is carried out that was sent to a worker that cannot
+	// be reached; 0: never.
+	lateness     func() time.Duration
+	capacity     int           // of the workers
+	failing      float64       // share of the runs that fail
+	shuffleWaits bool          // holds that wait for an end are answered in any order
+	maxRegLag    time.Duration // longest time until a restarted worker's registration is renewed
+	durations    map[job.ID]time.Duration
+	lines        []simLine
+}
+
+// simLine is a line of the log, formatted only if a rule is broken.
+type simLine struct {
+	at       time.Time
+	what     string
+	run      *simRun
+	lease    int64 // lease end and clock of the run's incarnation, in ms
+	clock    int64
+	decision *Decision
+}
+
+type simEvent struct {
+	at  time.Time
+	seq int
+	do  func()
+}
+
+// simEvents is a heap of events by time, then by the order in which they were added.
+type simEvents struct {
+	list []simEvent
+	last int
+}
+
+func (e *simEvents) Len() int { return len(e.list) }
+func (e *simEvents) Less(a, b int) bool {
+	return cmp.Or(e.list[a].at.Compare(e.list[b].at), cmp.Compare(e.list[a].seq, e.list[b].seq)) < 0
+}
+func (e *simEvents) Swap(a, b int) { e.list[a], e.list[b] = e.list[b], e.list[a] }
+func (e *simEvents) Push(x any)    { e.list = append(e.list, x.(simEvent)) }
+func (e *simEvents) Pop() any {
+	last := e.list[len(e.list)-1]
+	e.list[len(e.list)-1] = simEvent{}
+	e.list = e.list[:len(e.list)-1]
+	return last
+}
+
+// newRestartSim returns a simulation with three workers and an owner of the first term.
+func newRestartSim(seed uint64) *restartSim {
+	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	s := &restartSim{rnd: newSimRand(seed), startedAt: start, now: start, judge: newTwiceJudge(), stored: map[job.ID]*StoredJob{}, durations: map[job.ID]time.Duration{}, maxRegLag: 3 * time.Second}
+	s.judge.now = func() time.Time { return s.now }
+	s.lateness = func() time.Duration { return 0 }
+	for n := range 3 {
+		w := &simWorker{id: WorkerID(fmt.Sprint("w", n)), joined: true, startedMs: start.UnixMilli() - 60_000}
+		w.begin(s, rigClockMs)
+		w.registeredMs = w.startedMs
+		s.workers = append(s.workers, w)
+	}
+	s.after(0, s.begin)
+	s.every(simTick, func() { s.withCore(func(c *Core) { c.Tick(s.now) }) })
+	s.every(simListInterval, s.publishRegistrations)
+	s.every(simInstancesEvery, s.publishInstances)
+	s.every(simCommitInterval, s.commit)
+	return s
+}
+
+func (s *restartSim) after(d time.Duration, do func()) {
+	s.events.last++
+	heap.Push(&s.events, simEvent{s.now.Add(d), s.events.last, do})
+}
+
+// at does something at a time after the beginning of the simulation.
+func (s *restartSim) at(d time.Duration, do func()) { s.after(s.startedAt.Add(d).Sub(s.now), do) }
+
+func (s *restartSim) every(d time.Duration, do func()) {
+	s.after(d, func() {
+		do()
+		s.every(d, do)
+	})
+}
+
+// runUntil runs the simulation until a time after its beginning, or until all jobs have ended after quietFrom.
+func (s *restartSim) runUntil(quietFrom, end time.Duration) {
+	for len(s.events.list) > 0 && !s.events.list[0].at.After(s.startedAt.Add(end)) {
+		e := heap.Pop(&s.events).(simEvent)
+		s.now = e.at
+		e.do()
+		if s.now.After(s.startedAt.Add(quietFrom)) && s.allCompleted() {
+			return
+		}
+	}
+}
+
+func (s *restartSim) allCompleted() bool { return len(s.incomplete()) == 0 }
+
+// incomplete returns the jobs that are not stored as completed.
+func (s *restartSim) incomplete() (out []string) {
+	for _, id := range s.order {
+		if p := s.stored[id].Progress; p == nil || p.State != job.Completed {
+			state := job.Queued
+			if p != nil {
+				state = p.State
+			}
+			out = append(out, string(id)+" "+string(state))
+		}
+	}
+	return out
+}
+
+// withCore passes an event to the owner, if there is one, and carries out its effects.
+func (s *restartSim) withCore(event func(c *Core)) {
+	if s.core == nil {
+		return
+	}
+	event(s.core)
+	s.core.React(s.now)
+	for _, d := range s.core.TakeDecisions() {
+		s.lines = append(s.lines, simLine{at: s.now, decision: &d})
+	}
+	s.send(s.core.TakeEffects())
+}
+
+// begin begins the next term.
+func (s *restartSim) begin() {
+	s.term = s.highestTerm + 1
+	s.highestTerm = s.term
+	catalog := &job.Catalog{
+		Queues:   []job.Queue{{Name: "q", Service: "s", MaxAttempts: 1000, ObjectiveFactor: 2, ObjectiveOffset: time.Second}},
+		Services: []job.Service{{Name: "s"}},
+	}
+	opt := Options{Term: s.term, TaskLease: 4500 * time.Millisecond, MaxWorkerLease: simMaxLease, HoldWait: 900 * time.Millisecond,
+		IdleHoldWait: 1800 * time.Millisecond, DutyHandover: 3 * time.Second, StatusRetention: 2 * time.Minute}
+	var loaded []StoredJob
+	for _, id := range s.order {
+		loaded = append(loaded, *s.stored[id])
+	}
+	s.log(fmt.Sprintf("owner of term %d begins", s.term), nil)
+	s.core = New(opt, catalog, loaded, s.now)
+	s.publishRegistrations()
+	s.publishInstances()
+}
+
+// killOwner ends the owner. Its calls stay in the network.
+func (s *restartSim) killOwner() {
+	if s.core == nil {
+		return
+	}
+	s.log("owner is killed", nil)
+	s.core = nil
+	s.after(simElectionTime, s.begin)
+}
+
+// restart restarts a worker under its ID.
+func (s *restartSim) restart(w *simWorker) {
+	if w.inc == nil {
+		return
+	}
+	s.log("worker "+string(w.id)+" restarts", nil)
+	w.crash(s)
+	s.after(simRestartTime, func() {
+		w.begin(s, simFirstClockMs)
+		s.log("worker "+string(w.id)+" is back", nil)
+		started := w.startedMs
+		s.after(time.Duration(s.rnd.Int64N(int64(s.maxRegLag)+1)), func() { w.registeredMs = max(w.registeredMs, started) })
+	})
+}
+
+// cut cuts a worker off.
+func (s *restartSim) cut(w *simWorker, d time.Duration) {
+	s.log(fmt.Sprintf("worker %s is cut off for %s", w.id, d), nil)
+	w.cutUntil = laterOf(w.cutUntil, s.now.Add(d))
+}
+
+func (s *restartSim) joinedWorkers() []*simWorker {
+	return slices.DeleteFunc(slices.Clone(s.workers), func(w *simWorker) bool { return !w.joined })
+}
+
+func (s *restartSim) publishRegistrations() {
+	var list []Registration
+	for _, w := range s.joinedWorkers() {
+		list = append(list, Registration{Worker: w.id, Service: "s", Addr: string(w.id), StartedMs: w.registeredMs, Capacity: job.Resources{CPUMilli: 4000, MemMB: 8000}})
+	}
+	s.withCore(func(c *Core) { c.SetRegistrations(list, s.now) })
+}
+
+func (s *restartSim) publishInstances() {
+	var list []Instance
+	for _, w := range s.joinedWorkers() {
+		list = append(list, Instance{ID: InstanceID("i-" + string(w.id)), Pool: "s", State: InstanceUp, Worker: w.id})
+	}
+	s.withCore(func(c *Core) { c.OnInstances(list, s.now) })
+}
+
+// submit hands in a job with tasks that take d each.
+func (s *restartSim) submit(tasks int, d time.Duration) job.ID {
+	j := simpleJob(len(s.order)+1, tasks)
+	j.Steps[0].Estimate = d
+	j.AcceptedAt = s.now
+	s.durations[j.ID] = d
+	s.stored[j.ID] = &StoredJob{Job: j}
+	s.order = append(s.order, j.ID)
+	s.withCore(func(c *Core) { c.Submit(j, s.now) })
+	return j.ID
+}
+
+func (s *restartSim) durationOf(id job.TaskID) time.Duration { return s.durations[id.Job] }
+
+// commit writes the owner's records to the store, and reserves the term that it needs.
+func (s *restartSim) commit() {
+	c := s.core
+	if c == nil || s.now.Before(s.storeAwayUntil) {
+		return
+	}
+	records := c.PendingRecords(30)
+	term, needed := c.TermToReserve()
+	s.after(simCommitTime, func() {
+		for _, r := range records {
+			p := r.Progress
+			s.stored[r.Job.ID].Progress = &p
+		}
+		if needed {
+			s.highestTerm = max(s.highestTerm, term)
+		}
+		if s.core != c {
+			return
+		}
+		s.withCore(func(c *Core) {
+			if needed {
+				c.OnTermReserved(term)
+			}
+			c.OnCommitted(records, s.now)
+		})
+	})
+}
+
+// send sends the owner's orders. Their order does not depend on that of the core's maps.
+func (s *restartSim) send(e Effects) {
+	slices.SortStableFunc(e.Starts, func(a, b Start) int { return cmp.Compare(a.Run, b.Run) })
+	slices.SortStableFunc(e.Stops, func(a, b Stop) int { return cmp.Compare(a.Run, b.Run) })
+	for _, h := range e.Holds {
+		call(s, h.Target, h.Wait+h.Timeout, HoldAnswer{Answer: Answer{Outcome: Unanswered}},
+			func(i *simIncarnation, answer func(HoldAnswer)) { i.hold(h, answer) },
+			func(c *Core, a HoldAnswer, _ time.Duration) { c.OnHoldAnswer(h.Target, a, s.now) })
+	}
+	for _, o := range e.Starts {
+		call(s, o.Target, o.Timeout, Answer{Outcome: Unanswered},
+			func(i *simIncarnation, answer func(Answer)) {
+				answer(Answer{Outcome: i.start(o), ClockMs: i.clockMs()})
+			},
+			func(c *Core, a Answer, took time.Duration) {
+				a.Latency = took
+				c.OnStartAnswer(o, a, s.now)
+			})
+	}
+	for _, o := range e.Stops {
+		call(s, o.Target, o.Timeout, Answer{Outcome: Unanswered},
+			func(i *simIncarnation, answer func(Answer)) { answer(Answer{Outcome: i.stop(o), ClockMs: i.clockMs()}) },
+			func(c *Core, a Answer, _ time.Duration) { c.OnStopAnswer(o, a, s.now) })
+	}
+}
+
+// call sends a call to a worker. It is carried out at most once, by the incarnation that is there when it
+// arrives. If none can be reached, it is lost, or carried out late. The answer is lost if the caller has given up.
+func call[A any](s *restartSim, t Target, timeout time.Duration, unanswered A, execute func(*simIncarnation, func(A)), done func(*Core, A, time.Duration)) {
+	w := s.workers[slices.IndexFunc(s.workers, func(w *simWorker) bool { return w.id == t.Worker })]
+	c, sentAt, open := s.core, s.now, true
+	finish := func(a A, took time.Duration) {
+		if open && s.core == c {
+			s.withCore(func(c *Core) { done(c, a, took) })
+		}
+		open = false
+	}
+	s.after(timeout, func() { finish(unanswered, 0) })
+	s.after(s.transit(), func() {
+		if w.isReachable(s.now) {
+			i := w.inc
+			execute(i, func(a A) {
+				if i == w.inc && w.isReachable(s.now) {
+					s.after(s.transit(), func() { finish(a, s.now.Sub(sentAt)) })
+				}
+			})
+			return
+		}
+		late := s.lateness()
+		if late == 0 {
+			return
+		}
+		s.after(max(0, sentAt.Add(late).Sub(s.now)), func() {
+			if w.isReachable(s.now) {
+				s.log(fmt.Sprintf("worker %s carries out a call late by %s: %T", w.id, late, unanswered), nil)
+				execute(w.inc, func(A) {})
+			}
+		})
+	})
+}
+
+// transit returns the time that a call or an answer takes.
+func (s *restartSim) transit() time.Duration {
+	return time.Millisecond + time.Duration(s.rnd.Int64N(int64(time.Millisecond)))
+}
+
+func (s *restartSim) log(what string, r *simRun) {
+	l := simLine{at: s.now, what: what, run: r}
+	if r != nil {
+		l.lease, l.clock = r.inc.leaseEndMs, r.inc.clockMs()
+	}
+	s.lines = append(s.lines, l)
+}
+
+// logOf returns the log without the lines about other tasks.
+func (s *restartSim) logOf(task string) string {
+	var b strings.Builder
+	for _, l := range s.lines {
+		at := l.at.Sub(s.startedAt).Seconds()
+		switch {
+		case l.decision != nil && (l.decision.Task == "" || l.decision.Task == task):
+			fmt.Fprintf(&b, "%8.3f owner: %s %s %s run %d: %s\n", at, l.decision.Event, l.decision.Worker, l.decision.Task, l.decision.Run, l.decision.Reason)
+		case l.decision == nil && l.run == nil:
+			fmt.Fprintf(&b, "%8.3f %s\n", at, l.what)
+		case l.decision == nil && l.run.task.String() == task:
+			fmt.Fprintf(&b, "%8.3f %s: %s run %d on %s at clock %d, lease until %d\n", at, l.what, task, l.run.number, l.run.inc.worker.id, l.clock, l.lease)
+		}
+	}
+	return b.String()
+}
