--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -139,3 +139,65 @@
 	s.requireOnce(t)
 	assert.Empty(t, s.incomplete())
 }
+
+// plan plans jobs and faults for d: workers restart, alone or together, and are cut off at about that time; owners
+// are killed, and the store is away.
+func (s *restartSim) plan(d time.Duration) {
+	between := func(low, high time.Duration) time.Duration { return low + time.Duration(s.rnd.Int64N(int64(high-low))) }
+	chance := func(share float64) bool { return s.rnd.Float64() < share }
+	s.failing, s.shuffleWaits = 0.1, true
+	if chance(0.5) {
+		s.capacity = 4
+	}
+	s.lateness = func() time.Duration {
+		if chance(0.4) {
+			return 0
+		}
+		share := s.rnd.Float64()
+		return 5*time.Millisecond + time.Duration(share*share*float64(simMaxLateness))
+	}
+	for range 12 + s.rnd.IntN(8) {
+		tasks, lasts := 1+s.rnd.IntN(3), between(200*time.Millisecond, 2*time.Second)
+		if chance(0.4) {
+			lasts = between(2*time.Second, 12*time.Second)
+		}
+		s.at(between(0, d-2*time.Second), func() { s.submit(tasks, lasts) })
+	}
+	s.at(d, func() { s.failing = 0 })
+	for at := between(0, 4*time.Second); at < d-time.Second; at += between(2*time.Second, 14*time.Second) {
+		all := chance(0.3)
+		for _, w := range s.workers {
+			if !all && !chance(0.5) {
+				continue
+			}
+			s.at(at, func() { s.restart(w) })
+			if chance(0.7) {
+				s.at(min(d, max(0, at+between(-time.Second, 4*time.Second))), func() { s.cut(w, min(between(time.Second, 10*time.Second), s.startedAt.Add(d).Sub(s.now))) })
+			}
+		}
+		if chance(0.4) {
+			s.at(min(d, at+between(0, 4*time.Second)), s.killOwner)
+		}
+		if chance(0.2) {
+			s.at(min(d, max(0, at+between(-time.Second, 2*time.Second))), func() { s.storeAwayUntil = s.now.Add(between(time.Second, 4*time.Second)) })
+		}
+	}
+}
+
+// TestRestartsAtRandom guards against the same at random: no task runs twice, and all jobs are completed once the
+// faults are over.
+func TestRestartsAtRandom(t *testing.T) {
+	const faulty, calm = 40 * time.Second, 30*time.Second + simMaxLateness
+	for n := range *restartSeeds {
+		seed := *restartFirst + uint64(n)
+		s := newRestartSim(seed)
+		s.plan(faulty)
+		s.runUntil(faulty, faulty+calm)
+		if f := s.judge.findings(); len(f) > 0 {
+			t.Errorf("seed %d, task %s: %s; %d findings\n%s", seed, f[0].task, f[0].what, len(f), s.logOf(f[0].task.String()))
+		}
+		if left := s.incomplete(); len(left) > 0 {
+			t.Errorf("seed %d: not completed %s after the last fault: %v", seed, calm, left)
+		}
+	}
+}
--- a/jobs/owner/restartsimworker_test.go
+++ b/jobs/owner/restartsimworker_test.go
@@ -138,7 +138,11 @@
 	r := &simRun{task: o.Task, number: o.Run, inc: i, startedAt: i.sim.now, duration: i.sim.durationOf(o.Task)}
 	i.runs = append(i.runs, r)
 	i.sim.judge.started(r)
-	i.sim.log("worker starts", r)
+	what := "worker starts"
+	if o.StartedMs != i.startedMs {
+		what = "worker starts, by an order for another incarnation"
+	}
+	i.sim.log(what, r)
 	kind := EndDone
 	if i.sim.rnd.Float64() < i.sim.failing {
 		kind = EndFailed
