--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -31,8 +31,9 @@
 }
 
 type twiceFinding struct {
-	task job.TaskID
-	what string
+	task        job.TaskID
+	what        string
+	misdirected bool // by a start for another incarnation
 }
 
 func newTwiceJudge() *twiceJudge {
@@ -41,7 +42,7 @@
 
 func (t *twiceJudge) started(r *simRun) {
 	for _, o := range t.active[r.task] {
-		t.broken = append(t.broken, twiceFinding{r.task, fmt.Sprintf("run %d on %s starts while run %d is active on %s", r.number, r.inc.worker.id, o.number, o.inc.worker.id)})
+		t.broken = append(t.broken, twiceFinding{r.task, fmt.Sprintf("run %d on %s starts while run %d is active on %s", r.number, r.inc.worker.id, o.number, o.inc.worker.id), r.misdirected || o.misdirected})
 	}
 	t.active[r.task] = append(t.active[r.task], r)
 	t.starts[r.task] = append(t.starts[r.task], r)
@@ -72,7 +73,7 @@
 		for _, e := range ends {
 			for _, r := range t.starts[task] {
 				if !e.noted.IsZero() && !e.lapsed && !r.startedAt.Before(e.at) {
-					out = append(out, twiceFinding{task, fmt.Sprintf("run %d on %s starts after run %d has ended as done, which is taken note of", r.number, r.inc.worker.id, e.Run)})
+					out = append(out, twiceFinding{task, fmt.Sprintf("run %d on %s starts after run %d has ended as done, which is taken note of", r.number, r.inc.worker.id, e.Run), r.misdirected})
 				}
 			}
 		}
@@ -184,20 +185,35 @@
 	}
 }
 
-// TestRestartsAtRandom guards against the same at random: no task runs twice, and all jobs are completed once the
-// faults are over.
-func TestRestartsAtRandom(t *testing.T) {
+// runAtRandom plays the seeds of the flags. It requires that no task runs twice, and that all jobs are completed
+// once the faults are over.
+func runAtRandom(t *testing.T, maxLateStart time.Duration) {
 	const faulty, calm = 40 * time.Second, 30*time.Second + simMaxLateness
+	twice, misdirected := 0, 0
 	for n := range *restartSeeds {
 		seed := *restartFirst + uint64(n)
 		s := newRestartSim(seed)
+		s.maxLateStart = maxLateStart
 		s.plan(faulty)
 		s.runUntil(faulty, faulty+calm)
 		if f := s.judge.findings(); len(f) > 0 {
+			twice++
+			if f[0].misdirected {
+				misdirected++
+			}
 			t.Errorf("seed %d, task %s: %s; %d findings\n%s", seed, f[0].task, f[0].what, len(f), s.logOf(f[0].task.String()))
 		}
 		if left := s.incomplete(); len(left) > 0 {
 			t.Errorf("seed %d: not completed %s after the last fault: %v", seed, calm, left)
 		}
 	}
+	t.Logf("%d seeds: tasks ran twice in %d, in %d of these first by a start for another incarnation", *restartSeeds, twice, misdirected)
 }
+
+// TestRestartsAtRandom guards against the same at random, where a start is carried out late only as long as the
+// owner still expects it.
+func TestRestartsAtRandom(t *testing.T) { runAtRandom(t, simMaxExpectedStart) }
+
+// TestLateStartsAtRandom guards against a start for a past incarnation that reaches a later one after the owner has
+// given it up.
+func TestLateStartsAtRandom(t *testing.T) { runAtRandom(t, simMaxLateness) }
--- a/jobs/owner/restartsim_test.go
+++ b/jobs/owner/restartsim_test.go
@@ -22,6 +22,9 @@
 	simRestartTime    = 600 * time.Millisecond
 	simElectionTime   = 2 * time.Second // from the end of an owner until the next one has begun
 	simMaxLateness    = 12 * time.Second
+	// simMaxExpectedStart is how late a start may be at most so that it reaches no incarnation after the one whose
+	// run list settles it: two restarts are simRestartTime apart at least.
+	simMaxExpectedStart = 2 * simRestartTime
 )
 
 // restartSim simulates, in virtual time, owners that follow each other, the store, the network and
@@ -46,6 +49,7 @@
 	// lateness returns when after its sending a call is carried out that was sent to a worker that cannot
 	// be reached; 0: never.
 	lateness     func() time.Duration
+	maxLateStart time.Duration // starts that would be carried out later are lost
 	capacity     int           // of the workers
 	failing      float64       // share of the runs that fail
 	shuffleWaits bool          // holds that wait for an end are answered in any order
@@ -92,7 +96,7 @@
 // newRestartSim returns a simulation with three workers and an owner of the first term.
 func newRestartSim(seed uint64) *restartSim {
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	s := &restartSim{rnd: newSimRand(seed), startedAt: start, now: start, judge: newTwiceJudge(), stored: map[job.ID]*StoredJob{}, durations: map[job.ID]time.Duration{}, maxRegLag: 3 * time.Second}
+	s := &restartSim{rnd: newSimRand(seed), startedAt: start, now: start, judge: newTwiceJudge(), stored: map[job.ID]*StoredJob{}, durations: map[job.ID]time.Duration{}, maxRegLag: 3 * time.Second, maxLateStart: simMaxLateness}
 	s.judge.now = func() time.Time { return s.now }
 	s.lateness = func() time.Duration { return 0 }
 	for n := range 3 {
@@ -283,12 +287,12 @@
 	slices.SortStableFunc(e.Starts, func(a, b Start) int { return cmp.Compare(a.Run, b.Run) })
 	slices.SortStableFunc(e.Stops, func(a, b Stop) int { return cmp.Compare(a.Run, b.Run) })
 	for _, h := range e.Holds {
-		call(s, h.Target, h.Wait+h.Timeout, HoldAnswer{Answer: Answer{Outcome: Unanswered}},
+		call(s, h.Target, simMaxLateness, h.Wait+h.Timeout, HoldAnswer{Answer: Answer{Outcome: Unanswered}},
 			func(i *simIncarnation, answer func(HoldAnswer)) { i.hold(h, answer) },
 			func(c *Core, a HoldAnswer, _ time.Duration) { c.OnHoldAnswer(h.Target, a, s.now) })
 	}
 	for _, o := range e.Starts {
-		call(s, o.Target, o.Timeout, Answer{Outcome: Unanswered},
+		call(s, o.Target, s.maxLateStart, o.Timeout, Answer{Outcome: Unanswered},
 			func(i *simIncarnation, answer func(Answer)) {
 				answer(Answer{Outcome: i.start(o), ClockMs: i.clockMs()})
 			},
@@ -298,15 +302,16 @@
 			})
 	}
 	for _, o := range e.Stops {
-		call(s, o.Target, o.Timeout, Answer{Outcome: Unanswered},
+		call(s, o.Target, simMaxLateness, o.Timeout, Answer{Outcome: Unanswered},
 			func(i *simIncarnation, answer func(Answer)) { answer(Answer{Outcome: i.stop(o), ClockMs: i.clockMs()}) },
 			func(c *Core, a Answer, _ time.Duration) { c.OnStopAnswer(o, a, s.now) })
 	}
 }
 
 // call sends a call to a worker. It is carried out at most once, by the incarnation that is there when it
-// arrives. If none can be reached, it is lost, or carried out late. The answer is lost if the caller has given up.
-func call[A any](s *restartSim, t Target, timeout time.Duration, unanswered A, execute func(*simIncarnation, func(A)), done func(*Core, A, time.Duration)) {
+// arrives. If none can be reached, it is lost, or carried out late, by maxLate at most. The answer is lost if the
+// caller has given up.
+func call[A any](s *restartSim, t Target, maxLate, timeout time.Duration, unanswered A, execute func(*simIncarnation, func(A)), done func(*Core, A, time.Duration)) {
 	w := s.workers[slices.IndexFunc(s.workers, func(w *simWorker) bool { return w.id == t.Worker })]
 	c, sentAt, open := s.core, s.now, true
 	finish := func(a A, took time.Duration) {
@@ -327,7 +332,7 @@
 			return
 		}
 		late := s.lateness()
-		if late == 0 {
+		if late == 0 || late > maxLate {
 			return
 		}
 		s.after(max(0, sentAt.Add(late).Sub(s.now)), func() {
--- a/jobs/owner/restartsimworker_test.go
+++ b/jobs/owner/restartsimworker_test.go
@@ -53,6 +53,8 @@
 	startedAt time.Time
 	duration  time.Duration
 	ended     bool
+	// misdirected: the start was sent to another incarnation of the worker.
+	misdirected bool
 }
 
 // simEnd is the end of a run as its incarnation lists it.
@@ -135,11 +137,11 @@
 	case i.capacity > 0 && len(i.runs) >= i.capacity:
 		return NoCapacity
 	}
-	r := &simRun{task: o.Task, number: o.Run, inc: i, startedAt: i.sim.now, duration: i.sim.durationOf(o.Task)}
+	r := &simRun{task: o.Task, number: o.Run, inc: i, startedAt: i.sim.now, duration: i.sim.durationOf(o.Task), misdirected: o.StartedMs != i.startedMs}
 	i.runs = append(i.runs, r)
 	i.sim.judge.started(r)
 	what := "worker starts"
-	if o.StartedMs != i.startedMs {
+	if r.misdirected {
 		what = "worker starts, by an order for another incarnation"
 	}
 	i.sim.log(what, r)
