--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -142,7 +142,7 @@
 }
 
 // plan plans jobs and faults for d: workers restart, alone or together, and are cut off at about that time; owners
-// are killed, and the store is away.
+// are killed, the store is away, and single calls and answers are lost.
 func (s *restartSim) plan(d time.Duration) {
 	between := func(low, high time.Duration) time.Duration { return low + time.Duration(s.rnd.Int64N(int64(high-low))) }
 	chance := func(share float64) bool { return s.rnd.Float64() < share }
@@ -173,12 +173,20 @@
 			}
 			s.at(at, func() { s.restart(w) })
 			if chance(0.7) {
-				s.at(min(d, max(0, at+between(-time.Second, 4*time.Second))), func() { s.cut(w, min(between(time.Second, 10*time.Second), s.startedAt.Add(d).Sub(s.now))) })
+				s.at(min(d, max(0, at+between(-time.Second, 4*time.Second))), func() {
+					s.cut(w, min(between(time.Second, 12*time.Second), s.startedAt.Add(d).Sub(s.now)))
+					if chance(0.5) {
+						s.lapse(w)
+					}
+				})
 			}
 		}
 		if chance(0.4) {
 			s.at(min(d, at+between(0, 4*time.Second)), s.killOwner)
 		}
+		if chance(0.2) {
+			s.at(min(d, max(0, at+between(-time.Second, 3*time.Second))), func() { s.lossUntil = s.now.Add(between(time.Second, 4*time.Second)) })
+		}
 		if chance(0.2) {
 			s.at(min(d, max(0, at+between(-time.Second, 2*time.Second))), func() { s.storeAwayUntil = s.now.Add(between(time.Second, 4*time.Second)) })
 		}
--- a/jobs/owner/restartsim_test.go
+++ b/jobs/owner/restartsim_test.go
@@ -22,6 +22,8 @@
 	simRestartTime    = 600 * time.Millisecond
 	simElectionTime   = 2 * time.Second // from the end of an owner until the next one has begun
 	simMaxLateness    = 12 * time.Second
+	simLossShare      = 0.25                    // of calls, and of answers
+	simLapseTime      = 1500 * time.Millisecond // from a worker's last report until its registration is removed
 	// simMaxExpectedStart is how late a start may be at most so that it reaches no incarnation after the one whose
 	// run list settles it: two restarts are simRestartTime apart at least.
 	simMaxExpectedStart = 2 * simRestartTime
@@ -41,13 +43,13 @@
 	core *Core // nil: there is no owner at present
 	term uint64
 
+	lossUntil      time.Time // calls and answers are lost at random until then
 	storeAwayUntil time.Time
 	stored         map[job.ID]*StoredJob
 	order          []job.ID // of submission
 	highestTerm    uint64   // highest term that was used or reserved
 
-	// lateness returns when after its sending a call is carried out that was sent to a worker that cannot
-	// be reached; 0: never.
+	// lateness returns when after its sending a call is carried out that did not arrive; 0: never.
 	lateness     func() time.Duration
 	maxLateStart time.Duration // starts that would be carried out later are lost
 	capacity     int           // of the workers
@@ -210,7 +212,21 @@
 		w.begin(s, simFirstClockMs)
 		s.log("worker "+string(w.id)+" is back", nil)
 		started := w.startedMs
-		s.after(time.Duration(s.rnd.Int64N(int64(s.maxRegLag)+1)), func() { w.registeredMs = max(w.registeredMs, started) })
+		s.after(time.Duration(s.rnd.Int64N(int64(s.maxRegLag)+1)), func() {
+			w.registeredMs, w.lapsed = max(w.registeredMs, started), false
+		})
+	})
+}
+
+// lapse removes the worker's registration, unless it restarts or is not cut off any more by then.
+func (s *restartSim) lapse(w *simWorker) {
+	s.after(simLapseTime, func() {
+		if !s.now.Before(w.cutUntil) {
+			return
+		}
+		s.log("registration of worker "+string(w.id)+" is removed", nil)
+		w.lapsed = true
+		s.after(w.cutUntil.Sub(s.now)+simListInterval, func() { w.lapsed = false })
 	})
 }
 
@@ -224,9 +240,17 @@
 	return slices.DeleteFunc(slices.Clone(s.workers), func(w *simWorker) bool { return !w.joined })
 }
 
+// isLost reports whether the network loses a call or an answer.
+func (s *restartSim) isLost() bool {
+	return s.now.Before(s.lossUntil) && s.rnd.Float64() < simLossShare
+}
+
 func (s *restartSim) publishRegistrations() {
 	var list []Registration
 	for _, w := range s.joinedWorkers() {
+		if w.lapsed {
+			continue
+		}
 		list = append(list, Registration{Worker: w.id, Service: "s", Addr: string(w.id), StartedMs: w.registeredMs, Capacity: job.Resources{CPUMilli: 4000, MemMB: 8000}})
 	}
 	s.withCore(func(c *Core) { c.SetRegistrations(list, s.now) })
@@ -309,7 +333,7 @@
 }
 
 // call sends a call to a worker. It is carried out at most once, by the incarnation that is there when it
-// arrives. If none can be reached, it is lost, or carried out late, by maxLate at most. The answer is lost if the
+// arrives. If it does not arrive, it is lost, or carried out late, by maxLate at most. The answer is lost if the
 // caller has given up.
 func call[A any](s *restartSim, t Target, maxLate, timeout time.Duration, unanswered A, execute func(*simIncarnation, func(A)), done func(*Core, A, time.Duration)) {
 	w := s.workers[slices.IndexFunc(s.workers, func(w *simWorker) bool { return w.id == t.Worker })]
@@ -322,10 +346,10 @@
 	}
 	s.after(timeout, func() { finish(unanswered, 0) })
 	s.after(s.transit(), func() {
-		if w.isReachable(s.now) {
+		if w.isReachable(s.now) && !s.isLost() {
 			i := w.inc
 			execute(i, func(a A) {
-				if i == w.inc && w.isReachable(s.now) {
+				if i == w.inc && w.isReachable(s.now) && !s.isLost() {
 					s.after(s.transit(), func() { finish(a, s.now.Sub(sentAt)) })
 				}
 			})
--- a/jobs/owner/restartsimworker_test.go
+++ b/jobs/owner/restartsimworker_test.go
@@ -22,6 +22,7 @@
 	joined       bool            // it is registered and on the instance list
 	inc          *simIncarnation // nil: it is restarting
 	cutUntil     time.Time       // calls and answers are lost until then
+	lapsed       bool            // its registration was removed
 	startedMs    int64           // start time of the newest incarnation
 	registeredMs int64           // start time in the registration, which may be that of a past incarnation
 }
