--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -123,22 +123,29 @@
 // TestAcknowledgementMeantForThePastIncarnation guards against a task that is started again after it was done: a
 // hold for a worker's past incarnation makes the next one forget the end of a run that the owner has not read.
 func TestAcknowledgementMeantForThePastIncarnation(t *testing.T) {
-	s := newRestartSim(1)
-	s.maxRegLag = 0
-	w := s.joinOthersAt(7 * time.Second)
-	s.lateness = func() time.Duration { return 2150 * time.Millisecond }
-	s.at(2*time.Second, func() { s.submit(12, 200*time.Millisecond) })
-	s.at(4*time.Second, func() { s.submit(1, time.Second) })
-	s.at(5030*time.Millisecond, func() { s.restart(w) }) // before the last end is acknowledged
-	s.at(6100*time.Millisecond, func() {
-		s.submit(1, 200*time.Millisecond)
-		s.submit(1, 1300*time.Millisecond)
-	})
-	s.at(7700*time.Millisecond, func() { s.cut(w, 9*time.Second) })
-	s.runUntil(17*time.Second, 60*time.Second)
-	require.NotEmpty(t, s.judge.starts)
-	s.requireOnce(t)
-	assert.Empty(t, s.incomplete())
+	for name, c := range map[string]struct{ late, lasts, cutAt, cutFor time.Duration }{
+		"it waits when the run ends":    {2150 * time.Millisecond, 1300 * time.Millisecond, 7700 * time.Millisecond, 9 * time.Second},
+		"it arrives when the run ended": {2600 * time.Millisecond, time.Second, 6900 * time.Millisecond, 700 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRestartSim(1)
+			s.maxRegLag = 0
+			w := s.joinOthersAt(7 * time.Second)
+			s.lateness = func() time.Duration { return c.late }
+			s.at(2*time.Second, func() { s.submit(12, 200*time.Millisecond) })
+			s.at(4*time.Second, func() { s.submit(1, time.Second) })
+			s.at(5030*time.Millisecond, func() { s.restart(w) }) // before the last end is acknowledged
+			s.at(6100*time.Millisecond, func() {
+				s.submit(1, 200*time.Millisecond)
+				s.submit(1, c.lasts)
+			})
+			s.at(c.cutAt, func() { s.cut(w, c.cutFor) })
+			s.runUntil(17*time.Second, 60*time.Second)
+			require.NotEmpty(t, s.judge.starts)
+			s.requireOnce(t)
+			assert.Empty(t, s.incomplete())
+		})
+	}
 }
 
 // plan plans jobs and faults for d: workers restart, alone or together, and are cut off at about that time; owners
