--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -101,18 +101,22 @@
 // TestLeaseMeantForThePastIncarnation guards against a copy of a task beside its run: an order for a
 // worker's past incarnation grants the next one a longer lease than the owner, or the next owner, knows of.
 func TestLeaseMeantForThePastIncarnation(t *testing.T) {
-	for name, killed := range map[string]bool{"same owner": false, "next owner": true} {
+	for name, c := range map[string]struct{ killAt, cutAt time.Duration }{
+		"same owner":                         {0, 7600 * time.Millisecond},
+		"next owner":                         {7 * time.Second, 7600 * time.Millisecond},
+		"next owner that the worker answers": {6500 * time.Millisecond, 9 * time.Second},
+	} {
 		t.Run(name, func(t *testing.T) {
 			s := newRestartSim(1)
 			s.maxRegLag = 0
 			w := s.joinOthersAt(7 * time.Second)
 			s.at(5*time.Second, func() { s.restart(w) })
 			s.at(6*time.Second, func() { s.submit(2, 12*time.Second) })
-			if killed {
-				s.at(7*time.Second, s.killOwner)
+			if c.killAt != 0 {
+				s.at(c.killAt, s.killOwner)
 			}
-			s.at(7600*time.Millisecond, func() { s.cut(w, 9*time.Second) })
-			s.runUntil(17*time.Second, 60*time.Second)
+			s.at(c.cutAt, func() { s.cut(w, 9*time.Second) })
+			s.runUntil(19*time.Second, 60*time.Second)
 			require.NotEmpty(t, s.judge.starts)
 			s.requireOnce(t)
 			assert.Empty(t, s.incomplete())
@@ -123,25 +127,40 @@
 // TestAcknowledgementMeantForThePastIncarnation guards against a task that is started again after it was done: a
 // hold for a worker's past incarnation makes the next one forget the end of a run that the owner has not read.
 func TestAcknowledgementMeantForThePastIncarnation(t *testing.T) {
-	for name, c := range map[string]struct{ late, lasts, cutAt, cutFor time.Duration }{
-		"it waits when the run ends":    {2150 * time.Millisecond, 1300 * time.Millisecond, 7700 * time.Millisecond, 9 * time.Second},
-		"it arrives when the run ended": {2600 * time.Millisecond, time.Second, 6900 * time.Millisecond, 700 * time.Millisecond},
+	const ends = 13 // of the past incarnation
+	for name, c := range map[string]struct {
+		late, lasts, cutAt, cutFor time.Duration
+		acknowledged               bool // all ends were acknowledged before the restart
+	}{
+		"it waits when the run ends":                           {2150 * time.Millisecond, 1300 * time.Millisecond, 7700 * time.Millisecond, 9 * time.Second, false},
+		"it arrives when the run has ended":                    {2600 * time.Millisecond, time.Second, 6900 * time.Millisecond, 700 * time.Millisecond, false},
+		"it arrives before the owner's first order and waits":  {700 * time.Millisecond, 1300 * time.Millisecond, 9 * time.Second, time.Second, false},
+		"so does one that repeats an answered acknowledgement": {700 * time.Millisecond, 1300 * time.Millisecond, 9 * time.Second, time.Second, true},
 	} {
 		t.Run(name, func(t *testing.T) {
 			s := newRestartSim(1)
 			s.maxRegLag = 0
 			w := s.joinOthersAt(7 * time.Second)
 			s.lateness = func() time.Duration { return c.late }
-			s.at(2*time.Second, func() { s.submit(12, 200*time.Millisecond) })
+			s.at(2*time.Second, func() { s.submit(ends-1, 200*time.Millisecond) })
 			s.at(4*time.Second, func() { s.submit(1, time.Second) })
-			s.at(5030*time.Millisecond, func() { s.restart(w) }) // before the last end is acknowledged
+			if c.acknowledged {
+				s.onHold = func(h Hold) {
+					if h.AckThrough == ends {
+						s.after(2*time.Millisecond, func() { s.restart(w) }) // while the next hold is under way
+						s.onHold = nil
+					}
+				}
+			} else {
+				s.at(5030*time.Millisecond, func() { s.restart(w) })
+			}
 			s.at(6100*time.Millisecond, func() {
 				s.submit(1, 200*time.Millisecond)
 				s.submit(1, c.lasts)
 			})
 			s.at(c.cutAt, func() { s.cut(w, c.cutFor) })
 			s.runUntil(17*time.Second, 60*time.Second)
-			require.NotEmpty(t, s.judge.starts)
+			require.Greater(t, w.startedMs, s.startedAt.UnixMilli(), "it has restarted")
 			s.requireOnce(t)
 			assert.Empty(t, s.incomplete())
 		})
--- a/jobs/owner/restartsim_test.go
+++ b/jobs/owner/restartsim_test.go
@@ -56,6 +56,7 @@
 	failing      float64       // share of the runs that fail
 	shuffleWaits bool          // holds that wait for an end are answered in any order
 	maxRegLag    time.Duration // longest time until a restarted worker's registration is renewed
+	onHold       func(Hold)    // called when a worker carries out a hold; nil: nothing
 	durations    map[job.ID]time.Duration
 	lines        []simLine
 }
--- a/jobs/owner/restartsimworker_test.go
+++ b/jobs/owner/restartsimworker_test.go
@@ -207,6 +207,9 @@
 		return
 	}
 	i.extendLease(h.LeaseUntilMs)
+	if i.sim.onHold != nil {
+		i.sim.onHold(h)
+	}
 	w := &simWait{hold: h, answer: answer}
 	i.forget(h.AckThrough)
 	if len(i.ends) > 0 || h.Wait == 0 {
