--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -124,6 +124,25 @@
 	}
 }
 
+// TestStartMeantForThePastIncarnation guards against a copy of a task beside its run: an unanswered start has begun
+// the run on a worker that restarted just before it was cut off, so that the owner does not know of the restart.
+func TestStartMeantForThePastIncarnation(t *testing.T) {
+	s := newRestartSim(1)
+	w := s.joinOthersAt(7 * time.Second)
+	s.lateness = func() time.Duration { return 300 * time.Millisecond }
+	s.at(4*time.Second, func() { s.submit(1, 12*time.Second) }) // so that a hold is under way for less than a second
+	s.at(5*time.Second, func() { s.restart(w) })
+	s.at(5400*time.Millisecond, func() { s.submit(1, 12*time.Second) })
+	s.at(5800*time.Millisecond, func() {
+		s.cut(w, 9*time.Second)
+		s.cutFromStore(w)
+	})
+	s.runUntil(17*time.Second, 60*time.Second)
+	require.NotEmpty(t, s.judge.starts)
+	s.requireOnce(t)
+	assert.Empty(t, s.incomplete())
+}
+
 // TestAcknowledgementMeantForThePastIncarnation guards against a task that is started again after it was done: a
 // hold for a worker's past incarnation makes the next one forget the end of a run that the owner has not read.
 func TestAcknowledgementMeantForThePastIncarnation(t *testing.T) {
@@ -202,7 +221,7 @@
 				s.at(min(d, max(0, at+between(-time.Second, 4*time.Second))), func() {
 					s.cut(w, min(between(time.Second, 12*time.Second), s.startedAt.Add(d).Sub(s.now)))
 					if chance(0.5) {
-						s.lapse(w)
+						s.cutFromStore(w)
 					}
 				})
 			}
--- a/jobs/owner/restartsim_test.go
+++ b/jobs/owner/restartsim_test.go
@@ -103,7 +103,7 @@
 	s.judge.now = func() time.Time { return s.now }
 	s.lateness = func() time.Duration { return 0 }
 	for n := range 3 {
-		w := &simWorker{id: WorkerID(fmt.Sprint("w", n)), joined: true, startedMs: start.UnixMilli() - 60_000}
+		w := &simWorker{id: WorkerID(fmt.Sprint("w", n)), joined: true, registered: true, startedMs: start.UnixMilli() - 60_000}
 		w.begin(s, rigClockMs)
 		w.registeredMs = w.startedMs
 		s.workers = append(s.workers, w)
@@ -212,22 +212,33 @@
 	s.after(simRestartTime, func() {
 		w.begin(s, simFirstClockMs)
 		s.log("worker "+string(w.id)+" is back", nil)
-		started := w.startedMs
-		s.after(time.Duration(s.rnd.Int64N(int64(s.maxRegLag)+1)), func() {
-			w.registeredMs, w.lapsed = max(w.registeredMs, started), false
-		})
+		s.after(time.Duration(s.rnd.Int64N(int64(s.maxRegLag)+1)), func() { s.register(w) })
 	})
 }
 
-// lapse removes the worker's registration, unless it restarts or is not cut off any more by then.
-func (s *restartSim) lapse(w *simWorker) {
+// register renews the worker's registration as soon as it reaches the store.
+func (s *restartSim) register(w *simWorker) {
+	if left := w.storeCutUntil.Sub(s.now); left > 0 {
+		s.after(left, func() { s.register(w) })
+		return
+	}
+	if w.inc == nil {
+		return // its next incarnation registers itself
+	}
+	w.registeredMs, w.registered = w.startedMs, true
+}
+
+// cutFromStore cuts a worker off from the store as well, for as long as it is cut off from the owner. Its registration
+// is removed.
+func (s *restartSim) cutFromStore(w *simWorker) {
+	w.storeCutUntil = w.cutUntil
 	s.after(simLapseTime, func() {
-		if !s.now.Before(w.cutUntil) {
+		if !s.now.Before(w.storeCutUntil) {
 			return
 		}
 		s.log("registration of worker "+string(w.id)+" is removed", nil)
-		w.lapsed = true
-		s.after(w.cutUntil.Sub(s.now)+simListInterval, func() { w.lapsed = false })
+		w.registered = false
+		s.register(w)
 	})
 }
 
@@ -249,7 +260,7 @@
 func (s *restartSim) publishRegistrations() {
 	var list []Registration
 	for _, w := range s.joinedWorkers() {
-		if w.lapsed {
+		if !w.registered {
 			continue
 		}
 		list = append(list, Registration{Worker: w.id, Service: "s", Addr: string(w.id), StartedMs: w.registeredMs, Capacity: job.Resources{CPUMilli: 4000, MemMB: 8000}})
--- a/jobs/owner/restartsimworker_test.go
+++ b/jobs/owner/restartsimworker_test.go
@@ -18,13 +18,14 @@
 
 // simWorker is a worker that restarts under its ID.
 type simWorker struct {
-	id           WorkerID
-	joined       bool            // it is registered and on the instance list
-	inc          *simIncarnation // nil: it is restarting
-	cutUntil     time.Time       // calls and answers are lost until then
-	lapsed       bool            // its registration was removed
-	startedMs    int64           // start time of the newest incarnation
-	registeredMs int64           // start time in the registration, which may be that of a past incarnation
+	id            WorkerID
+	joined        bool            // it is registered and on the instance list
+	inc           *simIncarnation // nil: it is restarting
+	cutUntil      time.Time       // calls and answers are lost until then
+	storeCutUntil time.Time       // it does not reach the store until then
+	registered    bool            // its registration is in the store
+	startedMs     int64           // start time of the newest incarnation
+	registeredMs  int64           // start time in the registration, which may be that of a past incarnation
 }
 
 // simIncarnation is one incarnation of a worker, as the platform's protocol describes it.
