--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -124,23 +124,35 @@
 	}
 }
 
-// TestStartMeantForThePastIncarnation guards against a copy of a task beside its run: an unanswered start has begun
-// the run on a worker that restarted just before it was cut off, so that the owner does not know of the restart.
+// TestStartMeantForThePastIncarnation guards against a copy of a task beside its run: the start has begun the run on
+// a worker that restarted just before it was cut off, so that the owner does not know of the restart.
 func TestStartMeantForThePastIncarnation(t *testing.T) {
-	s := newRestartSim(1)
-	w := s.joinOthersAt(7 * time.Second)
-	s.lateness = func() time.Duration { return 300 * time.Millisecond }
-	s.at(4*time.Second, func() { s.submit(1, 12*time.Second) }) // so that a hold is under way for less than a second
-	s.at(5*time.Second, func() { s.restart(w) })
-	s.at(5400*time.Millisecond, func() { s.submit(1, 12*time.Second) })
-	s.at(5800*time.Millisecond, func() {
-		s.cut(w, 9*time.Second)
-		s.cutFromStore(w)
-	})
-	s.runUntil(17*time.Second, 60*time.Second)
-	require.NotEmpty(t, s.judge.starts)
-	s.requireOnce(t)
-	assert.Empty(t, s.incomplete())
+	for name, c := range map[string]struct {
+		longRun  bool // a hold is under way for less than a second, and shows the silence
+		submitAt time.Duration
+	}{
+		"unanswered": {true, 5400 * time.Millisecond},
+		"accepted":   {false, 5650 * time.Millisecond},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRestartSim(1)
+			w := s.joinOthersAt(7 * time.Second)
+			s.lateness = func() time.Duration { return 300 * time.Millisecond }
+			if c.longRun {
+				s.at(4*time.Second, func() { s.submit(1, 12*time.Second) })
+			}
+			s.at(5*time.Second, func() { s.restart(w) })
+			s.at(c.submitAt, func() { s.submit(1, 12*time.Second) })
+			s.at(5800*time.Millisecond, func() {
+				s.cut(w, 9*time.Second)
+				s.cutFromStore(w)
+			})
+			s.runUntil(17*time.Second, 60*time.Second)
+			require.NotEmpty(t, s.judge.starts)
+			s.requireOnce(t)
+			assert.Empty(t, s.incomplete())
+		})
+	}
 }
 
 // TestAcknowledgementMeantForThePastIncarnation guards against a task that is started again after it was done: a
