--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -101,26 +101,45 @@
 // TestLeaseMeantForThePastIncarnation guards against a copy of a task beside its run: an order for a
 // worker's past incarnation grants the next one a longer lease than the owner, or the next owner, knows of.
 func TestLeaseMeantForThePastIncarnation(t *testing.T) {
-	for name, c := range map[string]struct{ killAt, cutAt time.Duration }{
-		"same owner":                         {0, 7600 * time.Millisecond},
-		"next owner":                         {7 * time.Second, 7600 * time.Millisecond},
-		"next owner that the worker answers": {6500 * time.Millisecond, 9 * time.Second},
-	} {
-		t.Run(name, func(t *testing.T) {
-			s := newRestartSim(1)
-			s.maxRegLag = 0
-			w := s.joinOthersAt(7 * time.Second)
-			s.at(5*time.Second, func() { s.restart(w) })
-			s.at(6*time.Second, func() { s.submit(2, 12*time.Second) })
-			if c.killAt != 0 {
-				s.at(c.killAt, s.killOwner)
-			}
-			s.at(c.cutAt, func() { s.cut(w, 9*time.Second) })
-			s.runUntil(19*time.Second, 60*time.Second)
-			require.NotEmpty(t, s.judge.starts)
-			s.requireOnce(t)
-			assert.Empty(t, s.incomplete())
-		})
+	for order, late := range map[string]time.Duration{"hold sent again": 0, "late hold": 700 * time.Millisecond} {
+		for owner, c := range map[string]struct{ killAt, cutAt time.Duration }{
+			"same owner":                         {0, 7600 * time.Millisecond},
+			"next owner":                         {7 * time.Second, 7600 * time.Millisecond},
+			"next owner that the worker answers": {6500 * time.Millisecond, 9 * time.Second},
+		} {
+			t.Run(order+", "+owner, func(t *testing.T) {
+				s := newRestartSim(1)
+				s.maxRegLag = 0
+				w := s.joinOthersAt(7 * time.Second)
+				if late == 0 {
+					s.at(5*time.Second, func() { s.restart(w) })
+				} else {
+					s.lateness = func() time.Duration { return late }
+					s.at(4*time.Second, func() { s.submit(1, time.Second) })
+					s.restartWhileHoldIsUnderWay(w, 1)
+				}
+				s.at(6100*time.Millisecond, func() { s.submit(2, 12*time.Second) })
+				if c.killAt != 0 {
+					s.at(c.killAt, s.killOwner)
+				}
+				s.at(c.cutAt, func() { s.cut(w, 9*time.Second) })
+				s.runUntil(19*time.Second, 60*time.Second)
+				require.Greater(t, w.startedMs, s.startedAt.UnixMilli(), "it has restarted")
+				s.requireOnce(t)
+				assert.Empty(t, s.incomplete())
+			})
+		}
+	}
+}
+
+// restartWhileHoldIsUnderWay restarts the worker when it has answered a hold that acknowledges the end, and the next hold
+// is under way.
+func (s *restartSim) restartWhileHoldIsUnderWay(w *simWorker, end uint64) {
+	s.onHold = func(h Hold) {
+		if h.AckThrough == end {
+			s.after(2*time.Millisecond, func() { s.restart(w) })
+			s.onHold = nil
+		}
 	}
 }
 
@@ -176,12 +195,7 @@
 			s.at(2*time.Second, func() { s.submit(ends-1, 200*time.Millisecond) })
 			s.at(4*time.Second, func() { s.submit(1, time.Second) })
 			if c.acknowledged {
-				s.onHold = func(h Hold) {
-					if h.AckThrough == ends {
-						s.after(2*time.Millisecond, func() { s.restart(w) }) // while the next hold is under way
-						s.onHold = nil
-					}
-				}
+				s.restartWhileHoldIsUnderWay(w, ends)
 			} else {
 				s.at(5030*time.Millisecond, func() { s.restart(w) })
 			}
