--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -174,6 +174,25 @@
 	}
 }
 
+// TestLateStartBesideALostRun guards against a task that is never started again: its run was lost when the worker
+// restarted, and the new incarnation lists another run of the task, which a late start of an earlier owner has begun.
+func TestLateStartBesideALostRun(t *testing.T) {
+	s := newRestartSim(1)
+	s.maxRegLag = 0
+	w := s.joinOthersAt(30 * time.Second)
+	s.lateness = func() time.Duration { return 4650 * time.Millisecond }
+	s.at(4950*time.Millisecond, func() { s.cut(w, 2*time.Second) })
+	s.at(5*time.Second, func() { s.submit(1, 12*time.Second) })
+	s.at(5200*time.Millisecond, s.killOwner)
+	s.at(9*time.Second, func() { s.restart(w) })
+	s.runUntil(10*time.Second, 90*time.Second)
+	require.Greater(t, w.startedMs, s.startedAt.UnixMilli(), "it has restarted")
+	s.requireOnce(t)
+	if left := s.incomplete(); len(left) > 0 {
+		t.Fatalf("not completed: %v\n%s", left, s.logOf(string(s.order[0])+".0.0.0"))
+	}
+}
+
 // TestAcknowledgementMeantForThePastIncarnation guards against a task that is started again after it was done: a
 // hold for a worker's past incarnation makes the next one forget the end of a run that the owner has not read.
 func TestAcknowledgementMeantForThePastIncarnation(t *testing.T) {
