--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -2,85 +2,21 @@
 
 import (
 	"flag"
-	"fmt"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
-
-	"github.com/postmount/postmount/jobs/job"
 )
 
 // These tests guard against orders and acknowledgements that are meant for one incarnation of a worker
 // and act on the next one under the same ID: tasks then run twice. They drive real Cores in virtual time.
 
 var (
-	restartSeeds = flag.Int("restarts.seeds", 200, "seeds of TestRestartsAtRandom")
-	restartFirst = flag.Uint64("restarts.first", 1, "first seed of TestRestartsAtRandom")
+	restartSeeds = flag.Int("restarts.seeds", 200, "seeds of TestRestartsAtRandom and TestLateStartsAtRandom")
+	restartFirst = flag.Uint64("restarts.first", 1, "first seed of the two")
 )
 
-// twiceJudge judges by what the workers do that no task runs twice: not at the same time, and not after
-// a run has ended as done if that end is taken note of, even later.
-type twiceJudge struct {
-	now    func() time.Time
-	active map[job.TaskID][]*simRun
-	done   map[job.TaskID][]*simEnd
-	starts map[job.TaskID][]*simRun
-	broken []twiceFinding
-}
-
-type twiceFinding struct {
-	task        job.TaskID
-	what        string
-	misdirected bool // by a start for another incarnation
-}
-
-func newTwiceJudge() *twiceJudge {
-	return &twiceJudge{active: map[job.TaskID][]*simRun{}, done: map[job.TaskID][]*simEnd{}, starts: map[job.TaskID][]*simRun{}}
-}
-
-func (t *twiceJudge) started(r *simRun) {
-	for _, o := range t.active[r.task] {
-		t.broken = append(t.broken, twiceFinding{r.task, fmt.Sprintf("run %d on %s starts while run %d is active on %s", r.number, r.inc.worker.id, o.number, o.inc.worker.id), r.misdirected || o.misdirected})
-	}
-	t.active[r.task] = append(t.active[r.task], r)
-	t.starts[r.task] = append(t.starts[r.task], r)
-}
-
-func (t *twiceJudge) ended(r *simRun, e *simEnd) {
-	t.killed(r)
-	if e.Kind == EndDone {
-		t.done[r.task] = append(t.done[r.task], e)
-	}
-}
-
-// killed removes a run that has ended without a list entry, or with one.
-func (t *twiceJudge) killed(r *simRun) {
-	var left []*simRun
-	for _, o := range t.active[r.task] {
-		if o != r {
-			left = append(left, o)
-		}
-	}
-	t.active[r.task] = left
-}
-
-// findings returns all breaches, at the end of the simulation.
-func (t *twiceJudge) findings() []twiceFinding {
-	out := t.broken
-	for task, ends := range t.done {
-		for _, e := range ends {
-			for _, r := range t.starts[task] {
-				if !e.noted.IsZero() && !e.lapsed && !r.startedAt.Before(e.at) {
-					out = append(out, twiceFinding{task, fmt.Sprintf("run %d on %s starts after run %d has ended as done, which is taken note of", r.number, r.inc.worker.id, e.Run), r.misdirected})
-				}
-			}
-		}
-	}
-	return out
-}
-
 // requireOnce fails the test if a task has run twice.
 func (s *restartSim) requireOnce(t *testing.T) {
 	t.Helper()
