--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -39,7 +39,7 @@
 func TestLeaseMeantForThePastIncarnation(t *testing.T) {
 	for order, late := range map[string]time.Duration{"hold sent again": 0, "late hold": 700 * time.Millisecond} {
 		for owner, c := range map[string]struct{ killAt, cutAt time.Duration }{
-			"same owner":                         {0, 7600 * time.Millisecond},
+			"same owner":                         {0, 9 * time.Second},
 			"next owner":                         {7 * time.Second, 7600 * time.Millisecond},
 			"next owner that the worker answers": {6500 * time.Millisecond, 9 * time.Second},
 		} {
