--- a/jobs/owner/runlist.go
+++ b/jobs/owner/runlist.go
@@ -49,21 +49,24 @@
 // reconcileRuns compares the runs that a worker lists with those that it should have, and
 // releases or stops those that it should have but does not list.
 func (c *Core) reconcileRuns(w *worker, active []ActiveRun, now time.Time) {
-	listed := map[job.TaskID]bool{}
+	listed := make(map[job.TaskID]uint64, len(active)) // run numbers
 	for _, a := range active {
-		listed[a.Task] = true
-		c.reconcileRun(w, a, now)
+		listed[a.Task] = a.Run
 	}
+	// These come first: a worker has one entry for a task, which may be another run than the listed one.
 	for id, r := range w.runs {
-		if !listed[id] {
+		if listed[id] != r.number {
 			c.reconcileUnlistedRun(r, now)
 		}
 	}
+	for _, a := range active {
+		c.reconcileRun(w, a, now)
+	}
 	if w.endsTruncated {
 		return
 	}
 	for id := range w.unknownRuns {
-		if !listed[id] {
+		if listed[id] == 0 {
 			delete(w.unknownRuns, id)
 		}
 	}
