--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"flag"
 	"testing"
 	"time"
@@ -226,20 +227,22 @@
 	twice, misdirected := 0, 0
 	for n := range *restartSeeds {
 		seed := *restartFirst + uint64(n)
-		s := newRestartSim(seed)
-		s.maxLateStart = maxLateStart
-		s.plan(faulty)
-		s.runUntil(faulty, faulty+calm)
-		if f := s.judge.findings(); len(f) > 0 {
-			twice++
-			if f[0].misdirected {
-				misdirected++
+		t.Run(fmt.Sprintf("seed %d", seed), func(t *testing.T) {
+			s := newRestartSim(seed)
+			s.maxLateStart = maxLateStart
+			s.plan(faulty)
+			s.runUntil(faulty, faulty+calm)
+			if f := s.judge.findings(); len(f) > 0 {
+				twice++
+				if f[0].misdirected {
+					misdirected++
+				}
+				t.Errorf("task %s: %s; %d findings\n%s", f[0].task, f[0].what, len(f), s.logOf(f[0].task.String()))
 			}
-			t.Errorf("seed %d, task %s: %s; %d findings\n%s", seed, f[0].task, f[0].what, len(f), s.logOf(f[0].task.String()))
-		}
-		if left := s.incomplete(); len(left) > 0 {
-			t.Errorf("seed %d: not completed %s after the last fault: %v", seed, calm, left)
-		}
+			if left := s.incomplete(); len(left) > 0 {
+				t.Errorf("not completed %s after the last fault: %v", calm, left)
+			}
+		})
 	}
 	t.Logf("%d seeds: tasks ran twice in %d, in %d of these first by a start for another incarnation", *restartSeeds, twice, misdirected)
 }
