--- a/jobs/owner/restarts_test.go
+++ b/jobs/owner/restarts_test.go
@@ -1,8 +1,8 @@
 package owner
 
 import (
-	"fmt"
 	"flag"
+	"fmt"
 	"testing"
 	"time"
 
