--- a/jobs/job/job.go
+++ b/jobs/job/job.go
@@ -43,6 +43,20 @@
 	return fmt.Sprintf("%.1f cores, %d MB, %d GPUs", float64(r.CPUMilli)/1000, r.MemMB, r.GPU)
 }
 
+// MaxAmount is the largest valid amount of a resource: a million cores in millicores. The sum over
+// 10,000 tasks, or over 100,000 workers, is exact as an int and as a float64.
+const MaxAmount = 1_000_000_000
+
+// Validate returns an error if an amount is negative or more than MaxAmount.
+func (r Resources) Validate() error {
+	for _, n := range [...]int{r.CPUMilli, r.MemMB, r.GPU} {
+		if n < 0 || n > MaxAmount {
+			return fmt.Errorf("amount of a resource is %d, want 0 to %d", n, MaxAmount)
+		}
+	}
+	return nil
+}
+
 // Fits reports whether need fits into r.
 func (r Resources) Fits(need Resources) bool {
 	return need.CPUMilli <= r.CPUMilli && need.MemMB <= r.MemMB && need.GPU <= r.GPU
--- a/jobs/owner/types.go
+++ b/jobs/owner/types.go
@@ -37,11 +37,12 @@
 	switch {
 	case r.Worker == "" || r.Service == "" || r.Addr == "":
 		return fmt.Errorf("registration without id, service or address: id %q, service %q, address %q", r.Worker, r.Service, r.Addr)
-	case r.Capacity.CPUMilli < 0 || r.Capacity.MemMB < 0 || r.Capacity.GPU < 0:
-		return fmt.Errorf("registration with negative capacity: %s", r.Capacity)
 	case r.StartedMs < 0:
 		return fmt.Errorf("registration with negative start time: %d ms", r.StartedMs)
 	}
+	if err := r.Capacity.Validate(); err != nil {
+		return fmt.Errorf("registration with invalid capacity: %w", err)
+	}
 	return nil
 }
 
