A step may not request more than any worker can have

Callers saw: nothing; found by the test. A gang of four tasks that each request 2^62 millicores asked for nothing in total: the product overflows to 0, which is within every limit of a tenant. Such a job was accepted, though no worker can have that much (read, not run: what its tenant may have running overflows with it).

Cause: only negative amounts were rejected.

Evidence, before the change:

--- FAIL: TestGangBeyondRangeIsOverItsTenantsLimit An error is expected but got nil.

Change: requested resources are bounded by job.MaxAmount, like the capacity of a worker. A submission beyond it is answered as one with negative resources is. No worker can register with more, so no job that could ever run is refused.

--- a/jobs/job/amount_test.go
+++ b/jobs/job/amount_test.go
@@ -23,3 +23,13 @@
 		require.Error(t, Resources{GPU: n}.Validate())
 	}
 }
+
+// TestGangBeyondRangeIsOverItsTenantsLimit guards against a gang whose total request overflows to
+// zero, and so stays within every limit of its tenant.
+func TestGangBeyondRangeIsOverItsTenantsLimit(t *testing.T) {
+	j := &Job{Tenant: "t", Steps: []Step{{Count: 4, Gang: true, Need: Resources{CPUMilli: 1 << 62}}}}
+	c := &Catalog{Tenants: []Tenant{{Name: "t", Limit: Resources{CPUMilli: 1000}}}}
+	if j.Validate() == nil {
+		require.Error(t, c.CheckTenantLimit(j))
+	}
+}
--- a/jobs/job/validate.go
+++ b/jobs/job/validate.go
@@ -61,8 +61,8 @@
 	if s.Count < 1 || s.Count > maxTasks {
 		return fmt.Errorf("count is %d, want 1 to %d", s.Count, maxTasks)
 	}
-	if s.Need.CPUMilli < 0 || s.Need.MemMB < 0 || s.Need.GPU < 0 {
-		return fmt.Errorf("requested resources are negative: %s", s.Need)
+	if err := s.Need.Validate(); err != nil {
+		return fmt.Errorf("requested resources: %w", err)
 	}
 	if s.Estimate < 0 || s.Estimate > maxSpan {
 		return fmt.Errorf("estimate is %s, want 0s to %s", s.Estimate, maxSpan)
