A worker that offers far more than its instance has gets no tasks

Callers saw: nothing; found by the tests. One registration of a running worker with a million cores, which is within all bounds, makes its pool count as made of instances of a million cores: no shortage is covered and idle instances count as surplus. All tasks that wait are started on it.

Cause: the size of a pool's instances is the largest that a worker offers, and nothing compared that with the instance list.

Evidence, before the fix:

--- FAIL: TestOversizedWorkerDoesNotSizeItsPool Max difference between 8 and 1e+06 allowed is 0.01 --- FAIL: TestOversizedWorkerGetsNoTasks Not equal: expected: "b" actual: "a"

Change: if a worker offers more than twice what the instance list says of its instance, the full size of the instance counts for its pool, and the worker gets no new tasks, as after an entry that is refused. A worker whose instance is not listed, or without a capacity, is taken at its word, as before.

--- a/jobs/owner/instances.go
+++ b/jobs/owner/instances.go
@@ -63,6 +63,9 @@
 	if i.Worker != "" {
 		c.instanceOfWorker[i.Worker] = i.ID
 	}
+	if w := c.workers[i.Worker]; w != nil {
+		c.markWorkerChanged(w) // its capacity is compared with that of the instance
+	}
 	c.updateSupply(old)
 	c.updateWaves(i)
 }
--- a/jobs/owner/supply.go
+++ b/jobs/owner/supply.go
@@ -173,11 +173,32 @@
 // undersized. The sizes of instances of one type differ by a few percent.
 const undersizedBelow = 0.9
 
+// maxOversize is how many times the capacity of its instance a worker may offer. An instance is listed
+// with its full size.
+const maxOversize = 2
+
+// isOversizedOn reports whether the worker offers so much more than the instance has that its
+// registration cannot be right.
+func (w *worker) isOversizedOn(i *instanceState) bool {
+	full := i.Capacity
+	return full != (job.Resources{}) && !full.Times(maxOversize).Fits(w.Capacity)
+}
+
+// isOversized reports whether the worker offers far more than its instance has. It gets no new tasks,
+// as if its registration were invalid.
+func (c *Core) isOversized(w *worker) bool {
+	i := c.instances[c.instanceOfWorker[w.Worker]]
+	return i != nil && i.Worker == w.Worker && w.isOversizedOn(i)
+}
+
 // sizeWith returns the size of the instance in millicores, and how many of them its worker w
 // doesn't offer at present.
 func (i *instanceState) sizeWith(w *worker) (cpuMilli, missingMilli int) {
 	offered, full := w.Capacity.CPUMilli, i.Capacity.CPUMilli
-	if float64(offered) >= undersizedBelow*float64(full) {
+	switch {
+	case w.isOversizedOn(i):
+		return full, 0
+	case float64(offered) >= undersizedBelow*float64(full):
 		return offered, 0
 	}
 	return full, full - offered
