One entry with another start time does not cost a worker for good

Callers saw: nothing; found by the test. If one entry of a running worker names another start time (another writer, a number that is wrong), the owner took it for a new incarnation. Every answer of the worker, and every later entry, named a start time that counted as past: they were ignored, so its leases were not renewed, its runs would lapse, and it got no tasks until it restarted. If the answers do not tell the start time, its runs went on, but its later entries were ignored all the same: the owner would not see it drain.

Cause: the registration alone was taken as the proof that the earlier incarnation has ended. Another program may have written it.

Nothing was started twice in the test, before or after.

Change: a start time is confirmed once an answer to a hold names it. One that only an entry has named yields to an earlier one, if the worker's answer to a hold sent since, or a later entry, names that. A hold that was sent to the new incarnation and is answered by the earlier one proves that the earlier one is alive. Confirmed incarnations are treated as before: late answers and entries of past ones are ignored. Until the worker's next entry it gets no new tasks; its runs go on.

--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -15,6 +15,10 @@
 // numbers of run ends, its clock and the highest fencing token that it has seen. Incarnations are
 // told apart by their start times. These are compared only for equality, as the worker's time of
 // day may go back across a restart. An unknown start time matches every incarnation.
+//
+// A worker's answer proves which incarnation is alive. A registration does not: another program may
+// have written it. So a start time that only a registration has named yields to an earlier one that the
+// worker names again.
 
 // incarnation identifies one incarnation of a worker.
 type incarnation struct {
@@ -124,6 +128,7 @@
 	c.removeWorker(old.Worker)
 	w := c.newWorker(old.Worker, startedMs, now)
 	w.pastStartsMs = append(slices.Clone(old.pastStartsMs), old.StartedMs)
+	w.pastStartsMs = slices.DeleteFunc(w.pastStartsMs, func(past int64) bool { return past == startedMs })
 	w.pastStartsMs = w.pastStartsMs[max(0, len(w.pastStartsMs)-maxPastIncarnations):]
 	w.Registration = old.Registration
 	w.StartedMs, w.Draining = startedMs, false
--- a/jobs/owner/oddentries_test.go
+++ b/jobs/owner/oddentries_test.go
@@ -1,6 +1,8 @@
 package owner
 
 import (
+	"fmt"
+	"math"
 	"testing"
 	"time"
 
@@ -72,3 +74,69 @@
 		require.NotEmpty(t, r.confirmStarts())
 	}
 }
+
+// TestOddStartTimeInAnEntry guards against a worker that is lost for good because one entry named
+// another start time: its answers, and its later entries, would count as those of an incarnation that
+// has ended, and its runs would lapse.
+func TestOddStartTimeInAnEntry(t *testing.T) {
+	for _, odd := range []int64{math.MaxInt64, 1, 501} {
+		t.Run(fmt.Sprint(odd), func(t *testing.T) {
+			r := newRig(t, 1)
+			a, b := r.worker("a"), r.worker("b")
+			r.regs[1].Draining = true // tasks go to a
+			good := r.setIncarnation(a, 500)
+			r.answerHoldAs(good, 500, nil)
+			r.answerHold(b, nil)
+			r.submit(1, 1)
+			starts := r.confirmStarts()
+			require.Len(t, starts, 1)
+			require.Equal(t, a, starts[0].Worker)
+			running := []ActiveRun{{Task: starts[0].Task, Run: starts[0].Run}}
+			r.answerHoldAs(good, 500, running)
+			r.regs[1].Draining = false
+			r.tick(time.Second)
+
+			r.setIncarnation(a, odd)
+			require.Equal(t, odd, r.core.workers[a].StartedMs)
+			for range 100 {
+				r.answerHoldAs(r.core.target(r.core.workers[a]), 500, running)
+				r.answerHold(b, nil)
+				r.tick(100 * time.Millisecond)
+			}
+			require.Empty(t, r.out.Starts, "the task runs on")
+			assert.Equal(t, int64(500), r.core.workers[a].StartedMs)
+			assert.Len(t, r.core.workers[a].runs, 1)
+			r.setIncarnation(a, odd) // the entry is read again
+			assert.Equal(t, int64(500), r.core.workers[a].StartedMs)
+			assert.False(t, r.core.isUsable(r.core.workers[a], r.now), "until its next entry it gets no new tasks")
+			r.setIncarnation(a, 500)
+			assert.True(t, r.core.isUsable(r.core.workers[a], r.now))
+			r.regs[0].Draining = true
+			r.publishLists()
+			assert.True(t, r.core.workers[a].Draining)
+		})
+	}
+}
+
+// TestOddStartTimeIsCorrectedByTheNextEntry guards against a worker whose entries are ignored for good
+// after one that named another start time, if its answers do not tell when it started.
+func TestOddStartTimeIsCorrectedByTheNextEntry(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.setIncarnation(a, 500)
+	r.answerHold(a, nil)
+	r.submit(1, 1)
+	starts := r.confirmStarts()
+	require.Len(t, starts, 1)
+	running := []ActiveRun{{Task: starts[0].Task, Run: starts[0].Run}}
+	r.answerHold(a, running)
+	r.setIncarnation(a, math.MaxInt64)
+	r.answerHold(a, running)
+	r.setIncarnation(a, 500)
+	r.answerHold(a, running)
+	r.regs[0].Draining = true
+	r.publishLists()
+	assert.True(t, r.core.workers[a].Draining)
+	assert.Len(t, r.core.workers[a].runs, 1)
+	assert.Empty(t, r.out.Starts)
+}
--- a/jobs/owner/registrations.go
+++ b/jobs/owner/registrations.go
@@ -139,10 +139,10 @@
 		w = c.newWorker(r.Worker, r.StartedMs, now)
 		c.logDecision(Decision{Event: "worker-registered", Worker: r.Worker, Reason: "service " + r.Service})
 	}
-	switch w.relationTo(r.StartedMs) {
-	case pastIncarnation:
+	switch relation := w.relationTo(r.StartedMs); {
+	case relation == pastIncarnation && w.startedMsConfirmed:
 		return // written before the current incarnation registered
-	case nextIncarnation:
+	case relation != sameIncarnation:
 		w = c.startIncarnation(w, r.StartedMs, "a new incarnation has registered", now)
 	}
 	if r.StartedMs == 0 {
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -232,6 +232,7 @@
 	coldUntil                time.Time // end of its slow phase after its start; zero: none was reported
 	firstSeenAt              time.Time // when this owner first learned of the incarnation
 	pastStartsMs             []int64   // StartedMs of earlier incarnations, oldest first
+	startedMsConfirmed       bool      // an answer has named StartedMs; otherwise only the registration has
 	registrationMissingSince time.Time // when it was first missing from the registrations; zero: listed
 	ended                    bool      // the incarnation has ended for certain
 	holdInFlight             bool
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -202,15 +202,16 @@
 	}
 	w.holdInFlight = false
 	if h.Outcome == Accepted {
-		switch w.relationTo(h.StartedMs) {
-		case pastIncarnation:
+		switch relation := w.relationTo(h.StartedMs); {
+		case relation == pastIncarnation && w.startedMsConfirmed:
 			c.scheduleHold(w, now.Add(holdRetryPause))
 			return
-		case nextIncarnation:
+		case relation != sameIncarnation:
 			sent := w.holdSentAt
 			w = c.startIncarnation(w, h.StartedMs, "another incarnation answered the hold", now)
 			w.holdSentAt = sent
 		}
+		w.startedMsConfirmed = w.startedMsConfirmed || h.StartedMs != 0 && h.StartedMs == w.StartedMs
 	}
 	if w.ended {
 		return // answered before the incarnation ended; its runs are already released
