--- a/jobs/node/refusedentries.go
+++ b/jobs/node/refusedentries.go
@@ -4,6 +4,8 @@
 	"sync"
 
 	"go.uber.org/zap"
+
+	"github.com/postmount/postmount/internal/excerpt"
 )
 
 // refusedEntries tracks the store entries that are invalid, as other programs write to the store
@@ -28,7 +30,7 @@
 		return
 	}
 	r.refused[key] = revision
-	r.log.Error("entry-refused", zap.String("key", key), zap.Int64("revision", revision), zap.Error(reason))
+	r.log.Error("entry-refused", zap.String("key", key), zap.Int64("revision", revision), zap.String("error", excerpt.Of(reason.Error())))
 	r.metrics.refusedEntries(len(r.refused))
 }
 
--- /dev/null
+++ b/jobs/node/refusedentries_test.go
@@ -0,0 +1,44 @@
+package node
+
+import (
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+	"github.com/uber-go/tally/v4"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"go.uber.org/zap/zaptest/observer"
+)
+
+func newObservedRefusals() (*refusedEntries, *observer.ObservedLogs) {
+	lines, logged := observer.New(zap.DebugLevel)
+	return newRefusedEntries(zap.New(lines), NewMetrics(tally.NoopScope, nil)), logged
+}
+
+// encodedBytes returns the size of all logged lines.
+func encodedBytes(t *testing.T, logged *observer.ObservedLogs) (bytes int) {
+	enc := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	for _, l := range logged.All() {
+		line, err := enc.EncodeEntry(l.Entry, l.Context)
+		require.NoError(t, err)
+		bytes += line.Len()
+	}
+	return bytes
+}
+
+// TestReasonsOfRefusalAreBounded guards against log lines that are as large as the entries that
+// they are about: a megabyte each.
+func TestReasonsOfRefusalAreBounded(t *testing.T) {
+	for _, filler := range []string{"x", "\n", "\xff", "ä"} {
+		r, logged := newObservedRefusals()
+		r.add("servers/i-1", 1, fmt.Errorf("worker servers/i-1: state is %q", strings.Repeat(filler, 900_000)))
+		r.add("servers/i-2", 2, errors.New(strings.Repeat(filler, 900_000)))
+		require.Equal(t, 2, logged.Len())
+		assert.Less(t, encodedBytes(t, logged), 4000)
+		assert.Contains(t, logged.All()[0].ContextMap()["error"], "servers/i-1: state is")
+	}
+}
