An invalid entry that is written again and again is logged once

Callers saw: nothing; found by the test. Workers write their entries every second. Each write is a new revision, and each daemon that reads the entry logged each revision.

Cause: a refusal was recognised by the revision.

Evidence, before the change, lines after 600 writes in ten minutes:

--- FAIL: TestRewrittenEntryIsNamedOnce expected: 1 actual: 600

Change: a refusal is recognised by its reason, as far as it is logged. Another reason for the same entry is logged at most once a minute, as some contain a value that changes with each write. The correction or deletion is logged as before. An entry that is good and odd by turns is still logged at each turn.

--- a/jobs/node/refusedentries.go
+++ b/jobs/node/refusedentries.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"time"
 
 	"go.uber.org/zap"
 
@@ -9,28 +10,40 @@
 )
 
 // refusedEntries tracks the store entries that are invalid, as other programs write to the store
-// as well. Each is logged once, however often it is read, and so is its correction or deletion.
+// as well. Each is logged once, however often it is read or written again, and so is its correction or
+// deletion.
 type refusedEntries struct {
 	log     *zap.Logger
 	metrics *Metrics
 
 	mu      sync.Mutex
-	refused map[string]int64 // revision by key
+	refused map[string]*refusal // by key
 }
 
+// refusal describes why an entry was last logged as refused.
+type refusal struct {
+	reason   string
+	loggedAt time.Time
+}
+
+// minRefusalInterval is the shortest time after which another reason to refuse the same entry is logged.
+// Some reasons contain values that change with each write.
+const minRefusalInterval = time.Minute
+
 func newRefusedEntries(log *zap.Logger, m *Metrics) *refusedEntries {
-	return &refusedEntries{log: log, metrics: m, refused: map[string]int64{}}
+	return &refusedEntries{log: log, metrics: m, refused: map[string]*refusal{}}
 }
 
 // add records that an entry is invalid.
 func (r *refusedEntries) add(key string, revision int64, reason error) {
+	why := excerpt.Of(reason.Error())
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if known, found := r.refused[key]; found && known == revision {
+	if known := r.refused[key]; known != nil && (known.reason == why || time.Since(known.loggedAt) < minRefusalInterval) {
 		return
 	}
-	r.refused[key] = revision
-	r.log.Error("entry-refused", zap.String("key", key), zap.Int64("revision", revision), zap.String("error", excerpt.Of(reason.Error())))
+	r.refused[key] = &refusal{reason: why, loggedAt: time.Now()}
+	r.log.Error("entry-refused", zap.String("key", key), zap.Int64("revision", revision), zap.String("error", why))
 	r.metrics.refusedEntries(len(r.refused))
 }
 
--- a/jobs/node/refusedentries_test.go
+++ b/jobs/node/refusedentries_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"strings"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
@@ -42,3 +44,22 @@
 		assert.Contains(t, logged.All()[0].ContextMap()["error"], "servers/i-1: state is")
 	}
 }
+
+// TestRewrittenEntryIsNamedOnce guards against a log that grows with each write of an invalid entry,
+// as workers write theirs every second.
+func TestRewrittenEntryIsNamedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, logged := newObservedRefusals()
+		for i := range 600 {
+			r.add("servers/i-1", int64(i), errors.New("address has port 0"))
+			r.add("servers/i-2", int64(i), fmt.Errorf("born is %d, want Unix time in ms", -i))
+			time.Sleep(time.Second)
+		}
+		assert.Equal(t, 1, logged.FilterField(zap.String("key", "servers/i-1")).Len())
+		assert.LessOrEqual(t, logged.FilterField(zap.String("key", "servers/i-2")).Len(), 10, "another reason is named at most once a minute")
+		r.add("servers/i-1", 601, errors.New("service is missing"))
+		r.remove("servers/i-1")
+		r.add("servers/i-1", 602, errors.New("service is missing"))
+		assert.Equal(t, 4, logged.FilterField(zap.String("key", "servers/i-1")).Len())
+	})
+}
