Refused entries that were deleted unseen are no longer counted

Callers saw: nothing; found by the test. The list of refused entries, and the metric entries_refused, kept each key whose deletion was not seen: all of member/, which is only read as a list, and those whose deletion was in history that the store had compacted. The list grew for as long as the process ran.

Cause: only an event of the deletion took a key from the list.

Evidence: the function that the test calls is new. Before, the only ways out of the list were a valid value or an event (read, not run).

Change: when all keys of a prefix are read, the refused ones that are not among them are taken off, and logged as entry-accepted.

--- a/jobs/node/members.go
+++ b/jobs/node/members.go
@@ -26,6 +26,7 @@
 	if err != nil || len(items) == 0 {
 		return false // logged by onStoreFailure; the old list stays in use
 	}
+	n.refusedEntries.retain(ledger.PrefixMembers, items)
 	var list []ledger.Member
 	for _, i := range items {
 		m, err := ledger.DecodeMember(i)
--- a/jobs/node/refusedentries.go
+++ b/jobs/node/refusedentries.go
@@ -1,12 +1,16 @@
 package node
 
 import (
+	"maps"
+	"slices"
+	"strings"
 	"sync"
 	"time"
 
 	"go.uber.org/zap"
 
 	"github.com/postmount/postmount/internal/excerpt"
+	"github.com/postmount/postmount/jobs/ledger"
 )
 
 // refusedEntries tracks the store entries that are invalid, as other programs write to the store
@@ -58,3 +62,23 @@
 	r.log.Info("entry-accepted", zap.String("key", key))
 	r.metrics.refusedEntries(len(r.refused))
 }
+
+// retain records that all entries with the prefix that are not listed were deleted.
+func (r *refusedEntries) retain(prefix string, listed []ledger.Item) {
+	exists := map[string]bool{}
+	for _, i := range listed {
+		exists[i.Key] = true
+	}
+	for _, key := range r.keys() {
+		if strings.HasPrefix(key, prefix) && !exists[key] {
+			r.remove(key)
+		}
+	}
+}
+
+// keys returns the keys of the invalid entries.
+func (r *refusedEntries) keys() []string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return slices.Collect(maps.Keys(r.refused))
+}
--- a/jobs/node/refusedentries_test.go
+++ b/jobs/node/refusedentries_test.go
@@ -14,6 +14,8 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zapcore"
 	"go.uber.org/zap/zaptest/observer"
+
+	"github.com/postmount/postmount/jobs/ledger"
 )
 
 func newObservedRefusals() (*refusedEntries, *observer.ObservedLogs) {
@@ -63,3 +65,16 @@
 		assert.Equal(t, 4, logged.FilterField(zap.String("key", "servers/i-1")).Len())
 	})
 }
+
+// TestRefusalsEndWithTheirEntries guards against a list of refused entries that grows for as long as the
+// process runs: deletions are not seen that fell into history which the store has compacted.
+func TestRefusalsEndWithTheirEntries(t *testing.T) {
+	r, logged := newObservedRefusals()
+	for i := range 100 {
+		r.add(fmt.Sprintf("servers/i-%d", i), 1, errors.New("address has port 0"))
+	}
+	r.add("op/wave/1", 1, errors.New("maxCount is 0"))
+	r.retain("servers/", []ledger.Item{{Key: "servers/i-7"}, {Key: "servers/i-100"}})
+	assert.Len(t, r.refused, 2)
+	assert.Equal(t, 99, logged.FilterMessage("entry-accepted").Len())
+}
--- a/jobs/node/watch.go
+++ b/jobs/node/watch.go
@@ -46,11 +46,15 @@
 }
 
 // listPrefix reads all keys with a prefix, and returns the revision from which a watch misses no
-// change.
+// change. Refused entries that are gone are no longer listed as such.
 func (n *Node) listPrefix(ctx context.Context, prefix string) ([]ledger.Item, int64, error) {
 	ctx, cancel := context.WithTimeout(ctx, 2*storeTimeout)
 	defer cancel()
-	return ledger.RangeAll(ctx, n.store, prefix, false)
+	items, revision, err := ledger.RangeAll(ctx, n.store, prefix, false)
+	if err == nil {
+		n.refusedEntries.retain(prefix, items)
+	}
+	return items, revision, err
 }
 
 // watchChanges applies the changes after a revision. It returns when ctx ends or the store has
