A watch goes on after changes that are too large to read

Callers saw: nothing; found by the test. If one large entry is written again and again (a megabyte, as the store allows, in eight versions), the answer to a watch exceeds the 8 MB that a daemon reads. The watch was repeated from the same revision, and its answers only grew: the daemon stopped following its prefix until the store compacted the history. The error also counted as an outage of the store.

Cause: the watch goes on from the last answer that was read, and the error of an answer that is too large was one like any other.

Evidence, before the fix:

--- FAIL: TestChangesTooLargeToReadAreSkipped -(verdict.Code) (len=18) "store-history-gone" +(verdict.Code) (len=17) "store-unavailable"

Change: such an answer is reported like history that the store has compacted. Both kinds of watches then read all entries of their prefix, which the store gives in pages of a megabyte, and go on from there. The test covers the client of the store; the watches' reaction to lost history is not new.

--- a/jobs/ledger/store.go
+++ b/jobs/ledger/store.go
@@ -84,7 +84,8 @@
 }
 
 // Codes of the store's errors: it did not serve a call, it has compacted the history that
-// a watch asked for, or it rejects the call as invalid, also if it is repeated.
+// a watch asked for or has too much of it to read, or it rejects the call as invalid, also if it is
+// repeated.
 const (
 	CodeStoreUnavailable verdict.Code = "store-unavailable"
 	CodeCompacted        verdict.Code = "store-history-gone"
