A wave is known only under the key with its number

Callers saw: nothing; found by the test. An entry under another key (a copy of a wave, a wrong number) took the place of the wave whose number it contains: the next owner had the other instances or limits for it, and the present one ignored whichever came second.

Cause: the number was taken from the value, and the key was not looked at.

Evidence, before the fix:

--- FAIL: TestWaveUnderAnotherKeyIsRefused Should be empty, but was map[1:{1 [] 0s 1}]

Change: an entry whose key does not end in the wave's number is refused.

--- a/jobs/node/operators.go
+++ b/jobs/node/operators.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"fmt"
+	"strconv"
 	"strings"
 	"time"
 
@@ -59,6 +61,9 @@
 // addWave adds a maintenance wave that operators have requested.
 func (n *Node) addWave(i ledger.Item) {
 	w, err := n.platform.Formats.DecodeWave(i.Value)
+	if number := strings.TrimPrefix(i.Key, n.platform.Formats.WavePrefix); err == nil && number != strconv.Itoa(w.Wave) {
+		err = fmt.Errorf("wave %d does not match the key %q", w.Wave, i.Key)
+	}
 	if err != nil {
 		n.refusedEntries.add(i.Key, i.Revision, err)
 		return
