An instance that a wave names twice is maintained once

Callers saw: nothing; found by the test. A request that repeats an instance was taken as it is. The instance was ordered twice; the platform refuses the second order while it is down (busy), and then it no longer counted as down: one more instance than the wave's limit was taken down.

Cause: the list of the request was gone through as a list, not a set.

Evidence, before the fix, with a limit of 2:

--- FAIL: TestInstanceNamedTwiceInAWave "map[i-a:true i-b:true i-c:true]" should have 2 item(s), but has 3

Change: repetitions are dropped when the wave becomes known.

--- a/jobs/owner/oddentries_test.go
+++ b/jobs/owner/oddentries_test.go
@@ -140,3 +140,34 @@
 	assert.Len(t, r.core.workers[a].runs, 1)
 	assert.Empty(t, r.out.Starts)
 }
+
+// TestInstanceNamedTwiceInAWave guards against two orders for one instance. The platform refuses the
+// second while the instance is down; it then no longer counted as down, and one more than the limit of
+// the wave was taken down.
+func TestInstanceNamedTwiceInAWave(t *testing.T) {
+	r := newRig(t, 1)
+	for _, id := range []string{"a", "b", "c", "d"} {
+		r.worker(id)
+	}
+	for _, id := range []WorkerID{"a", "b", "c", "d"} {
+		r.answerHold(id, nil)
+	}
+	r.core.SetStoreLease(true, r.now)
+	r.core.OnWave(WaveRequest{Wave: 1, Instances: []InstanceID{"i-a", "i-a", "i-b", "i-c", "i-d", "i-a"}, Within: time.Minute, MaxDown: 2}, nil, false, r.now)
+	down := map[InstanceID]bool{}
+	for range 5 {
+		r.publishLists()
+		r.tick(200 * time.Millisecond)
+		orders := r.out.InstanceOrders
+		r.out.InstanceOrders = nil
+		for _, o := range orders {
+			outcome := DutyDone
+			if down[o.Instance] {
+				outcome = DutyRefused // busy
+			}
+			down[o.Instance] = true
+			r.core.OnInstanceOrderAnswer(o, outcome, r.now)
+		}
+	}
+	assert.Len(t, down, 2)
+}
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -85,8 +85,12 @@
 	for _, id := range started {
 		ws.maintenanceStarted[id] = true
 	}
+	ws.Instances = nil // without repetitions
 	for _, id := range req.Instances {
-		ws.members[id] = true
+		if !ws.members[id] {
+			ws.members[id] = true
+			ws.Instances = append(ws.Instances, id)
+		}
 	}
 	c.waves[req.Wave] = ws
 	c.logDecision(Decision{Event: "wave-added", Reason: fmt.Sprintf("wave %d: %d instances within %s, %d down at once", req.Wave, len(req.Instances), req.Within, req.MaxDown)})
