--- a/jobs/owner/lease.go
+++ b/jobs/owner/lease.go
@@ -12,6 +12,10 @@
 	leaseMargin = 150 * time.Millisecond
 )
 
+// MaxWorkerClockMs is the highest valid reading of a worker's clock, in ms: 200 years. A time.Duration
+// holds the difference of two times up to it.
+const MaxWorkerClockMs = 200 * 365 * 24 * 60 * 60 * 1000
+
 // workerLease tracks a worker's clock and the end of the leases that were sent to it.
 type workerLease struct {
 	known          bool      // the worker's clock is known
--- a/jobs/owner/oddentries_test.go
+++ b/jobs/owner/oddentries_test.go
@@ -171,3 +171,17 @@
 	}
 	assert.Len(t, down, 2)
 }
+
+// TestLeaseOfLargestClock guards against the end of a lease that overflows at a clock that the decoder of
+// answers still accepts.
+func TestLeaseOfLargestClock(t *testing.T) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	for _, clock := range []int64{1, MaxWorkerClockMs} {
+		var l workerLease
+		l.observeClock(clock, now)
+		l.grant(rigLease, now)
+		assert.WithinDuration(t, now.Add(rigLease), l.expiry(), time.Second)
+		l.observeClock(MaxWorkerClockMs, now)
+		assert.True(t, l.expiry().Before(now.Add(2*rigLease)), "no overflow into the far future")
+	}
+}
