A lock without a lease is replaced by an election

Callers saw: nothing; found by the test. An entry at the key of the lock that names an owner, but is attached to no lease, never expires. Every daemon waited for that owner: no election was held until somebody removed the entry.

Cause: the lock was judged by its value alone. An election always writes it attached to a lease.

Evidence, before the fix:

--- FAIL: TestLockWithoutALeaseIsReplaced Should be false (held)

Change: such a lock is invalid, as one without a node or a term is. It is named in the list of refused entries, and an election replaces it.

--- a/jobs/ledger/term.go
+++ b/jobs/ledger/term.go
@@ -195,8 +195,8 @@
 func decodeLock(i Item) (Lock, error) {
 	l, err := decode[Lock](i)
 	l.Lease = i.Lease
-	if err == nil && (l.Node == "" || l.Addr == "" || l.Term == 0) {
-		err = fmt.Errorf("key %s: invalid lock: node %q, address %q, term %d", i.Key, l.Node, l.Addr, l.Term)
+	if err == nil && (l.Node == "" || l.Addr == "" || l.Term == 0 || l.Lease == 0) {
+		err = fmt.Errorf("key %s: invalid lock: node %q, address %q, term %d, lease %d", i.Key, l.Node, l.Addr, l.Term, l.Lease)
 	}
 	return l, err
 }
