A daemon's entry without a lease is refused

Callers saw: nothing; found by the test. An entry under member/ that is attached to no lease counted as a live daemon for ever. With a large number of cores, owners would yield to it again and again, and wait with each election for it (read, not run).

Cause: the entry was judged by its value alone. Daemons write theirs attached to their lease.

Evidence, before the fix:

--- FAIL: TestMemberWithoutALeaseIsRefused An error is expected but got nil.

Change: such an entry is invalid. What an entry with a lease says of its cores is believed, as before.

--- a/jobs/ledger/keys.go
+++ b/jobs/ledger/keys.go
@@ -64,11 +64,12 @@
 	return v, nil
 }
 
-// DecodeMember decodes an entry under PrefixMembers.
+// DecodeMember decodes an entry under PrefixMembers. One without a lease is not a daemon's, and would never
+// be removed.
 func DecodeMember(i Item) (Member, error) {
 	m, err := decode[Member](i)
-	if err == nil && (m.Addr == "" || PrefixMembers+m.Node != i.Key) {
-		err = fmt.Errorf("key %s: invalid member: node %q, address %q", i.Key, m.Node, m.Addr)
+	if err == nil && (m.Addr == "" || PrefixMembers+m.Node != i.Key || i.Lease == 0) {
+		err = fmt.Errorf("key %s: invalid member: node %q, address %q, lease %d", i.Key, m.Node, m.Addr, i.Lease)
 	}
 	return m, err
 }
--- a/jobs/ledger/oddentries_test.go
+++ b/jobs/ledger/oddentries_test.go
@@ -38,3 +38,17 @@
 		})
 	}
 }
+
+// TestMemberWithoutALeaseIsRefused guards against a daemon that does not exist, but counts as alive for
+// ever: an owner yields to one that claims more CPU, again and again, and calls are relayed to it.
+func TestMemberWithoutALeaseIsRefused(t *testing.T) {
+	value := []byte(`{"Node":"x","Addr":"10.0.0.1:1","Cores":1e300}`)
+	_, err := ledger.DecodeMember(ledger.Item{Key: "member/x", Value: value})
+	require.ErrorContains(t, err, "member/x")
+	_, err = ledger.DecodeMember(ledger.Item{Key: "member/x", Value: value, Lease: 7})
+	require.NoError(t, err)
+	for _, odd := range []string{``, `null`, `[]`, `7`, "\xff", `{"Node":"y","Addr":"a"}`, `{"Node":"x"}`, `{"Node":"x","Addr":7}`, `{"Node":"x","Addr":"a","Cores":1e400}`} {
+		_, err := ledger.DecodeMember(ledger.Item{Key: "member/x", Value: []byte(odd), Lease: 7})
+		require.Error(t, err, odd)
+	}
+}
