--- a/standin/jobfleet/store.go
+++ b/standin/jobfleet/store.go
@@ -23,8 +23,11 @@
 // delayedCallDelay is the delay of a call to the store with the failure Delayed.
 const delayedCallDelay = 2 * time.Second
 
-// maxPageItems is the maximum number of items in a page of a range.
-const maxPageItems = 100
+// Limits of a page of a range. A page has at least one item, whatever its size.
+const (
+	maxPageItems = 100
+	maxPageBytes = 1 << 20 // of the values
+)
 
 // Store is an in-memory key-value store with revisions, leases and watches.
 type Store struct {
@@ -207,8 +210,14 @@
 		}
 	}
 	sort.Strings(keys)
-	out := ledger.Page{Revision: s.rev, More: len(keys) > maxPageItems}
-	for _, k := range keys[:min(len(keys), maxPageItems)] {
+	out := ledger.Page{Revision: s.rev}
+	bytes := 0
+	for n, k := range keys {
+		bytes += len(s.items[k].Value)
+		if n > 0 && (n >= maxPageItems || bytes > maxPageBytes) {
+			out.More = true
+			break
+		}
 		out.Items = append(out.Items, s.items[k])
 	}
 	return out
