A worker that is not used for its size is named in the log

Nothing said why such a worker gets no tasks. It is logged once, as worker-oversized, and as worker-size-corrected when it is used again. Whether it is oversized is kept with its place in the index, so that a look at all workers needs no look at their instances.

TestOversizedWorkerGetsNoTasks checks both events.

--- a/jobs/owner/evacuation.go
+++ b/jobs/owner/evacuation.go
@@ -49,5 +49,5 @@
 
 // isUsableUnlessAvoided reports whether the worker would be usable if it was not avoided.
 func (c *Core) isUsableUnlessAvoided(w *worker, now time.Time) bool {
-	return w.isReady(now) && c.knewWorkerInTime(w) && !c.evacuatedZones[w.Zone] && !c.isOversized(w)
+	return w.isReady(now) && c.knewWorkerInTime(w) && !c.evacuatedZones[w.Zone] && !w.oversized
 }
--- a/jobs/owner/freeindex.go
+++ b/jobs/owner/freeindex.go
@@ -188,6 +188,7 @@
 // reindex moves the worker to its place in the index, or out of it if it is not usable.
 func (c *Core) reindex(w *worker, now time.Time) {
 	c.throttledWorkers.put(w, w.needsThrottling())
+	c.updateOversized(w)
 	usable := c.workers[w.Worker] == w && c.isUsable(w, now)
 	if usable && w.capacityClass != nil && w.indexedService == w.Service && w.capacityClass.capacity == w.Capacity && w.indexedFreeCPUMilli == w.free().CPUMilli {
 		return
--- a/jobs/owner/oddentries_test.go
+++ b/jobs/owner/oddentries_test.go
@@ -68,13 +68,25 @@
 			r.tick(100 * time.Millisecond)
 		}
 		require.Empty(t, r.out.Starts, "its runs go on, and nothing of it is started elsewhere")
+		assert.Equal(t, []string{"worker-oversized"}, r.sizeEvents(a))
 		r.regs[0].Capacity = full
 		r.publishLists()
 		r.tick(100 * time.Millisecond)
 		require.NotEmpty(t, r.confirmStarts())
+		assert.Equal(t, []string{"worker-size-corrected"}, r.sizeEvents(a))
 	}
 }
 
+// sizeEvents returns the events since the last call that say whether the worker is oversized.
+func (r *rig) sizeEvents(id WorkerID) (out []string) {
+	for _, d := range r.core.TakeDecisions() {
+		if d.Worker == id && (d.Event == "worker-oversized" || d.Event == "worker-size-corrected") {
+			out = append(out, d.Event)
+		}
+	}
+	return out
+}
+
 // TestOddStartTimeInAnEntry guards against a worker that is lost for good because one entry named
 // another start time: its answers, and its later entries, would count as those of an incarnation that
 // has ended, and its runs would lapse.
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -229,6 +229,7 @@
 	firstAnsweredAt          time.Time // when it first did
 	unprovenLapseLogged      bool      // lapse-unproven was logged since it last answered
 	registered               bool      // counts as registered
+	oversized                bool      // as of isOversized when it was last indexed
 	coldUntil                time.Time // end of its slow phase after its start; zero: none was reported
 	firstSeenAt              time.Time // when this owner first learned of the incarnation
 	pastStartsMs             []int64   // StartedMs of earlier incarnations, oldest first
--- a/jobs/owner/supply.go
+++ b/jobs/owner/supply.go
@@ -191,6 +191,25 @@
 	return i != nil && i.Worker == w.Worker && w.isOversizedOn(i)
 }
 
+// updateOversized records whether the worker is oversized, and logs when that changes.
+func (c *Core) updateOversized(w *worker) {
+	oversized := c.isOversized(w)
+	if oversized == w.oversized {
+		return
+	}
+	w.oversized = oversized
+	event := "worker-size-corrected"
+	if oversized {
+		event = "worker-oversized"
+	}
+	full := c.instances[c.instanceOfWorker[w.Worker]]
+	reason := "offers " + w.Capacity.String()
+	if full != nil {
+		reason += ", its instance has " + full.Capacity.String()
+	}
+	c.logDecision(Decision{Event: event, Worker: w.Worker, Reason: reason})
+}
+
 // sizeWith returns the size of the instance in millicores, and how many of them its worker w
 // doesn't offer at present.
 func (i *instanceState) sizeWith(w *worker) (cpuMilli, missingMilli int) {
