--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -20,6 +20,10 @@
 // A worker cannot tell which of its incarnations an order is meant for, and may execute it late. So
 // each incarnation has a higher fencing token than the ones before it: once it has executed one order
 // of its own, it refuses all that were meant for those.
+//
+// A worker's answer proves which incarnation is alive. A registration does not: another program may
+// have written it. So a start time that only a registration has named yields to an earlier one that the
+// worker names again.
 
 // incarnation identifies one incarnation of a worker.
 type incarnation struct {
@@ -128,10 +132,11 @@
 
 // formerWorker is what is remembered of a worker that was removed, in case that it registers again.
 type formerWorker struct {
-	startedMs    int64
-	pastStartsMs []int64
-	lastToken    uint64 // fencing token of the latest orders
-	removedAt    time.Time
+	startedMs          int64
+	startedMsConfirmed bool
+	pastStartsMs       []int64
+	token, pastToken   uint64
+	removedAt          time.Time
 }
 
 // formerWorkersKept is how long removed workers are remembered: much longer than an order may be
@@ -142,7 +147,10 @@
 // rememberWorker remembers a worker that is removed.
 func (c *Core) rememberWorker(w *worker, now time.Time) {
 	maps.DeleteFunc(c.formerWorkers, func(_ WorkerID, f formerWorker) bool { return now.Sub(f.removedAt) > formerWorkersKept })
-	c.formerWorkers[w.Worker] = formerWorker{w.StartedMs, w.pastStartsMs, max(w.token, w.pastToken), now}
+	c.formerWorkers[w.Worker] = formerWorker{
+		startedMs: w.StartedMs, startedMsConfirmed: w.startedMsConfirmed, pastStartsMs: w.pastStartsMs,
+		token: w.token, pastToken: w.pastToken, removedAt: now,
+	}
 }
 
 // continueLineage makes w, which was just added, the same incarnation as the former worker or the
@@ -153,12 +161,13 @@
 		w.StartedMs = f.startedMs
 	}
 	if w.StartedMs == f.startedMs || f.startedMs == 0 {
-		w.token = f.lastToken
+		w.token, w.pastToken = f.token, f.pastToken
 		return
 	}
 	w.pastStartsMs = append(slices.Clone(f.pastStartsMs), f.startedMs)
+	w.pastStartsMs = slices.DeleteFunc(w.pastStartsMs, func(past int64) bool { return past == w.StartedMs })
 	w.pastStartsMs = w.pastStartsMs[max(0, len(w.pastStartsMs)-maxPastIncarnations):]
-	w.token, w.pastToken = 0, f.lastToken
+	w.token, w.pastToken = 0, max(f.token, f.pastToken)
 	c.assignToken(w)
 }
 
--- a/jobs/owner/registrations.go
+++ b/jobs/owner/registrations.go
@@ -135,17 +135,17 @@
 // or updates the properties of a known incarnation.
 func (c *Core) register(r Registration, now time.Time) {
 	w := c.workers[r.Worker]
-	if w == nil && slices.Contains(c.formerWorkers[r.Worker].pastStartsMs, r.StartedMs) {
+	if f := c.formerWorkers[r.Worker]; w == nil && f.startedMsConfirmed && slices.Contains(f.pastStartsMs, r.StartedMs) {
 		return // written before the latest known incarnation registered
 	}
 	if w == nil {
 		w = c.newWorker(r.Worker, r.StartedMs, now)
 		c.logDecision(Decision{Event: "worker-registered", Worker: r.Worker, Reason: "service " + r.Service})
 	}
-	switch w.relationTo(r.StartedMs) {
-	case pastIncarnation:
+	switch relation := w.relationTo(r.StartedMs); {
+	case relation == pastIncarnation && w.startedMsConfirmed:
 		return // written before the current incarnation registered
-	case nextIncarnation:
+	case relation != sameIncarnation:
 		w = c.startIncarnation(w, r.StartedMs, "a new incarnation has registered", now)
 	}
 	if r.StartedMs == 0 {
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -233,11 +233,13 @@
 	firstAnsweredAt          time.Time // when it first did
 	unprovenLapseLogged      bool      // lapse-unproven was logged since it last answered
 	registered               bool      // counts as registered
+	oversized                bool      // as of isOversized when it was last indexed
 	coldUntil                time.Time // end of its slow phase after its start; zero: none was reported
 	firstSeenAt              time.Time // when this owner first learned of the incarnation
 	pastStartsMs             []int64   // StartedMs of earlier incarnations, oldest first
 	token                    uint64    // fencing token of orders to the incarnation; 0: none is reserved yet
 	pastToken                uint64    // highest fencing token of orders to earlier incarnations
+	startedMsConfirmed       bool      // an answer has named StartedMs; otherwise only the registration has
 	registrationMissingSince time.Time // when it was first missing from the registrations; zero: listed
 	ended                    bool      // the incarnation has ended for certain
 	holdInFlight             bool
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -218,16 +218,18 @@
 	}
 	w.holdInFlight = false
 	if h.Outcome == Accepted {
-		switch w.relationTo(h.StartedMs) {
-		case pastIncarnation:
+		switch relation := w.relationTo(h.StartedMs); {
+		case relation == pastIncarnation && w.startedMsConfirmed:
 			c.scheduleHold(w, now.Add(holdRetryPause))
 			return
-		case nextIncarnation:
+		case relation != sameIncarnation:
 			// Late orders for the past incarnation may still change what it lists, until it has
 			// executed an order of its own.
-			c.startIncarnation(w, h.StartedMs, "another incarnation answered the hold", now)
+			w = c.startIncarnation(w, h.StartedMs, "another incarnation answered the hold", now)
+			w.startedMsConfirmed = true
 			return
 		}
+		w.startedMsConfirmed = w.startedMsConfirmed || h.StartedMs != 0 && h.StartedMs == w.StartedMs
 	}
 	if w.ended {
 		return // answered before the incarnation ended; its runs are already released
