Test: a late entry of a past incarnation starts nothing twice

An entry of the incarnation before may arrive after that of the present one, which has not answered yet. Since a start time that only an entry has named yields, the two change to and fro until the worker answers. The test pins that the task starts elsewhere once, after the longest lease since the last change, and that a confirmed start time stays.

--- a/jobs/owner/oddentries_test.go
+++ b/jobs/owner/oddentries_test.go
@@ -197,3 +197,41 @@
 		assert.True(t, l.expiry().Before(now.Add(2*rigLease)), "no overflow into the far future")
 	}
 }
+
+// TestLateEntryOfAPastIncarnation guards against a task that runs twice because a late entry of a past
+// incarnation takes the place of the present one, which has not answered yet: the incarnations change to
+// and fro, and the task starts elsewhere once, after the longest lease that a worker grants.
+func TestLateEntryOfAPastIncarnation(t *testing.T) {
+	r := newRig(t, 1)
+	r.core.opt.MaxWorkerLease = 2 * rigLease
+	a, b := r.worker("a"), r.worker("b")
+	r.answerHoldAs(r.setIncarnation(a, 500), 500, nil)
+	r.submit(1, 1)
+	require.Len(t, r.confirmStarts(), 1)
+	r.answerHold(b, nil)
+	var onB []ActiveRun
+	wait := func(d time.Duration) {
+		for range d / (100 * time.Millisecond) {
+			r.core.OnHoldAnswer(r.core.target(r.core.workers[a]), HoldAnswer{Answer: Answer{Outcome: Unanswered}}, r.now)
+			r.answerHold(b, onB)
+			r.tick(100 * time.Millisecond)
+		}
+	}
+	for _, startedMs := range []int64{700, 500, 700} {
+		r.setIncarnation(a, startedMs)
+		assert.Equal(t, startedMs, r.core.workers[a].StartedMs)
+		wait(500 * time.Millisecond)
+	}
+	wait(2*rigLease - 500*time.Millisecond)
+	assert.Empty(t, r.out.Starts)
+	wait(time.Second)
+	again := r.confirmStarts()
+	require.Len(t, again, 1)
+	assert.Equal(t, b, again[0].Worker)
+	onB = []ActiveRun{{Task: again[0].Task, Run: again[0].Run}}
+	r.answerHoldAs(r.core.target(r.core.workers[a]), 700, nil)
+	r.setIncarnation(a, 500)
+	assert.Equal(t, int64(700), r.core.workers[a].StartedMs, "an entry does not replace what the worker has confirmed")
+	wait(time.Second)
+	assert.Empty(t, r.out.Starts)
+}
