--- a/jobs/owner/incarnation_test.go
+++ b/jobs/owner/incarnation_test.go
@@ -401,3 +401,29 @@
 		})
 	}
 }
+
+// TestNoStopWithoutAReservedToken guards against a healthy owner that ends its term: it sent a stop without
+// a fencing token to a restarted worker, which had seen the past incarnation's token and refused it.
+func TestNoStopWithoutAReservedToken(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	first := r.setIncarnation(a, 500)
+	r.answerHoldAs(first, 500, nil)
+	j := r.submit(1, 1)
+	start := r.confirmStarts()[0]
+	r.answerHoldAs(first, 500, []ActiveRun{{Task: start.Task, Run: start.Run, Percent: 10}})
+	r.core.startIncarnation(r.core.workers[a], 700, "it restarted", r.now)
+	r.core.Cancel(j.ID, r.now)
+	stops := func(d time.Duration) (out []Stop) {
+		for end := r.now.Add(d); r.now.Before(end); r.now = r.now.Add(25 * time.Millisecond) {
+			r.core.Tick(r.now)
+			out = append(out, r.core.TakeEffects().Stops...)
+		}
+		return out
+	}
+	assert.Empty(t, stops(2*time.Second), "no token is reserved")
+	r.reserveTokens()
+	sent := stops(2 * time.Second)
+	require.NotEmpty(t, sent)
+	assert.Positive(t, sent[0].Token)
+}
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -202,6 +202,9 @@
 func (c *Core) sendStop(r *run, now time.Time) {
 	r.sentAt = now
 	c.stopsDue.add(now.Add(c.stopRetryInterval(r.worker)), r)
+	if r.worker.token == 0 {
+		return // it would be refused, as by a worker that a later owner has called
+	}
 	c.effects.Stops = append(c.effects.Stops, Stop{Target: c.target(r.worker), Task: r.task.id(), Run: r.number, Timeout: c.orderTimeout(r.worker)})
 }
 
--- a/jobs/owner/throttle.go
+++ b/jobs/owner/throttle.go
@@ -92,7 +92,7 @@
 
 // setThrottle orders the run's speed in percent, unless it is the one ordered last.
 func (c *Core) setThrottle(r *run, percent int, now time.Time) {
-	if percent == r.throttlePercent {
+	if percent == r.throttlePercent || r.worker.token == 0 {
 		return
 	}
 	r.recordThrottle(percent, now)
