--- a/jobs/owner/incarnation_test.go
+++ b/jobs/owner/incarnation_test.go
@@ -427,3 +427,30 @@
 	require.NotEmpty(t, sent)
 	assert.Positive(t, sent[0].Token)
 }
+
+// TestRunsOfAWorkerWithoutATokenAreReleased guards against tasks that are never started again: their worker
+// restarted while the store was away, and no fencing token was reserved for its new incarnation.
+func TestRunsOfAWorkerWithoutATokenAreReleased(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	first := r.setIncarnation(a, 500)
+	r.answerHoldAs(first, 500, nil)
+	r.submit(1, 1)
+	start := r.confirmStarts()[0]
+	r.answerHoldAs(first, 500, []ActiveRun{{Task: start.Task, Run: start.Run, Percent: 10}})
+	b := r.worker("b")
+	r.answerHold(b, nil)
+	restartedAt := r.now
+	r.core.startIncarnation(r.core.workers[a], 700, "it restarted", r.now)
+	for r.now.Before(restartedAt.Add(maxOrderDelay + 2*rigLease)) {
+		r.now = r.now.Add(100 * time.Millisecond)
+		r.core.OnHoldAnswer(Target{Worker: b}, HoldAnswer{Answer: Answer{Outcome: Accepted, ClockMs: r.clockMs()}}, r.now)
+		r.core.Tick(r.now)
+		e := r.core.TakeEffects()
+		if len(e.Starts) > 0 {
+			assert.Equal(t, b, e.Starts[0].Worker)
+			return
+		}
+	}
+	t.Error("the task was not started again")
+}
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -59,6 +59,7 @@
 			continue
 		}
 		if !c.assignToken(w) {
+			c.markSilent(w, "no fencing token is reserved for its incarnation", now)
 			c.scheduleHold(w, now.Add(tokenRetryPause))
 			continue
 		}
@@ -252,11 +253,7 @@
 		c.scheduleHold(w, now.Add(holdRetryPause)) // says nothing about the worker
 		return
 	default:
-		if w.silentSince.IsZero() {
-			w.silentSince = now
-			c.silentWorkers.put(w, true)
-			c.logDecision(Decision{Event: "worker-silent", Worker: w.Worker, Reason: describeAnswer(h.Answer)})
-		}
+		c.markSilent(w, describeAnswer(h.Answer), now)
 		c.scheduleHold(w, now.Add(c.retryPause(w, now)))
 		return
 	}
@@ -290,6 +287,16 @@
 	c.changedServices[w.Service] = true
 }
 
+// markSilent records that holds of the worker go unanswered, or cannot be sent.
+func (c *Core) markSilent(w *worker, reason string, now time.Time) {
+	if !w.silentSince.IsZero() {
+		return
+	}
+	w.silentSince = now
+	c.silentWorkers.put(w, true)
+	c.logDecision(Decision{Event: "worker-silent", Worker: w.Worker, Reason: reason})
+}
+
 // retryPause returns the pause before the next hold after an unanswered one.
 func (c *Core) retryPause(w *worker, now time.Time) time.Duration {
 	if c.callLossDetector.Lossy() && w.silentSince.Equal(now) {
