--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -144,9 +144,16 @@
 // ends the term.
 const formerWorkersKept = 10 * time.Minute
 
+// formerWorkersPruneInterval is the minimum time between two scans of all removed workers. Thousands may be
+// removed at a time.
+const formerWorkersPruneInterval = time.Minute
+
 // rememberWorker remembers a worker that is removed.
 func (c *Core) rememberWorker(w *worker, now time.Time) {
-	maps.DeleteFunc(c.formerWorkers, func(_ WorkerID, f formerWorker) bool { return now.Sub(f.removedAt) > formerWorkersKept })
+	if now.Sub(c.formerWorkersPrunedAt) > formerWorkersPruneInterval {
+		c.formerWorkersPrunedAt = now
+		maps.DeleteFunc(c.formerWorkers, func(_ WorkerID, f formerWorker) bool { return now.Sub(f.removedAt) > formerWorkersKept })
+	}
 	c.formerWorkers[w.Worker] = formerWorker{
 		startedMs: w.StartedMs, startedMsConfirmed: w.startedMsConfirmed, pastStartsMs: w.pastStartsMs,
 		token: w.token, pastToken: w.pastToken, removedAt: now,
--- a/jobs/owner/incarnation_test.go
+++ b/jobs/owner/incarnation_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -454,3 +455,24 @@
 	}
 	t.Error("the task was not started again")
 }
+
+// BenchmarkRemovals removes a fleet of the size that postmount is designed for, all at once: the owner's loop must
+// not stand still meanwhile.
+func BenchmarkRemovals(b *testing.B) {
+	now := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
+	var regs []Registration
+	for i := range 13_000 {
+		regs = append(regs, Registration{Worker: WorkerID(fmt.Sprintf("w-%05d", i)), Service: "s", Addr: "a", StartedMs: 5})
+	}
+	for b.Loop() {
+		b.StopTimer()
+		c := New(Options{Term: 1, TaskLease: rigLease, StatusRetention: time.Minute}, nil, nil, now)
+		c.SetRegistrations(regs, now)
+		for _, w := range c.workers {
+			w.ended, w.registered = true, false
+			c.endedWorkers.put(w, true)
+		}
+		b.StartTimer()
+		c.expireLeases(now)
+	}
+}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -328,6 +328,7 @@
 	fencingToken           uint64 // of orders to first incarnations, see assignToken
 	highestToken           uint64 // highest fencing token that is in use or needed
 	formerWorkers          map[WorkerID]formerWorker
+	formerWorkersPrunedAt  time.Time
 	settled                [SettledShards]settledShard // record of settled incarnations
 	runs                   runNumbers
 	catalog                *job.Catalog
