--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -277,6 +277,12 @@
 	return w.lease.sentAt.Add(maxOrderDelay + c.longestWorkerLease())
 }
 
+// hasStartedHereOnly reports whether no incarnation of the run's worker but the one that this owner knows has
+// started the run, or still may. A start without an answer may be executed there although another one was, too.
+func (c *Core) hasStartedHereOnly(r *run, now time.Time) bool {
+	return r.listed && (r.lostStartAt.IsZero() || now.After(r.lostStartAt.Add(maxOrderDelay+c.longestWorkerLease())))
+}
+
 // longestWorkerLease returns how long a lease can last, whatever the order that granted it says.
 func (c *Core) longestWorkerLease() time.Duration {
 	return time.Duration(float64(max(c.opt.MaxWorkerLease, c.opt.TaskLease))/(1-maxClockSlowdown)) + leaseMargin
--- a/jobs/owner/incarnation_test.go
+++ b/jobs/owner/incarnation_test.go
@@ -359,9 +359,11 @@
 // TestUnlistedRunOfASilentWorkerIsKept guards against tasks that run twice: a start was executed by a next
 // incarnation that the owner had not heard of, with the longest lease, before the worker was cut off.
 func TestUnlistedRunOfASilentWorkerIsKept(t *testing.T) {
-	for name, answer := range map[string]Answer{
-		"accepted":   {Outcome: Accepted, ClockMs: rigClockMs},
-		"unanswered": {Outcome: Unanswered},
+	accepted, unanswered := Answer{Outcome: Accepted, ClockMs: rigClockMs}, Answer{Outcome: Unanswered}
+	for name, answers := range map[string][]Answer{
+		"accepted":                        {accepted},
+		"unanswered":                      {unanswered},
+		"listed, of two starts, one lost": {unanswered, accepted},
 	} {
 		t.Run(name, func(t *testing.T) {
 			r := newRig(t, 1)
@@ -375,7 +377,12 @@
 			r.out.Starts = nil
 			r.core.OnStartAnswer(starts[0], Answer{Outcome: Accepted, ClockMs: rigClockMs}, r.now)
 			r.answerHoldAs(first, 500, []ActiveRun{{Task: starts[0].Task, Run: starts[0].Run}})
-			r.core.OnStartAnswer(starts[1], answer, r.now)
+			for _, a := range answers {
+				r.core.OnStartAnswer(starts[1], a, r.now)
+			}
+			if len(answers) > 1 {
+				r.answerHoldAs(first, 500, []ActiveRun{{Task: starts[0].Task, Run: starts[0].Run}, {Task: starts[1].Task, Run: starts[1].Run}})
+			}
 			r.collectEffects()
 			sentAt := r.now
 			r.out.Starts = nil
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -161,6 +161,7 @@
 		return
 	}
 	r.mayStartLate = true
+	r.lostStartAt = r.sentAt
 	if r.unansweredSince.IsZero() {
 		r.unansweredSince = now
 		c.counts.Unanswered++
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -67,6 +67,7 @@
 	usage               int           // ActiveRun.Usage of the last run list
 	isolatedRisk        job.CrashRisk // crash risk for which the run was started in isolation
 	throttlePercent     int           // ordered percentage of full speed; initially 100
+	lostStartAt         time.Time     // when the latest start without an answer was sent; zero: none was
 	mayStartLate        bool          // a start went unanswered and may still reach the worker
 	fromPastIncarnation bool          // ordered on an earlier incarnation of the worker, not yet seen on this one
 	unansweredSince     time.Time     // when its start first went unanswered, until its outcome is known
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -389,7 +389,7 @@
 	}
 	unlistedExpiry := c.unlistedLeaseExpiry(w)
 	if !now.After(unlistedExpiry) {
-		c.releaseLapsed(w, expiry, func(r *run) bool { return r.listed }, now)
+		c.releaseLapsed(w, expiry, func(r *run) bool { return c.hasStartedHereOnly(r, now) }, now)
 		return
 	}
 	c.releaseLapsed(w, laterOf(expiry, unlistedExpiry), func(*run) bool { return true }, now)
