--- a/jobs/owner/takeover.go
+++ b/jobs/owner/takeover.go
@@ -7,8 +7,8 @@
 	"github.com/postmount/postmount/jobs/job"
 )
 
-// adoptRun takes over a listed run that an earlier owner started. It stops the run if its task
-// is done or already has another run, or if the job has no such task.
+// adoptRun takes over a listed run that an earlier owner started, or that this one has released. It stops the
+// run if this owner has released it, if its task is done or already has another run, or if the job has no such task.
 func (c *Core) adoptRun(w *worker, j *jobState, a ActiveRun, now time.Time) {
 	delete(w.unknownRuns, a.Task)
 	t := c.taskToAdopt(j, a.Task)
@@ -16,8 +16,8 @@
 		c.stopUnexpectedRun(w, a, "the job has no such task, or has ended")
 		return
 	}
-	if c.runs.isOwn(a.Run) {
-		c.stopUnexpectedRun(w, a, "this owner has already released the run")
+	if c.runs.isOwn(a.Run) && w.runs[a.Task] != nil {
+		c.stopUnexpectedRun(w, a, "this owner has already released the run, and started another one there")
 		return
 	}
 	s := t.step
@@ -32,6 +32,8 @@
 	c.pool(j.service).recordStartedPriority(j)
 	c.markJobStarted(r, now)
 	switch {
+	case c.runs.isOwn(a.Run):
+		c.stop(r, "this owner has already released the run", now)
 	case j.state.Final() || t.done:
 		c.stop(r, "the task is done or its job has ended", now)
 	case other != nil:
--- a/jobs/owner/unknownrun_test.go
+++ b/jobs/owner/unknownrun_test.go
@@ -2,8 +2,10 @@
 
 import (
 	"testing"
+	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"github.com/postmount/postmount/jobs/job"
 )
@@ -23,3 +25,31 @@
 		assert.NotEqual(t, listed, s.Task)
 	}
 }
+
+// TestReleasedRunThatIsListedAgain guards against tasks that run twice, and against workers that are filled beyond
+// their capacity: a run that was released at the end of its lease was listed again, and the task started beside it.
+func TestReleasedRunThatIsListedAgain(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	r.answerHold(a, nil)
+	r.submit(1, 1)
+	first := r.confirmStarts()
+	require.Len(t, first, 1)
+	listed := []ActiveRun{{Task: first[0].Task, Run: first[0].Run}}
+	r.answerHold(a, listed)
+	for range 100 {
+		r.failHold(a)
+		r.tick(100 * time.Millisecond)
+	}
+	require.Empty(t, r.core.workers[a].runs, "its lease has expired")
+	require.Empty(t, r.out.Starts, "the only worker is silent")
+
+	r.answerHold(a, listed)
+	r.tick(time.Second)
+	assert.NotEmpty(t, r.takeStops(first[0].Task))
+	assert.Empty(t, r.out.Starts, "the task runs there")
+	assert.Equal(t, 1000, r.core.workers[a].allocated.CPUMilli)
+	r.answerHold(a, nil, RunEnd{Seq: 1, Task: first[0].Task, Run: first[0].Run, Kind: EndStopped})
+	r.tick(maxAttributionTime)
+	assert.Len(t, r.out.Starts, 1)
+}
