--- a/jobs/job/validate.go
+++ b/jobs/job/validate.go
@@ -8,9 +8,9 @@
 
 // Limits of a job.
 const (
-	// maxTasks bounds the tasks of one occurrence. A daemon has 64 MB in all and needs a few
+	// MaxTasks bounds the tasks of one occurrence. A daemon has 64 MB in all and needs a few
 	// hundred bytes per task.
-	maxTasks = 10_000
+	MaxTasks = 10_000
 	// minInterval is the shortest time between the occurrences of a job.
 	minInterval = time.Millisecond
 	// maxSpan bounds durations of a job, and the time from its first occurrence to its last: 100 years. A
@@ -38,8 +38,8 @@
 			return fmt.Errorf("step %d: %w", n, err)
 		}
 		tasks += s.Count
-		if tasks > maxTasks {
-			return fmt.Errorf("job has %d tasks or more, want at most %d", tasks, maxTasks)
+		if tasks > MaxTasks {
+			return fmt.Errorf("job has %d tasks or more, want at most %d", tasks, MaxTasks)
 		}
 	}
 	return nil
@@ -58,8 +58,8 @@
 
 // validate checks the step with the given index.
 func (s *Step) validate(index int) error {
-	if s.Count < 1 || s.Count > maxTasks {
-		return fmt.Errorf("count is %d, want 1 to %d", s.Count, maxTasks)
+	if s.Count < 1 || s.Count > MaxTasks {
+		return fmt.Errorf("count is %d, want 1 to %d", s.Count, MaxTasks)
 	}
 	if s.Need.CPUMilli < 0 || s.Need.MemMB < 0 || s.Need.GPU < 0 {
 		return fmt.Errorf("requested resources are negative: %s", s.Need)
