The memory of bodies that are being received is bounded over all requests

Cause: maxBodyBytes bounds one body. Nothing bounded their sum, the end of the time for a request did not interrupt the read of its body, and a body that was not wanted (no such queue, no key, an announced length beyond the limit) was read before the refusal was sent. Class: a limit for each where the resource is shared by all.

What callers saw: the process that served them ended, out of memory.

Change: package bytebudget. An eighth of the daemon's memory is for bodies and the jobs decoded from them. Memory is reserved before a buffer grows, by the bytes received. When it is used up, the request that has not progressed for the longest time (500 ms at least, under 1 KB counts as none) is refused; who finds nothing for 2 s is refused as well: 503, Retry-After, not run. A quarter is kept for small requests. Read deadlines interrupt a read at the end of the request's time, and at a stop. What the header shows is refused before the body is read.

Without the interrupt a run of TestABodyEndsWithTheDeadline and TestStalledBodiesGiveWay does not end; without the deadline and the close one of TestRefusalsNeedNoBody does not. TestClientsInsideTheLimits passes: a slow body of exactly the limit, 64 of them at once, 1,000 connections.

--- /dev/null
+++ b/internal/bytebudget/bytebudget_test.go
@@ -0,0 +1,145 @@
+package bytebudget
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"github.com/postmount/postmount/internal/sleep"
+)
+
+const testBudget = 1 << 20
+
+// fill opens shares of n bytes until no more fit at once, each of which is closed as soon as it is evicted.
+func fill(b *Budget, n int64) []*Share {
+	var out []*Share
+	for {
+		var s *Share
+		s = b.Open(func() { s.Close() })
+		if !s.tryGrow(n) {
+			s.Close()
+			return out
+		}
+		out = append(out, s)
+	}
+}
+
+// TestStalledSharesGiveWay guards against a crowd that takes the whole budget and sends nothing: nobody else would
+// ever be served.
+func TestStalledSharesGiveWay(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(testBudget)
+		crowd := fill(b, 100<<10)
+		for _, n := range []int{0, 2, 3, 4, 5, 6, 1} {
+			time.Sleep(time.Minute)
+			crowd[n].Progress(progressBytes)
+		}
+		time.Sleep(time.Minute)
+		own := b.Open(func() { assert.Fail(t, "the share that grows was evicted") })
+		require.NoError(t, own.Grow(t.Context(), 250<<10)) // the memory of two of them
+		assert.True(t, crowd[0].Evicted())
+		assert.True(t, crowd[2].Evicted())
+		for _, n := range []int{1, 3, 4, 5, 6} {
+			assert.False(t, crowd[n].Evicted(), "share %d progressed later", n)
+		}
+		require.ErrorIs(t, crowd[0].Complete(), ErrEvicted)
+	})
+}
+
+// TestSingleBytesAreNoProgress: a body that arrives byte by byte keeps no memory that others need.
+func TestSingleBytesAreNoProgress(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(testBudget)
+		crowd := fill(b, 100<<10)
+		for range 10 {
+			time.Sleep(minIdle / 5)
+			for _, s := range crowd {
+				s.Progress(1)
+			}
+		}
+		require.NoError(t, b.Open(nil).Grow(t.Context(), 100<<10))
+	})
+}
+
+// TestProgressingSharesAreKept: shares that progress are not evicted, and further ones wait for memory and are refused
+// if none becomes free.
+func TestProgressingSharesAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(testBudget)
+		crowd := fill(b, 100<<10)
+		ctx, cancel := context.WithCancel(t.Context())
+		go func() {
+			for sleep.For(ctx, minIdle/2) {
+				for _, s := range crowd {
+					s.Progress(progressBytes)
+				}
+			}
+		}()
+		late := b.Open(nil)
+		require.ErrorIs(t, late.Grow(t.Context(), 100<<10), ErrExhausted)
+		time.AfterFunc(time.Second, crowd[0].Close)
+		require.NoError(t, late.Grow(t.Context(), 100<<10))
+		cancel()
+		for _, s := range crowd {
+			assert.False(t, s.Evicted())
+		}
+	})
+}
+
+// TestSmallRequestsHaveAReserve: requests that fill the budget leave memory for small ones.
+func TestSmallRequestsHaveAReserve(t *testing.T) {
+	b := New(testBudget)
+	fill(b, smallBytes+1)
+	assert.True(t, b.Open(nil).tryGrow(smallBytes))
+	assert.False(t, b.Open(nil).tryGrow(smallBytes+1))
+}
+
+// TestSmallRequestsDoNotWaitForLargeOnes guards against large requests that hold all memory while each waits for more:
+// small ones waited behind them until they were refused as well.
+func TestSmallRequestsDoNotWaitForLargeOnes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(testBudget)
+		crowd := fill(b, smallBytes)
+		for _, s := range crowd {
+			go func() {
+				_ = s.Grow(t.Context(), smallBytes) // ErrEvicted or ErrExhausted
+				s.Close()
+			}()
+		}
+		synctest.Wait()
+		own := b.Open(nil)
+		require.NoError(t, own.Grow(t.Context(), smallBytes))
+		require.NoError(t, own.Complete())
+		assert.Less(t, time.Since(own.progressed), maxWait/2)
+		time.Sleep(maxWait)
+	})
+}
+
+// TestCompleteSharesAreKept: a request that has arrived is not evicted while it is handled.
+func TestCompleteSharesAreKept(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		b := New(testBudget)
+		for _, s := range fill(b, 100<<10) {
+			require.NoError(t, s.Complete())
+		}
+		time.Sleep(time.Minute)
+		require.ErrorIs(t, b.Open(nil).Grow(t.Context(), 100<<10), ErrExhausted)
+	})
+}
+
+// TestClosedSharesFreeAll: nothing of the budget is lost.
+func TestClosedSharesFreeAll(t *testing.T) {
+	b := New(testBudget)
+	for _, s := range fill(b, 100<<10) {
+		s.Shrink()
+		require.True(t, s.tryGrow(1000))
+		s.Close()
+		s.Close()
+	}
+	assert.Zero(t, b.used)
+	assert.Empty(t, b.shares)
+}
--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -7,7 +7,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"math"
 	"net/http"
 	"strconv"
@@ -16,6 +15,7 @@
 
 	"go.uber.org/zap"
 
+	"github.com/postmount/postmount/internal/bytebudget"
 	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
@@ -66,6 +66,8 @@
 	defaultRetryAfter = 1 * time.Second
 	// defaultBodyLimit is the maximum body size in bytes if the configuration sets none.
 	defaultBodyLimit = 256 << 10
+	// defaultBodyBudget is the budget of all bodies in bytes if SetBodyBudget sets none.
+	defaultBodyBudget = 32 << 20
 )
 
 // deadlineHeader is the request header with the time that the caller waits for the response, in
@@ -79,14 +81,19 @@
 	decode             JobDecoder
 	observe            Observer
 	log                *zap.Logger
+	bodies             *bytebudget.Budget
 	keepAlivesDisabled atomic.Bool
 }
 
-// New returns a gateway.
+// New returns a gateway whose requests take the memory of their bodies from defaultBodyBudget, see SetBodyBudget.
 func New(jobs JobService, key KeyReader, decode JobDecoder, observe Observer, log *zap.Logger) *Gateway {
-	return &Gateway{jobs: jobs, readKey: key, decode: decode, observe: observe, log: log}
+	return &Gateway{jobs: jobs, readKey: key, decode: decode, observe: observe, log: log, bodies: bytebudget.New(defaultBodyBudget)}
 }
 
+// SetBodyBudget bounds the memory in bytes of the bodies that are received and of the jobs decoded from them, over
+// all requests. It must be called before the first request.
+func (g *Gateway) SetBodyBudget(bytes int64) { g.bodies = bytebudget.New(bytes) }
+
 // DisableKeepAlives makes every further response close its connection, before a planned stop.
 func (g *Gateway) DisableKeepAlives() { g.keepAlivesDisabled.Store(true) }
 
@@ -137,7 +144,11 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(r.Context(), handlerTimeout(r))
 	defer cancel()
-	rep, id := g.route(ctx, r)
+	b := newBody(g.bodies, w, r)
+	defer b.close()
+	rep, id := g.route(ctx, b, r)
+	b.close()
+	b.discard(w)
 	g.write(w, rep)
 	took := time.Since(began)
 	g.observe.ObserveResponse(r.Method, rep.status, took)
@@ -157,7 +168,7 @@
 }
 
 // route handles a request and returns the response and the ID of the job, "" if it names none.
-func (g *Gateway) route(ctx context.Context, r *http.Request) (reply, string) {
+func (g *Gateway) route(ctx context.Context, b *body, r *http.Request) (reply, string) {
 	catalog := g.jobs.Catalog()
 	if catalog == nil {
 		return reply{status: http.StatusServiceUnavailable, problem: "no configuration loaded yet", retryAfter: defaultRetryAfter}, ""
@@ -187,7 +198,7 @@
 	id := job.ID(rest)
 	switch r.Method {
 	case http.MethodPost, http.MethodPut:
-		return g.submit(ctx, r, catalog, queue, tenant, id), rest
+		return g.submit(ctx, b, catalog, queue, tenant, id), rest
 	case http.MethodGet:
 		return g.state(ctx, id, tenant), rest
 	case http.MethodDelete:
@@ -216,17 +227,17 @@
 	return "", &reply{status: http.StatusUnauthorized, problem: fmt.Sprintf("the key is not in configuration %d", catalog.Version)}
 }
 
-func (g *Gateway) submit(ctx context.Context, r *http.Request, catalog *job.Catalog, queue *job.Queue, tenant string, id job.ID) reply {
+func (g *Gateway) submit(ctx context.Context, b *body, catalog *job.Catalog, queue *job.Queue, tenant string, id job.ID) reply {
 	limit := catalog.Limits.BodyBytes
 	if limit <= 0 {
 		limit = defaultBodyLimit
 	}
-	raw, err := io.ReadAll(io.LimitReader(r.Body, int64(limit)+1))
-	if err != nil {
-		return reply{status: http.StatusBadRequest, problem: "the request body could not be read completely"}
+	raw, refused := b.read(ctx, limit)
+	if refused != nil {
+		return *refused
 	}
-	if len(raw) > limit {
-		return reply{status: http.StatusRequestEntityTooLarge, problem: fmt.Sprintf("the request body is too large: the limit is %d bytes", limit)}
+	if refused := b.reserveDecoding(ctx, raw); refused != nil {
+		return *refused
 	}
 	j, err := g.decode(raw)
 	if err != nil {
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -131,6 +131,7 @@
 	n.acceptor = ledger.NewAcceptor(n.store, settings.MaxValueBytes)
 	n.earlyCancels = ledger.NewEarlyCancels(n.store, p.Clock.Now)
 	n.gateway = gateway.New(n, p.Formats.CallerKey, p.Formats.DecodeJob, m, log)
+	n.gateway.SetBodyBudget(settings.bodyBudget())
 	return n
 }
 
