Each listener bounds its connections, their headers and unread answers

Cause: the number of connections had no bound, readiness and metrics no timeout of headers, a header 1 MB by default (maxHeaderBytes of the configuration was not applied), and a write to a client that does not read none at all. Class: a limit for each where the resource is shared by all.

What callers saw: the process ended, out of memory; out of descriptors, no new connections and no calls to the store.

Change: package connlimit. A listener has a share of the descriptors (maxFds): callers a third, and at most four connections an MB; peers a quarter; readiness and metrics a 256th each, 8 at least. At the bound the connection on which nothing happened for the longest time is closed, never one whose request is being handled. The header limit follows the configuration (32 KB without one), a write may take 10 s, and readiness and metrics read a request for 5 s. Closed connections are logged (connection-closed) and counted (connections_closed). A request whose connection was closed before its body was complete is not accepted.

--- a/jobs/gateway/body.go
+++ b/jobs/gateway/body.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/postmount/postmount/internal/bytebudget"
+	"github.com/postmount/postmount/internal/connlimit"
 )
 
 const (
@@ -49,16 +50,21 @@
 func (b *body) close() { b.share.Close() }
 
 // read returns the whole body, or a refusal if it is longer than limit, does not arrive until ctx ends, or needs
-// memory that others use.
+// memory that others use. Until then its connection may be closed for another one.
 func (b *body) read(ctx context.Context, limit int) ([]byte, *reply) {
 	if b.r.ContentLength > int64(limit) {
 		return nil, tooLarge(limit)
 	}
+	conn := connlimit.FromContext(b.r.Context())
+	conn.End()
 	stop := context.AfterFunc(ctx, b.interrupt)
 	raw, err := b.readAll(ctx, limit)
 	if !stop() && err == nil {
 		err = ctx.Err()
 	}
+	if !conn.Begin() {
+		panic(http.ErrAbortHandler) // nobody is left to answer
+	}
 	if err == nil {
 		err = b.share.Complete()
 	}
--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -16,6 +16,7 @@
 	"go.uber.org/zap"
 
 	"github.com/postmount/postmount/internal/bytebudget"
+	"github.com/postmount/postmount/internal/connlimit"
 	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/ledger"
@@ -144,11 +145,16 @@
 	began := time.Now()
 	ctx, cancel := context.WithTimeout(r.Context(), handlerTimeout(r))
 	defer cancel()
+	conn := connlimit.FromContext(r.Context())
+	if !conn.Begin() {
+		panic(http.ErrAbortHandler) // nobody is left to answer
+	}
 	b := newBody(g.bodies, w, r)
 	defer b.close()
 	rep, id := g.route(ctx, b, r)
 	b.close()
 	b.discard(w)
+	conn.End()
 	g.write(w, rep)
 	took := time.Since(began)
 	g.observe.ObserveResponse(r.Method, rep.status, took)
--- a/jobs/node/metrics.go
+++ b/jobs/node/metrics.go
@@ -37,6 +37,11 @@
 	m.scope.Tagged(map[string]string{"method": method}).Histogram("answer_time", latencyBuckets).RecordDuration(took)
 }
 
+// connClosed counts a connection that was closed because of a limit of its listener.
+func (m *Metrics) connClosed(listener, reason string) {
+	m.scope.Tagged(map[string]string{"listener": listener, "reason": reason}).Counter("connections_closed").Inc(1)
+}
+
 func (m *Metrics) order(kind string, o owner.Outcome) {
 	m.scope.Tagged(map[string]string{"order": kind, "outcome": o.String()}).Counter("orders").Inc(1)
 }
--- a/jobs/node/node.go
+++ b/jobs/node/node.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"fmt"
-	"net"
 	"net/http"
 	"slices"
 	"sync"
@@ -148,17 +146,14 @@
 	}
 	requestCtx, cancelRequests := context.WithCancel(context.Background())
 	defer cancelRequests()
-	callers := &http.Server{
-		Handler: n.gateway, ReadHeaderTimeout: defaultHeaderTimeout, IdleTimeout: defaultIdleTimeout,
-		BaseContext: func(net.Listener) context.Context { return requestCtx },
-	}
+	callers := n.callersServer(requestCtx)
 	workCtx, stopWork := context.WithCancel(context.Background())
 	defer stopWork()
 	done := make(chan struct{})
 	go func() { defer close(done); n.RunBackground(workCtx) }()
 	go n.serve(callers, listeners.callers)
-	go n.serve(&http.Server{Handler: n.readyHandler()}, listeners.ready)
-	go n.serve(&http.Server{Handler: n.metrics.Handler()}, listeners.metrics)
+	go n.serve(probeServer(n.readyHandler()), listeners.ready)
+	go n.serve(probeServer(n.metrics.Handler()), listeners.metrics)
 	go n.servePeers(listeners.peers)
 	n.log.Info("start", zap.String("node", n.settings.Node), zap.String("zone", n.settings.Zone), zap.String("callers", n.settings.CallersAddr))
 	<-ctx.Done()
@@ -189,44 +184,6 @@
 // IsOwner reports whether this daemon is the owner, which schedules all jobs.
 func (n *Node) IsOwner() bool { return n.term.Load() != nil }
 
-// Timeouts of callers' connections. They are longer than those of the operators'
-// configuration, which is read only after the listeners are open.
-const (
-	defaultHeaderTimeout = 5 * time.Second
-	defaultIdleTimeout   = 60 * time.Second
-)
-
-type listeners struct{ callers, ready, peers, metrics net.Listener }
-
-func (n *Node) listen() (l listeners, err error) {
-	for _, listener := range []struct {
-		target *net.Listener
-		addr   string
-	}{
-		{&l.callers, n.settings.CallersAddr},
-		{&l.ready, n.settings.ReadyAddr},
-		{&l.peers, n.settings.peerAddr()},
-		{&l.metrics, fmt.Sprintf("%s:%d", n.settings.IP, n.settings.MetricsPort)},
-	} {
-		if *listener.target, err = net.Listen("tcp", listener.addr); err != nil {
-			return l, err
-		}
-	}
-	return l, nil
-}
-
-func (n *Node) serve(s *http.Server, l net.Listener) {
-	if err := s.Serve(l); err != nil && err != http.ErrServerClosed {
-		n.log.Error("listener-failed", zap.String("addr", l.Addr().String()), zap.Error(err))
-	}
-}
-
-func (n *Node) servePeers(l net.Listener) {
-	if err := peer.Serve(l, n.PeerHandler()); err != nil {
-		n.log.Error("listener-failed", zap.String("addr", l.Addr().String()), zap.Error(err))
-	}
-}
-
 // readyHandler answers the load balancer's health check on any path. The daemon is ready
 // from its first configuration until it stops.
 func (n *Node) readyHandler() http.Handler {
--- a/jobs/node/settings.go
+++ b/jobs/node/settings.go
@@ -25,7 +25,8 @@
 	StoreAddr   string
 	ManagerAddr string
 	AdvisorAddr string  // "" if no queue needs advice
-	MemoryMB    int     // memory limit of the process
+	MemoryMB    int     // memory limit of the process; 0: unknown
+	MaxFDs      int     // limit of its open descriptors; 0: unknown
 	Cores       float64 // CPU limit of the process
 	LinkMbps    float64 // bandwidth of the daemon's network link; 0: unknown
 
@@ -64,6 +65,9 @@
 	if s.MaxTaskLease <= 0 {
 		errs = append(errs, fmt.Errorf("MaxTaskLease is %s, must be positive", s.MaxTaskLease))
 	}
+	if s.MemoryMB < 0 || s.MaxFDs < 0 {
+		errs = append(errs, fmt.Errorf("MemoryMB is %d and MaxFDs %d, must not be negative", s.MemoryMB, s.MaxFDs))
+	}
 	if s.MaxValueBytes < 0 {
 		errs = append(errs, fmt.Errorf("MaxValueBytes is %d, must not be negative", s.MaxValueBytes))
 	}
