Messages of peers are bounded while they are received

Cause: net/rpc takes any message up to 1 GB, allocates up to 10 MB of what is announced at once, waits for its end for ever, and its Accept ends for good when a descriptor is lacking once. The same class as for callers' bodies.

What callers saw: nothing yet; the listener is reached by other daemons alone.

Change: peer.ServeWithin follows the lengths of the messages, reserves their memory (an eighth of the daemon's) before the decoder allocates it, closes a connection whose message is longer than all of that, stalls while others need the memory, or takes 10 s; so is one without a call for 10 s.

A peer that waits is not read from, and its TCP user timeout of 500 ms closes the connection.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -21,8 +21,6 @@
 	smallBytes = 16 << 10
 	// reservePart is the part of the budget, 1/reservePart, that is reserved.
 	reservePart = 4
-	// minIdle is how long a request must not have progressed before its memory is taken for others.
-	minIdle = 500 * time.Millisecond
 	// progressBytes are what must arrive to count as progress, so that single bytes do not keep memory.
 	progressBytes = 1 << 10
 	// maxWait bounds the wait for memory.
@@ -33,16 +31,19 @@
 
 // Budget is a number of bytes that shares take parts of.
 type Budget struct {
-	mu     sync.Mutex
-	total  int64
+	total   int64
+	minIdle time.Duration
+
+	mu     sync.Mutex // guards the following
 	used   int64
 	shares map[*Share]struct{}
 	freed  chan struct{} // closed and replaced whenever memory is freed
 }
 
-// New returns a budget of total bytes.
-func New(total int64) *Budget {
-	return &Budget{total: total, shares: map[*Share]struct{}{}, freed: make(chan struct{})}
+// New returns a budget of total bytes. minIdle is how long a request must not have progressed before its memory is
+// taken for others.
+func New(total int64, minIdle time.Duration) *Budget {
+	return &Budget{total: total, minIdle: minIdle, shares: map[*Share]struct{}{}, freed: make(chan struct{})}
 }
 
 // Share is what one request has taken of a budget.
@@ -128,7 +129,7 @@
 	return s.budget.freed
 }
 
-// evictFor aborts the share that has not progressed for the longest time, if that is minIdle or more, so that s can
+// evictFor aborts the share that has not progressed for the longest time, if that is b.minIdle or more, so that s can
 // grow by n bytes.
 func (b *Budget) evictFor(s *Share, n int64) {
 	b.mu.Lock()
@@ -159,7 +160,7 @@
 	if s.waiting {
 		return forSmall && s.held > smallBytes/2
 	}
-	return time.Since(s.progressed) >= minIdle
+	return time.Since(s.progressed) >= s.budget.minIdle
 }
 
 // Progress records that n bytes of the request have arrived.
--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -12,7 +12,10 @@
 	"github.com/postmount/postmount/internal/sleep"
 )
 
-const testBudget = 1 << 20
+const (
+	testBudget = 1 << 20
+	minIdle    = 500 * time.Millisecond
+)
 
 // fill opens shares of n bytes until no more fit at once, each of which is closed as soon as it is evicted.
 func fill(b *Budget, n int64) []*Share {
@@ -32,7 +35,7 @@
 // ever be served.
 func TestStalledSharesGiveWay(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := New(testBudget)
+		b := New(testBudget, minIdle)
 		crowd := fill(b, 100<<10)
 		for _, n := range []int{0, 2, 3, 4, 5, 6, 1} {
 			time.Sleep(time.Minute)
@@ -53,7 +56,7 @@
 // TestSingleBytesAreNoProgress: a body that arrives byte by byte keeps no memory that others need.
 func TestSingleBytesAreNoProgress(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := New(testBudget)
+		b := New(testBudget, minIdle)
 		crowd := fill(b, 100<<10)
 		for range 10 {
 			time.Sleep(minIdle / 5)
@@ -69,7 +72,7 @@
 // if none becomes free.
 func TestProgressingSharesAreKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := New(testBudget)
+		b := New(testBudget, minIdle)
 		crowd := fill(b, 100<<10)
 		ctx, cancel := context.WithCancel(t.Context())
 		go func() {
@@ -92,7 +95,7 @@
 
 // TestSmallRequestsHaveAReserve: requests that fill the budget leave memory for small ones.
 func TestSmallRequestsHaveAReserve(t *testing.T) {
-	b := New(testBudget)
+	b := New(testBudget, minIdle)
 	fill(b, smallBytes+1)
 	assert.True(t, b.Open(nil).tryGrow(smallBytes))
 	assert.False(t, b.Open(nil).tryGrow(smallBytes+1))
@@ -102,7 +105,7 @@
 // small ones waited behind them until they were refused as well.
 func TestSmallRequestsDoNotWaitForLargeOnes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := New(testBudget)
+		b := New(testBudget, minIdle)
 		crowd := fill(b, smallBytes)
 		for _, s := range crowd {
 			go func() {
@@ -122,7 +125,7 @@
 // TestCompleteSharesAreKept: a request that has arrived is not evicted while it is handled.
 func TestCompleteSharesAreKept(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		b := New(testBudget)
+		b := New(testBudget, minIdle)
 		for _, s := range fill(b, 100<<10) {
 			require.NoError(t, s.Complete())
 		}
@@ -133,7 +136,7 @@
 
 // TestClosedSharesFreeAll: nothing of the budget is lost.
 func TestClosedSharesFreeAll(t *testing.T) {
-	b := New(testBudget)
+	b := New(testBudget, minIdle)
 	for _, s := range fill(b, 100<<10) {
 		s.Shrink()
 		require.True(t, s.tryGrow(1000))
--- a/jobs/gateway/body.go
+++ b/jobs/gateway/body.go
@@ -15,6 +15,8 @@
 )
 
 const (
+	// minBodyIdle is how long a body must not have progressed before its memory is taken for others.
+	minBodyIdle = 500 * time.Millisecond
 	// firstBodyBytes is the first size of the buffer of a body, which grows with the bytes received.
 	firstBodyBytes = 4 << 10
 	// bytesPerBodyByte and bytesPerObject estimate the memory of a decoded submission, by the bytes of its body
--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -88,12 +88,12 @@
 
 // New returns a gateway whose requests take the memory of their bodies from defaultBodyBudget, see SetBodyBudget.
 func New(jobs JobService, key KeyReader, decode JobDecoder, observe Observer, log *zap.Logger) *Gateway {
-	return &Gateway{jobs: jobs, readKey: key, decode: decode, observe: observe, log: log, bodies: bytebudget.New(defaultBodyBudget)}
+	return &Gateway{jobs: jobs, readKey: key, decode: decode, observe: observe, log: log, bodies: bytebudget.New(defaultBodyBudget, minBodyIdle)}
 }
 
 // SetBodyBudget bounds the memory in bytes of the bodies that are received and of the jobs decoded from them, over
 // all requests. It must be called before the first request.
-func (g *Gateway) SetBodyBudget(bytes int64) { g.bodies = bytebudget.New(bytes) }
+func (g *Gateway) SetBodyBudget(bytes int64) { g.bodies = bytebudget.New(bytes, minBodyIdle) }
 
 // DisableKeepAlives makes every further response close its connection, before a planned stop.
 func (g *Gateway) DisableKeepAlives() { g.keepAlivesDisabled.Store(true) }
--- a/jobs/node/listeners.go
+++ b/jobs/node/listeners.go
@@ -89,7 +89,7 @@
 }
 
 func (n *Node) servePeers(l net.Listener) {
-	if err := peer.Serve(l, n.PeerHandler()); err != nil {
+	if err := peer.ServeWithin(l, n.PeerHandler(), n.settings.bodyBudget()); err != nil {
 		n.log.Error("listener-failed", zap.String("addr", l.Addr().String()), zap.Error(err))
 	}
 }
--- a/jobs/peer/peer.go
+++ b/jobs/peer/peer.go
@@ -158,16 +158,6 @@
 	return nil
 }
 
-// Serve handles calls of peers on l until it is closed.
-func Serve(l net.Listener, h Handler) error {
-	srv := rpc.NewServer()
-	if err := srv.RegisterName(serviceName, &server{h}); err != nil {
-		return err
-	}
-	srv.Accept(l)
-	return nil
-}
-
 // Client calls peers over one persistent connection each.
 type Client struct{ conns rpcconn.Pool }
 
