A connection is closed for another one only after 100 ms without use

Cause: at the bound each arrival closed the connection that had been idle for the longest time, however short that was. Beside clients that connect again whenever they are closed, all were fresh, and an ordinary one lost its place before its request was read.

Change: arrivals wait in their order until a connection has been idle for 100 ms, for a second at most. Readiness has a 64th of the descriptors, so that a health check does not wait long.

--- a/internal/connlimit/connlimit.go
+++ b/internal/connlimit/connlimit.go
@@ -19,7 +19,7 @@
 const (
 	// Idle means that nothing was received on it or sent for the longest time when another one needed its place.
 	Idle Reason = "idle"
-	// AllBusy means that it arrived while all others were busy.
+	// AllBusy means that no other one was idle for a second after it had arrived.
 	AllBusy Reason = "all-busy"
 	// HeaderTooLarge means that the header of a request exceeded the limit.
 	HeaderTooLarge Reason = "header-too-large"
@@ -28,6 +28,16 @@
 // WriteTimeout bounds one write: a client has to read its answers.
 const WriteTimeout = 10 * time.Second
 
+const (
+	// minIdle is how long nothing must have happened on a connection that is closed for another one. Arrivals wait
+	// that long in the order in which they came, so that a crowd that keeps returning takes no place from a client
+	// which has just connected.
+	minIdle = 100 * time.Millisecond
+	// maxPlaceWait bounds the wait of an arrival for a place, placeInterval is how often it looks for one.
+	maxPlaceWait  = time.Second
+	placeInterval = 5 * time.Millisecond
+)
+
 // headerReadAhead is how much an http.Server reads beyond a header.
 const headerReadAhead = 4096
 
@@ -59,17 +69,28 @@
 			return nil, err
 		}
 		c := &Conn{Conn: raw, listener: l}
-		c.touch()
-		if l.add(c) {
+		if l.awaitPlace(c) {
 			return c, nil
 		}
-		_ = raw.Close() // nothing was read
 		l.closed(AllBusy)
+		_ = raw.Close() // nothing was read
+	}
+}
+
+// awaitPlace registers a connection as soon as there is room; it returns false if there is none for maxPlaceWait.
+func (l *Listener) awaitPlace(c *Conn) bool {
+	for end := time.Now().Add(maxPlaceWait); ; time.Sleep(placeInterval) {
+		c.touch()
+		if l.add(c) {
+			return true
+		}
+		if time.Now().After(end) {
+			return false
+		}
 	}
 }
 
-// add registers a connection. If there is no room, it closes the idlest one before; it returns false if all are
-// busy.
+// add registers a connection. If there is no room, it closes the idlest one before; it returns false if none is idle.
 func (l *Listener) add(c *Conn) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
@@ -88,12 +109,13 @@
 	return true
 }
 
-// idlest returns the connection to close first, nil if all are busy: those that are not established go first,
+// idlest returns the connection to close first, nil if none is idle: those that are not established go first,
 // then those on which nothing happened for the longest time. The caller holds mu.
 func (l *Listener) idlest() *Conn {
 	var out *Conn
+	idleBefore := time.Now().Add(-minIdle).UnixNano()
 	for c := range l.conns {
-		if c.state.Load() == stateIdle && (out == nil || c.before(out)) {
+		if c.state.Load() == stateIdle && c.used.Load() <= idleBefore && (out == nil || c.before(out)) {
 			out = c
 		}
 	}
--- a/jobs/node/limits.go
+++ b/jobs/node/limits.go
@@ -7,12 +7,12 @@
 	bodyMemoryShare = 8
 	// connsPerMB bounds callers' connections by the memory: each takes about 40 KB with a header that has no end.
 	connsPerMB = 4
-	// callerFDShare, peerFDShare and probeFDShare are the parts of the descriptors, 1/share, for the connections of
-	// callers, of peers, and of each of the other two listeners. A caller's request may need a connection to the store
-	// besides.
-	callerFDShare = 3
-	peerFDShare   = 4
-	probeFDShare  = 256
+	// These are the parts of the descriptors, 1/share, for the connections of each listener. A caller's request may
+	// need a connection to the store besides.
+	callerFDShare  = 3
+	peerFDShare    = 4
+	readyFDShare   = 64
+	metricsFDShare = 256
 	// minConns is the minimum of each listener.
 	minConns = 8
 	// defaultMemoryMB and defaultMaxFDs apply if the platform states no limit.
--- a/jobs/node/listeners.go
+++ b/jobs/node/listeners.go
@@ -40,9 +40,9 @@
 		headerLimit func() int
 	}{
 		{&l.callers, "callers", n.settings.CallersAddr, n.settings.maxCallerConns(), n.headerLimit},
-		{&l.ready, "ready", n.settings.ReadyAddr, n.settings.maxConns(probeFDShare), nil},
+		{&l.ready, "ready", n.settings.ReadyAddr, n.settings.maxConns(readyFDShare), nil},
 		{&l.peers, "peers", n.settings.peerAddr(), n.settings.maxConns(peerFDShare), nil},
-		{&l.metrics, "metrics", fmt.Sprintf("%s:%d", n.settings.IP, n.settings.MetricsPort), n.settings.maxConns(probeFDShare), nil},
+		{&l.metrics, "metrics", fmt.Sprintf("%s:%d", n.settings.IP, n.settings.MetricsPort), n.settings.maxConns(metricsFDShare), nil},
 	} {
 		raw, err := net.Listen("tcp", listener.addr)
 		if err != nil {
