The reserve of small bodies is for bodies announced as small

Cause: the first 16 KB of each body came from the memory that is kept for small ones, also of a body announced with 256 KB, so that a crowd that keeps returning used the reserve up.

Change: a body of more than 8 KB, or of an unknown length, does not use the reserve; while it waits for memory it gives way to small ones.

--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -52,6 +52,7 @@
 	abort  func()
 	// The following are guarded by budget.mu.
 	held       int64
+	large      bool
 	progressed time.Time
 	received   int  // bytes since then
 	waiting    bool // for memory: it cannot progress
@@ -97,6 +98,16 @@
 	}
 }
 
+// SetLarge excludes the share from the reserve, whatever it holds yet: its request is known to become large.
+func (s *Share) SetLarge() {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	s.large = true
+}
+
+// small reports whether the share remains small if it grows by n bytes. The caller holds budget.mu.
+func (s *Share) small(n int64) bool { return !s.large && s.held+n <= smallBytes }
+
 // tryGrow adds n bytes if they are free.
 func (s *Share) tryGrow(n int64) bool {
 	b := s.budget
@@ -106,7 +117,7 @@
 		return false
 	}
 	limit := b.total
-	if s.held+n > smallBytes {
+	if !s.small(n) {
 		limit -= b.total / reservePart
 		n = max(0, min(n, limit-s.held))
 	}
@@ -133,7 +144,7 @@
 // grow by n bytes.
 func (b *Budget) evictFor(s *Share, n int64) {
 	b.mu.Lock()
-	small := s.held+n <= smallBytes
+	small := s.small(n)
 	var idlest *Share
 	for other := range b.shares {
 		if other == s || !other.mayEvict(small) {
@@ -158,7 +169,7 @@
 		return false
 	}
 	if s.waiting {
-		return forSmall && s.held > smallBytes/2
+		return forSmall && (s.large || s.held > smallBytes/2)
 	}
 	return time.Since(s.progressed) >= s.budget.minIdle
 }
--- a/internal/bytebudget/bytebudget_test.go
+++ b/internal/bytebudget/bytebudget_test.go
@@ -99,6 +99,9 @@
 	fill(b, smallBytes+1)
 	assert.True(t, b.Open(nil).tryGrow(smallBytes))
 	assert.False(t, b.Open(nil).tryGrow(smallBytes+1))
+	large := b.Open(nil)
+	large.SetLarge()
+	assert.False(t, large.tryGrow(1), "it is known to become large")
 }
 
 // TestSmallRequestsDoNotWaitForLargeOnes guards against large requests that hold all memory while each waits for more:
--- a/jobs/gateway/body.go
+++ b/jobs/gateway/body.go
@@ -17,6 +17,8 @@
 const (
 	// minBodyIdle is how long a body must not have progressed before its memory is taken for others.
 	minBodyIdle = 500 * time.Millisecond
+	// smallBody is the announced length in bytes up to which a body may use the memory that is reserved for small ones.
+	smallBody = 8 << 10
 	// firstBodyBytes is the first size of the buffer of a body, which grows with the bytes received.
 	firstBodyBytes = 4 << 10
 	// bytesPerBodyByte and bytesPerObject estimate the memory of a decoded submission, by the bytes of its body
@@ -57,6 +59,9 @@
 	if b.r.ContentLength > int64(limit) {
 		return nil, tooLarge(limit)
 	}
+	if b.r.ContentLength < 0 || b.r.ContentLength > smallBody {
+		b.share.SetLarge()
+	}
 	conn := connlimit.FromContext(b.r.Context())
 	conn.End()
 	stop := context.AfterFunc(ctx, b.interrupt)
