--- a/jobs/job/amount_test.go
+++ b/jobs/job/amount_test.go
@@ -14,9 +14,9 @@
 	const largestFleet = 13_000
 	most := Resources{MaxAmount, MaxAmount, MaxAmount}
 	require.NoError(t, most.Validate())
-	assert.Equal(t, maxTasks, most.Times(maxTasks).CPUMilli/MaxAmount)
-	assert.Equal(t, maxTasks*largestFleet, most.Times(maxTasks).Times(largestFleet).MemMB/MaxAmount)
-	assert.Equal(t, maxTasks*MaxAmount, int(float64(maxTasks*MaxAmount)))
+	assert.Equal(t, MaxTasks, most.Times(MaxTasks).CPUMilli/MaxAmount)
+	assert.Equal(t, MaxTasks*largestFleet, most.Times(MaxTasks).Times(largestFleet).MemMB/MaxAmount)
+	assert.Equal(t, MaxTasks*MaxAmount, int(float64(MaxTasks*MaxAmount)))
 	for _, n := range []int{-1, MaxAmount + 1, math.MaxInt, math.MinInt} {
 		require.Error(t, Resources{CPUMilli: n}.Validate())
 		require.Error(t, Resources{MemMB: n}.Validate())
