Ownership model: workers that restart under their IDs

Change: bounds Restarts, LongLease, Still, Endless, OneWorker and Unregistered; a worker has a life, an order the life that it is meant for, and a later life grants it LongLease and reads its acknowledgement as numbers of its own.

--- a/internal/ownermodel/state.go
+++ b/internal/ownermodel/state.go
@@ -46,6 +46,19 @@
 	RefuseLate      bool // workers refuse starts whose lease has ended
 	CompleteEnds    bool // how an unlisted run has ended is concluded only from a complete list of ends
 	StoppedByLease  bool // workers stop their runs when their lease ends
+
+	// Rules for workers that restart under their IDs. A life is what runs between two restarts.
+	LifeFence       bool // an owner has a token of its own for each life, above those for former lives; an answer to an order for a former life only tells of the new one
+	AckAtOnce       bool // a hold that waits acknowledges nothing, one that acknowledges does not wait; no acknowledgement after it was answered, or while the worker is silent
+	LifeLease       bool // the end of a lease of a life that is not settled proves nothing; a life that follows another is settled LongLease after its first answer to an order of its own
+	SettledLives    bool // lives that the store does not record as settled are not settled for the next owner, and its wait for those that do not answer is longer by LongLease
+	LateStartsWait  bool // a run whose start was not answered is not released while the order may be carried out, nor by the end of a lease for LongLease after that
+	ListedRuns      bool // the same for a run whose start was answered, until an answer to a later hold lists it
+	AckListed       bool // no acknowledgement while the worker may have a run that no answer to a hold has listed
+	AckFence        bool // an owner has a higher token for the orders after a hold that acknowledges and was not answered
+	LongWait        bool // the wait of a new owner is longer by LongLease for all workers that do not answer
+	FlightEnds      bool // inherited tasks wait for answers from a time at which no start of an earlier owner may be carried out any more, and no lease is granted before them
+	StartsNeedStore bool // no starts unless the store lease is certainly held
 }
 
 // Bounds limit what happens in an exploration. Times are in ticks, by which all clocks advance.
@@ -62,10 +75,16 @@
 	Failures      bool // runs may fail
 	LateElections bool // the lock may be written after the certain end of its lease
 	LateWorker    bool // the second worker registers later
+	OneWorker     bool // the second worker never registers
 	LateTasks     bool // tasks are submitted at any time, otherwise before the first term
 	Release       bool // an owner may release the lock; the release may be late
 	Revoke        bool // the lock may be revoked while its owner is alive
 	Absent        bool // assumption: a revoked owner has ended
+	Restarts      int  // restarts of workers
+	Still         bool // no time passes
+	Endless       bool // no run ends by itself
+	Unregistered  bool // an owner learns of a life only from an answer, otherwise of one that does not answer from its registration
+	LongLease     int8 // the longest lease that a worker grants: what an order for a former life grants
 }
 
 // state is the state of the store, daemons, workers and messages in flight. Times are relative to
@@ -86,6 +105,7 @@
 	leaseLeft int8  // of the lock's lease
 	revoked   uint8 // set of terms of which a revocation is recorded
 	tasks     [tasks]record
+	settled   [workers]uint8 // the latest life recorded as settled
 }
 
 // record is a task's progress, as stored.
@@ -111,6 +131,7 @@
 	age       int8  // ticks since the term began, up to the longest wait
 	takenOver bool  // inherited tasks need not wait any more
 	starts    uint8 // in this term
+	quiet     int8  // ticks since orders of earlier owners can not be carried out any more, up to LongLease
 	workers   [workers]workerView
 	tasks     [tasks]taskView
 }
@@ -123,6 +144,13 @@
 	granted   int8  // ticks left of the longest lease granted, -1: none granted
 	seen      uint8 // ends at the head of the worker's list that were seen
 	stored    uint8 // those of them that are stored
+	life      uint8 // the latest life that the owner knows
+	settled   uint8 // the latest life that is settled
+	unsettled int8  // ticks left until this life is settled, counted from its first answer to an order of its own
+	acked     bool  // the next hold acknowledges ends, if only ones that the worker has forgotten
+	ackLate   bool  // a hold that acknowledges may be in flight, later orders have a higher token
+	final     bool  // has answered when no start of an earlier owner could be carried out any more
+	unackable bool  // the latest hold was not answered
 }
 
 // taskView is what an owner knows of a task.
@@ -146,6 +174,8 @@
 type runView struct {
 	number uint8 // 0: no run
 	phase  uint8
+	listed bool // by an answer to a hold
+	unsure int8 // ticks left of the lease of a later life that may have carried out the start
 }
 
 type worker struct {
@@ -156,6 +186,9 @@
 	ended  [tasks]uint8 // highest run that was stopped or has ended
 	ends   [maxEnds]end
 	listed uint8 // number of ends in the list
+
+	life      uint8 // number of restarts
+	forgotten uint8 // ends that this life has forgotten
 }
 
 // Kinds of run ends. Runs that were stopped or whose lease has lapsed leave the list of active
@@ -188,6 +221,10 @@
 	run    uint8
 	until  int8  // ticks left of the lease that it grants
 	ack    uint8 // ends at the head of the worker's list that it acknowledges
+	life   uint8 // of the worker for which it is meant
+	grants bool  // grants a lease, which may have ended on the clock of that life
+	acked  bool  // acknowledges ends, if only ones that the worker has forgotten
+	waits  bool  // a hold that has arrived, and acknowledges again before it is answered
 }
 
 // judgement is what the rules of the service count of a task.
@@ -200,6 +237,7 @@
 // swapWorkers returns the state with both workers exchanged.
 func (s state) swapWorkers() state {
 	s.w[0], s.w[1] = s.w[1], s.w[0]
+	s.store.settled[0], s.store.settled[1] = s.store.settled[1], s.store.settled[0]
 	for i := range s.d {
 		d := &s.d[i]
 		d.workers[0], d.workers[1] = d.workers[1], d.workers[0]
