Ownership model: the answer to a start may tell of a restart by the worker's clock

Change: rule ClockTells, in place of ListedRuns; a mutation of LateStartsWait in which no time passes (a stop is no proof for later lives) and one of AckListed beside ClockTells; LapseAfterWait with restarts.

--- a/internal/ownermodel/daemon.go
+++ b/internal/ownermodel/daemon.go
@@ -267,6 +267,10 @@
 	if !x.receive(dm, answer, o) {
 		return
 	}
+	if x.rules.ClockTells && dm.workers[w].life != x.w[w].life {
+		x.learnLife(dm, w)
+		return
+	}
 	r.phase = running
 	if answer == refused {
 		*r = runView{}
--- a/internal/ownermodel/lives_test.go
+++ b/internal/ownermodel/lives_test.go
@@ -21,6 +21,7 @@
 
 func ownerOfTwoStarts(b *Bounds) { b.Terms, b.Starts = 1, 2 }
 func lateOrdersOfOne(b *Bounds)  { b.Terms, b.Starts, b.Late = 1, 2, true }
+func still(b *Bounds)            { lateOrdersOfOne(b); b.Still = true }
 func endless(b *Bounds)          { b.Endless = true }
 func endlessLate(b *Bounds)      { b.Endless, b.Late = true, true }
 func oneWorker(b *Bounds)        { b.OneWorker, b.Endless = true, true }
@@ -33,28 +34,39 @@
 
 // TestRulesHoldWithRestarts explores workers that restart under their IDs.
 func TestRulesHoldWithRestarts(t *testing.T) {
+	none := func(*Rules) {}
+	clockTells := func(r *Rules) { r.ListedRuns, r.ClockTells = false, true }
+	lapseAfterWait := func(r *Rules) { r.GrantsInFull, r.LapseNeedsGrant, r.LapseAfterWait = false, false, true }
 	for _, s := range []struct {
 		name   string
+		off    func(r *Rules)
 		change func(b *Bounds)
 		large  bool
 	}{
-		{"one owner", ownerOfTwoStarts, false},
-		{"acknowledgements, an order in flight, no time", acknowledgements, false},
-		{"acknowledgements, no order in flight", func(b *Bounds) { acknowledgements(b); b.Late, b.Still = false, false }, true},
-		{"acknowledgements, two restarts, no time", func(b *Bounds) { acknowledgements(b); b.Restarts = 2 }, true},
-		{"one owner, an order in flight", lateOrdersOfOne, true},
-		{"one owner, two restarts", func(b *Bounds) { ownerOfTwoStarts(b); b.Restarts = 2 }, true},
-		{"two owners, one worker, no ends", oneWorker, false},
-		{"two owners, no order in flight", func(*Bounds) {}, true},
-		{"two owners, lives that are not registered, no ends", unregistered, true},
-		{"two owners, an order in flight, no ends", endlessLate, true},
+		{"one owner", none, ownerOfTwoStarts, false},
+		{"acknowledgements, an order in flight, no time", none, acknowledgements, false},
+		{"acknowledgements, no order in flight", none, func(b *Bounds) { acknowledgements(b); b.Late, b.Still = false, false }, true},
+		{"acknowledgements, two restarts, no time", none, func(b *Bounds) { acknowledgements(b); b.Restarts = 2 }, true},
+		{"one owner, an order in flight", none, lateOrdersOfOne, true},
+		{"one owner, two restarts", none, func(b *Bounds) { ownerOfTwoStarts(b); b.Restarts = 2 }, true},
+		{"two owners, one worker, no ends", none, oneWorker, false},
+		{"two owners, no order in flight", none, func(*Bounds) {}, true},
+		{"two owners, lives that are not registered, no ends", none, unregistered, true},
+		{"two owners, an order in flight, no ends", none, endlessLate, true},
+		{"ClockTells, one owner", clockTells, ownerOfTwoStarts, true},
+		{"ClockTells, one owner, an order in flight", clockTells, lateOrdersOfOne, true},
+		{"ClockTells, two owners, one worker, no ends", clockTells, oneWorker, true},
+		{"LapseAfterWait, one owner", lapseAfterWait, ownerOfTwoStarts, true},
+		{"LapseAfterWait, two owners, one worker, no ends", lapseAfterWait, oneWorker, true},
 	} {
 		if s.large && !*large {
 			continue
 		}
 		t.Run(s.name, func(t *testing.T) {
 			t.Parallel()
-			requireOutcome(t, explore(t, Model{withLives(), withRestarts(s.change)}), "")
+			rules := withLives()
+			s.off(&rules)
+			requireOutcome(t, explore(t, Model{rules, withRestarts(s.change)}), "")
 		})
 	}
 }
@@ -74,6 +86,8 @@
 		{"AckFence", func(r *Rules) { r.AckFence = false }, acknowledgements, again, false},
 		{"LifeLease", func(r *Rules) { r.LifeLease = false }, ownerOfTwoStarts, twice, false},
 		{"LateStartsWait", func(r *Rules) { r.LateStartsWait = false }, ownerOfTwoStarts, twice, false},
+		{"LateStartsWait, no time", func(r *Rules) { r.LateStartsWait = false }, still, twice, false},
+		{"AckListed, ClockTells", func(r *Rules) { r.AckListed, r.ClockTells = false, true }, acknowledgements, again, false},
 		{"ListedRuns", func(r *Rules) { r.ListedRuns = false }, ownerOfTwoStarts, twice, false},
 		{"StartsNeedStore", func(r *Rules) { r.StartsNeedStore = false }, endless, twice, false},
 		{"FlightEnds", func(r *Rules) { r.FlightEnds = false }, endlessLate, twice, true},
--- a/internal/ownermodel/state.go
+++ b/internal/ownermodel/state.go
@@ -56,6 +56,7 @@
 	ListedRuns      bool // the same for a run whose start was answered, until an answer to a later hold lists it
 	AckListed       bool // no acknowledgement while the worker may have a run that no answer to a hold has listed
 	AckFence        bool // an owner has a higher token for the orders after a hold that acknowledges and was not answered
+	ClockTells      bool // in place of ListedRuns: the answer to a start tells the worker's life, too, by its clock
 	LongWait        bool // the wait of a new owner is longer by LongLease for all workers that do not answer
 	FlightEnds      bool // inherited tasks wait for answers from a time at which no start of an earlier owner may be carried out any more, and no lease is granted before them
 	StartsNeedStore bool // no starts unless the store lease is certainly held
