--- a/internal/ownermodel/daemon.go
+++ b/internal/ownermodel/daemon.go
@@ -116,7 +116,7 @@
 	dm := &x.d[d]
 	v := &dm.workers[w]
 	h := order{kind: holdOrder, worker: int8(w), fence: x.token(dm, w), ack: v.stored, acked: v.acked, life: v.life, until: x.grant(dm, v, x.rules.HoldsBounded)}
-	h.grants = h.until > 0
+	h.grants = x.bounds.Restarts > 0 && h.until > 0
 	x.keepUnsure(dm, h)
 	if !x.rules.AckOnlyStored {
 		h.ack = v.seen
@@ -124,7 +124,7 @@
 	if x.rules.AckAtOnce && v.unackable || x.rules.AckListed && dm.hasUnlisted(w) {
 		h.ack, h.acked = 0, false
 	}
-	v.unackable = o != answered
+	v.unackable = x.rules.AckAtOnce && o != answered
 	if o == late {
 		x.late = h
 		v.ackLate = x.rules.AckFence && (h.ack > 0 || h.acked)
@@ -134,7 +134,7 @@
 		if !x.learnLife(dm, w) {
 			return
 		}
-		v.answered, v.final = true, x.earlierStartsEnded(dm)
+		v.answered, v.final = true, x.rules.FlightEnds && x.earlierStartsEnded(dm)
 		v.acked = v.acked && !(h.acked && x.rules.AckAtOnce)
 		v.truncated = x.rules.CompleteEnds && x.listedEnds(w) < x.w[w].listed
 		x.applyEnds(dm, w)
@@ -206,9 +206,9 @@
 			*r = runView{}
 		case listed == 0:
 		case r.number == listed && r.phase != stopping && r.phase != stopped:
-			r.phase, r.unsure, r.listed = running, 0, true
+			r.phase, r.unsure, r.listed = running, 0, x.rules.AckListed
 		case r.number != listed && listed <= x.firstRun(dm): // started by an earlier owner
-			*r = runView{number: listed, listed: true}
+			*r = runView{number: listed, listed: x.rules.AckListed}
 			if t.done || t.runs[1-w].number != 0 {
 				r.phase = stopping
 			}
@@ -252,7 +252,7 @@
 	dm := &x.d[d]
 	dm.starts++
 	s := order{kind: startOrder, worker: int8(w), task: int8(t), fence: x.token(dm, w), run: x.firstRun(dm) + dm.starts, life: dm.workers[w].life, until: x.grant(dm, &dm.workers[w], x.rules.StartsBounded)}
-	s.grants = s.until > 0
+	s.grants = x.bounds.Restarts > 0 && s.until > 0
 	x.keepUnsure(dm, s)
 	r := &dm.tasks[t].runs[w]
 	*r = runView{number: s.run, phase: abandoned}
@@ -305,7 +305,7 @@
 		x.store.settled[w] = max(x.store.settled[w], v.settled)
 		if answered {
 			v.stored = v.seen
-			v.acked = v.acked || v.stored > 0
+			v.acked = x.bounds.Restarts > 0 && (v.acked || v.stored > 0)
 		}
 	}
 }
--- a/internal/ownermodel/lives.go
+++ b/internal/ownermodel/lives.go
@@ -128,6 +128,9 @@
 
 // normaliseLives removes what matters only to later lives if there are none.
 func (x *execution) normaliseLives() {
+	if x.bounds.Restarts == 0 {
+		return
+	}
 	left := x.restartsLeft()
 	if o := &x.late; o.kind != noOrder {
 		o.acked = o.acked && left
@@ -165,14 +168,14 @@
 		}
 	}
 	v.acked = v.acked && left
-	v.final = v.final && x.rules.FlightEnds && !dm.takenOver
-	v.unackable = v.unackable && x.rules.AckAtOnce && (left || v.life != x.w[w].life)
+	v.final = v.final && !dm.takenOver
+	v.unackable = v.unackable && (left || v.life != x.w[w].life)
 	if !x.rules.LifeLease && !x.rules.SettledLives {
 		v.settled = 0
 	}
 	for t := range dm.tasks {
 		r := &dm.tasks[t].runs[w]
-		r.listed = r.listed && x.rules.AckListed && (left || v.life != x.w[w].life)
+		r.listed = r.listed && (left || v.life != x.w[w].life)
 		if !left && v.life == x.w[w].life && !(x.late.grants && int(x.late.worker) == w) {
 			r.unsure = 0
 		}
--- a/internal/ownermodel/worker.go
+++ b/internal/ownermodel/worker.go
@@ -129,7 +129,9 @@
 	copy(w.ends[:], w.ends[n:])
 	clear(w.ends[maxEnds-n:])
 	w.listed -= n
-	w.forgotten += n
+	if x.bounds.Restarts > 0 {
+		w.forgotten += n
+	}
 	for d := range x.d {
 		v := &x.d[d].workers[worker]
 		v.seen, v.stored = v.seen-min(n, v.seen), v.stored-min(n, v.stored)
