--- a/internal/ownermodel/daemon.go
+++ b/internal/ownermodel/daemon.go
@@ -99,6 +99,9 @@
 	if !x.answeredFinally(dm, v) {
 		return 0 // its clock is not known
 	}
+	if x.rules.GrantsNeedStore && dm.certain <= 0 {
+		return 0
+	}
 	until := x.bounds.TaskLease
 	if bounded {
 		until = max(0, min(until, dm.certain+x.bounds.TaskLease))
--- a/internal/ownermodel/lives.go
+++ b/internal/ownermodel/lives.go
@@ -63,7 +63,7 @@
 // earlierOrdersEnded reports whether no order of an earlier owner can be carried out any more.
 func (x *execution) earlierOrdersEnded(dm *daemon) bool {
 	return dm.term == 1 || x.bounds.Restarts == 0 ||
-		!(x.late.kind != noOrder && termOf(x.late.fence) < dm.term) && dm.age >= x.longestWait(dm)
+		!(x.late.kind != noOrder && termOf(x.late.fence) < dm.term) && (x.rules.QuietAtElection || dm.age >= x.longestWait(dm))
 }
 
 // inFlight reports whether the start of a run is in flight.
--- a/internal/ownermodel/lives_test.go
+++ b/internal/ownermodel/lives_test.go
@@ -36,6 +36,7 @@
 func TestRulesHoldWithRestarts(t *testing.T) {
 	none := func(*Rules) {}
 	clockTells := func(r *Rules) { r.ListedRuns, r.ClockTells = false, true }
+	fromElection := func(r *Rules) { r.GrantsNeedStore, r.QuietAtElection, r.StartsNeedStore = true, true, false }
 	lapseAfterWait := func(r *Rules) { r.GrantsInFull, r.LapseNeedsGrant, r.LapseAfterWait = false, false, true }
 	for _, s := range []struct {
 		name   string
@@ -53,6 +54,8 @@
 		{"two owners, no order in flight", none, func(*Bounds) {}, true},
 		{"two owners, lives that are not registered, no ends", none, unregistered, true},
 		{"two owners, an order in flight, no ends", none, endlessLate, true},
+		{"waits from the election, no ends", fromElection, endless, true},
+		{"waits from the election, lives that are not registered, no ends", fromElection, unregistered, true},
 		{"ClockTells, one owner", clockTells, ownerOfTwoStarts, true},
 		{"ClockTells, one owner, an order in flight", clockTells, lateOrdersOfOne, true},
 		{"ClockTells, two owners, one worker, no ends", clockTells, oneWorker, true},
@@ -93,6 +96,7 @@
 		{"FlightEnds", func(r *Rules) { r.FlightEnds = false }, endlessLate, twice, true},
 		{"SettledLives, the lease of a life that answers", func(r *Rules) { r.SettledLives = false }, oneWorker, twice, false},
 		{"SettledLives, the wait for one that does not", func(r *Rules) { r.SettledLives, r.LongWait = false, false }, endless, twice, true},
+		{"GrantsNeedStore, waits from the election", func(r *Rules) { r.QuietAtElection = true }, endless, twice, true},
 		{"LongWait", func(r *Rules) { r.LongWait = false }, unregistered, twice, true},
 	} {
 		if m.large && !*large {
--- a/internal/ownermodel/state.go
+++ b/internal/ownermodel/state.go
@@ -59,6 +59,8 @@
 	ClockTells      bool // in place of ListedRuns: the answer to a start tells the worker's life, too, by its clock
 	LongWait        bool // the wait of a new owner is longer by LongLease for all workers that do not answer
 	FlightEnds      bool // inherited tasks wait for answers from a time at which no start of an earlier owner may be carried out any more, and no lease is granted before them
+	GrantsNeedStore bool // no order grants a lease unless the store lease is certainly held
+	QuietAtElection bool // the longer waits count from the election, otherwise from the time at which the earlier owner can not grant any more
 	StartsNeedStore bool // no starts unless the store lease is certainly held
 }
 
