--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -290,15 +290,29 @@
 
 // ackThrough returns the number up to which the next hold acknowledges run ends. If a new
 // incarnation has begun unnoticed, it drops its own run ends up to that number unread. So it is 0 while the
-// worker does not answer, and once an acknowledgement was answered. A hold that acknowledges ends does not
-// wait: a worker drops ends also when the wait is over, after the new incarnation's first order.
+// worker does not answer or may have a run that it has not listed, and once an acknowledgement was answered. A
+// hold that acknowledges ends does not wait: a worker drops ends also when the wait is over, after the new
+// incarnation's first order.
 func (w *worker) ackThrough() uint64 {
-	if w.lastAckedEnd == w.confirmedAckEnd || w.StartedMs != 0 && (!w.silentSince.IsZero() || !w.contactLoss.lostAt.IsZero()) {
+	if !w.ackDue() || w.StartedMs != 0 && (!w.silentSince.IsZero() || !w.contactLoss.lostAt.IsZero() || w.hasUnlistedRun()) {
 		return 0
 	}
 	return w.lastAckedEnd
 }
 
+// ackDue reports whether there are run ends to acknowledge.
+func (w *worker) ackDue() bool { return w.lastAckedEnd > w.confirmedAckEnd }
+
+// hasUnlistedRun reports whether the worker may have a run that it has not listed.
+func (w *worker) hasUnlistedRun() bool {
+	for _, r := range w.runs {
+		if !r.listed {
+			return true
+		}
+	}
+	return false
+}
+
 // pastIncarnationListedFor is how long after the start of an incarnation the instance list may
 // still show the state of the one before.
 const pastIncarnationListedFor = 3 * time.Second
--- a/jobs/owner/incarnation_test.go
+++ b/jobs/owner/incarnation_test.go
@@ -483,3 +483,29 @@
 		c.expireLeases(now)
 	}
 }
+
+// TestNoAcknowledgementBesideAnUnlistedRun guards against tasks that run twice: a worker had restarted unnoticed and
+// run a task to its end, which the next hold acknowledged by the number of an end of the past incarnation.
+func TestNoAcknowledgementBesideAnUnlistedRun(t *testing.T) {
+	r := newRig(t, 1)
+	a := r.worker("a")
+	first := r.setIncarnation(a, 500)
+	r.answerHoldAs(first, 500, nil)
+	r.submit(1, 1)
+	starts := r.confirmStarts()
+	require.Len(t, starts, 1)
+	r.answerHoldAs(first, 500, nil, RunEnd{Seq: 1, Task: starts[0].Task, Run: starts[0].Run, Kind: EndDone})
+	r.submit(2, 1)
+	more := r.confirmStarts()
+	require.Len(t, more, 1)
+	for _, rec := range r.core.PendingRecords(10) {
+		r.core.OnCommitted([]Record{rec}, r.now)
+	}
+	r.tick(ackRetryPause)
+	hold := r.lastHold(a)
+	assert.Zero(t, hold.AckThrough)
+	assert.Zero(t, hold.Wait)
+	r.answerHoldAs(hold.Target, 500, []ActiveRun{{Task: more[0].Task, Run: more[0].Run}})
+	r.tick(0)
+	assert.EqualValues(t, 1, r.lastHold(a).AckThrough)
+}
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -105,7 +105,7 @@
 	switch {
 	case !w.answeredThisOwner || !w.silentSince.IsZero() || len(w.unacked) > 0 || w.hasUnansweredStart():
 		return 0
-	case w.lastAckedEnd > w.confirmedAckEnd:
+	case w.ackDue():
 		return 0 // an acknowledgement must not act later than the hold arrives, see ackThrough
 	case len(w.runs) == 0:
 		return max(c.opt.HoldWait, c.opt.IdleHoldWait)
@@ -277,7 +277,7 @@
 	c.advanceAck(w, now)
 	if len(w.unacked) > 0 && !w.hasIsolatedStart(now) {
 		w.nextHoldAt = now.Add(ackRetryPause)
-	} else if len(w.unacked) > 0 {
+	} else if len(w.unacked) > 0 || w.ackDue() && w.hasUnlistedRun() {
 		w.nextHoldAt = now.Add(isolatedHoldPause)
 	}
 	c.scheduleHold(w, w.nextHoldAt)
