--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -60,6 +60,8 @@
 	defaultDeadline = 3 * time.Second
 	// responseMargin is the part of a caller's deadline that is reserved for sending the response.
 	responseMargin = 250 * time.Millisecond
+	// maxDeadline bounds the deadline of a caller, whose request holds memory and a connection for as long.
+	maxDeadline = time.Minute
 	// minHandlerTimeout is the minimum time for handling a request with a short deadline.
 	minHandlerTimeout = 50 * time.Millisecond
 	// defaultRetryAfter is the usual time until another daemon has taken over, or the store has
@@ -168,7 +170,7 @@
 func handlerTimeout(r *http.Request) time.Duration {
 	d := defaultDeadline
 	if n, err := strconv.Atoi(r.Header.Get(deadlineHeader)); err == nil && n > 0 {
-		d = time.Duration(n) * time.Millisecond
+		d = time.Duration(min(n, int(maxDeadline.Milliseconds()))) * time.Millisecond
 	}
 	return max(minHandlerTimeout, d-responseMargin)
 }
--- a/jobs/gateway/gateway_test.go
+++ b/jobs/gateway/gateway_test.go
@@ -268,3 +268,16 @@
 		})
 	}
 }
+
+// TestDeadlinesAreBounded guards against requests that hold memory and a connection for as long as their callers say.
+func TestDeadlinesAreBounded(t *testing.T) {
+	for header, want := range map[string]time.Duration{
+		"3000": 3*time.Second - responseMargin, "60000": time.Minute - responseMargin,
+		"3600000": time.Minute - responseMargin, "9223372036854775807": time.Minute - responseMargin,
+		"": defaultDeadline - responseMargin, "-1": defaultDeadline - responseMargin,
+	} {
+		r := httptest.NewRequest(http.MethodGet, "/", nil)
+		r.Header.Set(deadlineHeader, header)
+		assert.Equal(t, want, handlerTimeout(r), header)
+	}
+}
