--- a/internal/bytebudget/bytebudget.go
+++ b/internal/bytebudget/bytebudget.go
@@ -4,6 +4,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 )
@@ -24,26 +25,39 @@
 	// progressBytes are what must arrive to count as progress, so that single bytes do not keep memory.
 	progressBytes = 1 << 10
 	// maxWait bounds the wait for memory.
-	maxWait = 2 * time.Second
-	// evictionInterval is how often a waiting share looks for idle ones.
+	maxWait = 5 * time.Second
+	// evictionInterval is how often shares that others need the memory of are looked for.
 	evictionInterval = 50 * time.Millisecond
+	// nextEviction is the pause after an eviction.
+	nextEviction = 5 * time.Millisecond
 )
 
 // Budget is a number of bytes that shares take parts of.
 type Budget struct {
 	total   int64
+	reserve int64 // part of total for small requests
 	minIdle time.Duration
 
-	mu     sync.Mutex // guards the following
-	used   int64
-	shares map[*Share]struct{}
-	freed  chan struct{} // closed and replaced whenever memory is freed
+	mu       sync.Mutex // guards the following
+	used     int64
+	freeing  int64 // held by evicted shares
+	complete int   // shares
+	opened   int64 // shares that have begun to take memory
+	shares   map[*Share]struct{}
+	small    []*Share // wait for memory, and go first
+	large    []*Share // wait for memory, in the order of Share.order
+	ticking  bool     // evict will run
 }
 
 // New returns a budget of total bytes. minIdle is how long a request must not have progressed before its memory is
 // taken for others.
 func New(total int64, minIdle time.Duration) *Budget {
-	return &Budget{total: total, minIdle: minIdle, shares: map[*Share]struct{}{}, freed: make(chan struct{})}
+	return NewWithReserve(total, total/reservePart, minIdle)
+}
+
+// NewWithReserve is like New with a reserve in bytes for small requests.
+func NewWithReserve(total, reserve int64, minIdle time.Duration) *Budget {
+	return &Budget{total: total, reserve: reserve, minIdle: minIdle, shares: map[*Share]struct{}{}}
 }
 
 // Share is what one request has taken of a budget.
@@ -52,12 +66,16 @@
 	abort  func()
 	// The following are guarded by budget.mu.
 	held       int64
+	order      int64 // of the first memory, 0 if there is none
 	large      bool
 	progressed time.Time
-	received   int  // bytes since then
-	waiting    bool // for memory: it cannot progress
+	received   int           // bytes since then
+	waiting    bool          // for memory: it cannot progress
+	wants      int64         // bytes that it waits for
+	woken      chan struct{} // closed when it need not wait any more
 	complete   bool
 	evicted    bool
+	closed     bool
 }
 
 // Open returns a share without memory. abort is called, once at most, if the request is evicted; it must make the
@@ -70,32 +88,21 @@
 	return s
 }
 
-// Grow adds n bytes to the share, at most what one share may hold. It waits for memory until ctx ends, and evicts
-// the shares that have not progressed for the longest time; for a small request also those that wait for more. The
+// Grow adds n bytes to the share, at most what one share may hold. It waits for memory until ctx ends; the request
+// that began first goes first, a small one before all. To make room, the shares are evicted that have not progressed
+// for the longest time; without such, if no complete request will free memory, the youngest that wait for more. The
 // error is ErrExhausted or ErrEvicted.
 func (s *Share) Grow(ctx context.Context, n int64) error {
-	if s.tryGrow(n) {
+	if s.TryGrow(n) {
 		return nil
 	}
 	ctx, cancel := context.WithTimeout(ctx, maxWait)
 	defer cancel()
-	defer s.setWaiting(false)
-	for {
-		freed := s.setWaiting(true)
-		if s.tryGrow(n) {
-			return nil
-		}
-		if s.Evicted() {
-			return ErrEvicted
-		}
-		s.budget.evictFor(s, n)
-		select {
-		case <-freed:
-		case <-time.After(evictionInterval):
-		case <-ctx.Done():
-			return ErrExhausted
-		}
+	select {
+	case <-s.wait(n):
+	case <-ctx.Done():
 	}
+	return s.endWait()
 }
 
 // SetLarge excludes the share from the reserve, whatever it holds yet: its request is known to become large.
@@ -105,73 +112,239 @@
 	s.large = true
 }
 
-// small reports whether the share remains small if it grows by n bytes. The caller holds budget.mu.
-func (s *Share) small(n int64) bool { return !s.large && s.held+n <= smallBytes }
+// RemainsSmall reports whether the share may use the reserve to grow by n bytes.
+func (s *Share) RemainsSmall(n int64) bool {
+	s.budget.mu.Lock()
+	defer s.budget.mu.Unlock()
+	return s.isSmall(n)
+}
+
+// isSmall reports whether the share remains small if it grows by n bytes. The caller holds budget.mu.
+func (s *Share) isSmall(n int64) bool { return !s.large && s.held+n <= smallBytes }
 
-// tryGrow adds n bytes if they are free.
-func (s *Share) tryGrow(n int64) bool {
+// TryGrow adds n bytes if they are free and no share that goes first waits.
+func (s *Share) TryGrow(n int64) bool {
 	b := s.budget
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if s.evicted {
-		return false
+	if s.order == 0 {
+		b.opened++
+		s.order = b.opened
 	}
-	limit := b.total
-	if !s.small(n) {
-		limit -= b.total / reservePart
-		n = max(0, min(n, limit-s.held))
+	queue := b.large
+	if s.isSmall(n) {
+		queue = b.small
+	}
+	if len(queue) > 0 && queue[0].order < s.order {
+		return false
 	}
-	if b.used+n > limit {
+	return s.take(n)
+}
+
+// take adds n bytes if they are free. The caller holds budget.mu.
+func (s *Share) take(n int64) bool {
+	n, missing := s.missing(n)
+	if s.evicted || s.closed || missing > 0 {
 		return false
 	}
-	b.used += n
+	s.budget.used += n
 	s.held += n
 	return true
 }
 
-// setWaiting returns a channel that is closed when memory is freed.
-func (s *Share) setWaiting(waiting bool) <-chan struct{} {
-	s.budget.mu.Lock()
-	defer s.budget.mu.Unlock()
-	if s.waiting != waiting {
-		s.waiting = waiting
-		s.progressed = time.Now()
+// missing returns n, or less if one share may not hold so much, and how many bytes of it are not free. The caller holds
+// budget.mu.
+func (s *Share) missing(n int64) (int64, int64) {
+	b := s.budget
+	limit := b.total
+	if !s.isSmall(n) {
+		limit -= b.reserve
+		n = max(0, min(n, limit-s.held))
 	}
-	return s.budget.freed
+	return n, b.used + n - limit
 }
 
-// evictFor aborts the share that has not progressed for the longest time, if that is b.minIdle or more, so that s can
-// grow by n bytes.
-func (b *Budget) evictFor(s *Share, n int64) {
+// wait queues the share for n bytes. The channel is closed when it has them or is evicted.
+func (s *Share) wait(n int64) <-chan struct{} {
+	b := s.budget
 	b.mu.Lock()
-	small := s.small(n)
-	var idlest *Share
-	for other := range b.shares {
-		if other == s || !other.mayEvict(small) {
-			continue
-		}
-		if idlest == nil || other.progressed.Before(idlest.progressed) {
-			idlest = other
-		}
+	defer b.unlock()
+	s.waiting, s.wants, s.woken, s.progressed = true, n, make(chan struct{}), time.Now()
+	if s.evicted || s.closed {
+		s.wake()
+		return s.woken
+	}
+	queue := &b.large
+	if s.isSmall(n) {
+		queue = &b.small
 	}
-	if idlest != nil {
-		idlest.evicted = true
+	at, _ := slices.BinarySearchFunc(*queue, s, func(a, b *Share) int { return int(a.order - b.order) })
+	*queue = slices.Insert(*queue, at, s)
+	if !b.ticking {
+		b.startTimer(0)
+	}
+	return s.woken
+}
+
+// endWait returns nil if the share has got what it waited for.
+func (s *Share) endWait() error {
+	b := s.budget
+	b.mu.Lock()
+	defer b.unlock()
+	switch {
+	case s.evicted || s.closed:
+		return ErrEvicted
+	case s.waiting:
+		s.leave()
+		return ErrExhausted
+	}
+	return nil
+}
+
+// leave ends the wait of the share. The caller holds budget.mu.
+func (s *Share) leave() {
+	is := func(other *Share) bool { return other == s }
+	s.budget.small = slices.DeleteFunc(s.budget.small, is)
+	s.budget.large = slices.DeleteFunc(s.budget.large, is)
+	s.wake()
+}
+
+// wake ends the wait of a share that is in no queue. The caller holds budget.mu.
+func (s *Share) wake() {
+	s.waiting, s.progressed = false, time.Now()
+	close(s.woken)
+}
+
+// unlock gives free memory to waiting shares and unlocks b.mu.
+func (b *Budget) unlock() {
+	for _, queue := range []*[]*Share{&b.small, &b.large} {
+		for len(*queue) > 0 && (*queue)[0].take((*queue)[0].wants) {
+			(*queue)[0].wake()
+			*queue = (*queue)[1:]
+		}
 	}
 	b.mu.Unlock()
-	if idlest != nil {
-		idlest.abort()
+}
+
+// startTimer makes evict run after a pause. The caller holds b.mu.
+func (b *Budget) startTimer(pause time.Duration) {
+	b.ticking = true
+	time.AfterFunc(pause, b.evict)
+}
+
+// evict aborts shares, so that those which wait can grow, and runs again while any wait.
+func (b *Budget) evict() {
+	b.mu.Lock()
+	victims := b.chooseVictims()
+	b.ticking = false
+	switch {
+	case len(victims) > 0:
+		b.startTimer(nextEviction)
+	case len(b.small)+len(b.large) > 0:
+		b.startTimer(evictionInterval)
+	}
+	b.unlock()
+	for _, s := range victims {
+		s.abort()
+	}
+}
+
+// chooseVictims marks shares as evicted, so that those which wait can grow. The caller holds b.mu.
+func (b *Budget) chooseVictims() []*Share {
+	if len(b.small)+len(b.large) == 0 {
+		return nil
 	}
+	var out []*Share
+	evict := func(candidates []*Share, missing int64) []*Share {
+		for missing > 0 && len(candidates) > 0 {
+			s := candidates[0]
+			candidates = candidates[1:]
+			missing -= s.held
+			s.evict()
+			out = append(out, s)
+		}
+		return candidates
+	}
+	idle := evict(b.idle(), b.missing(b.small))
+	evict(idle, b.missing(b.large))
+	evict(b.bigWaiting(), b.missing(b.small))
+	if len(b.large) > 0 && b.blocked() {
+		evict(b.youngestWaiting(), b.missing(b.large[:1]))
+	}
+	return out
 }
 
-// mayEvict reports whether the share may be evicted for another one. The caller holds budget.mu.
-func (s *Share) mayEvict(forSmall bool) bool {
-	if s.held == 0 || s.complete || s.evicted {
+// blocked reports whether the first large share will not get memory soon: no request is complete, and none is being
+// received, or that has lasted for long. The caller holds b.mu.
+func (b *Budget) blocked() bool {
+	if b.complete > 0 {
 		return false
 	}
+	if time.Since(b.large[0].progressed) >= b.minIdle {
+		return true
+	}
+	for s := range b.shares {
+		if s.held > 0 && !s.waiting && !s.evicted {
+			return false
+		}
+	}
+	return true
+}
+
+// evict marks the share as evicted and ends its wait. The caller holds budget.mu.
+func (s *Share) evict() {
+	s.evicted = true
+	s.budget.freeing += s.held
 	if s.waiting {
-		return forSmall && (s.large || s.held > smallBytes/2)
+		s.leave()
+	}
+}
+
+// missing returns how many bytes the shares of a queue lack, beyond those that evicted ones will free. The caller holds
+// b.mu.
+func (b *Budget) missing(queue []*Share) int64 {
+	var wanted, missing int64
+	for _, s := range queue {
+		n, m := s.missing(s.wants)
+		missing = wanted + m - b.freeing
+		wanted += n
 	}
-	return time.Since(s.progressed) >= s.budget.minIdle
+	return missing
+}
+
+// idle returns the shares that have not progressed for b.minIdle, first those that have not for the longest time. The
+// caller holds b.mu.
+func (b *Budget) idle() []*Share {
+	var out []*Share
+	for s := range b.shares {
+		if s.held > 0 && !s.complete && !s.evicted && !s.waiting && time.Since(s.progressed) >= b.minIdle {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b *Share) int { return a.progressed.Compare(b.progressed) })
+	return out
+}
+
+// bigWaiting returns the shares in b.large that are large already, the youngest first. The caller holds b.mu.
+func (b *Budget) bigWaiting() []*Share {
+	var out []*Share
+	for _, s := range slices.Backward(b.large) {
+		if s.held > 0 && (s.large || s.held > smallBytes/2) {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// youngestWaiting returns the shares in b.large behind the first one, the youngest first. The caller holds b.mu.
+func (b *Budget) youngestWaiting() []*Share {
+	var out []*Share
+	for _, s := range slices.Backward(b.large[1:]) {
+		if s.held > 0 {
+			out = append(out, s)
+		}
+	}
+	return out
 }
 
 // Progress records that n bytes of the request have arrived.
@@ -191,7 +364,10 @@
 	if s.evicted {
 		return ErrEvicted
 	}
-	s.complete = true
+	if !s.complete && !s.closed {
+		s.complete = true
+		s.budget.complete++
+	}
 	return nil
 }
 
@@ -205,24 +381,33 @@
 // Shrink gives back all of the share's memory; a next request may use it.
 func (s *Share) Shrink() {
 	s.budget.mu.Lock()
-	defer s.budget.mu.Unlock()
+	defer s.budget.unlock()
 	s.shrink()
 }
 
 func (s *Share) shrink() {
-	if s.held == 0 {
-		return
-	}
 	s.budget.used -= s.held
-	s.held = 0
-	close(s.budget.freed)
-	s.budget.freed = make(chan struct{})
+	if s.evicted {
+		s.budget.freeing -= s.held
+	}
+	s.held, s.order = 0, 0
 }
 
 // Close gives back the share.
 func (s *Share) Close() {
-	s.budget.mu.Lock()
-	defer s.budget.mu.Unlock()
+	b := s.budget
+	b.mu.Lock()
+	defer b.unlock()
+	if s.closed {
+		return
+	}
+	s.closed = true
 	s.shrink()
-	delete(s.budget.shares, s)
+	if s.complete {
+		b.complete--
+	}
+	if s.waiting {
+		s.leave()
+	}
+	delete(b.shares, s)
 }
--- a/jobs/gateway/body.go
+++ b/jobs/gateway/body.go
@@ -39,19 +39,37 @@
 	r     *http.Request
 	share *bytebudget.Share
 	whole bool // it has been read to its end
+
+	decoding *bytebudget.Queue
+	decoded  func() // gives back the memory of decoding
+}
+
+// bodyMemory is the memory for the bodies of all requests.
+type bodyMemory struct {
+	receiving *bytebudget.Budget
+	decoding  *bytebudget.Queue
 }
 
-// newBody returns the body of a request, whose memory is taken from a budget until close.
-func newBody(budget *bytebudget.Budget, w http.ResponseWriter, r *http.Request) *body {
-	b := &body{http: http.NewResponseController(w), r: r}
-	b.share = budget.Open(b.interrupt)
+// newBodyMemory divides a number of bytes: a quarter is reserved for small bodies, and of the rest a half is for decoding.
+func newBodyMemory(bytes int64) bodyMemory {
+	reserve, decoding := bytes/4, bytes*3/8
+	return bodyMemory{bytebudget.NewWithReserve(bytes-decoding, reserve, minBodyIdle), bytebudget.NewQueue(decoding)}
+}
+
+// newBody returns the body of a request, whose memory is taken from m until close.
+func newBody(m bodyMemory, w http.ResponseWriter, r *http.Request) *body {
+	b := &body{http: http.NewResponseController(w), r: r, decoding: m.decoding, decoded: func() {}}
+	b.share = m.receiving.Open(b.interrupt)
 	return b
 }
 
 // interrupt ends a blocked read.
 func (b *body) interrupt() { _ = b.http.SetReadDeadline(time.Unix(1, 0)) } // the connection may be closed already
 
-func (b *body) close() { b.share.Close() }
+func (b *body) close() {
+	b.decoded()
+	b.share.Close()
+}
 
 // read returns the whole body, or a refusal if it is longer than limit, does not arrive until ctx ends, or needs
 // memory that others use. Until then its connection may be closed for another one.
@@ -88,9 +106,12 @@
 	var raw []byte
 	for {
 		if len(raw) == cap(raw) {
-			size := min(max(firstBodyBytes, 2*cap(raw)), limit+1)
-			if err := b.share.Grow(ctx, int64(size-cap(raw))); err != nil {
-				return nil, err
+			size := min(max(firstBodyBytes, 2*cap(raw)), b.maxSize(limit))
+			if !b.share.TryGrow(int64(size - cap(raw))) {
+				size = b.maxSize(limit) // waits once only
+				if err := b.share.Grow(ctx, int64(size-cap(raw))); err != nil {
+					return nil, err
+				}
 			}
 			raw = append(make([]byte, 0, size), raw...)
 		}
@@ -109,10 +130,27 @@
 	}
 }
 
-// reserveDecoding reserves memory for the job that will be decoded from raw.
+// maxSize returns the size of the buffer, in bytes, that holds the whole body.
+func (b *body) maxSize(limit int) int {
+	if b.r.ContentLength >= 0 {
+		return int(b.r.ContentLength) + 1
+	}
+	return limit + 1
+}
+
+// reserveDecoding reserves memory for the job that will be decoded from raw: with that of the body if it is small.
 func (b *body) reserveDecoding(ctx context.Context, raw []byte) *reply {
 	objects := min(bytes.Count(raw, []byte("{")), maxCountedObjects)
-	if err := b.share.Grow(ctx, int64(bytesPerBodyByte*len(raw)+bytesPerObject*objects)); err != nil {
+	n := int64(bytesPerBodyByte*len(raw) + bytesPerObject*objects)
+	var err error
+	if b.share.RemainsSmall(n) {
+		err = b.share.Grow(ctx, n)
+	} else if release, acquireErr := b.decoding.Acquire(ctx, n); acquireErr == nil {
+		b.decoded = release
+	} else {
+		err = acquireErr
+	}
+	if err != nil {
 		return b.refusal(ctx, err, 0)
 	}
 	return nil
--- a/jobs/gateway/body_test.go
+++ b/jobs/gateway/body_test.go
@@ -184,3 +184,23 @@
 	wg.Wait()
 	assert.Len(t, s.jobs.accepted, 1)
 }
+
+// TestABurstOfWholeBodiesIsServed guards against bodies that hold memory while they wait for more to be decoded: all of a
+// burst were refused together after two seconds.
+func TestABurstOfWholeBodiesIsServed(t *testing.T) {
+	s := newBodyServer(t, 2<<20)
+	var burst []*client
+	for range 15 {
+		conn := s.connect(t)
+		conn.send(head("POST", "/a/"+id, bodyServerLimit, "Deadline-Ms: 60000\r\n") + strings.Repeat("x", bodyServerLimit-1))
+		burst = append(burst, conn)
+	}
+	time.Sleep(minBodyIdle / 5) // all are received at once
+	for _, conn := range burst {
+		conn.send("x")
+	}
+	for _, conn := range burst {
+		resp, text := conn.answer()
+		assert.Equal(t, http.StatusOK, resp.StatusCode, text)
+	}
+}
--- a/jobs/gateway/gateway.go
+++ b/jobs/gateway/gateway.go
@@ -15,7 +15,6 @@
 
 	"go.uber.org/zap"
 
-	"github.com/postmount/postmount/internal/bytebudget"
 	"github.com/postmount/postmount/internal/connlimit"
 	"github.com/postmount/postmount/jobs/admission"
 	"github.com/postmount/postmount/jobs/job"
@@ -82,18 +81,18 @@
 	decode             JobDecoder
 	observe            Observer
 	log                *zap.Logger
-	bodies             *bytebudget.Budget
+	bodies             bodyMemory
 	keepAlivesDisabled atomic.Bool
 }
 
 // New returns a gateway whose requests take the memory of their bodies from defaultBodyBudget, see SetBodyBudget.
 func New(jobs JobService, key KeyReader, decode JobDecoder, observe Observer, log *zap.Logger) *Gateway {
-	return &Gateway{jobs: jobs, readKey: key, decode: decode, observe: observe, log: log, bodies: bytebudget.New(defaultBodyBudget, minBodyIdle)}
+	return &Gateway{jobs: jobs, readKey: key, decode: decode, observe: observe, log: log, bodies: newBodyMemory(defaultBodyBudget)}
 }
 
 // SetBodyBudget bounds the memory in bytes of the bodies that are received and of the jobs decoded from them, over
 // all requests. It must be called before the first request.
-func (g *Gateway) SetBodyBudget(bytes int64) { g.bodies = bytebudget.New(bytes, minBodyIdle) }
+func (g *Gateway) SetBodyBudget(bytes int64) { g.bodies = newBodyMemory(bytes) }
 
 // DisableKeepAlives makes every further response close its connection, before a planned stop.
 func (g *Gateway) DisableKeepAlives() { g.keepAlivesDisabled.Store(true) }
