--- a/jobs/owner/restartsimworker_test.go
+++ b/jobs/owner/restartsimworker_test.go
@@ -97,8 +97,8 @@
 }
 
 // extendLease applies the lease end of an order.
-func (i *simIncarnation) extendLease(untilMs int64) {
-	until := min(untilMs, i.clockMs()+simMaxLease.Milliseconds())
+func (i *simIncarnation) extendLease(leaseEndMs int64) {
+	until := min(leaseEndMs, i.clockMs()+simMaxLease.Milliseconds())
 	if until <= i.leaseEndMs {
 		return
 	}
