--- a/review/lab3/crashes.go
+++ b/review/lab3/crashes.go
@@ -10,9 +10,9 @@
 // The crashes of the case: of nine workers one after the other goes down, and comes back.
 const (
 	crashWorkers  = 9
-	crashCount    = 40
+	crashCount    = crashWorkers // each once
 	crashGap      = time.Second
-	crashDowntime = 500 * time.Millisecond
+	crashDowntime = 2000 * time.Millisecond
 	firstJobs     = 6
 	jobsPerCrash  = 2 // jobs that are handed in between two crashes
 	taskDuration  = 3 * time.Second
@@ -24,7 +24,7 @@
 func crashesByTurns(s *setting) ([]string, error) {
 	zones := []string{"hcm-a", "hcm-b", "hcm-c"}
 	for i := range crashWorkers {
-		s.fleet.add(fmt.Sprintf("m-d%02d", i), firstService, zones[i%3], fmt.Sprintf("r1-%d", i/4))
+		s.fleet.add(fmt.Sprintf("m-%05x", 0xd0a00+i), firstService, zones[i%3], fmt.Sprintf("r1-%d", i/4))
 	}
 	s.configure(1, route("r-search", crashPath, firstService))
 	if err := s.startDaemons(); err != nil {
@@ -50,7 +50,7 @@
 	next := time.Now()
 	for k := range crashCount {
 		if s.trouble {
-			s.fleet.crash(fmt.Sprintf("m-d%02d", k%crashWorkers), crashDowntime)
+			s.fleet.crash(fmt.Sprintf("m-%05x", 0xd0a00+k%crashWorkers), crashDowntime)
 		}
 		submit(jobsPerCrash)
 		next = next.Add(crashGap)
--- a/review/lab3/daemons.go
+++ b/review/lab3/daemons.go
@@ -34,9 +34,9 @@
 	exited                 chan struct{}
 }
 
-// newDaemons prepares daemons on loopback addresses of their own, and writes their settings files.
-func newDaemons(n int, dir string, rec *record, storeAddrs []string, cloudAddr string) ([]*daemon, error) {
-	ips, err := freeIPs(n)
+// newDaemons prepares daemons on loopback addresses of their own, from 127.0.FIRST.1 on, and writes their settings files.
+func newDaemons(n, first int, dir string, rec *record, storeAddrs []string, cloudAddr string) ([]*daemon, error) {
+	ips, err := freeIPs(n, first)
 	if err != nil {
 		return nil, err
 	}
@@ -95,9 +95,9 @@
 }
 
 // freeIPs returns loopback addresses on which the port of the metrics is free.
-func freeIPs(n int) ([]string, error) {
+func freeIPs(n, first int) ([]string, error) {
 	var out []string
-	for net3 := 41; net3 < 250; net3++ {
+	for net3 := first; net3 < 250; net3++ {
 		ip := fmt.Sprintf("127.0.%d.1", net3)
 		l, err := net.Listen("tcp", fmt.Sprintf("%s:%d", ip, metricsPort))
 		if err != nil {
--- a/review/lab3/fleet.go
+++ b/review/lab3/fleet.go
@@ -118,7 +118,7 @@
 		panic(err) // no port is free
 	}
 	w := &worker{
-		id: fmt.Sprintf("i-%04x", f.count), service: m.pool, machine: m, address: listener.Addr().String(), born: time.Now(),
+		id: fmt.Sprintf("i-%08x", 0x7f3a9100+f.count), service: m.pool, machine: m, address: listener.Addr().String(), born: time.Now(),
 		active: map[string]*run{}, highest: map[string]uint64{}, changed: make(chan struct{}),
 	}
 	m.state, m.worker = "up", w
--- a/review/lab3/largejob.go
+++ b/review/lab3/largejob.go
@@ -9,7 +9,7 @@
 // The job of the case, and the rack that is lost under it.
 const (
 	largeJob      = "5c0e7a21d94b36fb"
-	largeTasks    = 9500
+	largeTasks    = 10_000
 	largeDuration = 25 * time.Second
 	rackDowntime  = 6 * time.Second
 	largeWait     = 30 * time.Second
--- a/review/lab3/main.go
+++ b/review/lab3/main.go
@@ -21,6 +21,9 @@
 	exitFailed = 2 // the case could not run
 )
 
+// addressesPerCase keeps cases that run at the same time apart.
+const addressesPerCase = 10
+
 // setting is what a case plays on.
 type setting struct {
 	store   *store
@@ -97,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	if s.daemons, err = newDaemons(daemons, dir, rec, storeAddrs, cloudAddr); err != nil {
+	if s.daemons, err = newDaemons(daemons, addressesPerCase*number, dir, rec, storeAddrs, cloudAddr); err != nil {
 		return nil, err
 	}
 	s.caller = newCaller(s.daemons, rec)
--- a/review/lab3/movedqueue.go
+++ b/review/lab3/movedqueue.go
@@ -63,10 +63,10 @@
 func movedQueue(s *setting) ([]string, error) {
 	zones := []string{"hcm-a", "hcm-b", "hcm-c"}
 	for i := range secondWorkers {
-		s.fleet.add(fmt.Sprintf("m-g%02d", i), secondService, zones[i%3], fmt.Sprintf("r2-%d", i/4))
+		s.fleet.add(fmt.Sprintf("m-%05x", 0xa1400+i), secondService, zones[i%3], fmt.Sprintf("r2-%d", i/4))
 	}
 	for i := range firstWorkers {
-		s.fleet.add(fmt.Sprintf("m-d%02d", i), firstService, zones[i%3], fmt.Sprintf("r1-%d", i/4))
+		s.fleet.add(fmt.Sprintf("m-%05x", 0xd0a00+i), firstService, zones[i%3], fmt.Sprintf("r1-%d", i/4))
 	}
 	job := lastingJob + ".0"
 	s.fleet.steps[job] = step{cpu: 2600, memMB: 13_000}
--- a/review/lab3/wave.go
+++ b/review/lab3/wave.go
@@ -24,7 +24,7 @@
 	zones := []string{"hcm-a", "hcm-b", "hcm-c"}
 	var machines []string
 	for i := range waveWorkers {
-		machines = append(machines, fmt.Sprintf("m-d%02d", i))
+		machines = append(machines, fmt.Sprintf("m-%05x", 0xd0a00+i))
 		s.fleet.add(machines[i], firstService, zones[i%3], fmt.Sprintf("r1-%d", i))
 	}
 	s.fleet.steps[waveLasting+".0"] = step{cpu: 1000, memMB: 2000}
