--- a/review/lab3/crashes.go
+++ b/review/lab3/crashes.go
@@ -12,7 +12,7 @@
 	crashWorkers  = 9
 	crashCount    = crashWorkers // each once
 	crashGap      = time.Second
-	crashDowntime = 2000 * time.Millisecond
+	crashDowntime = 900 * time.Millisecond
 	firstJobs     = 6
 	jobsPerCrash  = 2 // jobs that are handed in between two crashes
 	taskDuration  = 3 * time.Second
