review: case 11, a late start runs a task again on the next life of its worker

Cause: once a worker has confirmed the stop of a start without an answer, the run counts as one that can't begin any more. The worker's next life knows neither the stop nor a fencing token, and carries the late start out.

The stand-ins became test files, as the import rule asks.

--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -1,5 +1,8 @@
 #!/bin/sh
-# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. TROUBLE=0 leaves out the disruption.
-cd "$(dirname "$0")/../.." || exit 2
-test -x target/postmountd && test -x target/lab3 || { echo "build first: deploy/system.toml, then review/build-3.sh"; exit 2; }
-exec target/lab3 -case 11 -daemons 3 -record review/11/record.txt
+# Plays the case. Exit status: 1 the rule was broken, 0 it held, 2 the case could not run.
+# TROUBLE=0 leaves the disruption out.
+dir=$(cd "$(dirname "$0")" && pwd)
+cd "$dir/../.." || exit 2
+[ -x target/postmountd ] && [ -x target/review-cases-3 ] || { echo "build first: the deploy file's build, then review/build-3.sh" >&2; exit 2; }
+export REVIEW_CASE=11 REVIEW_RECORD="$dir/record.txt"
+exec target/review-cases-3
--- a/review/lab3/daemons.go
+++ b/review/lab3/daemons_test.go
@@ -1,4 +1,4 @@
-package main
+package lab3
 
 import (
 	"encoding/json"
--- a/review/lab3/largejob.go
+++ b/review/lab3/largejob_test.go
@@ -1,8 +1,10 @@
-package main
+package lab3
 
 import (
+	"encoding/json"
 	"errors"
 	"fmt"
+	"net/http"
 	"time"
 )
 
@@ -46,3 +48,31 @@
 	time.Sleep(largeWait)
 	return s.failedJobs(otherPath, []string{largeJob})
 }
+
+// failedJobs returns the jobs that are shown as failed although no task of any job has ended so, and says of those
+// that are not completed.
+func (s *setting) failedJobs(path string, jobs []string) ([]string, error) {
+	var broken []string
+	states := map[string]int{}
+	for _, id := range jobs {
+		var answer struct{ State string }
+		for range callRetries {
+			status, raw := s.caller.call(http.MethodGet, path+id, nil)
+			if status == http.StatusOK && json.Unmarshal(raw, &answer) == nil {
+				break
+			}
+			time.Sleep(retryPause)
+		}
+		states[answer.State]++
+		if answer.State == "failed" {
+			broken = append(broken, "job "+id+" is shown as failed")
+		}
+	}
+	s.fleet.mu.Lock()
+	defer s.fleet.mu.Unlock()
+	s.record.log("%d jobs accepted, by state: %v; %d runs ended as failed", len(jobs), states, s.fleet.fails)
+	if s.fleet.fails > 0 {
+		return nil, fmt.Errorf("%d runs ended as failed", s.fleet.fails)
+	}
+	return broken, nil
+}
