review: case 11 with one worker of nine, case 12 with one rack of nine workers

Cause: case 11 crashed one of four workers, more than the share of .15 in kinds; case 12 lost all four workers of its service, where the site's racks are four of the nine of a service.

Change: both services have nine workers. The job of case 12 requires the label of one rack.

--- a/review/lab3/largejob_test.go
+++ b/review/lab3/largejob_test.go
@@ -15,15 +15,20 @@
 	largeDuration = 25 * time.Second
 	rackDowntime  = 6 * time.Second
 	largeWait     = 30 * time.Second
+	rackSize      = 4
+	rackWorkers   = 9 // of the service
 )
 
 // rackUnderLargeJob plays a job of many small tasks, under which a rack of workers falls silent once.
 func rackUnderLargeJob(s *setting) ([]string, error) {
 	zones := []string{"hcm-a", "hcm-b", "hcm-c"}
 	var machines []string
-	for i := range 4 {
-		machines = append(machines, fmt.Sprintf("m-%05x", 0xd0a00+i))
-		s.fleet.add(machines[i], firstService, zones[i%3], "r1-0")
+	for i := range rackWorkers {
+		id := fmt.Sprintf("m-%05x", 0xd0a00+i)
+		s.fleet.add(id, firstService, zones[i%3], fmt.Sprintf("r1-%d", i/rackSize))
+		if i < rackSize {
+			machines = append(machines, id)
+		}
 	}
 	s.fleet.steps[largeJob+".0"] = step{cpu: 10, memMB: 8, duration: largeDuration}
 	s.configure(1, route("r-search", otherPath, firstService))
@@ -32,7 +37,7 @@
 	}
 	time.Sleep(3 * time.Second)
 	if !s.caller.submit(otherPath+largeJob, object{"spec": "search", "steps": []object{
-		{"count": largeTasks, "cpu": 10, "memMb": 8, "estimateMs": largeDuration.Milliseconds()},
+		{"count": largeTasks, "cpu": 10, "memMb": 8, "estimateMs": largeDuration.Milliseconds(), "requiredLabel": "r1-0"},
 	}}) {
 		return nil, errors.New("the job was not accepted")
 	}
--- a/review/lab3/latestart_test.go
+++ b/review/lab3/latestart_test.go
@@ -8,7 +8,7 @@
 
 // The late order of the case, and the restart of its worker.
 const (
-	lateWorkers  = 4
+	lateWorkers  = 9
 	lateJob      = "5c0e7a21d94b36fc"
 	lateDuration = time.Second
 	maxLateOrder = 12 * time.Second
@@ -19,7 +19,7 @@
 func lateStart(s *setting) ([]string, error) {
 	zones := []string{"hcm-a", "hcm-b", "hcm-c"}
 	for i := range lateWorkers {
-		s.fleet.add(fmt.Sprintf("m-%05x", 0xd0a00+i), firstService, zones[i%3], fmt.Sprintf("r1-%d", i))
+		s.fleet.add(fmt.Sprintf("m-%05x", 0xd0a00+i), firstService, zones[i%3], fmt.Sprintf("r1-%d", i/4))
 	}
 	s.fleet.steps[lateJob+".0"] = step{cpu: 2300, memMB: 4700, duration: lateDuration}
 	s.configure(1, route("r-search", otherPath, firstService))
