Workers' client: says whether a start that timed out was sent at all

Cause: a call that timed out before it was written to a connection, as a process short of processor time makes it, was reported like one whose answer is missing, although it cannot arrive.

Evidence: TestABurstOfStartsByAWeakOwner.

What callers saw: nothing yet.

What the test asks is unchanged.

--- a/internal/jobfaults/burst_test.go
+++ b/internal/jobfaults/burst_test.go
@@ -35,12 +35,12 @@
 	cost      time.Duration
 }
 
-// chargeCall makes a call and charges its cost. It returns onTimeout if ctx ended while the call
-// waited for the CPU.
-func chargeCall[A any](b cpuLimitedWorkers, ctx context.Context, onTimeout A, call func() A) A {
+// chargeCall makes a call and charges its cost. It returns unsent if ctx ended before the call was made, and onTimeout if
+// it ended while the answer waited for the CPU.
+func chargeCall[A any](b cpuLimitedWorkers, ctx context.Context, unsent, onTimeout A, call func() A) A {
 	b.processor.use(b.cost / 2)
 	if ctx.Err() != nil {
-		return onTimeout
+		return unsent
 	}
 	a := call()
 	b.processor.use(b.cost / 2)
@@ -50,19 +50,22 @@
 	return a
 }
 
-// timeoutAnswer is the answer to a call that timed out.
-var timeoutAnswer = owner.Answer{Outcome: owner.Unanswered, Err: context.DeadlineExceeded}
+// timeoutAnswer is the answer to a call that timed out, unsentAnswer that to one that did before it was made.
+var (
+	timeoutAnswer = owner.Answer{Outcome: owner.Unanswered, Err: context.DeadlineExceeded}
+	unsentAnswer  = owner.Answer{Outcome: owner.Unanswered, Err: context.DeadlineExceeded, Unsent: true}
+)
 
 func (b cpuLimitedWorkers) Start(ctx context.Context, o owner.Start) owner.Answer {
-	return chargeCall(b, ctx, timeoutAnswer, func() owner.Answer { return b.WorkerClient.Start(ctx, o) })
+	return chargeCall(b, ctx, unsentAnswer, timeoutAnswer, func() owner.Answer { return b.WorkerClient.Start(ctx, o) })
 }
 
 func (b cpuLimitedWorkers) Stop(ctx context.Context, o owner.Stop) owner.Answer {
-	return chargeCall(b, ctx, timeoutAnswer, func() owner.Answer { return b.WorkerClient.Stop(ctx, o) })
+	return chargeCall(b, ctx, unsentAnswer, timeoutAnswer, func() owner.Answer { return b.WorkerClient.Stop(ctx, o) })
 }
 
 func (b cpuLimitedWorkers) Hold(ctx context.Context, o owner.Hold) owner.HoldAnswer {
-	return chargeCall(b, ctx, owner.HoldAnswer{Answer: timeoutAnswer}, func() owner.HoldAnswer { return b.WorkerClient.Hold(ctx, o) })
+	return chargeCall(b, ctx, owner.HoldAnswer{Answer: unsentAnswer}, owner.HoldAnswer{Answer: timeoutAnswer}, func() owner.HoldAnswer { return b.WorkerClient.Hold(ctx, o) })
 }
 
 // CPU time of a call to a worker, measured with a share of 0.8 and of 0.19 of a core.
--- a/jobs/owner/types.go
+++ b/jobs/owner/types.go
@@ -160,6 +160,8 @@
 	ConnFailed bool  // unanswered because the connection was refused or closed, not because of a timeout
 	// ConnRefused reports that the connection was refused, so that the order cannot have arrived.
 	ConnRefused bool
+	// Unsent reports that nothing of the order was written to a connection before its timeout, so that it cannot arrive.
+	Unsent bool
 }
 
 // ActiveRun is a run that a worker lists as running.
