--- a/jobs/node/metrics.go
+++ b/jobs/node/metrics.go
@@ -109,6 +109,7 @@
 		"owner_starts_unanswered": float64(s.Unanswered), "owner_starts_repeated": float64(s.Repeated), "owner_repeats_denied": float64(s.RepeatsDenied),
 		"owner_starts_settled_by_answer": float64(s.SettledByAnswer), "owner_starts_settled_by_run_list": float64(s.SettledByRunList),
 		"owner_starts_settled_by_end": float64(s.SettledByEnd), "owner_start_settling_s": s.SettlingTime.Seconds(),
+		"owner_tasks_held_back":    float64(s.HeldBack),
 		"owner_call_timeout_min_s": s.MinCallTimeout.Seconds(), "owner_call_timeout_max_s": s.MaxCallTimeout.Seconds(),
 		"owner_refusals": float64(s.RefusedJobs), "owner_refusals_needless": float64(s.NeedlessRefusals),
 	} {
--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -233,6 +233,9 @@
 	c.settleStart(r, settledByEnd, now)
 	c.clearAcceptedStart(r)
 	c.removeRun(r)
+	if cause != CauseWork {
+		c.awaitOutstandingStart(r, now)
+	}
 	if r.worker.contactLoss.lostAt.IsZero() && !r.fromPastIncarnation {
 		c.ruleOutCrash(r, "the run ended and its worker answers")
 	} else if !r.fromPastIncarnation {
--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -228,6 +228,7 @@
 	w.addRun(r)
 	if r.phase == starting {
 		r.mayStartLate, r.startAbandonedAt = true, now
+		r.startExecutableTill = now.Add(maxOrderDelay)
 	}
 }
 
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -162,6 +162,9 @@
 	}
 	r.mayStartLate = true
 	r.lostStartAt = r.sentAt
+	if !a.Unsent {
+		r.startExecutableTill = now.Add(maxOrderDelay)
+	}
 	if r.unansweredSince.IsZero() {
 		r.unansweredSince = now
 		c.counts.Unanswered++
--- a/jobs/owner/restartsim_test.go
+++ b/jobs/owner/restartsim_test.go
@@ -51,12 +51,13 @@
 
 	// lateness returns when after its sending a call is carried out that did not arrive; 0: never.
 	lateness     func() time.Duration
-	maxLateStart time.Duration // starts that would be carried out later are lost
-	capacity     int           // of the workers
-	failing      float64       // share of the runs that fail
-	shuffleWaits bool          // holds that wait for an end are answered in any order
-	maxRegLag    time.Duration // longest time until a restarted worker's registration is renewed
-	onHold       func(Hold)    // called when a worker carries out a hold; nil: nothing
+	maxLateStart time.Duration    // starts that would be carried out later are lost
+	losesStart   func(Start) bool // reports whether a start gets lost; nil: only those that lateness or the network loses
+	capacity     int              // of the workers
+	failing      float64          // share of the runs that fail
+	shuffleWaits bool             // holds that wait for an end are answered in any order
+	maxRegLag    time.Duration    // longest time until a restarted worker's registration is renewed
+	onHold       func(Hold)       // called when a worker carries out a hold; nil: nothing
 	durations    map[job.ID]time.Duration
 	lines        []simLine
 }
@@ -257,7 +258,7 @@
 		if !w.registered {
 			continue
 		}
-		list = append(list, Registration{Worker: w.id, Service: "s", Addr: string(w.id), StartedMs: w.registeredMs, Capacity: job.Resources{CPUMilli: 4000, MemMB: 8000}})
+		list = append(list, Registration{Worker: w.id, Service: "s", Addr: string(w.id), StartedMs: w.registeredMs, Draining: w.draining, Capacity: job.Resources{CPUMilli: 4000, MemMB: 8000}})
 	}
 	s.withCore(func(c *Core) { c.SetRegistrations(list, s.now) })
 }
@@ -272,7 +273,11 @@
 
 // submit hands in a job with tasks that take d each.
 func (s *restartSim) submit(tasks int, d time.Duration) job.ID {
-	j := simpleJob(len(s.order)+1, tasks)
+	return s.submitJob(simpleJob(len(s.order)+1, tasks), d)
+}
+
+// submitJob hands in a job whose tasks take d each.
+func (s *restartSim) submitJob(j *job.Job, d time.Duration) job.ID {
 	j.Steps[0].Estimate = d
 	j.AcceptedAt = s.now
 	s.durations[j.ID] = d
--- a/jobs/owner/restartsimnet_test.go
+++ b/jobs/owner/restartsimnet_test.go
@@ -17,6 +17,10 @@
 			func(c *Core, a HoldAnswer, _ time.Duration) { c.OnHoldAnswer(h.Target, a, s.now) })
 	}
 	for _, o := range e.Starts {
+		if s.losesStart != nil && s.losesStart(o) {
+			s.loseStart(o)
+			continue
+		}
 		call(s, o.Target, s.maxLateStart, o.Timeout, Answer{Outcome: Unanswered},
 			func(i *simIncarnation, answer func(Answer)) {
 				answer(Answer{Outcome: i.start(o), ClockMs: i.clockMs()})
@@ -33,6 +37,16 @@
 	}
 }
 
+// loseStart lets a start go unanswered. It is never carried out by itself.
+func (s *restartSim) loseStart(o Start) {
+	sender := s.core
+	s.after(o.Timeout, func() {
+		if s.core == sender {
+			s.withCore(func(c *Core) { c.OnStartAnswer(o, Answer{Outcome: Unanswered}, s.now) })
+		}
+	})
+}
+
 // call sends a call to a worker. It is carried out at most once, by the incarnation that is there when it
 // arrives. If it does not arrive, it is lost, or carried out late, by maxLate at most. The answer is lost if the
 // caller has given up.
--- a/jobs/owner/restartsimworker_test.go
+++ b/jobs/owner/restartsimworker_test.go
@@ -20,6 +20,7 @@
 type simWorker struct {
 	id            WorkerID
 	joined        bool            // it is registered and on the instance list
+	draining      bool            // as it is registered
 	inc           *simIncarnation // nil: it is restarting
 	cutUntil      time.Time       // calls and answers are lost until then
 	storeCutUntil time.Time       // it does not reach the store until then
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -204,10 +204,10 @@
 	return false
 }
 
-// needsPlacement reports whether the task has no run, is past its backoff and has not been
-// given up.
+// needsPlacement reports whether the task has no run, is past its backoff and its wait for an outstanding
+// start, and has not been given up.
 func (t *task) needsPlacement(now time.Time) bool {
-	return !t.done && len(t.runs) == 0 && !now.Before(t.notBefore) && !t.isGivenUp()
+	return !t.done && len(t.runs) == 0 && !now.Before(t.notBefore) && !t.awaitsOutstandingStart(now) && !t.isGivenUp()
 }
 
 // startRun adds a run of the task and orders the worker to start it.
--- a/jobs/owner/schedulingpass.go
+++ b/jobs/owner/schedulingpass.go
@@ -161,7 +161,13 @@
 			p.onNoCapacity(s, &sel.req)
 			return
 		}
-		w := sel.pick(func(w *worker) bool { return p.core.prefersOthers(t, w) })
+		kept := t.isKeptForWorker(p.now)
+		w := sel.pick(func(w *worker) bool {
+			return kept && w.Worker != t.outstandingStart.worker || p.core.prefersOthers(t, w)
+		})
+		if w == nil && kept {
+			continue
+		}
 		if w == nil && (t.awaitsOtherWorker(&p.pool.free, &sel.req, p.now) || t.awaitsWorkerAfterStall(p.now)) {
 			p.pool.addWaiting(s, 1)
 			t.addTime(CauseFailedThereBefore, s.readySince(), p.now)
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -69,6 +69,7 @@
 	throttlePercent     int           // ordered percentage of full speed; initially 100
 	lostStartAt         time.Time     // when the latest start without an answer was sent; zero: none was
 	mayStartLate        bool          // a start went unanswered and may still reach the worker
+	startExecutableTill time.Time     // until when a start without an answer may still be executed; zero: all were answered
 	fromPastIncarnation bool          // ordered on an earlier incarnation of the worker, not yet seen on this one
 	unansweredSince     time.Time     // when its start first went unanswered, until its outcome is known
 	neverStarted        bool          // the worker does not list it, and a stop will keep it from starting
@@ -102,10 +103,11 @@
 	crashes            job.Crashes
 	checkpoint         string
 	runs               []*run
-	excusedCrashes     int           // workers lost under it in this term, by what looked like the failure of a rack or zone
-	crashedAt          time.Time     // when its last crash was confirmed; zero: not in this term
-	isolationWaitSince time.Time     // start of the wait for isolation; zero: not waiting
-	notBefore          time.Time     // end of the backoff after a failure
+	excusedCrashes     int       // workers lost under it in this term, by what looked like the failure of a rack or zone
+	crashedAt          time.Time // when its last crash was confirmed; zero: not in this term
+	isolationWaitSince time.Time // start of the wait for isolation; zero: not waiting
+	notBefore          time.Time // end of the backoff after a failure
+	outstandingStart   outstandingStart
 	consecutiveRetries int           // consecutive failures that do not use up attempts
 	invalidOrders      int           // consecutive starts that a worker rejected as invalid
 	stalls             int           // runs stopped for lack of progress
--- a/jobs/owner/unanswered.go
+++ b/jobs/owner/unanswered.go
@@ -15,6 +15,7 @@
 	SettledByRunList int64         // the worker listed the run
 	SettledByEnd     int64         // the run ended, was stopped, or its worker or lease ended
 	SettlingTime     time.Duration // total time from the first timeout until then
+	HeldBack         int64         // tasks not started again for as long as a start of them might be executed
 }
 
 // How the outcome of an unanswered start became known.
