--- a/jobs/owner/jobservices.go
+++ b/jobs/owner/jobservices.go
@@ -1,9 +1,6 @@
 package owner
 
-import (
-	"slices"
-	"time"
-)
+import "time"
 
 // Operators may move a queue to another service while its jobs are open, more than once, and back. Running
 // tasks stay where they are, so that where a job's tasks may run does not follow from the queue's current
@@ -58,8 +55,65 @@
 	}
 }
 
-// inheritedRunsKnown reports whether every run of the job that an earlier owner may have started is known: the
-// runs of all services on whose workers its tasks may run are.
-func (c *Core) inheritedRunsKnown(j *jobState, now time.Time) bool {
-	return c.earlierRunsKnown(j.spec.Service, now) && !slices.ContainsFunc(j.otherServices, func(s jobService) bool { return !c.earlierRunsKnown(s.name, now) })
+// mayRunIn returns the services on whose workers tasks of the job may run or be started: that of its acceptance, those of
+// its record, and the current one.
+func (j *jobState) mayRunIn(yield func(service string) bool) {
+	if !yield(j.spec.Service) || j.service != j.spec.Service && !yield(j.service) {
+		return
+	}
+	for _, s := range j.otherServices {
+		if s.name != j.service && !yield(s.name) {
+			return
+		}
+	}
+}
+
+// earlierRuns tells at one time of which services the runs of earlier owners are known. Whether tasks of an inherited job
+// may be started depends on all services on whose workers they may run.
+type earlierRuns struct {
+	core         *Core
+	now          time.Time
+	knownIn      map[string]bool // results of known
+	noneActiveIn map[string]bool // results of noneActive
+}
+
+func (c *Core) newEarlierRuns(now time.Time) *earlierRuns {
+	return &earlierRuns{c, now, map[string]bool{}, map[string]bool{}}
+}
+
+// known reports whether every run that an earlier owner may have started in the service is known, and how it ended.
+func (e *earlierRuns) known(service string) bool {
+	return lookUp(e.knownIn, service, func() bool { return e.core.earlierRunsKnown(service, e.now) })
+}
+
+// noneActive reports whether every run that an earlier owner may have started in the service is known or has ended.
+func (e *earlierRuns) noneActive(service string) bool {
+	return lookUp(e.noneActiveIn, service, func() bool {
+		return e.known(service) || e.core.earlierLeasesOfServiceExpired(service, e.now)
+	})
+}
+
+// lookUp returns the value of the key, which it computes the first time.
+func lookUp(values map[string]bool, key string, compute func() bool) bool {
+	v, found := values[key]
+	if !found {
+		v = compute()
+		values[key] = v
+	}
+	return v
+}
+
+// allowStartsOf reports whether tasks of an inherited job may be started. How earlier runs ended does not matter for
+// tasks that last, as these are never done.
+func (e *earlierRuns) allowStartsOf(j *jobState) bool {
+	sufficient := e.known
+	if j.isLongRunning() {
+		sufficient = e.noneActive
+	}
+	for service := range j.mayRunIn {
+		if !sufficient(service) {
+			return false
+		}
+	}
+	return true
 }
--- a/jobs/owner/jobservices_test.go
+++ b/jobs/owner/jobservices_test.go
@@ -31,21 +31,23 @@
 // commit stores the pending records.
 func (r *rig) commit() { r.core.OnCommitted(r.core.PendingRecords(100), r.now) }
 
-// startInMovedQueue runs a task of a queue that was moved to service t after it had accepted the job, and then along
-// the route. It returns the job as it is stored then, and the start.
-func startInMovedQueue(t *testing.T, route []string) (StoredJob, Start) {
+// startInMovedQueue runs a task of a queue that has accepted the job for service s, is at ranIn when the task starts, and
+// is moved along the route then. It returns the job as it is stored then, and the start.
+func startInMovedQueue(t *testing.T, ranIn string, route []string, longRunning bool) (StoredJob, Start) {
 	r := newRig(t, 1)
-	r.routeTo("t")
+	r.routeTo(ranIn)
 	r.addWorkerPerService("s", "t", "u")
 	for _, id := range []WorkerID{"s", "t", "u"} {
 		r.answerHold(id, nil)
 	}
-	j := r.submit(1, 1)
+	j := simpleJob(1, 1)
+	j.Steps[0].LongRunning = longRunning
+	r.submitAll(j)
 	r.commit()
 	r.tick(100 * time.Millisecond)
 	starts := r.confirmStarts()
 	require.Len(t, starts, 1)
-	require.EqualValues(t, "t", starts[0].Worker)
+	require.EqualValues(t, ranIn, starts[0].Worker)
 	for _, service := range route {
 		r.routeTo(service)
 		r.tick(100 * time.Millisecond)
@@ -57,37 +59,71 @@
 
 // TestNextOwnerWaitsForTheServicesOfAMovedQueue guards against tasks that run twice after a change of owner: the
 // queue was moved to another service and back, or was removed then, and the next owner asks only the workers of
-// the service of the job's acceptance for runs.
+// the service of the job's acceptance, or of the queue's current one, for runs.
 func TestNextOwnerWaitsForTheServicesOfAMovedQueue(t *testing.T) {
 	for _, c := range []struct {
 		name  string
-		route []string // after the start in service t
+		ranIn string   // service of the queue when the task started
+		route []string // after the start
 		next  string   // service of the queue as the next owner knows it; "": the queue is removed
 	}{
-		{"moved", nil, "t"},
-		{"moved there and back", []string{"s"}, "s"},
-		{"moved and removed", []string{""}, ""},
-		{"moved twice", []string{"u"}, "u"},
-		{"moved once more by the time of the next owner", nil, "u"},
-		{"back by the time of the next owner", nil, "s"},
+		{"moved", "t", nil, "t"},
+		{"moved there and back", "t", []string{"s"}, "s"},
+		{"moved and removed", "t", []string{""}, ""},
+		{"moved twice", "t", []string{"u"}, "u"},
+		{"moved once more by the time of the next owner", "t", nil, "u"},
+		{"back by the time of the next owner", "t", nil, "s"},
+		{"moved after the start", "s", []string{"t"}, "t"},
+		{"removed and added again elsewhere after the start", "s", []string{"", "t"}, "t"},
+		{"moved after the start by the time of the next owner", "s", nil, "u"},
 	} {
-		t.Run(c.name, func(t *testing.T) {
-			stored, start := startInMovedQueue(t, c.route)
-			r := newRig(t, 2, stored)
-			r.routeTo(c.next)
-			r.addWorkerPerService("s", "t", "u")
-			r.answerHold("s", nil)
+		for kind, longRunning := range map[string]bool{"with an end": false, "that lasts": true} {
+			t.Run(c.name+", task "+kind, func(t *testing.T) {
+				stored, start := startInMovedQueue(t, c.ranIn, c.route, longRunning)
+				r := newRig(t, 2, stored)
+				r.routeTo(c.next)
+				r.addWorkerPerService("s", "t", "u")
+				for _, id := range []WorkerID{"s", "t", "u"} {
+					if id != start.Worker {
+						r.answerHold(id, nil)
+					}
+				}
+				r.tick(time.Second)
+				r.commit()
+				r.tick(100 * time.Millisecond)
+				assert.Empty(t, r.confirmStarts(), "the task runs on a worker that has not answered yet")
+				r.answerHold(start.Worker, []ActiveRun{{Task: start.Task, Run: start.Run, Percent: 50}})
+				r.tick(time.Second)
+				assert.Empty(t, r.confirmStarts(), "the task runs")
+				assert.Empty(t, r.out.Stops, "its run is adopted")
+			})
+		}
+	}
+}
+
+// TestTaskThatLastsWaitsForTheLeasesOfItsServices guards against a task that lasts and runs twice after a change of
+// owner, and against one that waits for more than the leases under which it may run: that the ends of earlier runs are not
+// known does not matter, as it is never done.
+func TestTaskThatLastsWaitsForTheLeasesOfItsServices(t *testing.T) {
+	stored, _ := startInMovedQueue(t, "s", []string{"t"}, true)
+	r := newRig(t, 2, stored)
+	r.routeTo("t")
+	r.addWorkerPerService("s", "t", "u")
+	answer := func(d time.Duration) {
+		for end := r.now.Add(d); r.now.Before(end); {
+			r.failHold("s")
+			r.answerHold("t", nil)
 			r.answerHold("u", nil)
-			r.tick(time.Second)
-			r.commit()
 			r.tick(100 * time.Millisecond)
-			assert.Empty(t, r.confirmStarts(), "the task runs on a worker that has not answered yet")
-			r.answerHold("t", []ActiveRun{{Task: start.Task, Run: start.Run, Percent: 50}})
-			r.tick(time.Second)
-			assert.Empty(t, r.confirmStarts(), "the task runs")
-			assert.Empty(t, r.out.Stops, "its run is adopted")
-		})
+			r.commit()
+		}
 	}
+	answer(rigLease - time.Second)
+	require.Empty(t, r.out.Starts, "a lease of the worker that does not answer may not be over")
+	answer(3 * time.Second)
+	starts := r.confirmStarts()
+	require.Len(t, starts, 1)
+	assert.EqualValues(t, "t", starts[0].Worker)
 }
 
 // TestFirstStartInAnotherServiceIsStoredBefore guards against a start that the next owner does not look for, as
--- a/jobs/owner/restartsim_test.go
+++ b/jobs/owner/restartsim_test.go
@@ -51,6 +51,7 @@
 
 	// lateness returns when after its sending a call is carried out that did not arrive; 0: never.
 	lateness     func() time.Duration
+	queueAt      string           // service of the queue; "": it is removed
 	maxLateStart time.Duration    // starts that would be carried out later are lost
 	losesStart   func(Start) bool // reports whether a start gets lost; nil: only those that lateness or the network loses
 	capacity     int              // of the workers
@@ -100,10 +101,10 @@
 // newRestartSim returns a simulation with three workers and an owner of the first term.
 func newRestartSim(seed uint64) *restartSim {
 	start := time.Date(2030, 1, 1, 0, 0, 0, 0, time.UTC)
-	s := &restartSim{rnd: newSimRand(seed), startedAt: start, now: start, judge: newTwiceJudge(), stored: map[job.ID]*StoredJob{}, durations: map[job.ID]time.Duration{}, maxRegLag: 3 * time.Second, maxLateStart: simMaxLateness}
+	s := &restartSim{rnd: newSimRand(seed), startedAt: start, now: start, judge: newTwiceJudge(), stored: map[job.ID]*StoredJob{}, durations: map[job.ID]time.Duration{}, maxRegLag: 3 * time.Second, maxLateStart: simMaxLateness, queueAt: "s"}
 	s.lateness = func() time.Duration { return 0 }
 	for n := range 3 {
-		w := &simWorker{id: WorkerID(fmt.Sprint("w", n)), joined: true, registered: true, startedMs: start.UnixMilli() - 60_000}
+		w := &simWorker{id: WorkerID(fmt.Sprint("w", n)), service: "s", joined: true, registered: true, startedMs: start.UnixMilli() - 60_000}
 		w.begin(s, rigClockMs)
 		w.registeredMs = w.startedMs
 		s.workers = append(s.workers, w)
@@ -176,10 +177,6 @@
 func (s *restartSim) begin() {
 	s.term = s.highestTerm + 1
 	s.highestTerm = s.term
-	catalog := &job.Catalog{
-		Queues:   []job.Queue{{Name: "q", Service: "s", MaxAttempts: 1000, ObjectiveFactor: 2, ObjectiveOffset: time.Second}},
-		Services: []job.Service{{Name: "s"}},
-	}
 	opt := Options{Term: s.term, TaskLease: 4500 * time.Millisecond, MaxWorkerLease: simMaxLease, HoldWait: 900 * time.Millisecond,
 		IdleHoldWait: 1800 * time.Millisecond, DutyHandover: 3 * time.Second, StatusRetention: 2 * time.Minute}
 	var loaded []StoredJob
@@ -187,11 +184,32 @@
 		loaded = append(loaded, *s.stored[id])
 	}
 	s.log(fmt.Sprintf("owner of term %d begins", s.term), nil)
-	s.core = New(opt, catalog, loaded, s.now)
+	s.core = New(opt, s.catalog(), loaded, s.now)
 	s.publishRegistrations()
 	s.publishInstances()
 }
 
+// catalog returns the configuration in force.
+func (s *restartSim) catalog() *job.Catalog {
+	c := &job.Catalog{}
+	for _, w := range s.workers {
+		if c.Service(w.service) == nil {
+			c.Services = append(c.Services, job.Service{Name: w.service})
+		}
+	}
+	if s.queueAt != "" {
+		c.Queues = []job.Queue{{Name: "q", Service: s.queueAt, MaxAttempts: 1000, ObjectiveFactor: 2, ObjectiveOffset: time.Second}}
+	}
+	return c
+}
+
+// moveQueue moves the queue to another service; "" removes it.
+func (s *restartSim) moveQueue(service string) {
+	s.log("queue is moved to service "+service, nil)
+	s.queueAt = service
+	s.withCore(func(c *Core) { c.Configure(s.catalog()) })
+}
+
 // killOwner ends the owner. Its calls stay in the network.
 func (s *restartSim) killOwner() {
 	if s.core == nil {
@@ -258,7 +276,7 @@
 		if !w.registered {
 			continue
 		}
-		list = append(list, Registration{Worker: w.id, Service: "s", Addr: string(w.id), StartedMs: w.registeredMs, Draining: w.draining, Capacity: job.Resources{CPUMilli: 4000, MemMB: 8000}})
+		list = append(list, Registration{Worker: w.id, Service: w.service, Addr: string(w.id), StartedMs: w.registeredMs, Draining: w.draining, Capacity: job.Resources{CPUMilli: 4000, MemMB: 8000}})
 	}
 	s.withCore(func(c *Core) { c.SetRegistrations(list, s.now) })
 }
@@ -266,7 +284,7 @@
 func (s *restartSim) publishInstances() {
 	var list []Instance
 	for _, w := range s.joinedWorkers() {
-		list = append(list, Instance{ID: InstanceID("i-" + string(w.id)), Pool: "s", State: InstanceUp, Worker: w.id})
+		list = append(list, Instance{ID: InstanceID("i-" + string(w.id)), Pool: w.service, State: InstanceUp, Worker: w.id})
 	}
 	s.withCore(func(c *Core) { c.OnInstances(list, s.now) })
 }
--- a/jobs/owner/restartsimworker_test.go
+++ b/jobs/owner/restartsimworker_test.go
@@ -19,6 +19,7 @@
 // simWorker is a worker that restarts under its ID.
 type simWorker struct {
 	id            WorkerID
+	service       string
 	joined        bool            // it is registered and on the instance list
 	draining      bool            // as it is registered
 	inc           *simIncarnation // nil: it is restarting
@@ -149,7 +150,7 @@
 	}
 	i.sim.log(what, r)
 	kind := EndDone
-	if i.sim.rnd.Float64() < i.sim.failing {
+	if i.sim.rnd.Float64() < i.sim.failing || i.sim.stored[o.Task.Job].Job.Steps[o.Task.Step].LongRunning {
 		kind = EndFailed
 	}
 	i.after(r.duration, func() { r.end(kind) })
--- a/jobs/owner/schedule.go
+++ b/jobs/owner/schedule.go
@@ -4,7 +4,6 @@
 	"cmp"
 	"maps"
 	"slices"
-	"sync"
 	"time"
 )
 
@@ -145,12 +144,12 @@
 // started. They are skipped before any other check: examining many inherited jobs again for
 // each worker that answers would keep a new owner's CPU busy for longer than leases last.
 func (c *Core) queueEntries(service string, pool *poolState, now time.Time) []queueEntry {
-	takenOver := c.earlierRunsKnown(service, now)
-	leasesExpired := sync.OnceValue(func() bool { return takenOver || c.earlierLeasesOfServiceExpired(service, now) })
+	earlier := c.newEarlierRuns(now)
+	takenOver := earlier.known(service)
 	kept := pool.placementQueue[:0]
 	entries := pool.entries[:0]
 	for _, j := range pool.placementQueue {
-		if !j.inherited || takenOver && c.inheritedRunsKnown(j, now) || j.isLongRunning() && leasesExpired() {
+		if !j.inherited || (takenOver || j.isLongRunning()) && earlier.allowStartsOf(j) {
 			if j.overdue > 0 && !j.state.Final() {
 				c.createDueOccurrences(j, now)
 			}
