--- a/jobs/node/termrun.go
+++ b/jobs/node/termrun.go
@@ -95,6 +95,7 @@
 		MaxMovesPerSec: n.settings.MovesPerSec,
 		ToleratedZones: n.settings.ToleratedZones,
 		DutyHandover:   n.settings.DutyHandover, PriorOrders: n.ordersByOthers(term.PriorOrders), ElectedAt: began, PriorOrdersUnknown: term.PriorOrdersUnknown, SucceedsSelf: term.SucceedsSelf, PriorLeaseLeft: priorLeaseLeft(term),
+		MaxRecordBytes:       n.settings.MaxValueBytes,
 		MaxOpenJobBytes:      int64(n.settings.MemoryMB) << 20 / openJobsShare,
 		CatchUpTasksPerSec:   catchUpTasksPerCoreSecond * n.settings.Cores,
 		WithheldJobs:         snap.Withheld,
--- a/jobs/owner/records.go
+++ b/jobs/owner/records.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"fmt"
 	"slices"
 	"time"
 
@@ -43,12 +44,14 @@
 }
 
 // PendingRecords returns the next records to store, in the order of writeQueue. Together they take
-// at most maxEntries entries of a transaction.
+// at most maxEntries entries of a transaction. A record that would be larger than the store accepts lacks what a later
+// owner can do without.
 func (c *Core) PendingRecords(maxEntries int) []Record {
 	c.refreshCorrelations()
 	var out []Record
 	for j := range c.toWrite.all(c.dirtyJobs) {
 		r := Record{Job: j.spec, Progress: j.progress(), Stored: j.storedVersion > 0, version: j.version}
+		c.fitRecord(j, &r.Progress)
 		if maxEntries -= r.TxnEntries(); maxEntries < 0 {
 			break
 		}
@@ -57,17 +60,38 @@
 	return out
 }
 
-// OnUnwritable handles a record that the store does not accept, for the given reason. It is written again without the
-// checkpoints, which a later owner can do without. If it has none the job fails: its ends could never be acknowledged,
-// and would hold up those of other jobs.
+// fitRecord leaves out of a record what makes it larger than the store accepts.
+func (c *Core) fitRecord(j *jobState, p *job.Progress) {
+	limit := c.opt.MaxRecordBytes
+	if j.maxRecordBytes > 0 && (limit == 0 || j.maxRecordBytes < limit) {
+		limit = j.maxRecordBytes
+	}
+	if limit == 0 {
+		return
+	}
+	crashes, checkpoints := p.Fit(limit)
+	reduced := crashes+checkpoints > 0
+	if reduced && !j.recordReduced {
+		c.logDecision(Decision{Event: "record-reduced", Job: j.spec.ID, Reason: fmt.Sprintf("%d crashes and %d checkpoints are left out of more than %d bytes", crashes, checkpoints, limit)})
+	}
+	j.recordReduced = reduced
+}
+
+// OnUnwritable handles a record that the store does not accept, for the given reason. Half as large a record is written
+// instead, if that can be had by leaving out what a later owner can do without. Otherwise the job fails: its ends could
+// never be acknowledged, and would hold up those of other jobs.
 func (c *Core) OnUnwritable(r Record, reason string, now time.Time) {
 	j := c.jobs[r.Job.ID]
-	if j == nil || j.state.Final() || r.Progress.HasCheckpoints() && j.omitsCheckpoints {
+	if j == nil || j.state.Final() {
+		return
+	}
+	size, reducible := r.Progress.Size(), r.Progress.HasOptionalParts()
+	if reducible && j.maxRecordBytes > 0 && size > j.maxRecordBytes {
 		return // the next record is smaller
 	}
 	c.logDecision(Decision{Event: "record-unwritable", Job: j.spec.ID, Reason: reason})
-	if r.Progress.HasCheckpoints() {
-		j.omitsCheckpoints = true
+	if reducible {
+		j.maxRecordBytes = size / 2
 		c.markDirty(j)
 		return
 	}
@@ -178,7 +202,7 @@
 				sp.Accepted = setEntry(sp.Accepted, t.index, accepted)
 				hasProgress = true
 			}
-			if t.checkpoint != "" && !j.omitsCheckpoints {
+			if t.checkpoint != "" {
 				sp.Checkpoint = setEntry(sp.Checkpoint, t.index, t.checkpoint)
 				hasProgress = true
 			}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -38,6 +38,7 @@
 	MaxOutstandingStarts int           // limit of starts without an outcome; 0: no limit
 	Weights              capacity.Weights
 	MaxMovesPerSec       float64 // moves per second that the platform accepts; 0: no limit
+	MaxRecordBytes       int     // largest record of a job's progress that the store accepts; 0: unknown
 	MaxOpenJobBytes      int64   // bound on the estimated memory of open jobs; 0: none
 	// CatchUpTasksPerSec limits the tasks per second of occurrences that have been due for long; 0: no limit.
 	CatchUpTasksPerSec float64
@@ -205,7 +206,8 @@
 	endedAt          time.Time
 	cause            string        // why it failed; "": it has not, or it is not known
 	specRetained     bool          // in retainedSpecs
-	omitsCheckpoints bool          // its record is stored without checkpoints, as it is too large otherwise
+	maxRecordBytes   int           // largest record that the store may accept, as it rejected a larger one; 0: none
+	recordReduced    bool          // its last record lacks what would have made it too large
 	stepsDropped     bool          // steps were freed, as the job's end is stored and it has no runs
 	inherited        bool          // an earlier owner may have started some of its tasks
 	loadedFromStore  bool          // loaded when this term began
