Owner: the runs of a lost worker share their list of suspects

Cause: for each run of a lost worker the owner sorted all of its runs twice and listed all others, so that the time and the memory grew with the square of their number.

What callers saw: with thousands of small tasks a worker, an owner that stands still after a rack was lost.

Change: the suspects of a loss are listed once for the worker; which of them fail together with a task is counted by job. Which crashes are recorded, confirmed and excused is unchanged: TestSuspectsOfALoss, TestSameDecisions and the tests of crashes pass as they were.

--- a/jobs/owner/crash.go
+++ b/jobs/owner/crash.go
@@ -59,21 +59,22 @@
 	if c.isStarved(now) {
 		return
 	}
+	suspects := newLossSuspects(w)
 	for _, r := range runsByNumber(w) {
 		if r.lostAtStart() {
-			c.recordUnconfirmedCrash(r, now)
+			c.recordUnconfirmedCrash(r, suspects, now)
 		}
 	}
 }
 
 // recordUnconfirmedCrash records or updates an unconfirmed crash for the run: the worker may
-// have crashed for another reason, or not at all.
-func (c *Core) recordUnconfirmedCrash(r *run, now time.Time) {
+// have crashed for another reason, or not at all. The suspects are those on its worker.
+func (c *Core) recordUnconfirmedCrash(r *run, suspects lossSuspects, now time.Time) {
 	t := r.task
 	if r.neverStarted || r.phase == ended || t.done || t.step.job.state.Final() || r.worker.endsAsPlanned() {
 		return
 	}
-	k := job.Crash{Run: r.number, Worker: r.worker.incarnation().String(), Instance: string(c.instanceOfWorker[r.worker.Worker]), AtStart: r.lostAtStart(), SoleSuspect: r.isSoleSuspect(), Exposure: r.exposure()}
+	k := job.Crash{Run: r.number, Worker: r.worker.incarnation().String(), Instance: string(c.instanceOfWorker[r.worker.Worker]), AtStart: r.lostAtStart(), SoleSuspect: !suspects.besides(r), Exposure: r.exposure()}
 	k.Coincidence = c.coincidence(t, r.worker.Worker, k.Exposure, now)
 	if known := t.crashes.Find(r.number); known != nil {
 		*known = k
@@ -83,7 +84,7 @@
 	}
 	r.accepted = nil
 	d := r.crashDetail()
-	d.otherSuspects = r.otherSuspects()
+	d.suspects = suspects.asLikelyAs(r)
 	t.setCrashDetail(d)
 	if c.isLikelyCause(t) {
 		c.lossHistory.forgetLossesBy(t)
@@ -124,21 +125,61 @@
 	return max(minExposure, loss.lostAt.Sub(from))
 }
 
-// isSoleSuspect reports whether no run of a task that does not fail together with this one is as likely
-// to have crashed the worker.
-func (r *run) isSoleSuspect() bool { return len(r.otherSuspects()) == 0 }
+// crashSuspects are tasks that may have crashed a worker. All runs on the worker share them: there may be thousands.
+type crashSuspects struct {
+	tasks []*task
+	byJob map[*jobState]int // how many of tasks
+}
 
-// otherSuspects returns the tasks that do not fail together with the run's and are as likely to have crashed the
-// worker.
-func (r *run) otherSuspects() []*task {
-	var out []*task
-	atStart := r.lostAtStart()
-	for _, o := range runsByNumber(r.worker) {
-		if o.phase != ended && !r.task.failsWith(o.task) && (!atStart || o.lostAtStart()) {
-			out = append(out, o.task)
+func (s *crashSuspects) add(t *task) {
+	if s.byJob == nil {
+		s.byJob = map[*jobState]int{}
+	}
+	s.tasks = append(s.tasks, t)
+	s.byJob[t.step.job]++
+}
+
+// includeOpenBeside reports whether a task that does not fail together with t is suspected and not done.
+func (s *crashSuspects) includeOpenBeside(t *task) bool {
+	return s != nil && slices.ContainsFunc(s.tasks, func(o *task) bool { return !o.done && !t.failsWith(o) })
+}
+
+// lossSuspects are the suspects in the loss of a worker.
+type lossSuspects struct {
+	all     *crashSuspects // tasks of all its runs
+	atStart *crashSuspects // of those that were lost at their start
+}
+
+// newLossSuspects returns the suspects among the runs on the worker.
+func newLossSuspects(w *worker) lossSuspects {
+	s := lossSuspects{&crashSuspects{}, &crashSuspects{}}
+	for _, r := range runsByNumber(w) {
+		if r.phase == ended {
+			continue
 		}
+		s.all.add(r.task)
+		if r.lostAtStart() {
+			s.atStart.add(r.task)
+		}
+	}
+	return s
+}
+
+// asLikelyAs returns the suspects that are as likely to have crashed the worker as the task of r, which is one of them.
+func (s lossSuspects) asLikelyAs(r *run) *crashSuspects {
+	if r.lostAtStart() {
+		return s.atStart
+	}
+	return s.all
+}
+
+// besides reports whether one of these does not fail together with the task of r.
+func (s lossSuspects) besides(r *run) bool {
+	suspects, with := s.asLikelyAs(r), 1
+	if r.task.step.failsWithJob() {
+		with = suspects.byJob[r.task.step.job]
 	}
-	return out
+	return len(suspects.tasks) > with
 }
 
 // failsWith reports whether both tasks are given up together, so that it does not matter which of
@@ -163,8 +204,9 @@
 		w.beginContactLoss(now)
 	}
 	c.countUnplannedEnd(w)
+	suspects := newLossSuspects(w)
 	for _, r := range runsByNumber(w) {
-		c.recordUnconfirmedCrash(r, now)
+		c.recordUnconfirmedCrash(r, suspects, now)
 	}
 	w.crashSuspects = slices.Clone(c.unconfirmedCrashes[w.incarnation()])
 	c.recordLoss(w, now)
--- a/jobs/owner/crashdetail.go
+++ b/jobs/owner/crashdetail.go
@@ -25,12 +25,12 @@
 	worker string // incarnation; "": not known
 	loss   lossObservation
 	// The following are known once this owner has lost contact.
-	startedHere    bool          // this owner sent the start
-	lostAt         time.Time     // when contact was lost
-	longestRun     time.Duration // from the first start sent until then
-	startConfirmed bool          // the worker accepted the start or listed the run
-	startLost      bool          // no start of the run can have arrived
-	otherSuspects  []*task       // as likely to have crashed the worker, and not failing together with this task
+	startedHere    bool           // this owner sent the start
+	lostAt         time.Time      // when contact was lost
+	longestRun     time.Duration  // from the first start sent until then
+	startConfirmed bool           // the worker accepted the start or listed the run
+	startLost      bool           // no start of the run can have arrived
+	suspects       *crashSuspects // as likely to have crashed the worker, this task included; nil: not known
 }
 
 // crashDetail returns the details of a crash of the run's worker.
@@ -75,7 +75,7 @@
 func (r *run) updateCrashDetail() {
 	if k := r.task.crashes.Find(r.number); k != nil && k.Unconfirmed() {
 		d := r.crashDetail()
-		d.otherSuspects = r.task.crashDetail(r.number).otherSuspects
+		d.suspects = r.task.crashDetail(r.number).suspects
 		r.task.setCrashDetail(d)
 	}
 }
--- a/jobs/owner/lossrate.go
+++ b/jobs/owner/lossrate.go
@@ -159,7 +159,7 @@
 		d := t.crashDetail(k.Run)
 		if d.loss == lossObserved && !d.lostAt.IsZero() {
 			k.Coincidence = c.coincidence(t, parseIncarnation(d.worker).worker, k.Exposure, d.lostAt)
-			k.Eliminated = !k.SoleSuspect && !slices.ContainsFunc(d.otherSuspects, func(o *task) bool { return !o.done })
+			k.Eliminated = !k.SoleSuspect && !d.suspects.includeOpenBeside(t)
 		}
 	}
 }
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -407,8 +407,9 @@
 	}
 	c.logDecision(Decision{Event: "leases-expired", Worker: w.Worker, Reason: fmt.Sprintf("silent for %s; %d incarnations before this one, first seen %s ago; %d of %d runs are lost",
 		now.Sub(w.silentSince), len(w.pastStartsMs), now.Sub(w.firstSeenAt).Round(time.Millisecond), len(runs), len(w.runs))})
+	suspects := newLossSuspects(w)
 	for _, r := range runs {
-		c.recordUnconfirmedCrash(r, now) // whether the worker has crashed may become known later
+		c.recordUnconfirmedCrash(r, suspects, now) // whether the worker has crashed may become known later
 	}
 	for _, r := range runs {
 		c.releaseLostRun(r, "its lease has expired", now)
