--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -202,6 +202,7 @@
 	w := c.newWorker(old.Worker, startedMs, now)
 	w.Registration = old.Registration
 	w.StartedMs, w.Draining = startedMs, false
+	w.listDueAt = old.listDueAt
 	c.workersByService.add(w)
 	for _, r := range runsByNumber(old) {
 		old.removeRun(r)
@@ -228,7 +229,7 @@
 	w.addRun(r)
 	if r.phase == starting {
 		r.mayStartLate, r.startAbandonedAt = true, now
-		r.startExecutableTill = now.Add(maxOrderDelay)
+		r.mayStartUntil = now.Add(maxOrderDelay)
 	}
 }
 
--- a/jobs/owner/orders.go
+++ b/jobs/owner/orders.go
@@ -163,7 +163,7 @@
 	r.mayStartLate = true
 	r.lostStartAt = r.sentAt
 	if !a.Unsent {
-		r.startExecutableTill = now.Add(maxOrderDelay)
+		r.mayStartUntil = now.Add(maxOrderDelay)
 	}
 	if r.unansweredSince.IsZero() {
 		r.unansweredSince = now
--- a/jobs/owner/outstandingstart_test.go
+++ b/jobs/owner/outstandingstart_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -103,6 +104,33 @@
 	}
 }
 
+// TestOutstandingStartThatBeginsUnheard guards against two runs of a task at the same time: the first start has begun a run
+// on the next incarnation of a worker that is cut off from the owner when the start cannot be executed any more.
+func TestOutstandingStartThatBeginsUnheard(t *testing.T) {
+	for name, c := range map[string]struct {
+		cut       time.Duration
+		startedBy time.Duration
+	}{
+		"and its worker is heard again": {4 * time.Second, 21500 * time.Millisecond},
+		"and its lease ends unheard":    {40 * time.Second, 30 * time.Second},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := newRestartSim(1)
+			s.maxRegLag = 0
+			id := simpleJob(1, 1).ID
+			l := s.loseFirstStart(id)
+			s.at(5*time.Second, func() { s.submit(1, 6*time.Second) })
+			s.at(16200*time.Millisecond, func() { s.cut(s.workerByID(l.order.Worker), c.cut) })
+			s.at(16300*time.Millisecond, l.restartWorker)
+			s.runUntil(20*time.Second, 90*time.Second)
+			s.requireOnce(t)
+			assert.Empty(t, s.incomplete())
+			starts := s.startTimes(id)
+			assert.LessOrEqual(t, slices.Max(starts), c.startedBy)
+		})
+	}
+}
+
 // TestOutstandingStartOfATaskThatLasts guards against two runs of a task that lasts: its start got no answer and was
 // given up, the task was started on another worker, and the first start reaches the next incarnation of its worker. It
 // also guards against a task that stands still for as long as the start may be executed.
--- a/jobs/owner/schedulingpass.go
+++ b/jobs/owner/schedulingpass.go
@@ -131,7 +131,7 @@
 	for i := range s.spec.Count {
 		untouched := i >= len(s.tasks)
 		t := s.task(i)
-		if !t.needsPlacement(p.now) || t.awaitsEvidence(p.core, p.now) || !p.core.lossProven(t) {
+		if !t.needsPlacement(p.now) || t.awaitsEvidence(p.core, p.now) || t.awaitsList(p.core, p.now) || !p.core.lossProven(t) {
 			if untouched {
 				return // nor may the other untouched tasks be started
 			}
@@ -242,7 +242,7 @@
 // placeGang starts all tasks of a gang under one run number, or none of them.
 func (p *schedulingPass) placeGang(s *stepState) {
 	for _, t := range s.tasks {
-		if !t.needsPlacement(p.now) || t.awaitsEvidence(p.core, p.now) || !p.core.lossProven(t) {
+		if !t.needsPlacement(p.now) || t.awaitsEvidence(p.core, p.now) || t.awaitsList(p.core, p.now) || !p.core.lossProven(t) {
 			return
 		}
 	}
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -70,7 +70,7 @@
 	throttlePercent     int           // ordered percentage of full speed; initially 100
 	lostStartAt         time.Time     // when the latest start without an answer was sent; zero: none was
 	mayStartLate        bool          // a start went unanswered and may still reach the worker
-	startExecutableTill time.Time     // until when a start without an answer may still be executed; zero: all were answered
+	mayStartUntil       time.Time     // until when a start without an answer may still be executed; zero: all were answered
 	fromPastIncarnation bool          // ordered on an earlier incarnation of the worker, not yet seen on this one
 	unansweredSince     time.Time     // when its start first went unanswered, until its outcome is known
 	neverStarted        bool          // the worker does not list it, and a stop will keep it from starting
@@ -268,6 +268,7 @@
 	longRunningCPUMilli      int                       // millicores used by them
 	unknownRuns              map[job.TaskID]unknownRun // runs of jobs not known yet
 	endsTruncated            bool                      // its latest answer may lack ends of runs
+	listDueAt                time.Time                 // from then on a hold shows whether the latest outstanding start has begun a run
 	lastSeenEnd              uint64                    // highest number of an end handled
 	lastAckedEnd             uint64                    // number up to which ends may be acknowledged
 	confirmedAckEnd          uint64                    // number up to which an answered hold has acknowledged them
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -86,7 +86,7 @@
 		Target:       c.target(w),
 		LeaseUntilMs: leaseUntilMs,
 		AckThrough:   w.holdAckThrough,
-		Wait:         c.holdWait(w),
+		Wait:         c.holdWaitAt(w, now),
 		Timeout:      c.holdTimeout(w),
 	})
 }
@@ -100,6 +100,19 @@
 	lossyHoldWait = 120 * time.Millisecond
 )
 
+// holdWaitAt is holdWait for a hold that is sent now: it is answered by the time at which the worker's list is due, and the one
+// after that at once.
+func (c *Core) holdWaitAt(w *worker, now time.Time) time.Duration {
+	wait := c.holdWait(w)
+	switch {
+	case now.Before(w.listDueAt):
+		return min(wait, w.listDueAt.Sub(now))
+	case w.answeredHoldSentAt.Before(w.listDueAt):
+		return 0
+	}
+	return wait
+}
+
 // holdWait returns how long the worker is to wait for a new run end before it answers a hold.
 func (c *Core) holdWait(w *worker) time.Duration {
 	switch {
