--- a/jobs/job/recordsize.go
+++ b/jobs/job/recordsize.go
@@ -19,32 +19,36 @@
 
 // The optional parts, in the order in which they are left out.
 const (
-	// weakEvidence are crashes that are not confirmed and for which other tasks are suspected as well.
-	weakEvidence optionalPart = iota
-	checkpoints
-	strongEvidence
+	partWeakEvidence optionalPart = iota // crashes that are not confirmed and for which other tasks are suspected as well
+	partCheckpoints
+	partStrongEvidence // the other crashes
 	optionalParts
 )
 
-// Fit leaves parts of the record out until its encoding has at most limit bytes, or no such part is left. It returns how many
-// crashes and checkpoints it has left out.
-func (p *Progress) Fit(limit int) (crashes, checkpointsLeftOut int) {
+// LeftOut counts what is left out of a record.
+type LeftOut struct {
+	Crashes     int // accepted starts included
+	Checkpoints int
+}
+
+// Fit leaves parts of the record out until its encoding has at most limit bytes, or no such part is left.
+func (p *Progress) Fit(limit int) (out LeftOut) {
 	if p.sizeBound() <= limit {
-		return 0, 0
+		return out
 	}
 	excess := p.Size() - limit
 	for part := range optionalParts {
 		for n := len(p.Steps) - 1; n >= 0 && excess > 0; n-- {
 			bytes, removed := p.Steps[n].leaveOut(part, excess)
 			excess -= bytes
-			if part == checkpoints {
-				checkpointsLeftOut += removed
+			if part == partCheckpoints {
+				out.Checkpoints += removed
 			} else {
-				crashes += removed
+				out.Crashes += removed
 			}
 		}
 	}
-	return crashes, checkpointsLeftOut
+	return out
 }
 
 // Size returns the size of the record's encoding in bytes.
@@ -85,7 +89,7 @@
 // leaveOut removes entries of the part, those of the last tasks first, until they have taken excess bytes. It returns how many
 // bytes the encoding is shorter, and how many entries were removed.
 func (s *StepProgress) leaveOut(part optionalPart, excess int) (bytes, removed int) {
-	if part == checkpoints {
+	if part == partCheckpoints {
 		for _, i := range descendingKeys(s.Checkpoint) {
 			if bytes >= excess {
 				break
@@ -146,9 +150,9 @@
 // recordPart returns the part of a record that the crash belongs to.
 func (c *Crash) recordPart() optionalPart {
 	if c.Unconfirmed() && !c.SoleSuspect {
-		return weakEvidence
+		return partWeakEvidence
 	}
-	return strongEvidence
+	return partStrongEvidence
 }
 
 // descendingKeys returns the keys in descending order.
--- a/jobs/job/recordsize_test.go
+++ b/jobs/job/recordsize_test.go
@@ -39,10 +39,10 @@
 	const valueBytes, failures = 1 << 20, 7
 	p := largestProgress(failures)
 	t.Logf("%d bytes with all parts", p.Size())
-	crashes, checkpoints := p.Fit(valueBytes)
+	out := p.Fit(valueBytes)
 	assert.LessOrEqual(t, p.Size(), valueBytes)
-	assert.Positive(t, crashes)
-	assert.Positive(t, checkpoints)
+	assert.Positive(t, out.Crashes)
+	assert.Positive(t, out.Checkpoints)
 	want := largestProgress(failures)
 	assert.Equal(t, want.Steps[0].Done, p.Steps[0].Done)
 	assert.Equal(t, want.Steps[0].Failed, p.Steps[0].Failed)
@@ -64,8 +64,7 @@
 // them.
 func TestRecordThatFitsIsComplete(t *testing.T) {
 	p, want := largestProgress(2), largestProgress(2)
-	crashes, checkpoints := p.Fit(p.Size())
-	assert.Zero(t, crashes+checkpoints)
+	assert.Zero(t, p.Fit(p.Size()))
 	assert.Equal(t, want, p)
 }
 
--- a/jobs/owner/crash.go
+++ b/jobs/owner/crash.go
@@ -74,7 +74,7 @@
 	if r.neverStarted || r.phase == ended || t.done || t.step.job.state.Final() || r.worker.endsAsPlanned() {
 		return
 	}
-	k := job.Crash{Run: r.number, Worker: r.worker.incarnation().String(), Instance: string(c.instanceOfWorker[r.worker.Worker]), AtStart: r.lostAtStart(), SoleSuspect: !suspects.besides(r), Exposure: r.exposure()}
+	k := job.Crash{Run: r.number, Worker: r.worker.incarnation().String(), Instance: string(c.instanceOfWorker[r.worker.Worker]), AtStart: r.lostAtStart(), SoleSuspect: !suspects.includeOthersThan(r), Exposure: r.exposure()}
 	k.Coincidence = c.coincidence(t, r.worker.Worker, k.Exposure, now)
 	if known := t.crashes.Find(r.number); known != nil {
 		*known = k
@@ -173,8 +173,8 @@
 	return s.all
 }
 
-// besides reports whether one of these does not fail together with the task of r.
-func (s lossSuspects) besides(r *run) bool {
+// includeOthersThan reports whether one of those as likely as the task of r does not fail together with it.
+func (s lossSuspects) includeOthersThan(r *run) bool {
 	suspects, with := s.asLikelyAs(r), 1
 	if r.task.step.failsWithJob() {
 		with = suspects.byJob[r.task.step.job]
--- a/jobs/owner/crashsuspects_test.go
+++ b/jobs/owner/crashsuspects_test.go
@@ -87,9 +87,9 @@
 	s := newLossSuspects(w)
 	require.Len(t, s.all.tasks, 5)
 	require.Len(t, s.atStart.tasks, 1)
-	assert.False(t, s.besides(atStart), "it alone was starting")
-	assert.True(t, s.besides(runOf(1, 0)))
-	assert.True(t, s.besides(runOf(3, 0)), "the other task of its job goes on without it")
+	assert.False(t, s.includeOthersThan(atStart), "it alone was starting")
+	assert.True(t, s.includeOthersThan(runOf(1, 0)))
+	assert.True(t, s.includeOthersThan(runOf(3, 0)), "the other task of its job goes on without it")
 	assert.True(t, s.asLikelyAs(runOf(1, 0)).includeOpenBeside(runOf(1, 0).task))
 	for n := 2; n <= 3; n++ {
 		for i := range r.core.jobs[simpleJob(n, 1).ID].steps[0].tasks {
@@ -102,6 +102,6 @@
 	alone.submit(1, 3)
 	alone.confirmStarts()
 	for _, run := range alone.core.workers["w"].runs {
-		assert.False(t, newLossSuspects(alone.core.workers["w"]).besides(run), "all fail together")
+		assert.False(t, newLossSuspects(alone.core.workers["w"]).includeOthersThan(run), "all fail together")
 	}
 }
--- a/jobs/owner/jobservices.go
+++ b/jobs/owner/jobservices.go
@@ -77,6 +77,7 @@
 	noneActiveIn map[string]bool // results of noneActive
 }
 
+// newEarlierRuns returns what is known now.
 func (c *Core) newEarlierRuns(now time.Time) *earlierRuns {
 	return &earlierRuns{c, now, map[string]bool{}, map[string]bool{}}
 }
--- a/jobs/owner/records.go
+++ b/jobs/owner/records.go
@@ -69,10 +69,10 @@
 	if limit == 0 {
 		return
 	}
-	crashes, checkpoints := p.Fit(limit)
-	reduced := crashes+checkpoints > 0
+	out := p.Fit(limit)
+	reduced := out != job.LeftOut{}
 	if reduced && !j.recordReduced {
-		c.logDecision(Decision{Event: "record-reduced", Job: j.spec.ID, Reason: fmt.Sprintf("%d crashes and %d checkpoints are left out of more than %d bytes", crashes, checkpoints, limit)})
+		c.logDecision(Decision{Event: "record-reduced", Job: j.spec.ID, Reason: fmt.Sprintf("it takes more than %d bytes: %d crashes and %d checkpoints are left out", limit, out.Crashes, out.Checkpoints)})
 	}
 	j.recordReduced = reduced
 }
