--- a/internal/jobfaults/largejob_test.go
+++ b/internal/jobfaults/largejob_test.go
@@ -13,7 +13,7 @@
 // TestRacksLostUnderALargeJob guards against a job that is shown as failed although none of its tasks has failed: the crashes
 // noted in its record, one for each task of the lost workers, made it larger than the store accepts.
 func TestRacksLostUnderALargeJob(t *testing.T) {
-	const bound, tasks = 16 << 10, 600 // bytes; of the record 115 a task
+	const bound, tasks = 16 << 10, 600 // bytes; 57 KB with a crash of each task
 	racks := [][]owner.InstanceID{{"i0", "i1"}, {"i2", "i3"}}
 	for name, c := range map[string]struct {
 		lost      []int // racks, one after the other
