Owner: a worker that an earlier owner had maintained is given back after its wave, too

Cause: dropAlreadyMaintained ran for open waves only. The platform's answer that the maintenance is already done completes the wave if it was the last one, and from then on nothing ended the reservation of the worker, which is still up. Evidence: TestBusyWorkerMaintainedByAnEarlierOwner fails on: the worker takes no task after wave-completed. What callers saw: after a change of owner in the middle of a wave, one worker of the service gets no tasks until the term ends. Change: completed waves are looked at as well, as long as they have instances that count as down.

--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -121,6 +121,7 @@
 		c.nextWaveCheckAt = now.Add(min(maxWaveCheckInterval, time.Duration(openInstances)*waveCheckPerInstance))
 	}()
 	for _, ws := range c.sortedWaves() {
+		c.dropAlreadyMaintained(ws, now)
 		if ws.completed {
 			continue
 		}
@@ -234,7 +235,6 @@
 	if !c.canSendInstanceOrders(now) || !c.isHandoverComplete(now) {
 		return // it is not known yet how many instances the previous owner took down last
 	}
-	c.dropAlreadyMaintained(ws, now)
 	for _, cand := range c.reservedForWave(ws) {
 		if len(ws.down) >= ws.MaxDown {
 			break
