Owner: an idle worker is reserved when its maintenance is ordered

Cause: advanceWave ordered the maintenance of a worker without runs, but did not reserve it; endOrdered does not keep tasks off. Evidence: TestNoStartOnAnIdleWorkerOrderedDown fails before: a job accepted after the order starts on the worker, while the order is under way or unanswered. What callers saw: a task that starts between the order and the maintenance is lost with the worker and runs once more later; the members of a gang that started elsewhere end alone. Change: the order reserves the worker. A refusal gives it back, and it is not reserved again for 1 s, so that a platform that refuses each order leaves it half of the time (TestAnIdleWorkerWhoseMaintenanceIsRefused; without that pause it would get no task at all). A hold that was sent in the turn that handled the platform's answer now shows, too, that the worker is still up: TestMaintenanceDoneByAnEarlierOwner asks for tasks within 0.1 s. The wait: lasts until the platform has answered the order, and the instance list shows the next worker or the worker answers a later hold; without an answer as long as the platform stays away, since the order may be executed at any time. It holds up one idle worker for each order, at most maxCount of a wave; beside hundreds of starts a second the service has that much less capacity, as it has once the order is executed.

--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -287,6 +287,7 @@
 	avoidPenalty             time.Duration             // duration of the last avoidance
 	consecutiveNoCapacity    int                       // consecutive starts refused for lack of capacity
 	reservedAt               time.Time                 // when reserved was set
+	reserveAfter             time.Time                 // no wave reserves it before
 	endOrdered               bool                      // an order was sent that ends the incarnation
 	idleSince                time.Time                 // since when it has no runs; zero: it has some
 	reserved                 reservation
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -38,9 +38,11 @@
 	// wave's shortest step.
 	waveCheckPerInstance = 80 * time.Microsecond
 	maxWaveCheckInterval = 100 * time.Millisecond
-	// orderRetryDelay is how long a worker is avoided after its maintenance was refused, before
-	// the maintenance is ordered again.
+	// orderRetryDelay is how long a worker is avoided after its maintenance was refused.
 	orderRetryDelay = 500 * time.Millisecond
+	// refusedOrderPause is the time from a refusal until the worker may be reserved again, so that one
+	// whose maintenance is always refused still runs tasks.
+	refusedOrderPause = 2 * orderRetryDelay
 	// MaxDutyLeaseAge is the maximum time since the last renewal of this daemon's lease in the
 	// store at which instance orders are sent. The lease may have been revoked since then, and
 	// another owner elected. It allows for a renewal every 500 ms that a slow store answers
@@ -213,7 +215,7 @@
 			continue
 		}
 		w := c.currentWorker(d.incarnation)
-		alive := w != nil && !w.ended && w.answeredHoldSentAt.After(d.acceptedAt)
+		alive := w != nil && !w.ended && !w.answeredHoldSentAt.Before(d.acceptedAt)
 		if w == nil && d.incarnation.worker == "" {
 			i := c.instances[id]
 			alive = i != nil && i.State == InstanceUp && c.instanceListAt.Sub(d.acceptedAt) > stillUpDelay
@@ -296,7 +298,7 @@
 		if w == nil && i.Worker != "" || c.moves[id] != nil || !c.mayOrderInstance(id, now) {
 			continue // its worker is not known yet, it is moving, or another owner may have ordered it
 		}
-		if w != nil && (w.ended || w.Draining || w.reserved != "" || !c.runsKnown(w, now)) {
+		if w != nil && (w.ended || w.Draining || w.reserved != "" || now.Before(w.reserveAfter) || !c.runsKnown(w, now)) {
 			continue
 		}
 		cand := waveCandidate{id: id, worker: w}
@@ -354,6 +356,7 @@
 	d := downInstance{orderedAt: now, incarnation: c.incarnationOn(&c.instances[cand.id].Instance)}
 	ws.down[cand.id] = d
 	if cand.worker != nil {
+		c.reserve(cand.worker, reservedMaintenance, now) // nothing may start on an idle one any more
 		cand.worker.endOrdered = true
 	}
 	c.logDecision(Decision{Event: "maintenance-ordered", Worker: d.incarnation.worker, Reason: string(cand.id)})
@@ -393,6 +396,7 @@
 		if w != nil {
 			c.unreserve(w)
 			c.avoidWorkerUntil(w, now.Add(orderRetryDelay))
+			w.reserveAfter = now.Add(refusedOrderPause)
 		}
 	}
 	c.logDecision(Decision{Event: "maintenance-answer", Reason: string(o.Instance) + " " + outcome.String()})
