--- a/jobs/node/metrics.go
+++ b/jobs/node/metrics.go
@@ -96,7 +96,7 @@
 	for name, v := range map[string]float64{
 		"owner_open_jobs": float64(s.OpenJobs), "owner_unrecorded_jobs": float64(s.DirtyJobs),
 		"owner_workers": float64(s.Workers), "owner_workers_usable": float64(s.UsableWorkers), "owner_workers_silent": float64(s.SilentWorkers),
-		"owner_tasks": float64(s.RunningTasks), "owner_instances_moving": float64(s.MovingInstances), "owner_cores_waiting": s.WaitingCores,
+		"owner_tasks": float64(s.RunningTasks), "owner_instances_moving": float64(s.MovingInstances), "owner_waves_blocked": float64(s.BlockedWaves), "owner_cores_waiting": s.WaitingCores,
 		"owner_starts": float64(s.Starts), "owner_starts_refused": float64(s.Refused), "owner_tasks_done": float64(s.Done),
 		"owner_tasks_failed": float64(s.Failed), "owner_tasks_stopped": float64(s.Stopped), "owner_tasks_lapsed": float64(s.Lapsed),
 		"owner_tasks_lost": float64(s.Lost), "owner_commits": float64(s.Commits),
--- a/jobs/owner/disruptionbudget.go
+++ b/jobs/owner/disruptionbudget.go
@@ -46,29 +46,18 @@
 	return true
 }
 
-// canDrainOneByOne reports whether a worker that cannot be taken down may have its long-running
-// tasks moved away one at a time. Each step with such tasks there must allow a task to be
-// unavailable, and must either have more tasks there than may be unavailable at the same time, or
-// stay within its budget if the worker is taken down now.
-func canDrainOneByOne(w *worker, now time.Time) bool {
-	for s, n := range longRunningOn(w) {
-		if s.spec.MayMiss == 0 || n <= s.spec.MayMiss && unavailableElsewhere(s, w, now)+n > s.spec.MayMiss {
-			return false
-		}
-	}
-	return true
-}
-
 // drainOneByOne stops one task of each step that has more tasks on the reserved worker than may be
-// unavailable at the same time, so that the task is started again on another worker.
+// unavailable at the same time, so that the task is started again on another worker. A task that would
+// find no place there goes on.
 func (c *Core) drainOneByOne(w *worker, now time.Time) {
 	for s, n := range longRunningOn(w) {
-		if n <= s.spec.MayMiss || unavailableElsewhere(s, w, now) > 0 || hasRunNotServing(s, w) {
+		if n <= s.spec.MayMiss || unavailableElsewhere(s, w, now) > 0 || hasRunNotServing(s, w) || c.findPlaces([]placeNeed{{s, 1}}, w, now) != nil {
 			continue
 		}
 		for _, r := range w.runs {
 			if r.task.step == s && r.phase == running {
 				c.stop(r, "its worker is due for maintenance", now)
+				w.drainStepAt = now
 				break
 			}
 		}
--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -18,6 +18,7 @@
 	arrivalRate           capacity.RateEstimator
 	arrivingInstances     int // instances moving to the pool, as of the last resizing
 	reservedForWave       int // workers reserved for maintenance, as of the last resizing
+	places                wantedPlaces
 	estimateRatio         estimateRatio
 
 	placementQueue []*jobState  // jobs that may have tasks to place
@@ -142,7 +143,8 @@
 	snapshots := map[string]*capacity.Pool{}
 	for _, s := range c.catalog.Services {
 		p := c.pool(s.Name)
-		snapshots[s.Name] = &capacity.Pool{Name: s.Name, WaitingCores: p.waitingCores, LateWaitingCores: p.lateWaitingCores, WaitingFor: p.waitingFor(now), ArrivalRate: p.arrivalRate.WorkPerSecond(p.supply.instances+p.arrivingInstances, now) * p.estimateRatio.factor()}
+		wanted, wantedFor := p.places.at(now)
+		snapshots[s.Name] = &capacity.Pool{Name: s.Name, WaitingCores: p.waitingCores + wanted, LateWaitingCores: p.lateWaitingCores, WaitingFor: max(p.waitingFor(now), wantedFor), ArrivalRate: p.arrivalRate.WorkPerSecond(p.supply.instances+p.arrivingInstances, now) * p.estimateRatio.factor()}
 	}
 	c.updateIndexes(now)
 	for name, v := range snapshots {
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -288,6 +288,7 @@
 	consecutiveNoCapacity    int                       // consecutive starts refused for lack of capacity
 	reservedAt               time.Time                 // when reserved was set
 	reserveAfter             time.Time                 // no wave reserves it before
+	drainStepAt              time.Time                 // when it was reserved, or a task on it was last stopped for maintenance
 	endOrdered               bool                      // an order was sent that ends the incarnation
 	idleSince                time.Time                 // since when it has no runs; zero: it has some
 	reserved                 reservation
--- a/jobs/owner/stats.go
+++ b/jobs/owner/stats.go
@@ -13,6 +13,7 @@
 	RunningTasks    int     // runs on workers, starting and stopping ones included
 	Uncertain       bool    // another daemon may be the owner
 	MovingInstances int     // instances moving to another pool
+	BlockedWaves    int     // waves that cannot go on, as logged
 	WaitingCores    float64 // cores that tasks wait for
 	Pools           []PoolStats
 	// MinCallTimeout and MaxCallTimeout are the range of the timeouts of starts over the workers.
@@ -35,6 +36,11 @@
 // Stats returns the owner's state at now.
 func (c *Core) Stats(now time.Time) Stats {
 	s := Stats{Counts: c.counts, OpenJobs: len(c.openJobs), DirtyJobs: len(c.dirtyJobs), MovingInstances: len(c.moves), Uncertain: !c.ownership.heldAt(now)}
+	for _, ws := range c.openWaves() {
+		if ws.blockedLogged {
+			s.BlockedWaves++
+		}
+	}
 	for _, w := range c.workers {
 		if w.ended {
 			continue
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -1,7 +1,9 @@
 package owner
 
 import (
+	"cmp"
 	"fmt"
+	"slices"
 	"sort"
 	"time"
 )
@@ -16,6 +18,9 @@
 	statusWritten      bool                        // its first status was written
 	forecastLate       bool                        // the last forecast says that it will exceed Within
 	completed          bool
+	blockedBy          *drainBlock // what keeps its instances from being reserved; nil: nothing
+	blockedSince       time.Time   // since when it cannot go on; zero: it can
+	blockedLogged      bool        // wave-blocked was logged
 }
 
 // downInstance is an instance under maintenance.
@@ -122,6 +127,7 @@
 	defer func() {
 		c.nextWaveCheckAt = now.Add(min(maxWaveCheckInterval, time.Duration(openInstances)*waveCheckPerInstance))
 	}()
+	c.endStalledReservations(now)
 	for _, ws := range c.sortedWaves() {
 		c.dropAlreadyMaintained(ws, now)
 		if ws.completed {
@@ -181,6 +187,17 @@
 	return out
 }
 
+// openWaves returns the waves that are not completed, in no order.
+func (c *Core) openWaves() []*waveState {
+	var out []*waveState
+	for _, ws := range c.waves {
+		if !ws.completed {
+			out = append(out, ws)
+		}
+	}
+	return out
+}
+
 // waveDone reports whether the maintenance of every instance of the wave that still exists
 // has started.
 func (c *Core) waveDone(ws *waveState) bool {
@@ -200,6 +217,7 @@
 	id            InstanceID
 	worker        *worker // nil: it has none
 	remainingWork float64 // as of worker.remainingWork
+	reserveAfter  time.Time
 }
 
 // stillUpDelay is the time after an accepted order from which an instance list that still shows a
@@ -238,35 +256,43 @@
 		return // it is not known yet how many instances the previous owner took down last
 	}
 	for _, cand := range c.reservedForWave(ws) {
-		if len(ws.down) >= ws.MaxDown {
-			break
-		}
-		if c.isReadyForMaintenance(cand.worker, now) {
+		if len(ws.down) < ws.MaxDown && c.isReadyForMaintenance(cand.worker, now) {
 			c.orderMaintenance(ws, cand, now)
 			continue
 		}
 		c.drainOneByOne(cand.worker, now)
 	}
+	c.reserveForWave(ws, now)
+	c.updateBlocked(ws, now)
+}
+
+// reserveForWave reserves further instances of the wave, and orders the maintenance of idle ones at once.
+func (c *Core) reserveForWave(ws *waveState, now time.Time) {
 	free := ws.MaxDown - len(ws.down) - len(c.reservedForWave(ws))
 	if free <= 0 {
 		return
 	}
+	plan := c.newDrainPlan(now)
+	searches := 0
 	for _, cand := range c.candidatesForWave(ws, now) {
-		if free <= 0 {
+		if free <= 0 || searches >= maxFailedSearches {
 			return
 		}
-		if cand.worker == nil || len(cand.worker.runs) == 0 {
-			if len(ws.down) < ws.MaxDown {
-				c.orderMaintenance(ws, cand, now)
-				free--
+		if cand.worker != nil {
+			if b := plan.allows(cand.worker); b != nil {
+				if c.noteBlocked(ws, cand.worker, b, now) {
+					searches++
+				}
+				continue
 			}
-			continue
 		}
-		if !canTakeDown(cand.worker, now) && !canDrainOneByOne(cand.worker, now) {
-			continue // tasks of its steps run on a worker that was reserved in this loop
+		free--
+		if cand.worker == nil || len(cand.worker.runs) == 0 {
+			c.orderMaintenance(ws, cand, now)
+			continue
 		}
 		c.reserve(cand.worker, reservedMaintenance, now)
-		free--
+		plan.add(cand.worker)
 		c.logDecision(Decision{Event: "worker-reserved", Worker: cand.worker.Worker, Reason: string(reservedMaintenance)})
 	}
 }
@@ -284,8 +310,8 @@
 	return out
 }
 
-// candidatesForWave returns the instances that may be reserved, those with the least
-// remaining work first.
+// candidatesForWave returns the instances that may be reserved: those that were not blocked yet, with the
+// least remaining work first, then those whose pause ended first.
 func (c *Core) candidatesForWave(ws *waveState, now time.Time) []waveCandidate {
 	var out []waveCandidate
 	for _, id := range ws.Instances {
@@ -303,14 +329,13 @@
 		}
 		cand := waveCandidate{id: id, worker: w}
 		if w != nil {
-			if !canTakeDown(w, now) && !canDrainOneByOne(w, now) {
-				continue
-			}
-			cand.remainingWork = w.remainingWork()
+			cand.remainingWork, cand.reserveAfter = w.remainingWork(), w.reserveAfter
 		}
 		out = append(out, cand)
 	}
-	sort.SliceStable(out, func(a, b int) bool { return out[a].remainingWork < out[b].remainingWork })
+	slices.SortStableFunc(out, func(a, b waveCandidate) int {
+		return cmp.Or(a.reserveAfter.Compare(b.reserveAfter), cmp.Compare(a.remainingWork, b.remainingWork))
+	})
 	return out
 }
 
@@ -401,19 +426,3 @@
 	}
 	c.logDecision(Decision{Event: "maintenance-answer", Reason: string(o.Instance) + " " + outcome.String()})
 }
-
-// reserve keeps new tasks off the worker.
-func (c *Core) reserve(w *worker, why reservation, now time.Time) {
-	w.reserved = why
-	w.reservedAt = now
-	c.maintenanceWorkers.put(w, why == reservedMaintenance && !w.ended)
-	c.markWorkerChanged(w)
-}
-
-// unreserve makes the worker available for new tasks again.
-func (c *Core) unreserve(w *worker) {
-	w.reserved = ""
-	w.endOrdered = false
-	c.maintenanceWorkers.put(w, false)
-	c.markWorkerChanged(w)
-}
