Placement: long-running tasks avoid workers that a wave will take down

Cause: a task that was stopped for a wave went to any worker with room, most often to one that the same wave took down next, so that it was stopped again. Change: a penalty, above that for more tasks of a step on a worker than may be missed. Other tasks are placed as before.

--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -198,6 +198,15 @@
 	return out
 }
 
+// isMaintenanceDue reports whether one of the waves still has to take the worker's instance down.
+func (c *Core) isMaintenanceDue(w *worker, waves []*waveState) bool {
+	if len(waves) == 0 {
+		return false
+	}
+	id := c.instanceOfWorker[w.Worker]
+	return slices.ContainsFunc(waves, func(ws *waveState) bool { return ws.members[id] && !ws.maintenanceStarted[id] })
+}
+
 // waveDone reports whether the maintenance of every instance of the wave that still exists
 // has started.
 func (c *Core) waveDone(ws *waveState) bool {
--- a/jobs/owner/workerview.go
+++ b/jobs/owner/workerview.go
@@ -20,6 +20,7 @@
 // workers, so tasks that end on their own are placed by the free index instead.
 func (c *Core) newWorkerView(service string, now time.Time) *workerView {
 	list := c.workersByService[service]
+	waves := c.openWaves()
 	v := &workerView{workers: make([]*worker, 0, len(list)), views: make([]placement.Worker, 0, len(list))}
 	for _, w := range list {
 		if !c.isUsable(w, now) {
@@ -27,7 +28,9 @@
 		}
 		w.workerView, w.workerViewIndex = v, len(v.workers)
 		v.workers = append(v.workers, w)
-		v.views = append(v.views, w.placementView(now))
+		view := w.placementView(now)
+		view.MaintenanceDue = c.isMaintenanceDue(w, waves)
+		v.views = append(v.views, view)
 	}
 	return v
 }
--- a/jobs/placement/placement.go
+++ b/jobs/placement/placement.go
@@ -20,6 +20,8 @@
 	Serving      int  // long-running tasks on it that have a latency target
 	LongRunning  int  // long-running tasks on it
 	Excluded     bool // not permitted for the request
+	// MaintenanceDue means that a maintenance wave will take the worker down soon.
+	MaintenanceDue bool
 }
 
 // Request is a task to be placed.
@@ -50,6 +52,9 @@
 	sharingPenalty = 0.25
 	// spreadPenalty is for workers that would exceed PreferredMaxPerWorker.
 	spreadPenalty = 4.0
+	// maintenancePenalty is for workers that a wave will take down: a long-running task would have to
+	// move again. It outweighs spreadPenalty with longRunningBonus.
+	maintenancePenalty = 6.0
 	// longRunningBonus is for workers that have long-running tasks already. It concentrates these
 	// tasks, so that other instances become idle and can be moved.
 	longRunningBonus = 1.0
@@ -90,6 +95,9 @@
 		if r.PreferredMaxPerWorker > 0 && w.SameStep >= r.PreferredMaxPerWorker {
 			s -= spreadPenalty
 		}
+		if w.MaintenanceDue {
+			s -= maintenancePenalty
+		}
 	}
 	if r.PreferredRack != "" && w.Rack == r.PreferredRack {
 		s += rackBonus
--- a/jobs/placement/placement_test.go
+++ b/jobs/placement/placement_test.go
@@ -30,6 +30,8 @@
 	full[0].SameStep = 1
 	shared := workers(8, 8)
 	shared[0].Serving = 1
+	due := workers(8, 4)
+	due[0].MaintenanceDue, due[1].SameStep = true, 1
 	for _, c := range []struct {
 		name    string
 		workers []Worker
@@ -46,6 +48,9 @@
 		{"a worker of second choice rather than none", secondChoice[:1], Request{Need: cores(1)}, 0},
 		{"the limit of tasks of a step per worker", full, Request{Need: cores(1), MaxPerWorker: 1}, 1},
 		{"long-running tasks spread for maintenance", full, Request{Need: cores(1), LongRunning: true, PreferredMaxPerWorker: 1}, 1},
+		{"long-running tasks away from maintenance", due, Request{Need: cores(1), LongRunning: true, PreferredMaxPerWorker: 1}, 1},
+		{"maintenance rather than no worker", due[:1], Request{Need: cores(1), LongRunning: true}, 0},
+		{"other tasks without regard to maintenance", due, Request{Need: cores(5)}, 0},
 		{"fillers away from serving tasks", shared, Request{Filler: true}, 1},
 	} {
 		assert.Equal(t, c.want, Choose(c.workers, c.request), c.name)
