--- a/jobs/owner/reservation_test.go
+++ b/jobs/owner/reservation_test.go
@@ -1,6 +1,7 @@
 package owner
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -10,16 +11,17 @@
 	"github.com/postmount/postmount/jobs/job"
 )
 
-// drainRig is a rig whose workers list the runs that were started on them.
+// drainRig is a rig whose workers list the runs that were started on them, and stop them when ordered to.
 type drainRig struct {
 	*rig
 	active map[WorkerID][]ActiveRun
+	ends   map[WorkerID][]RunEnd
 	silent map[WorkerID]bool
 	events map[string][]Decision
 }
 
 func newDrainRig(t *testing.T, workers ...string) *drainRig {
-	r := &drainRig{rig: newRig(t, 1), active: map[WorkerID][]ActiveRun{}, silent: map[WorkerID]bool{}, events: map[string][]Decision{}}
+	r := &drainRig{rig: newRig(t, 1), active: map[WorkerID][]ActiveRun{}, ends: map[WorkerID][]RunEnd{}, silent: map[WorkerID]bool{}, events: map[string][]Decision{}}
 	for _, w := range workers {
 		r.answerHold(r.worker(w), nil)
 	}
@@ -31,15 +33,20 @@
 	for end := r.now.Add(d); r.now.Before(end); {
 		r.tick(100 * time.Millisecond)
 		for _, s := range r.confirmStarts() {
-			r.active[s.Worker] = append(r.active[s.Worker], ActiveRun{Task: s.Task, Run: s.Run, Percent: 100})
+			r.active[s.Worker] = append(r.active[s.Worker], ActiveRun{Task: s.Task, Run: s.Run})
 		}
+		r.progress()
+		for _, s := range r.out.Stops {
+			r.stop(s)
+		}
+		r.out.Stops = nil
 		r.publishLists()
 		for _, g := range r.regs {
 			if r.silent[g.Worker] {
 				r.failHold(g.Worker)
 				continue
 			}
-			r.answerHold(g.Worker, r.active[g.Worker])
+			r.answerHold(g.Worker, r.active[g.Worker], r.ends[g.Worker]...)
 		}
 		for _, d := range r.core.TakeDecisions() {
 			r.events[d.Event] = append(r.events[d.Event], d)
@@ -47,6 +54,40 @@
 	}
 }
 
+// progress advances the runs. Those of long-running tasks serve at once.
+func (r *drainRig) progress() {
+	for _, runs := range r.active {
+		for i := range runs {
+			runs[i].Percent = min(99, runs[i].Percent+1)
+			if r.core.jobs[runs[i].Task.Job].spec.Steps[0].LongRunning {
+				runs[i].Percent = 100
+			}
+		}
+	}
+}
+
+// stop ends the run that the order names.
+func (r *drainRig) stop(s Stop) {
+	runs := r.active[s.Worker]
+	i := slices.IndexFunc(runs, func(a ActiveRun) bool { return a.Task == s.Task && a.Run == s.Run })
+	if i < 0 {
+		return
+	}
+	r.active[s.Worker] = slices.Delete(runs, i, i+1)
+	r.ends[s.Worker] = append(r.ends[s.Worker], RunEnd{Seq: uint64(len(r.ends[s.Worker]) + 1), Task: s.Task, Run: s.Run, Kind: EndStopped})
+}
+
+// stoppedForMaintenance returns how many runs were stopped as their workers are due for maintenance.
+func (r *drainRig) stoppedForMaintenance() int {
+	n := 0
+	for _, d := range r.events["run-stopped"] {
+		if d.Reason == "its worker is due for maintenance" {
+			n++
+		}
+	}
+	return n
+}
+
 // submitStep submits a job of one step.
 func (r *drainRig) submitStep(n int, s job.Step) *job.Job {
 	j := simpleJob(n, 1)
@@ -173,10 +214,10 @@
 	}
 	require.Len(t, moves, 1)
 	assert.Equal(t, InstanceID("i-spare"), moves[0].Instance)
-	assert.Empty(t, r.out.Stops)
+	assert.Zero(t, r.stoppedForMaintenance())
 	r.core.OnInstanceOrderAnswer(moves[0], DutyDone, r.now)
 	r.inst = r.inst[:1]
 	r.answerHold(r.worker("b"), nil)
 	r.run(2 * time.Second)
-	assert.NotEmpty(t, r.out.Stops)
+	assert.Equal(t, 1, r.stoppedForMaintenance())
 }
