--- a/jobs/owner/ends.go
+++ b/jobs/owner/ends.go
@@ -24,6 +24,9 @@
 	if acked == 0 {
 		return
 	}
+	if w.ackDueSince.IsZero() {
+		w.ackDueSince = now
+	}
 	w.unacked = w.unacked[acked:]
 	if len(w.unacked) == 0 && w.nextHoldAt.After(now) {
 		c.scheduleHold(w, now)
--- a/jobs/owner/evacuation.go
+++ b/jobs/owner/evacuation.go
@@ -42,12 +42,12 @@
 }
 
 // isUsable reports whether new tasks may be placed on the worker: it is ready and not avoided, was
-// known while this daemon was certainly the owner, and its zone isn't evacuated.
+// known while this daemon was certainly the owner, and its zone isn't evacuated. A worker in a quiet period isn't.
 func (c *Core) isUsable(w *worker, now time.Time) bool {
 	return !now.Before(w.avoidUntil) && c.isUsableUnlessAvoided(w, now)
 }
 
 // isUsableUnlessAvoided reports whether the worker would be usable if it was not avoided.
 func (c *Core) isUsableUnlessAvoided(w *worker, now time.Time) bool {
-	return w.isReady(now) && c.knewWorkerInTime(w) && !c.evacuatedZones[w.Zone] && !w.oversized
+	return w.isReady(now) && !w.isQuiet(now) && c.knewWorkerInTime(w) && !c.evacuatedZones[w.Zone] && !w.oversized
 }
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -282,13 +282,18 @@
 		c.scheduleSettling(w, now)
 	}
 	w.unprovenLapseLogged = false
-	w.confirmedAckEnd = max(w.confirmedAckEnd, w.holdAckThrough)
+	c.confirmAcks(w, now)
 	w.answeredHoldSentAt = w.holdSentAt
 	c.applyRunList(w, h, now)
 	c.workersWithUnknownJobs.put(w, len(w.unknownRuns)+len(w.unknownEnds) > 0)
 	w.nextHoldAt = now
 	c.advanceAck(w, now)
-	if len(w.unacked) > 0 && !w.hasIsolatedStart(now) {
+	c.beginQuiet(w, now)
+	if w.acksAreLate(now) {
+		if w.hasUnlistedRun() {
+			w.nextHoldAt = now.Add(isolatedHoldPause)
+		}
+	} else if len(w.unacked) > 0 && !w.hasIsolatedStart(now) {
 		w.nextHoldAt = now.Add(ackRetryPause)
 	} else if len(w.unacked) > 0 || w.ackDue() && w.hasUnlistedRun() {
 		w.nextHoldAt = now.Add(isolatedHoldPause)
--- a/standin/jobfleet/idle.go
+++ b/standin/jobfleet/idle.go
@@ -3,6 +3,7 @@
 import (
 	"maps"
 	"slices"
+	"time"
 
 	"github.com/postmount/postmount/jobs/job"
 	"github.com/postmount/postmount/jobs/owner"
@@ -37,3 +38,15 @@
 	}
 	return out
 }
+
+// UnacknowledgedEnds returns how many ended runs the worker of an instance keeps, and the age of the oldest. A worker
+// that is down has none.
+func (f *Fleet) UnacknowledgedEnds(id owner.InstanceID) (n int, oldest time.Duration) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	w := f.workers[f.instances[id].Worker]
+	if w == nil || w.dead || len(w.ended) == 0 {
+		return 0, 0
+	}
+	return len(w.ended), time.Since(w.endedAt[w.ended[0].Seq])
+}
