--- a/internal/jobfaults/acksunderload_test.go
+++ b/internal/jobfaults/acksunderload_test.go
@@ -108,3 +108,35 @@
 	assert.Less(t, otherTook, otherJobsDeadline)
 	d.awaitCompletion(30 * time.Second)
 }
+
+// TestFullListOfEndsUnderLoad guards against a list of ends that stays full: runs end that it does not show, and no end is
+// acknowledged beside a run that was not listed.
+func TestFullListOfEndsUnderLoad(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		d := deployFixed(t, ctx, 1)
+		for n := range 20 {
+			j := smallTasks(n+1, 1200)
+			j.Steps[0].Estimate = 20 * time.Millisecond // most end before a list shows them as active
+			d.submit(ordersPrefix, j)
+		}
+		time.Sleep(500 * time.Millisecond)
+		failStoreFor(d, jobfleet.Refused, 3500*time.Millisecond)
+		time.Sleep(3500 * time.Millisecond)
+		n, _ := d.in.Fleet.UnacknowledgedEnds("i0")
+		assert.Greater(t, n, maxListedEnds)
+		back := time.Now()
+		for n >= maxListedEnds && time.Since(back) < 30*time.Second {
+			time.Sleep(10 * time.Millisecond)
+			n, _ = d.in.Fleet.UnacknowledgedEnds("i0")
+		}
+		t.Logf("the list is complete %s after the store is back", time.Since(back))
+		assert.Less(t, time.Since(back), 4*time.Second)
+		d.awaitCompletion(30 * time.Second)
+		cancel()
+		for _, dm := range d.in.Daemons() {
+			d.in.Kill(dm.Name)
+		}
+		time.Sleep(20 * time.Second) // calls and timers of the stand-ins end
+	})
+}
--- a/jobs/owner/ackquiet.go
+++ b/jobs/owner/ackquiet.go
@@ -42,7 +42,7 @@
 // beginQuiet begins a quiet period if acknowledgements are late because of runs that the worker has not listed. Between
 // two of them it gets starts for lateAckAge at least.
 func (c *Core) beginQuiet(w *worker, now time.Time) {
-	if w.StartedMs == 0 || !w.acksAreLate(now) || !w.hasUnlistedRun() || now.Sub(w.quietUntil) < lateAckAge {
+	if w.StartedMs == 0 || !w.acksAreLate(now) || !w.hasUnlistedRun(now) || now.Sub(w.quietUntil) < lateAckAge {
 		return
 	}
 	w.quietUntil = now.Add(maxAckQuiet)
--- a/jobs/owner/incarnation.go
+++ b/jobs/owner/incarnation.go
@@ -295,8 +295,8 @@
 // worker does not answer or may have a run that it has not listed, and once an acknowledgement was answered. A
 // hold that acknowledges ends does not wait: a worker drops ends also when the wait is over, after the new
 // incarnation's first order.
-func (w *worker) ackThrough() uint64 {
-	if !w.ackDue() || w.StartedMs != 0 && (!w.silentSince.IsZero() || !w.contactLoss.lostAt.IsZero() || w.hasUnlistedRun()) {
+func (w *worker) ackThrough(now time.Time) uint64 {
+	if !w.ackDue() || w.StartedMs != 0 && (!w.silentSince.IsZero() || !w.contactLoss.lostAt.IsZero() || w.hasUnlistedRun(now)) {
 		return 0
 	}
 	return w.lastAckedEnd
@@ -305,10 +305,11 @@
 // ackDue reports whether there are run ends to acknowledge.
 func (w *worker) ackDue() bool { return w.lastAckedEnd > w.confirmedAckEnd }
 
-// hasUnlistedRun reports whether the worker may have a run that it has not listed.
-func (w *worker) hasUnlistedRun() bool {
+// hasUnlistedRun reports whether the worker may have a run that it has not listed. A run that has ended beyond a
+// truncated list of ends is none, as its start was executed before that list.
+func (w *worker) hasUnlistedRun(now time.Time) bool {
 	for _, r := range w.runs {
-		if !r.listed {
+		if !r.listed && !(r.phase == ended && now.After(r.mayStartUntil)) {
 			return true
 		}
 	}
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -81,7 +81,7 @@
 	if leaseUntilMs > 0 && w.lease.firstRenewalAt.IsZero() {
 		w.lease.firstRenewalAt = now
 	}
-	w.holdAckThrough = w.ackThrough()
+	w.holdAckThrough = w.ackThrough(now)
 	c.effects.Holds = append(c.effects.Holds, Hold{
 		Target:       c.target(w),
 		LeaseUntilMs: leaseUntilMs,
@@ -290,12 +290,12 @@
 	c.advanceAck(w, now)
 	c.beginQuiet(w, now)
 	if w.acksAreLate(now) {
-		if w.hasUnlistedRun() {
+		if w.hasUnlistedRun(now) {
 			w.nextHoldAt = now.Add(isolatedHoldPause)
 		}
 	} else if len(w.unacked) > 0 && !w.hasIsolatedStart(now) {
 		w.nextHoldAt = now.Add(ackRetryPause)
-	} else if len(w.unacked) > 0 || w.ackDue() && w.hasUnlistedRun() {
+	} else if len(w.unacked) > 0 || w.ackDue() && w.hasUnlistedRun(now) {
 		w.nextHoldAt = now.Add(isolatedHoldPause)
 	}
 	c.scheduleHold(w, w.nextHoldAt)
