--- a/internal/jobfaults/acksunderload_test.go
+++ b/internal/jobfaults/acksunderload_test.go
@@ -140,3 +140,32 @@
 		time.Sleep(20 * time.Second) // calls and timers of the stand-ins end
 	})
 }
+
+// TestListOfEndsUnderAFlood guards against lists of ends that overflow although the store is there: thousands of tasks a
+// second end on one worker.
+func TestListOfEndsUnderAFlood(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		ctx, cancel := context.WithCancel(context.Background())
+		d := deployFixed(t, ctx, 1)
+		const jobs, tasks = 12, 1200
+		for n := range jobs {
+			j := smallTasks(n+1, tasks)
+			j.Steps[0].Estimate = 100 * time.Millisecond
+			d.submit(ordersPrefix, j)
+		}
+		most, began := 0, time.Now()
+		for d.in.Checker.Starts() < jobs*tasks && time.Since(began) < 20*time.Second {
+			time.Sleep(10 * time.Millisecond)
+			n, _ := d.in.Fleet.UnacknowledgedEnds("i0")
+			most = max(most, n)
+		}
+		t.Logf("at most %d ends not acknowledged; %d starts in %s", most, d.in.Checker.Starts(), time.Since(began))
+		assert.Less(t, most, maxListedEnds)
+		d.awaitCompletion(10 * time.Second)
+		cancel()
+		for _, dm := range d.in.Daemons() {
+			d.in.Kill(dm.Name)
+		}
+		time.Sleep(20 * time.Second) // calls and timers of the stand-ins end
+	})
+}
--- a/jobs/owner/ackquiet.go
+++ b/jobs/owner/ackquiet.go
@@ -2,11 +2,15 @@
 
 import "time"
 
-// Bounds of quiet periods.
+// Bounds of acknowledgements and quiet periods.
 const (
-	// lateAckAge is how long ends wait to be acknowledged until the next hold is sent at once, before new
-	// starts, or until their worker gets a quiet period.
-	lateAckAge = 200 * time.Millisecond
+	// lateAckAge is how long, and manyUnackedEnds how many, ends wait to be acknowledged until the next hold is
+	// sent at once, before new starts, or until their worker gets a quiet period. The platform's workers list
+	// 500 ends.
+	lateAckAge      = 200 * time.Millisecond
+	manyUnackedEnds = 100
+	// quietHoldPause is the pause between holds while runs are not listed that hold up late acknowledgements.
+	quietHoldPause = 5 * time.Millisecond
 	// maxAckQuiet bounds a quiet period. Usually it takes two holds: one that lists the runs, and one that
 	// acknowledges. A start without an answer takes longer.
 	maxAckQuiet = 500 * time.Millisecond
@@ -16,10 +20,10 @@
 // safe beside a run which it has not listed, and under load there always is one.
 func (w *worker) isQuiet(now time.Time) bool { return now.Before(w.quietUntil) }
 
-// acksAreLate reports whether ends that may be acknowledged wait for lateAckAge. Right after a list there may be no
-// run that it lacks, which is no longer so once further ends are stored.
+// acksAreLate reports whether ends that may be acknowledged have waited for long, or are many. Right after a list
+// there may be no run that it lacks, which is no longer so once further ends are stored.
 func (w *worker) acksAreLate(now time.Time) bool {
-	return w.ackDue() && now.Sub(w.ackDueSince) >= lateAckAge
+	return w.ackDue() && (now.Sub(w.ackDueSince) >= lateAckAge || w.lastAckedEnd-w.confirmedAckEnd >= manyUnackedEnds)
 }
 
 // confirmAcks records that the worker has executed the acknowledgement in the hold that it answered, which ends its
@@ -39,13 +43,13 @@
 	}
 }
 
-// beginQuiet begins a quiet period if acknowledgements are late because of runs that the worker has not listed. Between
-// two of them it gets starts for lateAckAge at least.
+// beginQuiet begins a quiet period if acknowledgements are late because of runs that the worker has not listed. Before
+// that it gets starts for at least as long as the last one lasted.
 func (c *Core) beginQuiet(w *worker, now time.Time) {
-	if w.StartedMs == 0 || !w.acksAreLate(now) || !w.hasUnlistedRun(now) || now.Sub(w.quietUntil) < lateAckAge {
+	if w.StartedMs == 0 || !w.acksAreLate(now) || !w.hasUnlistedRun(now) || w.isQuiet(now) || now.Sub(w.quietUntil) < w.quietUntil.Sub(w.quietSince) {
 		return
 	}
-	w.quietUntil = now.Add(maxAckQuiet)
+	w.quietSince, w.quietUntil = now, now.Add(maxAckQuiet)
 	c.markWorkerChanged(w)
 	c.avoidedDue.add(w.quietUntil, w)
 }
--- a/jobs/owner/state.go
+++ b/jobs/owner/state.go
@@ -274,7 +274,7 @@
 	confirmedAckEnd          uint64                    // number up to which an answered hold has acknowledged them
 	holdAckThrough           uint64                    // AckThrough of the latest hold
 	ackDueSince              time.Time                 // since when stored ends wait to be acknowledged; zero: none do
-	quietUntil               time.Time                 // end of the latest quiet period, see isQuiet
+	quietSince, quietUntil   time.Time                 // latest quiet period, see isQuiet
 	unacked                  []unackedEnd              // in the order of their numbers
 	unknownEnds              map[uint64]unknownEnd     // ends of jobs not known yet, by number
 	avoidUntil               time.Time                 // gets no new tasks until then
--- a/jobs/owner/workers.go
+++ b/jobs/owner/workers.go
@@ -291,7 +291,7 @@
 	c.beginQuiet(w, now)
 	if w.acksAreLate(now) {
 		if w.hasUnlistedRun(now) {
-			w.nextHoldAt = now.Add(isolatedHoldPause)
+			w.nextHoldAt = now.Add(quietHoldPause)
 		}
 	} else if len(w.unacked) > 0 && !w.hasIsolatedStart(now) {
 		w.nextHoldAt = now.Add(ackRetryPause)
