--- a/jobs/owner/pools.go
+++ b/jobs/owner/pools.go
@@ -16,9 +16,9 @@
 	waitingJobs           int       // jobs with tasks to place when that pass began
 	lowestStartedPriority int       // highest priority number, which is the least urgent, of a started task
 	arrivalRate           capacity.RateEstimator
-	arrivingInstances     int // instances moving to the pool, as of the last resizing
-	reservedForWave       int // workers reserved for maintenance, as of the last resizing
-	places                wantedPlaces
+	arrivingInstances     int          // instances moving to the pool, as of the last resizing
+	reservedForWave       int          // workers reserved for maintenance, as of the last resizing
+	places                wantedPlaces // room that a wave lacks
 	estimateRatio         estimateRatio
 
 	placementQueue []*jobState  // jobs that may have tasks to place
--- a/jobs/owner/reservation.go
+++ b/jobs/owner/reservation.go
@@ -100,13 +100,14 @@
 	c.logDecision(Decision{Event: "wave-blocked", Job: s.job.spec.ID, Reason: fmt.Sprintf("wave %d: step %d: %s", ws.Wave, s.index, ws.blockedBy.reason)})
 }
 
-// wantedPlaces is the room that long-running tasks need elsewhere before a wave may reserve their worker.
+// wantedPlaces is the room that long-running tasks need elsewhere before a wave may reserve their worker. It counts
+// as cores that tasks of the pool wait for.
 type wantedPlaces struct {
 	cores        float64
 	since, until time.Time
 }
 
-// want records that cores are needed, until the next time that the worker is looked at.
+// want records that cores are needed until the next searches for places; of several needs the largest counts.
 func (p *wantedPlaces) want(cores float64, now time.Time) {
 	if now.After(p.until) {
 		*p = wantedPlaces{since: now}
--- a/jobs/owner/wave.go
+++ b/jobs/owner/wave.go
@@ -224,9 +224,9 @@
 // waveCandidate is an instance waiting for maintenance.
 type waveCandidate struct {
 	id            InstanceID
-	worker        *worker // nil: it has none
-	remainingWork float64 // as of worker.remainingWork
-	reserveAfter  time.Time
+	worker        *worker   // nil: it has none
+	remainingWork float64   // as of worker.remainingWork
+	reserveAfter  time.Time // as of worker.reserveAfter
 }
 
 // stillUpDelay is the time after an accepted order from which an instance list that still shows a
