--- a/jobs/owner/acceptedstart_test.go
+++ b/jobs/owner/acceptedstart_test.go
@@ -56,6 +56,8 @@
 			r.addWorkers("w0", "w1", "w2", "w3", "w4")
 			r.regs[1].Rack, r.regs[2].Rack = "r", "r"
 			r.inst[1].Rack, r.inst[2].Rack = "r", "r"
+			r.regs[3].Capacity.CPUMilli *= 2 // emptier, so that those of the rack are preferred
+			r.regs[4].Capacity.CPUMilli *= 2
 			r.publishLists()
 			j := r.isolateAfterCrash(1)
 			r.answerHolds(2*attributionDelay, nil)
--- a/jobs/owner/copies.go
+++ b/jobs/owner/copies.go
@@ -96,7 +96,7 @@
 			p.placeIsolated(t, sel, excluded)
 			continue
 		}
-		w := sel.pick(excluded)
+		w := sel.pick(t, excluded)
 		if w == nil {
 			return
 		}
--- a/jobs/owner/crash_test.go
+++ b/jobs/owner/crash_test.go
@@ -307,6 +307,7 @@
 	r := newRig(t, 1)
 	r.addWorkers("w0", "w1", "w2")
 	r.regs[0].Rack, r.regs[1].Rack, r.regs[2].Rack = "r", "r", "other"
+	r.regs[2].Capacity.CPUMilli *= 2 // emptier, so that the other one is preferred
 	r.publishLists()
 	j := r.submit(1, 1)
 	first := r.confirmStarts()
--- a/jobs/owner/freeindex.go
+++ b/jobs/owner/freeindex.go
@@ -82,12 +82,12 @@
 
 // choose returns the best worker for a task that ends on its own; nil if none has capacity. allowed
 // reports whether a worker may be used, and stepTasks holds the number of the step's tasks on each
-// worker. The result is the same as that of placement.Choose over all workers.
-func (x *freeIndex) choose(req *placement.Request, allowed func(*worker) bool, stepTasks map[*worker]int, now time.Time) *worker {
+// worker. The result is as good as that of placement.Choose over all workers, and the same if first is 0.
+func (x *freeIndex) choose(req *placement.Request, allowed func(*worker) bool, stepTasks map[*worker]int, first tieBreak, now time.Time) *worker {
 	var best []*worker
 	for _, k := range x.classes {
 		if k.capacity.Fits(req.Need) {
-			best = k.candidates(best, req, allowed, stepTasks, now)
+			best = k.candidates(best, req, allowed, stepTasks, first, now)
 		}
 	}
 	switch len(best) {
@@ -107,7 +107,7 @@
 // candidates appends the workers of the class that may be the best one: the fullest with
 // enough free capacity for each combination of recent failures and preferred rack, up to
 // the first one to be preferred on that rack.
-func (k *capacityClass) candidates(out []*worker, req *placement.Request, allowed func(*worker) bool, stepTasks map[*worker]int, now time.Time) []*worker {
+func (k *capacityClass) candidates(out []*worker, req *placement.Request, allowed func(*worker) bool, stepTasks map[*worker]int, first tieBreak, now time.Time) []*worker {
 	from, _ := slices.BinarySearchFunc(k.byFree, req.Need.CPUMilli, func(w *worker, need int) int {
 		if w.indexedFreeCPUMilli < need {
 			return -1
@@ -115,7 +115,7 @@
 		return 1
 	})
 	var found [2][2]bool // by isSecondChoice, by preferred rack
-	for _, w := range k.byFree[from:] {
+	for _, w := range first.order(k.byFree[from:]) {
 		if !w.free().Fits(req.Need) || !allowed(w) ||
 			req.MaxPerWorker > 0 && stepTasks[w] >= req.MaxPerWorker ||
 			req.RequiredLabel != "" && !slices.Contains(w.Labels, req.RequiredLabel) {
--- a/jobs/owner/isolation.go
+++ b/jobs/owner/isolation.go
@@ -190,7 +190,7 @@
 // there is none, the task waits, and after its isolation wait it may preempt other runs.
 func (p *schedulingPass) placeIsolated(t *task, sel *workerSelector, excluded func(*worker) bool) {
 	for _, fits := range p.isolationConditions(t) {
-		w := sel.pick(func(w *worker) bool { return excluded(w) || !fits(w) })
+		w := sel.pick(t, func(w *worker) bool { return excluded(w) || !fits(w) })
 		if w == nil {
 			continue
 		}
@@ -207,7 +207,7 @@
 }
 
 // awaitIsolation counts a risky task as waiting, and vacates the worker with the fewest runs for
-// its job.
+// its job; among equals that of its tie break.
 func (p *schedulingPass) awaitIsolation(t *task, req *placement.Request) {
 	s := t.step
 	p.pool.addWaiting(s, 1)
@@ -216,7 +216,10 @@
 	view := p.workersFor(s)
 	vacating := 0
 	var best *worker
-	for i, w := range view.workers {
+	first := t.tieBreak().of(len(view.workers))
+	for n := range view.workers {
+		i := (first + n) % len(view.workers)
+		w := view.workers[i]
 		if w.isolatedFor != nil && p.now.Before(w.isolatedUntil) {
 			if w.isolatedFor == s.job {
 				return
--- a/jobs/owner/schedulingpass.go
+++ b/jobs/owner/schedulingpass.go
@@ -162,7 +162,7 @@
 			return
 		}
 		kept := t.isKeptForWorker(p.now)
-		w := sel.pick(func(w *worker) bool {
+		w := sel.pick(t, func(w *worker) bool {
 			return kept && w.Worker != t.outstandingStart.worker || p.core.prefersOthers(t, w)
 		})
 		if w == nil && kept {
@@ -175,7 +175,7 @@
 			continue
 		}
 		if w == nil && len(t.failedOn)+len(t.stalledOn)+len(t.crashes) > 0 {
-			w = sel.pick(excludeNone)
+			w = sel.pick(t, excludeNone)
 		}
 		if w == nil {
 			p.onNoCapacity(s, &sel.req)
@@ -250,7 +250,7 @@
 		return
 	}
 	req := placementRequest(s)
-	view := p.workersFor(s)
+	view := p.workersFor(s).startingAt(s.tieBreak())
 	views := view.views
 	if s.crashRisk() != job.CrashRiskNone {
 		views = p.isolationViews(s, view)
@@ -320,24 +320,24 @@
 	return sel
 }
 
-// pick returns the best worker that is not excluded; nil if none has capacity.
-func (sel *workerSelector) pick(excluded func(*worker) bool) *worker {
+// pick returns the best worker for the task that is not excluded; nil if none has capacity.
+func (sel *workerSelector) pick(t *task, excluded func(*worker) bool) *worker {
 	if sel.req.LongRunning || sel.req.Filler || sel.req.Serving {
-		return sel.pickByScan(excluded)
+		return sel.pickByScan(t.tieBreak(), excluded)
 	}
 	s, now := sel.step, sel.pass.now
 	permits := s.needsPermits()
 	allowed := func(w *worker) bool {
 		return !excluded(w) && !w.isKeptForOther(s, now) && (!permits || s.hasValidTicket(w, now))
 	}
-	return sel.pass.pool.free.choose(&sel.req, allowed, sel.stepTasks, now)
+	return sel.pass.pool.free.choose(&sel.req, allowed, sel.stepTasks, t.tieBreak(), now)
 }
 
 // pickByScan examines every worker of the service. It is for tasks that share a worker with
 // others for a long time: these are scored by the other tasks on the worker as well, and the
 // free index orders workers by free capacity only.
-func (sel *workerSelector) pickByScan(excluded func(*worker) bool) *worker {
-	view := sel.pass.workersFor(sel.step)
+func (sel *workerSelector) pickByScan(first tieBreak, excluded func(*worker) bool) *worker {
+	view := sel.pass.workersFor(sel.step).startingAt(first)
 	views := view.views
 	if slices.ContainsFunc(view.workers, excluded) {
 		views = slices.Clone(views)
