Tests: no data races in the load of acknowledgements

Cause: the starts that fail were drawn from one math/rand source by all calls at the same time, and the stand-in's caller counted its calls without synchronisation, which submissions side by side use. Change: a lock around the draw, an atomic counter. The checks and the seed are the same.

--- a/internal/jobfaults/acksunderload_test.go
+++ b/internal/jobfaults/acksunderload_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math/rand"
+	"sync"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -45,13 +46,7 @@
 			synctest.Test(t, func(t *testing.T) {
 				ctx, cancel := context.WithCancel(context.Background())
 				d := deployFixed(t, ctx, 1)
-				random := rand.New(rand.NewSource(1))
-				d.in.SetFailureFunc(func(_, op string) jobfleet.Failure {
-					if op == "start" && random.Float64() < c.share {
-						return c.failure
-					}
-					return jobfleet.NoFailure
-				})
+				d.in.SetFailureFunc(failingStarts(c.failure, c.share))
 				testAcksUnderLoad(t, d, c.restarts, c.oneByOne)
 				cancel()
 				for _, dm := range d.in.Daemons() {
@@ -63,6 +58,23 @@
 	}
 }
 
+// failingStarts lets a share of the starts fail, drawn at random with a fixed seed.
+func failingStarts(f jobfleet.Failure, share float64) jobfleet.FailureFunc {
+	var mu sync.Mutex
+	random := rand.New(rand.NewSource(1))
+	return func(_, op string) jobfleet.Failure {
+		if op != "start" {
+			return jobfleet.NoFailure
+		}
+		mu.Lock()
+		defer mu.Unlock()
+		if random.Float64() < share {
+			return f
+		}
+		return jobfleet.NoFailure
+	}
+}
+
 // smallJob returns a job of n tasks that take a tenth of a core for 50 ms.
 func smallJob(id, n int) *job.Job {
 	need := job.Resources{CPUMilli: 100, MemMB: 16}
--- a/standin/jobfleet/installation.go
+++ b/standin/jobfleet/installation.go
@@ -9,6 +9,7 @@
 	"sort"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -202,14 +203,13 @@
 
 // Caller returns a caller that sends to all daemons, round robin.
 func (in *Installation) Caller() *Caller {
-	next := 0
+	var calls atomic.Int64
 	return in.CallerWith(func(method, path string, body []byte) (int, string) {
 		daemons := in.Daemons()
 		if len(daemons) == 0 {
 			return 0, ""
 		}
-		next++
-		return in.sendTo(daemons[next%len(daemons)], method, path, body)
+		return in.sendTo(daemons[int(calls.Add(1))%len(daemons)], method, path, body)
 	})
 }
 
